--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,109 @@
+import tseslint from "typescript-eslint";
+
+/** Packages that each package may import; imports go one way. */
+const ALLOWED_IMPORTS = {
+  core: [],
+  streams: ["core"],
+  telemetry: ["core"],
+  http: ["core"],
+  log: ["core", "http", "streams"],
+  vmlist: ["core", "http", "streams"],
+  weights: ["core", "http"],
+  engines: ["core", "http", "streams"],
+  services: ["core", "http"],
+  nodes: ["core", "http", "streams"],
+  callers: ["core", "http", "telemetry"],
+  serving: [
+    "core",
+    "streams",
+    "telemetry",
+    "log",
+    "vmlist",
+    "weights",
+    "engines",
+    "services",
+    "nodes",
+  ],
+  operators: ["core", "log", "nodes", "serving"],
+  daemon: [
+    "core",
+    "streams",
+    "telemetry",
+    "http",
+    "log",
+    "vmlist",
+    "weights",
+    "engines",
+    "services",
+    "nodes",
+    "callers",
+    "serving",
+    "operators",
+  ],
+  standins: ["core", "http"],
+  tools: [
+    "core",
+    "streams",
+    "http",
+    "log",
+    "nodes",
+    "operators",
+    "engines",
+    "services",
+    "serving",
+    "daemon",
+    "standins",
+    "callers",
+    "vmlist",
+    "weights",
+  ],
+  cli: ["core", "log", "nodes", "operators", "daemon", "serving", "standins", "tools"],
+};
+const PACKAGES = Object.keys(ALLOWED_IMPORTS);
+
+const importRules = PACKAGES.map((name) => ({
+  files: [`packages/${name}/src/**/*.ts`],
+  ignores: ["**/*.test.ts"],
+  rules: {
+    "no-restricted-imports": [
+      "error",
+      {
+        patterns: [
+          {
+            group: PACKAGES.filter((other) => !ALLOWED_IMPORTS[name].includes(other)).map(
+              (other) => (other === "cli" ? "lycheepulley" : `@lycheepulley/${other}`),
+            ),
+            message: "Imports go one way; see docs/ARCHITECTURE.md.",
+          },
+        ],
+      },
+    ],
+  },
+}));
+
+export default tseslint.config(
+  { ignores: ["**/dist/**", "out/**", "node_modules/**", "packages/cli/bin/**", "*.config.js"] },
+  ...tseslint.configs.strict,
+  ...tseslint.configs.stylistic,
+  {
+    languageOptions: {
+      parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname },
+    },
+    rules: {
+      "@typescript-eslint/no-floating-promises": "error",
+      "@typescript-eslint/no-misused-promises": ["error", { checksVoidReturn: false }],
+      "@typescript-eslint/explicit-function-return-type": [
+        "error",
+        { allowExpressions: true, allowTypedFunctionExpressions: true },
+      ],
+      "@typescript-eslint/consistent-type-imports": "error",
+      "max-lines": ["error", { max: 350, skipBlankLines: false, skipComments: false }],
+      complexity: ["error", 15],
+    },
+  },
+  ...importRules,
+  {
+    files: ["**/*.test.ts"],
+    rules: { "@typescript-eslint/no-unused-expressions": "off", "max-lines": "off" },
+  },
+);
--- /dev/null
+++ b/packages/callers/src/CallerServer.ts
@@ -0,0 +1,330 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+
+import {
+  PromptPath,
+  PulleyError,
+  Step,
+  Verdict,
+  type PromptOutcome,
+  type PromptRequest,
+  type ServiceRequest,
+} from "@lycheepulley/core";
+import { HttpServer, readBody, sendJson, type Route } from "@lycheepulley/http";
+
+import { sendError, toPulleyError } from "./errorAnswer.js";
+import { getUsage, LiveAnswer } from "./LiveAnswer.js";
+import { parsePrompt, type ParsedPrompt } from "./parse.js";
+import type { AcceptedRequest, ServingApi } from "./types.js";
+
+const MAX_RECONNECT_MS = 30_000;
+const KEPT_ANSWER_MS = 30_000;
+const MS_PER_S = 1_000;
+const HTTP_UNAUTHORIZED = 401;
+const HTTP_NOT_FOUND = 404;
+const HTTP_GONE = 410;
+
+const SERVICE_METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"] as const;
+
+/** HTTP door towards callers (docs/CALLERS.md). */
+export class CallerServer {
+  readonly #api: ServingApi;
+  readonly #server: HttpServer;
+  readonly #answers = new Map<string, LiveAnswer>();
+
+  constructor(api: ServingApi) {
+    this.#api = api;
+    this.#server = new HttpServer(this.#routes(), (err, _req, res) => {
+      if (res.headersSent) {
+        res.destroy();
+      } else {
+        sendError(res, toPulleyError(err), "");
+      }
+    });
+  }
+
+  get port(): number {
+    return this.#server.port;
+  }
+
+  get connections(): number {
+    return this.#server.connections;
+  }
+
+  listen(host: string, port: number): Promise<void> {
+    return this.#server.listen(host, port);
+  }
+
+  close(): Promise<void> {
+    return this.#server.close();
+  }
+
+  #routes(): Route[] {
+    return [
+      {
+        method: "POST",
+        path: PromptPath.Chat,
+        handle: (req, res) => this.#prompt(PromptPath.Chat, req, res),
+      },
+      {
+        method: "POST",
+        path: PromptPath.Text,
+        handle: (req, res) => this.#prompt(PromptPath.Text, req, res),
+      },
+      {
+        method: "GET",
+        path: "/v1/models",
+        handle: (_req, res) => {
+          const data = this.#api
+            .listModels()
+            .map((id) => ({ id, object: "model", created: 0, owned_by: "lycheepulley" }));
+          sendJson(res, 200, { object: "list", data });
+        },
+      },
+      {
+        method: "GET",
+        path: "/v1/address",
+        handle: (req, res, _params, url) => {
+          const customer = this.#api.authenticate(getApiKey(req)) ?? "";
+          const domain = url.searchParams.get("failure_domain") ?? undefined;
+          sendJson(res, 200, this.#api.getAddresses(customer, domain));
+        },
+      },
+      {
+        method: "GET",
+        path: "/v1/requests/:id",
+        handle: (req, res, params) => this.#fate(req, res, params["id"] ?? ""),
+      },
+      {
+        method: "GET",
+        path: "/v1/requests/:id/stream",
+        handle: (req, res, params) => {
+          this.#reconnect(req, res, params["id"] ?? "");
+        },
+      },
+      {
+        method: "GET",
+        path: "/metrics",
+        handle: async (_req, res) => {
+          res.writeHead(200, { "content-type": "text/plain; version=0.0.4" });
+          res.end(await this.#api.getMetrics());
+        },
+      },
+      ...SERVICE_METHODS.map((method) => ({
+        method,
+        path: "/services/:name/*",
+        handle: (
+          req: IncomingMessage,
+          res: ServerResponse,
+          params: Readonly<Record<string, string>>,
+          url: URL,
+        ): Promise<void> =>
+          this.#service(req, res, {
+            method,
+            service: params["name"] ?? "",
+            path: `/${params["rest"] ?? ""}${url.search}`,
+          }),
+      })),
+    ];
+  }
+
+  /** Gives the request an id, or refuses it for its key. */
+  #accept(req: IncomingMessage): { accepted: AcceptedRequest; customer: string } {
+    const customer = this.#api.authenticate(getApiKey(req));
+    if (customer === undefined) {
+      throw new PulleyError("unknown API key", {
+        code: "invalid_api_key",
+        step: Step.Accept,
+        verdict: Verdict.NotRun,
+        status: HTTP_UNAUTHORIZED,
+        param: "authorization",
+      });
+    }
+    if (this.#api.isFull) {
+      throw new PulleyError("too many requests are in flight here", {
+        code: "overloaded",
+        step: Step.Admit,
+        verdict: Verdict.RefusedUntil,
+        status: 429,
+        retryAfterMs: MS_PER_S,
+      });
+    }
+    return { accepted: this.#api.accept(customer), customer };
+  }
+
+  async #prompt(path: PromptPath, req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const { accepted, customer } = this.#accept(req);
+    const abort = new AbortController();
+    try {
+      const raw = await readBody(req, this.#api.maxBodyBytes);
+      const parsed = await parsePrompt(path, raw);
+      const request = newPromptRequest(path, parsed, { req, customer, signal: abort.signal });
+      if (parsed.isStream) {
+        await this.#answerStream(req, res, { accepted, request, parsed, abort });
+      } else {
+        await answerWhole(res, { accepted, request, parsed, abort });
+      }
+    } catch (err) {
+      accepted.refuse(err);
+      if (!res.headersSent && !res.destroyed) {
+        sendError(res, toPulleyError(err), accepted.requestId);
+      }
+    }
+  }
+
+  async #answerStream(req: IncomingMessage, res: ServerResponse, call: PromptCall): Promise<void> {
+    const { accepted, request, parsed, abort } = call;
+    const { requestId } = accepted;
+    const answer = new LiveAnswer({
+      requestId,
+      path: request.path,
+      model: parsed.model,
+      includeUsage: parsed.includeUsage,
+      reconnectMs: getReconnectMs(req),
+      onAbandoned: () => {
+        abort.abort();
+      },
+      createdS: Math.floor(Date.now() / MS_PER_S),
+    });
+    this.#answers.set(requestId, answer);
+    answer.attach(res, 0);
+    try {
+      const onChunk = answer.push.bind(answer);
+      answer.finish(await accepted.runPrompt(request, { onChunk }));
+    } catch (err) {
+      answer.fail(toPulleyError(err));
+    } finally {
+      setTimeout(() => this.#answers.delete(requestId), KEPT_ANSWER_MS).unref();
+    }
+  }
+
+  #reconnect(req: IncomingMessage, res: ServerResponse, id: string): void {
+    const answer = this.#answers.get(id);
+    const lastEventId = getHeader(req, "last-event-id") ?? "";
+    const lastSeq = Number(lastEventId.slice(lastEventId.lastIndexOf(":") + 1) || -1);
+    if (!answer || !Number.isInteger(lastSeq)) {
+      sendJson(res, HTTP_GONE, { error: { message: `no live stream ${id} here`, code: "gone" } });
+      return;
+    }
+    answer.attach(res, lastSeq + 1);
+  }
+
+  async #service(
+    req: IncomingMessage,
+    res: ServerResponse,
+    target: Pick<ServiceRequest, "method" | "service" | "path">,
+  ): Promise<void> {
+    const { accepted, customer } = this.#accept(req);
+    const abort = new AbortController();
+    res.on("close", () => {
+      abort.abort();
+    });
+    try {
+      const body = await readBody(req, this.#api.maxBodyBytes);
+      const outcome = await accepted.runService({
+        ...target,
+        customer,
+        contentType: getHeader(req, "content-type") ?? "application/octet-stream",
+        body: body.length > 0 ? body : undefined,
+        idempotencyKey: getHeader(req, "idempotency-key"),
+        signal: abort.signal,
+      });
+      res.writeHead(outcome.status, {
+        "content-type": outcome.contentType,
+        "x-request-id": accepted.requestId,
+        ...(outcome.isReplay ? { "x-replayed": "true" } : {}),
+      });
+      res.end(outcome.body);
+    } catch (err) {
+      accepted.refuse(err);
+      sendError(res, toPulleyError(err), accepted.requestId);
+    }
+  }
+
+  async #fate(req: IncomingMessage, res: ServerResponse, id: string): Promise<void> {
+    const customer = this.#api.authenticate(getApiKey(req));
+    const fate = customer === undefined ? undefined : await this.#api.fetchFate(id);
+    const isOwn = fate && (fate.customer === "" || fate.customer === customer);
+    if (!isOwn) {
+      sendJson(res, HTTP_NOT_FOUND, { error: { message: `no request ${id}`, code: "not_found" } });
+      return;
+    }
+    sendJson(res, 200, fate);
+  }
+}
+
+interface PromptCall {
+  readonly accepted: AcceptedRequest;
+  readonly request: PromptRequest;
+  readonly parsed: ParsedPrompt;
+  readonly abort: AbortController;
+}
+
+const answerWhole = async (res: ServerResponse, call: PromptCall): Promise<void> => {
+  const { accepted, request, parsed, abort } = call;
+  res.on("close", () => {
+    abort.abort();
+  });
+  const parts: string[] = [];
+  const outcome = await accepted.runPrompt(request, {
+    onChunk: (chunk) => {
+      parts.push(chunk.text);
+    },
+  });
+  const text = outcome.replayed ?? parts.join("");
+  sendJson(res, 200, newWholeBody(accepted.requestId, request.path, parsed.model, text, outcome), {
+    "x-request-id": accepted.requestId,
+    ...(outcome.replayed === undefined ? {} : { "x-replayed": "true" }),
+  });
+};
+
+const newWholeBody = (
+  requestId: string,
+  path: PromptPath,
+  model: string,
+  text: string,
+  outcome: PromptOutcome,
+): Record<string, unknown> => {
+  const isChat = path === PromptPath.Chat;
+  const choice = isChat
+    ? { index: 0, message: { role: "assistant", content: text, refusal: null }, logprobs: null }
+    : { index: 0, text, logprobs: null };
+  return {
+    id: requestId,
+    object: isChat ? "chat.completion" : "text_completion",
+    created: Math.floor(Date.now() / MS_PER_S),
+    model,
+    choices: [{ ...choice, finish_reason: outcome.finishReason }],
+    usage: getUsage(outcome),
+  };
+};
+
+const newPromptRequest = (
+  path: PromptPath,
+  parsed: ParsedPrompt,
+  options: { req: IncomingMessage; customer: string; signal: AbortSignal },
+): PromptRequest => ({
+  path,
+  body: parsed.body,
+  model: parsed.model,
+  promptBytes: parsed.promptBytes,
+  maxTokens: parsed.maxTokens,
+  className: getHeader(options.req, "x-request-class"),
+  customer: options.customer,
+  idempotencyKey: getHeader(options.req, "idempotency-key"),
+  fingerprint: parsed.fingerprint,
+  prefixBlocks: parsed.prefixBlocks,
+  signal: options.signal,
+});
+
+const getHeader = (req: IncomingMessage, name: string): string | undefined => {
+  const value = req.headers[name];
+  return typeof value === "string" ? value : undefined;
+};
+
+const getApiKey = (req: IncomingMessage): string =>
+  (getHeader(req, "authorization") ?? "").replace(/^Bearer /i, "");
+
+const getReconnectMs = (req: IncomingMessage): number => {
+  const asked = Number(getHeader(req, "x-reconnect-ms") ?? 0);
+  return Number.isFinite(asked) ? Math.min(MAX_RECONNECT_MS, Math.max(0, asked)) : 0;
+};
--- /dev/null
+++ b/packages/callers/src/errorAnswer.ts
@@ -0,0 +1,53 @@
+import type { ServerResponse } from "node:http";
+
+import { PulleyError, Step, Verdict } from "@lycheepulley/core";
+import { BodyTooLargeError, sendJson } from "@lycheepulley/http";
+
+const MS_PER_S = 1_000;
+const HTTP_TOO_LARGE = 413;
+
+/** Turns anything thrown at the door into an error that callers understand. */
+export const toPulleyError = (err: unknown): PulleyError => {
+  if (err instanceof PulleyError) {
+    return err;
+  }
+  const isTooLarge = err instanceof BodyTooLargeError;
+  return new PulleyError(err instanceof Error ? err.message : String(err), {
+    code: isTooLarge ? "body_too_large" : "internal_error",
+    step: Step.Accept,
+    verdict: Verdict.NotRun,
+    status: isTooLarge ? HTTP_TOO_LARGE : 500,
+    ...(isTooLarge ? { param: "(body)" } : {}),
+    cause: err,
+  });
+};
+
+/** The documented JSON shape of an error. */
+export const newErrorBody = (err: PulleyError, requestId: string): Record<string, unknown> => ({
+  error: {
+    message: err.message,
+    type: err.verdict,
+    code: err.code,
+    param: err.param ?? null,
+    verdict: err.verdict,
+    step: err.step,
+    peer: err.peer,
+    request_id: requestId,
+    ...(err.retryAfterMs === undefined
+      ? {}
+      : { retry_at: new Date(Date.now() + err.retryAfterMs).toISOString() }),
+  },
+});
+
+/** Answers a request with an error. */
+export const sendError = (res: ServerResponse, err: PulleyError, requestId: string): void => {
+  const headers: Record<string, string> = { "x-request-id": requestId };
+  if (err.retryAfterMs !== undefined) {
+    headers["retry-after"] = String(Math.max(1, Math.ceil(err.retryAfterMs / MS_PER_S)));
+  }
+  if (err.verdict === Verdict.MayHaveRun) {
+    // Clients that repeat failed calls by themselves must not repeat this one.
+    headers["x-should-retry"] = "false";
+  }
+  sendJson(res, err.status, newErrorBody(err, requestId), headers);
+};
--- /dev/null
+++ b/packages/callers/src/index.ts
@@ -0,0 +1,3 @@
+export * from "./CallerServer.js";
+export * from "./errorAnswer.js";
+export * from "./types.js";
--- /dev/null
+++ b/packages/cli/bin/lycheepulley.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import "../dist/main.js";
--- /dev/null
+++ b/packages/cli/src/commands/demo.ts
@@ -0,0 +1,37 @@
+import { runDemo } from "@lycheepulley/tools";
+
+import { ExitCode, type Command } from "../Command.js";
+import { ENTRY_POINT, EXAMPLES_FOLDER, newRunFolder } from "../paths.js";
+import { formatTable } from "../table.js";
+
+/** Serves one request of each kind on embedded stand-ins. */
+export const demoCommand: Command = {
+  name: "demo",
+  summary: "Start a small deployment on stand-ins and serve one request of each kind",
+  flags: { json: { type: "boolean", help: "Print JSON" } },
+  example: "lycheepulley demo",
+  run: async (ctx) => {
+    const isJson = ctx.getBoolean("json");
+    const rows = await runDemo({
+      examples: EXAMPLES_FOLDER,
+      entryPoint: ENTRY_POINT,
+      folder: newRunFolder("demo"),
+      say: (line) => {
+        if (!isJson) {
+          ctx.print(line);
+        }
+      },
+    });
+    if (isJson) {
+      ctx.printJson(rows);
+    } else {
+      ctx.print(
+        formatTable(
+          ["request", "status", "ms", "fate", "request id", "answer"],
+          rows.map((r) => [r.name, String(r.status), String(r.ms), r.fate, r.requestId, r.detail]),
+        ),
+      );
+    }
+    return ExitCode.Done;
+  },
+};
--- /dev/null
+++ b/packages/cli/src/commands/entry.ts
@@ -0,0 +1,26 @@
+import { EntryNode, readSettings } from "@lycheepulley/daemon";
+
+import { ExitCode, type Command } from "../Command.js";
+
+/** Runs one entry process until it is told to stop. */
+export const entryCommand: Command = {
+  name: "entry",
+  summary: "Run one entry process",
+  flags: {
+    settings: { type: "string", help: "Settings file of the process", isRequired: true },
+    overlay: { type: "string", help: "Overlay merged over the settings" },
+  },
+  example: "lycheepulley entry --settings examples/medellin/settings.json",
+  run: async (ctx) => {
+    const settings = await readSettings(ctx.getString("settings"), ctx.getOptional("overlay"));
+    const node = new EntryNode(settings);
+    await node.start();
+    ctx.print(JSON.stringify({ ready: true, name: settings.name }));
+    await new Promise<void>((resolve) => {
+      process.once("SIGTERM", resolve);
+      process.once("SIGINT", resolve);
+    });
+    await node.stop();
+    return ExitCode.Done;
+  },
+};
--- /dev/null
+++ b/packages/core/src/clock.ts
@@ -0,0 +1,75 @@
+/** Cancels a timer; harmless when the timer has fired. */
+export type Cancel = () => void;
+
+/** Source of time and timers; tests inject their own. */
+export interface Clock {
+  /** Monotonic time in milliseconds, for terms and deadlines. */
+  now(): number;
+  /** Wall-clock time in milliseconds since the epoch, for records. */
+  wall(): number;
+  /** Runs `fn` after `delayMs`. */
+  setTimer(fn: () => void, delayMs: number): Cancel;
+}
+
+/** The process's own clocks. */
+export class SystemClock implements Clock {
+  now(): number {
+    return performance.now();
+  }
+
+  wall(): number {
+    return Date.now();
+  }
+
+  setTimer(fn: () => void, delayMs: number): Cancel {
+    const timer = setTimeout(fn, delayMs);
+    return () => {
+      clearTimeout(timer);
+    };
+  }
+}
+
+/** Resolves after `delayMs`, or at once when `signal` aborts. */
+export const sleep = (clock: Clock, delayMs: number, signal?: AbortSignal): Promise<void> =>
+  new Promise((resolve) => {
+    if (signal?.aborted) {
+      resolve();
+      return;
+    }
+    const done = (): void => {
+      cancel();
+      signal?.removeEventListener("abort", done);
+      resolve();
+    };
+    const cancel = clock.setTimer(done, delayMs);
+    signal?.addEventListener("abort", done);
+  });
+
+/** Raised by {@link withTimeout} when the time is over. */
+export class TimeoutError extends Error {
+  constructor(what: string, timeoutMs: number) {
+    super(`${what}: no answer within ${String(Math.round(timeoutMs))} ms`);
+    this.name = "TimeoutError";
+  }
+}
+
+/** Rejects with a {@link TimeoutError} when `work` takes longer than `timeoutMs`. */
+export const withTimeout = <T>(
+  work: Promise<T>,
+  options: { clock: Clock; timeoutMs: number; what: string },
+): Promise<T> =>
+  new Promise((resolve, reject) => {
+    const cancel = options.clock.setTimer(() => {
+      reject(new TimeoutError(options.what, options.timeoutMs));
+    }, options.timeoutMs);
+    work.then(
+      (value) => {
+        cancel();
+        resolve(value);
+      },
+      (err: unknown) => {
+        cancel();
+        reject(err instanceof Error ? err : new Error(String(err)));
+      },
+    );
+  });
--- /dev/null
+++ b/packages/core/src/folds/claims.ts
@@ -0,0 +1,103 @@
+import { z } from "zod";
+
+import { RecordKind, type Draft } from "./records.js";
+import type { Register } from "./registers.js";
+
+/** States of an idempotency key. */
+export const ClaimState = {
+  Claimed: "claimed",
+  Ran: "ran",
+  NotRun: "not_run",
+  Unknown: "unknown",
+} as const;
+
+export const claimBodySchema = z.object({
+  state: z.enum(ClaimState),
+  attempt: z.number().int(),
+  requestId: z.string(),
+  /** Process name and incarnation that may dispatch this attempt. */
+  holder: z.string(),
+  bodySha256: z.string(),
+  /** Wall-clock time after which the holder won't dispatch. */
+  deadlineMs: z.number(),
+  /** Status and body of the first answer, when it ran. */
+  outcome: z.object({ status: z.number().int(), body: z.string() }).optional(),
+});
+export type ClaimBody = z.infer<typeof claimBodySchema>;
+
+/** What a process may do with a request that carries an idempotency key. */
+export type ClaimDecision =
+  | { readonly action: "claim"; readonly draft: Draft }
+  | { readonly action: "replay"; readonly claim: ClaimBody }
+  | { readonly action: "join"; readonly claim: ClaimBody; readonly version: number }
+  | { readonly action: "expire"; readonly draft: Draft }
+  | { readonly action: "refuse_body" };
+
+/** A request that wants to run under an idempotency key. */
+export interface ClaimRequest {
+  readonly key: string;
+  readonly requestId: string;
+  readonly holder: string;
+  readonly bodySha256: string;
+  readonly deadlineMs: number;
+}
+
+/** Reads a claim register; undefined when nothing readable stands there. */
+export const parseClaim = (register: Register | undefined): ClaimBody | undefined =>
+  register ? claimBodySchema.safeParse(register.body).data : undefined;
+
+const newClaimDraft = (req: ClaimRequest, version: number, attempt: number): Draft => {
+  const { key, ...rest } = req;
+  const body: ClaimBody = { state: ClaimState.Claimed, attempt, ...rest };
+  return { kind: RecordKind.Claim, key, follows: version, body };
+};
+
+/** Draft that ends a claim in the given state. */
+export const newClaimEnd = (options: {
+  key: string;
+  version: number;
+  claim: ClaimBody;
+  state: typeof ClaimState.Ran | typeof ClaimState.NotRun | typeof ClaimState.Unknown;
+  outcome?: ClaimBody["outcome"];
+}): Draft => {
+  const { claim, state, outcome } = options;
+  const body: ClaimBody = { ...claim, state, ...(outcome ? { outcome } : {}) };
+  return { kind: RecordKind.Claim, key: options.key, follows: options.version, body };
+};
+
+/** Allowance for clock differences between processes, milliseconds. */
+export const CLAIM_EXPIRY_SLACK_MS = 2_000;
+
+/** Decides on a request from the register of its key; `wallMs` is only a hint. */
+export const decideClaim = (
+  register: Register | undefined,
+  req: ClaimRequest,
+  wallMs: number,
+): ClaimDecision => {
+  const version = register?.version ?? 0;
+  const claim = parseClaim(register);
+  if (!register) {
+    return { action: "claim", draft: newClaimDraft(req, version, 1) };
+  }
+  if (!claim) {
+    return { action: "refuse_body" };
+  }
+  if (claim.bodySha256 !== req.bodySha256) {
+    return { action: "refuse_body" };
+  }
+  switch (claim.state) {
+    case ClaimState.NotRun:
+      return { action: "claim", draft: newClaimDraft(req, version, claim.attempt + 1) };
+    case ClaimState.Claimed:
+      // Only the holder can know that it never dispatched; others may at most say unknown.
+      return wallMs > claim.deadlineMs + CLAIM_EXPIRY_SLACK_MS
+        ? {
+            action: "expire",
+            draft: newClaimEnd({ key: req.key, version, claim, state: ClaimState.Unknown }),
+          }
+        : { action: "join", claim, version };
+    case ClaimState.Ran:
+    case ClaimState.Unknown:
+      return { action: "replay", claim };
+  }
+};
--- /dev/null
+++ b/packages/core/src/folds/leases.ts
@@ -0,0 +1,53 @@
+import { z } from "zod";
+
+import { RecordKind, type Draft } from "./records.js";
+import type { Register } from "./registers.js";
+
+export const LeaseAction = { Claim: "claim", Renew: "renew", Release: "release" } as const;
+
+export const leaseBodySchema = z.object({
+  action: z.enum(LeaseAction),
+  /** Process name and incarnation. */
+  holder: z.string(),
+  /** Fencing number: grows with every change of holder. */
+  epoch: z.number().int(),
+  termMs: z.number().positive(),
+});
+export type LeaseBody = z.infer<typeof leaseBodySchema>;
+
+/** Reads a lease register; undefined when the duty was never claimed. */
+export const parseLease = (register: Register | undefined): LeaseBody | undefined =>
+  register ? leaseBodySchema.safeParse(register.body).data : undefined;
+
+/** Draft by which `holder` claims a duty; it wins if it is first to follow the version. */
+export const newLeaseClaim = (options: {
+  duty: string;
+  register: Register | undefined;
+  holder: string;
+  termMs: number;
+}): Draft => {
+  const version = options.register?.version ?? 0;
+  const body: LeaseBody = {
+    action: LeaseAction.Claim,
+    holder: options.holder,
+    epoch: version + 1,
+    termMs: options.termMs,
+  };
+  return { kind: RecordKind.Lease, key: options.duty, follows: version, body };
+};
+
+/** Draft by which the holder keeps or gives up a duty under the same epoch. */
+export const newLeaseUpdate = (
+  register: Register,
+  lease: LeaseBody,
+  action: typeof LeaseAction.Renew | typeof LeaseAction.Release,
+): Draft => ({
+  kind: RecordKind.Lease,
+  key: register.key,
+  follows: register.version,
+  body: { ...lease, action },
+});
+
+/** Tells whether a duty has no holder by its record alone. */
+export const isLeaseFree = (lease: LeaseBody | undefined): boolean =>
+  lease === undefined || lease.action === LeaseAction.Release;
--- /dev/null
+++ b/packages/core/src/folds/poison.ts
@@ -0,0 +1,48 @@
+import { z } from "zod";
+
+/** Deaths of upstreams after which a fingerprint is blocked. */
+export const MAX_STRIKES = 2;
+
+export const PoisonAction = {
+  Strike: "strike",
+  /** Takes back one strike: the upstream had not died after all. */
+  Withdraw: "withdraw",
+  /** Clears the fingerprint. */
+  Lift: "lift",
+} as const;
+
+export const poisonBodySchema = z.object({
+  action: z.enum(PoisonAction),
+  /** Upstream that died, or operator who lifted the block. */
+  by: z.string(),
+  requestId: z.string().optional(),
+});
+
+export const poisonStateSchema = z.object({
+  strikes: z.number().int(),
+  by: z.array(z.string()),
+});
+export type PoisonState = z.infer<typeof poisonStateSchema>;
+
+const NO_STRIKES: PoisonState = { strikes: 0, by: [] };
+
+/** Strikes against a fingerprint after one more record. */
+export const reducePoison = (previous: unknown, body: unknown): PoisonState => {
+  const parsedState = poisonStateSchema.safeParse(previous);
+  const state = parsedState.success ? parsedState.data : NO_STRIKES;
+  const record = poisonBodySchema.safeParse(body);
+  if (!record.success) {
+    return state;
+  }
+  switch (record.data.action) {
+    case PoisonAction.Lift:
+      return NO_STRIKES;
+    case PoisonAction.Withdraw:
+      return { ...state, strikes: Math.max(0, state.strikes - 1) };
+    case PoisonAction.Strike:
+      return {
+        strikes: state.strikes + 1,
+        by: [...state.by, record.data.by].slice(-MAX_STRIKES),
+      };
+  }
+};
--- /dev/null
+++ b/packages/core/src/folds/registers.ts
@@ -0,0 +1,212 @@
+import { z } from "zod";
+
+import { RecordKind, type LogEntry, type LogRecord } from "./records.js";
+import { reducePoison } from "./poison.js";
+
+const registerSchema = z.object({
+  kind: z.string(),
+  key: z.string(),
+  version: z.number().int(),
+  body: z.unknown(),
+  offset: z.number().int(),
+  timeMs: z.number(),
+  writer: z.string(),
+});
+/** Agreed value for one kind and key, and the record that last changed it. */
+export type Register = z.infer<typeof registerSchema>;
+
+const writerSchema = z.object({ seq: z.number().int(), timeMs: z.number() });
+
+/** Whole state of a fold after the entry at `asOf`. */
+export const foldSnapshotSchema = z.object({
+  asOf: z.number().int(),
+  timeMs: z.number(),
+  registers: z.array(registerSchema),
+  writers: z.record(z.string(), writerSchema),
+});
+export type FoldSnapshot = z.infer<typeof foldSnapshotSchema>;
+
+/** What the fold made of one record. */
+export const Acceptance = {
+  Accepted: "accepted",
+  Conflict: "conflict",
+  Duplicate: "duplicate",
+} as const;
+export type Acceptance = (typeof Acceptance)[keyof typeof Acceptance];
+
+/** One folded record with its acceptance and the register after it. */
+export interface FoldedRecord {
+  readonly offset: number;
+  readonly timeMs: number;
+  readonly record: LogRecord;
+  readonly acceptance: Acceptance;
+  /** Register after the record; undefined for kinds without one. */
+  readonly register: Register | undefined;
+}
+
+/** Protections that tests switch off to show that they are needed. */
+export interface FoldProtections {
+  readonly sequenceDedup: boolean;
+  readonly revisionCheck: boolean;
+}
+
+export interface RegisterFoldOptions {
+  /** How long a register of a kind outlives its last change, in log time. */
+  readonly retentionMs?: Readonly<Partial<Record<string, number>>>;
+  readonly protections?: Partial<FoldProtections>;
+}
+
+const WRITER_RETENTION_MS = 86_400_000;
+const KINDS_WITHOUT_REGISTER: readonly string[] = [
+  RecordKind.Note,
+  RecordKind.Snapshot,
+  RecordKind.Fates,
+];
+const registerId = (kind: string, key: string): string => `${kind}/${key}`;
+
+const reduceBody = (kind: string, previous: unknown, body: unknown): unknown =>
+  kind === RecordKind.Poison ? reducePoison(previous, body) : body;
+
+/**
+ * Folds log entries in offset order into versioned registers. A record takes
+ * effect when its writer's sequence number is new and it follows the current
+ * version of its register; so the first writer in log order wins everywhere.
+ */
+export class RegisterFold {
+  readonly #registers = new Map<string, Register>();
+  readonly #writers = new Map<string, z.infer<typeof writerSchema>>();
+  readonly #retentionMs: Readonly<Partial<Record<string, number>>>;
+  readonly #protections: FoldProtections;
+  #nextOffset = 0;
+  #timeMs = 0;
+
+  constructor(options: RegisterFoldOptions = {}) {
+    this.#retentionMs = options.retentionMs ?? {};
+    this.#protections = { sequenceDedup: true, revisionCheck: true, ...options.protections };
+  }
+
+  /** Offset of the next entry that the fold takes. */
+  get nextOffset(): number {
+    return this.#nextOffset;
+  }
+
+  /** Log time of the last folded entry. */
+  get timeMs(): number {
+    return this.#timeMs;
+  }
+
+  get size(): number {
+    return this.#registers.size;
+  }
+
+  getRegister(kind: string, key: string): Register | undefined {
+    return this.#registers.get(registerId(kind, key));
+  }
+
+  /** Current version of a register; 0 when nothing was written. */
+  getVersion(kind: string, key: string): number {
+    return this.getRegister(kind, key)?.version ?? 0;
+  }
+
+  getRegistersOfKind(kind: string): Register[] {
+    return [...this.#registers.values()].filter((register) => register.kind === kind);
+  }
+
+  /** Folds one entry; entries below the next offset change nothing. */
+  mutateWithEntry(entry: LogEntry): FoldedRecord[] {
+    if (entry.offset < this.#nextOffset) {
+      return [];
+    }
+    this.#nextOffset = entry.offset + 1;
+    this.#timeMs = Math.max(this.#timeMs, entry.timeMs);
+    const folded = entry.records.map((record) => this.#mutateWithRecord(entry, record));
+    this.#evictExpired();
+    return folded;
+  }
+
+  getSnapshot(): FoldSnapshot {
+    return {
+      asOf: this.#nextOffset - 1,
+      timeMs: this.#timeMs,
+      registers: [...this.#registers.values()],
+      writers: Object.fromEntries(this.#writers),
+    };
+  }
+
+  /** Takes a snapshot's state; an older one than the fold's own changes nothing. */
+  mutateWithSnapshot(snapshot: FoldSnapshot): boolean {
+    if (snapshot.asOf < this.#nextOffset) {
+      return false;
+    }
+    this.#registers.clear();
+    this.#writers.clear();
+    for (const register of snapshot.registers) {
+      this.#registers.set(registerId(register.kind, register.key), register);
+    }
+    for (const [writer, last] of Object.entries(snapshot.writers)) {
+      this.#writers.set(writer, last);
+    }
+    this.#nextOffset = snapshot.asOf + 1;
+    this.#timeMs = Math.max(this.#timeMs, snapshot.timeMs);
+    return true;
+  }
+
+  #mutateWithRecord(entry: LogEntry, record: LogRecord): FoldedRecord {
+    const { kind, key, body } = record;
+    const old = this.getRegister(kind, key);
+    const acceptance = this.#judge(record, old);
+    const last = this.#writers.get(record.writer);
+    this.#writers.delete(record.writer);
+    this.#writers.set(record.writer, {
+      seq: Math.max(record.seq, last?.seq ?? 0),
+      timeMs: entry.timeMs,
+    });
+    const base = { offset: entry.offset, timeMs: entry.timeMs, record, acceptance };
+    if (acceptance !== Acceptance.Accepted || KINDS_WITHOUT_REGISTER.includes(kind)) {
+      return { ...base, register: old };
+    }
+    const register: Register = {
+      kind,
+      key,
+      version: (old?.version ?? 0) + 1,
+      body: reduceBody(kind, old?.body, body),
+      offset: entry.offset,
+      timeMs: entry.timeMs,
+      writer: record.writer,
+    };
+    // Re-insertion keeps the map in order of last change, for eviction.
+    this.#registers.delete(registerId(kind, key));
+    this.#registers.set(registerId(kind, key), register);
+    return { ...base, register };
+  }
+
+  #judge(record: LogRecord, old: Register | undefined): Acceptance {
+    const last = this.#writers.get(record.writer);
+    if (this.#protections.sequenceDedup && last && record.seq <= last.seq) {
+      return Acceptance.Duplicate;
+    }
+    if (!this.#protections.revisionCheck || record.follows === null) {
+      return Acceptance.Accepted;
+    }
+    return record.follows === (old?.version ?? 0) ? Acceptance.Accepted : Acceptance.Conflict;
+  }
+
+  #evictExpired(): void {
+    for (const [writer, last] of this.#writers) {
+      if (last.timeMs > this.#timeMs - WRITER_RETENTION_MS) {
+        break;
+      }
+      this.#writers.delete(writer);
+    }
+    for (const [id, register] of this.#registers) {
+      const retentionMs = this.#retentionMs[register.kind];
+      if (retentionMs === undefined) {
+        continue;
+      }
+      if (register.timeMs > this.#timeMs - retentionMs) {
+        break;
+      }
+      this.#registers.delete(id);
+    }
+  }
+}
--- /dev/null
+++ b/packages/core/src/tokenBucket.ts
@@ -0,0 +1,46 @@
+import type { Clock } from "./clock.js";
+
+/** Token bucket whose rate can change while it runs. */
+export class TokenBucket {
+  readonly #clock: Clock;
+  readonly #burst: number;
+  #ratePerS: number;
+  #tokens: number;
+  #updatedMs: number;
+
+  constructor(options: { clock: Clock; ratePerS: number; burst: number }) {
+    this.#clock = options.clock;
+    this.#ratePerS = options.ratePerS;
+    this.#burst = options.burst;
+    this.#tokens = options.burst;
+    this.#updatedMs = options.clock.now();
+  }
+
+  setRate(ratePerS: number): void {
+    this.#refill();
+    this.#ratePerS = ratePerS;
+  }
+
+  /** Takes `amount` tokens if they are there. */
+  tryTake(amount = 1): boolean {
+    this.#refill();
+    if (this.#tokens < amount) {
+      return false;
+    }
+    this.#tokens -= amount;
+    return true;
+  }
+
+  /** Milliseconds until `amount` tokens are there. */
+  getWaitMs(amount = 1): number {
+    this.#refill();
+    return Math.max(0, ((amount - this.#tokens) / this.#ratePerS) * 1_000);
+  }
+
+  #refill(): void {
+    const now = this.#clock.now();
+    const earned = ((now - this.#updatedMs) * this.#ratePerS) / 1_000;
+    this.#tokens = Math.min(this.#burst, this.#tokens + earned);
+    this.#updatedMs = now;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,2 @@
+export * from "./EntryNode.js";
+export * from "./settings.js";
--- /dev/null
+++ b/packages/daemon/src/placement.ts
@@ -0,0 +1,25 @@
+import {
+  FixedSplitPlacement,
+  LeastRequestsPlacement,
+  LeastTokensPlacement,
+  PowerOfTwoPlacement,
+  RandomPlacement,
+  RoundRobinPlacement,
+  type PlacementPolicy,
+  type Random,
+} from "@lycheepulley/core";
+
+import type { Settings } from "./settings.js";
+
+const MAKERS: Readonly<Record<Settings["placement"], (random: Random) => PlacementPolicy>> = {
+  random: (random) => new RandomPlacement(random),
+  "round-robin": () => new RoundRobinPlacement(),
+  "least-requests": () => new LeastRequestsPlacement(),
+  "least-tokens": () => new LeastTokensPlacement(),
+  "power-of-two": (random) => new PowerOfTwoPlacement(random),
+  "fixed-split": () => new FixedSplitPlacement(),
+};
+
+/** Makes the placement policy that the settings name. */
+export const newPlacement = (name: Settings["placement"], random: Random): PlacementPolicy =>
+  MAKERS[name](random);
--- /dev/null
+++ b/packages/engines/src/ExtendedEngineClient.ts
@@ -0,0 +1,198 @@
+import { getMessage, PeerError, type AnswerChunk, type TrafficMeter } from "@lycheepulley/core";
+import { HttpPeer } from "@lycheepulley/http";
+import { z } from "zod";
+
+import type {
+  EngineClient,
+  EngineOrder,
+  GenerateCall,
+  KvReserveCall,
+  KvSegmentCall,
+  ResumeCall,
+} from "./EngineClient.js";
+import { readSse, type SseEvent } from "./sse.js";
+import {
+  cacheEventPageSchema,
+  completionEventSchema,
+  EngineHeader,
+  engineLoadSchema,
+  engineStateSchema,
+  EXTENSION_PREFIX,
+  kvHoldingSchema,
+  orderResultSchema,
+  RESUME_FIELD,
+  type CacheEventPage,
+  type EngineLoad,
+  type EngineState,
+  type KvHolding,
+  type OrderResult,
+} from "./types.js";
+
+const HTTP_OK = 200;
+const HTTP_CONFLICT = 409;
+const HTTP_INSUFFICIENT_STORAGE = 507;
+const DONE = "[DONE]";
+const STREAM_CONNECTIONS = 256;
+
+const nothingSchema = z.unknown();
+const exportSchema = z.object({ handle: z.string() });
+
+/** Engine that speaks OpenAI-style HTTP and the extension interface (docs/PLATFORM.md). */
+export class ExtendedEngineClient implements EngineClient {
+  readonly name: string;
+  readonly #calls: HttpPeer;
+  readonly #streams: HttpPeer;
+
+  constructor(options: { name: string; origin: string; traffic?: TrafficMeter | undefined }) {
+    const { name, origin, traffic } = options;
+    this.name = name;
+    this.#calls = new HttpPeer({ name, kind: "engine", origin, connections: 4, traffic });
+    this.#streams = new HttpPeer({
+      name,
+      kind: "engine-stream",
+      origin,
+      connections: STREAM_CONNECTIONS,
+    });
+  }
+
+  async *generate(call: GenerateCall): AsyncGenerator<AnswerChunk> {
+    call.onSend?.();
+    const { resume } = call;
+    const res = await this.#streams.open(call.path, {
+      method: "POST",
+      body: resume ? withResume(call.body, resume) : call.body,
+      signal: call.signal,
+      timeoutMs: call.timeoutMs,
+      headers: {
+        [EngineHeader.Attempt]: call.attemptId,
+        [EngineHeader.Priority]: String(call.priority),
+        [EngineHeader.TimeoutMs]: String(Math.round(call.timeoutMs)),
+        ...(call.headers ?? {}),
+        ...(call.reservationId ? { [EngineHeader.Reservation]: call.reservationId } : {}),
+        ...(call.segments?.length ? { [EngineHeader.Segments]: call.segments.join(",") } : {}),
+      },
+    });
+    yield* this.#readAnswer(res, call.attemptId, resume?.fromSeq ?? 0);
+  }
+
+  async *resume(call: ResumeCall): AsyncGenerator<AnswerChunk> {
+    const path = `${EXTENSION_PREFIX}/streams/${call.attemptId}?from=${String(call.fromSeq)}`;
+    const res = await this.#streams.open(path, {
+      signal: call.signal,
+      timeoutMs: call.timeoutMs,
+    });
+    yield* this.#readAnswer(res, call.attemptId, call.fromSeq);
+  }
+
+  async cancel(attemptId: string): Promise<void> {
+    const path = `${EXTENSION_PREFIX}/streams/${attemptId}`;
+    await this.#calls.call(path, { method: "DELETE" });
+  }
+
+  fetchLoad(): Promise<EngineLoad> {
+    return this.#calls.callJson(`${EXTENSION_PREFIX}/load`, engineLoadSchema);
+  }
+
+  fetchCacheEvents(fromSeq: number): Promise<CacheEventPage> {
+    const path = `${EXTENSION_PREFIX}/cache-events?from=${String(fromSeq)}`;
+    return this.#calls.callJson(path, cacheEventPageSchema);
+  }
+
+  fetchState(): Promise<EngineState> {
+    return this.#calls.callJson(`${EXTENSION_PREFIX}/state`, engineStateSchema);
+  }
+
+  order(order: EngineOrder): Promise<OrderResult> {
+    return this.#calls.postJson(`${EXTENSION_PREFIX}/orders`, order, orderResultSchema);
+  }
+
+  listKv(): Promise<KvHolding[]> {
+    return this.#calls.callJson(`${EXTENSION_PREFIX}/kv`, z.array(kvHoldingSchema));
+  }
+
+  async reserveKv(call: KvReserveCall): Promise<boolean> {
+    const { status, text } = await this.#calls.call(`${EXTENSION_PREFIX}/kv`, {
+      method: "POST",
+      body: JSON.stringify(call),
+    });
+    if (status === HTTP_CONFLICT || status === HTTP_INSUFFICIENT_STORAGE) {
+      return false;
+    }
+    if (status !== HTTP_OK) {
+      throw new PeerError(this.name, `status ${String(status)}: ${text}`, { sent: true, status });
+    }
+    return true;
+  }
+
+  async renewKv(id: string, termMs: number): Promise<void> {
+    await this.#calls.postJson(`${EXTENSION_PREFIX}/kv/${id}/renew`, { termMs }, nothingSchema);
+  }
+
+  async releaseKv(id: string): Promise<void> {
+    await this.#calls.call(`${EXTENSION_PREFIX}/kv/${id}`, { method: "DELETE" });
+  }
+
+  async exportSegment(call: KvSegmentCall): Promise<string> {
+    const { signal, timeoutMs, ...body } = call;
+    const path = `${EXTENSION_PREFIX}/kv/${call.reservationId}/export`;
+    const { handle } = await this.#streams.postJson(path, body, exportSchema, {
+      signal,
+      timeoutMs,
+    });
+    return handle;
+  }
+
+  async close(): Promise<void> {
+    await Promise.all([this.#calls.close(), this.#streams.close()]);
+  }
+
+  async *#readAnswer(
+    res: Awaited<ReturnType<HttpPeer["open"]>>,
+    attemptId: string,
+    fromSeq: number,
+  ): AsyncGenerator<AnswerChunk> {
+    if (res.statusCode !== HTTP_OK) {
+      const text = (await res.body.text()).slice(0, 200);
+      const status = res.statusCode;
+      throw new PeerError(this.name, `status ${String(status)}: ${text}`, { sent: true, status });
+    }
+    let position = fromSeq;
+    try {
+      for await (const event of readSse(res.body)) {
+        if (event.data === DONE) {
+          return;
+        }
+        const chunk = parseChunk(event, attemptId, position);
+        position = chunk.seq + 1;
+        yield chunk;
+      }
+    } catch (err) {
+      throw this.#streams.toPeerError(err);
+    } finally {
+      res.body.destroy();
+      res.body.on("error", () => undefined);
+    }
+    throw new PeerError(this.name, "stream ended without its end marker", { sent: true });
+  }
+}
+
+/** Adds the answer so far to a request body, without parsing a long prompt again. */
+const withResume = (body: string, resume: NonNullable<GenerateCall["resume"]>): string =>
+  `${body.slice(0, body.lastIndexOf("}"))},"${RESUME_FIELD}":${JSON.stringify(resume)}}`;
+
+/** Event ids are `attempt:position`; an event without one follows the last. */
+const parseChunk = (event: SseEvent, attemptId: string, position: number): AnswerChunk => {
+  const separator = event.id?.lastIndexOf(":") ?? -1;
+  const hasId = event.id !== undefined && separator > 0;
+  try {
+    const choice = completionEventSchema.parse(JSON.parse(event.data)).choices[0];
+    return {
+      attemptId: hasId ? event.id.slice(0, separator) : attemptId,
+      seq: hasId ? Number(event.id.slice(separator + 1)) : position,
+      text: choice?.delta?.content ?? choice?.text ?? "",
+      finishReason: choice?.finish_reason ?? undefined,
+    };
+  } catch (err) {
+    throw new PeerError("engine", `unreadable event: ${getMessage(err)}`, { sent: true });
+  }
+};
--- /dev/null
+++ b/packages/http/src/HttpPeer.ts
@@ -0,0 +1,143 @@
+import { getMessage, PeerError, type TrafficMeter } from "@lycheepulley/core";
+import { Pool, type Dispatcher } from "undici";
+import type { z } from "zod";
+
+/** Estimated bytes of request line, status line and headers of one call. */
+const HEADER_BYTES = 250;
+const DEFAULT_TIMEOUT_MS = 2_000;
+const DEFAULT_CONNECTIONS = 64;
+const CONNECT_TIMEOUT_MS = 1_000;
+
+const UNSENT_CODES: readonly string[] = [
+  "ECONNREFUSED",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+  "UND_ERR_CONNECT_TIMEOUT",
+  "ETIMEDOUT",
+];
+
+export interface HttpPeerOptions {
+  /** Name used in errors and logs. */
+  readonly name: string;
+  /** Kind of peer under which traffic is counted. */
+  readonly kind: string;
+  /** Origin such as `http://127.0.0.1:7000`. */
+  readonly origin: string;
+  readonly timeoutMs?: number;
+  readonly connections?: number;
+  readonly traffic?: TrafficMeter | undefined;
+}
+
+export interface CallOptions {
+  readonly method?: Dispatcher.HttpMethod;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: string | Buffer | undefined;
+  readonly signal?: AbortSignal | undefined;
+  readonly timeoutMs?: number;
+}
+
+const getCode = (err: unknown): string | undefined =>
+  typeof err === "object" && err !== null && "code" in err ? String(err.code) : undefined;
+
+/** HTTP connections to one peer; failures become {@link PeerError}s. */
+export class HttpPeer {
+  readonly name: string;
+  readonly origin: string;
+  readonly #kind: string;
+  readonly #pool: Pool;
+  readonly #timeoutMs: number;
+  readonly #traffic: TrafficMeter | undefined;
+
+  constructor(options: HttpPeerOptions) {
+    this.name = options.name;
+    this.origin = options.origin;
+    this.#kind = options.kind;
+    this.#timeoutMs = options.timeoutMs ?? DEFAULT_TIMEOUT_MS;
+    this.#traffic = options.traffic;
+    this.#pool = new Pool(options.origin, {
+      connections: options.connections ?? DEFAULT_CONNECTIONS,
+      connect: { timeout: CONNECT_TIMEOUT_MS },
+      keepAliveTimeout: 30_000,
+    });
+  }
+
+  /** Opens a call and returns its answer with the body still to be read. */
+  async open(path: string, options: CallOptions = {}): Promise<Dispatcher.ResponseData> {
+    const timeoutMs = options.timeoutMs ?? this.#timeoutMs;
+    try {
+      return await this.#pool.request({
+        path,
+        method: options.method ?? "GET",
+        headers: { "content-type": "application/json", ...options.headers },
+        body: options.body ?? null,
+        signal: options.signal ?? null,
+        headersTimeout: timeoutMs,
+        bodyTimeout: timeoutMs,
+      });
+    } catch (err) {
+      throw this.toPeerError(err);
+    }
+  }
+
+  /** Calls and reads the whole answer as text. */
+  async call(path: string, options: CallOptions = {}): Promise<{ status: number; text: string }> {
+    const res = await this.open(path, options);
+    try {
+      const text = await res.body.text();
+      const sent = Buffer.byteLength(options.body ?? "") + HEADER_BYTES;
+      this.#traffic?.count(this.#kind, sent, Buffer.byteLength(text) + HEADER_BYTES);
+      return { status: res.statusCode, text };
+    } catch (err) {
+      throw this.toPeerError(err);
+    }
+  }
+
+  /** Calls, demands a 2xx status and parses the answer with `schema`. */
+  async callJson<S extends z.ZodType>(
+    path: string,
+    schema: S,
+    options: CallOptions = {},
+  ): Promise<z.output<S>> {
+    const { status, text } = await this.call(path, options);
+    if (status < 200 || status > 299) {
+      throw new PeerError(this.name, `status ${String(status)}: ${text.slice(0, 200)}`, {
+        sent: true,
+        status,
+      });
+    }
+    try {
+      return schema.parse(JSON.parse(text === "" ? "null" : text));
+    } catch (err) {
+      const message = `unreadable answer: ${getMessage(err)}`;
+      throw new PeerError(this.name, message, { sent: true, status, cause: err });
+    }
+  }
+
+  /** Posts a JSON value; see {@link callJson}. */
+  postJson<S extends z.ZodType>(
+    path: string,
+    body: unknown,
+    schema: S,
+    options: CallOptions = {},
+  ): Promise<z.output<S>> {
+    return this.callJson(path, schema, { method: "POST", ...options, body: JSON.stringify(body) });
+  }
+
+  /** Wraps anything thrown by the transport. */
+  toPeerError(err: unknown): PeerError {
+    if (err instanceof PeerError) {
+      return err;
+    }
+    const code = getCode(err);
+    return new PeerError(this.name, getMessage(err), {
+      sent: code === undefined || !UNSENT_CODES.includes(code),
+      ...(code === undefined ? {} : { code }),
+      cause: err,
+    });
+  }
+
+  /** Closes all connections at once. */
+  async close(): Promise<void> {
+    await this.#pool.destroy();
+  }
+}
--- /dev/null
+++ b/packages/http/src/HttpServer.ts
@@ -0,0 +1,143 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+
+/** Handles one request; `params` are the named parts of the path. */
+export type Handler = (
+  req: IncomingMessage,
+  res: ServerResponse,
+  params: Readonly<Record<string, string>>,
+  url: URL,
+) => void | Promise<void>;
+
+/** One route, e.g. `{ method: "GET", path: "/v1/requests/:id" }`; `*` ends a prefix. */
+export interface Route {
+  readonly method: string;
+  readonly path: string;
+  readonly handle: Handler;
+}
+
+interface CompiledRoute extends Route {
+  readonly pattern: RegExp;
+}
+
+const compileRoute = (route: Route): CompiledRoute => ({
+  ...route,
+  pattern: new RegExp(
+    `^${route.path.replace(/:(\w+)/g, "(?<$1>[^/]+)").replace(/\*$/, "(?<rest>.*)")}$`,
+  ),
+});
+
+/** Sends a JSON answer. */
+export const sendJson = (
+  res: ServerResponse,
+  status: number,
+  value: unknown,
+  headers: Readonly<Record<string, string>> = {},
+): void => {
+  const text = JSON.stringify(value);
+  res.writeHead(status, {
+    "content-type": "application/json",
+    "content-length": String(Buffer.byteLength(text)),
+    ...headers,
+  });
+  res.end(text);
+};
+
+/** Raised when a request's body is larger than allowed. */
+export class BodyTooLargeError extends Error {
+  constructor(readonly limitBytes: number) {
+    super(`body exceeds ${String(limitBytes)} bytes`);
+    this.name = "BodyTooLargeError";
+  }
+}
+
+/** Reads a request's body up to `limitBytes`; `onChunk` sees each piece. */
+export const readBody = async (
+  req: IncomingMessage,
+  limitBytes: number,
+  onChunk?: (chunk: Buffer) => void,
+): Promise<Buffer> => {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of req as AsyncIterable<Buffer>) {
+    size += chunk.length;
+    if (size > limitBytes) {
+      throw new BodyTooLargeError(limitBytes);
+    }
+    onChunk?.(chunk);
+    chunks.push(chunk);
+  }
+  return chunks.length === 1 && chunks[0] ? chunks[0] : Buffer.concat(chunks);
+};
+
+/** Small HTTP server with a table of routes. */
+export class HttpServer {
+  readonly #routes: readonly CompiledRoute[];
+  readonly #server: Server;
+  readonly #sockets = new Set<Socket>();
+  readonly #onError: (err: unknown, req: IncomingMessage, res: ServerResponse) => void;
+
+  constructor(
+    routes: readonly Route[],
+    onError: (err: unknown, req: IncomingMessage, res: ServerResponse) => void,
+  ) {
+    this.#routes = routes.map(compileRoute);
+    this.#onError = onError;
+    this.#server = createServer((req, res) => {
+      void this.#dispatch(req, res);
+    });
+    this.#server.keepAliveTimeout = 60_000;
+    this.#server.requestTimeout = 0;
+    this.#server.on("connection", (socket) => {
+      socket.setNoDelay(true);
+      this.#sockets.add(socket);
+      socket.on("close", () => this.#sockets.delete(socket));
+    });
+  }
+
+  get port(): number {
+    return (this.#server.address() as AddressInfo | null)?.port ?? 0;
+  }
+
+  get connections(): number {
+    return this.#sockets.size;
+  }
+
+  listen(host: string, port: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(port, host, () => {
+        this.#server.off("error", reject);
+        resolve();
+      });
+    });
+  }
+
+  /** Stops accepting connections and drops those that are open. */
+  close(): Promise<void> {
+    return new Promise((resolve) => {
+      this.#server.close(() => {
+        resolve();
+      });
+      for (const socket of this.#sockets) {
+        socket.destroy();
+      }
+    });
+  }
+
+  async #dispatch(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const url = new URL(req.url ?? "/", "http://localhost");
+    try {
+      for (const route of this.#routes) {
+        const match = route.method === req.method ? route.pattern.exec(url.pathname) : null;
+        if (match) {
+          await route.handle(req, res, { ...match.groups }, url);
+          return;
+        }
+      }
+      sendJson(res, 404, { error: { message: `no route ${req.method ?? ""} ${url.pathname}` } });
+    } catch (err) {
+      this.#onError(err, req, res);
+    }
+  }
+}
--- /dev/null
+++ b/packages/http/src/index.ts
@@ -0,0 +1,2 @@
+export * from "./HttpPeer.js";
+export * from "./HttpServer.js";
--- /dev/null
+++ b/packages/log/src/FoldReader.ts
@@ -0,0 +1,191 @@
+import {
+  foldSnapshotSchema,
+  getMessage,
+  RecordKind,
+  sleep,
+  type Clock,
+  type FoldedRecord,
+  type FoldSnapshot,
+  type LogEntry,
+  type RegisterFold,
+} from "@lycheepulley/core";
+import { Publisher } from "@lycheepulley/streams";
+import type { Stream } from "most";
+
+import { LogTrimmedError, type LogClient } from "./LogClient.js";
+
+const READ_LIMIT = 256;
+const LONG_POLL_MS = 1_000;
+const RETRY_MS = 100;
+
+export interface FoldReaderOptions {
+  readonly log: LogClient;
+  readonly stream: string;
+  readonly clock: Clock;
+  readonly fold: RegisterFold;
+  /** Starts at the first retained entry instead of demanding a snapshot. */
+  readonly isWindowed?: boolean;
+  readonly longPollMs?: number;
+  readonly onError?: (message: string) => void;
+}
+
+/** Follows one stream of the log, folds it, and publishes what was folded. */
+export class FoldReader {
+  readonly fold: RegisterFold;
+  readonly #options: FoldReaderOptions;
+  readonly #publisher = new Publisher<FoldedRecord>();
+  readonly #entries = new Publisher<LogEntry>();
+  readonly #abort = new AbortController();
+  #running: Promise<void> | undefined;
+  #isCaughtUp = false;
+  #lastReadMs = -Infinity;
+  #reads = 0;
+
+  constructor(options: FoldReaderOptions) {
+    this.#options = options;
+    this.fold = options.fold;
+  }
+
+  /** Every record of the stream, folded, in log order. */
+  get folded(): Stream<FoldedRecord> {
+    return this.#publisher.stream;
+  }
+
+  /** Every entry after it was folded. */
+  get entries(): Stream<LogEntry> {
+    return this.#entries.stream;
+  }
+
+  get reads(): number {
+    return this.#reads;
+  }
+
+  /** Calls `fn` with every folded record. */
+  subscribe(fn: (folded: FoldedRecord) => void): () => void {
+    return this.#publisher.subscribe(fn);
+  }
+
+  /** True once the fold has reached the end of the stream as then known. */
+  get isCaughtUp(): boolean {
+    return this.#isCaughtUp;
+  }
+
+  /** Monotonic time of the last read that the log answered. */
+  get lastReadMs(): number {
+    return this.#lastReadMs;
+  }
+
+  start(): void {
+    this.#running ??= this.#run();
+  }
+
+  async stop(): Promise<void> {
+    this.#abort.abort();
+    await this.#running;
+  }
+
+  /** Resolves when the fold has caught up once. */
+  async waitCaughtUp(signal?: AbortSignal): Promise<void> {
+    while (!this.#isCaughtUp && !signal?.aborted && !this.#abort.signal.aborted) {
+      await sleep(this.#options.clock, RETRY_MS / 4, signal);
+    }
+  }
+
+  /** Takes a peer's snapshot while the log can't be read; never goes back. */
+  mutateWithPeerSnapshot(snapshot: FoldSnapshot): boolean {
+    const taken = this.fold.mutateWithSnapshot(snapshot);
+    if (taken) {
+      this.#isCaughtUp = true;
+    }
+    return taken;
+  }
+
+  async #run(): Promise<void> {
+    while (!this.#abort.signal.aborted) {
+      try {
+        await this.#readOnce();
+      } catch (err) {
+        if (err instanceof LogTrimmedError) {
+          await this.#recover(err.first);
+        } else if (!this.#abort.signal.aborted) {
+          this.#options.onError?.(getMessage(err));
+          await sleep(this.#options.clock, RETRY_MS, this.#abort.signal);
+        }
+      }
+    }
+  }
+
+  async #readOnce(): Promise<void> {
+    const { log, stream } = this.#options;
+    const from = this.fold.nextOffset;
+    const page = await log.read(stream, from, {
+      limit: READ_LIMIT,
+      waitMs: this.#isCaughtUp ? (this.#options.longPollMs ?? LONG_POLL_MS) : 0,
+      signal: this.#abort.signal,
+    });
+    this.#reads += 1;
+    this.#lastReadMs = this.#options.clock.now();
+    if (page.first > from) {
+      throw new LogTrimmedError(stream, page.first);
+    }
+    page.entries.forEach((entry) => {
+      this.#mutateAndPublish(entry);
+    });
+    if (this.fold.nextOffset >= page.end) {
+      this.#isCaughtUp = true;
+    }
+  }
+
+  #mutateAndPublish(entry: LogEntry): void {
+    for (const folded of this.fold.mutateWithEntry(entry)) {
+      this.#publisher.publish(folded);
+    }
+    this.#entries.publish(entry);
+  }
+
+  /** Reloads after retention passed the fold: from a snapshot and its tail. */
+  async #recover(first: number): Promise<void> {
+    const { clock, onError, stream } = this.#options;
+    if (this.#options.isWindowed) {
+      const { timeMs } = this.fold;
+      this.fold.mutateWithSnapshot({ asOf: first - 1, timeMs, registers: [], writers: {} });
+      return;
+    }
+    try {
+      const snapshot = await this.#findSnapshot(first);
+      if (snapshot && this.fold.mutateWithSnapshot(snapshot)) {
+        return;
+      }
+      this.#isCaughtUp = false;
+      onError?.(`stream ${stream}: no snapshot within retention`);
+    } catch (err) {
+      onError?.(getMessage(err));
+    }
+    await sleep(clock, RETRY_MS, this.#abort.signal);
+  }
+
+  /** Newest snapshot on the log whose tail is wholly retained, searched backwards. */
+  async #findSnapshot(first: number): Promise<FoldSnapshot | undefined> {
+    const { log, stream } = this.#options;
+    const { end } = await log.fetchExtent(stream);
+    for (let to = end; to > first; to -= READ_LIMIT) {
+      const from = Math.max(first, to - READ_LIMIT);
+      const page = await log.read(stream, from, { limit: to - from, waitMs: 0 });
+      const snapshots = page.entries.flatMap((entry) => parseSnapshots(entry));
+      const newest = snapshots.findLast((snapshot) => snapshot.asOf + 1 >= first);
+      if (newest) {
+        return newest;
+      }
+    }
+    return undefined;
+  }
+}
+
+const parseSnapshots = (entry: LogEntry): FoldSnapshot[] =>
+  entry.records.flatMap((record) => {
+    if (record.kind !== RecordKind.Snapshot) {
+      return [];
+    }
+    const parsed = foldSnapshotSchema.safeParse(record.body);
+    return parsed.success ? [parsed.data] : [];
+  });
--- /dev/null
+++ b/packages/nodes/src/NodeServer.ts
@@ -0,0 +1,66 @@
+import { getMessage } from "@lycheepulley/core";
+import { HttpServer, readBody, sendJson, type Route } from "@lycheepulley/http";
+import { JSONRPCServer } from "json-rpc-2.0";
+import type { z } from "zod";
+
+import type { RpcMethod } from "./rpc.js";
+
+const MAX_BODY_BYTES = 16_000_000;
+
+/** JSON-RPC server for other entry processes and operators. */
+export class NodeServer {
+  readonly #rpc = new JSONRPCServer({ errorListener: () => undefined });
+  readonly #server: HttpServer;
+  #receivedBytes = 0;
+  #sentBytes = 0;
+
+  constructor(routes: readonly Route[] = []) {
+    this.#server = new HttpServer(
+      [...routes, { method: "POST", path: "/rpc", handle: (req, res) => this.#receive(req, res) }],
+      (err, _req, res) => {
+        sendJson(res, 400, { error: { message: getMessage(err) } });
+      },
+    );
+  }
+
+  get port(): number {
+    return this.#server.port;
+  }
+
+  get connections(): number {
+    return this.#server.connections;
+  }
+
+  /** Bytes of calls taken and answers given. */
+  get traffic(): { receivedBytes: number; sentBytes: number } {
+    return { receivedBytes: this.#receivedBytes, sentBytes: this.#sentBytes };
+  }
+
+  /** Serves one method; its parameters are checked before `fn` sees them. */
+  handle<P extends z.ZodType, R extends z.ZodType>(
+    method: RpcMethod<P, R>,
+    fn: (params: z.output<P>) => z.input<R> | Promise<z.input<R>>,
+  ): void {
+    this.#rpc.addMethod(method.name, async (raw: unknown) => fn(method.params.parse(raw)));
+  }
+
+  listen(host: string, port: number): Promise<void> {
+    return this.#server.listen(host, port);
+  }
+
+  close(): Promise<void> {
+    return this.#server.close();
+  }
+
+  async #receive(
+    req: Parameters<Route["handle"]>[0],
+    res: Parameters<Route["handle"]>[1],
+  ): Promise<void> {
+    const text = (await readBody(req, MAX_BODY_BYTES)).toString();
+    const answer = JSON.stringify(await this.#rpc.receiveJSON(text));
+    this.#receivedBytes += text.length;
+    this.#sentBytes += answer.length;
+    res.writeHead(200, { "content-length": String(Buffer.byteLength(answer)) });
+    res.end(answer);
+  }
+}
--- /dev/null
+++ b/packages/nodes/src/index.ts
@@ -0,0 +1,4 @@
+export * from "./methods.js";
+export * from "./NodeClient.js";
+export * from "./NodeServer.js";
+export * from "./rpc.js";
--- /dev/null
+++ b/packages/nodes/src/methods.ts
@@ -0,0 +1,116 @@
+import { claimBodySchema, fateSchema, foldSnapshotSchema } from "@lycheepulley/core";
+import { z } from "zod";
+
+import { newRpcMethod } from "./rpc.js";
+
+/** State of a process as others see it. */
+export const NodeState = {
+  Joining: "joining",
+  Live: "live",
+  Suspect: "suspect",
+  Leaving: "leaving",
+  Gone: "gone",
+} as const;
+export type NodeState = (typeof NodeState)[keyof typeof NodeState];
+
+/** What a process says of itself in a heartbeat. */
+export const nodeReportSchema = z.object({
+  name: z.string(),
+  incarnation: z.number(),
+  failureDomain: z.string(),
+  host: z.string(),
+  port: z.number().int(),
+  controlPort: z.number().int(),
+  state: z.enum([NodeState.Joining, NodeState.Live, NodeState.Leaving]),
+  /** Grows with each change that the process reports of itself. */
+  version: z.number().int(),
+  configRevision: z.number().int(),
+  configDigest: z.string(),
+  /** Requests in flight. */
+  load: z.number(),
+});
+export type NodeReport = z.infer<typeof nodeReportSchema>;
+
+/** What a process knows of one member: name, incarnation, report version, age of the news. */
+export const digestEntrySchema = z.tuple([
+  z.string(),
+  z.number(),
+  z.number().int(),
+  z.number().int(),
+]);
+export type DigestEntry = z.infer<typeof digestEntrySchema>;
+
+/** What a process knows of another failure domain: its name, digest of members, age. */
+export const domainEntrySchema = z.tuple([z.string(), z.string(), z.number().int()]);
+export type DomainEntry = z.infer<typeof domainEntrySchema>;
+
+/** News that two processes exchange in a heartbeat. */
+export const gossipSchema = z.object({
+  /** Name and incarnation of the sender. */
+  from: z.tuple([z.string(), z.number()]),
+  /** Members of the failure domains that are told in full. */
+  members: z.array(digestEntrySchema),
+  /** Other failure domains, as digests. */
+  domains: z.array(domainEntrySchema),
+  /** Reports that the receiver is believed to lack. */
+  reports: z.array(nodeReportSchema),
+  /** Failure domains whose members the sender wants in full. */
+  wanted: z.array(z.string()),
+});
+export type Gossip = z.infer<typeof gossipSchema>;
+
+/** Heartbeat: news from the sender, answered in kind. */
+export const heartbeatMethod = newRpcMethod("node.heartbeat", gossipSchema, gossipSchema);
+
+/** Newest agreed state of a log stream, for a process that starts in an outage. */
+export const snapshotMethod = newRpcMethod(
+  "node.snapshot",
+  z.object({ stream: z.string() }),
+  foldSnapshotSchema.nullable(),
+);
+
+export const claimRequestSchema = z.object({
+  key: z.string(),
+  requestId: z.string(),
+  holder: z.string(),
+  bodySha256: z.string(),
+  deadlineMs: z.number(),
+});
+
+/** How the owner of a claim shard answers a request to claim a key. */
+export const claimAnswerSchema = z.discriminatedUnion("result", [
+  z.object({ result: z.literal("granted"), version: z.number().int(), claim: claimBodySchema }),
+  z.object({ result: z.literal("replay"), claim: claimBodySchema }),
+  z.object({ result: z.literal("in_progress"), claim: claimBodySchema }),
+  z.object({ result: z.literal("refused_body") }),
+  z.object({ result: z.literal("unavailable"), message: z.string() }),
+]);
+export type ClaimAnswer = z.infer<typeof claimAnswerSchema>;
+
+/** Claims a key; waits up to `waitMs` for the log and for a claim in progress. */
+export const claimMethod = newRpcMethod(
+  "claim.claim",
+  z.object({ shard: z.number().int(), request: claimRequestSchema, waitMs: z.number() }),
+  claimAnswerSchema,
+);
+
+/** Ends the holder's own claim. */
+export const claimEndMethod = newRpcMethod(
+  "claim.end",
+  z.object({
+    shard: z.number().int(),
+    key: z.string(),
+    requestId: z.string(),
+    state: claimBodySchema.shape.state,
+    outcome: claimBodySchema.shape.outcome,
+    waitMs: z.number(),
+  }),
+  z.object({ done: z.boolean() }),
+);
+
+/** Fate of a request that the asked process accepted; null when it knows nothing. */
+export const fateMethod = newRpcMethod(
+  "node.fate",
+  z.object({ requestId: z.string() }),
+  fateSchema.nullable(),
+);
--- /dev/null
+++ b/packages/operators/src/OperatorSession.ts
@@ -0,0 +1,73 @@
+import { randomUUID } from "node:crypto";
+
+import {
+  RegisterFold,
+  SystemClock,
+  SystemRandom,
+  TimeoutError,
+  TokenBucket,
+  withTimeout,
+} from "@lycheepulley/core";
+import { FoldReader, HttpLogClient, LogWriter, Proposer } from "@lycheepulley/log";
+import { CONTROL_STREAM } from "@lycheepulley/serving";
+
+import { ConfigPublisher } from "./ConfigPublisher.js";
+
+const APPENDS_PER_S = 5;
+const READY_TIMEOUT_MS = 10_000;
+
+/** An operator's own connection to the platform's log; it needs no entry process. */
+export class OperatorSession {
+  readonly log: HttpLogClient;
+  readonly proposer: Proposer;
+  readonly config: ConfigPublisher;
+  readonly #clock = new SystemClock();
+
+  constructor(options: { logOrigin: string; operator: string }) {
+    const clock = this.#clock;
+    this.log = new HttpLogClient({ origin: options.logOrigin });
+    const writerName = `operator-${options.operator}.${randomUUID()}`;
+    const budget = new TokenBucket({ clock, ratePerS: APPENDS_PER_S, burst: APPENDS_PER_S });
+    this.proposer = new Proposer({
+      clock,
+      writerName,
+      reader: new FoldReader({
+        log: this.log,
+        stream: CONTROL_STREAM,
+        clock,
+        fold: new RegisterFold(),
+      }),
+      writer: new LogWriter({
+        log: this.log,
+        stream: CONTROL_STREAM,
+        clock,
+        random: new SystemRandom(),
+        writer: writerName,
+        budget,
+      }),
+    });
+    this.config = new ConfigPublisher(this.proposer);
+  }
+
+  /** Reads the log up to its present end. */
+  async open(): Promise<void> {
+    const abort = new AbortController();
+    this.proposer.reader.start();
+    try {
+      await withTimeout(this.proposer.reader.waitCaughtUp(abort.signal), {
+        clock: this.#clock,
+        timeoutMs: READY_TIMEOUT_MS,
+        what: "log",
+      });
+    } catch (err) {
+      abort.abort();
+      await this.close();
+      throw err instanceof TimeoutError ? new Error("the log did not answer in time") : err;
+    }
+  }
+
+  async close(): Promise<void> {
+    await this.proposer.reader.stop();
+    await this.log.close();
+  }
+}
--- /dev/null
+++ b/packages/operators/src/index.ts
@@ -0,0 +1,2 @@
+export * from "./ConfigPublisher.js";
+export * from "./OperatorSession.js";
--- /dev/null
+++ b/packages/services/src/ServiceClient.ts
@@ -0,0 +1,59 @@
+import { HttpPeer } from "@lycheepulley/http";
+
+/** One call to a plain service. */
+export interface ServiceCall {
+  readonly method: "GET" | "HEAD" | "POST" | "PUT" | "PATCH" | "DELETE";
+  /** Path and query below the service. */
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Buffer | undefined;
+  readonly timeoutMs: number;
+  readonly signal: AbortSignal;
+  /** Called when the first byte of the call may have left. */
+  readonly onSend?: () => void;
+}
+
+export interface ServiceAnswer {
+  readonly status: number;
+  readonly contentType: string;
+  readonly body: string;
+}
+
+/** One instance of a plain service. */
+export interface ServiceClient {
+  readonly name: string;
+  /** Calls the service; throws a PeerError that tells whether bytes were sent. */
+  call(call: ServiceCall): Promise<ServiceAnswer>;
+  close(): Promise<void>;
+}
+
+/** Plain service over HTTP. */
+export class HttpServiceClient implements ServiceClient {
+  readonly name: string;
+  readonly #peer: HttpPeer;
+
+  constructor(options: { name: string; origin: string }) {
+    this.name = options.name;
+    this.#peer = new HttpPeer({ ...options, kind: "service" });
+  }
+
+  async call(call: ServiceCall): Promise<ServiceAnswer> {
+    call.onSend?.();
+    const { method, path, headers, body, timeoutMs, signal } = call;
+    const res = await this.#peer.open(path, { method, headers, body, timeoutMs, signal });
+    try {
+      const contentType = res.headers["content-type"];
+      return {
+        status: res.statusCode,
+        contentType: typeof contentType === "string" ? contentType : "application/octet-stream",
+        body: await res.body.text(),
+      };
+    } catch (err) {
+      throw this.#peer.toPeerError(err);
+    }
+  }
+
+  close(): Promise<void> {
+    return this.#peer.close();
+  }
+}
--- /dev/null
+++ b/packages/services/src/index.ts
@@ -0,0 +1,1 @@
+export * from "./ServiceClient.js";
--- /dev/null
+++ b/packages/serving/src/claims/ClaimRouter.ts
@@ -0,0 +1,114 @@
+import {
+  getMessage,
+  nextInt,
+  rankMembers,
+  sha256,
+  sleep,
+  type ClaimRequest,
+  type Clock,
+  type Random,
+} from "@lycheepulley/core";
+import { claimEndMethod, claimMethod, type ClaimAnswer } from "@lycheepulley/nodes";
+
+import type { Members } from "../membership/Members.js";
+import type { ClaimEnd, ClaimShard } from "./ClaimShard.js";
+
+const RETRY_MS = 50;
+const RPC_SLACK_MS = 250;
+const ABANDON_WAIT_MS = 1_000;
+const ABANDON_RETRY_MS = 500;
+const MAX_ABANDON_TRIES = 20;
+
+/** Brings claims to the process that owns their shard. */
+export class ClaimRouter {
+  readonly #members: Members;
+  readonly #clock: Clock;
+  readonly #random: Random;
+  readonly #getShard: (shard: number) => ClaimShard;
+  readonly #getShardCount: () => number;
+
+  constructor(options: {
+    members: Members;
+    clock: Clock;
+    random: Random;
+    getShard: (shard: number) => ClaimShard;
+    getShardCount: () => number;
+  }) {
+    this.#members = options.members;
+    this.#clock = options.clock;
+    this.#random = options.random;
+    this.#getShard = options.getShard;
+    this.#getShardCount = options.getShardCount;
+  }
+
+  /** Claims a key for a request; every answer but "granted" means: don't dispatch. */
+  async claim(req: ClaimRequest, waitMs: number): Promise<ClaimAnswer> {
+    const untilMs = this.#clock.now() + waitMs;
+    let answer: ClaimAnswer = { result: "unavailable", message: "no live owner" };
+    while (this.#clock.now() < untilMs) {
+      answer = await this.#askOwner(req, untilMs - this.#clock.now());
+      if (answer.result !== "unavailable") {
+        return answer;
+      }
+      await sleep(this.#clock, RETRY_MS + nextInt(this.#random, RETRY_MS));
+    }
+    return answer;
+  }
+
+  /** Ends an own claim; false when the log did not confirm it in time. */
+  async end(end: ClaimEnd, waitMs: number): Promise<boolean> {
+    const { shard, owner } = this.#findOwner(end.key);
+    try {
+      if (owner === this.#members.self) {
+        return await this.#getShard(shard).end(end, waitMs);
+      }
+      const caller = this.#members.getCaller(owner);
+      const answer = await caller?.call(
+        claimEndMethod,
+        { shard, waitMs, ...end, outcome: end.outcome },
+        { timeoutMs: waitMs + RPC_SLACK_MS },
+      );
+      return answer?.done ?? false;
+    } catch {
+      this.#members.noteFailure(owner);
+      return false;
+    }
+  }
+
+  /** Ends a claim in the background, again and again until the log confirms. */
+  async endEventually(end: ClaimEnd): Promise<void> {
+    for (let i = 0; i < MAX_ABANDON_TRIES; i += 1) {
+      if (await this.end(end, ABANDON_WAIT_MS)) {
+        return;
+      }
+      await sleep(this.#clock, ABANDON_RETRY_MS);
+    }
+  }
+
+  #findOwner(key: string): { shard: number; owner: string } {
+    const shard = parseInt(sha256(key).slice(0, 8), 16) % this.#getShardCount();
+    const [owner] = rankMembers(`claims/${String(shard)}`, this.#members.getLive());
+    return { shard, owner: owner ?? this.#members.self };
+  }
+
+  async #askOwner(request: ClaimRequest, waitMs: number): Promise<ClaimAnswer> {
+    const { shard, owner } = this.#findOwner(request.key);
+    try {
+      if (owner === this.#members.self) {
+        return await this.#getShard(shard).claim(request, waitMs);
+      }
+      const caller = this.#members.getCaller(owner);
+      if (!caller) {
+        return { result: "unavailable", message: `no address for ${owner}` };
+      }
+      return await caller.call(
+        claimMethod,
+        { shard, request, waitMs },
+        { timeoutMs: waitMs + RPC_SLACK_MS },
+      );
+    } catch (err) {
+      this.#members.noteFailure(owner);
+      return { result: "unavailable", message: getMessage(err) };
+    }
+  }
+}
--- /dev/null
+++ b/packages/serving/src/fates/FateRecorder.ts
@@ -0,0 +1,184 @@
+import {
+  compactFate,
+  FateState,
+  newRequestId,
+  RecordKind,
+  type Clock,
+  type CompactFate,
+  type Fate,
+} from "@lycheepulley/core";
+import type { LogWriter } from "@lycheepulley/log";
+
+/** Ended fates kept in memory for questions. */
+const KEPT_FATES = 20_000;
+const FLUSH_INTERVAL_MS = 1_000;
+
+/** Body of a record that holds the fates of one process. */
+export interface FatesBody {
+  readonly process: string;
+  readonly incarnation: number;
+  readonly lines: readonly CompactFate[];
+}
+
+/** One request on its way: its id and the steps that it took. */
+export class RequestTrace {
+  readonly requestId: string;
+  readonly acceptedMs: number;
+  readonly #clock: Clock;
+  readonly #startMs: number;
+  readonly #onEnd: (trace: RequestTrace) => void;
+  #fate: Fate;
+
+  constructor(options: {
+    requestId: string;
+    customer: string;
+    clock: Clock;
+    onEnd: (trace: RequestTrace) => void;
+  }) {
+    this.requestId = options.requestId;
+    this.#clock = options.clock;
+    this.#startMs = options.clock.now();
+    this.acceptedMs = options.clock.wall();
+    this.#onEnd = options.onEnd;
+    this.#fate = {
+      requestId: options.requestId,
+      state: FateState.Running,
+      className: "",
+      customer: options.customer,
+      acceptedMs: this.acceptedMs,
+      steps: [],
+    };
+  }
+
+  get fate(): Fate {
+    return this.#fate;
+  }
+
+  get startMs(): number {
+    return this.#startMs;
+  }
+
+  get isEnded(): boolean {
+    return this.#fate.state !== FateState.Running;
+  }
+
+  /** Milliseconds since acceptance. */
+  get ageMs(): number {
+    return this.#clock.now() - this.#startMs;
+  }
+
+  classified(className: string, promptTokens: number): void {
+    this.#fate = { ...this.#fate, className, promptTokens };
+  }
+
+  mark(step: string, detail = ""): void {
+    this.#fate.steps.push([step, this.ageMs, detail]);
+  }
+
+  /** Gives the request its one end; later calls change nothing. */
+  end(state: FateState, reason?: string): void {
+    if (this.isEnded) {
+      return;
+    }
+    this.#fate = {
+      ...this.#fate,
+      state,
+      endedAfterMs: this.ageMs,
+      ...(reason === undefined ? {} : { reason }),
+    };
+    this.#onEnd(this);
+  }
+}
+
+/** Remembers what became of this process's requests and appends it in batches. */
+export class FateRecorder {
+  readonly #process: string;
+  readonly #incarnation: number;
+  readonly #clock: Clock;
+  readonly #writer: LogWriter;
+  readonly #traces = new Map<string, RequestTrace>();
+  #unflushed: RequestTrace[] = [];
+  #isFlushScheduled = false;
+  #nextSeq = 1;
+  #running = 0;
+  #flushedBytes = 0;
+
+  constructor(options: { process: string; incarnation: number; clock: Clock; writer: LogWriter }) {
+    this.#process = options.process;
+    this.#incarnation = options.incarnation;
+    this.#clock = options.clock;
+    this.#writer = options.writer;
+  }
+
+  /** Requests that have not ended. */
+  get running(): number {
+    return this.#running;
+  }
+
+  get flushedBytes(): number {
+    return this.#flushedBytes;
+  }
+
+  begin(customer: string): RequestTrace {
+    const requestId = newRequestId({
+      process: this.#process,
+      incarnation: this.#incarnation,
+      atMs: this.#clock.wall(),
+      seq: this.#nextSeq++,
+    });
+    this.#running += 1;
+    const trace = new RequestTrace({
+      requestId,
+      customer,
+      clock: this.#clock,
+      onEnd: (ended) => {
+        this.#onEnd(ended);
+      },
+    });
+    this.#traces.set(requestId, trace);
+    return trace;
+  }
+
+  /** Fate of a request that this process accepted and still remembers. */
+  getFate(requestId: string): Fate | undefined {
+    return this.#traces.get(requestId)?.fate;
+  }
+
+  /** Appends what has ended since the last flush. */
+  flush(): Promise<void> {
+    this.#isFlushScheduled = false;
+    if (this.#unflushed.length === 0) {
+      return Promise.resolve();
+    }
+    const body: FatesBody = {
+      process: this.#process,
+      incarnation: this.#incarnation,
+      lines: this.#unflushed.map((trace) => compactFate(trace.fate)),
+    };
+    this.#unflushed = [];
+    this.#flushedBytes += JSON.stringify(body).length;
+    const draft = { kind: RecordKind.Fates, key: this.#process, follows: null, body };
+    return this.#writer.submit(draft).appended;
+  }
+
+  #onEnd(trace: RequestTrace): void {
+    this.#running -= 1;
+    this.#unflushed.push(trace);
+    this.#forgetOldest();
+    if (!this.#isFlushScheduled) {
+      this.#isFlushScheduled = true;
+      this.#clock.setTimer(() => void this.flush(), FLUSH_INTERVAL_MS);
+    }
+  }
+
+  #forgetOldest(): void {
+    for (const [id, trace] of this.#traces) {
+      if (this.#traces.size <= KEPT_FATES) {
+        return;
+      }
+      if (trace.isEnded) {
+        this.#traces.delete(id);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/serving/src/membership/MemberTable.ts
@@ -0,0 +1,228 @@
+import { sha256 } from "@lycheepulley/core";
+import {
+  NodeState,
+  type DigestEntry,
+  type DomainEntry,
+  type Gossip,
+  type NodeReport,
+} from "@lycheepulley/nodes";
+
+/** A member without news for this long is suspect. */
+export const SUSPECT_AFTER_MS = 4_000;
+/** A member without news for this long is gone. */
+export const GONE_AFTER_MS = 15_000;
+const DIGEST_LENGTH = 10;
+
+/** What this process knows of another one. */
+interface Member {
+  readonly report: NodeReport;
+  /** Monotonic time of the newest sign of life. */
+  readonly heardMs: number;
+}
+
+/** What this process knows of another failure domain. */
+interface DomainNews {
+  readonly names: ReadonlySet<string>;
+  readonly freshMs: number;
+}
+
+/** A member with its state as seen from here. */
+export interface MemberView {
+  readonly report: NodeReport;
+  readonly state: NodeState;
+  readonly ageMs: number;
+}
+
+/**
+ * Members of the system. Those of the own failure domain are known one by
+ * one, with the age of their last sign of life; another domain is known as a
+ * set that its own members vouch for.
+ */
+export class MemberTable {
+  readonly #self: string;
+  readonly #domain: string;
+  readonly #members = new Map<string, Member>();
+  readonly #domains = new Map<string, DomainNews>();
+  /** VMs that the platform's list says are leaving. */
+  #listedLeaving: ReadonlySet<string> = new Set();
+
+  constructor(options: { self: string; failureDomain: string }) {
+    this.#self = options.self;
+    this.#domain = options.failureDomain;
+  }
+
+  setListedLeaving(names: ReadonlySet<string>): void {
+    this.#listedLeaving = names;
+  }
+
+  /** Takes a process's own report; an older incarnation or version changes nothing. */
+  mutateWithReport(report: NodeReport, heardMs: number): void {
+    const known = this.#members.get(report.name);
+    if (known && isNewer(known.report, report)) {
+      return;
+    }
+    const heard = Math.max(heardMs, known?.heardMs ?? -Infinity);
+    this.#members.set(report.name, { report, heardMs: heard });
+  }
+
+  /** Takes the news of a heartbeat. */
+  mutateWithGossip(gossip: Gossip, nowMs: number): void {
+    for (const report of gossip.reports) {
+      this.mutateWithReport(report, -Infinity);
+    }
+    const [sender, incarnation] = gossip.from;
+    this.#mutateWithEntry([sender, incarnation, 0, 0], nowMs);
+    for (const entry of gossip.members) {
+      this.#mutateWithEntry(entry, nowMs);
+    }
+    this.#mutateWithForeignSets(gossip.members, nowMs);
+    for (const [domain, digest, ageMs] of gossip.domains) {
+      const news = this.#domains.get(domain);
+      const isKnown = news !== undefined && this.getDomainDigest(domain, nowMs) === digest;
+      if (domain !== this.#domain && isKnown) {
+        const freshMs = Math.max(news.freshMs, nowMs - ageMs);
+        this.#domains.set(domain, { ...news, freshMs });
+      }
+    }
+  }
+
+  getView(name: string, nowMs: number): MemberView | undefined {
+    const member = this.#members.get(name);
+    if (!member) {
+      return undefined;
+    }
+    const ageMs = nowMs - this.#getHeardMs(member);
+    return { report: member.report, ageMs, state: this.#getState(member, ageMs) };
+  }
+
+  getViews(nowMs: number): MemberView[] {
+    return [...this.#members.keys()].flatMap((name) => this.getView(name, nowMs) ?? []);
+  }
+
+  /** Forgets members that have been gone for long. */
+  evictGone(nowMs: number): void {
+    for (const [name, member] of this.#members) {
+      if (nowMs - this.#getHeardMs(member) > 2 * GONE_AFTER_MS && name !== this.#self) {
+        this.#members.delete(name);
+      }
+    }
+  }
+
+  /** Entries of the named domains, as told to another process. */
+  getEntries(domains: readonly string[], nowMs: number): DigestEntry[] {
+    return this.getViews(nowMs)
+      .filter(({ report }) => domains.includes(report.failureDomain))
+      .filter(({ ageMs }) => ageMs < GONE_AFTER_MS)
+      .map(({ report, ageMs }) => [
+        report.name,
+        report.incarnation,
+        report.version,
+        Math.max(0, Math.round(ageMs)),
+      ]);
+  }
+
+  /** Digests of all known domains but `except`. */
+  getDomainEntries(except: string, nowMs: number): DomainEntry[] {
+    const own: DomainEntry[] =
+      except === this.#domain ? [] : [[this.#domain, this.getDomainDigest(this.#domain, nowMs), 0]];
+    const foreign = [...this.#domains]
+      .filter(([domain]) => domain !== except)
+      .map(([domain, { freshMs }]): DomainEntry => [
+        domain,
+        this.getDomainDigest(domain, nowMs),
+        Math.max(0, Math.round(nowMs - freshMs)),
+      ]);
+    return [...own, ...foreign];
+  }
+
+  /** Domains whose digests differ from what this process knows. */
+  findWanted(domains: readonly DomainEntry[], nowMs: number): string[] {
+    return domains
+      .filter(([domain, digest]) => {
+        const isOwn = domain === this.#domain;
+        return !isOwn && this.getDomainDigest(domain, nowMs) !== digest;
+      })
+      .map(([domain]) => domain);
+  }
+
+  /** Reports that a process with these entries lacks, among the named domains. */
+  findLacking(
+    entries: readonly DigestEntry[],
+    domains: readonly string[],
+    nowMs: number,
+  ): NodeReport[] {
+    const told = new Map(entries.map((entry) => [entry[0], entry]));
+    return this.getViews(nowMs)
+      .filter(
+        ({ report, ageMs }) => domains.includes(report.failureDomain) && ageMs < GONE_AFTER_MS,
+      )
+      .map(({ report }) => report)
+      .filter((report) => {
+        const entry = told.get(report.name);
+        return !entry || isNewer(report, { incarnation: entry[1], version: entry[2] });
+      });
+  }
+
+  /** Digest of a domain's members that are alive as far as this process knows. */
+  getDomainDigest(domain: string, nowMs: number): string {
+    const names = domain === this.#domain ? undefined : this.#domains.get(domain)?.names;
+    const alive = this.getViews(nowMs).filter(({ report, ageMs }) =>
+      names ? names.has(report.name) : report.failureDomain === domain && ageMs < SUSPECT_AFTER_MS,
+    );
+    const lines = alive.map(({ report }) => {
+      const { name, incarnation, version } = report;
+      return `${name} ${String(incarnation)} ${String(version)}`;
+    });
+    return sha256(lines.sort().join("\n")).slice(0, DIGEST_LENGTH);
+  }
+
+  #mutateWithEntry([name, incarnation, version, ageMs]: DigestEntry, nowMs: number): void {
+    const known = this.#members.get(name);
+    const isSame = known?.report.incarnation === incarnation && known.report.version >= version;
+    if (known && isSame) {
+      const heardMs = Math.max(known.heardMs, nowMs - ageMs);
+      this.#members.set(name, { ...known, heardMs });
+    }
+  }
+
+  /** Entries of another domain replace the set of members that it vouches for. */
+  #mutateWithForeignSets(entries: readonly DigestEntry[], nowMs: number): void {
+    const byDomain = new Map<string, DigestEntry[]>();
+    for (const entry of entries) {
+      const domain = this.#members.get(entry[0])?.report.failureDomain;
+      if (domain !== undefined && domain !== this.#domain) {
+        byDomain.set(domain, [...(byDomain.get(domain) ?? []), entry]);
+      }
+    }
+    for (const [domain, told] of byDomain) {
+      const alive = told.filter(([, , , ageMs]) => ageMs < SUSPECT_AFTER_MS);
+      const youngestMs = Math.min(...told.map(([, , , ageMs]) => ageMs));
+      const freshMs = nowMs - youngestMs;
+      if (freshMs >= (this.#domains.get(domain)?.freshMs ?? -Infinity)) {
+        this.#domains.set(domain, { names: new Set(alive.map(([name]) => name)), freshMs });
+      }
+    }
+  }
+
+  /** Newest sign of life: the member's own, or its domain's word for it. */
+  #getHeardMs({ report, heardMs }: Member): number {
+    const news = this.#domains.get(report.failureDomain);
+    return news?.names.has(report.name) ? Math.max(heardMs, news.freshMs) : heardMs;
+  }
+
+  #getState({ report }: Member, ageMs: number): NodeState {
+    if (ageMs > GONE_AFTER_MS) {
+      return NodeState.Gone;
+    }
+    if (report.state === NodeState.Leaving || this.#listedLeaving.has(report.name)) {
+      return NodeState.Leaving;
+    }
+    return ageMs > SUSPECT_AFTER_MS ? NodeState.Suspect : report.state;
+  }
+}
+
+type Vintage = Pick<NodeReport, "incarnation" | "version">;
+
+/** Tells whether `a` supersedes `b`. */
+const isNewer = (a: Vintage, b: Vintage): boolean =>
+  a.incarnation > b.incarnation || (a.incarnation === b.incarnation && a.version > b.version);
--- /dev/null
+++ b/packages/serving/src/requests/AtMostOnce.ts
@@ -0,0 +1,160 @@
+import {
+  ClaimState,
+  PulleyError,
+  Step,
+  Verdict,
+  type ClaimBody,
+  type Protections,
+} from "@lycheepulley/core";
+
+import type { ClaimRouter } from "../claims/ClaimRouter.js";
+import type { RequestContext } from "./RequestContext.js";
+
+const HTTP_CONFLICT = 409;
+const HTTP_UNPROCESSABLE = 422;
+const HTTP_UNAVAILABLE = 503;
+/** How long a reply waits for its outcome to reach the log. */
+const OUTCOME_WAIT_MS = 1_000;
+/** Longest answer that a resend of the key gets back, characters. */
+export const MAX_KEPT_ANSWER = 32_000;
+
+/** Outcome of a dispatch under a claim. */
+export interface DispatchOutcome {
+  readonly status: number;
+  readonly body: string;
+}
+
+/** The first outcome of a key, or that of this dispatch. */
+export interface OnceOutcome extends DispatchOutcome {
+  readonly isReplay: boolean;
+}
+
+/** Runs a request at most once under its idempotency key. */
+export class AtMostOnce {
+  readonly #router: ClaimRouter;
+  readonly #holder: string;
+  readonly #wallNow: () => number;
+  readonly #protections: Protections;
+
+  constructor(options: {
+    router: ClaimRouter;
+    holder: string;
+    wallNow: () => number;
+    protections: Protections;
+  }) {
+    this.#router = options.router;
+    this.#holder = options.holder;
+    this.#wallNow = options.wallNow;
+    this.#protections = options.protections;
+  }
+
+  /**
+   * Claims the key, dispatches once, and records the outcome. `dispatch`
+   * calls the context's `noteSent` before any byte leaves.
+   */
+  async run(
+    ctx: RequestContext,
+    options: { key: string; bodySha256: string },
+    dispatch: () => Promise<DispatchOutcome>,
+  ): Promise<OnceOutcome> {
+    const claim = await this.#claim(ctx, options);
+    if (claim) {
+      return replayClaim(ctx, claim);
+    }
+    try {
+      ctx.checkDeadline(this.#protections.deadlineCheck);
+      const outcome = await dispatch();
+      await this.#end(ctx, options.key, ClaimState.Ran, outcome);
+      return { ...outcome, isReplay: false };
+    } catch (err) {
+      const failure = ctx.toError(err);
+      const hasRun = failure.verdict === Verdict.MayHaveRun;
+      const state = hasRun ? ClaimState.Unknown : ClaimState.NotRun;
+      await this.#end(ctx, options.key, state);
+      throw failure;
+    }
+  }
+
+  /** Undefined when this request may dispatch; else the claim to replay. */
+  async #claim(
+    ctx: RequestContext,
+    options: { key: string; bodySha256: string },
+  ): Promise<ClaimBody | undefined> {
+    const { requestId } = ctx.trace;
+    ctx.enter(Step.ClaimAppend, "log");
+    const answer = await this.#router.claim(
+      {
+        ...options,
+        requestId,
+        holder: this.#holder,
+        deadlineMs: this.#wallNow() + Math.max(0, ctx.remainingMs),
+      },
+      Math.max(1, ctx.remainingMs),
+    );
+    ctx.enter(Step.ClaimReadBack, "log");
+    switch (answer.result) {
+      case "granted":
+        return undefined;
+      case "replay":
+        return answer.claim;
+      case "in_progress":
+        throw newClaimError("in_progress", "an earlier request with this key has not ended", {
+          status: HTTP_CONFLICT,
+          retryAfterMs: 1_000,
+        });
+      case "refused_body":
+        throw newClaimError("key_reused", "this key was used with another body", {
+          status: HTTP_UNPROCESSABLE,
+        });
+      case "unavailable":
+        // From here on this request never dispatches; the claim may still turn up.
+        void this.#router.endEventually({ key: options.key, requestId, state: ClaimState.NotRun });
+        throw newClaimError("log_unavailable", `no claim could be made: ${answer.message}`, {
+          status: HTTP_UNAVAILABLE,
+          retryAfterMs: 2_000,
+        });
+    }
+  }
+
+  async #end(
+    ctx: RequestContext,
+    key: string,
+    state: ClaimBody["state"],
+    outcome?: DispatchOutcome,
+  ): Promise<void> {
+    ctx.enter(Step.OutcomeAppend, "log");
+    const kept = outcome && { ...outcome, body: outcome.body.slice(0, MAX_KEPT_ANSWER) };
+    const end = { key, requestId: ctx.trace.requestId, state, outcome: kept };
+    const isDone = await this.#router.end(end, OUTCOME_WAIT_MS);
+    if (!isDone) {
+      void this.#router.endEventually(end);
+    }
+  }
+}
+
+const replayClaim = (ctx: RequestContext, claim: ClaimBody): OnceOutcome => {
+  if (claim.state === ClaimState.Ran && claim.outcome) {
+    ctx.trace.mark("replayed", claim.requestId);
+    return { ...claim.outcome, isReplay: true };
+  }
+  throw new PulleyError(`request ${claim.requestId} with this key may have run`, {
+    code: "outcome_unknown",
+    step: Step.ClaimReadBack,
+    peer: "log",
+    verdict: Verdict.MayHaveRun,
+    status: HTTP_CONFLICT,
+  });
+};
+
+const newClaimError = (
+  code: string,
+  message: string,
+  options: { status: number; retryAfterMs?: number },
+): PulleyError =>
+  new PulleyError(message, {
+    code,
+    step: Step.ClaimReadBack,
+    peer: "log",
+    verdict: options.retryAfterMs === undefined ? Verdict.NotRun : Verdict.RefusedUntil,
+    ...options,
+  });
--- /dev/null
+++ b/packages/serving/src/requests/PromptRunner.ts
@@ -0,0 +1,344 @@
+import {
+  AnswerAssembler,
+  classifyRequest,
+  FateState,
+  getBackoffMs,
+  isPeerError,
+  PulleyError,
+  sha256,
+  sleep,
+  Step,
+  Verdict,
+  type AnswerChunk,
+  type AnswerSink,
+  type ClassifiedRequest,
+  type Clock,
+  type FleetConfig,
+  type PromptOutcome,
+  type PromptRequest,
+  type Protections,
+  type Random,
+  type RetryBudget,
+} from "@lycheepulley/core";
+
+import type { ConfigKeeper } from "../config/ConfigKeeper.js";
+import type { RequestTrace } from "../fates/FateRecorder.js";
+import type { Grant, PoolRouter } from "../scheduler/PoolRouter.js";
+import { GrantEnd, type AcquireRequest } from "../scheduler/types.js";
+import type { UpstreamDirectory } from "../upstreams/UpstreamDirectory.js";
+import type { AtMostOnce } from "./AtMostOnce.js";
+import { MAX_KEPT_ANSWER } from "./AtMostOnce.js";
+import { AttemptStream } from "./AttemptStream.js";
+import { getFateState, RequestContext } from "./RequestContext.js";
+
+const MS_PER_S = 1_000;
+/** A first token may take this many times the estimated prefill, and a fixed time more. */
+const FIRST_TOKEN_FACTOR = 4;
+const FIRST_TOKEN_SLACK_MS = 5_000;
+const HTTP_BAD_REQUEST = 400;
+const HTTP_NOT_READY = 503;
+const REFUSING_STATUSES: readonly number[] = [429, 503];
+
+export interface PromptRunnerOptions {
+  readonly config: ConfigKeeper;
+  readonly directory: UpstreamDirectory;
+  readonly pools: PoolRouter;
+  readonly once: AtMostOnce;
+  readonly retries: RetryBudget;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly protections: Protections;
+  readonly metrics?: PromptMetrics;
+}
+
+/** What the runner reports for metrics. */
+export interface PromptMetrics {
+  onFirstToken(className: string, promptTokens: number, ms: number): void;
+  onEnd(className: string, state: FateState, ms: number): void;
+  onRetry(): void;
+}
+
+/** One prompt on its way through the runner. */
+interface Job {
+  readonly req: PromptRequest;
+  readonly ctx: RequestContext;
+  readonly cfg: FleetConfig;
+  readonly classified: ClassifiedRequest;
+  readonly assembler: AnswerAssembler;
+  readonly parts: string[];
+  readonly excluded: string[];
+  readonly onChunk: (chunk: AnswerChunk) => void;
+}
+
+/** Brings a prompt to an engine and its whole answer back, within its class's time. */
+export class PromptRunner {
+  readonly #options: PromptRunnerOptions;
+
+  constructor(options: PromptRunnerOptions) {
+    this.#options = options;
+  }
+
+  /** Runs a request to its one end; throws a PulleyError unless it finished. */
+  async run(trace: RequestTrace, req: PromptRequest, sink: AnswerSink): Promise<PromptOutcome> {
+    let ctx: RequestContext | undefined;
+    try {
+      const job = this.#newJob(trace, req, sink);
+      ctx = job.ctx;
+      const outcome = job.classified.cls.nonIdempotent
+        ? await this.#runOnce(job)
+        : await this.#runAttempts(job);
+      trace.end(FateState.Finished);
+      return outcome;
+    } catch (err) {
+      const failure = ctx ? ctx.toError(err) : toEarlyError(err);
+      const reason = `${failure.step} at ${failure.peer}: ${failure.message}`;
+      trace.end(getFateState(failure.verdict), reason);
+      throw failure;
+    } finally {
+      this.#options.metrics?.onEnd(trace.fate.className, trace.fate.state, trace.ageMs);
+    }
+  }
+
+  #newJob(trace: RequestTrace, req: PromptRequest, sink: AnswerSink): Job {
+    const inForce = this.#options.config.current;
+    if (!inForce) {
+      throw new PulleyError("no configuration is in force yet", {
+        code: "not_ready",
+        step: Step.Accept,
+        verdict: Verdict.RefusedUntil,
+        status: HTTP_NOT_READY,
+        retryAfterMs: MS_PER_S,
+      });
+    }
+    const classified = classifyRequest(inForce.config, req);
+    trace.classified(classified.className, classified.promptTokens);
+    const { patienceMs } = classified.cls;
+    const ctx = new RequestContext({ trace, clock: this.#options.clock, patienceMs });
+    ctx.enter(Step.Classify);
+    const parts: string[] = [];
+    const { attemptId: checkAttempt } = this.#options.protections;
+    return {
+      req,
+      ctx,
+      cfg: inForce.config,
+      classified,
+      assembler: new AnswerAssembler({ checkAttempt }),
+      parts,
+      excluded: [],
+      onChunk: (chunk) => {
+        if (parts.length === 0) {
+          ctx.enter(Step.FirstToken);
+          const { className, promptTokens } = classified;
+          this.#options.metrics?.onFirstToken(className, promptTokens, trace.ageMs);
+        }
+        parts.push(chunk.text);
+        sink.onChunk(chunk);
+      },
+    };
+  }
+
+  /** Runs a non-idempotent prompt under its key: one dispatch, never repeated. */
+  async #runOnce(job: Job): Promise<PromptOutcome> {
+    const { req, ctx } = job;
+    if (req.idempotencyKey === undefined) {
+      throw newKeyMissing();
+    }
+    const key = `${req.customer}/${req.idempotencyKey}`;
+    const once = await this.#options.once.run(
+      ctx,
+      { key, bodySha256: sha256(req.body) },
+      async () => {
+        await this.#runAttempt(job, 1);
+        return { status: 200, body: job.parts.join("").slice(0, MAX_KEPT_ANSWER) };
+      },
+    );
+    return { ...this.#newOutcome(job), replayed: once.isReplay ? once.body : undefined };
+  }
+
+  /** Tries engines in turn until one has finished the answer. */
+  async #runAttempts(job: Job): Promise<PromptOutcome> {
+    const { ctx, cfg } = job;
+    const { retries, random, clock, metrics } = this.#options;
+    retries.earn(cfg.limits.retryShare);
+    for (let attempt = 1; ; attempt += 1) {
+      try {
+        await this.#runAttempt(job, attempt);
+        return this.#newOutcome(job);
+      } catch (err) {
+        const isLast = attempt >= cfg.limits.maxAttempts;
+        if (job.req.signal.aborted || isLast || !isRetryable(err) || !retries.trySpend()) {
+          throw err;
+        }
+        metrics?.onRetry();
+        ctx.trace.mark("retry", err.peer);
+        await sleep(clock, getBackoffMs(attempt, random), job.req.signal);
+        ctx.checkDeadline();
+      }
+    }
+  }
+
+  async #runAttempt(job: Job, attempt: number): Promise<void> {
+    const { ctx, req } = job;
+    ctx.enter(Step.Queue);
+    const request = this.#newAcquireRequest(job, attempt);
+    const grant = await this.#options.pools.acquire(request, req.signal);
+    let end: GrantEnd = GrantEnd.Unused;
+    try {
+      ctx.enter(Step.Reserve, grant.engine);
+      await this.#stream(job, grant, attempt);
+      end = GrantEnd.Done;
+    } catch (err) {
+      end = getGrantEnd(err, req.signal);
+      job.excluded.push(grant.engine);
+      throw err;
+    } finally {
+      await grant.release(end);
+    }
+  }
+
+  #newAcquireRequest(job: Job, attempt: number): AcquireRequest {
+    const { req, ctx, cfg, classified } = job;
+    const { model, cls, className, modelName, promptTokens } = classified;
+    return {
+      id: `${ctx.trace.requestId}-a${String(attempt)}`,
+      pool: model.pool,
+      model: modelName,
+      className,
+      priority: cls.priority,
+      customer: req.customer,
+      weight: cfg.customers[req.customer]?.weight ?? 1,
+      promptTokens,
+      outputTokens: req.maxTokens,
+      fingerprint: req.fingerprint,
+      prefixBlocks: [...req.prefixBlocks],
+      remainingMs: Math.max(0, ctx.remainingMs),
+      waitedMs: ctx.trace.ageMs,
+      excluded: job.excluded,
+      prefillTokensPerS: model.prefillTokensPerS,
+      engineKvTokens: model.engineKvTokens,
+      maxStreams: model.maxStreamsPerEngine,
+    };
+  }
+
+  async #stream(job: Job, grant: Grant, attempt: number): Promise<void> {
+    const { req, ctx, classified, assembler, parts } = job;
+    const { clock, directory, protections } = this.#options;
+    const client = directory.getEngine(grant.engine)?.client;
+    ctx.enter(Step.Connect, grant.engine);
+    if (!client) {
+      throw ctx.newError("unknown_engine", `no engine ${grant.engine} is listed`);
+    }
+    ctx.checkDeadline(protections.deadlineCheck);
+    const abort = new AbortController();
+    const onGone = (): void => {
+      abort.abort();
+    };
+    req.signal.addEventListener("abort", onGone);
+    const cancelDeadline = clock.setTimer(onGone, Math.max(1, ctx.remainingMs));
+    const attemptId = grant.id;
+    const stream = new AttemptStream({
+      engine: client,
+      clock,
+      assembler,
+      requireEndMarker: protections.endMarker,
+      onChunk: (chunk) => {
+        grant.noteFirstToken();
+        job.onChunk(chunk);
+      },
+    });
+    const fromSeq = assembler.nextSeq;
+    let isOnWire = false;
+    try {
+      await stream.run(
+        {
+          attemptId,
+          path: req.path,
+          body: req.body,
+          priority: classified.cls.priority,
+          timeoutMs: Math.max(1, ctx.remainingMs),
+          resume: attempt > 1 && fromSeq > 0 ? { fromSeq, text: parts.join("") } : undefined,
+          headers: getUpstreamHeaders(req, ctx),
+          signal: abort.signal,
+          onSend: () => {
+            ctx.enter(Step.Send, grant.engine);
+            isOnWire = true;
+          },
+        },
+        this.#getFirstTokenTimeoutMs(job),
+      );
+      ctx.enter(Step.LastChunk, grant.engine);
+    } catch (err) {
+      if (isOnWire && mayHaveReached(err)) {
+        ctx.noteSent();
+      }
+      client.cancel(attemptId).catch(() => undefined);
+      ctx.checkDeadline();
+      throw err;
+    } finally {
+      cancelDeadline();
+      req.signal.removeEventListener("abort", onGone);
+    }
+  }
+
+  #getFirstTokenTimeoutMs({ classified, ctx }: Job): number {
+    const { promptTokens, model } = classified;
+    const prefillMs = (promptTokens / model.prefillTokensPerS) * MS_PER_S;
+    const allowedMs = prefillMs * FIRST_TOKEN_FACTOR + FIRST_TOKEN_SLACK_MS;
+    return Math.max(1, Math.min(ctx.remainingMs, allowedMs));
+  }
+
+  #newOutcome({ assembler, classified }: Job): PromptOutcome {
+    return {
+      finishReason: assembler.finishReason ?? "stop",
+      promptTokens: classified.promptTokens,
+      outputTokens: assembler.nextSeq,
+      replayed: undefined,
+    };
+  }
+}
+
+const getUpstreamHeaders = (req: PromptRequest, ctx: RequestContext): Record<string, string> => ({
+  "x-request-id": ctx.trace.requestId,
+  ...(req.idempotencyKey === undefined ? {} : { "idempotency-key": req.idempotencyKey }),
+});
+
+const isRefusal = (err: unknown): boolean =>
+  isPeerError(err) && err.status !== undefined && REFUSING_STATUSES.includes(err.status);
+
+/** False when the engine certainly did not run anything. */
+const mayHaveReached = (err: unknown): boolean =>
+  !isPeerError(err) || (err.sent && !isRefusal(err));
+
+/** A failure of this upstream that another one may not share. */
+const isRetryable = (err: unknown): err is Error & { peer: string } =>
+  isPeerError(err) && (err.status === undefined || err.status >= 500 || isRefusal(err));
+
+const getGrantEnd = (err: unknown, signal: AbortSignal): GrantEnd => {
+  if (signal.aborted || !isPeerError(err)) {
+    return GrantEnd.Unused;
+  }
+  if (isRefusal(err)) {
+    return GrantEnd.Refused;
+  }
+  return err.status === undefined ? GrantEnd.Broken : GrantEnd.Unused;
+};
+
+const toEarlyError = (err: unknown): PulleyError =>
+  err instanceof PulleyError
+    ? err
+    : new PulleyError(err instanceof Error ? err.message : String(err), {
+        code: "internal_error",
+        step: Step.Classify,
+        verdict: Verdict.NotRun,
+        status: 500,
+        cause: err,
+      });
+
+export const newKeyMissing = (): PulleyError =>
+  new PulleyError("a non-idempotent request needs an Idempotency-Key header", {
+    code: "key_missing",
+    step: Step.Classify,
+    verdict: Verdict.NotRun,
+    status: HTTP_BAD_REQUEST,
+    param: "idempotency-key",
+  });
--- /dev/null
+++ b/packages/serving/src/requests/RequestContext.ts
@@ -0,0 +1,75 @@
+import { FateState, isPeerError, PulleyError, Step, Verdict, type Clock } from "@lycheepulley/core";
+
+import type { RequestTrace } from "../fates/FateRecorder.js";
+
+/** A request under way: its trace, its deadline, and whether bytes have left. */
+export class RequestContext {
+  readonly trace: RequestTrace;
+  readonly deadlineMs: number;
+  readonly #clock: Clock;
+  #step: Step = Step.Accept;
+  #peer = "self";
+  #hasSent = false;
+
+  constructor(options: { trace: RequestTrace; clock: Clock; patienceMs: number }) {
+    this.trace = options.trace;
+    this.#clock = options.clock;
+    this.deadlineMs = options.trace.startMs + options.patienceMs;
+  }
+
+  get remainingMs(): number {
+    return this.deadlineMs - this.#clock.now();
+  }
+
+  /** True once any byte may have reached an upstream. */
+  get hasSent(): boolean {
+    return this.#hasSent;
+  }
+
+  get step(): Step {
+    return this.#step;
+  }
+
+  enter(step: Step, peer = "self"): void {
+    this.#step = step;
+    this.#peer = peer;
+    this.trace.mark(step, peer === "self" ? "" : peer);
+  }
+
+  noteSent(): void {
+    this.#hasSent = true;
+  }
+
+  /** Refuses to send once the deadline has passed. */
+  checkDeadline(isChecked = true): void {
+    if (isChecked && this.remainingMs <= 0) {
+      throw this.newError("deadline_exceeded", "the class's time is over", 504);
+    }
+  }
+
+  /** Error at the present step, whose verdict follows from what was sent. */
+  newError(code: string, message: string, status = 503, cause?: unknown): PulleyError {
+    return new PulleyError(message, {
+      code,
+      step: this.#step,
+      peer: this.#peer,
+      status,
+      cause,
+      verdict: this.#hasSent ? Verdict.MayHaveRun : Verdict.NotRun,
+    });
+  }
+
+  /** Turns anything thrown into an error with step, peer and verdict. */
+  toError(err: unknown): PulleyError {
+    if (err instanceof PulleyError) {
+      return err;
+    }
+    const message = err instanceof Error ? err.message : String(err);
+    const code = isPeerError(err) ? "upstream_failed" : "internal_error";
+    return this.newError(code, message, isPeerError(err) ? 502 : 500, err);
+  }
+}
+
+/** State of the fate that a verdict stands for. */
+export const getFateState = (verdict: Verdict): FateState =>
+  verdict === Verdict.MayHaveRun ? FateState.FailedMayHaveRun : FateState.NotRun;
--- /dev/null
+++ b/packages/serving/src/scheduler/CellScheduler.ts
@@ -0,0 +1,337 @@
+import {
+  Suspicion,
+  type Cancel,
+  type Clock,
+  type PlacementPolicy,
+  type Protections,
+  type QueueOrder,
+} from "@lycheepulley/core";
+import type { EngineLoad } from "@lycheepulley/engines";
+
+import { estimateWaitMs, getRetryAfterMs } from "./admission.js";
+import type { EngineSlot } from "./EngineSlot.js";
+import type { EngineSlot, SlotGrant } from "./EngineSlot.js";
+import { SlotMonitor } from "./SlotMonitor.js";
+import { SlotTable, type CellEngine } from "./SlotTable.js";
+import type { SuspectBook } from "./SuspectBook.js";
+import {
+  GrantEnd,
+  RefusalCode,
+  type AcquireAnswer,
+  type AcquireRequest,
+  type HeldGrant,
+} from "./types.js";
+import { WaitQueue, type Waiting } from "./WaitQueue.js";
+
+/** A grant whose user was silent this long is taken back. */
+export const GRANT_TERM_MS = 4_000;
+const REAP_INTERVAL_MS = 1_000;
+export interface CellSchedulerOptions {
+  readonly pool: string;
+  readonly clock: Clock;
+  readonly policy: PlacementPolicy;
+  readonly order: QueueOrder;
+  readonly suspects: SuspectBook;
+  readonly protections: Protections;
+  readonly getMaxQueued: () => number;
+  readonly getLongPromptTokens: () => number;
+  /** Prompt tokens that each engine is believed to have cached. */
+  readonly getCachedTokens: (blocks: readonly string[]) => Readonly<Record<string, number>>;
+  readonly onGranted?: (req: AcquireRequest, engine: string) => void;
+  readonly onDeath?: (engine: string, requestIds: readonly string[]) => void;
+}
+
+/**
+ * Places the requests of one pool. It knows what it granted on each engine,
+ * keeps one queue for all entry processes, and gives every waiting request a
+ * timer.
+ */
+export class CellScheduler {
+  readonly #options: CellSchedulerOptions;
+  readonly #monitor: SlotMonitor;
+  readonly #slots = new SlotTable();
+  readonly #queue: WaitQueue;
+  #cancelReap: Cancel | undefined;
+
+  constructor(options: CellSchedulerOptions) {
+    this.#options = options;
+    this.#queue = new WaitQueue({ clock: options.clock, order: options.order });
+    this.#monitor = new SlotMonitor({
+      clock: options.clock,
+      suspects: options.suspects,
+      events: {
+        onDeath: (slot, grants) => {
+          options.onDeath?.(
+            slot.name,
+            grants.map(({ id }) => id),
+          );
+        },
+        onBrokenGrant: (slot, grant) => {
+          this.#settleGrant(slot, grant, GrantEnd.Unused);
+        },
+        onChange: () => {
+          this.#dispatch();
+        },
+      },
+    });
+    this.#scheduleReap();
+  }
+
+  get queued(): number {
+    return this.#queue.size;
+  }
+
+  getSlots(): readonly EngineSlot[] {
+    return this.#slots.getAll();
+  }
+
+  /** Takes the pool's engines from the directory. */
+  setEngines(engines: readonly CellEngine[]): void {
+    this.#slots.setEngines(engines);
+    this.#dispatch();
+  }
+
+  /** Waits for a place; every wait ends by a grant, a refusal or its timer. */
+  acquire(req: AcquireRequest, holder: string): Promise<AcquireAnswer> {
+    const refusal = this.#findRefusal(req);
+    if (refusal) {
+      return Promise.resolve(refusal);
+    }
+    this.#slots.learnCapacity(req);
+    const answer = this.#queue.add(req, holder, () => {
+      const message = "no engine was free within the class's time";
+      this.#leave(req.id, this.#newRefusal(RefusalCode.Timeout, message));
+    });
+    this.#dispatch();
+    return answer;
+  }
+
+  /** Ends the wait or the grant of a request whose caller is gone. */
+  abandon(id: string): void {
+    this.#leave(id, this.#newRefusal(RefusalCode.Timeout, "caller is gone"));
+    this.release(id, GrantEnd.Unused);
+  }
+
+  /** Gives a place back. */
+  release(id: string, end: GrantEnd): void {
+    for (const slot of this.#slots.getAll()) {
+      const grant = slot.grants.get(id);
+      if (grant && end === GrantEnd.Broken) {
+        // The grant stays until the probe tells whether the engine died.
+        grant.isBroken = true;
+        this.#probe(slot);
+      } else if (grant) {
+        this.#settleGrant(slot, grant, end);
+      }
+    }
+    this.#dispatch();
+  }
+
+  /** Takes what a process says it holds; unknown grants are learned. */
+  renew(holder: string, held: readonly HeldGrant[]): void {
+    const now = this.#options.clock.now();
+    for (const report of held) {
+      if (!this.#queue.has(report.id)) {
+        this.#slots.renew(holder, report, now);
+      }
+    }
+  }
+
+  /** Takes an engine's load report. */
+  onLoad(engine: string, load: EngineLoad): void {
+    const slot = this.#slots.get(engine);
+    if (slot) {
+      this.#monitor.onLoad(slot, load);
+    }
+  }
+
+  /** Notes that an engine did not report. */
+  onLoadFailure(engine: string): void {
+    const slot = this.#slots.get(engine);
+    if (slot) {
+      this.#probe(slot);
+    }
+  }
+
+  close(): void {
+    this.#cancelReap?.();
+    for (const { id } of this.#queue.getRequests()) {
+      this.#leave(id, this.#newRefusal(RefusalCode.NoEngine, "scheduler is closing"));
+    }
+  }
+
+  #probe(slot: EngineSlot): void {
+    const client = this.#slots.getClient(slot.name);
+    if (client) {
+      void this.#monitor.probe(slot, client);
+    }
+  }
+
+  #findRefusal(req: AcquireRequest): AcquireAnswer | undefined {
+    const needed = req.promptTokens + req.outputTokens;
+    if (this.#options.suspects.getSuspicion(req.fingerprint) === Suspicion.Blocked) {
+      return newBlocked();
+    }
+    if (needed > req.engineKvTokens) {
+      const message = `needs ${String(needed)} tokens of KV memory; an engine has ${String(req.engineKvTokens)}`;
+      return this.#newRefusal(RefusalCode.TooLarge, message);
+    }
+    if (this.#queue.size >= this.#options.getMaxQueued()) {
+      return this.#newRefusal(RefusalCode.Overloaded, "queue is full");
+    }
+    if (estimateWaitMs(req, this.#queue.getRequests(), this.#slots.livingCount) > req.remainingMs) {
+      const message = "can't end within the class's time under the present load";
+      return this.#newRefusal(RefusalCode.Overloaded, message);
+    }
+    return undefined;
+  }
+
+  #newRefusal(code: RefusalCode, message: string): AcquireAnswer {
+    const retryAfterMs = getRetryAfterMs(this.#queue.getRequests(), this.#slots.livingCount);
+    return { result: "refused", code, message, retryAfterMs };
+  }
+
+  #leave(id: string, answer: AcquireAnswer): void {
+    const isLeft = this.#queue.leave(id, answer);
+    const isStillAlone = answer.result === "granted" && answer.isAlone;
+    if (isLeft && !isStillAlone) {
+      this.#slots.endIsolation(id);
+    }
+  }
+
+  #dispatch(): void {
+    const now = this.#options.clock.now();
+    for (const waiting of this.#queue.getOrdered()) {
+      this.#tryPlace(waiting, now);
+    }
+  }
+
+  #tryPlace(waiting: Waiting, now: number): void {
+    const { fingerprint, id } = waiting.req;
+    const suspicion = this.#options.suspects.getSuspicion(fingerprint);
+    if (suspicion === Suspicion.Blocked) {
+      this.#leave(id, newBlocked());
+      return;
+    }
+    const twin = this.#options.protections.block ? this.#slots.findTwin(fingerprint) : undefined;
+    if (suspicion === Suspicion.Suspect) {
+      if (!twin) {
+        this.#tryIsolate(waiting, now);
+      }
+      return;
+    }
+    // Equal prompts share one engine, so that a poisonous one takes only that engine.
+    const slot = twin ? this.#keepIfOpen(twin, waiting.req) : this.#choose(waiting, now);
+    if (slot) {
+      this.#grant(waiting, slot, { isAlone: false, now });
+    }
+  }
+
+  #keepIfOpen(slot: EngineSlot, req: AcquireRequest): EngineSlot | undefined {
+    return this.#isOpen(slot, req) && slot.isolatedFor === undefined ? slot : undefined;
+  }
+
+  #isOpen(slot: EngineSlot, req: AcquireRequest): boolean {
+    return slot.isOpen(req.model, this.#options.protections.leavingCheck);
+  }
+
+  #choose({ req, entry }: Waiting, now: number): EngineSlot | undefined {
+    const longPromptTokens = this.#options.getLongPromptTokens();
+    const open = this.#slots.getAll().filter((slot) => this.#keepIfOpen(slot, req));
+    const fresh = open.filter((slot) => !req.excluded.includes(slot.name));
+    const candidates = fresh.length > 0 ? fresh : open;
+    const chosen = this.#options.policy.choose(
+      {
+        id: req.id,
+        promptTokens: req.promptTokens,
+        outputTokens: req.outputTokens,
+        cachedTokens: this.#options.getCachedTokens(req.prefixBlocks),
+        remainingMs: Math.max(0, req.remainingMs - (now - entry.arrivedMs)),
+        waitedMs: now - entry.arrivedMs,
+      },
+      {
+        engines: candidates.map((slot) => slot.getView(now, longPromptTokens)),
+        longPromptTokens,
+      },
+    );
+    return chosen ? this.#slots.get(chosen.name) : undefined;
+  }
+
+  /** Empties one engine for a suspect and runs it there alone. */
+  #tryIsolate(waiting: Waiting, now: number): void {
+    const { req } = waiting;
+    const open = this.#slots.getAll().filter((slot) => this.#isOpen(slot, req));
+    const slot = this.#slots.chooseIsolation(req.id, open);
+    if (!slot) {
+      return;
+    }
+    slot.isolatedFor = req.id;
+    if (slot.grants.size === 0) {
+      this.#grant(waiting, slot, { isAlone: true, now });
+    }
+  }
+
+  #grant(waiting: Waiting, slot: EngineSlot, options: { isAlone: boolean; now: number }): void {
+    const { req, holder } = waiting;
+    const { isAlone, now } = options;
+    const cached = this.#options.getCachedTokens(req.prefixBlocks)[slot.name] ?? 0;
+    const grant: SlotGrant = {
+      id: req.id,
+      engine: slot.name,
+      promptTokens: req.promptTokens,
+      outputTokens: req.outputTokens,
+      fingerprint: req.fingerprint,
+      isAlone,
+      holder,
+      renewedMs: now,
+      hasFirstToken: false,
+      prefillLeft: Math.max(1, req.promptTokens - cached),
+      isBroken: false,
+    };
+    slot.add(grant, now);
+    this.#options.onGranted?.(req, slot.name);
+    this.#leave(req.id, { result: "granted", id: req.id, engine: slot.name, isAlone });
+  }
+
+  #settleGrant(slot: EngineSlot, grant: SlotGrant, end: GrantEnd): void {
+    slot.grants.delete(grant.id);
+    if (slot.isolatedFor === grant.id) {
+      slot.isolatedFor = undefined;
+    }
+    if (end === GrantEnd.Refused) {
+      slot.isRefusing = true;
+    }
+    if (end === GrantEnd.Done && grant.isAlone) {
+      this.#options.suspects.lift(grant.fingerprint, "survived alone");
+    }
+  }
+
+  #scheduleReap(): void {
+    this.#cancelReap = this.#options.clock.setTimer(() => {
+      if (this.#options.protections.reaper) {
+        this.#reap();
+      }
+      this.#scheduleReap();
+    }, REAP_INTERVAL_MS);
+  }
+
+  /** Takes back grants whose users have fallen silent. */
+  #reap(): void {
+    const oldest = this.#options.clock.now() - GRANT_TERM_MS;
+    for (const slot of this.#slots.getAll()) {
+      for (const grant of [...slot.grants.values()]) {
+        if (grant.renewedMs < oldest) {
+          this.#settleGrant(slot, grant, GrantEnd.Unused);
+        }
+      }
+    }
+    this.#dispatch();
+  }
+}
+
+const newBlocked = (): AcquireAnswer => ({
+  result: "refused",
+  code: RefusalCode.Blocked,
+  message: "this prompt has crashed its upstreams and is blocked",
+  retryAfterMs: 0,
+});
--- /dev/null
+++ b/packages/serving/src/scheduler/PoolHost.ts
@@ -0,0 +1,161 @@
+import {
+  FairOrder,
+  rankMembers,
+  VmState,
+  type Clock,
+  type PlacementPolicy,
+  type Protections,
+  type QueueOrder,
+} from "@lycheepulley/core";
+import type { EngineLoad } from "@lycheepulley/engines";
+
+import type { Members } from "../membership/Members.js";
+import type { UpstreamDirectory } from "../upstreams/UpstreamDirectory.js";
+import { CellScheduler } from "./CellScheduler.js";
+import type { SuspectBook } from "./SuspectBook.js";
+
+/** Least time between two load reports of one engine. */
+const MIN_POLL_INTERVAL_MS = 1_000;
+/** Time between two load reports of any engines, which bounds control traffic. */
+const POLL_SPACING_MS = 150;
+
+export interface PoolHostOptions {
+  readonly members: Members;
+  readonly directory: UpstreamDirectory;
+  readonly clock: Clock;
+  readonly suspects: SuspectBook;
+  readonly protections: Protections;
+  readonly newPolicy: () => PlacementPolicy;
+  readonly newOrder?: () => QueueOrder;
+  readonly getMaxQueued: () => number;
+  readonly getLongPromptTokens?: () => number;
+  readonly onEngineDeath?: (engine: string, requestIds: readonly string[]) => void;
+}
+
+const DEFAULT_LONG_PROMPT_TOKENS = 16_000;
+
+/** Schedulers of the pools that this process owns or has been asked about. */
+export class PoolHost {
+  readonly #options: PoolHostOptions;
+  readonly #cells = new Map<string, CellScheduler>();
+  readonly #lastPollMs = new Map<string, number>();
+  #isPolling = false;
+  #isClosed = false;
+
+  constructor(options: PoolHostOptions) {
+    this.#options = options;
+    options.directory.subscribe(() => {
+      this.#refreshEngines();
+    });
+    this.#schedulePolling();
+  }
+
+  /** Name of the process that places a pool's requests. */
+  getOwner(pool: string): string {
+    const { members } = this.#options;
+    return rankMembers(`pool/${pool}`, members.getLive())[0] ?? members.self;
+  }
+
+  getCells(): ReadonlyMap<string, CellScheduler> {
+    return this.#cells;
+  }
+
+  getCell(pool: string): CellScheduler {
+    const known = this.#cells.get(pool);
+    if (known) {
+      return known;
+    }
+    const options = this.#options;
+    const cell = new CellScheduler({
+      pool,
+      clock: options.clock,
+      policy: options.newPolicy(),
+      order: options.newOrder?.() ?? new FairOrder(),
+      suspects: options.suspects,
+      protections: options.protections,
+      getMaxQueued: options.getMaxQueued,
+      getLongPromptTokens: options.getLongPromptTokens ?? (() => DEFAULT_LONG_PROMPT_TOKENS),
+      getCachedTokens: () => ({}),
+      ...(options.onEngineDeath ? { onDeath: options.onEngineDeath } : {}),
+    });
+    this.#cells.set(pool, cell);
+    this.#setEngines(pool, cell);
+    return cell;
+  }
+
+  close(): void {
+    this.#isClosed = true;
+    this.#cells.forEach((cell) => {
+      cell.close();
+    });
+  }
+
+  #refreshEngines(): void {
+    this.#cells.forEach((cell, pool) => {
+      this.#setEngines(pool, cell);
+    });
+  }
+
+  #setEngines(pool: string, cell: CellScheduler): void {
+    cell.setEngines(
+      this.#options.directory.getEngines(pool).map(({ vm, client }) => ({
+        client,
+        failureDomain: vm.failureDomain,
+        isLeaving: vm.state === VmState.Leaving,
+      })),
+    );
+  }
+
+  #schedulePolling(): void {
+    this.#options.clock.setTimer(() => {
+      if (this.#isClosed) {
+        return;
+      }
+      void this.#pollNext();
+      this.#schedulePolling();
+    }, POLL_SPACING_MS);
+  }
+
+  /** Asks the engine of an owned pool that was asked longest ago. */
+  async #pollNext(): Promise<void> {
+    const due = this.#isPolling ? undefined : this.#findDue();
+    if (!due) {
+      return;
+    }
+    this.#isPolling = true;
+    const { cell, name } = due;
+    this.#lastPollMs.set(name, this.#options.clock.now());
+    try {
+      const load = await this.#fetchLoad(name);
+      cell.onLoad(name, load);
+    } catch {
+      cell.onLoadFailure(name);
+    } finally {
+      this.#isPolling = false;
+    }
+  }
+
+  #findDue(): { cell: CellScheduler; name: string } | undefined {
+    const { members, clock } = this.#options;
+    let due: { cell: CellScheduler; name: string } | undefined;
+    let dueMs = clock.now() - MIN_POLL_INTERVAL_MS;
+    for (const [pool, cell] of this.#cells) {
+      if (this.getOwner(pool) !== members.self) {
+        continue;
+      }
+      for (const { name } of cell.getSlots()) {
+        const lastMs = this.#lastPollMs.get(name) ?? -Infinity;
+        if (lastMs < dueMs) {
+          due = { cell, name };
+          dueMs = lastMs;
+        }
+      }
+    }
+    return due;
+  }
+
+  #fetchLoad(name: string): Promise<EngineLoad> {
+    const engine = this.#options.directory.getEngine(name);
+    return engine ? engine.client.fetchLoad() : Promise.reject(new Error(`no engine ${name}`));
+  }
+}
--- /dev/null
+++ b/packages/serving/src/scheduler/PoolRouter.ts
@@ -0,0 +1,247 @@
+import { PulleyError, sleep, Step, Verdict, type Clock } from "@lycheepulley/core";
+import { isUnsent, type NodeServer } from "@lycheepulley/nodes";
+
+import type { Members } from "../membership/Members.js";
+import { abandonMethod, acquireMethod, releaseMethod, renewMethod } from "./methods.js";
+import type { PoolHost } from "./PoolHost.js";
+import type { GrantEnd } from "./types.js";
+import { RefusalCode, type AcquireAnswer, type AcquireRequest, type HeldGrant } from "./types.js";
+
+const RENEW_INTERVAL_MS = 1_000;
+const OWNER_RETRY_MS = 50;
+const RPC_SLACK_MS = 500;
+const HTTP_TOO_MANY = 429;
+const HTTP_TOO_LARGE = 413;
+const HTTP_UNAVAILABLE = 503;
+const HTTP_BLOCKED = 422;
+
+/** A place on an engine, held until it is released. */
+export class Grant {
+  readonly id: string;
+  readonly engine: string;
+  readonly isAlone: boolean;
+  readonly #release: (end: GrantEnd) => Promise<void>;
+  readonly #held: HeldGrant;
+
+  constructor(held: HeldGrant, release: (end: GrantEnd) => Promise<void>) {
+    this.id = held.id;
+    this.engine = held.engine;
+    this.isAlone = held.isAlone;
+    this.#held = held;
+    this.#release = release;
+  }
+
+  get held(): HeldGrant {
+    return this.#held;
+  }
+
+  /** Notes that the prompt has been computed. */
+  noteFirstToken(): void {
+    this.#held.hasFirstToken = true;
+  }
+
+  release(end: GrantEnd): Promise<void> {
+    return this.#release(end);
+  }
+}
+
+/** Brings requests for a place to the process that owns the pool. */
+export class PoolRouter {
+  readonly #members: Members;
+  readonly #clock: Clock;
+  readonly #host: PoolHost;
+  readonly #holder: string;
+  readonly #held = new Map<string, { pool: string; owner: string; grant: Grant }>();
+  #isClosed = false;
+
+  constructor(options: { members: Members; clock: Clock; host: PoolHost; holder: string }) {
+    this.#members = options.members;
+    this.#clock = options.clock;
+    this.#host = options.host;
+    this.#holder = options.holder;
+    this.#scheduleRenewal();
+  }
+
+  /** Serves the calls of other processes for pools that this one owns. */
+  serve(server: NodeServer): void {
+    server.handle(acquireMethod, ({ req, holder }) =>
+      this.#host.getCell(req.pool).acquire(req, holder),
+    );
+    server.handle(releaseMethod, ({ pool, id, end }) => {
+      this.#host.getCell(pool).release(id, end);
+      return {};
+    });
+    server.handle(abandonMethod, ({ pool, id }) => {
+      this.#host.getCell(pool).abandon(id);
+      return {};
+    });
+    server.handle(renewMethod, ({ pool, holder, held }) => {
+      this.#host.getCell(pool).renew(holder, held);
+      return {};
+    });
+  }
+
+  /** Waits for a place; throws a refusal as a {@link PulleyError}. */
+  async acquire(req: AcquireRequest, signal: AbortSignal): Promise<Grant> {
+    const startMs = this.#clock.now();
+    for (;;) {
+      const elapsedMs = this.#clock.now() - startMs;
+      const remainingMs = req.remainingMs - elapsedMs;
+      if (remainingMs <= 0 || signal.aborted) {
+        throw newRefusal({
+          result: "refused",
+          code: RefusalCode.Timeout,
+          message: "no engine was free within the class's time",
+          retryAfterMs: 0,
+        });
+      }
+      const owner = this.#host.getOwner(req.pool);
+      const left = { ...req, remainingMs, waitedMs: req.waitedMs + elapsedMs };
+      const answer = await this.#ask(owner, left, signal);
+      if (answer?.result === "granted") {
+        return this.#newGrant(req, answer, owner);
+      }
+      if (answer) {
+        throw newRefusal(answer);
+      }
+      await sleep(this.#clock, OWNER_RETRY_MS, signal);
+    }
+  }
+
+  close(): void {
+    this.#isClosed = true;
+  }
+
+  /** Asks the owner; undefined when it could not be reached. */
+  async #ask(
+    owner: string,
+    req: AcquireRequest,
+    signal: AbortSignal,
+  ): Promise<AcquireAnswer | undefined> {
+    const abandon = (): void => {
+      this.#abandon(owner, req);
+    };
+    signal.addEventListener("abort", abandon);
+    try {
+      if (owner === this.#members.self) {
+        return await this.#host.getCell(req.pool).acquire(req, this.#holder);
+      }
+      const caller = this.#members.getCaller(owner);
+      return await caller?.call(
+        acquireMethod,
+        { req, holder: this.#holder },
+        { timeoutMs: req.remainingMs + RPC_SLACK_MS },
+      );
+    } catch (err) {
+      this.#members.noteFailure(owner);
+      if (!isUnsent(err)) {
+        abandon();
+      }
+      return undefined;
+    } finally {
+      signal.removeEventListener("abort", abandon);
+    }
+  }
+
+  #abandon(owner: string, { pool, id }: AcquireRequest): void {
+    if (owner === this.#members.self) {
+      this.#host.getCell(pool).abandon(id);
+      return;
+    }
+    this.#members
+      .getCaller(owner)
+      ?.call(abandonMethod, { pool, id })
+      .catch(() => undefined);
+  }
+
+  #newGrant(
+    req: AcquireRequest,
+    answer: Extract<AcquireAnswer, { result: "granted" }>,
+    owner: string,
+  ): Grant {
+    const held: HeldGrant = {
+      id: answer.id,
+      engine: answer.engine,
+      promptTokens: req.promptTokens,
+      outputTokens: req.outputTokens,
+      fingerprint: req.fingerprint,
+      isAlone: answer.isAlone,
+      hasFirstToken: false,
+    };
+    const grant = new Grant(held, (end) => this.#release(req.pool, answer.id, end));
+    this.#held.set(answer.id, { pool: req.pool, owner, grant });
+    return grant;
+  }
+
+  async #release(pool: string, id: string, end: GrantEnd): Promise<void> {
+    const held = this.#held.get(id);
+    this.#held.delete(id);
+    if (!held) {
+      return;
+    }
+    const owners = new Set([held.owner, this.#host.getOwner(pool)]);
+    for (const owner of owners) {
+      await this.#releaseAt(owner, pool, id, end);
+    }
+  }
+
+  async #releaseAt(owner: string, pool: string, id: string, end: GrantEnd): Promise<void> {
+    if (owner === this.#members.self) {
+      this.#host.getCell(pool).release(id, end);
+      return;
+    }
+    try {
+      await this.#members.getCaller(owner)?.call(releaseMethod, { pool, id, end });
+    } catch {
+      // The owner takes silent grants back by itself.
+      this.#members.noteFailure(owner);
+    }
+  }
+
+  #scheduleRenewal(): void {
+    this.#clock.setTimer(() => {
+      if (this.#isClosed) {
+        return;
+      }
+      this.#renewAll();
+      this.#scheduleRenewal();
+    }, RENEW_INTERVAL_MS);
+  }
+
+  #renewAll(): void {
+    const byPool = new Map<string, HeldGrant[]>();
+    for (const { pool, grant } of this.#held.values()) {
+      byPool.set(pool, [...(byPool.get(pool) ?? []), grant.held]);
+    }
+    for (const [pool, held] of byPool) {
+      const owner = this.#host.getOwner(pool);
+      if (owner === this.#members.self) {
+        this.#host.getCell(pool).renew(this.#holder, held);
+      } else {
+        this.#members
+          .getCaller(owner)
+          ?.call(renewMethod, { pool, holder: this.#holder, held })
+          .catch(() => {
+            this.#members.noteFailure(owner);
+          });
+      }
+    }
+  }
+}
+
+const STATUS_BY_CODE: Readonly<Record<RefusalCode, number>> = {
+  [RefusalCode.Overloaded]: HTTP_TOO_MANY,
+  [RefusalCode.TooLarge]: HTTP_TOO_LARGE,
+  [RefusalCode.Timeout]: HTTP_UNAVAILABLE,
+  [RefusalCode.Blocked]: HTTP_BLOCKED,
+  [RefusalCode.NoEngine]: HTTP_UNAVAILABLE,
+};
+
+const newRefusal = (answer: Extract<AcquireAnswer, { result: "refused" }>): PulleyError =>
+  new PulleyError(answer.message, {
+    code: answer.code,
+    step: answer.code === RefusalCode.Timeout ? Step.Queue : Step.Admit,
+    verdict: answer.retryAfterMs > 0 ? Verdict.RefusedUntil : Verdict.NotRun,
+    status: STATUS_BY_CODE[answer.code],
+    ...(answer.retryAfterMs > 0 ? { retryAfterMs: answer.retryAfterMs } : {}),
+  });
--- /dev/null
+++ b/packages/standins/src/ServiceStandin.ts
@@ -0,0 +1,118 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+
+import type { Clock } from "@lycheepulley/core";
+import { HttpServer, readBody, sendJson, type Route } from "@lycheepulley/http";
+import { z } from "zod";
+
+const MAX_BODY_BYTES = 4_000_000;
+
+export const serviceFaultSchema = z.strictObject({
+  dieMs: z.number().nonnegative().optional(),
+  /** Number of next calls that take effect but whose answer is lost. */
+  loseAnswers: z.number().int().nonnegative().optional(),
+  delayMs: z.number().nonnegative().optional(),
+});
+export type ServiceFault = z.infer<typeof serviceFaultSchema>;
+
+/** Model of a plain service: previews by GET, records by POST that it counts. */
+export class ServiceStandin {
+  readonly name: string;
+  readonly #clock: Clock;
+  readonly #host: string;
+  readonly #port: number;
+  readonly #server: HttpServer;
+  readonly #effects: { key: string | undefined; path: string }[] = [];
+  #delayMs: number;
+  #loseAnswers = 0;
+
+  constructor(options: {
+    name: string;
+    host: string;
+    port: number;
+    clock: Clock;
+    delayMs: number;
+  }) {
+    this.name = options.name;
+    this.#clock = options.clock;
+    this.#host = options.host;
+    this.#port = options.port;
+    this.#delayMs = options.delayMs;
+    this.#server = new HttpServer(this.#routes(), (err, _req, res) => {
+      sendJson(res, 400, { error: String(err) });
+    });
+  }
+
+  get port(): number {
+    return this.#server.port;
+  }
+
+  listen(): Promise<void> {
+    return this.#server.listen(this.#host, this.#port);
+  }
+
+  close(): Promise<void> {
+    return this.#server.close();
+  }
+
+  applyFault(fault: ServiceFault): void {
+    this.#loseAnswers = fault.loseAnswers ?? this.#loseAnswers;
+    this.#delayMs = fault.delayMs ?? this.#delayMs;
+    if (fault.dieMs !== undefined) {
+      const port = this.#server.port;
+      const { dieMs } = fault;
+      void this.#server.close().then(() => {
+        this.#clock.setTimer(() => void this.#server.listen(this.#host, port), dieMs);
+      });
+    }
+  }
+
+  #routes(): Route[] {
+    return [
+      {
+        method: "POST",
+        path: "/standin/faults",
+        handle: async (req, res) => {
+          const body: unknown = JSON.parse((await readBody(req, MAX_BODY_BYTES)).toString());
+          const fault = serviceFaultSchema.parse(body);
+          sendJson(res, 200, {});
+          this.applyFault(fault);
+        },
+      },
+      {
+        method: "GET",
+        path: "/standin/ledger",
+        handle: (_req, res) => {
+          sendJson(res, 200, { effects: this.#effects });
+        },
+      },
+      { method: "GET", path: "/*", handle: (req, res) => this.#preview(req, res) },
+      { method: "POST", path: "/*", handle: (req, res) => this.#record(req, res) },
+    ];
+  }
+
+  async #preview(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    await this.#delay();
+    sendJson(res, 200, { service: this.name, preview: req.url });
+  }
+
+  async #record(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    await readBody(req, MAX_BODY_BYTES);
+    const header = req.headers["idempotency-key"];
+    const key = typeof header === "string" ? header : undefined;
+    this.#effects.push({ key, path: req.url ?? "" });
+    const saved = this.#effects.length;
+    if (this.#loseAnswers > 0) {
+      this.#loseAnswers -= 1;
+      res.destroy();
+      return;
+    }
+    await this.#delay();
+    sendJson(res, 201, { service: this.name, saved });
+  }
+
+  #delay(): Promise<void> {
+    return new Promise((resolve) => {
+      this.#clock.setTimer(resolve, this.#delayMs);
+    });
+  }
+}
--- /dev/null
+++ b/packages/standins/src/engine/AnswerLog.ts
@@ -0,0 +1,37 @@
+/** One token of an answer as kept for resuming. */
+export interface KeptToken {
+  readonly seq: number;
+  readonly text: string;
+  readonly finishReason: string | undefined;
+}
+
+/** Tokens of one stream; readers follow it from any position. */
+export class AnswerLog {
+  readonly #tokens: KeptToken[] = [];
+  readonly #fromSeq: number;
+  readonly #listeners = new Set<(token: KeptToken) => void>();
+
+  constructor(fromSeq: number) {
+    this.#fromSeq = fromSeq;
+  }
+
+  get isFinished(): boolean {
+    return this.#tokens.at(-1)?.finishReason !== undefined;
+  }
+
+  push(token: KeptToken): void {
+    this.#tokens.push(token);
+    this.#listeners.forEach((listener) => {
+      listener(token);
+    });
+  }
+
+  /** Calls `listener` with every token from `fromSeq`; returns the way to stop. */
+  follow(fromSeq: number, listener: (token: KeptToken) => void): () => void {
+    this.#tokens.slice(Math.max(0, fromSeq - this.#fromSeq)).forEach(listener);
+    this.#listeners.add(listener);
+    return () => {
+      this.#listeners.delete(listener);
+    };
+  }
+}
--- /dev/null
+++ b/packages/standins/src/engine/EngineExtension.ts
@@ -0,0 +1,203 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+
+import type { Clock } from "@lycheepulley/core";
+import { sendJson, type Route } from "@lycheepulley/http";
+
+import type { EngineModel } from "./EngineModel.js";
+import { HoldingKind } from "./KvLedger.js";
+import type { EngineRates } from "./rates.js";
+import { getSegmentTokens, readJson } from "./requestFields.js";
+import { exportSchema, orderSchema, reserveSchema, type Order } from "./schemas.js";
+
+/** Load reports describe a moment up to this long ago. */
+const LOAD_LAG_MS = 200;
+
+export interface EngineExtensionOptions {
+  readonly name: string;
+  readonly clock: Clock;
+  readonly rates: EngineRates;
+  readonly timeScale: number;
+  readonly isFencing: boolean;
+  readonly model: EngineModel;
+  readonly initial: Order;
+  readonly getIncarnation: () => string;
+}
+
+/** Extension interface of an engine stand-in: load, state, orders, cache events and KV memory. */
+export class EngineExtension {
+  readonly orders: Order[] = [];
+  isLeaving = false;
+  readonly #options: EngineExtensionOptions;
+  readonly #model: EngineModel;
+  #state: Order;
+  #loadingUntilMs = 0;
+  #lastLoad: { readonly atMs: number; readonly value: Record<string, unknown> } | undefined;
+
+  constructor(options: EngineExtensionOptions) {
+    this.#options = options;
+    this.#model = options.model;
+    this.#state = options.initial;
+  }
+
+  /** Model that is served now; empty while weights are being loaded. */
+  get servedModel(): string {
+    return this.#options.clock.now() < this.#loadingUntilMs ? "" : this.#state.model;
+  }
+
+  reset(): void {
+    this.#state = this.#options.initial;
+    this.#lastLoad = undefined;
+  }
+
+  get routes(): Route[] {
+    return [
+      { method: "GET", path: "/ext/v1/load", handle: (_req, res) => this.#sendLoad(res) },
+      { method: "GET", path: "/ext/v1/state", handle: (_req, res) => this.#sendState(res) },
+      { method: "POST", path: "/ext/v1/orders", handle: (req, res) => this.#order(req, res) },
+      {
+        method: "GET",
+        path: "/ext/v1/cache-events",
+        handle: (_req, res, _params, url) =>
+          this.#sendCacheEvents(res, Number(url.searchParams.get("from") ?? 0)),
+      },
+      { method: "GET", path: "/ext/v1/kv", handle: (_req, res) => this.#sendKv(res) },
+      { method: "POST", path: "/ext/v1/kv", handle: (req, res) => this.#reserve(req, res) },
+      {
+        method: "POST",
+        path: "/ext/v1/kv/:id/export",
+        handle: (req, res, params) => this.#export(req, res, params["id"] ?? ""),
+      },
+      {
+        method: "POST",
+        path: "/ext/v1/kv/:id/renew",
+        handle: (req, res, params) => this.#renew(req, res, params["id"] ?? ""),
+      },
+      {
+        method: "DELETE",
+        path: "/ext/v1/kv/:id",
+        handle: (_req, res, params) => {
+          this.#model.cancel(params["id"] ?? "");
+          this.#model.kv.release(params["id"] ?? "");
+          sendJson(res, 200, {});
+        },
+      },
+    ];
+  }
+
+  #sendLoad(res: ServerResponse): void {
+    const now = this.#options.clock.now();
+    if (!this.#lastLoad || now - this.#lastLoad.atMs >= LOAD_LAG_MS) {
+      const value = {
+        atMs: now,
+        ...this.#model.load,
+        kvUsedTokens: this.#model.kv.usedTokens,
+        kvTotalTokens: this.#options.rates.kvTokens,
+        incarnation: this.#options.getIncarnation(),
+      };
+      this.#lastLoad = { atMs: now, value };
+    }
+    const isLoading = now < this.#loadingUntilMs;
+    sendJson(res, 200, {
+      ...this.#lastLoad.value,
+      leaving: this.isLeaving,
+      model: isLoading ? "" : this.#state.model,
+    });
+  }
+
+  #sendState(res: ServerResponse): void {
+    sendJson(res, 200, {
+      ...this.#state,
+      incarnation: this.#options.getIncarnation(),
+      loading: this.#options.clock.now() < this.#loadingUntilMs,
+    });
+  }
+
+  async #order(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const order = orderSchema.parse(await readJson(req));
+    const accepted = !this.#options.isFencing || order.fence >= this.#state.fence;
+    if (accepted) {
+      const { rates, clock, timeScale } = this.#options;
+      this.orders.push(order);
+      if (order.model !== this.#state.model || order.version !== this.#state.version) {
+        this.#loadingUntilMs = clock.now() + rates.loadMs / timeScale;
+      }
+      this.#state = { ...order, fence: Math.max(order.fence, this.#state.fence) };
+    }
+    sendJson(res, 200, { accepted, fence: this.#state.fence });
+  }
+
+  #sendCacheEvents(res: ServerResponse, fromSeq: number): void {
+    const { cache } = this.#model;
+    const events = cache.getEvents(fromSeq);
+    sendJson(
+      res,
+      200,
+      events
+        ? { next: cache.nextSeq, events }
+        : { next: cache.nextSeq, events: [], resync: cache.getBlocks() },
+    );
+  }
+
+  #sendKv(res: ServerResponse): void {
+    const now = this.#options.clock.now();
+    const holdings = this.#model.kv.list().map(({ id, owner, tokens, kind, termEndMs }) => ({
+      id,
+      owner,
+      tokens,
+      kind,
+      termLeftMs: Number.isFinite(termEndMs) ? Math.max(0, termEndMs - now) : 0,
+    }));
+    sendJson(res, 200, holdings);
+  }
+
+  async #reserve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const { id, owner, tokens, termMs } = reserveSchema.parse(await readJson(req));
+    const termEndMs = this.#options.clock.now() + termMs;
+    const kind = HoldingKind.Reservation;
+    const isHeld = this.#model.kv.tryHold({ id, owner, tokens, kind, termEndMs });
+    sendJson(res, isHeld ? 200 : 507, {});
+  }
+
+  async #renew(req: IncomingMessage, res: ServerResponse, id: string): Promise<void> {
+    const { termMs } = reserveSchema.pick({ termMs: true }).parse(await readJson(req));
+    const holding = this.#model.kv.get(id);
+    if (holding) {
+      holding.termEndMs = this.#options.clock.now() + termMs;
+    }
+    sendJson(res, holding ? 200 : 404, {});
+  }
+
+  async #export(req: IncomingMessage, res: ServerResponse, id: string): Promise<void> {
+    const call = exportSchema.parse(await readJson(req));
+    const holding = this.#model.kv.get(id);
+    if (!holding) {
+      sendJson(res, 404, { error: { message: `no reservation ${id}` } });
+      return;
+    }
+    holding.kind = HoldingKind.Export;
+    const tokens = call.toToken - call.fromToken;
+    const segments = call.segments.reduce((sum, handle) => sum + getSegmentTokens(handle), 0);
+    this.#model.submit(
+      {
+        attemptId: `${id}.export`,
+        promptText: "",
+        promptHash: "",
+        priority: call.priority,
+        outputTokens: 1,
+        fromSeq: 0,
+        importedTokens: segments,
+        reservationId: undefined,
+        isSegment: true,
+        promptTokens: tokens,
+      },
+      {
+        onToken: () => {
+          sendJson(res, 200, { handle: `${this.#options.name}/${id}/${String(tokens)}` });
+        },
+      },
+    );
+    res.on("close", () => {
+      this.#model.cancel(`${id}.export`);
+    });
+  }
+}
--- /dev/null
+++ b/packages/standins/src/engine/KvLedger.ts
@@ -0,0 +1,87 @@
+import type { Clock } from "@lycheepulley/core";
+
+export const HoldingKind = {
+  Reservation: "reservation",
+  Stream: "stream",
+  Export: "export",
+} as const;
+export type HoldingKind = (typeof HoldingKind)[keyof typeof HoldingKind];
+
+/** KV memory held under one id. */
+export interface Holding {
+  readonly id: string;
+  readonly owner: string;
+  tokens: number;
+  kind: HoldingKind;
+  /** Monotonic time at which the term ends; Infinity for running streams. */
+  termEndMs: number;
+}
+
+/** KV memory of one engine: who holds how much of it. */
+export class KvLedger {
+  readonly #clock: Clock;
+  readonly #totalTokens: number;
+  readonly #holdings = new Map<string, Holding>();
+  /** Fault: terms end without freeing anything. */
+  forgetsToFree = false;
+
+  constructor(clock: Clock, totalTokens: number) {
+    this.#clock = clock;
+    this.#totalTokens = totalTokens;
+  }
+
+  get usedTokens(): number {
+    let used = 0;
+    for (const holding of this.#holdings.values()) {
+      used += holding.tokens;
+    }
+    return used;
+  }
+
+  get freeTokens(): number {
+    return this.#totalTokens - this.usedTokens;
+  }
+
+  get(id: string): Holding | undefined {
+    return this.#holdings.get(id);
+  }
+
+  /** Takes memory if it is free; an id that stands already changes nothing. */
+  tryHold(holding: Holding): boolean {
+    this.expire();
+    if (this.#holdings.has(holding.id)) {
+      return true;
+    }
+    if (holding.tokens > this.freeTokens) {
+      return false;
+    }
+    this.#holdings.set(holding.id, { ...holding });
+    return true;
+  }
+
+  release(id: string): boolean {
+    return this.#holdings.delete(id);
+  }
+
+  list(): Holding[] {
+    this.expire();
+    return [...this.#holdings.values()];
+  }
+
+  clear(): void {
+    this.#holdings.clear();
+  }
+
+  /** Frees what has outlived its term. */
+  expire(): void {
+    if (this.forgetsToFree) {
+      return;
+    }
+    const now = this.#clock.now();
+    for (const [id, holding] of this.#holdings) {
+      if (holding.termEndMs <= now) {
+        this.#holdings.delete(id);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/standins/src/engine/requestFields.ts
@@ -0,0 +1,16 @@
+import type { IncomingMessage } from "node:http";
+
+import { readBody } from "@lycheepulley/http";
+
+const MAX_BODY_BYTES = 64_000_000;
+
+export const getHeader = (req: IncomingMessage, name: string): string | undefined => {
+  const value = req.headers[name];
+  return typeof value === "string" ? value : undefined;
+};
+
+export const readJson = async (req: IncomingMessage): Promise<unknown> =>
+  JSON.parse((await readBody(req, MAX_BODY_BYTES)).toString());
+
+/** Tokens of an exported segment; handles are `engine/reservation/tokens`. */
+export const getSegmentTokens = (handle: string): number => Number(handle.split("/").at(-1) ?? 0);
--- /dev/null
+++ b/packages/streams/src/index.ts
@@ -0,0 +1,2 @@
+export * from "./Poller.js";
+export * from "./Publisher.js";
--- /dev/null
+++ b/packages/telemetry/src/Logger.ts
@@ -0,0 +1,36 @@
+import winston from "winston";
+
+/** Fields that a log line may carry besides its message. */
+export interface LogFields {
+  readonly requestId?: string;
+  readonly step?: string;
+  readonly peer?: string;
+  readonly [field: string]: unknown;
+}
+
+/** Structured log of one process: JSON lines. */
+export interface Logger {
+  debug(message: string, fields?: LogFields): void;
+  info(message: string, fields?: LogFields): void;
+  warn(message: string, fields?: LogFields): void;
+  error(message: string, fields?: LogFields): void;
+}
+
+/** Logger that writes JSON lines to standard error. */
+export const newLogger = (options: { process: string; level: string }): Logger =>
+  winston.createLogger({
+    level: options.level,
+    defaultMeta: { process: options.process },
+    format: winston.format.combine(winston.format.timestamp(), winston.format.json()),
+    transports: [
+      new winston.transports.Console({ stderrLevels: ["error", "warn", "info", "debug"] }),
+    ],
+  });
+
+/** Logger that drops everything. */
+export const newSilentLogger = (): Logger => ({
+  debug: () => undefined,
+  info: () => undefined,
+  warn: () => undefined,
+  error: () => undefined,
+});
--- /dev/null
+++ b/packages/telemetry/src/index.ts
@@ -0,0 +1,2 @@
+export * from "./Logger.js";
+export * from "./Metrics.js";
--- /dev/null
+++ b/packages/tools/src/fleet/deployment.ts
@@ -0,0 +1,48 @@
+import { join } from "node:path";
+
+import { getSiteConfig, type ConfigBundle, type FleetConfig } from "@lycheepulley/core";
+import { readJsonFile } from "@lycheepulley/daemon";
+import { z } from "zod";
+
+export const deploymentSchema = z.strictObject({
+  name: z.string(),
+  model: z.string(),
+  modelWorkers: z.number().int().positive(),
+  service: z.string(),
+  serviceWorkers: z.number().int().positive(),
+  failureDomains: z.array(z.string()).min(1),
+  entryProcesses: z.number().int().positive(),
+  /** One way between failure domains. */
+  oneWayMs: z.number().nonnegative(),
+  /** One way between callers and entry processes. */
+  clientOneWayMs: z.number().nonnegative(),
+  customers: z.array(z.strictObject({ name: z.string(), share: z.number().positive() })).min(1),
+});
+export type Deployment = z.infer<typeof deploymentSchema>;
+
+/** A deployment of the examples with its configuration. */
+export interface LoadedDeployment {
+  readonly deployment: Deployment;
+  readonly bundle: ConfigBundle;
+  readonly config: FleetConfig;
+}
+
+/** Reads a deployment and its configuration from the examples folder. */
+export const readDeployment = async (examples: string, name: string): Promise<LoadedDeployment> => {
+  const folder = join(examples, name);
+  const deployment = deploymentSchema.parse(await readJsonFile(join(folder, "deployment.json")));
+  const base = await readJsonFile(join(folder, "base.json"));
+  const overlays: Record<string, ConfigBundle["base"]> = {};
+  for (const site of deployment.failureDomains) {
+    overlays[site] = await readJsonFile(join(folder, `${site}.json`));
+  }
+  const bundle = { base, overlays };
+  const effective = getSiteConfig(bundle, deployment.failureDomains[0] ?? "");
+  if (!effective.ok) {
+    throw new Error(`examples of ${name} are invalid: ${JSON.stringify(effective.faults)}`);
+  }
+  return { deployment, bundle, config: effective.config };
+};
+
+/** API key of a customer of the examples. */
+export const getExampleKey = (customer: string): string => `key-${customer}`;
--- /dev/null
+++ b/packages/tools/src/index.ts
@@ -0,0 +1,4 @@
+export * from "./demo/demo.js";
+export * from "./fleet/ChildProcess.js";
+export * from "./fleet/deployment.js";
+export * from "./fleet/LocalFleet.js";
--- /dev/null
+++ b/packages/vmlist/src/index.ts
@@ -0,0 +1,1 @@
+export * from "./VmListClient.js";
--- /dev/null
+++ b/packages/weights/src/index.ts
@@ -0,0 +1,1 @@
+export * from "./WeightStoreClient.js";
