--- a/packages/serving/src/scheduler/CellScheduler.ts
+++ b/packages/serving/src/scheduler/CellScheduler.ts
@@ -9,7 +9,6 @@
 import type { EngineLoad } from "@lycheepulley/engines";
 
 import { estimateWaitMs, getRetryAfterMs } from "./admission.js";
-import type { EngineSlot } from "./EngineSlot.js";
 import type { EngineSlot, SlotGrant } from "./EngineSlot.js";
 import { SlotMonitor } from "./SlotMonitor.js";
 import { SlotTable, type CellEngine } from "./SlotTable.js";
