Add duties under leases, fates from any process, draining and operator commands

Cause: the thin path had no agreed duties, no answer for a request accepted by another process and no operator commands.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -57,7 +57,7 @@
     "vmlist",
     "weights",
   ],
-  cli: ["core", "log", "nodes", "operators", "daemon", "serving", "standins", "tools"],
+  cli: ["core", "http", "log", "nodes", "operators", "daemon", "serving", "standins", "tools"],
 };
 const PACKAGES = Object.keys(ALLOWED_IMPORTS);
 
--- a/packages/callers/src/CallerServer.ts
+++ b/packages/callers/src/CallerServer.ts
@@ -22,6 +22,7 @@
 const HTTP_UNAUTHORIZED = 401;
 const HTTP_NOT_FOUND = 404;
 const HTTP_GONE = 410;
+const HTTP_TEMPORARY_REDIRECT = 307;
 
 const SERVICE_METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"] as const;
 
@@ -151,7 +152,22 @@
     return { accepted: this.#api.accept(customer), customer };
   }
 
+  /** Sends a late comer to another process; true when it did. */
+  #handOn(req: IncomingMessage, res: ServerResponse): boolean {
+    const address = this.#api.getHandOn();
+    if (!address) {
+      return false;
+    }
+    const location = `http://${address.host}:${String(address.port)}${req.url ?? ""}`;
+    req.resume();
+    sendJson(res, HTTP_TEMPORARY_REDIRECT, {}, { location, connection: "close" });
+    return true;
+  }
+
   async #prompt(path: PromptPath, req: IncomingMessage, res: ServerResponse): Promise<void> {
+    if (this.#handOn(req, res)) {
+      return;
+    }
     const { accepted, customer } = this.#accept(req);
     const abort = new AbortController();
     try {
@@ -213,6 +229,9 @@
     res: ServerResponse,
     target: Pick<ServiceRequest, "method" | "service" | "path">,
   ): Promise<void> {
+    if (this.#handOn(req, res)) {
+      return;
+    }
     const { accepted, customer } = this.#accept(req);
     const abort = new AbortController();
     res.on("close", () => {
--- a/packages/callers/src/types.ts
+++ b/packages/callers/src/types.ts
@@ -35,6 +35,8 @@
 export interface ServingApi {
   /** Name of the customer with this API key. */
   authenticate(apiKey: string): string | undefined;
+  /** Where to send a caller that came too late; undefined while this process serves. */
+  getHandOn(): CallerAddress | undefined;
   accept(customer: string): AcceptedRequest;
   readonly maxBodyBytes: number;
   /** Refuses at the door while too many requests are in flight. */
--- a/packages/cli/src/commands/entry.ts
+++ b/packages/cli/src/commands/entry.ts
@@ -16,10 +16,15 @@
     const node = new EntryNode(settings);
     await node.start();
     ctx.print(JSON.stringify({ ready: true, name: settings.name }));
-    await new Promise<void>((resolve) => {
-      process.once("SIGTERM", resolve);
-      process.once("SIGINT", resolve);
+    const told = new Promise<string>((resolve) => {
+      process.once("SIGTERM", () => {
+        resolve("SIGTERM");
+      });
+      process.once("SIGINT", () => {
+        resolve("SIGINT");
+      });
     });
+    await Promise.race([told.then((by) => node.drain(by)), node.waitDrained()]);
     await node.stop();
     return ExitCode.Done;
   },
--- a/packages/cli/src/registry.ts
+++ b/packages/cli/src/registry.ts
@@ -1,13 +1,31 @@
 import type { Command } from "./Command.js";
+import { auditCommand, configHistoryCommand } from "./commands/audit.js";
+import { blockLiftCommand, blockListCommand } from "./commands/block.js";
+import { configApplyCommand } from "./commands/configApply.js";
 import { configCheckCommand } from "./commands/configCheck.js";
+import { configDiffCommand } from "./commands/configDiff.js";
+import { configStatusCommand } from "./commands/configStatus.js";
 import { demoCommand } from "./commands/demo.js";
 import { entryCommand } from "./commands/entry.js";
+import { fateCommand } from "./commands/fate.js";
+import { drainCommand, nodesCommand, upstreamsCommand } from "./commands/nodes.js";
 import { standinCommand } from "./commands/standin.js";
 
 /** Every command, in the order in which help lists them. */
 export const COMMANDS: readonly Command[] = [
   entryCommand,
   configCheckCommand,
-  standinCommand,
+  configDiffCommand,
+  configApplyCommand,
+  configStatusCommand,
+  configHistoryCommand,
+  fateCommand,
+  auditCommand,
+  nodesCommand,
+  upstreamsCommand,
+  drainCommand,
+  blockListCommand,
+  blockLiftCommand,
   demoCommand,
+  standinCommand,
 ];
--- a/packages/core/src/config/check.ts
+++ b/packages/core/src/config/check.ts
@@ -58,6 +58,13 @@
       }
     });
   }
+  const { claimWindowMs, logRetentionMs } = cfg.limits;
+  if (claimWindowMs * 2 > logRetentionMs) {
+    faults.push({
+      path: "limits.claimWindowMs",
+      message: `must be at most half of limits.logRetentionMs (${String(logRetentionMs)})`,
+    });
+  }
   const keys = new Map<string, string>();
   for (const [customer, { keySha256 }] of Object.entries(cfg.customers)) {
     const other = keys.get(keySha256);
--- a/packages/core/src/config/schema.ts
+++ b/packages/core/src/config/schema.ts
@@ -72,8 +72,8 @@
   /** How long an idempotency key is remembered. */
   claimWindowMs: durationMs.default(3_600_000),
   claimShards: z.number().int().min(1).max(4_096).default(6),
-  /** How long a fingerprint that crashed its upstreams stays blocked. */
-  blockTermMs: durationMs.default(86_400_000),
+  /** How long the platform's log keeps records. */
+  logRetentionMs: durationMs.default(86_400_000),
   /** Appends a second that all processes together may make. */
   appendsPerS: z.number().positive().default(300),
 });
--- a/packages/core/src/folds/poison.ts
+++ b/packages/core/src/folds/poison.ts
@@ -3,6 +3,9 @@
 /** Deaths of upstreams after which a fingerprint is blocked. */
 export const MAX_STRIKES = 2;
 
+/** How long a fingerprint stays suspect or blocked after its last strike. */
+export const BLOCK_TERM_MS = 86_400_000;
+
 export const PoisonAction = {
   Strike: "strike",
   /** Takes back one strike: the upstream had not died after all. */
--- a/packages/core/src/folds/registers.ts
+++ b/packages/core/src/folds/registers.ts
@@ -1,7 +1,7 @@
 import { z } from "zod";
 
 import { RecordKind, type LogEntry, type LogRecord } from "./records.js";
-import { reducePoison } from "./poison.js";
+import { BLOCK_TERM_MS, reducePoison } from "./poison.js";
 
 const registerSchema = z.object({
   kind: z.string(),
@@ -26,6 +26,11 @@
 });
 export type FoldSnapshot = z.infer<typeof foldSnapshotSchema>;
 
+/** Retention of the kinds on the control stream, equal in every process. */
+export const CONTROL_RETENTION_MS: Readonly<Record<string, number>> = {
+  [RecordKind.Poison]: BLOCK_TERM_MS,
+};
+
 /** What the fold made of one record. */
 export const Acceptance = {
   Accepted: "accepted",
@@ -203,6 +208,7 @@
       if (retentionMs === undefined) {
         continue;
       }
+      // A fold keeps one kind with retention at most, in the order of its changes.
       if (register.timeMs > this.#timeMs - retentionMs) {
         break;
       }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -18,6 +18,7 @@
 export * from "./protections.js";
 export * from "./random.js";
 export * from "./requests.js";
+export * from "./rollout.js";
 export * from "./retryBudget.js";
 export * from "./suspects.js";
 export * from "./tokenBucket.js";
--- a/packages/daemon/src/EntryNode.ts
+++ b/packages/daemon/src/EntryNode.ts
@@ -1,35 +1,24 @@
 import {
   ALL_PROTECTIONS,
   RecordKind,
-  RegisterFold,
   RetryBudget,
   SystemClock,
   SystemRandom,
-  TokenBucket,
   TrafficMeter,
   type Clock,
+  type FleetConfig,
   type Random,
 } from "@lycheepulley/core";
 import { CallerServer } from "@lycheepulley/callers";
-import { ExtendedEngineClient } from "@lycheepulley/engines";
-import { FoldReader, HttpLogClient, LogWriter, Proposer } from "@lycheepulley/log";
-import {
-  claimEndMethod,
-  claimMethod,
-  NodeClient,
-  NodeServer,
-  NodeState,
-} from "@lycheepulley/nodes";
-import { HttpServiceClient } from "@lycheepulley/services";
+import { NodeClient, NodeServer, NodeState } from "@lycheepulley/nodes";
 import {
   AtMostOnce,
   ClaimRouter,
-  ClaimShard,
-  ConfigKeeper,
   CONFIG_KEY,
-  CONTROL_STREAM,
+  ConfigKeeper,
+  DutyRunner,
+  FateFinder,
   FateRecorder,
-  getClaimStream,
   getFateStream,
   Membership,
   PoolHost,
@@ -37,22 +26,23 @@
   PromptRunner,
   ServiceRunner,
   SuspectBook,
-  UpstreamDirectory,
+  type ClaimShard,
+  type UpstreamDirectory,
 } from "@lycheepulley/serving";
-import { Poller } from "@lycheepulley/streams";
 import { Metrics, newLogger, type Logger } from "@lycheepulley/telemetry";
-import { HttpVmListClient } from "@lycheepulley/vmlist";
+import { HttpWeightStoreClient } from "@lycheepulley/weights";
 
+import { bootstrapFromPeers } from "./bootstrap.js";
+import { Drainer } from "./Drainer.js";
+import { LogParts } from "./LogParts.js";
 import { NodeApi } from "./NodeApi.js";
+import { addNodeGauges } from "./nodeGauges.js";
 import { newPlacement } from "./placement.js";
+import { serveNodeMethods } from "./serveNodeMethods.js";
 import type { Settings } from "./settings.js";
-
-const VM_LIST_INTERVAL_MS = 1_000;
-const DEFAULT_APPENDS_PER_S = 300;
-const APPEND_BURST = 10;
-const DEFAULT_SHARDS = 6;
-const DEFAULT_CLAIM_WINDOW_MS = 3_600_000;
-const DEFAULT_MAX_QUEUED = 2_000;
+import { StatusReporter } from "./StatusReporter.js";
+import { newUpstreamDirectory } from "./upstreamClients.js";
+import { VmListWatcher } from "./VmListWatcher.js";
 
 /** One entry process: every part wired to its peers. */
 export class EntryNode {
@@ -60,223 +50,262 @@
   readonly #clock: Clock = new SystemClock();
   readonly #random: Random = new SystemRandom();
   readonly #incarnation = Date.now();
-  readonly #writerName: string;
+  readonly #holder: string;
   readonly #logger: Logger;
   readonly #traffic = new TrafficMeter();
   readonly #metrics = new Metrics();
-  readonly #log: HttpLogClient;
-  readonly #budget: TokenBucket;
-  readonly #control: Proposer;
+  readonly #log: LogParts;
   readonly #config: ConfigKeeper;
   readonly #membership: Membership;
   readonly #directory: UpstreamDirectory;
-  readonly #vmList: Poller<Awaited<ReturnType<HttpVmListClient["fetchVms"]>>>;
-  readonly #pools: PoolRouter;
+  readonly #vmList: VmListWatcher;
   readonly #poolHost: PoolHost;
-  readonly #shards = new Map<number, ClaimShard>();
-  readonly #shardReaders: FoldReader[] = [];
+  readonly #pools: PoolRouter;
   readonly #fates: FateRecorder;
+  readonly #finder: FateFinder;
+  readonly #duties: DutyRunner;
+  readonly #drainer: Drainer;
+  readonly #status: StatusReporter;
   readonly #nodeServer = new NodeServer();
   readonly #callerServer: CallerServer;
+  #onDrained: () => void = () => undefined;
 
   constructor(settings: Settings) {
     this.settings = settings;
-    const { name, failureDomain, host, callerPort, controlPort, platform } = settings;
-    this.#writerName = `${name}.${this.#incarnation.toString(36)}`;
+    const { name, platform } = settings;
+    const clock = this.#clock;
+    this.#holder = `${name}.${this.#incarnation.toString(36)}`;
     this.#logger = newLogger({ process: name, level: settings.logLevel });
-    this.#log = new HttpLogClient({ origin: platform.log, traffic: this.#traffic });
-    this.#budget = new TokenBucket({
-      clock: this.#clock,
-      ratePerS: DEFAULT_APPENDS_PER_S,
-      burst: APPEND_BURST,
-    });
-    this.#control = this.#newProposer(CONTROL_STREAM, new RegisterFold());
-    const warn = (message: string): void => {
-      this.#logger.warn(message, { step: "config" });
-    };
-    const { reader } = this.#control;
-    this.#config = new ConfigKeeper({ reader, site: settings.site, onError: warn });
-    this.#membership = new Membership({
-      clock: this.#clock,
+    this.#log = new LogParts({
+      origin: platform.log,
+      clock,
       random: this.#random,
-      self: {
-        name,
-        incarnation: this.#incarnation,
-        failureDomain,
-        host,
-        port: callerPort,
-        controlPort,
+      writerName: this.#holder,
+      logger: this.#logger,
+      traffic: this.#traffic,
+    });
+    this.#config = new ConfigKeeper({
+      reader: this.#log.control.reader,
+      site: settings.site,
+      onError: (message) => {
+        this.#logger.warn(message, { step: "config" });
       },
-      newCaller: (peer, address) =>
-        new NodeClient({
-          name: peer,
-          origin: `http://${address.host}:${String(address.controlPort)}`,
-          traffic: this.#traffic,
-        }),
     });
-    this.#directory = this.#newDirectory();
-    this.#vmList = this.#newVmListPoller();
-    const suspects = this.#newSuspectBook();
-    this.#poolHost = new PoolHost({
-      members: this.#membership,
-      directory: this.#directory,
-      clock: this.#clock,
-      suspects,
-      protections: ALL_PROTECTIONS,
-      newPolicy: () => newPlacement(settings.placement, this.#random),
-      getMaxQueued: () =>
-        this.#config.current?.config.limits.maxQueuedRequests ?? DEFAULT_MAX_QUEUED,
-      onEngineDeath: (engine, requestIds) => {
-        this.#logger.warn("engine died", { peer: engine, step: "stream", requestIds });
+    this.#membership = this.#newMembership();
+    this.#directory = newUpstreamDirectory(this.#traffic);
+    this.#vmList = new VmListWatcher({
+      origin: platform.vmList,
+      clock,
+      traffic: this.#traffic,
+      onList: (list) => {
+        this.#directory.mutateWithList(list);
+        this.#membership.mutateWithList(list);
       },
     });
+    this.#poolHost = this.#newPoolHost();
     this.#pools = new PoolRouter({
       members: this.#membership,
-      clock: this.#clock,
+      clock,
       host: this.#poolHost,
-      holder: this.#writerName,
+      holder: this.#holder,
     });
     this.#fates = new FateRecorder({
       process: name,
       incarnation: this.#incarnation,
-      clock: this.#clock,
-      writer: this.#newWriter(getFateStream(name)),
+      clock,
+      writer: this.#log.newWriter(getFateStream(name)),
+    });
+    this.#finder = new FateFinder({
+      recorder: this.#fates,
+      membership: this.#membership,
+      log: this.#log.client,
     });
+    this.#duties = this.#newDuties();
+    this.#drainer = this.#newDrainer();
+    this.#status = new StatusReporter({
+      membership: this.#membership,
+      duties: this.#duties,
+      pools: this.#poolHost,
+      log: this.#log,
+      traffic: this.#traffic,
+      server: this.#nodeServer,
+    });
+    addNodeGauges(this.#metrics, this.#status);
     this.#callerServer = new CallerServer(this.#newApi());
-    this.#serveNodes();
+    serveNodeMethods({
+      server: this.#nodeServer,
+      membership: this.#membership,
+      pools: this.#pools,
+      reader: this.#log.control.reader,
+      fates: this.#fates,
+      status: this.#status,
+      getShard: (shard) => this.#getShard(shard),
+      onDrain: (by) => {
+        void this.#drainer.drain(by).then(() => {
+          this.#onDrained();
+        });
+      },
+    });
+  }
+
+  /** Resolves once the process was drained on an operator's word. */
+  waitDrained(): Promise<void> {
+    return new Promise((resolve) => {
+      this.#onDrained = resolve;
+    });
   }
 
   async start(): Promise<void> {
     const { host, callerPort, controlPort, name } = this.settings;
+    this.#subscribe();
     await this.#nodeServer.listen(host, controlPort);
-    this.#control.reader.start();
+    this.#log.control.reader.start();
     this.#vmList.start();
     this.#membership.start();
-    void this.#control.reader.waitCaughtUp().then(() => {
-      this.#config.adopt(this.#control.reader.fold.getRegister(RecordKind.Config, CONFIG_KEY));
-      this.#membership.update({ state: NodeState.Live });
-    });
-    this.#config.subscribe(({ revision, digest, config }) => {
-      this.#membership.update({ configRevision: revision, configDigest: digest });
-      this.#logger.info("configuration in force", { step: "config", revision, digest });
-      this.#setAppendShare(config.limits.appendsPerS);
-    });
-    this.#membership.subscribe(() => {
-      this.#setAppendShare(
-        this.#config.current?.config.limits.appendsPerS ?? DEFAULT_APPENDS_PER_S,
-      );
-    });
     await this.#callerServer.listen(host, callerPort);
     this.#logger.info("entry process started", { step: "start", name });
+    void this.#joinWhenReady();
   }
 
+  /** Leaves in good order. */
+  async drain(by: string): Promise<void> {
+    await this.#drainer.drain(by);
+  }
+
+  /** Stops at once. */
   async stop(): Promise<void> {
     await this.#callerServer.close();
-    await this.#fates.flush();
     this.#pools.close();
     this.#poolHost.close();
-    await Promise.all([
-      this.#membership.stop(),
-      this.#vmList.stop(),
-      this.#control.reader.stop(),
-      ...this.#shardReaders.map((reader) => reader.stop()),
-    ]);
+    this.#duties.stop();
+    await Promise.all([this.#membership.stop(), this.#vmList.stop(), this.#log.stop()]);
     await this.#nodeServer.close();
     await this.#directory.close();
-    await this.#log.close();
   }
 
-  #setAppendShare(appendsPerS: number): void {
-    this.#budget.setRate(appendsPerS / Math.max(1, this.#membership.getLive().length));
+  get #cfg(): FleetConfig | undefined {
+    return this.#config.current?.config;
   }
 
-  #newWriter(stream: string): LogWriter {
-    return new LogWriter({
-      log: this.#log,
-      stream,
+  /** Joins once the agreed state is known, from the log or, in its outage, from peers. */
+  async #joinWhenReady(): Promise<void> {
+    const { reader } = this.#log.control;
+    await bootstrapFromPeers({
+      reader,
       clock: this.#clock,
-      random: this.#random,
-      writer: this.#writerName,
-      budget: this.#budget,
-      onError: (message) => {
-        this.#logger.debug(message, { step: "log_append", peer: "log" });
-      },
+      getCallers: () => this.#membership.getContactCallers(),
     });
+    this.#config.adopt(reader.fold.getRegister(RecordKind.Config, CONFIG_KEY));
+    this.#membership.update({ state: NodeState.Live });
   }
 
-  #newProposer(stream: string, fold: RegisterFold, isWindowed = false): Proposer {
-    const reader = new FoldReader({
-      log: this.#log,
-      stream,
-      clock: this.#clock,
-      fold,
-      isWindowed,
-      onError: (message) => {
-        this.#logger.debug(message, { step: "log_read", peer: "log" });
-      },
+  #subscribe(): void {
+    this.#config.subscribe(({ revision, digest }) => {
+      this.#membership.update({ configRevision: revision, configDigest: digest });
+      this.#logger.info("configuration in force", { step: "config", revision, digest });
+      this.#splitAppends();
     });
-    return new Proposer({
-      writer: this.#newWriter(stream),
-      reader,
-      clock: this.#clock,
-      writerName: this.#writerName,
+    this.#membership.subscribe((members) => {
+      const states = members.map(({ report, state }) => `${report.name}:${state}`);
+      this.#logger.info("membership", { step: "membership", states });
+      this.#splitAppends();
     });
   }
 
-  #newDirectory(): UpstreamDirectory {
-    const traffic = this.#traffic;
-    return new UpstreamDirectory({
-      newEngineClient: ({ id, host, port }) =>
-        new ExtendedEngineClient({ name: id, origin: `http://${host}:${String(port)}`, traffic }),
-      newServiceClient: ({ id, host, port }) =>
-        new HttpServiceClient({ name: id, origin: `http://${host}:${String(port)}` }),
+  #splitAppends(): void {
+    const appendsPerS = this.#cfg?.limits.appendsPerS;
+    if (appendsPerS !== undefined) {
+      this.#log.setAppendShare(appendsPerS, this.#membership.getLive().length);
+    }
+  }
+
+  #newMembership(): Membership {
+    const { name, failureDomain, host, callerPort, controlPort } = this.settings;
+    return new Membership({
+      clock: this.#clock,
+      random: this.#random,
+      self: {
+        name,
+        incarnation: this.#incarnation,
+        failureDomain,
+        host,
+        port: callerPort,
+        controlPort,
+      },
+      newCaller: (peer, address) =>
+        new NodeClient({
+          name: peer,
+          origin: `http://${address.host}:${String(address.controlPort)}`,
+          traffic: this.#traffic,
+        }),
     });
   }
 
-  #newVmListPoller(): Poller<Awaited<ReturnType<HttpVmListClient["fetchVms"]>>> {
-    const client = new HttpVmListClient({
-      origin: this.settings.platform.vmList,
-      traffic: this.#traffic,
+  #newPoolHost(): PoolHost {
+    const { control } = this.#log;
+    const suspects = new SuspectBook({
+      fold: control.reader.fold,
+      submit: (draft) => {
+        control.writer.submit(draft);
+      },
+      isEnabled: true,
     });
-    const poller = new Poller({
+    control.reader.subscribe((folded) => {
+      suspects.onFolded(folded);
+    });
+    return new PoolHost({
+      members: this.#membership,
+      directory: this.#directory,
       clock: this.#clock,
-      fetch: () => client.fetchVms(),
-      intervalMs: () => VM_LIST_INTERVAL_MS,
+      suspects,
+      protections: ALL_PROTECTIONS,
+      newPolicy: () => newPlacement(this.settings.placement, this.#random),
+      getMaxQueued: () => this.#cfg?.limits.maxQueuedRequests ?? Infinity,
+      onEngineDeath: (engine, requestIds) => {
+        this.#logger.warn("engine died", { peer: engine, step: "stream", requestIds });
+      },
     });
-    poller.subscribe((polled) => {
-      if (polled.ok) {
-        this.#directory.mutateWithList(polled.value);
-        this.#membership.mutateWithList(polled.value);
-      }
+  }
+
+  #newDuties(): DutyRunner {
+    return new DutyRunner({
+      proposer: this.#log.control,
+      members: this.#membership,
+      config: this.#config,
+      directory: this.#directory,
+      weights: new HttpWeightStoreClient({
+        origin: this.settings.platform.weightStore,
+        traffic: this.#traffic,
+      }),
+      pools: this.#poolHost,
+      clock: this.#clock,
+      holder: this.#holder,
+      protections: ALL_PROTECTIONS,
+      onError: (message) => {
+        this.#logger.warn(message, { step: "duty" });
+      },
     });
-    return poller;
   }
 
-  #newSuspectBook(): SuspectBook {
-    const { reader, writer } = this.#control;
-    return new SuspectBook({
-      fold: reader.fold,
-      submit: (draft) => {
-        writer.submit(draft);
+  #newDrainer(): Drainer {
+    return new Drainer({
+      membership: this.#membership,
+      duties: this.#duties,
+      fates: this.#fates,
+      clock: this.#clock,
+      logger: this.#logger,
+      getKeepMs: () => this.#cfg?.limits.addressKeepMs ?? 0,
+      getLongestPatienceMs: () =>
+        Math.max(0, ...Object.values(this.#cfg?.classes ?? {}).map((cls) => cls.patienceMs)),
+      submitAudit: (draft) => {
+        this.#log.control.writer.submit(draft);
       },
-      isEnabled: true,
     });
   }
 
   #getShard(shard: number): ClaimShard {
-    const known = this.#shards.get(shard);
-    if (known) {
-      return known;
-    }
-    const limits = this.#config.current?.config.limits;
-    const retentionMs = { [RecordKind.Claim]: limits?.claimWindowMs ?? DEFAULT_CLAIM_WINDOW_MS };
-    const fold = new RegisterFold({ retentionMs });
-    const proposer = this.#newProposer(getClaimStream(shard), fold, true);
-    proposer.reader.start();
-    this.#shardReaders.push(proposer.reader);
-    const made = new ClaimShard({ proposer, clock: this.#clock, protections: ALL_PROTECTIONS });
-    this.#shards.set(shard, made);
-    return made;
+    const windowMs = this.#cfg?.limits.claimWindowMs ?? Infinity;
+    return this.#log.getShard(shard, windowMs, ALL_PROTECTIONS);
   }
 
   #newApi(): NodeApi {
@@ -285,11 +314,11 @@
       clock: this.#clock,
       random: this.#random,
       getShard: (shard) => this.#getShard(shard),
-      getShardCount: () => this.#config.current?.config.limits.claimShards ?? DEFAULT_SHARDS,
+      getShardCount: () => this.#cfg?.limits.claimShards ?? 1,
     });
     const once = new AtMostOnce({
       router,
-      holder: this.#writerName,
+      holder: this.#holder,
       wallNow: () => this.#clock.wall(),
       protections: ALL_PROTECTIONS,
     });
@@ -308,20 +337,12 @@
       config: this.#config,
       membership: this.#membership,
       fates: this.#fates,
+      finder: this.#finder,
+      drainer: this.#drainer,
+      logger: this.#logger,
       prompts: new PromptRunner({ ...common, pools: this.#pools, metrics }),
       services: new ServiceRunner(common),
       metrics,
     });
   }
-
-  #serveNodes(): void {
-    this.#membership.serve(this.#nodeServer);
-    this.#pools.serve(this.#nodeServer);
-    this.#nodeServer.handle(claimMethod, ({ shard, request, waitMs }) =>
-      this.#getShard(shard).claim(request, waitMs),
-    );
-    this.#nodeServer.handle(claimEndMethod, async ({ shard, waitMs, ...end }) => ({
-      done: await this.#getShard(shard).end(end, waitMs),
-    }));
-  }
 }
--- /dev/null
+++ b/packages/daemon/src/LogParts.ts
@@ -0,0 +1,131 @@
+import {
+  CONTROL_RETENTION_MS,
+  RecordKind,
+  RegisterFold,
+  TokenBucket,
+  type Clock,
+  type Protections,
+  type Random,
+  type TrafficMeter,
+} from "@lycheepulley/core";
+import { FoldReader, HttpLogClient, LogWriter, Proposer } from "@lycheepulley/log";
+import { ClaimShard, CONTROL_STREAM, getClaimStream } from "@lycheepulley/serving";
+import type { Logger } from "@lycheepulley/telemetry";
+
+const DEFAULT_APPENDS_PER_S = 300;
+const APPEND_BURST = 10;
+
+/** Everything of one process that reads or writes the platform's log. */
+export class LogParts {
+  readonly client: HttpLogClient;
+  /** Configuration, leases, blocks and audit lines. */
+  readonly control: Proposer;
+  readonly #clock: Clock;
+  readonly #random: Random;
+  readonly #writerName: string;
+  readonly #logger: Logger;
+  readonly #budget: TokenBucket;
+  readonly #shards = new Map<number, { shard: ClaimShard; proposer: Proposer }>();
+  readonly #writers: LogWriter[] = [];
+
+  constructor(options: {
+    origin: string;
+    clock: Clock;
+    random: Random;
+    writerName: string;
+    logger: Logger;
+    traffic: TrafficMeter;
+  }) {
+    this.#clock = options.clock;
+    this.#random = options.random;
+    this.#writerName = options.writerName;
+    this.#logger = options.logger;
+    this.client = new HttpLogClient({ origin: options.origin, traffic: options.traffic });
+    this.#budget = new TokenBucket({
+      clock: options.clock,
+      ratePerS: DEFAULT_APPENDS_PER_S,
+      burst: APPEND_BURST,
+    });
+    this.control = this.#newProposer(
+      CONTROL_STREAM,
+      new RegisterFold({ retentionMs: CONTROL_RETENTION_MS }),
+    );
+  }
+
+  get appends(): number {
+    return this.#writers.reduce((sum, writer) => sum + writer.appends, 0);
+  }
+
+  get reads(): number {
+    return this.#getReaders().reduce((sum, reader) => sum + reader.reads, 0);
+  }
+
+  get claimKeys(): number {
+    return [...this.#shards.values()].reduce((sum, { shard }) => sum + shard.keys, 0);
+  }
+
+  /** Splits the append rate over the live processes. */
+  setAppendShare(appendsPerS: number, liveProcesses: number): void {
+    this.#budget.setRate(appendsPerS / Math.max(1, liveProcesses));
+  }
+
+  newWriter(stream: string): LogWriter {
+    const writer = new LogWriter({
+      log: this.client,
+      stream,
+      clock: this.#clock,
+      random: this.#random,
+      writer: this.#writerName,
+      budget: this.#budget,
+      onError: (message) => {
+        this.#logger.debug(message, { step: "log_append", peer: "log" });
+      },
+    });
+    this.#writers.push(writer);
+    return writer;
+  }
+
+  /** Owner's side of a claim shard; its stream is read from the first use on. */
+  getShard(index: number, claimWindowMs: number, protections: Protections): ClaimShard {
+    const known = this.#shards.get(index);
+    if (known) {
+      return known.shard;
+    }
+    const fold = new RegisterFold({ retentionMs: { [RecordKind.Claim]: claimWindowMs } });
+    const proposer = this.#newProposer(getClaimStream(index), fold, true);
+    proposer.reader.start();
+    const shard = new ClaimShard({ proposer, clock: this.#clock, protections });
+    this.#shards.set(index, { shard, proposer });
+    return shard;
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all(this.#writers.map((writer) => writer.close()));
+    await Promise.all(this.#getReaders().map((reader) => reader.stop()));
+    await this.client.close();
+  }
+
+  #getReaders(): FoldReader[] {
+    const shards = [...this.#shards.values()].map(({ proposer }) => proposer.reader);
+    return [this.control.reader, ...shards];
+  }
+
+  #newProposer(stream: string, fold: RegisterFold, isWindowed = false): Proposer {
+    const reader = new FoldReader({
+      log: this.client,
+      stream,
+      clock: this.#clock,
+      fold,
+      isWindowed,
+      onError: (message) => {
+        this.#logger.debug(message, { step: "log_read", peer: "log" });
+      },
+    });
+    return new Proposer({
+      writer: this.newWriter(stream),
+      reader,
+      clock: this.#clock,
+      writerName: this.#writerName,
+    });
+  }
+}
--- a/packages/daemon/src/NodeApi.ts
+++ b/packages/daemon/src/NodeApi.ts
@@ -1,8 +1,12 @@
-import type { AcceptedRequest, AddressAnswer, ServingApi } from "@lycheepulley/callers";
+import type {
+  AcceptedRequest,
+  AddressAnswer,
+  CallerAddress,
+  ServingApi,
+} from "@lycheepulley/callers";
 import {
   FateState,
   findCustomer,
-  parseRequestId,
   PulleyError,
   rankMembers,
   sha256,
@@ -12,13 +16,16 @@
 import {
   getFateState,
   type ConfigKeeper,
+  type FateFinder,
   type FateRecorder,
   type Membership,
   type PromptRunner,
+  type RequestTrace,
   type ServiceRunner,
 } from "@lycheepulley/serving";
-import type { Metrics } from "@lycheepulley/telemetry";
+import type { Logger, Metrics } from "@lycheepulley/telemetry";
 
+import type { Drainer } from "./Drainer.js";
 import type { Settings } from "./settings.js";
 
 const DEFAULT_MAX_BODY_BYTES = 16_000_000;
@@ -29,6 +36,9 @@
   readonly config: ConfigKeeper;
   readonly membership: Membership;
   readonly fates: FateRecorder;
+  readonly finder: FateFinder;
+  readonly drainer: Drainer;
+  readonly logger: Logger;
   readonly prompts: PromptRunner;
   readonly services: ServiceRunner;
   readonly metrics: Metrics;
@@ -55,13 +65,32 @@
     return inForce ? findCustomer(inForce.config, apiKey) : undefined;
   }
 
+  /** Another address, once this process must not take new requests. */
+  getHandOn(): CallerAddress | undefined {
+    return this.#options.drainer.isHandingOn
+      ? this.getAddresses("", undefined).addresses[0]
+      : undefined;
+  }
+
   accept(customer: string): AcceptedRequest {
     const { fates, prompts, services } = this.#options;
     const trace = fates.begin(customer);
     return {
       requestId: trace.requestId,
-      runPrompt: (req, sink) => prompts.run(trace, req, sink),
-      runService: (req) => services.run(trace, req),
+      runPrompt: async (req, sink) => {
+        try {
+          return await prompts.run(trace, req, sink);
+        } finally {
+          this.#logEnd(trace);
+        }
+      },
+      runService: async (req) => {
+        try {
+          return await services.run(trace, req);
+        } finally {
+          this.#logEnd(trace);
+        }
+      },
       refuse: (err) => {
         const isKnown = err instanceof PulleyError;
         const state = isKnown ? getFateState(err.verdict) : FateState.NotRun;
@@ -100,23 +129,17 @@
   }
 
   fetchFate(requestId: string): Promise<Fate | undefined> {
-    const known = this.#options.fates.getFate(requestId);
-    const parts = parseRequestId(requestId);
-    if (known || !parts) {
-      return Promise.resolve(known);
-    }
-    return Promise.resolve({
-      requestId,
-      state: FateState.Unknown,
-      className: "",
-      customer: "",
-      acceptedMs: parts.atMs,
-      steps: [],
-      reason: `accepted by ${parts.process}, which this process has not asked`,
-    });
+    return this.#options.finder.find(requestId);
   }
 
   getMetrics(): Promise<string> {
     return this.#options.metrics.getText();
   }
+
+  #logEnd(trace: RequestTrace): void {
+    const { requestId, state, className, customer, endedAfterMs, reason } = trace.fate;
+    const fields = { requestId, state, className, customer, ms: Math.round(endedAfterMs ?? 0) };
+    const [step, , peer] = trace.fate.steps.at(-1) ?? ["", 0, ""];
+    this.#options.logger.info("request ended", { ...fields, step, peer, reason });
+  }
 }
--- /dev/null
+++ b/packages/daemon/src/StatusReporter.ts
@@ -0,0 +1,90 @@
+import { SlotHealth, type DutyRunner, type Membership, type PoolHost } from "@lycheepulley/serving";
+import type { TrafficMeter } from "@lycheepulley/core";
+import type { NodeServer, NodeStatus, upstreamStatusSchema } from "@lycheepulley/nodes";
+import type { z } from "zod";
+
+import type { LogParts } from "./LogParts.js";
+
+const US_PER_MS = 1_000;
+/** A load report without a model name leaves the model open. */
+const UNKNOWN_MODEL = "";
+
+/** Tells operators and metrics how this process fares. */
+export class StatusReporter {
+  readonly #membership: Membership;
+  readonly #duties: DutyRunner;
+  readonly #pools: PoolHost;
+  readonly #log: LogParts;
+  readonly #traffic: TrafficMeter;
+  readonly #server: NodeServer;
+  readonly #startMs = performance.now();
+
+  constructor(options: {
+    membership: Membership;
+    duties: DutyRunner;
+    pools: PoolHost;
+    log: LogParts;
+    traffic: TrafficMeter;
+    server: NodeServer;
+  }) {
+    this.#membership = options.membership;
+    this.#duties = options.duties;
+    this.#pools = options.pools;
+    this.#log = options.log;
+    this.#traffic = options.traffic;
+    this.#server = options.server;
+  }
+
+  getStatus(): NodeStatus {
+    const cpu = process.cpuUsage();
+    return {
+      report: this.#membership.report,
+      members: this.#membership.getMembers().map(({ report, state, ageMs }) => ({
+        name: report.name,
+        failureDomain: report.failureDomain,
+        host: report.host,
+        port: report.port,
+        controlPort: report.controlPort,
+        configRevision: report.configRevision,
+        configDigest: report.configDigest,
+        state,
+        ageMs: Math.max(0, Math.round(ageMs)),
+      })),
+      duties: this.#duties.getHeld(),
+      pools: this.#pools.getOwnedPools(),
+      isLogCaughtUp: this.#log.control.reader.isCaughtUp,
+      uptimeMs: Math.round(performance.now() - this.#startMs),
+      cpuMs: Math.round((cpu.user + cpu.system) / US_PER_MS),
+      rssBytes: process.memoryUsage.rss(),
+      logAppends: this.#log.appends,
+      logReads: this.#log.reads,
+      connections: this.#server.connections,
+      ...this.#server.traffic,
+      traffic: this.#traffic.getTotals(),
+      freedHoldings: this.#duties.freedHoldings,
+      claimKeys: this.#log.claimKeys,
+      queued: [...this.#pools.getCells().values()].reduce((sum, cell) => sum + cell.queued, 0),
+    };
+  }
+
+  getUpstreams(): z.input<typeof upstreamStatusSchema>[] {
+    return this.#pools.getOwnedPools().flatMap((pool) =>
+      this.#pools
+        .getCell(pool)
+        .getSlots()
+        .map((slot) => ({
+          pool,
+          engine: slot.name,
+          failureDomain: slot.failureDomain,
+          health: slot.health === SlotHealth.Live ? "live" : slot.health,
+          isLeaving: slot.isListedLeaving || slot.isRefusing,
+          model: slot.load?.model ?? UNKNOWN_MODEL,
+          requests: slot.grants.size,
+          outstandingTokens: [...slot.grants.values()].reduce(
+            (sum, grant) => sum + grant.promptTokens + grant.outputTokens,
+            0,
+          ),
+        })),
+    );
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/serveNodeMethods.ts
@@ -0,0 +1,52 @@
+import type { FoldReader } from "@lycheepulley/log";
+import {
+  claimEndMethod,
+  claimMethod,
+  drainMethod,
+  fateMethod,
+  snapshotMethod,
+  statusMethod,
+  upstreamsMethod,
+  type NodeServer,
+} from "@lycheepulley/nodes";
+import {
+  CONTROL_STREAM,
+  type ClaimShard,
+  type FateRecorder,
+  type Membership,
+  type PoolRouter,
+} from "@lycheepulley/serving";
+
+import type { StatusReporter } from "./StatusReporter.js";
+
+/** Serves every method that other entry processes and operators call. */
+export const serveNodeMethods = (options: {
+  server: NodeServer;
+  membership: Membership;
+  pools: PoolRouter;
+  reader: FoldReader;
+  fates: FateRecorder;
+  status: StatusReporter;
+  getShard: (shard: number) => ClaimShard;
+  onDrain: (by: string) => void;
+}): void => {
+  const { server, membership, pools, reader, fates, status, getShard, onDrain } = options;
+  membership.serve(server);
+  pools.serve(server);
+  server.handle(claimMethod, ({ shard, request, waitMs }) =>
+    getShard(shard).claim(request, waitMs),
+  );
+  server.handle(claimEndMethod, async ({ shard, waitMs, ...end }) => ({
+    done: await getShard(shard).end(end, waitMs),
+  }));
+  server.handle(snapshotMethod, ({ stream }) =>
+    stream === CONTROL_STREAM && reader.isCaughtUp ? reader.fold.getSnapshot() : null,
+  );
+  server.handle(fateMethod, ({ requestId }) => fates.getFate(requestId) ?? null);
+  server.handle(statusMethod, () => status.getStatus());
+  server.handle(upstreamsMethod, () => status.getUpstreams());
+  server.handle(drainMethod, ({ by }) => {
+    onDrain(by);
+    return { accepted: true };
+  });
+};
--- a/packages/nodes/src/methods.ts
+++ b/packages/nodes/src/methods.ts
@@ -114,3 +114,67 @@
   z.object({ requestId: z.string() }),
   fateSchema.nullable(),
 );
+
+/** What a process tells operators of itself. */
+export const nodeStatusSchema = z.object({
+  report: nodeReportSchema,
+  members: z.array(
+    z.object({
+      name: z.string(),
+      failureDomain: z.string(),
+      state: z.enum(NodeState),
+      ageMs: z.number(),
+      host: z.string(),
+      port: z.number(),
+      controlPort: z.number(),
+      configRevision: z.number(),
+      configDigest: z.string(),
+    }),
+  ),
+  duties: z.array(z.object({ duty: z.string(), epoch: z.number() })),
+  pools: z.array(z.string()),
+  isLogCaughtUp: z.boolean(),
+  uptimeMs: z.number(),
+  cpuMs: z.number(),
+  rssBytes: z.number(),
+  logAppends: z.number(),
+  logReads: z.number(),
+  connections: z.number(),
+  sentBytes: z.number(),
+  receivedBytes: z.number(),
+  traffic: z.record(
+    z.string(),
+    z.object({ sentBytes: z.number(), receivedBytes: z.number(), calls: z.number() }),
+  ),
+  freedHoldings: z.number(),
+  claimKeys: z.number(),
+  queued: z.number(),
+});
+export type NodeStatus = z.infer<typeof nodeStatusSchema>;
+
+export const statusMethod = newRpcMethod("node.status", z.object({}), nodeStatusSchema);
+
+/** An engine as the owner of its pool sees it. */
+export const upstreamStatusSchema = z.object({
+  pool: z.string(),
+  engine: z.string(),
+  failureDomain: z.string(),
+  health: z.string(),
+  isLeaving: z.boolean(),
+  model: z.string(),
+  requests: z.number(),
+  outstandingTokens: z.number(),
+});
+
+export const upstreamsMethod = newRpcMethod(
+  "node.upstreams",
+  z.object({}),
+  z.array(upstreamStatusSchema),
+);
+
+/** Tells a process to leave in good order. */
+export const drainMethod = newRpcMethod(
+  "node.drain",
+  z.object({ by: z.string() }),
+  z.object({ accepted: z.boolean() }),
+);
--- a/packages/operators/src/ConfigPublisher.ts
+++ b/packages/operators/src/ConfigPublisher.ts
@@ -30,6 +30,16 @@
   readonly note: string;
 }
 
+/** Configuration that a register holds, with its digest. */
+export const readConfigRegister = (
+  register: Register | undefined,
+): { revision: number; digest: string; body: ConfigBody } | undefined => {
+  const body = configBodySchema.safeParse(register?.body).data;
+  return body && register
+    ? { revision: register.version, digest: getConfigDigest(body), body }
+    : undefined;
+};
+
 /** What became of a change. */
 export type ChangeResult =
   | { readonly accepted: true; readonly revision: number; readonly digest: string }
--- a/packages/operators/src/OperatorSession.ts
+++ b/packages/operators/src/OperatorSession.ts
@@ -1,6 +1,7 @@
 import { randomUUID } from "node:crypto";
 
 import {
+  CONTROL_RETENTION_MS,
   RegisterFold,
   SystemClock,
   SystemRandom,
@@ -35,7 +36,7 @@
         log: this.log,
         stream: CONTROL_STREAM,
         clock,
-        fold: new RegisterFold(),
+        fold: new RegisterFold({ retentionMs: CONTROL_RETENTION_MS }),
       }),
       writer: new LogWriter({
         log: this.log,
--- a/packages/operators/src/index.ts
+++ b/packages/operators/src/index.ts
@@ -1,2 +1,4 @@
 export * from "./ConfigPublisher.js";
+export * from "./ControlHistory.js";
+export * from "./NodeInspector.js";
 export * from "./OperatorSession.js";
--- /dev/null
+++ b/packages/serving/src/duties/LeaseKeeper.ts
@@ -0,0 +1,175 @@
+import {
+  Acceptance,
+  getMessage,
+  isLeaseFree,
+  LeaseAction,
+  newLeaseClaim,
+  newLeaseUpdate,
+  parseLease,
+  rankMembers,
+  RecordKind,
+  Step,
+  type Clock,
+  type FoldedRecord,
+  type LeaseBody,
+  type Protections,
+  type Register,
+} from "@lycheepulley/core";
+import type { Proposer } from "@lycheepulley/log";
+
+import type { Members } from "../membership/Members.js";
+
+/** How long a lease stands after the renewal that gave it was sent. */
+export const LEASE_TERM_MS = 6_000;
+const RENEW_AFTER_MS = 3_000;
+const CHECK_INTERVAL_MS = 500;
+/** A process that has just started waits for the others before it seeks duties. */
+const SETTLE_MS = 3_000;
+const PROPOSAL_TIMEOUT_MS = 2_500;
+/** A holder stops acting this long before its term ends. */
+const SAFETY_MARGIN_MS = 500;
+
+export interface LeaseKeeperOptions {
+  readonly duty: string;
+  readonly proposer: Proposer;
+  readonly members: Members;
+  readonly clock: Clock;
+  /** Process name and incarnation. */
+  readonly holder: string;
+  readonly protections: Protections;
+  readonly onError?: (message: string) => void;
+}
+
+/** Holds or seeks the lease of one duty. */
+export class LeaseKeeper {
+  readonly #options: LeaseKeeperOptions;
+  /** Monotonic time at which the last record of the duty was seen. */
+  #seenMs: number;
+  /** Monotonic time before the last accepted own claim or renewal was sent. */
+  #sentMs = -Infinity;
+  readonly #seeksFromMs: number;
+  #isProposing = false;
+  #isStopped = false;
+
+  constructor(options: LeaseKeeperOptions) {
+    this.#options = options;
+    this.#seenMs = options.clock.now();
+    this.#seeksFromMs = options.clock.now() + SETTLE_MS;
+    options.proposer.reader.subscribe((folded) => {
+      this.#onFolded(folded);
+    });
+    this.#scheduleCheck();
+  }
+
+  get duty(): string {
+    return this.#options.duty;
+  }
+
+  /** Fencing number of the own lease; undefined when the duty isn't held right now. */
+  get epoch(): number | undefined {
+    const lease = this.#lease;
+    const isOwn = lease?.holder === this.#options.holder && lease.action !== LeaseAction.Release;
+    if (!isOwn) {
+      return undefined;
+    }
+    const endMs = this.#sentMs + LEASE_TERM_MS - SAFETY_MARGIN_MS;
+    const isInTerm = this.#options.clock.now() < endMs;
+    return isInTerm || !this.#options.protections.fencing ? lease.epoch : undefined;
+  }
+
+  /** Gives the duty up and seeks it no more. */
+  async release(): Promise<void> {
+    this.#isStopped = true;
+    const register = this.#register;
+    const lease = this.#lease;
+    if (register && lease && this.epoch !== undefined) {
+      await this.#propose(newLeaseUpdate(register, lease, LeaseAction.Release)).catch(
+        () => undefined,
+      );
+    }
+  }
+
+  stop(): void {
+    this.#isStopped = true;
+  }
+
+  get #register(): Register | undefined {
+    const { proposer, duty } = this.#options;
+    return proposer.reader.fold.getRegister(RecordKind.Lease, duty);
+  }
+
+  get #lease(): LeaseBody | undefined {
+    return parseLease(this.#register);
+  }
+
+  #onFolded({ record, acceptance }: FoldedRecord): void {
+    const isDuty = record.kind === RecordKind.Lease && record.key === this.#options.duty;
+    if (isDuty && acceptance === Acceptance.Accepted) {
+      this.#seenMs = this.#options.clock.now();
+    }
+  }
+
+  #scheduleCheck(): void {
+    this.#options.clock.setTimer(() => {
+      if (!this.#isStopped) {
+        void this.#check();
+        this.#scheduleCheck();
+      }
+    }, CHECK_INTERVAL_MS);
+  }
+
+  async #check(): Promise<void> {
+    const { proposer, holder, onError } = this.#options;
+    if (this.#isProposing || !proposer.reader.isCaughtUp) {
+      return;
+    }
+    this.#isProposing = true;
+    try {
+      if (this.#lease?.holder === holder && !isLeaseFree(this.#lease)) {
+        await this.#renew(this.#lease);
+      } else if (this.#maySeek()) {
+        await this.#claim();
+      }
+    } catch (err) {
+      onError?.(`${Step.LeaseRenewal} ${this.duty}: ${getMessage(err)}`);
+    } finally {
+      this.#isProposing = false;
+    }
+  }
+
+  /** The first live process by rank seeks a duty that is free or whose holder fell silent. */
+  #maySeek(): boolean {
+    const { members, clock, duty } = this.#options;
+    const isFree = isLeaseFree(this.#lease);
+    const isSilent = clock.now() - this.#seenMs > LEASE_TERM_MS;
+    const [first] = rankMembers(`duty/${duty}`, members.getLive());
+    const isSettled = clock.now() >= this.#seeksFromMs;
+    return isSettled && (isFree || isSilent) && first === members.self;
+  }
+
+  async #renew(lease: LeaseBody): Promise<void> {
+    const { clock } = this.#options;
+    const register = this.#register;
+    if (register && clock.now() - this.#sentMs >= RENEW_AFTER_MS) {
+      await this.#propose(newLeaseUpdate(register, lease, LeaseAction.Renew));
+    }
+  }
+
+  async #claim(): Promise<void> {
+    const { duty, holder } = this.#options;
+    const register = this.#register;
+    await this.#propose(newLeaseClaim({ duty, register, holder, termMs: LEASE_TERM_MS }));
+  }
+
+  async #propose(draft: ReturnType<typeof newLeaseClaim>): Promise<void> {
+    const { proposer, clock } = this.#options;
+    const sentMs = clock.now();
+    const folded = await proposer.propose(draft, {
+      timeoutMs: PROPOSAL_TIMEOUT_MS,
+      step: Step.LeaseClaim,
+    });
+    if (folded.acceptance === Acceptance.Accepted) {
+      this.#sentMs = sentMs;
+    }
+  }
+}
--- a/packages/serving/src/membership/Membership.ts
+++ b/packages/serving/src/membership/Membership.ts
@@ -154,6 +154,11 @@
       .map(({ report }) => report.name);
   }
 
+  /** Ways to call every process that is known or listed. */
+  getContactCallers(): NodeCaller[] {
+    return this.#getContacts().map(({ name, address }) => this.#getCallerAt(name, address));
+  }
+
   getCaller(name: string): NodeCaller | undefined {
     const view = this.#table.getView(name, this.#options.clock.now());
     return view ? this.#getCallerAt(name, view.report) : undefined;
--- a/packages/serving/src/scheduler/CellScheduler.ts
+++ b/packages/serving/src/scheduler/CellScheduler.ts
@@ -84,6 +84,11 @@
     return this.#slots.getAll();
   }
 
+  /** Tells whether a grant stands behind an id that an engine holds. */
+  isHeld(engine: string, id: string): boolean {
+    return this.#slots.get(engine)?.grants.has(id) ?? false;
+  }
+
   /** Takes the pool's engines from the directory. */
   setEngines(engines: readonly CellEngine[]): void {
     this.#slots.setEngines(engines);
--- a/packages/serving/src/scheduler/PoolHost.ts
+++ b/packages/serving/src/scheduler/PoolHost.ts
@@ -56,6 +56,17 @@
     return rankMembers(`pool/${pool}`, members.getLive())[0] ?? members.self;
   }
 
+  /** Pools that this process places and has engines of. */
+  getOwnedPools(): string[] {
+    const { members, directory } = this.#options;
+    return directory.getEnginePools().filter((pool) => this.getOwner(pool) === members.self);
+  }
+
+  /** Tells whether a grant or a reservation stands behind an id that an engine holds. */
+  isHeld(engine: string, id: string): boolean {
+    return [...this.#cells.values()].some((cell) => cell.isHeld(engine, id));
+  }
+
   getCells(): ReadonlyMap<string, CellScheduler> {
     return this.#cells;
   }
--- a/packages/serving/src/scheduler/SuspectBook.ts
+++ b/packages/serving/src/scheduler/SuspectBook.ts
@@ -1,12 +1,14 @@
 import {
+  Acceptance,
   findStrikes,
   getSuspicion,
   PoisonAction,
-  type poisonBodySchema,
+  poisonBodySchema,
   poisonStateSchema,
   RecordKind,
   type Bystander,
   type Draft,
+  type FoldedRecord,
   type RegisterFold,
   Suspicion,
 } from "@lycheepulley/core";
@@ -65,9 +67,13 @@
     this.#append(fingerprint, { action: PoisonAction.Lift, by });
   }
 
-  /** Forgets own strikes that a lift on the log has ended. */
-  onLifted(fingerprint: string): void {
-    this.#own.delete(fingerprint);
+  /** Takes a lift that another process or an operator recorded. */
+  onFolded({ record, acceptance }: FoldedRecord): void {
+    const body = poisonBodySchema.safeParse(record.body).data;
+    const isLift = record.kind === RecordKind.Poison && body?.action === PoisonAction.Lift;
+    if (isLift && acceptance === Acceptance.Accepted) {
+      this.#own.delete(record.key);
+    }
   }
 
   #append(fingerprint: string, body: z.infer<typeof poisonBodySchema>): void {
