--- /dev/null
+++ b/packages/cli/src/integration/SmallFleet.ts
@@ -0,0 +1,121 @@
+import { readFile } from "node:fs/promises";
+import { createServer, type AddressInfo } from "node:net";
+import { join } from "node:path";
+
+import { VmRole, VmState, type Vm } from "@lycheepulley/core";
+import { EntryNode, settingsSchema } from "@lycheepulley/daemon";
+import { OperatorSession } from "@lycheepulley/operators";
+import { StandinHost, standinSettingsSchema } from "@lycheepulley/standins";
+
+import { EXAMPLES_FOLDER } from "../paths.js";
+
+const HOST = "127.0.0.1";
+const TIME_SCALE = 50;
+const POLL_MS = 10;
+
+/** Entry processes and stand-ins in this process, for tests over real sockets. */
+export class SmallFleet {
+  readonly #nodes: EntryNode[] = [];
+  #standins: StandinHost | undefined;
+  platformOrigin = "";
+
+  /** Caller origins of the entry processes. */
+  readonly origins: string[] = [];
+  /** Control origins of the entry processes. */
+  readonly controls: string[] = [];
+
+  async start(entryProcesses: number): Promise<void> {
+    const standins = new StandinHost(
+      standinSettingsSchema.parse({
+        host: HOST,
+        timeScale: TIME_SCALE,
+        platform: { vmListLagMs: 0, logDelayMs: 0 },
+        engines: ["a", "b"].map((id) => ({
+          id: `traductor-${id}`,
+          pool: "traductor",
+          model: "traductor",
+          version: "2026-11",
+          failureDomain: "poblado",
+        })),
+        services: [{ id: "taller-a", pool: "taller", failureDomain: "poblado", delayMs: 0 }],
+      }),
+    );
+    this.#standins = standins;
+    const { platformPort } = await standins.start();
+    this.platformOrigin = `http://${HOST}:${String(platformPort)}`;
+    await this.publishExample();
+    for (let i = 0; i < entryProcesses; i += 1) {
+      await this.#startNode(i);
+    }
+    await this.#waitServing();
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all(this.#nodes.map((node) => node.stop()));
+    await this.#standins?.stop();
+  }
+
+  async publishExample(): Promise<void> {
+    const session = new OperatorSession({ logOrigin: this.platformOrigin, operator: "test" });
+    await session.open();
+    const text = await readFile(join(EXAMPLES_FOLDER, "medellin", "base.json"), "utf8");
+    await session.config.publish({
+      bundle: { base: JSON.parse(text) as Record<string, unknown>, overlays: {} },
+      follows: session.config.current?.version ?? 0,
+      changeId: "initial",
+      by: "test",
+      note: "",
+    });
+    await session.close();
+  }
+
+  async #startNode(i: number): Promise<void> {
+    const name = `poblado-${String(i + 1)}`;
+    const [callerPort, controlPort] = [await findFreePort(), await findFreePort()];
+    const node = new EntryNode(
+      settingsSchema.parse({
+        ...{ name, site: "poblado", failureDomain: "poblado", host: HOST },
+        ...{ callerPort, controlPort, logLevel: "error" },
+        platform: {
+          log: this.platformOrigin,
+          vmList: this.platformOrigin,
+          weightStore: this.platformOrigin,
+        },
+      }),
+    );
+    await node.start();
+    this.#nodes.push(node);
+    this.origins.push(`http://${HOST}:${String(callerPort)}`);
+    this.controls.push(`http://${HOST}:${String(controlPort)}`);
+    const vm: Vm = {
+      ...{ id: name, role: VmRole.Entry, pool: "entry", host: HOST, port: callerPort },
+      ...{ controlPort, failureDomain: "poblado", state: VmState.Live },
+    };
+    await fetch(`${this.platformOrigin}/standin/vms`, {
+      method: "POST",
+      body: JSON.stringify({ put: [vm] }),
+    });
+  }
+
+  async #waitServing(): Promise<void> {
+    for (const origin of this.origins) {
+      let count = 0;
+      while (count < this.origins.length) {
+        await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+        const res = await fetch(`${origin}/v1/address`);
+        count = ((await res.json()) as { addresses: unknown[] }).addresses.length;
+      }
+    }
+  }
+}
+
+const findFreePort = (): Promise<number> =>
+  new Promise((resolve) => {
+    const server = createServer();
+    server.listen(0, HOST, () => {
+      const { port } = server.address() as AddressInfo;
+      server.close(() => {
+        resolve(port);
+      });
+    });
+  });
