--- a/packages/daemon/src/NodeApi.ts
+++ b/packages/daemon/src/NodeApi.ts
@@ -13,19 +13,9 @@
   type Fate,
 } from "@lycheepulley/core";
 import { NodeState } from "@lycheepulley/nodes";
-import {
-  getFateState,
-  type ConfigKeeper,
-  type FateFinder,
-  type FateRecorder,
-  type Membership,
-  type PromptRunner,
-  type RequestTrace,
-  type ServiceRunner,
-} from "@lycheepulley/serving";
+import { getFateState, type CoordinationNode, type RequestTrace } from "@lycheepulley/serving";
 import type { Logger, Metrics } from "@lycheepulley/telemetry";
 
-import type { Drainer } from "./Drainer.js";
 import type { Settings } from "./settings.js";
 
 const DEFAULT_MAX_BODY_BYTES = 16_000_000;
@@ -33,15 +23,9 @@
 
 export interface NodeApiOptions {
   readonly settings: Settings;
-  readonly config: ConfigKeeper;
-  readonly membership: Membership;
-  readonly fates: FateRecorder;
-  readonly finder: FateFinder;
-  readonly drainer: Drainer;
-  readonly logger: Logger;
-  readonly prompts: PromptRunner;
-  readonly services: ServiceRunner;
+  readonly node: CoordinationNode;
   readonly metrics: Metrics;
+  readonly logger: Logger;
 }
 
 /** What one entry process offers to its callers. */
@@ -53,27 +37,27 @@
   }
 
   get maxBodyBytes(): number {
-    return this.#options.config.current?.config.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
+    return this.#options.node.config.current?.config.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
   }
 
   get isFull(): boolean {
-    return this.#options.fates.running >= this.#options.settings.maxInFlight;
+    return this.#options.node.fates.running >= this.#options.settings.maxInFlight;
   }
 
   authenticate(apiKey: string): string | undefined {
-    const inForce = this.#options.config.current;
+    const inForce = this.#options.node.config.current;
     return inForce ? findCustomer(inForce.config, apiKey) : undefined;
   }
 
   /** Another address, once this process must not take new requests. */
   getHandOn(): CallerAddress | undefined {
-    return this.#options.drainer.isHandingOn
+    return this.#options.node.drainer.isHandingOn
       ? this.getAddresses("", undefined).addresses[0]
       : undefined;
   }
 
   accept(customer: string): AcceptedRequest {
-    const { fates, prompts, services } = this.#options;
+    const { fates, prompts, services } = this.#options.node;
     const trace = fates.begin(customer);
     return {
       requestId: trace.requestId,
@@ -100,12 +84,12 @@
   }
 
   listModels(): readonly string[] {
-    return Object.keys(this.#options.config.current?.config.models ?? {});
+    return Object.keys(this.#options.node.config.current?.config.models ?? {});
   }
 
   /** Live processes: the caller's own domain first, a customer's prefixes together. */
   getAddresses(customer: string, failureDomain: string | undefined): AddressAnswer {
-    const { membership, config } = this.#options;
+    const { membership, config } = this.#options.node;
     const views = membership.getMembers().filter(({ state }) => state === NodeState.Live);
     const ranked = rankMembers(
       sha256(customer),
@@ -129,7 +113,7 @@
   }
 
   fetchFate(requestId: string): Promise<Fate | undefined> {
-    return this.#options.finder.find(requestId);
+    return this.#options.node.finder.find(requestId);
   }
 
   getMetrics(): Promise<string> {
--- a/packages/daemon/src/nodeGauges.ts
+++ b/packages/daemon/src/nodeGauges.ts
@@ -1,7 +1,6 @@
+import type { StatusReporter } from "@lycheepulley/serving";
 import type { Metrics } from "@lycheepulley/telemetry";
 
-import type { StatusReporter } from "./StatusReporter.js";
-
 const MS_PER_S = 1_000;
 
 /** Adds gauges on a process's own control work to its metrics. */
--- a/packages/nodes/src/NodeServer.ts
+++ b/packages/nodes/src/NodeServer.ts
@@ -3,12 +3,12 @@
 import { JSONRPCServer } from "json-rpc-2.0";
 import type { z } from "zod";
 
-import type { RpcMethod } from "./rpc.js";
+import type { RpcMethod, RpcRegistrar } from "./rpc.js";
 
 const MAX_BODY_BYTES = 16_000_000;
 
 /** JSON-RPC server for other entry processes and operators. */
-export class NodeServer {
+export class NodeServer implements RpcRegistrar {
   readonly #rpc = new JSONRPCServer({ errorListener: () => undefined });
   readonly #server: HttpServer;
   #receivedBytes = 0;
--- a/packages/nodes/src/rpc.ts
+++ b/packages/nodes/src/rpc.ts
@@ -13,3 +13,12 @@
   params: P,
   result: R,
 ): RpcMethod<P, R> => ({ name, params, result });
+
+/** Takes the implementations of methods. */
+export interface RpcRegistrar {
+  /** Serves one method; its parameters are checked before `fn` sees them. */
+  handle<P extends z.ZodType, R extends z.ZodType>(
+    method: RpcMethod<P, R>,
+    fn: (params: z.output<P>) => z.input<R> | Promise<z.input<R>>,
+  ): void;
+}
--- a/packages/serving/src/fates/FateRecorder.ts
+++ b/packages/serving/src/fates/FateRecorder.ts
@@ -3,6 +3,7 @@
   FateState,
   newRequestId,
   RecordKind,
+  Step,
   type Clock,
   type CompactFate,
   type Fate,
@@ -20,6 +21,9 @@
   readonly lines: readonly CompactFate[];
 }
 
+/** Sees each step of a request as it is taken. */
+export type StepObserver = (trace: RequestTrace, step: string) => void;
+
 /** One request on its way: its id and the steps that it took. */
 export class RequestTrace {
   readonly requestId: string;
@@ -27,6 +31,7 @@
   readonly #clock: Clock;
   readonly #startMs: number;
   readonly #onEnd: (trace: RequestTrace) => void;
+  readonly #onStep: StepObserver | undefined;
   #fate: Fate;
 
   constructor(options: {
@@ -34,7 +39,9 @@
     customer: string;
     clock: Clock;
     onEnd: (trace: RequestTrace) => void;
+    onStep?: StepObserver | undefined;
   }) {
+    this.#onStep = options.onStep;
     this.requestId = options.requestId;
     this.#clock = options.clock;
     this.#startMs = options.clock.now();
@@ -73,6 +80,7 @@
 
   mark(step: string, detail = ""): void {
     this.#fate.steps.push([step, this.ageMs, detail]);
+    this.#onStep?.(this, step);
   }
 
   /** Gives the request its one end; later calls change nothing. */
@@ -96,6 +104,7 @@
   readonly #incarnation: number;
   readonly #clock: Clock;
   readonly #writer: LogWriter;
+  readonly #onStep: StepObserver | undefined;
   readonly #traces = new Map<string, RequestTrace>();
   #unflushed: RequestTrace[] = [];
   #isFlushScheduled = false;
@@ -131,11 +140,13 @@
       requestId,
       customer,
       clock: this.#clock,
+      onStep: this.#onStep,
       onEnd: (ended) => {
         this.#onEnd(ended);
       },
     });
     this.#traces.set(requestId, trace);
+    trace.mark(Step.Accept);
     return trace;
   }
 
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -11,6 +11,8 @@
 export * from "./membership/Members.js";
 export * from "./membership/Membership.js";
 export * from "./membership/MemberTable.js";
+export * from "./node/CoordinationNode.js";
+export * from "./node/StatusReporter.js";
 export * from "./requests/AtMostOnce.js";
 export * from "./requests/AttemptStream.js";
 export * from "./requests/PromptRunner.js";
--- a/packages/serving/src/membership/Membership.ts
+++ b/packages/serving/src/membership/Membership.ts
@@ -15,7 +15,7 @@
   type Gossip,
   type NodeCaller,
   type NodeReport,
-  type NodeServer,
+  type RpcRegistrar,
 } from "@lycheepulley/nodes";
 import { Publisher } from "@lycheepulley/streams";
 
@@ -101,7 +101,7 @@
     return this.#changes.subscribe(fn);
   }
 
-  serve(server: NodeServer): void {
+  serve(server: RpcRegistrar): void {
     server.handle(heartbeatMethod, (gossip) => this.receive(gossip));
   }
 
--- /dev/null
+++ b/packages/serving/src/node/CoordinationNode.ts
@@ -0,0 +1,274 @@
+import {
+  RecordKind,
+  RetryBudget,
+  type Clock,
+  type Draft,
+  type FleetConfig,
+  type PlacementPolicy,
+  type Protections,
+  type Random,
+  type TrafficMeter,
+  type VmList,
+} from "@lycheepulley/core";
+import type { LogClient } from "@lycheepulley/log";
+import {
+  NodeState,
+  type NodeCaller,
+  type NodeReport,
+  type RpcRegistrar,
+} from "@lycheepulley/nodes";
+import type { Logger } from "@lycheepulley/telemetry";
+import type { WeightStoreClient } from "@lycheepulley/weights";
+
+import { ClaimRouter } from "../claims/ClaimRouter.js";
+import type { ClaimShard } from "../claims/ClaimShard.js";
+import { CONFIG_KEY, ConfigKeeper } from "../config/ConfigKeeper.js";
+import { DutyRunner } from "../duties/DutyRunner.js";
+import { FateFinder } from "../fates/FateFinder.js";
+import { FateRecorder, type RequestTrace } from "../fates/FateRecorder.js";
+import { Membership, type ControlAddress } from "../membership/Membership.js";
+import { AtMostOnce } from "../requests/AtMostOnce.js";
+import { PromptRunner, type PromptMetrics } from "../requests/PromptRunner.js";
+import { ServiceRunner } from "../requests/ServiceRunner.js";
+import { PoolHost } from "../scheduler/PoolHost.js";
+import { PoolRouter } from "../scheduler/PoolRouter.js";
+import { SuspectBook } from "../scheduler/SuspectBook.js";
+import { getFateStream } from "../streams.js";
+import type { UpstreamDirectory } from "../upstreams/UpstreamDirectory.js";
+import { bootstrapFromPeers } from "./bootstrap.js";
+import { Drainer } from "./Drainer.js";
+import { LogParts } from "./LogParts.js";
+import { serveNodeMethods } from "./serveNodeMethods.js";
+import { StatusReporter, type ServerTraffic } from "./StatusReporter.js";
+
+export interface CoordinationNodeOptions {
+  readonly self: Pick<
+    NodeReport,
+    "name" | "incarnation" | "failureDomain" | "host" | "port" | "controlPort"
+  >;
+  readonly site: string;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: LogClient;
+  readonly weights: WeightStoreClient;
+  readonly directory: UpstreamDirectory;
+  readonly newCaller: (name: string, address: ControlAddress) => NodeCaller;
+  readonly server: RpcRegistrar;
+  readonly getServerTraffic: () => ServerTraffic;
+  readonly newPolicy: () => PlacementPolicy;
+  readonly protections: Protections;
+  readonly logger: Logger;
+  readonly traffic: TrafficMeter;
+  readonly metrics?: PromptMetrics;
+  /** Sees each step of each request; for tests. */
+  readonly onStep?: (trace: RequestTrace, step: string) => void;
+}
+
+/** All coordination parts of one entry process, wired to interfaces of its peers. */
+export class CoordinationNode {
+  readonly log: LogParts;
+  readonly config: ConfigKeeper;
+  readonly membership: Membership;
+  readonly poolHost: PoolHost;
+  readonly pools: PoolRouter;
+  readonly fates: FateRecorder;
+  readonly finder: FateFinder;
+  readonly duties: DutyRunner;
+  readonly drainer: Drainer;
+  readonly status: StatusReporter;
+  readonly prompts: PromptRunner;
+  readonly services: ServiceRunner;
+  /** Process name and incarnation. */
+  readonly holder: string;
+  readonly #options: CoordinationNodeOptions;
+  #onDrained: () => void = () => undefined;
+
+  constructor(options: CoordinationNodeOptions) {
+    const { self, site, clock, random, logger, protections, directory, traffic } = options;
+    this.#options = options;
+    this.holder = `${self.name}.${self.incarnation.toString(36)}`;
+    this.log = new LogParts({
+      ...{ client: options.log, clock, random, logger, protections },
+      writerName: this.holder,
+    });
+    this.config = new ConfigKeeper({
+      reader: this.log.control.reader,
+      site,
+      onError: (message) => {
+        logger.warn(message, { step: "config" });
+      },
+    });
+    this.membership = new Membership({ clock, random, self, newCaller: options.newCaller });
+    this.poolHost = this.#newPoolHost();
+    const { holder, membership, poolHost: host, config, log } = this;
+    this.pools = new PoolRouter({ members: membership, clock, host, holder });
+    this.fates = new FateRecorder({
+      process: self.name,
+      incarnation: self.incarnation,
+      clock,
+      writer: log.newWriter(getFateStream(self.name)),
+      ...(options.onStep ? { onStep: options.onStep } : {}),
+    });
+    this.finder = new FateFinder({ recorder: this.fates, membership, log: log.client });
+    this.duties = new DutyRunner({
+      ...{ members: membership, config, directory, pools: host, clock, holder, protections },
+      proposer: log.control,
+      weights: options.weights,
+      onError: (message) => {
+        logger.warn(message, { step: "duty" });
+      },
+    });
+    this.drainer = this.#newDrainer();
+    this.status = new StatusReporter({
+      ...{ membership, duties: this.duties, pools: host, log, traffic },
+      getServerTraffic: options.getServerTraffic,
+    });
+    const common = {
+      ...{ config, directory, clock, random, protections },
+      once: this.#newOnce(),
+      retries: new RetryBudget(),
+    };
+    const { metrics } = options;
+    this.prompts = new PromptRunner({
+      ...common,
+      pools: this.pools,
+      ...(metrics ? { metrics } : {}),
+    });
+    this.services = new ServiceRunner(common);
+    this.#serve();
+    this.#subscribe();
+  }
+
+  get cfg(): FleetConfig | undefined {
+    return this.config.current?.config;
+  }
+
+  /** Takes an answer of the platform's VM list. */
+  mutateWithVmList(list: VmList): void {
+    this.#options.directory.mutateWithList(list);
+    this.membership.mutateWithList(list);
+  }
+
+  /** Begins to read the log and to meet the other processes. */
+  start(): void {
+    this.log.control.reader.start();
+    this.membership.start();
+    void this.#joinWhenReady();
+  }
+
+  /** Resolves once the process was drained on an operator's word. */
+  waitDrained(): Promise<void> {
+    return new Promise((resolve) => {
+      this.#onDrained = resolve;
+    });
+  }
+
+  /** Stops at once; what is queued for the log is still appended. */
+  async stop(): Promise<void> {
+    this.pools.close();
+    this.poolHost.close();
+    this.duties.stop();
+    await Promise.all([this.membership.stop(), this.log.stop()]);
+  }
+
+  /** Joins once the agreed state is known, from the log or, in its outage, from peers. */
+  async #joinWhenReady(): Promise<void> {
+    const { reader } = this.log.control;
+    await bootstrapFromPeers({
+      reader,
+      clock: this.#options.clock,
+      getCallers: () => this.membership.getContactCallers(),
+    });
+    this.config.adopt(reader.fold.getRegister(RecordKind.Config, CONFIG_KEY));
+    this.membership.update({ state: NodeState.Live });
+  }
+
+  #subscribe(): void {
+    const { logger } = this.#options;
+    this.config.subscribe(({ revision, digest }) => {
+      this.membership.update({ configRevision: revision, configDigest: digest });
+      logger.info("configuration in force", { step: "config", revision, digest });
+      this.#splitAppends();
+    });
+    this.membership.subscribe((members) => {
+      const states = members.map(({ report, state }) => `${report.name}:${state}`);
+      logger.info("membership", { step: "membership", states });
+      this.#splitAppends();
+    });
+  }
+
+  #splitAppends(): void {
+    const appendsPerS = this.cfg?.limits.appendsPerS;
+    if (appendsPerS !== undefined) {
+      this.log.setAppendShare(appendsPerS, this.membership.getLive().length);
+    }
+  }
+
+  #newPoolHost(): PoolHost {
+    const { control } = this.log;
+    const { clock, directory, protections, newPolicy, logger } = this.#options;
+    const suspects = new SuspectBook({
+      fold: control.reader.fold,
+      submit: this.#submitControl,
+      isEnabled: protections.block,
+    });
+    control.reader.subscribe((folded) => {
+      suspects.onFolded(folded);
+    });
+    return new PoolHost({
+      ...{ members: this.membership, directory, clock, suspects, protections, newPolicy },
+      getMaxQueued: () => this.cfg?.limits.maxQueuedRequests ?? Infinity,
+      onEngineDeath: (engine, requestIds) => {
+        logger.warn("engine died", { peer: engine, step: "stream", requestIds });
+      },
+    });
+  }
+
+  #newOnce(): AtMostOnce {
+    const { clock, random, protections } = this.#options;
+    const router = new ClaimRouter({
+      ...{ members: this.membership, clock, random },
+      getShard: this.#getShard,
+      getShardCount: () => this.cfg?.limits.claimShards ?? 1,
+    });
+    return new AtMostOnce({
+      ...{ router, holder: this.holder, protections },
+      wallNow: () => clock.wall(),
+    });
+  }
+
+  #newDrainer(): Drainer {
+    const { clock, logger } = this.#options;
+    return new Drainer({
+      ...{ membership: this.membership, duties: this.duties, fates: this.fates, clock, logger },
+      getKeepMs: () => this.cfg?.limits.addressKeepMs ?? 0,
+      getLongestPatienceMs: () =>
+        Math.max(0, ...Object.values(this.cfg?.classes ?? {}).map((cls) => cls.patienceMs)),
+      submitAudit: this.#submitControl,
+    });
+  }
+
+  #serve(): void {
+    serveNodeMethods({
+      server: this.#options.server,
+      membership: this.membership,
+      pools: this.pools,
+      reader: this.log.control.reader,
+      fates: this.fates,
+      status: this.status,
+      getShard: this.#getShard,
+      onDrain: (by) => {
+        void this.drainer.drain(by).then(() => {
+          this.#onDrained();
+        });
+      },
+    });
+  }
+
+  readonly #submitControl = (draft: Draft): void => {
+    this.log.control.writer.submit(draft);
+  };
+
+  readonly #getShard = (shard: number): ClaimShard =>
+    this.log.getShard(shard, this.cfg?.limits.claimWindowMs ?? Infinity);
+}
--- a/packages/daemon/src/Drainer.ts
+++ b/packages/serving/src/node/Drainer.ts
@@ -1,8 +1,11 @@
 import { sleep, type Clock, type Draft } from "@lycheepulley/core";
 import { NodeState } from "@lycheepulley/nodes";
-import type { DutyRunner, FateRecorder, Membership } from "@lycheepulley/serving";
 import type { Logger } from "@lycheepulley/telemetry";
 
+import type { DutyRunner } from "../duties/DutyRunner.js";
+import type { FateRecorder } from "../fates/FateRecorder.js";
+import type { Membership } from "../membership/Membership.js";
+
 const POLL_MS = 50;
 
 export interface DrainerOptions {
--- a/packages/daemon/src/LogParts.ts
+++ b/packages/serving/src/node/LogParts.ts
@@ -6,50 +6,50 @@
   type Clock,
   type Protections,
   type Random,
-  type TrafficMeter,
 } from "@lycheepulley/core";
-import { FoldReader, HttpLogClient, LogWriter, Proposer } from "@lycheepulley/log";
-import { ClaimShard, CONTROL_STREAM, getClaimStream } from "@lycheepulley/serving";
+import { FoldReader, LogWriter, Proposer, type LogClient } from "@lycheepulley/log";
 import type { Logger } from "@lycheepulley/telemetry";
 
+import { ClaimShard } from "../claims/ClaimShard.js";
+import { CONTROL_STREAM, getClaimStream } from "../streams.js";
+
 const DEFAULT_APPENDS_PER_S = 300;
 const APPEND_BURST = 10;
 
 /** Everything of one process that reads or writes the platform's log. */
 export class LogParts {
-  readonly client: HttpLogClient;
+  readonly client: LogClient;
   /** Configuration, leases, blocks and audit lines. */
   readonly control: Proposer;
   readonly #clock: Clock;
   readonly #random: Random;
   readonly #writerName: string;
   readonly #logger: Logger;
+  readonly #protections: Protections;
   readonly #budget: TokenBucket;
   readonly #shards = new Map<number, { shard: ClaimShard; proposer: Proposer }>();
   readonly #writers: LogWriter[] = [];
 
   constructor(options: {
-    origin: string;
+    client: LogClient;
     clock: Clock;
     random: Random;
     writerName: string;
     logger: Logger;
-    traffic: TrafficMeter;
+    protections: Protections;
   }) {
     this.#clock = options.clock;
     this.#random = options.random;
     this.#writerName = options.writerName;
     this.#logger = options.logger;
-    this.client = new HttpLogClient({ origin: options.origin, traffic: options.traffic });
+    this.client = options.client;
+    this.#protections = options.protections;
     this.#budget = new TokenBucket({
       clock: options.clock,
       ratePerS: DEFAULT_APPENDS_PER_S,
       burst: APPEND_BURST,
     });
-    this.control = this.#newProposer(
-      CONTROL_STREAM,
-      new RegisterFold({ retentionMs: CONTROL_RETENTION_MS }),
-    );
+    this.control = this.#newProposer(CONTROL_STREAM, this.#newFold(CONTROL_RETENTION_MS));
   }
 
   get appends(): number {
@@ -86,15 +86,19 @@
   }
 
   /** Owner's side of a claim shard; its stream is read from the first use on. */
-  getShard(index: number, claimWindowMs: number, protections: Protections): ClaimShard {
+  getShard(index: number, claimWindowMs: number): ClaimShard {
     const known = this.#shards.get(index);
     if (known) {
       return known.shard;
     }
-    const fold = new RegisterFold({ retentionMs: { [RecordKind.Claim]: claimWindowMs } });
+    const fold = this.#newFold({ [RecordKind.Claim]: claimWindowMs });
     const proposer = this.#newProposer(getClaimStream(index), fold, true);
     proposer.reader.start();
-    const shard = new ClaimShard({ proposer, clock: this.#clock, protections });
+    const shard = new ClaimShard({
+      proposer,
+      clock: this.#clock,
+      protections: this.#protections,
+    });
     this.#shards.set(index, { shard, proposer });
     return shard;
   }
@@ -102,7 +106,18 @@
   async stop(): Promise<void> {
     await Promise.all(this.#writers.map((writer) => writer.close()));
     await Promise.all(this.#getReaders().map((reader) => reader.stop()));
-    await this.client.close();
+  }
+
+  /** Stops at once, as the death of the process would. */
+  abort(): void {
+    this.#writers.forEach((writer) => {
+      writer.abort();
+    });
+    this.#getReaders().forEach((reader) => void reader.stop());
+  }
+
+  #newFold(retentionMs: Readonly<Record<string, number>>): RegisterFold {
+    return new RegisterFold({ retentionMs, protections: this.#protections });
   }
 
   #getReaders(): FoldReader[] {
--- a/packages/daemon/src/StatusReporter.ts
+++ b/packages/serving/src/node/StatusReporter.ts
@@ -1,14 +1,21 @@
-import { SlotHealth, type DutyRunner, type Membership, type PoolHost } from "@lycheepulley/serving";
 import type { TrafficMeter } from "@lycheepulley/core";
-import type { NodeServer, NodeStatus, upstreamStatusSchema } from "@lycheepulley/nodes";
+import type { NodeStatus, upstreamStatusSchema } from "@lycheepulley/nodes";
 import type { z } from "zod";
 
+import type { DutyRunner } from "../duties/DutyRunner.js";
+import type { Membership } from "../membership/Membership.js";
+import { SlotHealth } from "../scheduler/EngineSlot.js";
+import type { PoolHost } from "../scheduler/PoolHost.js";
+
 import type { LogParts } from "./LogParts.js";
 
 const US_PER_MS = 1_000;
 /** A load report without a model name leaves the model open. */
 const UNKNOWN_MODEL = "";
 
+/** Connections and bytes of the calls that a process served. */
+export type ServerTraffic = Pick<NodeStatus, "connections" | "sentBytes" | "receivedBytes">;
+
 /** Tells operators and metrics how this process fares. */
 export class StatusReporter {
   readonly #membership: Membership;
@@ -16,7 +23,7 @@
   readonly #pools: PoolHost;
   readonly #log: LogParts;
   readonly #traffic: TrafficMeter;
-  readonly #server: NodeServer;
+  readonly #getServerTraffic: () => ServerTraffic;
   readonly #startMs = performance.now();
 
   constructor(options: {
@@ -25,14 +32,14 @@
     pools: PoolHost;
     log: LogParts;
     traffic: TrafficMeter;
-    server: NodeServer;
+    getServerTraffic: () => ServerTraffic;
   }) {
     this.#membership = options.membership;
     this.#duties = options.duties;
     this.#pools = options.pools;
     this.#log = options.log;
     this.#traffic = options.traffic;
-    this.#server = options.server;
+    this.#getServerTraffic = options.getServerTraffic;
   }
 
   getStatus(): NodeStatus {
@@ -58,8 +65,7 @@
       rssBytes: process.memoryUsage.rss(),
       logAppends: this.#log.appends,
       logReads: this.#log.reads,
-      connections: this.#server.connections,
-      ...this.#server.traffic,
+      ...this.#getServerTraffic(),
       traffic: this.#traffic.getTotals(),
       freedHoldings: this.#duties.freedHoldings,
       claimKeys: this.#log.claimKeys,
--- a/packages/daemon/src/bootstrap.ts
+++ b/packages/serving/src/node/bootstrap.ts
@@ -1,7 +1,8 @@
 import { sleep, type Clock, type FoldSnapshot } from "@lycheepulley/core";
 import type { FoldReader } from "@lycheepulley/log";
 import { snapshotMethod, type NodeCaller } from "@lycheepulley/nodes";
-import { CONTROL_STREAM } from "@lycheepulley/serving";
+
+import { CONTROL_STREAM } from "../streams.js";
 
 /** How long a starting process waits for the log before it asks its peers. */
 const LOG_PATIENCE_MS = 2_000;
--- a/packages/daemon/src/serveNodeMethods.ts
+++ b/packages/serving/src/node/serveNodeMethods.ts
@@ -7,21 +7,19 @@
   snapshotMethod,
   statusMethod,
   upstreamsMethod,
-  type NodeServer,
+  type RpcRegistrar,
 } from "@lycheepulley/nodes";
-import {
-  CONTROL_STREAM,
-  type ClaimShard,
-  type FateRecorder,
-  type Membership,
-  type PoolRouter,
-} from "@lycheepulley/serving";
 
+import type { ClaimShard } from "../claims/ClaimShard.js";
+import type { FateRecorder } from "../fates/FateRecorder.js";
+import type { Membership } from "../membership/Membership.js";
+import type { PoolRouter } from "../scheduler/PoolRouter.js";
+import { CONTROL_STREAM } from "../streams.js";
 import type { StatusReporter } from "./StatusReporter.js";
 
 /** Serves every method that other entry processes and operators call. */
 export const serveNodeMethods = (options: {
-  server: NodeServer;
+  server: RpcRegistrar;
   membership: Membership;
   pools: PoolRouter;
   reader: FoldReader;
--- a/packages/serving/src/requests/PromptRunner.ts
+++ b/packages/serving/src/requests/PromptRunner.ts
@@ -179,6 +179,7 @@
 
   async #runAttempt(job: Job, attempt: number): Promise<void> {
     const { ctx, req } = job;
+    ctx.enter(Step.Admit);
     ctx.enter(Step.Queue);
     const request = this.#newAcquireRequest(job, attempt);
     const grant = await this.#options.pools.acquire(request, req.signal);
--- a/packages/serving/src/scheduler/PoolRouter.ts
+++ b/packages/serving/src/scheduler/PoolRouter.ts
@@ -1,5 +1,5 @@
 import { PulleyError, sleep, Step, Verdict, type Clock } from "@lycheepulley/core";
-import { isUnsent, type NodeServer } from "@lycheepulley/nodes";
+import { isUnsent, type RpcRegistrar } from "@lycheepulley/nodes";
 
 import type { Members } from "../membership/Members.js";
 import { abandonMethod, acquireMethod, releaseMethod, renewMethod } from "./methods.js";
@@ -63,7 +63,7 @@
   }
 
   /** Serves the calls of other processes for pools that this one owns. */
-  serve(server: NodeServer): void {
+  serve(server: RpcRegistrar): void {
     server.handle(acquireMethod, ({ req, holder }) =>
       this.#host.getCell(req.pool).acquire(req, holder),
     );
