Add the fault matrix and mend what it found

Now a resume keeps 'sent', the context turns late refusals into may-have-run, and a woken process reads the log again before it grants or sends.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -44,6 +44,7 @@
   tools: [
     "core",
     "streams",
+    "telemetry",
     "http",
     "log",
     "nodes",
--- a/packages/log/src/FoldReader.ts
+++ b/packages/log/src/FoldReader.ts
@@ -38,7 +38,7 @@
   readonly #abort = new AbortController();
   #running: Promise<void> | undefined;
   #isCaughtUp = false;
-  #lastReadMs = -Infinity;
+  #lastReadStartMs = -Infinity;
   #reads = 0;
 
   constructor(options: FoldReaderOptions) {
@@ -70,9 +70,9 @@
     return this.#isCaughtUp;
   }
 
-  /** Monotonic time of the last read that the log answered. */
-  get lastReadMs(): number {
-    return this.#lastReadMs;
+  /** Monotonic time at which the last read that the log answered was sent. */
+  get lastReadStartMs(): number {
+    return this.#lastReadStartMs;
   }
 
   start(): void {
@@ -118,13 +118,14 @@
   async #readOnce(): Promise<void> {
     const { log, stream } = this.#options;
     const from = this.fold.nextOffset;
+    const startMs = this.#options.clock.now();
     const page = await log.read(stream, from, {
       limit: READ_LIMIT,
       waitMs: this.#isCaughtUp ? (this.#options.longPollMs ?? LONG_POLL_MS) : 0,
       signal: this.#abort.signal,
     });
     this.#reads += 1;
-    this.#lastReadMs = this.#options.clock.now();
+    this.#lastReadStartMs = startMs;
     if (page.first > from) {
       throw new LogTrimmedError(stream, page.first);
     }
--- a/packages/serving/src/fates/FateRecorder.ts
+++ b/packages/serving/src/fates/FateRecorder.ts
@@ -112,7 +112,14 @@
   #running = 0;
   #flushedBytes = 0;
 
-  constructor(options: { process: string; incarnation: number; clock: Clock; writer: LogWriter }) {
+  constructor(options: {
+    process: string;
+    incarnation: number;
+    clock: Clock;
+    writer: LogWriter;
+    onStep?: StepObserver;
+  }) {
+    this.#onStep = options.onStep;
     this.#process = options.process;
     this.#incarnation = options.incarnation;
     this.#clock = options.clock;
--- a/packages/serving/src/node/CoordinationNode.ts
+++ b/packages/serving/src/node/CoordinationNode.ts
@@ -38,6 +38,7 @@
 import { bootstrapFromPeers } from "./bootstrap.js";
 import { Drainer } from "./Drainer.js";
 import { LogParts } from "./LogParts.js";
+import { PauseDetector } from "./PauseDetector.js";
 import { serveNodeMethods } from "./serveNodeMethods.js";
 import { StatusReporter, type ServerTraffic } from "./StatusReporter.js";
 
@@ -81,6 +82,7 @@
   /** Process name and incarnation. */
   readonly holder: string;
   readonly #options: CoordinationNodeOptions;
+  readonly #pauses: PauseDetector;
   #onDrained: () => void = () => undefined;
 
   constructor(options: CoordinationNodeOptions) {
@@ -99,9 +101,13 @@
       },
     });
     this.membership = new Membership({ clock, random, self, newCaller: options.newCaller });
+    this.#pauses = new PauseDetector({ clock, reader: this.log.control.reader });
     this.poolHost = this.#newPoolHost();
     const { holder, membership, poolHost: host, config, log } = this;
-    this.pools = new PoolRouter({ members: membership, clock, host, holder });
+    this.pools = new PoolRouter({
+      ...{ members: membership, clock, host, holder },
+      hasPausedSince: (ms) => this.#pauses.hasPausedSince(ms),
+    });
     this.fates = new FateRecorder({
       process: self.name,
       incarnation: self.incarnation,
@@ -165,6 +171,7 @@
 
   /** Stops at once; what is queued for the log is still appended. */
   async stop(): Promise<void> {
+    this.#pauses.stop();
     this.pools.close();
     this.poolHost.close();
     this.duties.stop();
@@ -217,6 +224,7 @@
     });
     return new PoolHost({
       ...{ members: this.membership, directory, clock, suspects, protections, newPolicy },
+      isAgreedStateFresh: () => this.#pauses.isAgreedStateFresh(),
       getMaxQueued: () => this.cfg?.limits.maxQueuedRequests ?? Infinity,
       onEngineDeath: (engine, requestIds) => {
         logger.warn("engine died", { peer: engine, step: "stream", requestIds });
--- a/packages/serving/src/requests/AttemptStream.ts
+++ b/packages/serving/src/requests/AttemptStream.ts
@@ -45,7 +45,7 @@
       } catch (err) {
         const isOver = resumes >= MAX_SAME_ENGINE_RESUMES || options.signal.aborted;
         if (isOver || !isResumable(err)) {
-          throw err;
+          throw resumes > 0 ? toSent(err) : err;
         }
       }
     }
@@ -154,6 +154,12 @@
   }
 }
 
+/** A resume that could not be sent doesn't undo that the attempt was. */
+const toSent = (err: unknown): unknown =>
+  isPeerError(err) && !err.sent
+    ? new PeerError(err.peer, err.message, { ...err.options, sent: true, cause: err })
+    : err;
+
 /** A broken connection may be resumed; a refusal or a stall may not. */
 const isResumable = (err: unknown): boolean =>
   isPeerError(err) && err.sent && err.status === undefined && err.options.code !== STALLED;
--- a/packages/serving/src/requests/PromptRunner.ts
+++ b/packages/serving/src/requests/PromptRunner.ts
@@ -4,6 +4,7 @@
   FateState,
   getBackoffMs,
   isPeerError,
+  PeerError,
   PulleyError,
   sha256,
   sleep,
@@ -230,6 +231,9 @@
       throw ctx.newError("unknown_engine", `no engine ${grant.engine} is listed`);
     }
     ctx.checkDeadline(protections.deadlineCheck);
+    if (grant.isStale) {
+      throw new PeerError(grant.engine, "the process was paused after the grant", { sent: false });
+    }
     const abort = new AbortController();
     const onGone = (): void => {
       abort.abort();
--- a/packages/serving/src/requests/RequestContext.ts
+++ b/packages/serving/src/requests/RequestContext.ts
@@ -62,7 +62,7 @@
   /** Turns anything thrown into an error with step, peer and verdict. */
   toError(err: unknown): PulleyError {
     if (err instanceof PulleyError) {
-      return err;
+      return this.#hasSent ? toMayHaveRun(err) : err;
     }
     const message = err instanceof Error ? err.message : String(err);
     const code = isPeerError(err) ? "upstream_failed" : "internal_error";
@@ -70,6 +70,19 @@
   }
 }
 
+/** A refusal after an earlier attempt was sent can't say that nothing ran. */
+const toMayHaveRun = (err: PulleyError): PulleyError =>
+  err.verdict === Verdict.MayHaveRun
+    ? err
+    : new PulleyError(err.message, {
+        code: err.code,
+        step: err.step,
+        peer: err.peer,
+        status: err.status,
+        verdict: Verdict.MayHaveRun,
+        cause: err,
+      });
+
 /** State of the fate that a verdict stands for. */
 export const getFateState = (verdict: Verdict): FateState =>
   verdict === Verdict.MayHaveRun ? FateState.FailedMayHaveRun : FateState.NotRun;
--- a/packages/serving/src/scheduler/CellScheduler.ts
+++ b/packages/serving/src/scheduler/CellScheduler.ts
@@ -8,7 +8,7 @@
 } from "@lycheepulley/core";
 import type { EngineLoad } from "@lycheepulley/engines";
 
-import { estimateWaitMs, getRetryAfterMs } from "./admission.js";
+import { estimateWaitMs, getRetryAfterMs, newBlocked } from "./admission.js";
 import type { EngineSlot, SlotGrant } from "./EngineSlot.js";
 import { SlotMonitor } from "./SlotMonitor.js";
 import { SlotTable, type CellEngine } from "./SlotTable.js";
@@ -24,6 +24,7 @@
 
 /** A grant whose user was silent this long is taken back. */
 export const GRANT_TERM_MS = 4_000;
+const STALE_RETRY_MS = 50;
 const REAP_INTERVAL_MS = 1_000;
 export interface CellSchedulerOptions {
   readonly pool: string;
@@ -32,6 +33,8 @@
   readonly order: QueueOrder;
   readonly suspects: SuspectBook;
   readonly protections: Protections;
+  /** False while the agreed state may be old; nothing is granted then. */
+  readonly isAgreedStateFresh: () => boolean;
   readonly getMaxQueued: () => number;
   readonly getLongPromptTokens: () => number;
   /** Prompt tokens that each engine is believed to have cached. */
@@ -51,6 +54,7 @@
   readonly #slots = new SlotTable();
   readonly #queue: WaitQueue;
   #cancelReap: Cancel | undefined;
+  #cancelRetry: Cancel | undefined;
 
   constructor(options: CellSchedulerOptions) {
     this.#options = options;
@@ -159,6 +163,7 @@
 
   close(): void {
     this.#cancelReap?.();
+    this.#cancelRetry?.();
     for (const { id } of this.#queue.getRequests()) {
       this.#leave(id, this.#newRefusal(RefusalCode.NoEngine, "scheduler is closing"));
     }
@@ -204,12 +209,23 @@
   }
 
   #dispatch(): void {
+    if (!this.#options.isAgreedStateFresh()) {
+      this.#dispatchLater();
+      return;
+    }
     const now = this.#options.clock.now();
     for (const waiting of this.#queue.getOrdered()) {
       this.#tryPlace(waiting, now);
     }
   }
 
+  #dispatchLater(): void {
+    this.#cancelRetry ??= this.#options.clock.setTimer(() => {
+      this.#cancelRetry = undefined;
+      this.#dispatch();
+    }, STALE_RETRY_MS);
+  }
+
   #tryPlace(waiting: Waiting, now: number): void {
     const { fingerprint, id } = waiting.req;
     const suspicion = this.#options.suspects.getSuspicion(fingerprint);
@@ -332,10 +348,3 @@
     this.#dispatch();
   }
 }
-
-const newBlocked = (): AcquireAnswer => ({
-  result: "refused",
-  code: RefusalCode.Blocked,
-  message: "this prompt has crashed its upstreams and is blocked",
-  retryAfterMs: 0,
-});
--- a/packages/serving/src/scheduler/PoolHost.ts
+++ b/packages/serving/src/scheduler/PoolHost.ts
@@ -27,6 +27,7 @@
   readonly protections: Protections;
   readonly newPolicy: () => PlacementPolicy;
   readonly newOrder?: () => QueueOrder;
+  readonly isAgreedStateFresh: () => boolean;
   readonly getMaxQueued: () => number;
   readonly getLongPromptTokens?: () => number;
   readonly onEngineDeath?: (engine: string, requestIds: readonly string[]) => void;
@@ -96,6 +97,7 @@
       order: options.newOrder?.() ?? new FairOrder(),
       suspects: options.suspects,
       protections: options.protections,
+      isAgreedStateFresh: options.isAgreedStateFresh,
       getMaxQueued: options.getMaxQueued,
       getLongPromptTokens: options.getLongPromptTokens ?? (() => DEFAULT_LONG_PROMPT_TOKENS),
       getCachedTokens: () => ({}),
--- a/packages/serving/src/scheduler/PoolRouter.ts
+++ b/packages/serving/src/scheduler/PoolRouter.ts
@@ -4,8 +4,13 @@
 import type { Members } from "../membership/Members.js";
 import { abandonMethod, acquireMethod, releaseMethod, renewMethod } from "./methods.js";
 import type { PoolHost } from "./PoolHost.js";
-import type { GrantEnd } from "./types.js";
-import { RefusalCode, type AcquireAnswer, type AcquireRequest, type HeldGrant } from "./types.js";
+import {
+  GrantEnd,
+  RefusalCode,
+  type AcquireAnswer,
+  type AcquireRequest,
+  type HeldGrant,
+} from "./types.js";
 
 const RENEW_INTERVAL_MS = 1_000;
 const OWNER_RETRY_MS = 50;
@@ -21,20 +26,30 @@
   readonly engine: string;
   readonly isAlone: boolean;
   readonly #release: (end: GrantEnd) => Promise<void>;
+  readonly #isStale: () => boolean;
   readonly #held: HeldGrant;
 
-  constructor(held: HeldGrant, release: (end: GrantEnd) => Promise<void>) {
+  constructor(
+    held: HeldGrant,
+    options: { release: (end: GrantEnd) => Promise<void>; isStale: () => boolean },
+  ) {
     this.id = held.id;
     this.engine = held.engine;
     this.isAlone = held.isAlone;
     this.#held = held;
-    this.#release = release;
+    this.#release = options.release;
+    this.#isStale = options.isStale;
   }
 
   get held(): HeldGrant {
     return this.#held;
   }
 
+  /** True when the process stood still since the grant was asked for. */
+  get isStale(): boolean {
+    return this.#isStale();
+  }
+
   /** Notes that the prompt has been computed. */
   noteFirstToken(): void {
     this.#held.hasFirstToken = true;
@@ -51,10 +66,18 @@
   readonly #clock: Clock;
   readonly #host: PoolHost;
   readonly #holder: string;
+  readonly #hasPausedSince: (ms: number) => boolean;
   readonly #held = new Map<string, { pool: string; owner: string; grant: Grant }>();
   #isClosed = false;
 
-  constructor(options: { members: Members; clock: Clock; host: PoolHost; holder: string }) {
+  constructor(options: {
+    members: Members;
+    clock: Clock;
+    host: PoolHost;
+    holder: string;
+    hasPausedSince: (ms: number) => boolean;
+  }) {
+    this.#hasPausedSince = options.hasPausedSince;
     this.#members = options.members;
     this.#clock = options.clock;
     this.#host = options.host;
@@ -97,9 +120,15 @@
       }
       const owner = this.#host.getOwner(req.pool);
       const left = { ...req, remainingMs, waitedMs: req.waitedMs + elapsedMs };
+      const askedMs = this.#clock.now();
       const answer = await this.#ask(owner, left, signal);
       if (answer?.result === "granted") {
-        return this.#newGrant(req, answer, owner);
+        const grant = this.#newGrant(req, { answer, owner, askedMs });
+        if (!grant.isStale) {
+          return grant;
+        }
+        await grant.release(GrantEnd.Unused);
+        continue;
       }
       if (answer) {
         throw newRefusal(answer);
@@ -156,9 +185,13 @@
 
   #newGrant(
     req: AcquireRequest,
-    answer: Extract<AcquireAnswer, { result: "granted" }>,
-    owner: string,
+    given: {
+      answer: Extract<AcquireAnswer, { result: "granted" }>;
+      owner: string;
+      askedMs: number;
+    },
   ): Grant {
+    const { answer, owner, askedMs } = given;
     const held: HeldGrant = {
       id: answer.id,
       engine: answer.engine,
@@ -168,7 +201,10 @@
       isAlone: answer.isAlone,
       hasFirstToken: false,
     };
-    const grant = new Grant(held, (end) => this.#release(req.pool, answer.id, end));
+    const grant = new Grant(held, {
+      release: (end) => this.#release(req.pool, answer.id, end),
+      isStale: () => this.#hasPausedSince(askedMs),
+    });
     this.#held.set(answer.id, { pool: req.pool, owner, grant });
     return grant;
   }
--- a/packages/serving/src/scheduler/admission.ts
+++ b/packages/serving/src/scheduler/admission.ts
@@ -1,4 +1,4 @@
-import type { AcquireRequest } from "./types.js";
+import { RefusalCode, type AcquireAnswer, type AcquireRequest } from "./types.js";
 
 const MIN_RETRY_AFTER_MS = 500;
 const MAX_RETRY_AFTER_MS = 30_000;
@@ -27,3 +27,11 @@
   const drainMs = Math.round((tokens / rate) * MS_PER_S);
   return Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, drainMs));
 };
+
+/** Answer for a fingerprint that has crashed its upstreams. */
+export const newBlocked = (): AcquireAnswer => ({
+  result: "refused",
+  code: RefusalCode.Blocked,
+  message: "this prompt has crashed its upstreams and is blocked",
+  retryAfterMs: 0,
+});
--- /dev/null
+++ b/packages/tools/src/matrix/FakeEngine.ts
@@ -0,0 +1,309 @@
+import { PeerError, type AnswerChunk } from "@lycheepulley/core";
+import type {
+  CacheEventPage,
+  EngineClient,
+  EngineLoad,
+  EngineOrder,
+  EngineState,
+  GenerateCall,
+  KvHolding,
+  KvReserveCall,
+  OnChunk,
+  OrderResult,
+  ResumeCall,
+} from "@lycheepulley/engines";
+
+import type { MatrixClock, ProcessClock } from "./MatrixClock.js";
+
+const FIRST_TOKEN_MS = 60;
+const TOKEN_MS = 30;
+const RESTART_MS = 3_000;
+const CALL_MS = 2;
+export const TOKENS = 6;
+/** A prompt that holds this text crashes the engine. */
+export const POISON = "poison";
+
+/** Answer of the fake engines to a prompt, by its request body. */
+export const getExpectedAnswer = (body: string): string =>
+  Array.from({ length: TOKENS }, (_, seq) => getToken(body, seq)).join("");
+
+const getToken = (body: string, seq: number): string => `${String(body.length)}.${String(seq)} `;
+
+interface Stream {
+  readonly body: string;
+  emitted: number;
+  readonly listeners: Set<{ onToken: (seq: number) => void; onBreak: () => void }>;
+}
+
+/** One run as the engine accounts for it. */
+export interface EngineRun {
+  readonly attemptId: string;
+  readonly atMs: number;
+  readonly key: string | undefined;
+}
+
+/** Engine in memory, with the faults of the brief. */
+export class FakeEngine {
+  readonly name: string;
+  readonly isFencing: boolean;
+  readonly runs: EngineRun[] = [];
+  readonly orders: { readonly order: EngineOrder; readonly accepted: boolean }[] = [];
+  readonly #clock: MatrixClock;
+  readonly #streams = new Map<string, Stream>();
+  readonly #holdings = new Map<string, KvHolding>();
+  #incarnation = 1;
+  #state: EngineOrder;
+  #isUp = true;
+  isLeaving = false;
+  /** Streams end without being told. */
+  loseAnswers = 0;
+  shuffles = false;
+  forgetsToFree = false;
+  /** Bodies of the prompts that crashed the engine. */
+  readonly poisonedBy: string[] = [];
+  /** Sees each order before it takes effect. */
+  onOrder: () => void = () => undefined;
+  /** Sees each order after it took effect and before its answer. */
+  onOrdered: () => void = () => undefined;
+
+  constructor(options: { name: string; clock: MatrixClock; isFencing: boolean; version: string }) {
+    this.name = options.name;
+    this.isFencing = options.isFencing;
+    this.#clock = options.clock;
+    this.#state = {
+      ...{ fence: 0, model: "m", version: options.version, adapters: [], role: "mixed" },
+    };
+  }
+
+  get state(): EngineOrder {
+    return this.#state;
+  }
+
+  /** Memory in use. */
+  get kvUsed(): number {
+    return [...this.#holdings.values()].reduce((sum, holding) => sum + holding.tokens, 0);
+  }
+
+  die(): void {
+    if (!this.#isUp) {
+      return;
+    }
+    this.#isUp = false;
+    this.#incarnation += 1;
+    const broken = [...this.#streams.values()].flatMap(({ listeners }) => [...listeners]);
+    this.#streams.clear();
+    this.#holdings.clear();
+    broken.forEach(({ onBreak }) => {
+      onBreak();
+    });
+    this.#clock.setTimer(() => {
+      this.#isUp = true;
+    }, RESTART_MS);
+  }
+
+  /** Client of one process. */
+  newClient(process: ProcessClock): EngineClient {
+    const gate = process.gate.bind(process);
+    const unsupported = (): Promise<never> => Promise.reject(new Error("not part of the matrix"));
+    return {
+      name: this.name,
+      generate: (call, onChunk) => gate(this.#generate(call, gateChunks(process, onChunk))),
+      resume: (call, onChunk) => gate(this.#resume(call, gateChunks(process, onChunk))),
+      cancel: (id) =>
+        gate(
+          this.#call(() => {
+            this.#cancel(id);
+          }),
+        ),
+      fetchLoad: () => gate(this.#call(() => this.#getLoad())),
+      fetchCacheEvents: () => gate(this.#call((): CacheEventPage => ({ next: 0, events: [] }))),
+      fetchState: () => gate(this.#call(() => this.#getState())),
+      order: (order) => gate(this.#order(order)),
+      listKv: () => gate(this.#call(() => [...this.#holdings.values()])),
+      reserveKv: (call) => gate(this.#call(() => this.#reserve(call))),
+      renewKv: () => gate(this.#call(() => undefined)),
+      releaseKv: (id) =>
+        gate(
+          this.#call(() => {
+            this.#holdings.delete(id);
+          }),
+        ),
+      exportSegment: unsupported,
+      close: () => Promise.resolve(),
+    };
+  }
+
+  async #call<T>(act: () => T): Promise<T> {
+    await this.#delay(CALL_MS);
+    if (!this.#isUp) {
+      throw new PeerError(this.name, "connection refused", { sent: false, code: "ECONNREFUSED" });
+    }
+    return act();
+  }
+
+  async #generate(call: GenerateCall, onChunk: OnChunk): Promise<void> {
+    call.onSend?.();
+    await this.#call(() => undefined);
+    if (this.isLeaving) {
+      throw new PeerError(this.name, "leaving", { sent: true, status: 503 });
+    }
+    const { attemptId, body } = call;
+    this.runs.push({ attemptId, atMs: this.#clock.now(), key: call.headers?.["idempotency-key"] });
+    if (body.includes(POISON)) {
+      this.poisonedBy.push(body);
+      this.die();
+      throw new PeerError(this.name, "connection reset", { sent: true });
+    }
+    const tokens = body.length + TOKENS;
+    const kind = "stream" as const;
+    this.#holdings.set(attemptId, { id: attemptId, owner: "", tokens, kind, termLeftMs: 0 });
+    const stream = { body, emitted: call.resume?.fromSeq ?? 0, listeners: new Set<never>() };
+    this.#streams.set(attemptId, stream);
+    this.#clock.setTimer(() => {
+      this.#emit(attemptId);
+    }, FIRST_TOKEN_MS);
+    await this.#follow(attemptId, stream.emitted, call.signal, onChunk);
+  }
+
+  async #resume(call: ResumeCall, onChunk: OnChunk): Promise<void> {
+    await this.#call(() => undefined);
+    if (!this.#streams.has(call.attemptId)) {
+      throw new PeerError(this.name, "no such stream", { sent: true, status: 404 });
+    }
+    await this.#follow(call.attemptId, call.fromSeq, call.signal, onChunk);
+  }
+
+  /** Sends a stream's tokens from a position on; rejects when it breaks. */
+  #follow(id: string, fromSeq: number, signal: AbortSignal, onChunk: OnChunk): Promise<void> {
+    const stream = this.#streams.get(id);
+    return new Promise((resolve, reject) => {
+      const fail = (message: string): void => {
+        stream?.listeners.delete(listener);
+        reject(new PeerError(this.name, message, { sent: true }));
+      };
+      const send = this.shuffles ? shuffled(onChunk) : onChunk;
+      const onToken = (seq: number): void => {
+        send(this.#newChunk(id, stream?.body ?? "", seq));
+        if (seq === TOKENS - 1) {
+          stream?.listeners.delete(listener);
+          resolve();
+        }
+      };
+      const listener = {
+        onToken,
+        onBreak: () => {
+          fail("connection reset");
+        },
+      };
+      if (this.loseAnswers > 0) {
+        this.loseAnswers -= 1;
+        fail("answer lost");
+        return;
+      }
+      for (let seq = fromSeq; seq < (stream?.emitted ?? 0); seq += 1) {
+        onToken(seq);
+      }
+      stream?.listeners.add(listener);
+      signal.addEventListener("abort", () => {
+        fail("cancelled");
+      });
+    });
+  }
+
+  #emit(id: string): void {
+    const stream = this.#streams.get(id);
+    if (!stream) {
+      return;
+    }
+    const seq = stream.emitted;
+    stream.emitted += 1;
+    [...stream.listeners].forEach(({ onToken }) => {
+      onToken(seq);
+    });
+    if (stream.emitted < TOKENS) {
+      this.#clock.setTimer(() => {
+        this.#emit(id);
+      }, TOKEN_MS);
+    } else if (!this.forgetsToFree) {
+      this.#holdings.delete(id);
+    }
+  }
+
+  #newChunk(attemptId: string, body: string, seq: number): AnswerChunk {
+    const finishReason = seq === TOKENS - 1 ? "stop" : undefined;
+    return { attemptId, seq, text: getToken(body, seq), finishReason };
+  }
+
+  #cancel(id: string): void {
+    this.#streams.delete(id);
+    if (!this.forgetsToFree) {
+      this.#holdings.delete(id);
+    }
+  }
+
+  #reserve({ id, owner, tokens, termMs }: KvReserveCall): boolean {
+    this.#holdings.set(id, { id, owner, tokens, kind: "reservation", termLeftMs: termMs });
+    return true;
+  }
+
+  async #order(order: EngineOrder): Promise<OrderResult> {
+    this.onOrder();
+    await this.#call(() => undefined);
+    const accepted = !this.isFencing || order.fence >= this.#state.fence;
+    this.orders.push({ order, accepted });
+    this.#state = accepted ? order : this.#state;
+    this.onOrdered();
+    await this.#call(() => undefined);
+    return { accepted, fence: this.#state.fence };
+  }
+
+  #getLoad(): EngineLoad {
+    return {
+      ...{ atMs: this.#clock.now(), running: this.#streams.size, waiting: 0 },
+      ...{ waitingPrefillTokens: 0, kvUsedTokens: this.kvUsed, kvTotalTokens: 1_000_000 },
+      ...{
+        leaving: this.isLeaving,
+        incarnation: String(this.#incarnation),
+        model: this.#state.model,
+      },
+    };
+  }
+
+  #getState(): EngineState {
+    const { fence, model, version, adapters, role } = this.#state;
+    const incarnation = String(this.#incarnation);
+    return { incarnation, fence, model, version, adapters: [...adapters], role, loading: false };
+  }
+
+  #delay(ms: number): Promise<void> {
+    return new Promise((resolve) => {
+      this.#clock.setTimer(resolve, ms);
+    });
+  }
+}
+
+const gateChunks =
+  (process: ProcessClock, onChunk: OnChunk): OnChunk =>
+  (chunk) => {
+    process.run(() => {
+      onChunk(chunk);
+    });
+  };
+
+/** Swaps pairs, repeats chunks, and slips in one of another attempt. */
+const shuffled = (onChunk: OnChunk): OnChunk => {
+  let held: AnswerChunk | undefined;
+  return (chunk) => {
+    onChunk({ ...chunk, attemptId: `${chunk.attemptId}-old`, text: "stale " });
+    if (!held && chunk.finishReason === undefined) {
+      held = chunk;
+      return;
+    }
+    onChunk(chunk);
+    if (held) {
+      onChunk(held);
+      onChunk(held);
+    }
+    held = undefined;
+  };
+};
--- /dev/null
+++ b/packages/tools/src/matrix/MatrixProcess.ts
@@ -0,0 +1,201 @@
+import {
+  LeastTokensPlacement,
+  PeerError,
+  PromptPath,
+  SeededRandom,
+  sha256,
+  TrafficMeter,
+  withTimeout,
+  type PromptRequest,
+  type ServiceRequest,
+} from "@lycheepulley/core";
+import type { NodeCaller, RpcMethod, RpcRegistrar } from "@lycheepulley/nodes";
+import { CoordinationNode, UpstreamDirectory, type RequestTrace } from "@lycheepulley/serving";
+import { newSilentLogger } from "@lycheepulley/telemetry";
+import type { z } from "zod";
+
+import { ProcessClock } from "./MatrixClock.js";
+import type { World } from "./World.js";
+
+const LIST_INTERVAL_MS = 1_000;
+const LINK_MS = 2;
+const DEFAULT_TIMEOUT_MS = 1_500;
+
+type RpcHandler = (params: unknown) => unknown;
+
+/** One entry process of a cell: the real coordination parts between fakes. */
+export class MatrixProcess {
+  readonly name: string;
+  readonly clock: ProcessClock;
+  readonly node: CoordinationNode;
+  readonly #world: World;
+  readonly #handlers = new Map<string, RpcHandler>();
+  /** Revisions in force here, in the order in which they came. */
+  readonly revisions: { readonly revision: number; readonly atMs: number }[] = [];
+  onStep: (trace: RequestTrace, step: string) => void = () => undefined;
+
+  constructor(options: {
+    world: World;
+    name: string;
+    domain: string;
+    index: number;
+    seed: number;
+  }) {
+    const { world, name, domain, index, seed } = options;
+    this.name = name;
+    this.#world = world;
+    this.clock = new ProcessClock(world.clock);
+    const { clock } = this;
+    const server: RpcRegistrar = {
+      handle: (method, fn) => {
+        this.#handlers.set(method.name, (raw) => fn(method.params.parse(raw)));
+      },
+    };
+    this.node = new CoordinationNode({
+      self: {
+        ...{ name, failureDomain: domain, host: "h", port: 300 + index, controlPort: 400 + index },
+        incarnation: clock.wall(),
+      },
+      site: domain,
+      clock,
+      random: new SeededRandom(seed * 10 + index + 1),
+      log: world.log.newClient((work) => clock.gate(work)),
+      weights: { fetchInfo: () => Promise.resolve({ bytes: 1, maxConcurrentLoads: 2 }) },
+      directory: new UpstreamDirectory({
+        newEngineClient: ({ id }) => this.#findEngine(id).newClient(clock),
+        newServiceClient: ({ id }) => this.#findService(id).newClient(clock),
+      }),
+      newCaller: (peer, { controlPort }) => this.#newCaller(peer, controlPort),
+      server,
+      getServerTraffic: () => ({ connections: 0, sentBytes: 0, receivedBytes: 0 }),
+      newPolicy: () => new LeastTokensPlacement(),
+      protections: world.protections,
+      logger: newSilentLogger(),
+      traffic: new TrafficMeter(),
+      onStep: (trace, step) => {
+        this.onStep(trace, step);
+      },
+    });
+    this.node.config.subscribe(({ revision }) => {
+      this.revisions.push({ revision, atMs: clock.now() });
+    });
+  }
+
+  start(): void {
+    this.#pollList();
+    this.node.start();
+  }
+
+  /** Ends the process without warning. */
+  kill(): void {
+    this.clock.kill();
+    this.node.log.abort();
+  }
+
+  newPrompt(options: {
+    text: string;
+    key?: string | undefined;
+    signal: AbortSignal;
+  }): PromptRequest {
+    const { text, key, signal } = options;
+    return {
+      path: PromptPath.Chat,
+      body: JSON.stringify({ prompt: text }),
+      model: "m",
+      promptBytes: text.length,
+      maxTokens: 6,
+      className: key === undefined ? "quick" : "once",
+      customer: "c",
+      idempotencyKey: key,
+      fingerprint: sha256(text),
+      prefixBlocks: [],
+      signal,
+    };
+  }
+
+  newSave(options: { text: string; key: string; signal: AbortSignal }): ServiceRequest {
+    return {
+      service: "s",
+      method: "POST",
+      path: "/save",
+      contentType: "text/plain",
+      body: Buffer.from(options.text),
+      customer: "c",
+      idempotencyKey: options.key,
+      signal: options.signal,
+    };
+  }
+
+  /** Serves a call of another process. */
+  async invoke(method: string, params: unknown): Promise<unknown> {
+    const handler = this.#handlers.get(method);
+    if (this.clock.isDead || !handler) {
+      throw new PeerError(this.name, "connection refused", { sent: false });
+    }
+    return this.clock.gate(
+      new Promise((resolve, reject) => {
+        this.clock.run(() => {
+          Promise.resolve()
+            .then(() => handler(params))
+            .then(resolve, reject);
+        });
+      }),
+    );
+  }
+
+  #pollList(): void {
+    this.node.mutateWithVmList(this.#world.list);
+    this.clock.setTimer(() => {
+      this.#pollList();
+    }, LIST_INTERVAL_MS);
+  }
+
+  #newCaller(peer: string, controlPort: number): NodeCaller {
+    const call = async <P extends z.ZodType, R extends z.ZodType>(
+      method: RpcMethod<P, R>,
+      params: z.input<P>,
+      options: { timeoutMs?: number } = {},
+    ): Promise<z.output<R>> => {
+      const answer = await this.clock.gate(
+        withTimeout(this.#travel(controlPort, method.name, params), {
+          clock: this.#world.clock,
+          timeoutMs: options.timeoutMs ?? DEFAULT_TIMEOUT_MS,
+          what: method.name,
+        }),
+      );
+      return method.result.parse(answer);
+    };
+    return { name: peer, call, close: () => Promise.resolve() };
+  }
+
+  async #travel(controlPort: number, method: string, params: unknown): Promise<unknown> {
+    const target = this.#world.processes[controlPort - 400];
+    await this.#delay();
+    const sent: unknown = JSON.parse(JSON.stringify(params));
+    const answer = await target?.invoke(method, sent);
+    await this.#delay();
+    return JSON.parse(JSON.stringify(answer));
+  }
+
+  #delay(): Promise<void> {
+    return new Promise((resolve) => {
+      this.#world.clock.setTimer(resolve, LINK_MS);
+    });
+  }
+
+  #findEngine(id: string): World["engines"][number] {
+    const engine = this.#world.engines.find(({ name }) => name === id);
+    if (!engine) {
+      throw new Error(`no engine ${id}`);
+    }
+    return engine;
+  }
+
+  #findService(id: string): World["services"][number] {
+    const service = this.#world.services.find(({ name }) => name === id);
+    if (!service) {
+      throw new Error(`no service ${id}`);
+    }
+    return service;
+  }
+}
--- /dev/null
+++ b/packages/tools/src/matrix/steps.ts
@@ -0,0 +1,87 @@
+import { LeaseAction, RecordKind, Step, type LogRecord } from "@lycheepulley/core";
+
+import { RequestKind } from "./Caller.js";
+
+/** Steps on the way of a request, as rows of the matrix. */
+export const REQUEST_STEPS = [
+  "accept",
+  "classify",
+  "admit",
+  "queue",
+  "claim append",
+  "claim read-back",
+  "reserve",
+  "connect",
+  "bytes sent",
+  "first token",
+  "mid-stream",
+  "last chunk",
+  "outcome append",
+  "reply",
+] as const;
+export type RequestStep = (typeof REQUEST_STEPS)[number];
+
+/** Marks in a request's trace that stand for a row; "mid-stream" and "reply" are the caller's. */
+export const MARK_BY_STEP: Readonly<Partial<Record<RequestStep, string>>> = {
+  accept: Step.Accept,
+  classify: Step.Classify,
+  admit: Step.Admit,
+  queue: Step.Queue,
+  "claim append": Step.ClaimAppend,
+  "claim read-back": Step.ClaimReadBack,
+  reserve: Step.Reserve,
+  connect: Step.Connect,
+  "bytes sent": Step.Send,
+  "first token": Step.FirstToken,
+  "last chunk": Step.LastChunk,
+  "outcome append": Step.OutcomeAppend,
+};
+
+const CLAIM_STEPS: readonly RequestStep[] = ["claim append", "claim read-back", "outcome append"];
+const ENGINE_STEPS: readonly RequestStep[] = [
+  "admit",
+  "queue",
+  "reserve",
+  "first token",
+  "mid-stream",
+  "last chunk",
+];
+
+/** Why a step doesn't occur for a kind of request; undefined when it does. */
+export const getMissingStep = (kind: RequestKind, step: RequestStep): string | undefined => {
+  if (kind === RequestKind.Prompt && CLAIM_STEPS.includes(step)) {
+    return "an idempotent prompt makes no claim";
+  }
+  if (kind === RequestKind.Save && ENGINE_STEPS.includes(step)) {
+    return "a call to a plain service takes no place on an engine";
+  }
+  return undefined;
+};
+
+/** Steps of control actions, as rows of the matrix. */
+export const CONTROL_STEPS = [
+  "lease claim",
+  "lease renewal",
+  "order",
+  "order answer",
+  "configuration publish",
+  "configuration read-back",
+  "configuration apply",
+  "drain",
+  "snapshot",
+] as const;
+export type ControlStep = (typeof CONTROL_STEPS)[number];
+
+const isLease = (record: LogRecord, action: string): boolean =>
+  record.kind === RecordKind.Lease && (record.body as { action: string }).action === action;
+
+/** Records whose append, or its taking effect, is a control step. */
+export const RECORD_BY_STEP: Readonly<
+  Partial<Record<ControlStep, { when: "append" | "appended"; is: (record: LogRecord) => boolean }>>
+> = {
+  "lease claim": { when: "append", is: (record) => isLease(record, LeaseAction.Claim) },
+  "lease renewal": { when: "append", is: (record) => isLease(record, LeaseAction.Renew) },
+  "configuration publish": { when: "append", is: ({ kind }) => kind === RecordKind.Config },
+  "configuration read-back": { when: "appended", is: ({ kind }) => kind === RecordKind.Config },
+  snapshot: { when: "append", is: ({ kind }) => kind === RecordKind.Snapshot },
+};
--- /dev/null
+++ b/packages/tools/src/matrix/worker.ts
@@ -0,0 +1,13 @@
+import { parentPort, workerData } from "node:worker_threads";
+
+import type { Protections } from "@lycheepulley/core";
+
+import { runCell, type Cell } from "./cells.js";
+
+const broken = workerData as Partial<Protections>;
+
+parentPort?.on("message", (cell: Cell) => {
+  void runCell(cell, broken).then((result) => {
+    parentPort?.postMessage(result);
+  });
+});
