Make every protection of the matrix guard a cell

Five of ten switched-off protections left the matrix green because no fault needed them. Engines now keep memory for a reader that died, answers can end without their end marker, pauses outlast leases and a service's deadline, and pairs strike 8 ms apart, while the first is being noticed.

--- a/packages/serving/src/duties/DutyRunner.ts
+++ b/packages/serving/src/duties/DutyRunner.ts
@@ -100,3 +100,6 @@
 }
 
 const hashPool = (pool: string): number => parseInt(sha256(pool).slice(0, 4), 16) % ORDER_LEASES;
+
+/** Duty under whose lease a pool's engines get their orders. */
+export const getPoolDuty = (pool: string): string => `orders.${String(hashPool(pool))}`;
--- a/packages/tools/src/matrix/Caller.ts
+++ b/packages/tools/src/matrix/Caller.ts
@@ -2,7 +2,7 @@
 
 import { getExpectedAnswer } from "./FakeEngine.js";
 import type { MatrixProcess } from "./MatrixProcess.js";
-import type { World } from "./World.js";
+import { SAVE_PATIENCE_MS, type World } from "./World.js";
 
 /** Kinds of request on the request path. */
 export const RequestKind = { Prompt: "prompt", OncePrompt: "once-prompt", Save: "save" } as const;
@@ -26,7 +26,7 @@
 const PATIENCE_MS: Readonly<Record<RequestKind, number>> = {
   [RequestKind.Prompt]: 15_000,
   [RequestKind.OncePrompt]: 15_000,
-  [RequestKind.Save]: 12_000,
+  [RequestKind.Save]: SAVE_PATIENCE_MS,
 };
 
 /** Sends requests of a cell and notes what its callers were told. */
--- a/packages/tools/src/matrix/FakeEngine.ts
+++ b/packages/tools/src/matrix/FakeEngine.ts
@@ -19,6 +19,8 @@
 const TOKEN_MS = 30;
 const RESTART_MS = 3_000;
 const CALL_MS = 2;
+/** Position from which a lost answer is missing. */
+const LOST_FROM_SEQ = 4;
 export const TOKENS = 6;
 /** A prompt that holds this text crashes the engine. */
 export const POISON = "poison";
@@ -32,7 +34,11 @@
 interface Stream {
   readonly body: string;
   emitted: number;
-  readonly listeners: Set<{ onToken: (seq: number) => void; onBreak: () => void }>;
+  readonly listeners: Set<{
+    readonly process: ProcessClock;
+    readonly onToken: (seq: number) => void;
+    readonly onBreak: () => void;
+  }>;
 }
 
 /** One run as the engine accounts for it. */
@@ -42,12 +48,19 @@
   readonly key: string | undefined;
 }
 
+/** One order as the engine accounts for it. */
+export interface ReceivedOrder {
+  readonly order: EngineOrder;
+  readonly accepted: boolean;
+  readonly atMs: number;
+}
+
 /** Engine in memory, with the faults of the brief. */
 export class FakeEngine {
   readonly name: string;
   readonly isFencing: boolean;
   readonly runs: EngineRun[] = [];
-  readonly orders: { readonly order: EngineOrder; readonly accepted: boolean }[] = [];
+  readonly orders: ReceivedOrder[] = [];
   readonly #clock: MatrixClock;
   readonly #streams = new Map<string, Stream>();
   readonly #holdings = new Map<string, KvHolding>();
@@ -107,8 +120,9 @@
     const unsupported = (): Promise<never> => Promise.reject(new Error("not part of the matrix"));
     return {
       name: this.name,
-      generate: (call, onChunk) => gate(this.#generate(call, gateChunks(process, onChunk))),
-      resume: (call, onChunk) => gate(this.#resume(call, gateChunks(process, onChunk))),
+      generate: (call, onChunk) =>
+        gate(this.#generate(call, process, gateChunks(process, onChunk))),
+      resume: (call, onChunk) => gate(this.#resume(call, process, gateChunks(process, onChunk))),
       cancel: (id) =>
         gate(
           this.#call(() => {
@@ -141,7 +155,7 @@
     return act();
   }
 
-  async #generate(call: GenerateCall, onChunk: OnChunk): Promise<void> {
+  async #generate(call: GenerateCall, process: ProcessClock, onChunk: OnChunk): Promise<void> {
     call.onSend?.();
     await this.#call(() => undefined);
     if (this.isLeaving) {
@@ -162,19 +176,28 @@
     this.#clock.setTimer(() => {
       this.#emit(attemptId);
     }, FIRST_TOKEN_MS);
-    await this.#follow(attemptId, stream.emitted, call.signal, onChunk);
+    const from = { id: attemptId, fromSeq: stream.emitted };
+    await this.#follow({ ...from, process, signal: call.signal, onChunk });
   }
 
-  async #resume(call: ResumeCall, onChunk: OnChunk): Promise<void> {
+  async #resume(call: ResumeCall, process: ProcessClock, onChunk: OnChunk): Promise<void> {
     await this.#call(() => undefined);
     if (!this.#streams.has(call.attemptId)) {
       throw new PeerError(this.name, "no such stream", { sent: true, status: 404 });
     }
-    await this.#follow(call.attemptId, call.fromSeq, call.signal, onChunk);
+    const from = { id: call.attemptId, fromSeq: call.fromSeq };
+    await this.#follow({ ...from, process, signal: call.signal, onChunk });
   }
 
   /** Sends a stream's tokens from a position on; rejects when it breaks. */
-  #follow(id: string, fromSeq: number, signal: AbortSignal, onChunk: OnChunk): Promise<void> {
+  #follow(options: {
+    id: string;
+    fromSeq: number;
+    process: ProcessClock;
+    signal: AbortSignal;
+    onChunk: OnChunk;
+  }): Promise<void> {
+    const { id, fromSeq, process, signal, onChunk } = options;
     const stream = this.#streams.get(id);
     return new Promise((resolve, reject) => {
       const fail = (message: string): void => {
@@ -183,6 +206,13 @@
       };
       const send = this.shuffles ? shuffled(onChunk) : onChunk;
       const onToken = (seq: number): void => {
+        if (this.loseAnswers > 0 && seq === LOST_FROM_SEQ) {
+          // The connection ends in good order, but without the end marker.
+          this.loseAnswers -= 1;
+          stream?.listeners.delete(listener);
+          resolve();
+          return;
+        }
         send(this.#newChunk(id, stream?.body ?? "", seq));
         if (seq === TOKENS - 1) {
           stream?.listeners.delete(listener);
@@ -190,16 +220,12 @@
         }
       };
       const listener = {
+        process,
         onToken,
         onBreak: () => {
           fail("connection reset");
         },
       };
-      if (this.loseAnswers > 0) {
-        this.loseAnswers -= 1;
-        fail("answer lost");
-        return;
-      }
       for (let seq = fromSeq; seq < (stream?.emitted ?? 0); seq += 1) {
         onToken(seq);
       }
@@ -215,6 +241,11 @@
     if (!stream) {
       return;
     }
+    const readers = [...stream.listeners];
+    if (readers.length > 0 && readers.every(({ process }) => process.isDead)) {
+      // Nobody reads any more: the engine waits for a resume and keeps the memory.
+      return;
+    }
     const seq = stream.emitted;
     stream.emitted += 1;
     [...stream.listeners].forEach(({ onToken }) => {
@@ -250,7 +281,7 @@
     this.onOrder();
     await this.#call(() => undefined);
     const accepted = !this.isFencing || order.fence >= this.#state.fence;
-    this.orders.push({ order, accepted });
+    this.orders.push({ order, accepted, atMs: this.#clock.now() });
     this.#state = accepted ? order : this.#state;
     this.onOrdered();
     await this.#call(() => undefined);
--- a/packages/tools/src/matrix/FakeService.ts
+++ b/packages/tools/src/matrix/FakeService.ts
@@ -10,6 +10,7 @@
 export interface ServiceRun {
   readonly requestId: string;
   readonly key: string | undefined;
+  readonly atMs: number;
 }
 
 /** Plain service in memory, with the faults of the brief. */
@@ -47,7 +48,8 @@
       throw new PeerError(this.name, "connection refused", { sent: false });
     }
     const requestId = call.headers["x-request-id"] ?? "";
-    this.runs.push({ requestId, key: call.headers["idempotency-key"] });
+    const key = call.headers["idempotency-key"];
+    this.runs.push({ requestId, key, atMs: this.#clock.now() });
     if (this.loseAnswers > 0) {
       this.loseAnswers -= 1;
       throw new PeerError(this.name, "answer lost", { sent: true });
--- a/packages/tools/src/matrix/World.ts
+++ b/packages/tools/src/matrix/World.ts
@@ -22,6 +22,9 @@
 import { MatrixClock, ProcessClock } from "./MatrixClock.js";
 import { MatrixProcess } from "./MatrixProcess.js";
 
+/** Shorter than a pause, so that a woken process meets a passed deadline. */
+export const SAVE_PATIENCE_MS = 7_000;
+
 const VM_LIST_LAG_MS = 500;
 const START_LIMIT_MS = 8_000;
 
@@ -37,7 +40,11 @@
       },
     },
     services: {
-      s: { pool: "s", timeoutMs: 12_000, nonIdempotent: [{ method: "POST", pathPrefix: "/save" }] },
+      s: {
+        pool: "s",
+        timeoutMs: SAVE_PATIENCE_MS,
+        nonIdempotent: [{ method: "POST", pathPrefix: "/save" }],
+      },
     },
     classes: {
       quick: { patienceMs: 15_000, priority: 1, maxPromptTokens: 50_000, models: ["m"] },
--- a/packages/tools/src/matrix/cells.ts
+++ b/packages/tools/src/matrix/cells.ts
@@ -2,7 +2,7 @@
 
 import { Caller, RequestKind, type CallerRecord } from "./Caller.js";
 import { checkPromises, MAIN_PROMPT, type Violation } from "./checks.js";
-import { FAULTS } from "./faults.js";
+import { FAULTS, PAUSE_MS } from "./faults.js";
 import type { MatrixProcess } from "./MatrixProcess.js";
 import {
   getMissingStep,
@@ -14,15 +14,18 @@
 } from "./steps.js";
 import { World } from "./World.js";
 
-const SECOND_FAULT_MS = 700;
+/** A second fault strikes while the first one is being noticed. */
+const PAIR_SPACING_MS = 8;
+const REPEAT_SPACING_MS = 700;
+const PAUSE_SPACING_MS = PAUSE_MS + 500;
 const MID_STREAM_CHUNK = 3;
 /** Time in which the requests of a cell end. */
 const REQUEST_RUN_MS = 30_000;
 /** Time in which leases, orders and sweeps settle. */
-const SETTLE_MS = 16_000;
+const SETTLE_MS = 24_000;
 const CONTROL_RUN_MS = 45_000;
 const LEASE_SETTLE_MS = 5_000;
-const PAUSE_ALLOWANCE_MS = 8_500;
+const PAUSE_ALLOWANCE_MS = PAUSE_MS + 500;
 
 /** One cell of the matrix. */
 export interface Cell {
@@ -69,12 +72,19 @@
       if (i === 0) {
         strike();
       } else {
-        this.#world.clock.setTimer(strike, i * SECOND_FAULT_MS);
+        this.#world.clock.setTimer(strike, i * getSpacingMs(this.#faults));
       }
     });
   }
 }
 
+const getSpacingMs = ([first, second]: readonly string[]): number => {
+  if (first !== second) {
+    return PAIR_SPACING_MS;
+  }
+  return first === "holder paused" ? PAUSE_SPACING_MS : REPEAT_SPACING_MS;
+};
+
 const CANNOT_ARISE: readonly { group: string; fault: string; why: string }[] = [
   { group: "control", fault: "resend", why: "operators' changes are covered by racing operators" },
   { group: "control", fault: "late or reordered chunks", why: "control actions stream nothing" },
--- a/packages/tools/src/matrix/checks.ts
+++ b/packages/tools/src/matrix/checks.ts
@@ -1,14 +1,16 @@
 import {
   FateState,
+  LeaseAction,
+  leaseBodySchema,
   MAX_STRIKES,
   parseClaim,
   poisonStateSchema,
   RecordKind,
   sha256,
 } from "@lycheepulley/core";
-import { CONTROL_STREAM } from "@lycheepulley/serving";
+import { CONTROL_STREAM, getPoolDuty } from "@lycheepulley/serving";
 
-import { RequestKind, type Caller, type CallerRecord } from "./Caller.js";
+import { RequestKind, type Caller } from "./Caller.js";
 import { POISON } from "./FakeEngine.js";
 import type { World } from "./World.js";
 
@@ -36,6 +38,10 @@
 
 /** Allowance for the step that notices a deadline. */
 const END_SLACK_MS = 500;
+/** Lease under which the matrix's pool gets its orders. */
+const POOL_DUTY = getPoolDuty("m");
+/** An order on its way when its holder is superseded may still arrive. */
+const ORDER_WINDOW_MS = 500;
 const LEAVING_LIMIT_MS = 3_000;
 const IN_FORCE_LIMIT_MS = 3_000;
 
@@ -52,13 +58,13 @@
   readonly calmSinceMs: number;
 }
 
-const countRuns = (world: World, { requestId }: CallerRecord): number => {
+const getRuns = (world: World, requestId: string): { readonly atMs: number }[] => {
   const onEngines = world.engines.flatMap(({ runs }) => runs);
   const onServices = world.services.flatMap(({ runs }) => runs);
-  return (
-    onEngines.filter(({ attemptId }) => attemptId.startsWith(`${requestId}-`)).length +
-    onServices.filter((run) => run.requestId === requestId).length
-  );
+  return [
+    ...onEngines.filter(({ attemptId }) => attemptId.startsWith(`${requestId}-`)),
+    ...onServices.filter((run) => run.requestId === requestId),
+  ];
 };
 
 const checkEnds = ({ caller, pausedMs }: CheckOptions): string[] =>
@@ -70,6 +76,14 @@
       return tookMs > limitMs ? [`${record.requestId} took ${String(tookMs)} ms`] : [];
     });
 
+/** Runs that began after their callers' time was over. */
+const checkLateRuns = ({ world, caller }: CheckOptions): string[] =>
+  caller.records.flatMap(({ requestId, startedMs, patienceMs }) => {
+    const untilMs = startedMs + patienceMs + END_SLACK_MS;
+    const late = getRuns(world, requestId).filter(({ atMs }) => atMs > untilMs);
+    return late.map(() => `${requestId} was sent after its deadline`);
+  });
+
 const checkMemory = ({ world }: CheckOptions): string[] =>
   world.engines.filter(({ kvUsed }) => kvUsed > 0).map(({ name }) => `${name} holds memory`);
 
@@ -82,7 +96,7 @@
 const checkNotRun = ({ world, caller }: CheckOptions): string[] => [
   ...caller.records
     .filter(({ told }) => told === "not_run" || told === "refused_until")
-    .filter((record) => countRuns(world, record) > 0)
+    .filter((record) => getRuns(world, record.requestId).length > 0)
     .map(({ requestId }) => `${requestId} was told not run but ran`),
   ...caller.records
     .filter(({ process, told }) => !process.clock.isDead && told !== undefined)
@@ -145,15 +159,33 @@
   });
 };
 
+/** A later epoch of the pool's lease was on the log well before the order came. */
+const isSuperseded = (world: World, fence: number, atMs: number): boolean => {
+  const offsetMs = world.clock.wall() - world.clock.now();
+  return world.log.getEntries(CONTROL_STREAM).some(
+    ({ timeMs, records }) =>
+      timeMs - offsetMs < atMs - ORDER_WINDOW_MS &&
+      records.some(({ kind, key, body }) => {
+        const lease = kind === RecordKind.Lease ? leaseBodySchema.safeParse(body).data : undefined;
+        const isClaim = lease?.action === LeaseAction.Claim && key === POOL_DUTY;
+        return isClaim && lease.epoch > fence;
+      }),
+  );
+};
+
 /** Orders: fencing engines never take an older number, the others end in the wanted state. */
 const checkOrders = ({ world }: CheckOptions): string[] =>
   world.engines.flatMap(({ name, orders, isFencing, state }) => {
     const fences = orders.filter(({ accepted }) => accepted).map(({ order }) => order.fence);
     const falls = isFencing && fences.some((fence, i) => fence < (fences[i - 1] ?? 0));
+    const stale = orders.filter(
+      ({ accepted, order, atMs }) => accepted && isSuperseded(world, order.fence, atMs),
+    );
     const wanted = world.liveProcesses[0]?.node.cfg?.models["m"]?.version;
     const isWrong = wanted !== undefined && state.version !== wanted;
     return [
       ...(falls ? [`${name} took an order with an older fencing number`] : []),
+      ...stale.map(({ order }) => `${name} took order ${String(order.fence)} of an old holder`),
       ...(isWrong ? [`${name} has version ${state.version}, not ${wanted}`] : []),
     ];
   });
@@ -181,7 +213,7 @@
 /** Every promise that the cell saw broken. */
 export const checkPromises = (options: CheckOptions): Violation[] => {
   const found: readonly (readonly [Promise8, readonly string[]])[] = [
-    ["ends in time", [...checkEnds(options), ...checkPoison(options)]],
+    ["ends in time", [...checkEnds(options), ...checkLateRuns(options), ...checkPoison(options)]],
     ["no memory lost", checkMemory(options)],
     ["whole answer", checkWhole(options)],
     ["not run is true", checkNotRun(options)],
--- a/packages/tools/src/matrix/faults.ts
+++ b/packages/tools/src/matrix/faults.ts
@@ -16,7 +16,7 @@
 const LOG_DOWN_MS = 5_000;
 const LOG_SLOW_MS = 6_000;
 /** Longer than a lease's term. */
-const PAUSE_MS = 8_000;
+export const PAUSE_MS = 9_500;
 const POISON_SENDS = 4;
 const POISON_SPACING_MS = 1_200;
 
