--- a/packages/standins/src/ServiceStandin.ts
+++ b/packages/standins/src/ServiceStandin.ts
@@ -4,6 +4,8 @@
 import { HttpServer, readBody, sendJson, type Route } from "@lycheepulley/http";
 import { z } from "zod";
 
+import { getHeader } from "./engine/requestFields.js";
+
 const MAX_BODY_BYTES = 4_000_000;
 
 export const serviceFaultSchema = z.strictObject({
@@ -14,6 +16,13 @@
 });
 export type ServiceFault = z.infer<typeof serviceFaultSchema>;
 
+/** One effect as the service accounts for it. */
+export interface ServiceEffect {
+  readonly key: string | undefined;
+  readonly requestId: string | undefined;
+  readonly path: string;
+}
+
 /** Model of a plain service: previews by GET, records by POST that it counts. */
 export class ServiceStandin {
   readonly name: string;
@@ -21,7 +30,7 @@
   readonly #host: string;
   readonly #port: number;
   readonly #server: HttpServer;
-  readonly #effects: { key: string | undefined; path: string }[] = [];
+  readonly #effects: ServiceEffect[] = [];
   #delayMs: number;
   #loseAnswers = 0;
 
@@ -97,9 +106,8 @@
 
   async #record(req: IncomingMessage, res: ServerResponse): Promise<void> {
     await readBody(req, MAX_BODY_BYTES);
-    const header = req.headers["idempotency-key"];
-    const key = typeof header === "string" ? header : undefined;
-    this.#effects.push({ key, path: req.url ?? "" });
+    const key = getHeader(req, "idempotency-key");
+    this.#effects.push({ key, requestId: getHeader(req, "x-request-id"), path: req.url ?? "" });
     const saved = this.#effects.length;
     if (this.#loseAnswers > 0) {
       this.#loseAnswers -= 1;
--- /dev/null
+++ b/packages/tools/src/soak/SoakCaller.ts
@@ -0,0 +1,155 @@
+import { getMessage, nextInt, type Random } from "@lycheepulley/core";
+import { z } from "zod";
+
+import { getExampleKey } from "../fleet/deployment.js";
+import { LoadClient } from "../load/httpLoad.js";
+
+const KEEP_SHARE = 1;
+const addressSchema = z.object({
+  keepMs: z.number(),
+  addresses: z.array(z.object({ host: z.string(), port: z.number() })),
+});
+
+/** Kinds of request that the soak sends. */
+export const SoakKind = { Prompt: "prompt", OncePrompt: "once-prompt", Save: "save" } as const;
+export type SoakKind = (typeof SoakKind)[keyof typeof SoakKind];
+
+/** One request and what its caller was told. */
+export interface SoakRecord {
+  readonly kind: SoakKind;
+  readonly prompt: string;
+  readonly maxTokens: number;
+  readonly key: string | undefined;
+  readonly isPoison: boolean;
+  readonly requestId: string;
+  readonly status: number;
+  /** "finished", a verdict, or "lost" when the connection broke. */
+  readonly told: string;
+  readonly code: string;
+  readonly text: string;
+  readonly tookMs: number;
+}
+
+/** A caller that asks the system for addresses and keeps the answer as told. */
+export class SoakCaller {
+  readonly #clients = new Map<string, LoadClient>();
+  readonly #random: Random;
+  readonly #customer: string;
+  #first: readonly string[];
+  #origins: readonly string[] = [];
+  #keepUntilMs = 0;
+
+  constructor(options: { random: Random; customer: string; first: readonly string[] }) {
+    this.#random = options.random;
+    this.#customer = options.customer;
+    this.#first = options.first;
+  }
+
+  /** Origins at which a caller that knows nothing may ask. */
+  setFirst(origins: readonly string[]): void {
+    this.#first = origins;
+  }
+
+  async send(
+    call: Pick<SoakRecord, "kind" | "prompt" | "maxTokens" | "key" | "isPoison">,
+  ): Promise<SoakRecord> {
+    const origin = await this.#getOrigin();
+    const startMs = performance.now();
+    const answer =
+      call.kind === SoakKind.Save
+        ? await this.#save(origin, call)
+        : await this.#prompt(origin, call);
+    if (answer.told === "lost") {
+      this.#keepUntilMs = 0;
+    }
+    return { ...call, ...answer, tookMs: performance.now() - startMs };
+  }
+
+  async close(): Promise<void> {
+    await Promise.all([...this.#clients.values()].map((client) => client.close()));
+  }
+
+  get #authorization(): string {
+    return `Bearer ${getExampleKey(this.#customer)}`;
+  }
+
+  async #prompt(
+    origin: string,
+    call: Pick<SoakRecord, "kind" | "prompt" | "maxTokens" | "key">,
+  ): Promise<Pick<SoakRecord, "requestId" | "status" | "told" | "code" | "text">> {
+    const { prompt, maxTokens, key } = call;
+    const result = await this.#getClient(origin).prompt({
+      path: "/v1/chat/completions",
+      intendedMs: performance.now(),
+      headers: {
+        authorization: this.#authorization,
+        ...(key === undefined
+          ? {}
+          : { "idempotency-key": key, "x-request-class": "certification" }),
+      },
+      body: JSON.stringify({
+        ...{ model: "traductor", stream: true, max_tokens: maxTokens },
+        messages: [{ role: "user", content: prompt }],
+      }),
+    });
+    const { requestId, status, text, isWhole, error } = result;
+    const told = isWhole ? "finished" : getTold(error?.verdict);
+    return { requestId, status, text, told, code: error?.code ?? "" };
+  }
+
+  async #save(
+    origin: string,
+    call: Pick<SoakRecord, "prompt" | "key">,
+  ): Promise<Pick<SoakRecord, "requestId" | "status" | "told" | "code" | "text">> {
+    try {
+      const res = await fetch(`${origin}/services/taller/glossary`, {
+        method: "POST",
+        headers: { authorization: this.#authorization, "idempotency-key": call.key ?? "" },
+        body: call.prompt,
+      });
+      const text = await res.text();
+      const requestId = res.headers.get("x-request-id") ?? "";
+      if (res.ok) {
+        return { requestId, status: res.status, text, told: "finished", code: "" };
+      }
+      const { error } = errorSchema.parse(JSON.parse(text));
+      return { requestId, status: res.status, text, told: error.verdict, code: error.code };
+    } catch (err) {
+      return { requestId: "", status: 0, text: getMessage(err), told: "lost", code: "connection" };
+    }
+  }
+
+  async #getOrigin(): Promise<string> {
+    if (performance.now() > this.#keepUntilMs) {
+      await this.#askAddresses();
+    }
+    return this.#origins[nextInt(this.#random, this.#origins.length)] ?? this.#first[0] ?? "";
+  }
+
+  async #askAddresses(): Promise<void> {
+    for (const origin of [...this.#origins, ...this.#first]) {
+      try {
+        const res = await fetch(`${origin}/v1/address`, { signal: AbortSignal.timeout(1_000) });
+        const { addresses, keepMs } = addressSchema.parse(await res.json());
+        if (addresses.length > 0) {
+          this.#origins = addresses.map(({ host, port }) => `http://${host}:${String(port)}`);
+          this.#keepUntilMs = performance.now() + keepMs * KEEP_SHARE;
+          return;
+        }
+      } catch {
+        // The next address may answer.
+      }
+    }
+  }
+
+  #getClient(origin: string): LoadClient {
+    const client = this.#clients.get(origin) ?? new LoadClient(origin, 64);
+    this.#clients.set(origin, client);
+    return client;
+  }
+}
+
+const errorSchema = z.object({ error: z.object({ verdict: z.string(), code: z.string() }) });
+
+const getTold = (verdict: string | undefined): string =>
+  verdict === undefined || verdict === "unknown" ? "lost" : verdict;
--- /dev/null
+++ b/packages/tools/src/soak/schedule.ts
@@ -0,0 +1,164 @@
+import { nextInt, pickOne, SeededRandom, type Vm } from "@lycheepulley/core";
+
+import { getOrigin, type LocalFleet } from "../fleet/LocalFleet.js";
+import { SoakKind, type SoakCaller, type SoakRecord } from "./SoakCaller.js";
+
+const MS_PER_S = 1_000;
+const ONCE_SHARE = 0.1;
+const RESEND_SHARE = 0.4;
+const MAX_RESEND_DELAY_MS = 1_500;
+const POISON_TEXTS = 3;
+const POISON_SENDS = 12;
+const ENTRY_KILL_EVERY_MS = 11_000;
+const ENGINE_KILL_EVERY_MS = 4_000;
+const ENGINE_DOWN_MS = 2_000;
+const LOG_OUTAGE_EVERY_MS = 30_000;
+const LOG_OUTAGE_MS = 4_000;
+const LOSE_ANSWERS_EVERY_MS = 9_000;
+
+/** Text at which the engine stand-ins crash. */
+export const CRASH_TEXT = "<<crash>>";
+
+export interface SoakOptions {
+  readonly fleet: LocalFleet;
+  readonly callers: readonly SoakCaller[];
+  readonly requests: number;
+  readonly requestsPerS: number;
+  readonly seed: number;
+  readonly say: (line: string) => void;
+}
+
+const sleep = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
+
+/** Strikes faults by a seeded schedule until told to stop. */
+class FaultSchedule {
+  readonly #options: SoakOptions;
+  readonly #random: SeededRandom;
+  readonly #timers: NodeJS.Timeout[] = [];
+  readonly counts = { entryKills: 0, engineKills: 0, logOutages: 0, lostAnswers: 0 };
+  #replacing: Promise<unknown> = Promise.resolve();
+
+  constructor(options: SoakOptions) {
+    this.#options = options;
+    this.#random = new SeededRandom(options.seed + 1);
+    this.#every(ENTRY_KILL_EVERY_MS, () => this.#killEntry());
+    this.#every(ENGINE_KILL_EVERY_MS, () => this.#killEngine());
+    this.#every(LOG_OUTAGE_EVERY_MS, () => this.#stopLog());
+    this.#every(LOSE_ANSWERS_EVERY_MS, () => this.#loseAnswers());
+  }
+
+  async stop(): Promise<void> {
+    this.#timers.forEach((timer) => {
+      clearInterval(timer);
+    });
+    await this.#replacing;
+    await this.#options.fleet.faultLog({ isDown: false });
+  }
+
+  #every(ms: number, strike: () => Promise<void>): void {
+    this.#timers.push(setInterval(() => void strike().catch(() => undefined), ms));
+  }
+
+  async #killEntry(): Promise<void> {
+    const { fleet, callers, say } = this.#options;
+    const entry = pickOne(this.#random, fleet.entries);
+    if (!entry) {
+      return;
+    }
+    this.counts.entryKills += 1;
+    say(`killing entry process ${entry.vm.id}`);
+    const replace = async (): Promise<void> => {
+      await fleet.killEntry(entry.vm.id);
+      await fleet.startEntry(entry.vm.failureDomain);
+      const first = fleet.entries.map(({ vm }) => getOrigin(vm));
+      callers.forEach((caller) => {
+        caller.setFirst(first);
+      });
+    };
+    this.#replacing = replace();
+    await this.#replacing;
+  }
+
+  async #killEngine(): Promise<void> {
+    const { fleet } = this.#options;
+    const vm: Vm | undefined = pickOne(this.#random, fleet.engineVms);
+    if (vm) {
+      this.counts.engineKills += 1;
+      await fleet.faultUpstream(vm, { dieMs: ENGINE_DOWN_MS });
+    }
+  }
+
+  async #stopLog(): Promise<void> {
+    const { fleet, say } = this.#options;
+    this.counts.logOutages += 1;
+    say("log outage");
+    await fleet.faultLog({ isDown: true });
+    await sleep(LOG_OUTAGE_MS);
+    await fleet.faultLog({ isDown: false });
+  }
+
+  async #loseAnswers(): Promise<void> {
+    const { fleet } = this.#options;
+    this.counts.lostAnswers += 1;
+    await fleet.faultLog({ loseAnswers: 2 });
+    const upstream = pickOne(this.#random, [...fleet.engineVms, ...fleet.serviceVms]);
+    if (upstream) {
+      await fleet.faultUpstream(upstream, { loseAnswers: 2 });
+    }
+  }
+}
+
+/** Sends every request at its seeded time while faults strike. */
+export const runSoak = async (
+  options: SoakOptions,
+): Promise<{ records: SoakRecord[]; counts: FaultSchedule["counts"] }> => {
+  const { callers, requests, requestsPerS, seed, say } = options;
+  const random = new SeededRandom(seed);
+  const records: SoakRecord[] = [];
+  const open: Promise<void>[] = [];
+  const faults = new FaultSchedule(options);
+  const send = async (call: Parameters<SoakCaller["send"]>[0]): Promise<void> => {
+    const caller = pickOne(random, callers);
+    if (caller) {
+      records.push(await caller.send(call));
+    }
+  };
+  const startMs = performance.now();
+  for (let i = 0; i < requests; i += 1) {
+    const dueMs = startMs + (i / requestsPerS) * MS_PER_S;
+    await sleep(Math.max(0, dueMs - performance.now()));
+    const call = newCall(random, i, requests);
+    open.push(send(call));
+    if (call.key !== undefined && random.next() < RESEND_SHARE) {
+      const delayMs = nextInt(random, MAX_RESEND_DELAY_MS);
+      open.push(sleep(delayMs).then(() => send(call)));
+    }
+    if (i > 0 && i % 500 === 0) {
+      say(`${String(i)} of ${String(requests)} requests sent, ${String(records.length)} ended`);
+    }
+  }
+  await Promise.all(open);
+  await faults.stop();
+  return { records, counts: faults.counts };
+};
+
+const newCall = (
+  random: SeededRandom,
+  i: number,
+  requests: number,
+): Parameters<SoakCaller["send"]>[0] => {
+  const poisonEvery = Math.floor(requests / (POISON_TEXTS * POISON_SENDS));
+  const words = 20 + nextInt(random, 400);
+  const maxTokens = 4 + nextInt(random, 16);
+  if (i > 0 && i % poisonEvery === 0) {
+    const text = `${CRASH_TEXT} ${String(nextInt(random, POISON_TEXTS))}`;
+    return { kind: SoakKind.Prompt, prompt: text, maxTokens, key: undefined, isPoison: true };
+  }
+  const prompt = `${String(i)} ${"línea ".repeat(words)}`;
+  const isOnce = random.next() < ONCE_SHARE;
+  if (!isOnce) {
+    return { kind: SoakKind.Prompt, prompt, maxTokens, key: undefined, isPoison: false };
+  }
+  const kind = random.next() < 0.5 ? SoakKind.Save : SoakKind.OncePrompt;
+  return { kind, prompt, maxTokens, key: `key-${String(i)}`, isPoison: false };
+};
