Split prompts larger than one engine, add the bench, prove promises on real processes

Prompts above one engine's memory get a group: all-or-nothing reservation, parts exported in turn, the last member streams. The bench compares policies on equal seeded arrivals.

--- a/packages/cli/src/registry.ts
+++ b/packages/cli/src/registry.ts
@@ -1,5 +1,6 @@
 import type { Command } from "./Command.js";
 import { auditCommand, configHistoryCommand } from "./commands/audit.js";
+import { benchCommand } from "./commands/bench.js";
 import { blockLiftCommand, blockListCommand } from "./commands/block.js";
 import { configApplyCommand } from "./commands/configApply.js";
 import { configCheckCommand } from "./commands/configCheck.js";
@@ -27,6 +28,7 @@
   drainCommand,
   blockListCommand,
   blockLiftCommand,
+  benchCommand,
   demoCommand,
   overheadCommand,
   standinCommand,
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -12,6 +12,7 @@
 export * from "./folds/registers.js";
 export * from "./ids.js";
 export * from "./placement/baselines.js";
+export * from "./placement/LengthAwarePlacement.js";
 export * from "./placement/queueOrder.js";
 export * from "./placement/types.js";
 export * from "./promptText.js";
--- a/packages/daemon/src/placement.ts
+++ b/packages/daemon/src/placement.ts
@@ -1,6 +1,7 @@
 import {
   FixedSplitPlacement,
   LeastRequestsPlacement,
+  LengthAwarePlacement,
   LeastTokensPlacement,
   PowerOfTwoPlacement,
   RandomPlacement,
@@ -18,6 +19,7 @@
   "least-tokens": () => new LeastTokensPlacement(),
   "power-of-two": (random) => new PowerOfTwoPlacement(random),
   "fixed-split": () => new FixedSplitPlacement(),
+  ours: () => new LengthAwarePlacement(),
 };
 
 /** Makes the placement policy that the settings name. */
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -26,10 +26,9 @@
       "least-tokens",
       "power-of-two",
       "fixed-split",
+      "ours",
     ])
-    .default("least-tokens"),
-  /** Where placement is decided. */
-  coordination: z.enum(["owner", "independent"]).default("owner"),
+    .default("ours"),
   maxInFlight: z.number().int().positive().default(4_000),
 });
 export type Settings = z.infer<typeof settingsSchema>;
--- a/packages/serving/src/node/CoordinationNode.ts
+++ b/packages/serving/src/node/CoordinationNode.ts
@@ -130,7 +130,7 @@
       getServerTraffic: options.getServerTraffic,
     });
     const common = {
-      ...{ config, directory, clock, random, protections },
+      ...{ config, directory, clock, random, protections, holder },
       once: this.#newOnce(),
       retries: new RetryBudget(),
     };
--- a/packages/serving/src/requests/PromptRunner.ts
+++ b/packages/serving/src/requests/PromptRunner.ts
@@ -4,17 +4,13 @@
   FateState,
   getBackoffMs,
   isPeerError,
-  PeerError,
   PulleyError,
   sha256,
   sleep,
   Step,
   Verdict,
-  type AnswerChunk,
   type AnswerSink,
-  type ClassifiedRequest,
   type Clock,
-  type FleetConfig,
   type PromptOutcome,
   type PromptRequest,
   type Protections,
@@ -24,26 +20,27 @@
 
 import type { ConfigKeeper } from "../config/ConfigKeeper.js";
 import type { RequestTrace } from "../fates/FateRecorder.js";
-import type { Grant, PoolRouter } from "../scheduler/PoolRouter.js";
+import type { PoolRouter } from "../scheduler/PoolRouter.js";
 import { GrantEnd, type AcquireRequest } from "../scheduler/types.js";
 import type { UpstreamDirectory } from "../upstreams/UpstreamDirectory.js";
 import type { AtMostOnce } from "./AtMostOnce.js";
 import { MAX_KEPT_ANSWER } from "./AtMostOnce.js";
-import { AttemptStream } from "./AttemptStream.js";
+import { isRefusal, runAttempt } from "./promptAttempt.js";
+import type { Job } from "./Job.js";
 import { getFateState, RequestContext } from "./RequestContext.js";
 
 const MS_PER_S = 1_000;
-/** A first token may take this many times the estimated prefill, and a fixed time more. */
-const FIRST_TOKEN_FACTOR = 4;
-const FIRST_TOKEN_SLACK_MS = 5_000;
+/** Share of an engine's memory that a part of a split prompt may take. */
+const GROUP_MEMORY_SHARE = 0.9;
 const HTTP_BAD_REQUEST = 400;
 const HTTP_NOT_READY = 503;
-const REFUSING_STATUSES: readonly number[] = [429, 503];
 
 export interface PromptRunnerOptions {
   readonly config: ConfigKeeper;
   readonly directory: UpstreamDirectory;
   readonly pools: PoolRouter;
+  /** Process name and incarnation. */
+  readonly holder: string;
   readonly once: AtMostOnce;
   readonly retries: RetryBudget;
   readonly clock: Clock;
@@ -59,18 +56,6 @@
   onRetry(): void;
 }
 
-/** One prompt on its way through the runner. */
-interface Job {
-  readonly req: PromptRequest;
-  readonly ctx: RequestContext;
-  readonly cfg: FleetConfig;
-  readonly classified: ClassifiedRequest;
-  readonly assembler: AnswerAssembler;
-  readonly parts: string[];
-  readonly excluded: string[];
-  readonly onChunk: (chunk: AnswerChunk) => void;
-}
-
 /** Brings a prompt to an engine and its whole answer back, within its class's time. */
 export class PromptRunner {
   readonly #options: PromptRunnerOptions;
@@ -187,7 +172,7 @@
     let end: GrantEnd = GrantEnd.Unused;
     try {
       ctx.enter(Step.Reserve, grant.engine);
-      await this.#stream(job, grant, attempt);
+      await runAttempt({ ...this.#options, job, grant, attempt });
       end = GrantEnd.Done;
     } catch (err) {
       end = getGrantEnd(err, req.signal);
@@ -219,78 +204,10 @@
       prefillTokensPerS: model.prefillTokensPerS,
       engineKvTokens: model.engineKvTokens,
       maxStreams: model.maxStreamsPerEngine,
+      parts: getParts(promptTokens + req.maxTokens, model.engineKvTokens),
     };
   }
 
-  async #stream(job: Job, grant: Grant, attempt: number): Promise<void> {
-    const { req, ctx, classified, assembler, parts } = job;
-    const { clock, directory, protections } = this.#options;
-    const client = directory.getEngine(grant.engine)?.client;
-    ctx.enter(Step.Connect, grant.engine);
-    if (!client) {
-      throw ctx.newError("unknown_engine", `no engine ${grant.engine} is listed`);
-    }
-    ctx.checkDeadline(protections.deadlineCheck);
-    if (grant.isStale) {
-      throw new PeerError(grant.engine, "the process was paused after the grant", { sent: false });
-    }
-    const abort = new AbortController();
-    const onGone = (): void => {
-      abort.abort();
-    };
-    req.signal.addEventListener("abort", onGone);
-    const cancelDeadline = clock.setTimer(onGone, Math.max(1, ctx.remainingMs));
-    const attemptId = grant.id;
-    const stream = new AttemptStream({
-      engine: client,
-      clock,
-      assembler,
-      requireEndMarker: protections.endMarker,
-      onChunk: (chunk) => {
-        grant.noteFirstToken();
-        job.onChunk(chunk);
-      },
-    });
-    const fromSeq = assembler.nextSeq;
-    let isOnWire = false;
-    try {
-      await stream.run(
-        {
-          attemptId,
-          path: req.path,
-          body: req.body,
-          priority: classified.cls.priority,
-          timeoutMs: Math.max(1, ctx.remainingMs),
-          resume: attempt > 1 && fromSeq > 0 ? { fromSeq, text: parts.join("") } : undefined,
-          headers: getUpstreamHeaders(req, ctx),
-          onSend: () => {
-            ctx.enter(Step.Send, grant.engine);
-            isOnWire = true;
-          },
-        },
-        { signal: abort.signal, firstTokenTimeoutMs: this.#getFirstTokenTimeoutMs(job) },
-      );
-      ctx.enter(Step.LastChunk, grant.engine);
-    } catch (err) {
-      if (isOnWire && mayHaveReached(err)) {
-        ctx.noteSent();
-      }
-      client.cancel(attemptId).catch(() => undefined);
-      ctx.checkDeadline();
-      throw err;
-    } finally {
-      cancelDeadline();
-      req.signal.removeEventListener("abort", onGone);
-    }
-  }
-
-  #getFirstTokenTimeoutMs({ classified, ctx }: Job): number {
-    const { promptTokens, model } = classified;
-    const prefillMs = (promptTokens / model.prefillTokensPerS) * MS_PER_S;
-    const allowedMs = prefillMs * FIRST_TOKEN_FACTOR + FIRST_TOKEN_SLACK_MS;
-    return Math.max(1, Math.min(ctx.remainingMs, allowedMs));
-  }
-
   #newOutcome({ assembler, classified }: Job): PromptOutcome {
     return {
       finishReason: assembler.finishReason ?? "stop",
@@ -301,17 +218,9 @@
   }
 }
 
-const getUpstreamHeaders = (req: PromptRequest, ctx: RequestContext): Record<string, string> => ({
-  "x-request-id": ctx.trace.requestId,
-  ...(req.idempotencyKey === undefined ? {} : { "idempotency-key": req.idempotencyKey }),
-});
-
-const isRefusal = (err: unknown): boolean =>
-  isPeerError(err) && err.status !== undefined && REFUSING_STATUSES.includes(err.status);
-
-/** False when the engine certainly did not run anything. */
-const mayHaveReached = (err: unknown): boolean =>
-  !isPeerError(err) || (err.sent && !isRefusal(err));
+/** Engines that a prompt needs, with some of their memory left for others. */
+const getParts = (tokens: number, engineKvTokens: number): number =>
+  tokens <= engineKvTokens ? 1 : Math.ceil(tokens / (engineKvTokens * GROUP_MEMORY_SHARE));
 
 /** A failure of this upstream that another one may not share. */
 const isRetryable = (err: unknown): err is Error & { peer: string } =>
--- /dev/null
+++ b/packages/serving/src/requests/promptAttempt.ts
@@ -0,0 +1,167 @@
+import { isPeerError, PeerError, Step, type Clock, type Protections } from "@lycheepulley/core";
+import type { EngineClient } from "@lycheepulley/engines";
+
+import type { Grant } from "../scheduler/PoolRouter.js";
+import type { UpstreamDirectory } from "../upstreams/UpstreamDirectory.js";
+import { AttemptStream } from "./AttemptStream.js";
+import { EngineGroup } from "./EngineGroup.js";
+import type { Job } from "./Job.js";
+
+const MS_PER_S = 1_000;
+/** A first token may take this many times the estimated prefill, and a fixed time more. */
+const FIRST_TOKEN_FACTOR = 4;
+const FIRST_TOKEN_SLACK_MS = 5_000;
+const REFUSING_STATUSES: readonly number[] = [429, 503];
+
+interface AttemptOptions {
+  readonly job: Job;
+  readonly grant: Grant;
+  /** Number of the attempt, from 1. */
+  readonly attempt: number;
+  readonly directory: UpstreamDirectory;
+  readonly clock: Clock;
+  readonly protections: Protections;
+  /** Process name and incarnation. */
+  readonly holder: string;
+}
+
+/** Runs one attempt of a prompt on the engines of its grant, at once or never. */
+export const runAttempt = async (options: AttemptOptions): Promise<void> => {
+  const { job, grant, clock, protections } = options;
+  const { req, ctx } = job;
+  const members = findMembers(options);
+  ctx.checkDeadline(protections.deadlineCheck);
+  if (grant.isStale) {
+    throw new PeerError(grant.engine, "the process was paused after the grant", { sent: false });
+  }
+  const abort = new AbortController();
+  const onGone = (): void => {
+    abort.abort();
+  };
+  req.signal.addEventListener("abort", onGone);
+  const cancelDeadline = clock.setTimer(onGone, Math.max(1, ctx.remainingMs));
+  try {
+    if (members.length > 1) {
+      await streamFromGroup(options, members, abort.signal);
+    } else {
+      await stream(options, { members, signal: abort.signal, segments: undefined });
+    }
+    ctx.enter(Step.LastChunk, grant.engine);
+  } catch (err) {
+    ctx.checkDeadline();
+    throw err;
+  } finally {
+    cancelDeadline();
+    req.signal.removeEventListener("abort", onGone);
+  }
+};
+
+const findMembers = ({ job, grant, directory }: AttemptOptions): EngineClient[] => {
+  job.ctx.enter(Step.Connect, grant.engine);
+  return grant.members.map((name) => {
+    const client = directory.getEngine(name)?.client;
+    if (!client) {
+      throw job.ctx.newError("unknown_engine", `no engine ${name} is listed`);
+    }
+    return client;
+  });
+};
+
+/** Computes a prompt's parts on the first members and streams from the last. */
+const streamFromGroup = async (
+  options: AttemptOptions,
+  members: readonly EngineClient[],
+  signal: AbortSignal,
+): Promise<void> => {
+  const { job, grant, clock, holder } = options;
+  const { ctx, classified, req } = job;
+  const group = new EngineGroup({
+    members,
+    clock,
+    call: {
+      attemptId: grant.id,
+      owner: holder,
+      body: req.body,
+      promptTokens: classified.promptTokens,
+      outputTokens: req.maxTokens,
+      priority: classified.cls.priority,
+      timeoutMs: Math.max(1, ctx.remainingMs),
+      signal,
+    },
+  });
+  try {
+    const segments = await group.prepare();
+    await stream(options, { members, signal, segments });
+  } finally {
+    await group.release();
+  }
+};
+
+const stream = async (
+  { job, grant, attempt, clock, protections }: AttemptOptions,
+  how: {
+    readonly members: readonly EngineClient[];
+    readonly signal: AbortSignal;
+    readonly segments: readonly string[] | undefined;
+  },
+): Promise<void> => {
+  const { req, ctx, classified, assembler, parts } = job;
+  const client = how.members.at(-1);
+  if (!client) {
+    throw ctx.newError("unknown_engine", "the grant names no engine");
+  }
+  const attemptStream = new AttemptStream({
+    ...{ engine: client, clock, assembler, requireEndMarker: protections.endMarker },
+    onChunk: (chunk) => {
+      grant.noteFirstToken();
+      job.onChunk(chunk);
+    },
+  });
+  const fromSeq = assembler.nextSeq;
+  let isOnWire = false;
+  try {
+    await attemptStream.run(
+      {
+        attemptId: grant.id,
+        path: req.path,
+        body: req.body,
+        priority: classified.cls.priority,
+        timeoutMs: Math.max(1, ctx.remainingMs),
+        resume: attempt > 1 && fromSeq > 0 ? { fromSeq, text: parts.join("") } : undefined,
+        headers: getUpstreamHeaders(job),
+        ...(how.segments ? { segments: how.segments, reservationId: grant.id } : {}),
+        onSend: () => {
+          ctx.enter(Step.Send, grant.engine);
+          isOnWire = true;
+        },
+      },
+      { signal: how.signal, firstTokenTimeoutMs: getFirstTokenTimeoutMs(job) },
+    );
+  } catch (err) {
+    if (isOnWire && mayHaveReached(err)) {
+      ctx.noteSent();
+    }
+    client.cancel(grant.id).catch(() => undefined);
+    throw err;
+  }
+};
+
+const getFirstTokenTimeoutMs = ({ classified, ctx }: Job): number => {
+  const { promptTokens, model } = classified;
+  const prefillMs = (promptTokens / model.prefillTokensPerS) * MS_PER_S;
+  const allowedMs = prefillMs * FIRST_TOKEN_FACTOR + FIRST_TOKEN_SLACK_MS;
+  return Math.max(1, Math.min(ctx.remainingMs, allowedMs));
+};
+
+const getUpstreamHeaders = ({ req, ctx }: Job): Record<string, string> => ({
+  "x-request-id": ctx.trace.requestId,
+  ...(req.idempotencyKey === undefined ? {} : { "idempotency-key": req.idempotencyKey }),
+});
+
+/** Tells whether an engine said that it takes no work now. */
+export const isRefusal = (err: unknown): boolean =>
+  isPeerError(err) && err.status !== undefined && REFUSING_STATUSES.includes(err.status);
+
+/** False when the engine certainly did not run anything. */
+const mayHaveReached = (err: unknown): boolean =>
+  !isPeerError(err) || (err.sent && !isRefusal(err));
--- a/packages/serving/src/scheduler/CellScheduler.ts
+++ b/packages/serving/src/scheduler/CellScheduler.ts
@@ -8,7 +8,7 @@
 } from "@lycheepulley/core";
 import type { EngineLoad } from "@lycheepulley/engines";
 
-import { estimateWaitMs, getRetryAfterMs, newBlocked } from "./admission.js";
+import { chooseGroup, findRefusal, getRetryAfterMs, newBlocked } from "./admission.js";
 import type { EngineSlot, SlotGrant } from "./EngineSlot.js";
 import { SlotMonitor } from "./SlotMonitor.js";
 import { SlotTable, type CellEngine } from "./SlotTable.js";
@@ -177,22 +177,16 @@
   }
 
   #findRefusal(req: AcquireRequest): AcquireAnswer | undefined {
-    const needed = req.promptTokens + req.outputTokens;
     if (this.#options.suspects.getSuspicion(req.fingerprint) === Suspicion.Blocked) {
       return newBlocked();
     }
-    if (needed > req.engineKvTokens) {
-      const message = `needs ${String(needed)} tokens of KV memory; an engine has ${String(req.engineKvTokens)}`;
-      return this.#newRefusal(RefusalCode.TooLarge, message);
-    }
-    if (this.#queue.size >= this.#options.getMaxQueued()) {
-      return this.#newRefusal(RefusalCode.Overloaded, "queue is full");
-    }
-    if (estimateWaitMs(req, this.#queue.getRequests(), this.#slots.livingCount) > req.remainingMs) {
-      const message = "can't end within the class's time under the present load";
-      return this.#newRefusal(RefusalCode.Overloaded, message);
-    }
-    return undefined;
+    const refusal = findRefusal(req, {
+      waiting: this.#queue.getRequests(),
+      maxQueued: this.#options.getMaxQueued(),
+      engines: this.#slots.getAll().length,
+      livingEngines: this.#slots.livingCount,
+    });
+    return refusal && this.#newRefusal(refusal.code, refusal.message);
   }
 
   #newRefusal(code: RefusalCode, message: string): AcquireAnswer {
@@ -241,9 +235,11 @@
       return;
     }
     // Equal prompts share one engine, so that a poisonous one takes only that engine.
-    const slot = twin ? this.#keepIfOpen(twin, waiting.req) : this.#choose(waiting, now);
-    if (slot) {
-      this.#grant(waiting, slot, { isAlone: false, now });
+    const slots = twin
+      ? [this.#keepIfOpen(twin, waiting.req)].filter((slot) => slot !== undefined)
+      : this.#choose(waiting, now);
+    if (slots.length > 0) {
+      this.#grant(waiting, slots, { isAlone: false, now });
     }
   }
 
@@ -255,11 +251,17 @@
     return slot.isOpen(req.model, this.#options.protections.leavingCheck);
   }
 
-  #choose({ req, entry }: Waiting, now: number): EngineSlot | undefined {
+  /** Engines for a request, the generating one last; none lets it wait. */
+  #choose({ req, entry }: Waiting, now: number): EngineSlot[] {
     const longPromptTokens = this.#options.getLongPromptTokens();
     const open = this.#slots.getAll().filter((slot) => this.#keepIfOpen(slot, req));
     const fresh = open.filter((slot) => !req.excluded.includes(slot.name));
     const candidates = fresh.length > 0 ? fresh : open;
+    if (req.parts > 1) {
+      const views = candidates.map((slot) => slot.getView(now, longPromptTokens));
+      const group = chooseGroup(req, views);
+      return group.flatMap(({ name }) => this.#slots.get(name) ?? []);
+    }
     const chosen = this.#options.policy.choose(
       {
         id: req.id,
@@ -274,7 +276,8 @@
         longPromptTokens,
       },
     );
-    return chosen ? this.#slots.get(chosen.name) : undefined;
+    const slot = chosen ? this.#slots.get(chosen.name) : undefined;
+    return slot ? [slot] : [];
   }
 
   /** Empties one engine for a suspect and runs it there alone. */
@@ -287,30 +290,32 @@
     }
     slot.isolatedFor = req.id;
     if (slot.grants.size === 0) {
-      this.#grant(waiting, slot, { isAlone: true, now });
+      this.#grant(waiting, [slot], { isAlone: true, now });
     }
   }
 
-  #grant(waiting: Waiting, slot: EngineSlot, options: { isAlone: boolean; now: number }): void {
+  #grant(
+    waiting: Waiting,
+    slots: readonly EngineSlot[],
+    options: { isAlone: boolean; now: number },
+  ): void {
     const { req, holder } = waiting;
     const { isAlone, now } = options;
-    const cached = this.#options.getCachedTokens(req.prefixBlocks)[slot.name] ?? 0;
-    const grant: SlotGrant = {
-      id: req.id,
-      engine: slot.name,
-      promptTokens: req.promptTokens,
-      outputTokens: req.outputTokens,
-      fingerprint: req.fingerprint,
-      isAlone,
-      holder,
-      renewedMs: now,
-      hasFirstToken: false,
-      prefillLeft: Math.max(1, req.promptTokens - cached),
-      isBroken: false,
-    };
-    slot.add(grant, now);
-    this.#options.onGranted?.(req, slot.name);
-    this.#leave(req.id, { result: "granted", id: req.id, engine: slot.name, isAlone });
+    const cached = this.#options.getCachedTokens(req.prefixBlocks);
+    const promptTokens = Math.ceil(req.promptTokens / slots.length);
+    for (const slot of slots) {
+      const grant: SlotGrant = {
+        ...{ id: req.id, engine: slot.name, promptTokens, outputTokens: req.outputTokens },
+        ...{ fingerprint: req.fingerprint, isAlone, holder, renewedMs: now },
+        ...{ hasFirstToken: false, isBroken: false },
+        prefillLeft: Math.max(1, promptTokens - (cached[slot.name] ?? 0)),
+      };
+      slot.add(grant, now);
+    }
+    const members = slots.map(({ name }) => name);
+    const engine = members.at(-1) ?? "";
+    this.#options.onGranted?.(req, engine);
+    this.#leave(req.id, { result: "granted", id: req.id, engine, members, isAlone });
   }
 
   #settleGrant(slot: EngineSlot, grant: SlotGrant, end: GrantEnd): void {
@@ -337,13 +342,9 @@
 
   /** Takes back grants whose users have fallen silent. */
   #reap(): void {
-    const oldest = this.#options.clock.now() - GRANT_TERM_MS;
-    for (const slot of this.#slots.getAll()) {
-      for (const grant of [...slot.grants.values()]) {
-        if (grant.renewedMs < oldest) {
-          this.#settleGrant(slot, grant, GrantEnd.Unused);
-        }
-      }
+    const oldestMs = this.#options.clock.now() - GRANT_TERM_MS;
+    for (const { slot, grant } of this.#slots.getSilent(oldestMs)) {
+      this.#settleGrant(slot, grant, GrantEnd.Unused);
     }
     this.#dispatch();
   }
--- a/packages/serving/src/scheduler/PoolRouter.ts
+++ b/packages/serving/src/scheduler/PoolRouter.ts
@@ -20,28 +20,35 @@
 const HTTP_UNAVAILABLE = 503;
 const HTTP_BLOCKED = 422;
 
+type GrantedAnswer = Extract<AcquireAnswer, { result: "granted" }>;
+
 /** A place on an engine, held until it is released. */
 export class Grant {
   readonly id: string;
   readonly engine: string;
+  /** Engines that hold the prompt's parts, the generating one last. */
+  readonly members: readonly string[];
   readonly isAlone: boolean;
   readonly #release: (end: GrantEnd) => Promise<void>;
   readonly #isStale: () => boolean;
-  readonly #held: HeldGrant;
+  readonly #held: readonly HeldGrant[];
 
   constructor(
-    held: HeldGrant,
+    answer: GrantedAnswer,
+    held: readonly HeldGrant[],
     options: { release: (end: GrantEnd) => Promise<void>; isStale: () => boolean },
   ) {
-    this.id = held.id;
-    this.engine = held.engine;
-    this.isAlone = held.isAlone;
+    this.id = answer.id;
+    this.engine = answer.engine;
+    this.members = answer.members;
+    this.isAlone = answer.isAlone;
     this.#held = held;
     this.#release = options.release;
     this.#isStale = options.isStale;
   }
 
-  get held(): HeldGrant {
+  /** What the owner is told of the grant, one line for each engine. */
+  get held(): readonly HeldGrant[] {
     return this.#held;
   }
 
@@ -52,7 +59,9 @@
 
   /** Notes that the prompt has been computed. */
   noteFirstToken(): void {
-    this.#held.hasFirstToken = true;
+    this.#held.forEach((held) => {
+      held.hasFirstToken = true;
+    });
   }
 
   release(end: GrantEnd): Promise<void> {
@@ -186,22 +195,22 @@
   #newGrant(
     req: AcquireRequest,
     given: {
-      answer: Extract<AcquireAnswer, { result: "granted" }>;
+      answer: GrantedAnswer;
       owner: string;
       askedMs: number;
     },
   ): Grant {
     const { answer, owner, askedMs } = given;
-    const held: HeldGrant = {
+    const held = answer.members.map((engine): HeldGrant => ({
       id: answer.id,
-      engine: answer.engine,
-      promptTokens: req.promptTokens,
+      engine,
+      promptTokens: Math.ceil(req.promptTokens / answer.members.length),
       outputTokens: req.outputTokens,
       fingerprint: req.fingerprint,
       isAlone: answer.isAlone,
       hasFirstToken: false,
-    };
-    const grant = new Grant(held, {
+    }));
+    const grant = new Grant(answer, held, {
       release: (end) => this.#release(req.pool, answer.id, end),
       isStale: () => this.#hasPausedSince(askedMs),
     });
@@ -247,7 +256,7 @@
   #renewAll(): void {
     const byPool = new Map<string, HeldGrant[]>();
     for (const { pool, grant } of this.#held.values()) {
-      byPool.set(pool, [...(byPool.get(pool) ?? []), grant.held]);
+      byPool.set(pool, [...(byPool.get(pool) ?? []), ...grant.held]);
     }
     for (const [pool, held] of byPool) {
       const owner = this.#host.getOwner(pool);
--- a/packages/serving/src/scheduler/SlotTable.ts
+++ b/packages/serving/src/scheduler/SlotTable.ts
@@ -1,6 +1,6 @@
 import type { EngineClient } from "@lycheepulley/engines";
 
-import { EngineSlot, SlotHealth } from "./EngineSlot.js";
+import { EngineSlot, SlotHealth, type SlotGrant } from "./EngineSlot.js";
 import type { AcquireRequest, HeldGrant } from "./types.js";
 
 /** Share of a pool that suspects may occupy one by one. */
@@ -84,6 +84,15 @@
     slot?.add({ ...report, holder, renewedMs: nowMs, prefillLeft, isBroken: false }, nowMs);
   }
 
+  /** Grants that were last renewed before `oldestMs`. */
+  getSilent(oldestMs: number): { slot: EngineSlot; grant: SlotGrant }[] {
+    return this.getAll().flatMap((slot) =>
+      [...slot.grants.values()]
+        .filter((grant) => grant.renewedMs < oldestMs)
+        .map((grant) => ({ slot, grant })),
+    );
+  }
+
   /** Engine that is being emptied for a suspect, or the emptiest if another may be. */
   chooseIsolation(id: string, open: readonly EngineSlot[]): EngineSlot | undefined {
     const own = open.find((slot) => slot.isolatedFor === id);
--- a/packages/serving/src/scheduler/admission.ts
+++ b/packages/serving/src/scheduler/admission.ts
@@ -1,3 +1,5 @@
+import type { EngineView } from "@lycheepulley/core";
+
 import { RefusalCode, type AcquireAnswer, type AcquireRequest } from "./types.js";
 
 const MIN_RETRY_AFTER_MS = 500;
@@ -5,7 +7,7 @@
 const MS_PER_S = 1_000;
 
 /** Time to compute the prompts ahead of a request, spread over the pool, and its own. */
-export const estimateWaitMs = (
+const estimateWaitMs = (
   req: AcquireRequest,
   waiting: readonly AcquireRequest[],
   engines: number,
@@ -20,6 +22,34 @@
   return ahead / (perMs * engines) + req.promptTokens / perMs;
 };
 
+/** What admission knows of a pool. */
+interface PoolLoad {
+  readonly waiting: readonly AcquireRequest[];
+  readonly maxQueued: number;
+  readonly engines: number;
+  readonly livingEngines: number;
+}
+
+/** Why a request can't be admitted now; undefined when it may wait for a place. */
+export const findRefusal = (
+  req: AcquireRequest,
+  { waiting, maxQueued, engines, livingEngines }: PoolLoad,
+): { readonly code: RefusalCode; readonly message: string } | undefined => {
+  const needed = req.promptTokens + req.outputTokens;
+  if (needed > req.engineKvTokens * engines) {
+    const message = `needs ${String(needed)} tokens of KV memory; the pool's engines have less`;
+    return { code: RefusalCode.TooLarge, message };
+  }
+  if (waiting.length >= maxQueued) {
+    return { code: RefusalCode.Overloaded, message: "queue is full" };
+  }
+  if (estimateWaitMs(req, waiting, livingEngines) > req.remainingMs) {
+    const message = "can't end within the class's time under the present load";
+    return { code: RefusalCode.Overloaded, message };
+  }
+  return undefined;
+};
+
 /** Time in which the queue drains, as advice to a refused caller. */
 export const getRetryAfterMs = (waiting: readonly AcquireRequest[], engines: number): number => {
   const tokens = waiting.reduce((sum, req) => sum + req.promptTokens, 0);
@@ -35,3 +65,16 @@
   message: "this prompt has crashed its upstreams and is blocked",
   retryAfterMs: 0,
 });
+
+/** Engines with room for one part each, the least loaded first; none unless all parts fit. */
+export const chooseGroup = (
+  req: AcquireRequest,
+  engines: readonly EngineView[],
+): readonly EngineView[] => {
+  const partTokens = Math.ceil(req.promptTokens / req.parts) + req.outputTokens;
+  const fitting = engines
+    .filter(({ requests, maxStreams }) => requests < maxStreams)
+    .filter(({ kvPromisedTokens, kvTotalTokens }) => kvPromisedTokens + partTokens <= kvTotalTokens)
+    .sort((a, b) => a.longPrefills - b.longPrefills || a.outstandingTokens - b.outstandingTokens);
+  return fitting.length < req.parts ? [] : fitting.slice(0, req.parts);
+};
--- a/packages/serving/src/scheduler/types.ts
+++ b/packages/serving/src/scheduler/types.ts
@@ -22,6 +22,8 @@
   /** Capacity of the model's engines. */
   prefillTokensPerS: z.number(),
   engineKvTokens: z.number(),
+  /** Engines among which the prompt is split; 1 for prompts that one engine holds. */
+  parts: z.number().int().positive(),
   maxStreams: z.number().int(),
 });
 export type AcquireRequest = z.infer<typeof acquireSchema>;
@@ -73,7 +75,10 @@
   z.object({
     result: z.literal("granted"),
     id: z.string(),
+    /** Engine that generates the answer. */
     engine: z.string(),
+    /** Engines that hold the prompt's parts in order, the generating one last. */
+    members: z.array(z.string()),
     isAlone: z.boolean(),
   }),
   z.object({
--- /dev/null
+++ b/packages/tools/src/bench/runPolicy.ts
@@ -0,0 +1,176 @@
+import type { Settings } from "@lycheepulley/daemon";
+import { getIdleAnswerMs, getWholeAnswer, type EngineRates } from "@lycheepulley/standins";
+
+import { getExampleKey, type LoadedDeployment } from "../fleet/deployment.js";
+import { getOrigin, LocalFleet } from "../fleet/LocalFleet.js";
+import { LoadClient, type PromptResult } from "../load/httpLoad.js";
+import { getPrompt, type Arrival } from "./workload.js";
+
+const MS_PER_S = 1_000;
+const PROBES = 5;
+const PROBE_TOKENS = 2_000;
+const PROBE_OUTPUT_TOKENS = 40;
+
+/** What came of one arrival; times are model time. */
+export interface Outcome {
+  readonly arrival: Arrival;
+  readonly firstTokenMs: number | undefined;
+  readonly totalMs: number;
+  readonly isFinished: boolean;
+  readonly isRefused: boolean;
+  readonly code: string;
+  /** The answer was whole and its own. */
+  readonly isRight: boolean;
+  /** Time to the whole answer over that on an idle engine. */
+  readonly slowdown: number | undefined;
+}
+
+export interface PolicyRun {
+  readonly policy: Settings["placement"];
+  readonly outcomes: readonly Outcome[];
+  /** Measured over computed time of requests alone on the fleet. */
+  readonly idleRatio: number;
+  /** Model time from the first arrival to the last end. */
+  readonly spanMs: number;
+  readonly cache: { readonly promptTokens: number; readonly cachedTokens: number };
+}
+
+const sleep = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
+
+/** Runs the arrivals on a fresh fleet under one policy. */
+export const runPolicy = async (options: {
+  loaded: LoadedDeployment;
+  entryPoint: string;
+  folder: string;
+  policy: Settings["placement"];
+  arrivals: readonly Arrival[];
+  rates: EngineRates;
+  timeScale: number;
+  say: (line: string) => void;
+}): Promise<PolicyRun> => {
+  const { loaded, entryPoint, folder, policy, arrivals, rates, timeScale, say } = options;
+  const fleet = new LocalFleet({
+    ...{ loaded: scalePatience(loaded, timeScale), entryPoint, folder, timeScale },
+    settings: { placement: policy },
+  });
+  await fleet.start();
+  const clients = fleet.entries.map(({ vm }) => new LoadClient(getOrigin(vm)));
+  try {
+    const send = newSender({ clients, model: loaded.deployment.model, rates, timeScale });
+    const idleRatio = await probeIdle(send);
+    const startMs = performance.now();
+    const open: Promise<Outcome>[] = [];
+    for (const arrival of arrivals) {
+      const dueMs = startMs + arrival.atMs / timeScale;
+      await sleep(Math.max(0, dueMs - performance.now()));
+      open.push(send(arrival, dueMs));
+      if (arrival.index > 0 && arrival.index % 500 === 0) {
+        say(`${policy}: ${String(arrival.index)} of ${String(arrivals.length)} requests sent`);
+      }
+    }
+    const outcomes = await Promise.all(open);
+    const spanMs = (performance.now() - startMs) * timeScale;
+    return { policy, outcomes, idleRatio, spanMs, cache: await fetchCache(fleet) };
+  } finally {
+    await Promise.all(clients.map((client) => client.close()));
+    await fleet.stop();
+  }
+};
+
+type Sender = (arrival: Arrival, intendedMs: number) => Promise<Outcome>;
+
+const newSender =
+  (options: {
+    clients: readonly LoadClient[];
+    model: string;
+    rates: EngineRates;
+    timeScale: number;
+  }): Sender =>
+  async (arrival, intendedMs) => {
+    const { clients, model, rates, timeScale } = options;
+    const prompt = getPrompt(arrival);
+    const body = JSON.stringify({
+      ...{ model, stream: true, max_tokens: arrival.outputTokens },
+      messages: [{ role: "user", content: prompt }],
+    });
+    const client = clients[arrival.index % clients.length];
+    const headers = { authorization: `Bearer ${getExampleKey(arrival.customer)}` };
+    const result = await client?.prompt({
+      ...{ path: "/v1/chat/completions", body, headers, intendedMs },
+    });
+    return newOutcome({ arrival, prompt, result, rates, timeScale });
+  };
+
+const NOT_RUN: readonly (string | undefined)[] = ["not_run", "refused_until"];
+
+const newOutcome = (options: {
+  arrival: Arrival;
+  prompt: string;
+  result: PromptResult | undefined;
+  rates: EngineRates;
+  timeScale: number;
+}): Outcome => {
+  const { arrival, prompt, result, rates, timeScale } = options;
+  const { promptTokens, outputTokens } = arrival;
+  const isFinished = result?.isWhole ?? false;
+  const totalMs = (result?.totalMs ?? 0) * timeScale;
+  const firstTokenMs = result?.firstTokenMs;
+  return {
+    ...{ arrival, totalMs, isFinished },
+    firstTokenMs: firstTokenMs === undefined ? undefined : firstTokenMs * timeScale,
+    isRefused: NOT_RUN.includes(result?.error?.verdict),
+    code: result?.error?.code ?? "",
+    isRight: !isFinished || result?.text === getWholeAnswer(prompt, outputTokens),
+    slowdown: isFinished ? totalMs / getIdleAnswerMs(rates, promptTokens, outputTokens) : undefined,
+  };
+};
+
+/** Sends a few requests one after the other and compares with the engines' stated rates. */
+const probeIdle = async (send: Sender): Promise<number> => {
+  const ratios: number[] = [];
+  for (let i = 0; i < PROBES; i += 1) {
+    const arrival: Arrival = {
+      ...{ index: -1 - i, atMs: 0, promptTokens: PROBE_TOKENS, prefix: undefined },
+      ...{ outputTokens: PROBE_OUTPUT_TOKENS, customer: "" },
+    };
+    const { slowdown } = await send(arrival, performance.now());
+    ratios.push(slowdown ?? 1);
+  }
+  return ratios.sort((a, b) => a - b)[Math.floor(PROBES / 2)] ?? 1;
+};
+
+/** Classes' patience is real time; in faster model time it shrinks alike. */
+const scalePatience = (loaded: LoadedDeployment, timeScale: number): LoadedDeployment => {
+  const scaled = Object.fromEntries(
+    Object.entries(loaded.config.classes).map(([name, { patienceMs }]) => [
+      name,
+      { patienceMs: Math.max(MS_PER_S, Math.round(patienceMs / timeScale)) },
+    ]),
+  );
+  const model = loaded.config.models[loaded.deployment.model];
+  const rate = (model?.prefillTokensPerS ?? 1) * timeScale;
+  const overlays = Object.fromEntries(
+    Object.entries(loaded.bundle.overlays).map(([site, overlay]) => [
+      site,
+      {
+        ...overlay,
+        classes: scaled,
+        models: { [loaded.deployment.model]: { prefillTokensPerS: rate } },
+      },
+    ]),
+  );
+  return { ...loaded, bundle: { ...loaded.bundle, overlays } };
+};
+
+const fetchCache = async (fleet: LocalFleet): Promise<PolicyRun["cache"]> => {
+  let promptTokens = 0;
+  let cachedTokens = 0;
+  for (const vm of fleet.engineVms) {
+    const { cache } = (await fleet.fetch(getOrigin(vm), "/standin/ledger")) as {
+      cache: PolicyRun["cache"];
+    };
+    promptTokens += cache.promptTokens;
+    cachedTokens += cache.cachedTokens;
+  }
+  return { promptTokens, cachedTokens };
+};
--- a/packages/tools/src/index.ts
+++ b/packages/tools/src/index.ts
@@ -4,3 +4,6 @@
 export * from "./fleet/LocalFleet.js";
 export * from "./load/httpLoad.js";
 export * from "./overhead/overhead.js";
+export * from "./bench/bench.js";
+export * from "./bench/html.js";
+export * from "./bench/summary.js";
--- a/packages/tools/src/load/httpLoad.ts
+++ b/packages/tools/src/load/httpLoad.ts
@@ -40,7 +40,7 @@
     let status = 0;
     let requestId = "";
     let firstTokenMs: number | undefined;
-    let failure: string | undefined;
+    let failure: { code: string; message: string } | undefined;
     try {
       const res = await this.#pool.request({
         path: call.path,
@@ -57,7 +57,7 @@
         }
       }
     } catch (err) {
-      failure = getMessage(err);
+      failure = { code: getCode(err), message: getMessage(err) };
     }
     return {
       status,
@@ -66,7 +66,8 @@
       totalMs: performance.now() - call.intendedMs,
       text: parser.text,
       isWhole: parser.isWhole,
-      error: parser.error ?? (failure === undefined ? undefined : newConnectionError(failure)),
+      error:
+        parser.error ?? (failure === undefined ? undefined : { ...failure, verdict: "unknown" }),
     };
   }
 
@@ -75,11 +76,11 @@
   }
 }
 
-const newConnectionError = (message: string): NonNullable<PromptResult["error"]> => ({
-  code: "connection",
-  verdict: "unknown",
-  message,
-});
+/** Code of a connection that was refused, or "connection" for one that broke. */
+const getCode = (err: unknown): string =>
+  typeof err === "object" && err !== null && "code" in err && err.code === "ECONNREFUSED"
+    ? err.code
+    : "connection";
 
 interface Event {
   readonly choices?: readonly {
--- a/packages/tools/src/soak/SoakCaller.ts
+++ b/packages/tools/src/soak/SoakCaller.ts
@@ -5,6 +5,9 @@
 import { LoadClient } from "../load/httpLoad.js";
 
 const KEEP_SHARE = 1;
+const MAX_ADDRESSES = 4;
+/** Code of a result whose connection was never made. */
+const REFUSED = "ECONNREFUSED";
 const addressSchema = z.object({
   keepMs: z.number(),
   addresses: z.array(z.object({ host: z.string(), port: z.number() })),
@@ -30,6 +33,9 @@
   readonly tookMs: number;
 }
 
+type SoakCall = Pick<SoakRecord, "kind" | "prompt" | "maxTokens" | "key" | "isPoison">;
+type SoakAnswer = Pick<SoakRecord, "requestId" | "status" | "told" | "code" | "text">;
+
 /** A caller that asks the system for addresses and keeps the answer as told. */
 export class SoakCaller {
   readonly #clients = new Map<string, LoadClient>();
@@ -50,21 +56,21 @@
     this.#first = origins;
   }
 
-  async send(
-    call: Pick<SoakRecord, "kind" | "prompt" | "maxTokens" | "key" | "isPoison">,
-  ): Promise<SoakRecord> {
-    const origin = await this.#getOrigin();
+  async send(call: SoakCall): Promise<SoakRecord> {
     const startMs = performance.now();
-    const answer =
-      call.kind === SoakKind.Save
-        ? await this.#save(origin, call)
-        : await this.#prompt(origin, call);
-    if (answer.told === "lost") {
+    let answer = await this.#sendTo(await this.#getOrigin(), call);
+    for (let tries = 1; isRefusedConnection(answer) && tries < MAX_ADDRESSES; tries += 1) {
+      // Nothing was sent: the next address may be asked.
       this.#keepUntilMs = 0;
+      answer = await this.#sendTo(await this.#getOrigin(), call);
     }
     return { ...call, ...answer, tookMs: performance.now() - startMs };
   }
 
+  #sendTo(origin: string, call: SoakCall): Promise<SoakAnswer> {
+    return call.kind === SoakKind.Save ? this.#save(origin, call) : this.#prompt(origin, call);
+  }
+
   async close(): Promise<void> {
     await Promise.all([...this.#clients.values()].map((client) => client.close()));
   }
@@ -76,7 +82,7 @@
   async #prompt(
     origin: string,
     call: Pick<SoakRecord, "kind" | "prompt" | "maxTokens" | "key">,
-  ): Promise<Pick<SoakRecord, "requestId" | "status" | "told" | "code" | "text">> {
+  ): Promise<SoakAnswer> {
     const { prompt, maxTokens, key } = call;
     const result = await this.#getClient(origin).prompt({
       path: "/v1/chat/completions",
@@ -97,10 +103,7 @@
     return { requestId, status, text, told, code: error?.code ?? "" };
   }
 
-  async #save(
-    origin: string,
-    call: Pick<SoakRecord, "prompt" | "key">,
-  ): Promise<Pick<SoakRecord, "requestId" | "status" | "told" | "code" | "text">> {
+  async #save(origin: string, call: Pick<SoakRecord, "prompt" | "key">): Promise<SoakAnswer> {
     try {
       const res = await fetch(`${origin}/services/taller/glossary`, {
         method: "POST",
@@ -115,7 +118,9 @@
       const { error } = errorSchema.parse(JSON.parse(text));
       return { requestId, status: res.status, text, told: error.verdict, code: error.code };
     } catch (err) {
-      return { requestId: "", status: 0, text: getMessage(err), told: "lost", code: "connection" };
+      const cause = err instanceof Error ? err.cause : undefined;
+      const code = isRefusal(cause) ? REFUSED : "connection";
+      return { requestId: "", status: 0, text: getMessage(err), told: "lost", code };
     }
   }
 
@@ -149,6 +154,12 @@
   }
 }
 
+const isRefusedConnection = ({ told, code }: SoakAnswer): boolean =>
+  told === "lost" && code === REFUSED;
+
+const isRefusal = (err: unknown): boolean =>
+  typeof err === "object" && err !== null && "code" in err && err.code === REFUSED;
+
 const errorSchema = z.object({ error: z.object({ verdict: z.string(), code: z.string() }) });
 
 const getTold = (verdict: string | undefined): string =>
