--- a/packages/serving/src/scheduler/CellScheduler.ts
+++ b/packages/serving/src/scheduler/CellScheduler.ts
@@ -102,9 +102,7 @@
   /** Waits for a place; every wait ends by a grant, a refusal or its timer. */
   acquire(req: AcquireRequest, holder: string): Promise<AcquireAnswer> {
     const refusal = this.#findRefusal(req);
-    if (refusal) {
-      return Promise.resolve(refusal);
-    }
+    if (refusal) return Promise.resolve(refusal);
     this.#slots.learnCapacity(req);
     const answer = this.#queue.add(req, holder, () => {
       const message = "no engine was free within the class's time";
