Make members of other failure domains converge

Cause: a process kept an incomplete set of another domain's members for good (2 of 4 starts of six processes had one process missing in some views after 20 s): a heartbeat from the own domain overwrote the wish for news, and any fresher set was taken, right or not. Ruled out: the VM list and lost heartbeats (ages were under 3 s). Now the newest digest is kept, a set is taken only if it matches it, and the wish follows from the difference.

--- a/packages/nodes/src/NodeServer.ts
+++ b/packages/nodes/src/NodeServer.ts
@@ -6,6 +6,8 @@
 import type { RpcMethod, RpcRegistrar } from "./rpc.js";
 
 const MAX_BODY_BYTES = 16_000_000;
+/** Estimated bytes of request line, status line and headers of one call. */
+const HEADER_BYTES = 250;
 
 /** JSON-RPC server for other entry processes and operators. */
 export class NodeServer implements RpcRegistrar {
@@ -58,8 +60,8 @@
   ): Promise<void> {
     const text = (await readBody(req, MAX_BODY_BYTES)).toString();
     const answer = JSON.stringify(await this.#rpc.receiveJSON(text));
-    this.#receivedBytes += text.length;
-    this.#sentBytes += answer.length;
+    this.#receivedBytes += text.length + HEADER_BYTES;
+    this.#sentBytes += answer.length + HEADER_BYTES;
     res.writeHead(200, { "content-length": String(Buffer.byteLength(answer)) });
     res.end(answer);
   }
--- a/packages/serving/src/membership/MemberTable.ts
+++ b/packages/serving/src/membership/MemberTable.ts
@@ -9,6 +9,8 @@
 
 /** A member without news for this long is suspect. */
 export const SUSPECT_AFTER_MS = 4_000;
+/** A domain without news for this long is cut off, and its members are suspect. */
+export const DOMAIN_SUSPECT_AFTER_MS = 6_000;
 /** A member without news for this long is gone. */
 export const GONE_AFTER_MS = 15_000;
 const DIGEST_LENGTH = 10;
@@ -22,10 +24,22 @@
 
 /** What this process knows of another failure domain. */
 interface DomainNews {
+  /** Members for which the domain vouched last. */
   readonly names: ReadonlySet<string>;
+  /** Monotonic time for which the domain vouched for them. */
   readonly freshMs: number;
+  /** Newest digest that was heard of, and the time it is from. */
+  readonly digest: string;
+  readonly digestMs: number;
 }
 
+const NO_NEWS: DomainNews = {
+  names: new Set(),
+  freshMs: -Infinity,
+  digest: "",
+  digestMs: -Infinity,
+};
+
 /** A member with its state as seen from here. */
 export interface MemberView {
   readonly report: NodeReport;
@@ -75,15 +89,10 @@
     for (const entry of gossip.members) {
       this.#mutateWithEntry(entry, nowMs);
     }
-    this.#mutateWithForeignSets(gossip.members, nowMs);
-    for (const [domain, digest, ageMs] of gossip.domains) {
-      const news = this.#domains.get(domain);
-      const isKnown = news !== undefined && this.getDomainDigest(domain, nowMs) === digest;
-      if (domain !== this.#domain && isKnown) {
-        const freshMs = Math.max(news.freshMs, nowMs - ageMs);
-        this.#domains.set(domain, { ...news, freshMs });
-      }
+    for (const entry of gossip.domains) {
+      this.#mutateWithDigest(entry, nowMs);
     }
+    this.#mutateWithForeignSets(gossip.members);
   }
 
   getView(name: string, nowMs: number): MemberView | undefined {
@@ -108,41 +117,36 @@
     }
   }
 
-  /** Entries of the named domains, as told to another process. */
-  getEntries(domains: readonly string[], nowMs: number): DigestEntry[] {
+  /** Entries of the own domain, as told to one of its members. */
+  getNearEntries(nowMs: number): DigestEntry[] {
     return this.getViews(nowMs)
-      .filter(({ report }) => domains.includes(report.failureDomain))
-      .filter(({ ageMs }) => ageMs < GONE_AFTER_MS)
-      .map(({ report, ageMs }) => [
-        report.name,
-        report.incarnation,
-        report.version,
-        Math.max(0, Math.round(ageMs)),
-      ]);
+      .filter(({ report, ageMs }) => report.failureDomain === this.#domain && ageMs < GONE_AFTER_MS)
+      .map(toEntry);
+  }
+
+  /** Entries of a domain for which this process can vouch; none while its news is old. */
+  getVouchedEntries(domain: string, nowMs: number): DigestEntry[] {
+    const isCurrent = domain === this.#domain || !this.#isWanted(domain, nowMs);
+    return isCurrent ? this.#getVouched(domain, nowMs).map(toEntry) : [];
   }
 
-  /** Digests of all known domains but `except`. */
+  /** Newest digests of all known domains but `except`. */
   getDomainEntries(except: string, nowMs: number): DomainEntry[] {
     const own: DomainEntry[] =
       except === this.#domain ? [] : [[this.#domain, this.getDomainDigest(this.#domain, nowMs), 0]];
     const foreign = [...this.#domains]
       .filter(([domain]) => domain !== except)
-      .map(([domain, { freshMs }]): DomainEntry => [
+      .map(([domain, { digest, digestMs }]): DomainEntry => [
         domain,
-        this.getDomainDigest(domain, nowMs),
-        Math.max(0, Math.round(nowMs - freshMs)),
+        digest,
+        Math.max(0, Math.round(nowMs - digestMs)),
       ]);
     return [...own, ...foreign];
   }
 
-  /** Domains whose digests differ from what this process knows. */
-  findWanted(domains: readonly DomainEntry[], nowMs: number): string[] {
-    return domains
-      .filter(([domain, digest]) => {
-        const isOwn = domain === this.#domain;
-        return !isOwn && this.getDomainDigest(domain, nowMs) !== digest;
-      })
-      .map(([domain]) => domain);
+  /** Domains of which a newer digest was heard than that of the members known. */
+  findWanted(nowMs: number): string[] {
+    return [...this.#domains.keys()].filter((domain) => this.#isWanted(domain, nowMs));
   }
 
   /** Reports that a process with these entries lacks, among the named domains. */
@@ -163,17 +167,33 @@
       });
   }
 
-  /** Digest of a domain's members that are alive as far as this process knows. */
+  /** Digest of the members for which a domain vouches, as far as this process knows. */
   getDomainDigest(domain: string, nowMs: number): string {
+    return digestEntries(this.#getVouched(domain, nowMs).map(toEntry));
+  }
+
+  #isWanted(domain: string, nowMs: number): boolean {
+    return this.#domains.get(domain)?.digest !== this.getDomainDigest(domain, nowMs);
+  }
+
+  #getVouched(domain: string, nowMs: number): MemberView[] {
     const names = domain === this.#domain ? undefined : this.#domains.get(domain)?.names;
-    const alive = this.getViews(nowMs).filter(({ report, ageMs }) =>
+    return this.getViews(nowMs).filter(({ report, ageMs }) =>
       names ? names.has(report.name) : report.failureDomain === domain && ageMs < SUSPECT_AFTER_MS,
     );
-    const lines = alive.map(({ report }) => {
-      const { name, incarnation, version } = report;
-      return `${name} ${String(incarnation)} ${String(version)}`;
-    });
-    return sha256(lines.sort().join("\n")).slice(0, DIGEST_LENGTH);
+  }
+
+  /** Takes a domain's digest if it is newer; members that match it are vouched for anew. */
+  #mutateWithDigest([domain, digest, ageMs]: DomainEntry, nowMs: number): void {
+    const known = this.#domains.get(domain) ?? NO_NEWS;
+    const digestMs = nowMs - ageMs;
+    if (domain === this.#domain || digestMs <= known.digestMs) {
+      return;
+    }
+    this.#domains.set(domain, { ...known, digest, digestMs });
+    if (this.getDomainDigest(domain, nowMs) === digest) {
+      this.#domains.set(domain, { ...known, digest, digestMs, freshMs: digestMs });
+    }
   }
 
   #mutateWithEntry([name, incarnation, version, ageMs]: DigestEntry, nowMs: number): void {
@@ -185,8 +205,8 @@
     }
   }
 
-  /** Entries of another domain replace the set of members that it vouches for. */
-  #mutateWithForeignSets(entries: readonly DigestEntry[], nowMs: number): void {
+  /** Entries of another domain that match its newest digest replace its known members. */
+  #mutateWithForeignSets(entries: readonly DigestEntry[]): void {
     const byDomain = new Map<string, DigestEntry[]>();
     for (const entry of entries) {
       const domain = this.#members.get(entry[0])?.report.failureDomain;
@@ -195,11 +215,10 @@
       }
     }
     for (const [domain, told] of byDomain) {
-      const alive = told.filter(([, , , ageMs]) => ageMs < SUSPECT_AFTER_MS);
-      const youngestMs = Math.min(...told.map(([, , , ageMs]) => ageMs));
-      const freshMs = nowMs - youngestMs;
-      if (freshMs >= (this.#domains.get(domain)?.freshMs ?? -Infinity)) {
-        this.#domains.set(domain, { names: new Set(alive.map(([name]) => name)), freshMs });
+      const known = this.#domains.get(domain) ?? NO_NEWS;
+      if (digestEntries(told) === known.digest) {
+        const names = new Set(told.map(([name]) => name));
+        this.#domains.set(domain, { ...known, names, freshMs: known.digestMs });
       }
     }
   }
@@ -217,10 +236,33 @@
     if (report.state === NodeState.Leaving || this.#listedLeaving.has(report.name)) {
       return NodeState.Leaving;
     }
-    return ageMs > SUSPECT_AFTER_MS ? NodeState.Suspect : report.state;
+    return this.#isSuspect(report, ageMs) ? NodeState.Suspect : report.state;
+  }
+
+  /** Without news for too long, or no longer among those for whom its domain vouches. */
+  #isSuspect({ name, failureDomain }: NodeReport, ageMs: number): boolean {
+    if (failureDomain === this.#domain) {
+      return ageMs > SUSPECT_AFTER_MS;
+    }
+    const isVouched = this.#domains.get(failureDomain)?.names.has(name) ?? true;
+    return !isVouched || ageMs > DOMAIN_SUSPECT_AFTER_MS;
   }
 }
 
+const toEntry = ({ report, ageMs }: MemberView): DigestEntry => [
+  report.name,
+  report.incarnation,
+  report.version,
+  Math.max(0, Math.round(ageMs)),
+];
+
+const digestEntries = (entries: readonly DigestEntry[]): string => {
+  const lines = entries.map(
+    ([name, incarnation, version]) => `${name} ${String(incarnation)} ${String(version)}`,
+  );
+  return sha256(lines.sort().join("\n")).slice(0, DIGEST_LENGTH);
+};
+
 type Vintage = Pick<NodeReport, "incarnation" | "version">;
 
 /** Tells whether `a` supersedes `b`. */
--- a/packages/serving/src/membership/Membership.ts
+++ b/packages/serving/src/membership/Membership.ts
@@ -67,8 +67,6 @@
   #report: NodeReport;
   /** Reports that another process lacked when it last answered. */
   readonly #lacking = new Map<string, readonly NodeReport[]>();
-  /** Domains of which this process lacks news. */
-  #wanted: readonly string[] = [];
   #round = 0;
   #liveKey = "";
   #live: { readonly untilMs: number; readonly names: readonly string[] } | undefined;
@@ -109,7 +107,7 @@
   receive(gossip: Gossip): Gossip {
     const now = this.#options.clock.now();
     this.#touchSelf();
-    this.#mutateWithGossip(gossip, now);
+    this.#table.mutateWithGossip(gossip, now);
     this.#publishChanges();
     return this.#newGossip(gossip.from[0], gossip);
   }
@@ -260,7 +258,7 @@
       });
       const now = this.#options.clock.now();
       this.#failedMs.delete(answer.from[0]);
-      this.#mutateWithGossip(answer, now);
+      this.#table.mutateWithGossip(answer, now);
       const domains = [this.#options.self.failureDomain, ...answer.wanted];
       this.#lacking.set(
         answer.from[0],
@@ -273,18 +271,14 @@
     }
   }
 
-  #mutateWithGossip(gossip: Gossip, now: number): void {
-    this.#table.mutateWithGossip(gossip, now);
-    this.#wanted = this.#table.findWanted(gossip.domains, now);
-  }
-
   #newGossip(to: string, asked: Gossip | undefined): Gossip {
     const { clock, self } = this.#options;
     const now = clock.now();
     const domain = self.failureDomain;
     const partner = this.#table.getView(to, now)?.report.failureDomain;
     const isNear = partner === domain || partner === undefined;
-    const told = [...(isNear ? [domain] : []), ...(asked?.wanted ?? [])];
+    const wanted = (asked?.wanted ?? []).filter((name) => !isNear || name !== domain);
+    const told = [...(isNear ? [domain] : []), ...wanted];
     const domains = this.#table.getDomainEntries(isNear ? domain : "", now);
     const lacking = asked
       ? this.#table.findLacking(asked.members, told, now)
@@ -293,10 +287,13 @@
     const isKnownHere = partner !== undefined;
     return {
       from: [this.self, self.incarnation],
-      members: this.#table.getEntries(told, now),
+      members: [
+        ...(isNear ? this.#table.getNearEntries(now) : []),
+        ...wanted.flatMap((domain) => this.#table.getVouchedEntries(domain, now)),
+      ],
       domains,
       reports: asked || isKnownHere ? [...lacking] : [this.#report],
-      wanted: [...this.#wanted],
+      wanted: this.#table.findWanted(now),
     };
   }
 
