Let a paused process of the matrix hear of its drain when it wakes

Cause: the harness called drain inside a frozen process, whose announcement made others take it for alive, so no takeover came within the pause and the fencing cell stayed green without fencing. The cell is red again without it and green with it.

--- a/packages/tools/src/matrix/cells.ts
+++ b/packages/tools/src/matrix/cells.ts
@@ -219,10 +219,14 @@
         trigger.fire(leaver, undefined);
       }, 1);
     }
-    void leaver.node.drainer.drain("matrix").then(() => {
+    const onDrained = (): void => {
       const open = caller.records.filter((r) => r.process === leaver && r.endedMs === undefined);
       cut.push(...open.map(({ requestId }) => `${requestId} was cut off`));
       leaver.kill();
+    };
+    // A paused process hears of it when it wakes.
+    leaver.clock.run(() => {
+      void leaver.node.drainer.drain("matrix").then(onDrained);
     });
   }
   const other = world.liveProcesses.find((process) => process !== leaver);
--- a/packages/tools/src/matrix/membership.test.ts
+++ b/packages/tools/src/matrix/membership.test.ts
@@ -1,5 +1,5 @@
 import { PeerError, SeededRandom, VmRole, VmState, type Vm } from "@lycheepulley/core";
-import type { heartbeatMethod} from "@lycheepulley/nodes";
+import type { heartbeatMethod } from "@lycheepulley/nodes";
 import { NodeState, type Gossip, type NodeCaller } from "@lycheepulley/nodes";
 import { Membership } from "@lycheepulley/serving";
 import { expect } from "chai";
