--- a/packages/core/src/folds/fates.ts
+++ b/packages/core/src/folds/fates.ts
@@ -49,6 +49,8 @@
 export type CompactFate = z.infer<typeof compactFateSchema>;
 
 const MAX_REASON_LENGTH = 60;
+/** Steps kept of a request that did not finish; of one that did, the last. */
+const FAILED_STEPS = 3;
 const REQUEST_ID_PREFIX_LENGTH = 2;
 
 /** Shortens a fate for the log; the writer's record names the process. */
@@ -60,7 +62,7 @@
   fate.steps
     .filter(([, , detail]) => detail !== "")
     .map(([step, ms, detail]) => `${step}@${String(Math.round(ms))}:${detail}`)
-    .slice(-2)
+    .slice(fate.state === FateState.Finished ? -1 : -FAILED_STEPS)
     .join(" "),
   (fate.reason ?? "").slice(0, MAX_REASON_LENGTH),
 ];
