Count prompts from 100 k tokens as long, forget ended answers at once

At 500 requests/s an entry process held 262 MB: every ended answer was kept 30 s for reconnecting; now only for callers that announced it.

--- a/packages/callers/src/CallerServer.ts
+++ b/packages/callers/src/CallerServer.ts
@@ -5,16 +5,16 @@
   PulleyError,
   Step,
   Verdict,
-  type PromptOutcome,
   type PromptRequest,
   type ServiceRequest,
 } from "@lycheepulley/core";
 import { HttpServer, readBody, sendJson, type Route } from "@lycheepulley/http";
 
 import { sendError, toPulleyError } from "./errorAnswer.js";
-import { getUsage, LiveAnswer } from "./LiveAnswer.js";
+import { LiveAnswer } from "./LiveAnswer.js";
 import { parsePrompt, type ParsedPrompt } from "./parse.js";
 import type { AcceptedRequest, ServingApi } from "./types.js";
+import { newWholeBody } from "./wholeAnswer.js";
 
 const MAX_RECONNECT_MS = 30_000;
 const KEPT_ANSWER_MS = 30_000;
@@ -190,12 +190,13 @@
   async #answerStream(req: IncomingMessage, res: ServerResponse, call: PromptCall): Promise<void> {
     const { accepted, request, parsed, abort } = call;
     const { requestId } = accepted;
+    const reconnectMs = getReconnectMs(req);
     const answer = new LiveAnswer({
       requestId,
       path: request.path,
       model: parsed.model,
       includeUsage: parsed.includeUsage,
-      reconnectMs: getReconnectMs(req),
+      reconnectMs,
       onAbandoned: () => {
         abort.abort();
       },
@@ -209,6 +210,15 @@
     } catch (err) {
       answer.fail(toPulleyError(err));
     } finally {
+      this.#forgetAnswer(requestId, reconnectMs);
+    }
+  }
+
+  /** Keeps an ended answer only for callers that said they may come back. */
+  #forgetAnswer(requestId: string, reconnectMs: number): void {
+    if (reconnectMs === 0) {
+      this.#answers.delete(requestId);
+    } else {
       setTimeout(() => this.#answers.delete(requestId), KEPT_ANSWER_MS).unref();
     }
   }
@@ -296,27 +306,6 @@
   });
 };
 
-const newWholeBody = (
-  requestId: string,
-  path: PromptPath,
-  model: string,
-  text: string,
-  outcome: PromptOutcome,
-): Record<string, unknown> => {
-  const isChat = path === PromptPath.Chat;
-  const choice = isChat
-    ? { index: 0, message: { role: "assistant", content: text, refusal: null }, logprobs: null }
-    : { index: 0, text, logprobs: null };
-  return {
-    id: requestId,
-    object: isChat ? "chat.completion" : "text_completion",
-    created: Math.floor(Date.now() / MS_PER_S),
-    model,
-    choices: [{ ...choice, finish_reason: outcome.finishReason }],
-    usage: getUsage(outcome),
-  };
-};
-
 const newPromptRequest = (
   path: PromptPath,
   parsed: ParsedPrompt,
--- a/packages/cli/src/commands/overhead.ts
+++ b/packages/cli/src/commands/overhead.ts
@@ -50,6 +50,10 @@
         `memory ${(report.entryRssBytes / BYTES_PER_MB).toFixed(0)} MB, ` +
         `${(report.entryCpuShare * 100).toFixed(0)}% of a core`,
     );
+    ctx.print(
+      `longest stall of the loop: ${report.millionTokensStallMs.toFixed(0)} ms with prompts of a ` +
+        `million tokens, ${report.idleStallMs.toFixed(0)} ms without`,
+    );
     return ExitCode.Done;
   },
 };
--- a/packages/cli/src/integration/openaiClient.test.ts
+++ b/packages/cli/src/integration/openaiClient.test.ts
@@ -47,6 +47,30 @@
     expect(parts.join("")).to.equal(getWholeAnswer(PROMPT, 5));
   });
 
+  it("continues a broken stream from its last event", async () => {
+    const headers = { authorization: "Bearer key-nutibara", "x-reconnect-ms": "20000" };
+    const origin = fleet.origins[0] ?? "";
+    const abort = new AbortController();
+    const res = await fetch(`${origin}/v1/chat/completions`, {
+      ...{ method: "POST", headers, signal: abort.signal },
+      body: JSON.stringify({ ...chat, max_tokens: 300, stream: true }),
+    });
+    const id = res.headers.get("x-request-id") ?? "";
+    const first = await res.body?.getReader().read();
+    const begin = new TextDecoder().decode(first?.value as Uint8Array);
+    const events = begin.slice(0, begin.lastIndexOf("\n\n")).split("\n\n");
+    abort.abort();
+    const lastId = events.at(-1)?.match(/^id: (.*)$/m)?.[1] ?? "";
+    const rest = await fetch(`${origin}/v1/requests/${id}/stream`, {
+      headers: { "last-event-id": lastId },
+    });
+    const text = [...events, ...(await rest.text()).split("\n\n")]
+      .flatMap((event) => /^data: (\{.*)$/m.exec(event)?.[1] ?? [])
+      .map((data) => JSON.parse(data) as OpenAI.ChatCompletionChunk)
+      .map((chunk) => chunk.choices[0]?.delta.content ?? "");
+    expect(text.join("")).to.equal(getWholeAnswer(PROMPT, 300));
+  });
+
   it("lists the models", async () => {
     const models = await client.models.list();
     expect(models.data.map(({ id }) => id)).to.deep.equal(["traductor"]);
--- a/packages/daemon/src/EntryNode.ts
+++ b/packages/daemon/src/EntryNode.ts
@@ -1,3 +1,5 @@
+import { monitorEventLoopDelay } from "node:perf_hooks";
+
 import {
   ALL_PROTECTIONS,
   SystemClock,
@@ -20,6 +22,9 @@
 import { newUpstreamDirectory } from "./upstreamClients.js";
 import { VmListWatcher } from "./VmListWatcher.js";
 
+const LOOP_RESOLUTION_MS = 5;
+const NS_PER_MS = 1e6;
+
 /** One entry process: the coordination parts on their HTTP clients and servers. */
 export class EntryNode {
   readonly settings: Settings;
@@ -33,6 +38,7 @@
   readonly #nodeServer = new NodeServer();
   readonly #callerServer: CallerServer;
   readonly #node: CoordinationNode;
+  readonly #loopDelay = monitorEventLoopDelay({ resolution: LOOP_RESOLUTION_MS });
 
   constructor(settings: Settings) {
     this.settings = settings;
@@ -62,6 +68,7 @@
     this.#vmList.start();
     this.#node.start();
     await this.#callerServer.listen(host, callerPort);
+    this.#loopDelay.enable();
     this.#logger.info("entry process started", { step: "start", name });
   }
 
@@ -84,6 +91,12 @@
     await this.#log.close();
   }
 
+  #readLoopDelay(): number {
+    const ms = this.#loopDelay.max / NS_PER_MS - LOOP_RESOLUTION_MS;
+    this.#loopDelay.reset();
+    return Math.max(0, ms);
+  }
+
   #newNode(metrics: Metrics): CoordinationNode {
     const { name, site, failureDomain, host, callerPort, controlPort, platform, placement } =
       this.settings;
@@ -110,6 +123,7 @@
       getServerTraffic: () => ({
         connections: this.#nodeServer.connections,
         ...this.#nodeServer.traffic,
+        loopDelayMaxMs: this.#readLoopDelay(),
       }),
       newPolicy: () => newPlacement(placement, this.#random),
       protections: ALL_PROTECTIONS,
--- a/packages/nodes/src/methods.ts
+++ b/packages/nodes/src/methods.ts
@@ -140,6 +140,8 @@
   logAppends: z.number(),
   logReads: z.number(),
   connections: z.number(),
+  /** Longest stall of the process's loop since the last question. */
+  loopDelayMaxMs: z.number(),
   sentBytes: z.number(),
   receivedBytes: z.number(),
   traffic: z.record(
--- a/packages/serving/src/fates/FateRecorder.ts
+++ b/packages/serving/src/fates/FateRecorder.ts
@@ -11,7 +11,7 @@
 import type { LogWriter } from "@lycheepulley/log";
 
 /** Ended fates kept in memory for questions. */
-const KEPT_FATES = 20_000;
+const KEPT_FATES = 5_000;
 const FLUSH_INTERVAL_MS = 1_000;
 
 /** Body of a record that holds the fates of one process. */
--- a/packages/serving/src/node/StatusReporter.ts
+++ b/packages/serving/src/node/StatusReporter.ts
@@ -13,8 +13,11 @@
 /** A load report without a model name leaves the model open. */
 const UNKNOWN_MODEL = "";
 
-/** Connections and bytes of the calls that a process served. */
-export type ServerTraffic = Pick<NodeStatus, "connections" | "sentBytes" | "receivedBytes">;
+/** Connections and bytes of the calls that a process served, and its loop's stalls. */
+export type ServerTraffic = Pick<
+  NodeStatus,
+  "connections" | "sentBytes" | "receivedBytes" | "loopDelayMaxMs"
+>;
 
 /** Tells operators and metrics how this process fares. */
 export class StatusReporter {
--- a/packages/serving/src/scheduler/PoolHost.ts
+++ b/packages/serving/src/scheduler/PoolHost.ts
@@ -33,7 +33,7 @@
   readonly onEngineDeath?: (engine: string, requestIds: readonly string[]) => void;
 }
 
-const DEFAULT_LONG_PROMPT_TOKENS = 16_000;
+const DEFAULT_LONG_PROMPT_TOKENS = 100_000;
 
 /** Schedulers of the pools that this process owns or has been asked about. */
 export class PoolHost {
--- a/packages/tools/src/matrix/MatrixProcess.ts
+++ b/packages/tools/src/matrix/MatrixProcess.ts
@@ -67,7 +67,12 @@
       }),
       newCaller: (peer, { controlPort }) => this.#newCaller(peer, controlPort),
       server,
-      getServerTraffic: () => ({ connections: 0, sentBytes: 0, receivedBytes: 0 }),
+      getServerTraffic: () => ({
+        connections: 0,
+        sentBytes: 0,
+        receivedBytes: 0,
+        loopDelayMaxMs: 0,
+      }),
       newPolicy: () => new LeastTokensPlacement(),
       protections: world.protections,
       logger: newSilentLogger(),
--- a/packages/tools/src/overhead/overhead.ts
+++ b/packages/tools/src/overhead/overhead.ts
@@ -10,6 +10,8 @@
 const US_PER_MS = 1_000;
 const PROMPT_BYTES = 4_000;
 const OUTPUT_TOKENS = 2;
+const MILLION_TOKENS_BYTES = 4_000_000;
+const STALL_PROMPTS = 3;
 
 /** Latencies of one way to the engines, milliseconds. */
 export interface OverheadSide {
@@ -29,6 +31,10 @@
   readonly addedP99Ms: number;
   readonly entryRssBytes: number;
   readonly entryCpuShare: number;
+  /** Longest stall of the entry process's loop while it took a prompt of a million tokens. */
+  readonly millionTokensStallMs: number;
+  /** Longest stall in as much time without one. */
+  readonly idleStallMs: number;
 }
 
 class Side {
@@ -84,6 +90,7 @@
     const before = await fetchCpu(fleet);
     await runOpenLoop({ requestsPerS, seconds, direct, through, engines, entryClient });
     const after = await fetchCpu(fleet);
+    const stalls = await measureStalls(fleet, entryClient);
     await Promise.all([...engines, entryClient].map((client) => client.close()));
     const [a, b] = [direct.getSummary(), through.getSummary()];
     return {
@@ -94,6 +101,7 @@
       addedP50Ms: b.p50 - a.p50,
       addedP99Ms: b.p99 - a.p99,
       entryRssBytes: after.rssBytes,
+      ...stalls,
       entryCpuShare: (after.cpuMs - before.cpuMs) / (after.uptimeMs - before.uptimeMs),
     };
   } finally {
@@ -101,6 +109,28 @@
   }
 };
 
+/** Stalls of the loop with and without prompts of a million tokens. */
+const measureStalls = async (
+  fleet: LocalFleet,
+  client: LoadClient,
+): Promise<Pick<OverheadReport, "millionTokensStallMs" | "idleStallMs">> => {
+  const readStall = async (): Promise<number> =>
+    (await fleet.fetchStatuses())[0]?.loopDelayMaxMs ?? 0;
+  const content = "fold the glue flap ".repeat(MILLION_TOKENS_BYTES / 19);
+  const messages = [{ role: "user", content }];
+  const body = JSON.stringify({ model: "traductor", max_tokens: 1, stream: true, messages });
+  const headers = { authorization: `Bearer ${getExampleKey("nutibara")}` };
+  await readStall();
+  const startMs = performance.now();
+  for (let i = 0; i < STALL_PROMPTS; i += 1) {
+    const intendedMs = performance.now();
+    await client.prompt({ path: "/v1/chat/completions", body, headers, intendedMs });
+  }
+  const millionTokensStallMs = await readStall();
+  await new Promise((resolve) => setTimeout(resolve, performance.now() - startMs));
+  return { millionTokensStallMs, idleStallMs: await readStall() };
+};
+
 const fetchCpu = async (
   fleet: LocalFleet,
 ): Promise<{ cpuMs: number; uptimeMs: number; rssBytes: number }> => {
