--- a/packages/core/src/config/check.test.ts
+++ b/packages/core/src/config/check.test.ts
@@ -61,6 +61,16 @@
     });
   }
 
+  it("names every fault of several", () => {
+    const classes = { c: { patienceMs: -1, models: ["x"] } };
+    const result = checkConfig(mergeOverlay(BASE, { classes, limits: { retryShar: 1 } }));
+    expect(result.ok ? [] : result.faults.map(({ path }) => path)).to.have.members([
+      "classes.c.patienceMs",
+      "limits.retryShar",
+      "classes.c.models.0",
+    ]);
+  });
+
   it("refuses an overlay for a site that doesn't exist", () => {
     const faults = checkBundle({ base: BASE, overlays: { south: {} } });
     expect(faults.map(({ path }) => path)).to.deep.equal(["overlays.south"]);
--- a/packages/core/src/config/check.ts
+++ b/packages/core/src/config/check.ts
@@ -79,6 +79,27 @@
   return faults;
 };
 
+/** Unknown models of a configuration that has other faults too. */
+const findUnknownModels = (raw: unknown): ConfigFault[] => {
+  const { models, classes } = isJsonObject(raw) ? raw : {};
+  if (!isJsonObject(models) || !isJsonObject(classes)) {
+    return [];
+  }
+  return Object.entries(classes).flatMap(([className, cls]) => {
+    const named = isJsonObject(cls) && Array.isArray(cls["models"]) ? cls["models"] : [];
+    return named.flatMap((model: unknown, i) =>
+      typeof model === "string" && !(model in models)
+        ? [
+            {
+              path: `classes.${className}.models.${String(i)}`,
+              message: `unknown model "${model}"`,
+            },
+          ]
+        : [],
+    );
+  });
+};
+
 /** Checks one effective configuration. */
 export const checkConfig = (raw: unknown): CheckResult => {
   const parsed = fleetSchema.safeParse(raw);
@@ -91,7 +112,7 @@
         message: key === undefined ? issue.message : "unknown key",
       }));
     });
-    return { ok: false, faults };
+    return { ok: false, faults: [...faults, ...findUnknownModels(raw)] };
   }
   const faults = findReferenceFaults(parsed.data);
   return faults.length > 0 ? { ok: false, faults } : { ok: true, config: parsed.data };
