--- a/packages/tools/src/matrix/membership.test.ts
+++ b/packages/tools/src/matrix/membership.test.ts
@@ -3,7 +3,6 @@
 import { NodeState, type Gossip, type NodeCaller } from "@lycheepulley/nodes";
 import { Membership } from "@lycheepulley/serving";
 import { expect } from "chai";
-import type { z } from "zod";
 
 import { MatrixClock, ProcessClock } from "./MatrixClock.js";
 
@@ -94,8 +93,6 @@
   }
 }
 
-export type CallResult = z.output<typeof heartbeatMethod.result>;
-
 const expectAllSee = (cluster: Cluster, names: readonly string[]): void => {
   for (const name of names) {
     expect(cluster.getLive(name), name).to.deep.equal([...names].sort());
