--- a/packages/tools/src/soak/SoakCaller.ts
+++ b/packages/tools/src/soak/SoakCaller.ts
@@ -4,7 +4,6 @@
 import { getExampleKey } from "../fleet/deployment.js";
 import { LoadClient } from "../load/httpLoad.js";
 
-const KEEP_SHARE = 1;
 const MAX_ADDRESSES = 4;
 /** Code of a result whose connection was never made. */
 const REFUSED = "ECONNREFUSED";
@@ -138,7 +137,7 @@
         const { addresses, keepMs } = addressSchema.parse(await res.json());
         if (addresses.length > 0) {
           this.#origins = addresses.map(({ host, port }) => `http://${host}:${String(port)}`);
-          this.#keepUntilMs = performance.now() + keepMs * KEEP_SHARE;
+          this.#keepUntilMs = performance.now() + keepMs;
           return;
         }
       } catch {
