--- a/eslint.config.js
+++ b/eslint.config.js
@@ -12,7 +12,9 @@
   engines: ["core", "http", "streams"],
   services: ["core", "http"],
   nodes: ["core", "http", "streams"],
-  callers: ["core", "http", "telemetry"],
+  forwarding: ["core", "telemetry"],
+  upstreams: ["core", "forwarding"],
+  callers: ["core", "http", "telemetry", "forwarding"],
   serving: [
     "core",
     "streams",
@@ -39,6 +41,7 @@
     "callers",
     "serving",
     "operators",
+    "forwarding",
   ],
   standins: ["core", "http"],
   tools: [
@@ -60,9 +63,9 @@
   ],
   cli: ["core", "http", "log", "nodes", "operators", "daemon", "serving", "standins", "tools"],
 };
-const PACKAGES = Object.keys(ALLOWED_IMPORTS);
+const PACKAGES = [...Object.keys(ALLOWED_IMPORTS), "platform"];
 
-const importRules = PACKAGES.map((name) => ({
+const importRules = Object.keys(ALLOWED_IMPORTS).map((name) => ({
   files: [`packages/${name}/src/**/*.ts`],
   ignores: ["**/*.test.ts"],
   rules: {
@@ -83,7 +86,17 @@
 }));
 
 export default tseslint.config(
-  { ignores: ["**/dist/**", "out/**", "node_modules/**", "packages/cli/bin/**", "*.config.js"] },
+  {
+    ignores: [
+      "**/dist/**",
+      "out/**",
+      "node_modules/**",
+      "target/**",
+      "deploy/**",
+      "packages/cli/bin/**",
+      "*.config.js",
+    ],
+  },
   ...tseslint.configs.strict,
   ...tseslint.configs.stylistic,
   {
--- /dev/null
+++ b/packages/callers/src/forward/ResponseWriter.ts
@@ -0,0 +1,83 @@
+import type { ServerResponse } from "node:http";
+
+import type { AnswerWriter, HeaderList } from "@lycheepulley/forwarding";
+
+const MS_PER_S = 1_000;
+
+/** Writes an upstream's answer, or one of this process's own, to a caller. */
+export class ResponseWriter implements AnswerWriter {
+  readonly #res: ServerResponse;
+  readonly #isClosing: () => boolean;
+  #closeAfter = false;
+
+  constructor(res: ServerResponse, options: { isClosing: () => boolean }) {
+    this.#res = res;
+    this.#isClosing = options.isClosing;
+  }
+
+  get isHeadSent(): boolean {
+    return this.#res.headersSent;
+  }
+
+  /** True once nothing more can be written. */
+  get isGone(): boolean {
+    return this.#res.destroyed || this.#res.writableEnded;
+  }
+
+  /** Ends the caller's connection after the answer. */
+  closeAfterAnswer(): void {
+    this.#closeAfter = true;
+  }
+
+  sendHead(status: number, headers: HeaderList): void {
+    if (this.isGone || this.isHeadSent) {
+      return;
+    }
+    this.#res.writeHead(status, [...headers, ...this.#closing()]);
+  }
+
+  write(chunk: Buffer): boolean {
+    if (this.isGone || chunk.length === 0) {
+      return true;
+    }
+    return this.#res.write(chunk);
+  }
+
+  onDrain(fn: () => void): void {
+    this.#res.once("drain", fn);
+  }
+
+  end(): void {
+    if (!this.isGone) {
+      this.#res.end();
+    }
+  }
+
+  abort(): void {
+    this.#res.destroy();
+  }
+
+  sendOwn(status: number, message: string, retryAfterMs?: number): void {
+    if (this.isGone) {
+      return;
+    }
+    if (this.isHeadSent) {
+      this.abort();
+      return;
+    }
+    const body = JSON.stringify({ error: { message } });
+    const retryAfter =
+      retryAfterMs === undefined ? [] : ["Retry-After", String(retryAfterMs / MS_PER_S)];
+    this.#res.writeHead(status, [
+      ...["Content-Type", "application/json"],
+      ...["Content-Length", String(Buffer.byteLength(body))],
+      ...retryAfter,
+      ...this.#closing(),
+    ]);
+    this.#res.end(body);
+  }
+
+  #closing(): string[] {
+    return this.#closeAfter || this.#isClosing() ? ["Connection", "close"] : [];
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -0,0 +1,253 @@
+import { createServer, type Server } from "node:http";
+
+import { ForwardServer } from "@lycheepulley/callers";
+import { sleep, SystemClock, SystemRandom, type Clock } from "@lycheepulley/core";
+import {
+  CrashBook,
+  FleetView,
+  Forwarder,
+  LoadBoard,
+  PeerState,
+  PeerTable,
+  RetryWindow,
+  TicketKeeper,
+  UpstreamHealth,
+  type Dialect,
+  type FleetConfig,
+  type MemoryControl,
+  type PeerIdentity,
+  type Upstream,
+  type UpstreamTransport,
+} from "@lycheepulley/forwarding";
+import { DatagramChannel } from "@lycheepulley/nodes";
+import { ForwardMetrics, type Logger } from "@lycheepulley/telemetry";
+
+import { PeerExchange } from "./PeerExchange.js";
+import type { GatewaySettings, GatewaySources } from "./types.js";
+
+const IDLE_CHECK_MS = 100;
+/** Peers assumed beside those heard, when the retry budget is shared. */
+const SPARE_PROCESSES = 3;
+
+/** One gateway process: door, forwarding, peers and what it learns from its sources. */
+export class GatewayNode {
+  readonly #clock: Clock = new SystemClock();
+  readonly #settings: GatewaySettings;
+  readonly #sources: GatewaySources;
+  readonly #logger: Logger;
+  readonly #metrics = new ForwardMetrics();
+  readonly #view = new FleetView();
+  readonly #health: UpstreamHealth;
+  readonly #peers: PeerTable;
+  readonly #channel: DatagramChannel;
+  readonly #exchange: PeerExchange;
+  readonly #crashes: CrashBook;
+  readonly #forwarder: Forwarder;
+  readonly #door: ForwardServer;
+  readonly #metricsServer: Server;
+  readonly #incarnation = Date.now();
+  #hasUpstreams = false;
+  #isLeaving = false;
+
+  constructor(options: {
+    settings: GatewaySettings;
+    sources: GatewaySources;
+    dialect: Dialect;
+    transport: UpstreamTransport;
+    memory: MemoryControl;
+    logger: Logger;
+  }) {
+    const { settings, dialect, logger } = options;
+    const clock = this.#clock;
+    this.#settings = settings;
+    this.#sources = options.sources;
+    this.#logger = logger;
+    this.#health = new UpstreamHealth(clock);
+    this.#peers = new PeerTable({ clock, self: settings.host });
+    this.#channel = new DatagramChannel({
+      onBadMessage: (peer, reason) => {
+        logger.warn("message dropped", { step: "membership", peer, reason });
+      },
+    });
+    const board = new LoadBoard({
+      clock,
+      onOwnChange: (change) => {
+        this.#exchange.notifyLoad(change);
+      },
+    });
+    this.#crashes = new CrashBook({
+      clock,
+      onStrike: (fingerprint, upstream) => {
+        this.#exchange.notifyStrike(fingerprint, upstream);
+      },
+    });
+    this.#exchange = new PeerExchange({
+      ...{ clock, channel: this.#channel, peers: this.#peers, logger },
+      getIdentity: () => this.#getIdentity(),
+      getBoard: () => board,
+    });
+    this.#forwarder = new Forwarder({
+      ...{ clock, random: new SystemRandom(), view: this.#view, board, health: this.#health },
+      ...{ crashes: this.#crashes, transport: options.transport, dialect, logger },
+      retries: this.#newRetryWindow(),
+      tickets: new TicketKeeper({ clock, control: options.memory, logger }),
+      onEnd: (end) => {
+        this.#metrics.onEnd(end);
+      },
+    });
+    this.#door = new ForwardServer({
+      ...{ clock, view: this.#view, dialect, logger },
+      forward: (req, writer) => this.#forwarder.forward(req, writer),
+    });
+    this.#metricsServer = createServer((_req, res) => {
+      void this.#metrics.getText().then((text) => res.end(text));
+    });
+  }
+
+  /** True while callers may be sent here. */
+  get isReady(): boolean {
+    return this.#view.table !== undefined && this.#hasUpstreams && !this.#isLeaving;
+  }
+
+  /** Addresses of the processes that take callers, this one included. */
+  getAddresses(): string[] {
+    const addresses = this.#peers.getServing().map(({ callerAddress }) => callerAddress);
+    const own = this.isReady ? [this.#getIdentity().callerAddress] : [];
+    return [...own, ...addresses];
+  }
+
+  async start(): Promise<void> {
+    const { host, callerPort, peerPort, metricsPort, seedHosts } = this.#settings;
+    this.#peers.addHosts(seedHosts);
+    await this.#channel.listen(host, peerPort);
+    this.#exchange.start(this.#crashes);
+    this.#startSources();
+    await this.#door.listen(host, callerPort);
+    this.#metricsServer.on("error", (err) => {
+      this.#logger.error("metrics not served", { step: "start", err: err.message });
+    });
+    this.#metricsServer.listen(metricsPort, host);
+    this.#logger.info("process started", {
+      ...{ step: "start", name: this.#settings.name, incarnation: this.#incarnation },
+    });
+  }
+
+  /** Leaves the answers to callers, finishes what it has and resolves. */
+  async drain(reason: string): Promise<void> {
+    if (this.#isLeaving) {
+      return;
+    }
+    const startMs = this.#clock.now();
+    this.#isLeaving = true;
+    this.#exchange.announce();
+    this.#door.startLeaving();
+    this.#logger.info("process leaving", { step: "stop", reason });
+    const { drainMs } = this.#settings;
+    while (this.#clock.now() - startMs < drainMs && !this.#isIdle(startMs)) {
+      await sleep(this.#clock, IDLE_CHECK_MS);
+    }
+    this.#logger.info("process stopped", {
+      ...{ step: "stop", inFlight: this.#forwarder.inFlight },
+      ...{ connections: this.#door.connections, ms: Math.round(this.#clock.now() - startMs) },
+    });
+  }
+
+  /** Closes what is open; the process may end afterwards. */
+  stop(): void {
+    this.#door.close();
+    this.#exchange.stop();
+    this.#sources.config.stop();
+    this.#sources.upstreams.stop();
+    this.#sources.peers.stop();
+    this.#metricsServer.close();
+    this.#channel.close();
+  }
+
+  /** Callers keep addresses for a while, so that an idle process waits for late ones. */
+  #isIdle(startMs: number): boolean {
+    const half = this.#settings.drainMs / 2;
+    const isPast = this.#clock.now() - startMs > half;
+    return isPast && this.#forwarder.inFlight === 0 && this.#door.connections === 0;
+  }
+
+  #startSources(): void {
+    this.#sources.config.start({
+      onValue: (config) => {
+        this.#applyConfig(config);
+      },
+      onState: this.#newStateLogger("configuration"),
+    });
+    this.#sources.upstreams.start({
+      onValue: (list) => {
+        this.#applyUpstreams(list);
+      },
+      onState: this.#newStateLogger("upstream list"),
+    });
+    this.#sources.peers.start({
+      onValue: (hosts) => {
+        this.#peers.addHosts(hosts);
+      },
+      onState: this.#newStateLogger("peer list"),
+    });
+  }
+
+  #newStateLogger(what: string): (isConnected: boolean, reason: string) => void {
+    return (isConnected, reason) => {
+      const message = isConnected ? "dependency regained" : "dependency lost";
+      this.#logger.info(message, { step: "membership", peer: what, reason });
+    };
+  }
+
+  #applyConfig(config: FleetConfig): void {
+    const before = this.#view.revision;
+    if (!this.#view.applyConfig(config)) {
+      return;
+    }
+    this.#door.applyLimits();
+    this.#logger.info("configuration in force", {
+      ...{ step: "config_read_back", revision: config.revision, before },
+      ...{ routes: config.routes.length, pools: config.pools.length },
+    });
+    this.#exchange.announce();
+  }
+
+  #applyUpstreams(list: readonly Upstream[]): void {
+    const known = new Set(this.#view.upstreams.keys());
+    const left = this.#view.applyUpstreams(list, this.#clock.now());
+    this.#health.retain(new Set(this.#view.upstreams.keys()));
+    this.#hasUpstreams = true;
+    const joined = list.filter(({ id }) => !known.has(id)).map(({ id }) => id);
+    if (left.length > 0 || joined.length > 0) {
+      this.#logger.info("upstreams changed", {
+        ...{ step: "membership", left, joined },
+        ...{ size: list.length, listVersion: this.#view.listVersion },
+      });
+    }
+  }
+
+  #newRetryWindow(): RetryWindow {
+    const { retryRatio, retryWindowMs, retrySlack } = this.#settings;
+    return new RetryWindow({
+      clock: this.#clock,
+      bounds: { ratio: retryRatio, windowMs: retryWindowMs, slack: retrySlack },
+      getProcesses: () => this.#peers.getLive().length + SPARE_PROCESSES,
+    });
+  }
+
+  #getIdentity(): PeerIdentity {
+    const { host, failureDomain, callerPort } = this.#settings;
+    return {
+      ...{ host, failureDomain, incarnation: this.#incarnation },
+      callerAddress: `${host}:${String(callerPort)}`,
+      state: this.#getState(),
+      revision: this.#view.revision,
+    };
+  }
+
+  #getState(): PeerState {
+    if (this.#isLeaving) {
+      return PeerState.Leaving;
+    }
+    return this.isReady ? PeerState.Live : PeerState.Joining;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/PeerExchange.ts
@@ -0,0 +1,163 @@
+import type { Cancel, Clock } from "@lycheepulley/core";
+import {
+  loadItemSchema,
+  PeerState,
+  type CrashBook,
+  type LoadBoard,
+  type LoadChange,
+  type PeerIdentity,
+  type PeerTable,
+} from "@lycheepulley/forwarding";
+import type { DatagramChannel } from "@lycheepulley/nodes";
+import type { Logger } from "@lycheepulley/telemetry";
+import { z } from "zod";
+
+const BEAT_MS = 250;
+/** Every such heartbeat carries all requests in flight. */
+const BEATS_PER_SNAPSHOT = 4;
+const MAX_GOSSIP_HOSTS = 64;
+
+const identitySchema = z.object({
+  host: z.string(),
+  incarnation: z.number(),
+  failureDomain: z.string(),
+  callerAddress: z.string(),
+  state: z.enum([PeerState.Joining, PeerState.Live, PeerState.Leaving]),
+  revision: z.number(),
+});
+const beatSchema = z.object({
+  identity: identitySchema,
+  hosts: z.array(z.string()).max(MAX_GOSSIP_HOSTS),
+  seq: z.number().int(),
+  items: z.array(loadItemSchema).optional(),
+});
+const loadChangeSchema = z.object({
+  incarnation: z.number(),
+  seq: z.number().int(),
+  changed: z.array(loadItemSchema),
+  ended: z.array(z.string()),
+});
+const strikeSchema = z.object({ fingerprint: z.string(), upstream: z.string() });
+
+/** Tells peers of this process and its requests in flight, and hears the same of them. */
+export class PeerExchange {
+  readonly #clock: Clock;
+  readonly #channel: DatagramChannel;
+  readonly #peers: PeerTable;
+  readonly #logger: Logger;
+  readonly #getIdentity: () => PeerIdentity;
+  readonly #getBoard: () => LoadBoard;
+  #seq = 0;
+  #beats = 0;
+  #live = new Set<string>();
+  #cancel: Cancel = () => undefined;
+
+  constructor(options: {
+    clock: Clock;
+    channel: DatagramChannel;
+    peers: PeerTable;
+    logger: Logger;
+    getIdentity: () => PeerIdentity;
+    getBoard: () => LoadBoard;
+  }) {
+    this.#clock = options.clock;
+    this.#channel = options.channel;
+    this.#peers = options.peers;
+    this.#logger = options.logger;
+    this.#getIdentity = options.getIdentity;
+    this.#getBoard = options.getBoard;
+  }
+
+  start(crashes: CrashBook): void {
+    this.#channel.handle("node.beat", beatSchema, (beat, host) => {
+      this.#onBeat(beat, host);
+    });
+    this.#channel.handle(
+      "load.change",
+      loadChangeSchema,
+      ({ incarnation, seq, ...change }, host) => {
+        this.#getBoard().applyPeerChange(getKey(host, incarnation), seq, change);
+      },
+    );
+    this.#channel.handle("crash.strike", strikeSchema, ({ fingerprint, upstream }) => {
+      crashes.applyStrike(fingerprint, upstream);
+    });
+    this.#beat();
+  }
+
+  stop(): void {
+    this.#cancel();
+  }
+
+  /** Sends a heartbeat out of turn, when this process's state changed. */
+  announce(): void {
+    this.#sendBeat();
+  }
+
+  notifyLoad(change: LoadChange): void {
+    this.#seq += 1;
+    const { incarnation } = this.#getIdentity();
+    const hosts = this.#peers.getLive().map(({ host }) => host);
+    this.#channel.notify("load.change", { incarnation, seq: this.#seq, ...change }, hosts);
+  }
+
+  notifyStrike(fingerprint: string, upstream: string): void {
+    const hosts = this.#peers.getLive().map(({ host }) => host);
+    this.#channel.notify("crash.strike", { fingerprint, upstream }, hosts);
+  }
+
+  #beat(): void {
+    this.#sendBeat();
+    this.#peers.prune();
+    this.#logChanges();
+    this.#cancel = this.#clock.setTimer(() => {
+      this.#beat();
+    }, BEAT_MS);
+  }
+
+  #sendBeat(): void {
+    const hosts = this.#peers.hosts;
+    const hasItems = this.#beats++ % BEATS_PER_SNAPSHOT === 0;
+    this.#seq += hasItems ? 1 : 0;
+    const beat: z.input<typeof beatSchema> = {
+      identity: this.#getIdentity(),
+      hosts: hasItems ? hosts.slice(0, MAX_GOSSIP_HOSTS) : [],
+      seq: this.#seq,
+      ...(hasItems ? { items: [...this.#getBoard().own] } : {}),
+    };
+    this.#channel.notify("node.beat", beat, hosts);
+  }
+
+  #onBeat({ identity, hosts, seq, items }: z.output<typeof beatSchema>, from: string): void {
+    if (identity.host !== from) {
+      return;
+    }
+    const superseded = this.#peers.hear(identity);
+    const board = this.#getBoard();
+    if (superseded !== undefined) {
+      board.removePeer(getKey(from, superseded));
+    }
+    this.#peers.addHosts(hosts);
+    if (items) {
+      board.replacePeer(getKey(from, identity.incarnation), seq, items);
+    }
+  }
+
+  /** Logs peers that came or fell silent. */
+  #logChanges(): void {
+    const live = new Set(this.#peers.getLive().map(({ host }) => host));
+    for (const host of live) {
+      if (!this.#live.has(host)) {
+        this.#logger.info("peer heard", { step: "membership", peer: host });
+      }
+    }
+    for (const host of this.#live) {
+      if (!live.has(host)) {
+        this.#logger.info("peer silent", { step: "membership", peer: host });
+      }
+    }
+    this.#live = live;
+  }
+}
+
+const getKey = (host: string, incarnation: number): string => `${host}#${String(incarnation)}`;
--- /dev/null
+++ b/packages/daemon/src/gateway/types.ts
@@ -0,0 +1,37 @@
+import type { FleetConfig, Upstream } from "@lycheepulley/forwarding";
+
+/** Keeps telling of values that another system holds. */
+export interface Source<T> {
+  /** Begins to watch; `onState` tells of a lost or regained connection. */
+  start(observer: {
+    onValue: (value: T) => void;
+    onState: (isConnected: boolean, reason: string) => void;
+  }): void;
+  stop(): void;
+}
+
+/** Where the gateway learns what it serves. */
+export interface GatewaySources {
+  readonly config: Source<FleetConfig>;
+  readonly upstreams: Source<readonly Upstream[]>;
+  /** Hosts of other entry processes. */
+  readonly peers: Source<readonly string[]>;
+}
+
+/** Identity, addresses and bounds of one gateway process. */
+export interface GatewaySettings {
+  readonly name: string;
+  readonly host: string;
+  readonly failureDomain: string;
+  readonly callerPort: number;
+  readonly peerPort: number;
+  readonly metricsPort: number;
+  /** Hosts that may know others at the start. */
+  readonly seedHosts: readonly string[];
+  /** Time between the word to leave and the end of the process. */
+  readonly drainMs: number;
+  readonly retryRatio: number;
+  readonly retryWindowMs: number;
+  readonly retrySlack: number;
+  readonly logLevel: string;
+}
--- /dev/null
+++ b/packages/forwarding/src/LoadBoard.ts
@@ -0,0 +1,131 @@
+import type { Clock } from "@lycheepulley/core";
+
+import { sumLoads, type LoadItem, type TimedLoadItem, type UpstreamLoad } from "./load.js";
+
+/** Loads of a peer that was silent for longer are forgotten. */
+const PEER_SILENCE_MS = 1_500;
+
+interface PeerLoads {
+  heardMs: number;
+  seq: number;
+  readonly items: Map<string, TimedLoadItem>;
+}
+
+/** Changes of one process's requests in flight since its last message. */
+export interface LoadChange {
+  readonly changed: readonly LoadItem[];
+  readonly ended: readonly string[];
+}
+
+/** Requests in flight at this process and at its peers. */
+export class LoadBoard {
+  readonly #clock: Clock;
+  readonly #own = new Map<string, TimedLoadItem>();
+  readonly #peers = new Map<string, PeerLoads>();
+  readonly #listeners = new Set<() => void>();
+  readonly #onOwnChange: (change: LoadChange) => void;
+
+  constructor(options: { clock: Clock; onOwnChange: (change: LoadChange) => void }) {
+    this.#clock = options.clock;
+    this.#onOwnChange = options.onOwnChange;
+  }
+
+  get own(): readonly LoadItem[] {
+    return [...this.#own.values()];
+  }
+
+  /** Records a request of this process in its present phase. */
+  setOwn(item: LoadItem): void {
+    this.#own.set(item.id, { ...item, sinceMs: this.#clock.now() });
+    this.#onOwnChange({ changed: [item], ended: [] });
+  }
+
+  removeOwn(id: string): void {
+    if (this.#own.delete(id)) {
+      this.#onOwnChange({ changed: [], ended: [id] });
+      this.#notify();
+    }
+  }
+
+  /** Applies a peer's change; a message older than one already seen is dropped. */
+  applyPeerChange(peer: string, seq: number, change: LoadChange): void {
+    const loads = this.#getPeer(peer);
+    if (seq <= loads.seq) {
+      return;
+    }
+    loads.seq = seq;
+    change.changed.forEach((item) => {
+      this.#setPeerItem(loads, item);
+    });
+    change.ended.forEach((id) => loads.items.delete(id));
+    this.#notify();
+  }
+
+  /** Replaces everything known of a peer. */
+  replacePeer(peer: string, seq: number, items: readonly LoadItem[]): void {
+    const loads = this.#getPeer(peer);
+    if (seq <= loads.seq) {
+      return;
+    }
+    loads.seq = seq;
+    const ids = new Set(items.map(({ id }) => id));
+    [...loads.items.keys()].filter((id) => !ids.has(id)).forEach((id) => loads.items.delete(id));
+    items.forEach((item) => {
+      this.#setPeerItem(loads, item);
+    });
+    this.#notify();
+  }
+
+  removePeer(peer: string): void {
+    this.#peers.delete(peer);
+  }
+
+  /** Sums what is in flight by upstream. */
+  getLoads(): Map<string, UpstreamLoad> {
+    return sumLoads(this.#items(), this.#clock.now());
+  }
+
+  /** Items of all processes, those of silent peers left out. */
+  *#items(): Generator<TimedLoadItem> {
+    yield* this.#own.values();
+    const now = this.#clock.now();
+    for (const peer of this.#peers.values()) {
+      if (now - peer.heardMs < PEER_SILENCE_MS) {
+        yield* peer.items.values();
+      }
+    }
+  }
+
+  /** Requests of all processes that wait for a place in `pool`. */
+  getWaiting(pool: string): TimedLoadItem[] {
+    return [...this.#items()].filter((item) => item.phase === "waiting" && item.pool === pool);
+  }
+
+  /** Calls `fn` when a request ended or a peer told of a change. */
+  subscribe(fn: () => void): () => void {
+    this.#listeners.add(fn);
+    return () => this.#listeners.delete(fn);
+  }
+
+  #getPeer(name: string): PeerLoads {
+    let loads = this.#peers.get(name);
+    if (!loads) {
+      loads = { heardMs: 0, seq: -1, items: new Map() };
+      this.#peers.set(name, loads);
+    }
+    loads.heardMs = this.#clock.now();
+    return loads;
+  }
+
+  #setPeerItem(loads: PeerLoads, item: LoadItem): void {
+    const known = loads.items.get(item.id);
+    const isSame = known?.phase === item.phase && known.upstream === item.upstream;
+    loads.items.set(item.id, { ...item, sinceMs: isSame ? known.sinceMs : this.#clock.now() });
+  }
+
+  #notify(): void {
+    this.#listeners.forEach((fn) => {
+      fn();
+    });
+  }
+}
--- /dev/null
+++ b/packages/forwarding/src/Placer.ts
@@ -0,0 +1,218 @@
+import { sleep, type Clock, type Random } from "@lycheepulley/core";
+
+import type { EngineSpec, Route, Upstream } from "./fleetConfig.js";
+import type { FleetView } from "./FleetView.js";
+import { newUpstreamLoad } from "./load.js";
+import type { LoadBoard } from "./LoadBoard.js";
+import {
+  estimateValue,
+  getIdleLoss,
+  pickServiceUpstream,
+  planPlacement,
+  type PlacementCandidate,
+  type PlacementPlan,
+  type PlacementRequest,
+} from "./placement.js";
+import type { ForwardRequest } from "./types.js";
+import type { UpstreamHealth } from "./UpstreamHealth.js";
+
+/** Loss above that of an idle fleet at which a prompt is sent without waiting. */
+const ACCEPTED_LOSS = 0.5;
+/** Share of the slack before the objective that a prompt may wait for room. */
+const HOLD_SHARE = 0.5;
+const RECHECK_MS = 15;
+/** Pause between events assumed for routes that state none. */
+const DEFAULT_GAP_MS = 1_000;
+
+/** Place of one request; helpers and plan only for prompts. */
+export interface Place {
+  readonly writer: Upstream;
+  readonly plan: PlacementPlan | undefined;
+  readonly request: PlacementRequest | undefined;
+  readonly waitedMs: number;
+}
+
+/** Why there was no place. */
+export const NoPlace = {
+  NoUpstream: "no_upstream",
+  TimeOver: "time_over",
+  Cancelled: "cancelled",
+} as const;
+export type NoPlace = (typeof NoPlace)[keyof typeof NoPlace];
+
+/** What a request asks of the placer. */
+export interface PlaceQuery {
+  readonly req: ForwardRequest;
+  readonly pool: string;
+  /** Upstreams that already failed this request. */
+  readonly excluded: ReadonlySet<string>;
+  /** Monotonic time at which the request's time is over. */
+  readonly endMs: number;
+}
+
+/** Finds places for requests, holding prompts back while they would harm others. */
+export class Placer {
+  readonly #clock: Clock;
+  readonly #random: Random;
+  readonly #view: FleetView;
+  readonly #board: LoadBoard;
+  readonly #health: UpstreamHealth;
+
+  constructor(options: {
+    clock: Clock;
+    random: Random;
+    view: FleetView;
+    board: LoadBoard;
+    health: UpstreamHealth;
+  }) {
+    this.#clock = options.clock;
+    this.#random = options.random;
+    this.#view = options.view;
+    this.#board = options.board;
+    this.#health = options.health;
+  }
+
+  /** Resolves with a place once there is one, or with the reason for none. */
+  async find(query: PlaceQuery): Promise<Place | NoPlace> {
+    const engine = this.#view.table?.findPool(query.pool)?.engine;
+    const startMs = this.#clock.now();
+    const isPrompt = engine !== undefined && query.req.head.promptTokens > 0;
+    const place = isPrompt
+      ? await this.#findForPrompt(query, engine, startMs)
+      : this.#findForCall(query, startMs);
+    if (typeof place !== "string") {
+      this.#occupy(query, place);
+    }
+    return place;
+  }
+
+  #findForCall(query: PlaceQuery, startMs: number): Place | NoPlace {
+    const writer = pickServiceUpstream(this.#getCandidates(query), this.#random);
+    const waitedMs = this.#clock.now() - startMs;
+    return writer ? { writer, plan: undefined, request: undefined, waitedMs } : NoPlace.NoUpstream;
+  }
+
+  async #findForPrompt(
+    query: PlaceQuery,
+    engine: EngineSpec,
+    startMs: number,
+  ): Promise<Place | NoPlace> {
+    const { req, endMs } = query;
+    let isWaiting = false;
+    for (;;) {
+      const now = this.#clock.now();
+      if (req.signal.aborted) {
+        return NoPlace.Cancelled;
+      }
+      if (now >= endMs) {
+        return NoPlace.TimeOver;
+      }
+      const candidates = this.#getCandidates(query);
+      if (candidates.length === 0) {
+        return NoPlace.NoUpstream;
+      }
+      const request = newPlacementRequest(req, now);
+      const plan = planPlacement(engine, request, candidates);
+      if (plan && this.#isAcceptable({ query, engine, request, plan, candidates, now })) {
+        return { writer: plan.writer, plan, request, waitedMs: now - startMs };
+      }
+      if (!isWaiting) {
+        isWaiting = true;
+        this.#board.setOwn(newWaitingItem(query, request));
+      }
+      await this.#waitForChange(req.signal);
+    }
+  }
+
+  #isAcceptable(options: {
+    query: PlaceQuery;
+    engine: EngineSpec;
+    request: PlacementRequest;
+    plan: PlacementPlan;
+    candidates: readonly PlacementCandidate[];
+    now: number;
+  }): boolean {
+    const { query, engine, request, plan, candidates, now } = options;
+    const { route, receivedMs } = query.req;
+    const upstreams = candidates.map(({ upstream }) => upstream);
+    const idleLoss = getIdleLoss(engine, request, upstreams);
+    if (plan.loss - idleLoss <= ACCEPTED_LOSS) {
+      return true;
+    }
+    const holdMs = HOLD_SHARE * Math.max(0, route.targetMs - plan.firstEventMs);
+    return now - receivedMs >= holdMs;
+  }
+
+  #getCandidates({ pool, excluded }: PlaceQuery): PlacementCandidate[] {
+    const available = this.#view.getAvailable(pool);
+    const untried = available.filter(({ id }) => !excluded.has(id));
+    const active = this.#health.selectActive(untried.length > 0 ? untried : available);
+    const loads = this.#board.getLoads();
+    return active.map((upstream) => ({
+      upstream,
+      load: loads.get(upstream.id) ?? newUpstreamLoad(),
+      failureRate: this.#health.getFailureRate(upstream.id),
+    }));
+  }
+
+  #waitForChange(signal: AbortSignal): Promise<void> {
+    return new Promise((resolve) => {
+      const abort = new AbortController();
+      const done = (): void => {
+        unsubscribe();
+        signal.removeEventListener("abort", done);
+        abort.abort();
+        resolve();
+      };
+      const unsubscribe = this.#board.subscribe(done);
+      signal.addEventListener("abort", done);
+      void sleep(this.#clock, RECHECK_MS, abort.signal).then(done);
+    });
+  }
+
+  #occupy({ req, pool }: PlaceQuery, { writer, plan, request }: Place): void {
+    this.#board.setOwn({
+      id: req.head.attemptId,
+      pool,
+      phase: plan ? "reading" : "writing",
+      upstream: writer.id,
+      helpers: plan?.helpers.map(({ id }) => id) ?? [],
+      readMs: plan?.readMs ?? 0,
+      kvTokens: getKvTokens(req, plan),
+      heldTokens: plan ? [...plan.heldTokens] : [],
+      maxGapMs: request?.maxGapMs ?? DEFAULT_GAP_MS,
+      value: request?.value ?? 1,
+    });
+  }
+}
+
+const getKvTokens = (req: ForwardRequest, plan: PlacementPlan | undefined): number => {
+  const held = plan?.heldTokens.reduce((sum, tokens) => sum + tokens, 0) ?? 0;
+  return Math.max(0, req.head.promptTokens + req.head.outputTokens - held);
+};
+
+const getGapMs = (route: Route): number => route.maxGapMs ?? DEFAULT_GAP_MS;
+
+const newPlacementRequest = (req: ForwardRequest, now: number): PlacementRequest => ({
+  promptTokens: req.head.promptTokens,
+  outputTokens: req.head.outputTokens,
+  maxGapMs: getGapMs(req.route),
+  targetLeftMs: req.route.targetMs - (now - req.receivedMs),
+  value: estimateValue(req.head.promptTokens),
+});
+
+const newWaitingItem = (
+  { req, pool }: PlaceQuery,
+  request: PlacementRequest,
+): Parameters<LoadBoard["setOwn"]>[0] => ({
+  id: req.head.attemptId,
+  pool,
+  phase: "waiting",
+  upstream: "",
+  helpers: [],
+  readMs: 0,
+  kvTokens: 0,
+  heldTokens: [],
+  maxGapMs: request.maxGapMs,
+  value: request.value,
+});
--- /dev/null
+++ b/packages/forwarding/src/RouteTable.ts
@@ -0,0 +1,54 @@
+import type { FleetConfig, ForwardCustomer, Pool, Route } from "./fleetConfig.js";
+
+/** Index of one configuration: routes by host and prefix, customers by key. */
+export class RouteTable {
+  readonly config: FleetConfig;
+  readonly #byHost = new Map<string, Map<string, Route>>();
+  readonly #byKey = new Map<string, ForwardCustomer>();
+  readonly #pools = new Map<string, Pool>();
+
+  constructor(config: FleetConfig) {
+    this.config = config;
+    for (const route of config.routes) {
+      const host = route.host.toLowerCase();
+      const prefixes = this.#byHost.get(host) ?? new Map<string, Route>();
+      prefixes.set(route.pathPrefix, route);
+      this.#byHost.set(host, prefixes);
+    }
+    for (const customer of config.customers ?? []) {
+      for (const key of customer.apiKeys) {
+        this.#byKey.set(key, customer);
+      }
+    }
+    for (const pool of config.pools) {
+      this.#pools.set(pool.name, pool);
+    }
+  }
+
+  /** Route with the longest prefix that begins `path`. */
+  findRoute(host: string, path: string): Route | undefined {
+    const prefixes = this.#byHost.get(host.toLowerCase());
+    if (!prefixes) {
+      return undefined;
+    }
+    const query = path.indexOf("?");
+    let end = (query < 0 ? path : path.slice(0, query)).lastIndexOf("/");
+    while (end >= 0) {
+      const route = prefixes.get(path.slice(0, end + 1));
+      if (route) {
+        return route;
+      }
+      end = end === 0 ? -1 : path.lastIndexOf("/", end - 1);
+    }
+    return undefined;
+  }
+
+  /** Customer that holds an API key. */
+  findCustomer(key: string): ForwardCustomer | undefined {
+    return this.#byKey.get(key);
+  }
+
+  findPool(name: string): Pool | undefined {
+    return this.#pools.get(name);
+  }
+}
--- /dev/null
+++ b/packages/forwarding/src/Send.ts
@@ -0,0 +1,257 @@
+import type { Clock } from "@lycheepulley/core";
+
+import { EventSplitter, type StreamEvent } from "./EventSplitter.js";
+import { SendResult, type SendOutcome } from "./outcomes.js";
+import {
+  SendState,
+  type AnswerFacts,
+  type AnswerHead,
+  type AnswerWriter,
+  type CallObserver,
+  type Dialect,
+  type ForwardRequest,
+  type UpstreamCall,
+} from "./types.js";
+
+/** Answers up to this size are kept back until they are whole. */
+const MAX_KEPT_BYTES = 1_048_576;
+
+/** State of the caller's answer that outlives one send. */
+export interface AnswerProgress {
+  /** Id of the last event that went to the caller. */
+  lastEventId: string | undefined;
+  /** Head of the first upstream's answer went out. */
+  isHeadSent: boolean;
+}
+
+/** Time that an upstream may be silent, by how far it came. */
+export interface Silence {
+  readonly firstMs: number;
+  readonly gapMs: number;
+}
+
+/** One send of a request to an upstream, until its outcome is known. */
+export class Send implements CallObserver {
+  readonly #clock: Clock;
+  readonly #dialect: Dialect;
+  readonly #req: ForwardRequest;
+  readonly #writer: AnswerWriter;
+  readonly #progress: AnswerProgress;
+  readonly #silence: Silence | undefined;
+  readonly #onFirstEvent: () => void;
+  readonly #splitter = new EventSplitter();
+  readonly #kept: Buffer[] = [];
+  #keptBytes = 0;
+  #head: AnswerHead | undefined;
+  #facts: AnswerFacts | undefined;
+  #isPassing = false;
+  #call: UpstreamCall | undefined;
+  #cancelSilence: () => void = () => undefined;
+  #settle: (outcome: SendOutcome) => void = () => undefined;
+  #isSettled = false;
+  #hasEvents = false;
+
+  /** Resolves once; the call is over by then. */
+  readonly outcome: Promise<SendOutcome>;
+
+  constructor(options: {
+    clock: Clock;
+    dialect: Dialect;
+    req: ForwardRequest;
+    writer: AnswerWriter;
+    progress: AnswerProgress;
+    /** Absent when silence is no reason to give up. */
+    silence: Silence | undefined;
+    onFirstEvent: () => void;
+  }) {
+    this.#clock = options.clock;
+    this.#dialect = options.dialect;
+    this.#req = options.req;
+    this.#writer = options.writer;
+    this.#progress = options.progress;
+    this.#silence = options.silence;
+    this.#onFirstEvent = options.onFirstEvent;
+    this.outcome = new Promise((resolve) => {
+      this.#settle = resolve;
+    });
+  }
+
+  /** Takes the call whose events this object observes. */
+  start(call: UpstreamCall): void {
+    this.#call = call;
+    if (this.#isSettled) {
+      call.abort();
+      return;
+    }
+    this.#watchSilence(this.#silence?.firstMs);
+  }
+
+  /** Ends the send early. */
+  stop(result: SendResult, reason: string): void {
+    this.#finish({ result, reason });
+  }
+
+  onHead(head: AnswerHead): void {
+    this.#head = head;
+    this.#facts = this.#dialect.readAnswer(this.#req, head);
+    if (!this.#facts.isValid) {
+      this.#finish({ result: SendResult.Broken, reason: "answer is not the request's" });
+    }
+  }
+
+  onData(chunk: Buffer): void {
+    if (this.#isSettled) {
+      return;
+    }
+    if (this.#isEventAnswer) {
+      this.#passEvents(chunk);
+    } else if (this.#isPassing) {
+      this.#write(chunk);
+    } else {
+      this.#keep(chunk);
+    }
+  }
+
+  onEnd(): void {
+    if (this.#isSettled || !this.#head || !this.#facts) {
+      return;
+    }
+    if (this.#isEventAnswer) {
+      this.#endEvents();
+      return;
+    }
+    if (this.#isPassing) {
+      this.#writer.end();
+      this.#finish({ result: SendResult.Delivered, reason: "whole answer" });
+      return;
+    }
+    this.#endKept(this.#head, this.#facts);
+  }
+
+  onError(state: SendState, err: Error): void {
+    const result = state === SendState.Unsent ? SendResult.Unsent : SendResult.Broken;
+    this.#finish({ result, reason: err.message });
+  }
+
+  get #isEventAnswer(): boolean {
+    return this.#head?.status === 200 && (this.#facts?.isEventStream ?? false);
+  }
+
+  #passEvents(chunk: Buffer): void {
+    let events: StreamEvent[];
+    try {
+      events = this.#splitter.push(chunk);
+    } catch (err) {
+      this.#finish({ result: SendResult.Broken, reason: String(err) });
+      return;
+    }
+    if (events.length === 0) {
+      return;
+    }
+    if (!this.#hasEvents) {
+      this.#hasEvents = true;
+      this.#onFirstEvent();
+    }
+    this.#sendHeadOnce();
+    for (const event of events) {
+      this.#progress.lastEventId = event.id ?? this.#progress.lastEventId;
+    }
+    this.#write(Buffer.concat(events.map(({ bytes }) => bytes)));
+    this.#watchSilence(this.#silence?.gapMs);
+  }
+
+  #endEvents(): void {
+    if (this.#splitter.restBytes > 0) {
+      this.#finish({ result: SendResult.Broken, reason: "stream ended inside an event" });
+      return;
+    }
+    this.#sendHeadOnce();
+    this.#writer.end();
+    this.#finish({ result: SendResult.Delivered, reason: "whole stream" });
+  }
+
+  #endKept(head: AnswerHead, facts: AnswerFacts): void {
+    const body = Buffer.concat(this.#kept);
+    const answer = { head, body };
+    const { faultAddress } = facts;
+    if (facts.isNotRun) {
+      this.#finish({
+        ...{ result: SendResult.NotRun, answer, faultAddress },
+        reason: `status ${String(head.status)}, not run`,
+      });
+    } else if (head.status >= 500) {
+      const reason = `status ${String(head.status)}`;
+      this.#finish({ result: SendResult.Failed, reason, answer, faultAddress });
+    } else if (this.#progress.isHeadSent) {
+      this.#finish({ result: SendResult.Broken, reason: "resumed stream without events" });
+    } else {
+      this.deliver(answer);
+      this.#finish({ result: SendResult.Delivered, reason: "whole answer" });
+    }
+  }
+
+  /** Writes an answer that was kept back. */
+  deliver(answer: { head: AnswerHead; body: Buffer }): void {
+    const headers = this.#dialect.newAnswerHeaders(answer.head, { keepLength: true });
+    this.#writer.sendHead(answer.head.status, headers);
+    this.#progress.isHeadSent = true;
+    this.#writer.write(answer.body);
+    this.#writer.end();
+  }
+
+  #keep(chunk: Buffer): void {
+    this.#kept.push(chunk);
+    this.#keptBytes += chunk.length;
+    if (this.#keptBytes <= MAX_KEPT_BYTES || !this.#head || this.#progress.isHeadSent) {
+      return;
+    }
+    this.#isPassing = true;
+    this.#sendHeadOnce({ keepLength: true });
+    this.#write(Buffer.concat(this.#kept.splice(0)));
+  }
+
+  #sendHeadOnce(options = { keepLength: false }): void {
+    if (this.#progress.isHeadSent || !this.#head) {
+      return;
+    }
+    this.#progress.isHeadSent = true;
+    this.#writer.sendHead(this.#head.status, this.#dialect.newAnswerHeaders(this.#head, options));
+  }
+
+  #write(chunk: Buffer): void {
+    const call = this.#call;
+    if (!this.#writer.write(chunk) && call) {
+      call.pause();
+      this.#cancelSilence();
+      this.#writer.onDrain(() => {
+        if (!this.#isSettled) {
+          call.resume();
+          this.#watchSilence(this.#silence?.gapMs);
+        }
+      });
+    }
+  }
+
+  #watchSilence(ms: number | undefined): void {
+    this.#cancelSilence();
+    if (ms === undefined || this.#isSettled) {
+      return;
+    }
+    this.#cancelSilence = this.#clock.setTimer(() => {
+      this.#finish({
+        result: SendResult.Broken,
+        reason: `silent for ${String(Math.round(ms))} ms`,
+      });
+    }, ms);
+  }
+
+  #finish(outcome: SendOutcome): void {
+    if (this.#isSettled) {
+      return;
+    }
+    this.#isSettled = true;
+    this.#cancelSilence();
+    this.#call?.abort();
+    this.#settle(outcome);
+  }
+}
--- /dev/null
+++ b/packages/forwarding/src/engineModel.ts
@@ -0,0 +1,21 @@
+import type { EngineSpec } from "./fleetConfig.js";
+
+const TOKENS_PER_THOUSAND = 1_000;
+const PAIRS_PER_MILLION = 1_000_000;
+
+/** Milliseconds in which `members` engines read a prompt in even parts. */
+export const getReadMs = (engine: EngineSpec, tokens: number, members = 1): number => {
+  const pairs = (tokens * tokens) / 2;
+  const whole =
+    tokens / engine.readTokensPerMs + (pairs / PAIRS_PER_MILLION) * engine.msPerMillionPairs;
+  return whole / members;
+};
+
+/** Milliseconds of one pass in which `writers` sequences write and nothing is read. */
+export const getPassMs = (engine: EngineSpec, writers: number, contextTokens: number): number => {
+  const stepMs =
+    engine.stepMs +
+    writers * engine.stepMsPerSequence +
+    (contextTokens / TOKENS_PER_THOUSAND) * engine.stepMsPerThousandContext;
+  return engine.stepsPerPass * stepMs;
+};
--- /dev/null
+++ b/packages/forwarding/src/fleetConfig.ts
@@ -0,0 +1,107 @@
+import { z } from "zod";
+
+/** What may be done again when a request's first run is in doubt. */
+export const Repeat = {
+  /** Runs any number of times. */
+  Idempotent: "idempotent",
+  /** Runs at most once for each attempt of the caller. */
+  AtMostOnce: "at_most_once",
+} as const;
+export type Repeat = (typeof Repeat)[keyof typeof Repeat];
+
+const weightedPoolSchema = z.object({ pool: z.string().min(1), weight: z.number().nonnegative() });
+
+/** One route: which requests it takes and where they may go. */
+export const routeSchema = z.object({
+  name: z.string(),
+  host: z.string().min(1),
+  pathPrefix: z.string().startsWith("/").endsWith("/"),
+  repeat: z.enum([Repeat.Idempotent, Repeat.AtMostOnce]),
+  /** The answer is a series of events. */
+  isStream: z.boolean(),
+  /** A broken stream may go on at another upstream. */
+  isResumable: z.boolean(),
+  timeoutMs: z.number().positive(),
+  /** Latency objective; to the first event for streams. */
+  targetMs: z.number().positive(),
+  /** Longest pause between two events within the objective. */
+  maxGapMs: z.number().positive().optional(),
+  /** 0 is the most urgent. */
+  priority: z.number().int().nonnegative(),
+  pools: z.array(weightedPoolSchema).min(1),
+  /** Most upstreams that one attempt of the caller is sent to. */
+  maxAttempts: z.number().int().positive(),
+  /** Needs no API key. */
+  isPublic: z.boolean(),
+});
+export type Route = z.infer<typeof routeSchema>;
+
+/** Published constants of a pool's engines. */
+export const engineSpecSchema = z.object({
+  slots: z.number().int().positive(),
+  kvTokens: z.number().positive(),
+  /** Token steps in a pass that has writers. */
+  stepsPerPass: z.number().int().positive(),
+  stepMs: z.number().nonnegative(),
+  stepMsPerSequence: z.number().nonnegative(),
+  stepMsPerThousandContext: z.number().nonnegative(),
+  readTokensPerMs: z.number().positive(),
+  msPerMillionPairs: z.number().nonnegative(),
+  hopMs: z.number().nonnegative(),
+});
+export type EngineSpec = z.infer<typeof engineSpecSchema>;
+
+/** Group of identical upstreams. */
+export const poolSchema = z.object({
+  name: z.string().min(1),
+  engine: engineSpecSchema.optional(),
+});
+export type Pool = z.infer<typeof poolSchema>;
+
+/** A customer and the API keys it holds. */
+export const customerSchema = z.object({
+  name: z.string().min(1),
+  apiKeys: z.array(z.string()),
+  /** Takes precedence over the route's priority. */
+  priority: z.number().int().nonnegative().optional(),
+});
+export type ForwardCustomer = z.infer<typeof customerSchema>;
+
+/** Bounds on what a caller may send. */
+export const callerLimitsSchema = z.object({
+  maxHeaderBytes: z.number().int().positive(),
+  maxBodyBytes: z.number().int().positive(),
+  headerTimeoutMs: z.number().positive(),
+  idleTimeoutMs: z.number().positive(),
+});
+export type CallerLimits = z.infer<typeof callerLimitsSchema>;
+
+/** Everything that operators declare for forwarding, at one revision. */
+export interface FleetConfig {
+  readonly revision: number;
+  readonly routes: readonly Route[];
+  readonly pools: readonly Pool[];
+  /** Absent when callers need no key. */
+  readonly customers: readonly ForwardCustomer[] | undefined;
+  readonly limits: CallerLimits;
+}
+
+/** Limits in force before any configuration is known. */
+export const DEFAULT_CALLER_LIMITS: CallerLimits = {
+  maxHeaderBytes: 16_384,
+  maxBodyBytes: 4_194_304,
+  headerTimeoutMs: 3_000,
+  idleTimeoutMs: 15_000,
+};
+
+/** One upstream as the platform lists it. */
+export interface Upstream {
+  /** Changes with each start of the upstream. */
+  readonly id: string;
+  readonly pool: string;
+  readonly host: string;
+  readonly port: number;
+  readonly failureDomain: string;
+  readonly slots: number;
+  readonly isLeaving: boolean;
+}
--- /dev/null
+++ b/packages/forwarding/src/load.ts
@@ -0,0 +1,113 @@
+import { z } from "zod";
+
+/** What a request is doing at its upstreams. */
+export const LoadPhase = {
+  /** Waits at an entry process for a place. */
+  Waiting: "waiting",
+  /** Its prompt is being read; nothing was written yet. */
+  Reading: "reading",
+  Writing: "writing",
+} as const;
+export type LoadPhase = (typeof LoadPhase)[keyof typeof LoadPhase];
+
+/** One request in flight, as the entry processes tell each other. */
+export const loadItemSchema = z.object({
+  id: z.string().max(64),
+  pool: z.string(),
+  phase: z.enum([LoadPhase.Waiting, LoadPhase.Reading, LoadPhase.Writing]),
+  /** Upstream that writes the answer; empty while the request waits. */
+  upstream: z.string(),
+  /** Upstreams that read parts of the prompt. */
+  helpers: z.array(z.string()),
+  /** Time that each member needs for its part of the prompt, milliseconds. */
+  readMs: z.number().nonnegative(),
+  /** Tokens that the prompt and its answer occupy at the writing upstream. */
+  kvTokens: z.number().nonnegative(),
+  /** Tokens that tickets hold at each helper, in the helpers' order. */
+  heldTokens: z.array(z.number().nonnegative()),
+  /** Longest pause between events within the objective. */
+  maxGapMs: z.number().positive(),
+  /** Estimate of what the request is worth to its caller. */
+  value: z.number().nonnegative(),
+});
+export type LoadItem = z.infer<typeof loadItemSchema>;
+
+/** A writer or coming writer at one upstream. */
+export interface WriterLoad {
+  readonly maxGapMs: number;
+  readonly value: number;
+}
+
+/** What is in flight at one upstream. */
+export interface UpstreamLoad {
+  /** Requests whose answer this upstream writes or will write. */
+  inFlight: number;
+  /** Prompts that this upstream only helps to read. */
+  helping: number;
+  /** Milliseconds until the prompts queued for reading are read. */
+  pendingReadMs: number;
+  writers: WriterLoad[];
+  kvTokens: number;
+  contextTokens: number;
+}
+
+/** A load item with the time at which this process learned of its phase. */
+export interface TimedLoadItem extends LoadItem {
+  readonly sinceMs: number;
+}
+
+/** Load of an upstream with nothing in flight. */
+export const newUpstreamLoad = (): UpstreamLoad => ({
+  inFlight: 0,
+  helping: 0,
+  pendingReadMs: 0,
+  writers: [],
+  kvTokens: 0,
+  contextTokens: 0,
+});
+
+/** Reading that is overdue still counts this much. */
+const OVERDUE_READ_MS = 10;
+
+const getOrAdd = (loads: Map<string, UpstreamLoad>, id: string): UpstreamLoad => {
+  let load = loads.get(id);
+  if (!load) {
+    load = newUpstreamLoad();
+    loads.set(id, load);
+  }
+  return load;
+};
+
+/** Sums requests in flight by upstream, at time `nowMs`. */
+export const sumLoads = (
+  items: Iterable<TimedLoadItem>,
+  nowMs: number,
+): Map<string, UpstreamLoad> => {
+  const loads = new Map<string, UpstreamLoad>();
+  const readEnds = new Map<string, number>();
+  const queueRead = (id: string, item: TimedLoadItem): void => {
+    const end = Math.max(readEnds.get(id) ?? 0, item.sinceMs) + item.readMs;
+    readEnds.set(id, end);
+    getOrAdd(loads, id).pendingReadMs = Math.max(OVERDUE_READ_MS, end - nowMs);
+  };
+  const placed = [...items].filter(({ phase }) => phase !== LoadPhase.Waiting);
+  placed.sort((a, b) => a.sinceMs - b.sinceMs);
+  for (const item of placed) {
+    const load = getOrAdd(loads, item.upstream);
+    load.inFlight += 1;
+    load.kvTokens += item.kvTokens;
+    load.contextTokens += item.kvTokens;
+    load.writers.push({ maxGapMs: item.maxGapMs, value: item.value });
+    item.helpers.forEach((helper, index) => {
+      const helperLoad = getOrAdd(loads, helper);
+      helperLoad.helping += 1;
+      helperLoad.kvTokens += item.heldTokens[index] ?? 0;
+    });
+    if (item.phase === LoadPhase.Reading) {
+      [item.upstream, ...item.helpers].forEach((id) => {
+        queueRead(id, item);
+      });
+    }
+  }
+  return loads;
+};
--- /dev/null
+++ b/packages/nodes/src/DatagramChannel.ts
@@ -0,0 +1,97 @@
+import { createSocket, type Socket } from "node:dgram";
+
+import { createJSONRPCNotification } from "json-rpc-2.0";
+import { z } from "zod";
+
+const MAX_DATAGRAM_BYTES = 60_000;
+
+const notificationSchema = z.object({
+  jsonrpc: z.literal("2.0"),
+  method: z.string(),
+  params: z.unknown(),
+});
+
+type Handler = (params: unknown, host: string) => void;
+
+/** JSON-RPC notifications between entry processes, one a datagram; some are lost. */
+export class DatagramChannel {
+  readonly #handlers = new Map<string, Handler>();
+  readonly #onBadMessage: (host: string, reason: string) => void;
+  #socket: Socket | undefined;
+  #port = 0;
+  #sentBytes = 0;
+
+  constructor(options: { onBadMessage: (host: string, reason: string) => void }) {
+    this.#onBadMessage = options.onBadMessage;
+  }
+
+  get sentBytes(): number {
+    return this.#sentBytes;
+  }
+
+  /** Takes one method's notifications; those of another shape are reported and dropped. */
+  handle<T>(method: string, schema: z.ZodType<T>, fn: (params: T, host: string) => void): void {
+    this.#handlers.set(method, (params, host) => {
+      const parsed = schema.safeParse(params);
+      if (parsed.success) {
+        fn(parsed.data, host);
+      } else {
+        this.#onBadMessage(host, `${method}: ${z.prettifyError(parsed.error)}`);
+      }
+    });
+  }
+
+  /** Binds the port that all processes use. */
+  listen(host: string, port: number): Promise<void> {
+    this.#port = port;
+    const socket = createSocket("udp4");
+    this.#socket = socket;
+    socket.on("message", (data, { address }) => {
+      this.#receive(data, address);
+    });
+    return new Promise((resolve, reject) => {
+      socket.once("error", reject);
+      socket.bind(port, host, () => {
+        socket.off("error", reject);
+        socket.on("error", (err) => {
+          this.#onBadMessage("self", err.message);
+        });
+        resolve();
+      });
+    });
+  }
+
+  /** Sends one notification to several hosts. */
+  notify(method: string, params: object, hosts: readonly string[]): void {
+    const data = Buffer.from(JSON.stringify(createJSONRPCNotification(method, params)));
+    if (data.length > MAX_DATAGRAM_BYTES) {
+      this.#onBadMessage("self", `${method}: ${String(data.length)} bytes don't fit a datagram`);
+      return;
+    }
+    for (const host of hosts) {
+      this.#sentBytes += data.length;
+      this.#socket?.send(data, this.#port, host, () => undefined);
+    }
+  }
+
+  close(): void {
+    this.#socket?.close();
+    this.#socket = undefined;
+  }
+
+  #receive(data: Buffer, host: string): void {
+    let raw: unknown;
+    try {
+      raw = JSON.parse(data.toString());
+    } catch {
+      this.#onBadMessage(host, "not JSON");
+      return;
+    }
+    const message = notificationSchema.safeParse(raw);
+    if (message.success) {
+      this.#handlers.get(message.data.method)?.(message.data.params, host);
+    } else {
+      this.#onBadMessage(host, "not a notification");
+    }
+  }
+}
--- a/packages/nodes/src/index.ts
+++ b/packages/nodes/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./DatagramChannel.js";
 export * from "./methods.js";
 export * from "./NodeClient.js";
 export * from "./NodeServer.js";
--- /dev/null
+++ b/packages/telemetry/src/ForwardMetrics.ts
@@ -0,0 +1,80 @@
+import { build, type Histogram } from "hdr-histogram-js";
+import { Counter, Gauge, Registry } from "prom-client";
+
+const QUANTILES = [50, 95, 99] as const;
+const MAX_LATENCY_MS = 3_600_000;
+
+/** Metrics of a forwarding process, in the Prometheus text format. */
+export class ForwardMetrics {
+  readonly #registry = new Registry();
+  readonly #latencies = new Map<string, Histogram>();
+  readonly #requests: Counter;
+  readonly #sends: Counter;
+
+  constructor() {
+    const registers = [this.#registry];
+    this.#requests = new Counter({
+      name: "lycheepulley_forwarded_total",
+      help: "Forwarded requests by route and result",
+      labelNames: ["route", "result"],
+      registers,
+    });
+    this.#sends = new Counter({
+      name: "lycheepulley_sends_total",
+      help: "Sends to upstreams by route",
+      labelNames: ["route"],
+      registers,
+    });
+    const latencies = this.#latencies;
+    new Gauge({
+      name: "lycheepulley_forward_ms",
+      help: "Latency by route; first for the first event, total for the end",
+      labelNames: ["route", "part", "quantile"],
+      registers,
+      collect() {
+        this.reset();
+        for (const [key, histogram] of latencies) {
+          const [part = "", route = ""] = key.split("|");
+          for (const quantile of QUANTILES) {
+            const labels = { route, part, quantile: String(quantile / 100) };
+            this.set(labels, histogram.getValueAtPercentile(quantile));
+          }
+        }
+      },
+    });
+  }
+
+  /** Counts a request that ended. */
+  onEnd(end: {
+    readonly route: string;
+    readonly result: string;
+    readonly firstMs: number | undefined;
+    readonly totalMs: number;
+    readonly sends: number;
+  }): void {
+    this.#requests.inc({ route: end.route, result: end.result });
+    this.#sends.inc({ route: end.route }, end.sends);
+    this.#record("total", end.route, end.totalMs);
+    if (end.firstMs !== undefined) {
+      this.#record("first", end.route, end.firstMs);
+    }
+  }
+
+  getText(): Promise<string> {
+    return this.#registry.metrics();
+  }
+
+  #record(part: string, route: string, ms: number): void {
+    const key = `${part}|${route}`;
+    let histogram = this.#latencies.get(key);
+    if (!histogram) {
+      histogram = build({
+        lowestDiscernibleValue: 1,
+        highestTrackableValue: MAX_LATENCY_MS,
+        numberOfSignificantValueDigits: 2,
+      });
+      this.#latencies.set(key, histogram);
+    }
+    histogram.recordValue(Math.min(MAX_LATENCY_MS, Math.max(1, Math.round(ms))));
+  }
+}
--- /dev/null
+++ b/packages/upstreams/src/HttpUpstreamTransport.ts
@@ -0,0 +1,116 @@
+import { request, type ClientRequest, type IncomingMessage } from "node:http";
+
+import {
+  SendState,
+  type CallObserver,
+  type UpstreamCall,
+  type UpstreamTransport,
+} from "@lycheepulley/forwarding";
+
+type OpenRequest = Parameters<UpstreamTransport["open"]>[0];
+
+/** One request on a connection of its own. */
+class HttpUpstreamCall implements UpstreamCall {
+  readonly #observer: CallObserver;
+  readonly #req: ClientRequest;
+  #res: IncomingMessage | undefined;
+  #state: SendState = SendState.Unsent;
+  #isOver = false;
+  readonly #connectTimer: NodeJS.Timeout;
+
+  constructor(options: OpenRequest, observer: CallObserver) {
+    this.#observer = observer;
+    this.#connectTimer = setTimeout(() => {
+      this.#fail(new Error(`no connection within ${String(options.connectTimeoutMs)} ms`));
+    }, options.connectTimeoutMs);
+    this.#req = request({
+      host: options.host,
+      port: options.port,
+      method: options.method,
+      path: options.path,
+      headers: options.headers,
+      agent: false,
+    });
+    this.#observe(this.#req);
+    // The body goes out only on an open connection, so that what never left can be told.
+    this.#req.on("socket", (socket) => {
+      socket.setNoDelay(true);
+      socket.once("connect", () => {
+        clearTimeout(this.#connectTimer);
+        if (!this.#isOver) {
+          this.#state = SendState.Sent;
+          this.#req.end(options.body);
+        }
+      });
+    });
+  }
+
+  pause(): void {
+    this.#res?.pause();
+  }
+
+  resume(): void {
+    this.#res?.resume();
+  }
+
+  abort(): void {
+    this.#close();
+  }
+
+  #observe(req: ClientRequest): void {
+    req.on("error", (err) => {
+      this.#fail(err);
+    });
+    req.on("close", () => {
+      this.#fail(new Error("connection closed"));
+    });
+    req.on("response", (res) => {
+      this.#takeAnswer(res);
+    });
+  }
+
+  #takeAnswer(res: IncomingMessage): void {
+    this.#res = res;
+    res.on("error", (err) => {
+      this.#fail(err);
+    });
+    if (this.#isOver) {
+      return;
+    }
+    this.#observer.onHead({ status: res.statusCode ?? 0, headers: res.rawHeaders });
+    res.on("data", (chunk: Buffer) => {
+      if (!this.#isOver) {
+        this.#observer.onData(chunk);
+      }
+    });
+    res.on("end", () => {
+      if (!this.#isOver && res.complete) {
+        this.#close();
+        this.#observer.onEnd();
+      } else {
+        this.#fail(new Error("answer cut"));
+      }
+    });
+  }
+
+  #fail(err: Error): void {
+    if (this.#isOver) {
+      return;
+    }
+    this.#close();
+    this.#observer.onError(this.#state, err);
+  }
+
+  #close(): void {
+    this.#isOver = true;
+    clearTimeout(this.#connectTimer);
+    this.#req.destroy();
+  }
+}
+
+/** Sends each request to an upstream on a new connection, which carries nothing else. */
+export class HttpUpstreamTransport implements UpstreamTransport {
+  open(options: OpenRequest, observer: CallObserver): UpstreamCall {
+    return new HttpUpstreamCall(options, observer);
+  }
+}
--- /dev/null
+++ b/packages/upstreams/src/index.ts
@@ -0,0 +1,1 @@
+export * from "./HttpUpstreamTransport.js";
