Pass unframed answers on unframed, so that a cut can't look complete

Cause: a plain upstream that crashes in an answer without a length ends it with a clean close; sent on in chunks, the cut answer looked complete. Ruled out: a reset taken for an end (the socket ended cleanly, without error; a test shows that a reset is an error).

--- a/packages/callers/src/forward/ResponseWriter.ts
+++ b/packages/callers/src/forward/ResponseWriter.ts
@@ -29,10 +29,14 @@
     this.#closeAfter = true;
   }
 
-  sendHead(status: number, headers: HeaderList): void {
+  sendHead(status: number, headers: HeaderList, isFramed: boolean): void {
     if (this.isGone || this.isHeadSent) {
       return;
     }
+    if (!isFramed) {
+      this.#closeAfter = true;
+      this.#res.useChunkedEncodingByDefault = false;
+    }
     this.#res.writeHead(status, [...headers, ...this.#closing()]);
   }
 
--- a/packages/forwarding/src/ForwardJob.ts
+++ b/packages/forwarding/src/ForwardJob.ts
@@ -41,7 +41,11 @@
     this.#writer = options.writer;
     this.#pool = this.#pickPool();
     this.#endMs = getEndMs(options.req);
-    this.#progress = { lastEventId: options.req.head.lastEventId, isHeadSent: false };
+    this.#progress = {
+      lastEventId: options.req.head.lastEventId,
+      isHeadSent: false,
+      isFramed: false,
+    };
   }
 
   async run(): Promise<void> {
@@ -263,7 +267,7 @@
       this.#writer.abort();
     } else {
       const headers = this.#parts.dialect.newAnswerHeaders(answer.head, { keepLength: true });
-      this.#writer.sendHead(answer.head.status, headers);
+      this.#writer.sendHead(answer.head.status, headers, answer.isFramed);
       this.#writer.write(answer.body);
       this.#writer.end();
     }
--- a/packages/forwarding/src/Send.ts
+++ b/packages/forwarding/src/Send.ts
@@ -1,7 +1,7 @@
 import type { Clock } from "@lycheepulley/core";
 
 import { EventSplitter, type StreamEvent } from "./EventSplitter.js";
-import { SendResult, type SendOutcome } from "./outcomes.js";
+import { SendResult, type KeptAnswer, type SendOutcome } from "./outcomes.js";
 import {
   SendState,
   type AnswerFacts,
@@ -22,6 +22,8 @@
   lastEventId: string | undefined;
   /** Head of the first upstream's answer went out. */
   isHeadSent: boolean;
+  /** The caller can tell the answer's end from a cut. */
+  isFramed: boolean;
 }
 
 /** Time that an upstream may be silent, by how far it came. */
@@ -165,6 +167,10 @@
       this.#finish({ result: SendResult.Broken, reason: "stream ended inside an event" });
       return;
     }
+    if (this.#progress.isFramed && !this.#facts?.isFramed) {
+      this.#finish({ result: SendResult.Broken, reason: "end of an unframed stream in doubt" });
+      return;
+    }
     this.#sendHeadOnce();
     this.#writer.end();
     this.#finish({ result: SendResult.Delivered, reason: "whole stream" });
@@ -172,8 +178,8 @@
 
   #endKept(head: AnswerHead, facts: AnswerFacts): void {
     const body = Buffer.concat(this.#kept);
-    const answer = { head, body };
-    const { faultAddress } = facts;
+    const { faultAddress, isFramed } = facts;
+    const answer = { head, body, isFramed };
     if (facts.isNotRun) {
       this.#finish({
         ...{ result: SendResult.NotRun, answer, faultAddress },
@@ -185,15 +191,14 @@
     } else if (this.#progress.isHeadSent) {
       this.#finish({ result: SendResult.Broken, reason: "resumed stream without events" });
     } else {
-      this.deliver(answer);
+      this.#deliver(answer);
       this.#finish({ result: SendResult.Delivered, reason: "whole answer" });
     }
   }
 
-  /** Writes an answer that was kept back. */
-  deliver(answer: { head: AnswerHead; body: Buffer }): void {
+  #deliver(answer: KeptAnswer): void {
     const headers = this.#dialect.newAnswerHeaders(answer.head, { keepLength: true });
-    this.#writer.sendHead(answer.head.status, headers);
+    this.#writer.sendHead(answer.head.status, headers, answer.isFramed);
     this.#progress.isHeadSent = true;
     this.#writer.write(answer.body);
     this.#writer.end();
@@ -215,7 +220,10 @@
       return;
     }
     this.#progress.isHeadSent = true;
-    this.#writer.sendHead(this.#head.status, this.#dialect.newAnswerHeaders(this.#head, options));
+    const isFramed = this.#facts?.isFramed ?? false;
+    this.#progress.isFramed = isFramed;
+    const headers = this.#dialect.newAnswerHeaders(this.#head, options);
+    this.#writer.sendHead(this.#head.status, headers, isFramed);
   }
 
   #write(chunk: Buffer): void {
--- a/packages/forwarding/src/outcomes.ts
+++ b/packages/forwarding/src/outcomes.ts
@@ -20,12 +20,20 @@
 } as const;
 export type SendResult = (typeof SendResult)[keyof typeof SendResult];
 
+/** Whole answer of an upstream. */
+export interface KeptAnswer {
+  readonly head: AnswerHead;
+  readonly body: Buffer;
+  /** Its end could be told from a cut. */
+  readonly isFramed: boolean;
+}
+
 /** Result of one send with what decides about another. */
 export interface SendOutcome {
   readonly result: SendResult;
   readonly reason: string;
   /** Whole answer of the upstream, kept back for the decision. */
-  readonly answer?: { readonly head: AnswerHead; readonly body: Buffer };
+  readonly answer?: KeptAnswer;
   /** Address of the upstream at fault, when another than the one asked. */
   readonly faultAddress?: string | undefined;
 }
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -41,8 +41,11 @@
 /** Takes the answer for a caller. */
 export interface AnswerWriter {
   readonly isHeadSent: boolean;
-  /** Starts an answer of an upstream; `headers` go out unchanged. */
-  sendHead(status: number, headers: HeaderList): void;
+  /**
+   * Starts an answer of an upstream; `headers` go out unchanged. An answer that
+   * isn't framed ends with the caller's connection.
+   */
+  sendHead(status: number, headers: HeaderList, isFramed: boolean): void;
   /** False when the caller reads more slowly than this is written. */
   write(chunk: Buffer): boolean;
   onDrain(fn: () => void): void;
@@ -68,6 +71,8 @@
   /** Address of the upstream at fault, when another one than the sender. */
   readonly faultAddress: string | undefined;
   readonly isEventStream: boolean;
+  /** Its end can be told from a cut: it has a length or is sent in chunks. */
+  readonly isFramed: boolean;
 }
 
 /** Values that the system sets on a request to an upstream. */
--- /dev/null
+++ b/packages/upstreams/src/HttpUpstreamTransport.test.ts
@@ -0,0 +1,132 @@
+import { createServer, type AddressInfo, type Server, type Socket } from "node:net";
+
+import type { AnswerHead, SendState } from "@lycheepulley/forwarding";
+import { expect } from "chai";
+
+import { HttpUpstreamTransport } from "./HttpUpstreamTransport.js";
+
+interface Observed {
+  readonly end: "end" | "error";
+  readonly state: SendState | undefined;
+  readonly head: AnswerHead | undefined;
+  readonly body: string;
+}
+
+const HEAD = "HTTP/1.1 200 OK\r\n";
+
+/** Serves each connection with `answer` once it has sent a request. */
+const listen = (answer: (socket: Socket) => void): Promise<Server> =>
+  new Promise((resolve) => {
+    const server = createServer((socket) => {
+      socket.on("error", () => undefined);
+      socket.once("data", () => {
+        answer(socket);
+      });
+    });
+    server.listen(0, "127.0.0.1", () => {
+      resolve(server);
+    });
+  });
+
+const send = (port: number): Promise<Observed> =>
+  new Promise((resolve) => {
+    let head: AnswerHead | undefined;
+    let body = "";
+    const finish = (end: Observed["end"], state?: SendState): void => {
+      resolve({ end, state, head, body });
+    };
+    new HttpUpstreamTransport().open(
+      {
+        ...{ host: "127.0.0.1", port, method: "POST", path: "/a/?b=1", body: Buffer.from("xy") },
+        headers: ["Host", "a.example", "Content-Length", "2", "Connection", "close"],
+        connectTimeoutMs: 5_000,
+      },
+      {
+        onHead: (value) => {
+          head = value;
+        },
+        onData: (chunk) => {
+          body += chunk.toString();
+        },
+        onEnd: () => {
+          finish("end");
+        },
+        onError: (state) => {
+          finish("error", state);
+        },
+      },
+    );
+  });
+
+const CASES: {
+  readonly name: string;
+  readonly answer: (socket: Socket) => void;
+  readonly end: Observed["end"];
+  readonly body: string;
+}[] = [
+  {
+    name: "an answer with a length is whole at its length",
+    answer: (socket) => socket.write(`${HEAD}Content-Length: 3\r\n\r\nabc`),
+    end: "end",
+    body: "abc",
+  },
+  {
+    name: "bytes after a whole answer belong to nobody",
+    answer: (socket) => socket.write(`${HEAD}Content-Length: 3\r\n\r\nabc${HEAD}\r\nxyz`),
+    end: "end",
+    body: "abc",
+  },
+  {
+    name: "an answer cut before its length is broken",
+    answer: (socket) => socket.end(`${HEAD}Content-Length: 9\r\n\r\nabc`),
+    end: "error",
+    body: "abc",
+  },
+  {
+    name: "an answer without a length ends with its connection",
+    answer: (socket) => socket.end(`${HEAD}\r\nabc`),
+    end: "end",
+    body: "abc",
+  },
+  {
+    name: "an answer without a length is broken when its connection is reset",
+    answer: (socket) => {
+      socket.write(`${HEAD}\r\nabc`, () => {
+        setTimeout(() => socket.resetAndDestroy(), 20);
+      });
+    },
+    end: "error",
+    body: "abc",
+  },
+  {
+    name: "chunks without the last one are broken",
+    answer: (socket) => socket.end(`${HEAD}Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n`),
+    end: "error",
+    body: "abc",
+  },
+  {
+    name: "bytes that are no answer are an error",
+    answer: (socket) => socket.end("garbage\r\n\r\n"),
+    end: "error",
+    body: "",
+  },
+];
+
+describe("HttpUpstreamTransport", () => {
+  for (const { name, answer, end, body } of CASES) {
+    it(name, async () => {
+      const server = await listen(answer);
+      const observed = await send((server.address() as AddressInfo).port);
+      server.close();
+      expect({ end: observed.end, body: observed.body }).to.deep.equal({ end, body });
+    });
+  }
+
+  it("tells that nothing was sent when the connection is refused", async () => {
+    const server = await listen(() => undefined);
+    const { port } = server.address() as AddressInfo;
+    await new Promise((resolve) => server.close(resolve));
+    const observed = await send(port);
+    expect(observed).to.include({ end: "error", state: "unsent" });
+  });
+});
