Ask a silent upstream for a report before giving it up; count added harm only

Placement also charged harm already done, and none to prompts being read, so that giants were read by 5 of 16 and joined reads that then took 5 s instead of 0.4 s. Ruled out: tickets (none refused), memory of the writer.

--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -14,7 +14,7 @@
   UpstreamHealth,
   type Dialect,
   type FleetConfig,
-  type MemoryControl,
+  type UpstreamControl,
   type PeerIdentity,
   type Upstream,
   type UpstreamTransport,
@@ -54,7 +54,7 @@
     sources: GatewaySources;
     dialect: Dialect;
     transport: UpstreamTransport;
-    memory: MemoryControl;
+    control: UpstreamControl;
     logger: Logger;
   }) {
     const { settings, dialect, logger } = options;
@@ -90,7 +90,8 @@
       ...{ clock, random: new SystemRandom(), view: this.#view, board, health: this.#health },
       ...{ crashes: this.#crashes, transport: options.transport, dialect, logger },
       retries: this.#newRetryWindow(),
-      tickets: new TicketKeeper({ clock, control: options.memory, logger }),
+      control: options.control,
+      tickets: new TicketKeeper({ clock, control: options.control, logger }),
       onEnd: (end) => {
         this.#metrics.onEnd(end);
       },
--- a/packages/forwarding/src/ForwardJob.ts
+++ b/packages/forwarding/src/ForwardJob.ts
@@ -109,6 +109,7 @@
       onFirstEvent: () => {
         this.#onFirstEvent(place);
       },
+      isAlive: () => this.#parts.control.isAlive(place.writer),
     });
     const headers = dialect.newUpstreamHeaders(req, {
       deadlineMs: Math.max(1, Math.floor(this.#endMs - now)),
@@ -306,7 +307,8 @@
     logger.info("sent to upstream", {
       ...{ requestId: head.attemptId, step: "send", peer: place.writer.id, route: route.name },
       ...{ customer, tokens: head.promptTokens, revision, sends: this.#sends },
-      helpers: place.plan?.helpers.length ?? 0,
+      helpers: place.plan?.helpers.map(({ id }) => id) ?? [],
+      held: place.plan?.heldTokens.filter((tokens) => tokens > 0).length ?? 0,
       expectedMs: Math.round(place.plan?.firstEventMs ?? 0),
       loss: Number((place.plan?.loss ?? 0).toFixed(2)),
       listAgeMs: Math.round(now - view.listedMs),
--- a/packages/forwarding/src/Forwarder.ts
+++ b/packages/forwarding/src/Forwarder.ts
@@ -8,7 +8,13 @@
 import { Placer } from "./Placer.js";
 import type { RetryWindow } from "./RetryWindow.js";
 import type { TicketKeeper } from "./TicketKeeper.js";
-import type { AnswerWriter, Dialect, ForwardRequest, UpstreamTransport } from "./types.js";
+import type {
+  AnswerWriter,
+  Dialect,
+  ForwardRequest,
+  UpstreamControl,
+  UpstreamTransport,
+} from "./types.js";
 import type { UpstreamHealth } from "./UpstreamHealth.js";
 
 /** How a forwarded request ended, for metrics. */
@@ -30,6 +36,7 @@
   readonly retries: RetryWindow;
   readonly crashes: CrashBook;
   readonly tickets: TicketKeeper;
+  readonly control: UpstreamControl;
   readonly transport: UpstreamTransport;
   readonly dialect: Dialect;
   readonly logger: Logger;
--- a/packages/forwarding/src/Placer.ts
+++ b/packages/forwarding/src/Placer.ts
@@ -6,7 +6,7 @@
 import type { LoadBoard } from "./LoadBoard.js";
 import {
   estimateValue,
-  getIdleLoss,
+  planIdle,
   pickServiceUpstream,
   planPlacement,
   type PlacementCandidate,
@@ -135,11 +135,11 @@
     const { query, engine, request, plan, candidates, now } = options;
     const { route, receivedMs } = query.req;
     const upstreams = candidates.map(({ upstream }) => upstream);
-    const idleLoss = getIdleLoss(engine, request, upstreams);
-    if (plan.loss - idleLoss <= ACCEPTED_LOSS) {
+    const idle = planIdle(engine, request, upstreams);
+    if (!idle || plan.loss - idle.loss <= ACCEPTED_LOSS) {
       return true;
     }
-    const holdMs = HOLD_SHARE * Math.max(0, route.targetMs - plan.firstEventMs);
+    const holdMs = HOLD_SHARE * Math.max(0, route.targetMs - idle.firstEventMs);
     return now - receivedMs >= holdMs;
   }
 
@@ -181,6 +181,7 @@
       kvTokens: getKvTokens(req, plan),
       heldTokens: plan ? [...plan.heldTokens] : [],
       maxGapMs: request?.maxGapMs ?? DEFAULT_GAP_MS,
+      targetLeftMs: request?.targetLeftMs ?? 0,
       value: request?.value ?? 1,
     });
   }
@@ -214,5 +215,6 @@
   kvTokens: 0,
   heldTokens: [],
   maxGapMs: request.maxGapMs,
+  targetLeftMs: request.targetLeftMs,
   value: request.value,
 });
--- a/packages/forwarding/src/Send.ts
+++ b/packages/forwarding/src/Send.ts
@@ -28,6 +28,14 @@
 
 /** Time that an upstream may be silent, by how far it came. */
 export interface Silence {
+  /** Silence after which the upstream is asked whether it is alive. */
+  readonly doubt: SilenceTerm;
+  /** Silence that is borne from an upstream that is alive. */
+  readonly end: SilenceTerm;
+}
+
+/** Milliseconds before the first event, and between events. */
+export interface SilenceTerm {
   readonly firstMs: number;
   readonly gapMs: number;
 }
@@ -49,6 +57,8 @@
   #isPassing = false;
   #call: UpstreamCall | undefined;
   #cancelSilence: () => void = () => undefined;
+  readonly #isAlive: () => Promise<boolean>;
+  #silenceRound = 0;
   #settle: (outcome: SendOutcome) => void = () => undefined;
   #isSettled = false;
   #hasEvents = false;
@@ -65,6 +75,8 @@
     /** Absent when silence is no reason to give up. */
     silence: Silence | undefined;
     onFirstEvent: () => void;
+    /** Asks the upstream whether it is alive. */
+    isAlive: () => Promise<boolean>;
   }) {
     this.#clock = options.clock;
     this.#dialect = options.dialect;
@@ -73,6 +85,7 @@
     this.#progress = options.progress;
     this.#silence = options.silence;
     this.#onFirstEvent = options.onFirstEvent;
+    this.#isAlive = options.isAlive;
     this.outcome = new Promise((resolve) => {
       this.#settle = resolve;
     });
@@ -85,7 +98,7 @@
       call.abort();
       return;
     }
-    this.#watchSilence(this.#silence?.firstMs);
+    this.#watchSilence("firstMs");
   }
 
   /** Ends the send early. */
@@ -159,7 +172,7 @@
       this.#progress.lastEventId = event.id ?? this.#progress.lastEventId;
     }
     this.#write(Buffer.concat(events.map(({ bytes }) => bytes)));
-    this.#watchSilence(this.#silence?.gapMs);
+    this.#watchSilence("gapMs");
   }
 
   #endEvents(): void {
@@ -231,26 +244,40 @@
     if (!this.#writer.write(chunk) && call) {
       call.pause();
       this.#cancelSilence();
+      this.#silenceRound += 1;
       this.#writer.onDrain(() => {
         if (!this.#isSettled) {
           call.resume();
-          this.#watchSilence(this.#silence?.gapMs);
+          this.#watchSilence("gapMs");
         }
       });
     }
   }
 
-  #watchSilence(ms: number | undefined): void {
+  /** Doubts a silent upstream first, and gives it up when it is dead or silent for too long. */
+  #watchSilence(part: keyof SilenceTerm): void {
     this.#cancelSilence();
-    if (ms === undefined || this.#isSettled) {
+    const silence = this.#silence;
+    if (!silence || this.#isSettled) {
       return;
     }
+    const round = ++this.#silenceRound;
+    const doubtMs = silence.doubt[part];
+    const endMs = Math.max(doubtMs, silence.end[part]);
     this.#cancelSilence = this.#clock.setTimer(() => {
-      this.#finish({
-        result: SendResult.Broken,
-        reason: `silent for ${String(Math.round(ms))} ms`,
+      this.#cancelSilence = this.#clock.setTimer(() => {
+        this.#endSilent(`silent for ${String(Math.round(endMs))} ms`);
+      }, endMs - doubtMs);
+      void this.#isAlive().then((isAlive) => {
+        if (!isAlive && round === this.#silenceRound) {
+          this.#endSilent(`silent for ${String(Math.round(doubtMs))} ms and not alive`);
+        }
       });
-    }, ms);
+    }, doubtMs);
+  }
+
+  #endSilent(reason: string): void {
+    this.#finish({ result: SendResult.Broken, reason });
   }
 
   #finish(outcome: SendOutcome): void {
--- a/packages/forwarding/src/TicketKeeper.ts
+++ b/packages/forwarding/src/TicketKeeper.ts
@@ -2,7 +2,7 @@
 import type { Logger } from "@lycheepulley/telemetry";
 
 import type { Upstream } from "./fleetConfig.js";
-import type { MemoryControl } from "./types.js";
+import type { UpstreamControl } from "./types.js";
 
 /** Term of a ticket; it lapses this long after its last renewal. */
 const HOLD_MS = 3_500;
@@ -25,10 +25,10 @@
 /** Sets memory aside for prompts larger than one engine, and always lets go of it. */
 export class TicketKeeper {
   readonly #clock: Clock;
-  readonly #control: MemoryControl;
+  readonly #control: UpstreamControl;
   readonly #logger: Logger;
 
-  constructor(options: { clock: Clock; control: MemoryControl; logger: Logger }) {
+  constructor(options: { clock: Clock; control: UpstreamControl; logger: Logger }) {
     this.#clock = options.clock;
     this.#control = options.control;
     this.#logger = options.logger;
--- a/packages/forwarding/src/load.ts
+++ b/packages/forwarding/src/load.ts
@@ -27,6 +27,8 @@
   heldTokens: z.array(z.number().nonnegative()),
   /** Longest pause between events within the objective. */
   maxGapMs: z.number().positive(),
+  /** Time left to the objective for the first event when this phase began. */
+  targetLeftMs: z.number(),
   /** Estimate of what the request is worth to its caller. */
   value: z.number().nonnegative(),
 });
@@ -38,6 +40,13 @@
   readonly value: number;
 }
 
+/** A request whose prompt is being read, in whole or in part, at one upstream. */
+export interface ReaderLoad {
+  /** Time left to its objective for the first event. */
+  readonly targetLeftMs: number;
+  readonly value: number;
+}
+
 /** What is in flight at one upstream. */
 export interface UpstreamLoad {
   /** Requests whose answer this upstream writes or will write. */
@@ -47,6 +56,9 @@
   /** Milliseconds until the prompts queued for reading are read. */
   pendingReadMs: number;
   writers: WriterLoad[];
+  readers: ReaderLoad[];
+  /** Shortest pause objective among the answers written or to be written here. */
+  minGapMs: number;
   kvTokens: number;
   contextTokens: number;
 }
@@ -62,6 +74,8 @@
   helping: 0,
   pendingReadMs: 0,
   writers: [],
+  readers: [],
+  minGapMs: Infinity,
   kvTokens: 0,
   contextTokens: 0,
 });
@@ -88,7 +102,12 @@
   const queueRead = (id: string, item: TimedLoadItem): void => {
     const end = Math.max(readEnds.get(id) ?? 0, item.sinceMs) + item.readMs;
     readEnds.set(id, end);
-    getOrAdd(loads, id).pendingReadMs = Math.max(OVERDUE_READ_MS, end - nowMs);
+    const load = getOrAdd(loads, id);
+    load.pendingReadMs = Math.max(OVERDUE_READ_MS, end - nowMs);
+    load.readers.push({
+      targetLeftMs: item.targetLeftMs - (nowMs - item.sinceMs),
+      value: item.value,
+    });
   };
   const placed = [...items].filter(({ phase }) => phase !== LoadPhase.Waiting);
   placed.sort((a, b) => a.sinceMs - b.sinceMs);
@@ -97,7 +116,10 @@
     load.inFlight += 1;
     load.kvTokens += item.kvTokens;
     load.contextTokens += item.kvTokens;
-    load.writers.push({ maxGapMs: item.maxGapMs, value: item.value });
+    load.minGapMs = Math.min(load.minGapMs, item.maxGapMs);
+    if (item.phase === LoadPhase.Writing) {
+      load.writers.push({ maxGapMs: item.maxGapMs, value: item.value });
+    }
     item.helpers.forEach((helper, index) => {
       const helperLoad = getOrAdd(loads, helper);
       helperLoad.helping += 1;
--- a/packages/forwarding/src/placement.ts
+++ b/packages/forwarding/src/placement.ts
@@ -59,8 +59,11 @@
 
 /** 0 while `ms` is well within `limitMs`, 1 at the limit and beyond. */
 export const getLateRisk = (ms: number, limitMs: number): number => {
+  if (limitMs <= 0) {
+    return 1;
+  }
   const start = limitMs * RISK_SHARE;
-  return Math.min(1, Math.max(0, (ms - start) / Math.max(1, limitMs - start)));
+  return Math.min(1, Math.max(0, (ms - start) / (limitMs - start)));
 };
 
 interface Scored {
@@ -70,8 +73,21 @@
   readonly cost: number;
 }
 
-const hasShortPauses = (load: UpstreamLoad): boolean =>
-  load.writers.some(({ maxGapMs }) => maxGapMs <= SHORT_GAP_MS);
+const hasShortPauses = (load: UpstreamLoad): boolean => load.minGapMs <= SHORT_GAP_MS;
+
+/** Loss of those at an upstream when its next pass reads for `readMs` longer. */
+const getHarm = (load: UpstreamLoad, passMs: number, readMs: number): number => {
+  const beforeMs = passMs + load.pendingReadMs;
+  const afterMs = beforeMs + readMs;
+  let harm = 0;
+  for (const { maxGapMs, value } of load.writers) {
+    harm += value * (getLateRisk(afterMs, maxGapMs) - getLateRisk(beforeMs, maxGapMs));
+  }
+  for (const { targetLeftMs, value } of load.readers) {
+    harm += value * (getLateRisk(afterMs, targetLeftMs) - getLateRisk(beforeMs, targetLeftMs));
+  }
+  return LATE_LOSS * harm;
+};
 
 /** Scores one upstream as a member that reads for `readMs`. */
 const scoreMember = (
@@ -83,11 +99,7 @@
   const { load } = candidate;
   const passMs = getPassMs(engine, load.writers.length, load.contextTokens);
   const busyMs = load.pendingReadMs + readMs;
-  const pauseMs = passMs + busyMs;
-  let harm = 0;
-  for (const writer of load.writers) {
-    harm += LATE_LOSS * writer.value * getLateRisk(pauseMs, writer.maxGapMs);
-  }
+  const harm = getHarm(load, passMs, readMs);
   const isShort = maxGapMs <= SHORT_GAP_MS;
   const beside = !isShort && hasShortPauses(load) ? READ_BESIDE_COST * readMs : 0;
   const waitMs = busyMs + (load.writers.length > 0 ? passMs / 2 : 0);
@@ -205,19 +217,17 @@
   return best;
 };
 
-/** Loss of a plan on idle upstreams, against which waiting is weighed. */
-export const getIdleLoss = (
+/** Plan on idle upstreams, against which waiting is weighed. */
+export const planIdle = (
   engine: EngineSpec,
   req: PlacementRequest,
   upstreams: readonly Upstream[],
-): number => {
-  const idle = upstreams.map((upstream) => ({
-    upstream,
-    load: newUpstreamLoad(),
-    failureRate: 0,
-  }));
-  return planPlacement(engine, req, idle)?.loss ?? Infinity;
-};
+): PlacementPlan | undefined =>
+  planPlacement(
+    engine,
+    req,
+    upstreams.map((upstream) => ({ upstream, load: newUpstreamLoad(), failureRate: 0 })),
+  );
 
 /** Chooses an upstream for a call to a plain service; undefined from an empty list. */
 export const pickServiceUpstream = (
--- a/packages/forwarding/src/sendTerms.ts
+++ b/packages/forwarding/src/sendTerms.ts
@@ -4,12 +4,18 @@
 import { Repeat, type Route, type Upstream } from "./fleetConfig.js";
 import type { ForwardRequest } from "./types.js";
 
-const MIN_FIRST_SILENCE_MS = 1_000;
-const MIN_GAP_SILENCE_MS = 900;
+const DOUBT_FIRST_MS = 700;
+const DOUBT_GAP_MS = 700;
+/** Silence that raises doubt, as a multiple of what is expected. */
+const DOUBT_FACTOR = 2;
 const MIN_CALL_SILENCE_MS = 250;
-/** Silence that is borne, as a multiple of what is expected. */
-const STREAM_PATIENCE = 3;
 const CALL_PATIENCE = 2;
+/** Callers leave a stream after the longest of these. */
+const MIN_ABANDON_MS = 2_000;
+const ABANDON_TARGETS = 4;
+const ABANDON_GAPS = 8;
+/** Share of a caller's patience after which another upstream is tried. */
+const ABANDON_SHARE = 0.75;
 const SHORT_GAP_MS = 300;
 const MIDDLE_GAP_MS = 700;
 
@@ -24,19 +30,33 @@
   isLastSend: boolean,
 ): Silence | undefined => {
   if (route.isStream) {
-    return route.isResumable ? getStreamSilence(route.maxGapMs ?? 0, place) : undefined;
+    return route.isResumable ? getStreamSilence(route, place) : undefined;
   }
   if (route.repeat === Repeat.AtMostOnce || isLastSend) {
     return undefined;
   }
   const ms = Math.max(MIN_CALL_SILENCE_MS, CALL_PATIENCE * route.targetMs);
-  return { firstMs: ms, gapMs: ms };
+  const term = { firstMs: ms, gapMs: ms };
+  return { doubt: term, end: term };
 };
 
-const getStreamSilence = (maxGapMs: number, place: Place): Silence => ({
-  firstMs: Math.max(MIN_FIRST_SILENCE_MS, STREAM_PATIENCE * (place.plan?.firstEventMs ?? 0)),
-  gapMs: Math.max(MIN_GAP_SILENCE_MS, STREAM_PATIENCE * maxGapMs),
-});
+const getStreamSilence = (route: Route, place: Place): Silence => {
+  const maxGapMs = route.maxGapMs ?? 0;
+  const abandonMs = Math.max(
+    MIN_ABANDON_MS,
+    ABANDON_TARGETS * route.targetMs,
+    ABANDON_GAPS * maxGapMs,
+  );
+  const endMs = ABANDON_SHARE * abandonMs;
+  const expectedMs = place.plan?.firstEventMs ?? 0;
+  return {
+    doubt: {
+      firstMs: Math.max(DOUBT_FIRST_MS, DOUBT_FACTOR * expectedMs),
+      gapMs: Math.max(DOUBT_GAP_MS, maxGapMs),
+    },
+    end: { firstMs: Math.max(endMs, DOUBT_FACTOR * expectedMs), gapMs: endMs },
+  };
+};
 
 /** Urgency at the upstream: writers with short pauses go first. */
 export const getUrgency = (maxGapMs: number): number => {
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -143,8 +143,10 @@
   ): UpstreamCall;
 }
 
-/** Sets memory aside at upstreams. */
-export interface MemoryControl {
+/** Sets memory aside at upstreams, and asks whether they are alive. */
+export interface UpstreamControl {
+  /** True when the upstream answers within a short time-out, even when it is busy. */
+  isAlive(upstream: Upstream): Promise<boolean>;
   /** True when the upstream holds the memory. */
   reserve(
     upstream: Upstream,
