Learn configuration and upstreams from peers; keep entries that lapsed in an outage

Cause: a process that the store refuses served an old configuration or none; a list read right after an outage lacks workers that only missed heartbeats. Change: heartbeats carry revision and list version, a process that is behind asks the peer (JSON-RPC); LapseGuard keeps entries for two seconds after an outage. Tests of the decisions: routes, events, next steps, retry window, health, crashes, views, loads, peers, placement (70 cases, no network).

--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -6,6 +6,7 @@
   CrashBook,
   FleetView,
   Forwarder,
+  LapseGuard,
   LoadBoard,
   PeerState,
   PeerTable,
@@ -16,12 +17,13 @@
   type FleetConfig,
   type UpstreamControl,
   type PeerIdentity,
-  type Upstream,
+  type UpstreamList,
   type UpstreamTransport,
 } from "@lycheepulley/forwarding";
-import { DatagramChannel } from "@lycheepulley/nodes";
+import { DatagramChannel, NodeServer } from "@lycheepulley/nodes";
 import { ForwardMetrics, type Logger } from "@lycheepulley/telemetry";
 
+import { FleetSharing } from "./FleetSharing.js";
 import { PeerExchange } from "./PeerExchange.js";
 import type { GatewaySettings, GatewaySources } from "./types.js";
 
@@ -37,6 +39,9 @@
   readonly #logger: Logger;
   readonly #metrics = new ForwardMetrics();
   readonly #view = new FleetView();
+  readonly #lapses = new LapseGuard(this.#clock);
+  readonly #nodeServer = new NodeServer();
+  readonly #sharing: FleetSharing;
   readonly #health: UpstreamHealth;
   readonly #peers: PeerTable;
   readonly #channel: DatagramChannel;
@@ -46,7 +51,6 @@
   readonly #door: ForwardServer;
   readonly #metricsServer: Server;
   readonly #incarnation = Date.now();
-  #hasUpstreams = false;
   #isLeaving = false;
 
   constructor(options: {
@@ -81,10 +85,22 @@
         this.#exchange.notifyStrike(fingerprint, upstream);
       },
     });
+    this.#sharing = new FleetSharing({
+      ...{ clock, view: this.#view, logger, port: settings.peerPort },
+      onConfig: (config) => {
+        this.#applyConfig(config);
+      },
+      onList: (list) => {
+        this.#applyUpstreams(list);
+      },
+    });
     this.#exchange = new PeerExchange({
       ...{ clock, channel: this.#channel, peers: this.#peers, logger },
       getIdentity: () => this.#getIdentity(),
       getBoard: () => board,
+      onPeer: (peer) => {
+        this.#sharing.onPeer(peer);
+      },
     });
     this.#forwarder = new Forwarder({
       ...{ clock, random: new SystemRandom(), view: this.#view, board, health: this.#health },
@@ -107,7 +123,7 @@
 
   /** True while callers may be sent here. */
   get isReady(): boolean {
-    return this.#view.table !== undefined && this.#hasUpstreams && !this.#isLeaving;
+    return this.#view.table !== undefined && this.#view.list.version >= 0 && !this.#isLeaving;
   }
 
   /** Addresses of the processes that take callers, this one included. */
@@ -121,6 +137,8 @@
     const { host, callerPort, peerPort, metricsPort, seedHosts } = this.#settings;
     this.#peers.addHosts(seedHosts);
     await this.#channel.listen(host, peerPort);
+    this.#sharing.serve(this.#nodeServer);
+    await this.#nodeServer.listen(host, peerPort);
     this.#exchange.start(this.#crashes);
     this.#startSources();
     await this.#door.listen(host, callerPort);
@@ -162,6 +180,7 @@
     this.#sources.peers.stop();
     this.#metricsServer.close();
     this.#channel.close();
+    void this.#nodeServer.close();
   }
 
   /** Callers keep addresses for a while, so that an idle process waits for late ones. */
@@ -178,11 +197,15 @@
       },
       onState: this.#newStateLogger("configuration"),
     });
+    const logListState = this.#newStateLogger("upstream list");
     this.#sources.upstreams.start({
       onValue: (list) => {
         this.#applyUpstreams(list);
       },
-      onState: this.#newStateLogger("upstream list"),
+      onState: (isConnected, reason) => {
+        this.#lapses.onState(isConnected);
+        logListState(isConnected, reason);
+      },
     });
     this.#sources.peers.start({
       onValue: (hosts) => {
@@ -212,16 +235,14 @@
     this.#exchange.announce();
   }
 
-  #applyUpstreams(list: readonly Upstream[]): void {
-    const known = new Set(this.#view.upstreams.keys());
-    const left = this.#view.applyUpstreams(list, this.#clock.now());
+  #applyUpstreams(list: UpstreamList): void {
+    const kept = this.#lapses.getKept(this.#view.upstreams.keys());
+    const { joined, left } = this.#view.applyUpstreams(list, this.#clock.now(), kept);
     this.#health.retain(new Set(this.#view.upstreams.keys()));
-    this.#hasUpstreams = true;
-    const joined = list.filter(({ id }) => !known.has(id)).map(({ id }) => id);
     if (left.length > 0 || joined.length > 0) {
       this.#logger.info("upstreams changed", {
-        ...{ step: "membership", left, joined },
-        ...{ size: list.length, listVersion: this.#view.listVersion },
+        ...{ step: "membership", left, joined, kept: kept.size },
+        ...{ size: this.#view.upstreams.size, listVersion: list.version },
       });
     }
   }
@@ -242,6 +263,7 @@
       callerAddress: `${host}:${String(callerPort)}`,
       state: this.#getState(),
       revision: this.#view.revision,
+      listVersion: this.#view.list.version,
     };
   }
 
--- a/packages/daemon/src/gateway/PeerExchange.ts
+++ b/packages/daemon/src/gateway/PeerExchange.ts
@@ -24,6 +24,7 @@
   callerAddress: z.string(),
   state: z.enum([PeerState.Joining, PeerState.Live, PeerState.Leaving]),
   revision: z.number(),
+  listVersion: z.number(),
 });
 const beatSchema = z.object({
   identity: identitySchema,
@@ -47,6 +48,7 @@
   readonly #logger: Logger;
   readonly #getIdentity: () => PeerIdentity;
   readonly #getBoard: () => LoadBoard;
+  readonly #onPeer: (peer: PeerIdentity) => void;
   #seq = 0;
   #beats = 0;
   #live = new Set<string>();
@@ -59,6 +61,7 @@
     logger: Logger;
     getIdentity: () => PeerIdentity;
     getBoard: () => LoadBoard;
+    onPeer: (peer: PeerIdentity) => void;
   }) {
     this.#clock = options.clock;
     this.#channel = options.channel;
@@ -66,6 +69,7 @@
     this.#logger = options.logger;
     this.#getIdentity = options.getIdentity;
     this.#getBoard = options.getBoard;
+    this.#onPeer = options.onPeer;
   }
 
   start(crashes: CrashBook): void {
@@ -138,6 +142,7 @@
       board.removePeer(getKey(from, superseded));
     }
     this.#peers.addHosts(hosts);
+    this.#onPeer(identity);
     if (items) {
       board.replacePeer(getKey(from, identity.incarnation), seq, items);
     }
--- a/packages/daemon/src/gateway/types.ts
+++ b/packages/daemon/src/gateway/types.ts
@@ -1,4 +1,4 @@
-import type { FleetConfig, Upstream } from "@lycheepulley/forwarding";
+import type { FleetConfig, UpstreamList } from "@lycheepulley/forwarding";
 
 /** Keeps telling of values that another system holds. */
 export interface Source<T> {
@@ -13,7 +13,7 @@
 /** Where the gateway learns what it serves. */
 export interface GatewaySources {
   readonly config: Source<FleetConfig>;
-  readonly upstreams: Source<readonly Upstream[]>;
+  readonly upstreams: Source<UpstreamList>;
   /** Hosts of other entry processes. */
   readonly peers: Source<readonly string[]>;
 }
--- a/packages/forwarding/src/FleetView.ts
+++ b/packages/forwarding/src/FleetView.ts
@@ -1,12 +1,18 @@
-import type { FleetConfig, Upstream } from "./fleetConfig.js";
+import type { FleetConfig, Upstream, UpstreamList } from "./fleetConfig.js";
 import { RouteTable } from "./RouteTable.js";
 
+/** Ids of upstreams that a list brought, and of those that it took or that began to leave. */
+export interface ListChange {
+  readonly joined: readonly string[];
+  readonly left: readonly string[];
+}
+
 /** What this process believes of configuration and upstreams. */
 export class FleetView {
   #table: RouteTable | undefined;
   #upstreams = new Map<string, Upstream>();
-  #byPool = new Map<string, Upstream[]>();
-  #listVersion = 0;
+  #byPool = new Map<string, readonly Upstream[]>();
+  #list: UpstreamList = { version: -1, upstreams: [] };
   #listedMs = 0;
 
   /** Table of the configuration in force; undefined before any is known. */
@@ -18,9 +24,9 @@
     return this.#table?.config.revision ?? -1;
   }
 
-  /** Counts the lists of upstreams that were applied. */
-  get listVersion(): number {
-    return this.#listVersion;
+  /** Newest list of upstreams, at version -1 before any is known. */
+  get list(): UpstreamList {
+    return this.#list;
   }
 
   /** Monotonic time of the newest list. */
@@ -41,22 +47,30 @@
     return true;
   }
 
-  /** Replaces the list of upstreams; returns ids that left it or began to leave. */
-  applyUpstreams(list: readonly Upstream[], nowMs: number): string[] {
-    const next = new Map(list.map((upstream) => [upstream.id, upstream]));
-    const left = [...this.#upstreams.values()]
-      .filter(({ id, isLeaving }) => !isLeaving && (next.get(id)?.isLeaving ?? true))
-      .map(({ id }) => id);
-    this.#upstreams = next;
-    this.#byPool = new Map();
-    for (const upstream of list) {
-      const pool = this.#byPool.get(upstream.pool) ?? [];
-      pool.push(upstream);
-      this.#byPool.set(upstream.pool, pool);
+  /**
+   * Applies a list of upstreams unless it is older than the one in force, and
+   * returns what changed. `kept` are upstreams that stay though the list lacks them.
+   */
+  applyUpstreams(list: UpstreamList, nowMs: number, kept: ReadonlySet<string>): ListChange {
+    if (list.version < this.#list.version) {
+      return { joined: [], left: [] };
     }
-    this.#listVersion += 1;
+    const listed = new Map(list.upstreams.map((upstream) => [upstream.id, upstream]));
+    const lapsed = [...this.#upstreams.values()].filter(
+      ({ id }) => !listed.has(id) && kept.has(id),
+    );
+    const next = new Map([...lapsed, ...list.upstreams].map((upstream) => [upstream.id, upstream]));
+    const change = {
+      joined: [...next.keys()].filter((id) => !this.#upstreams.has(id)),
+      left: [...this.#upstreams.values()]
+        .filter(({ id, isLeaving }) => !isLeaving && (next.get(id)?.isLeaving ?? true))
+        .map(({ id }) => id),
+    };
+    this.#upstreams = next;
+    this.#byPool = groupByPool(next.values());
+    this.#list = list;
     this.#listedMs = nowMs;
-    return left;
+    return change;
   }
 
   /** Upstreams of a pool that may take new work. */
@@ -64,3 +78,13 @@
     return (this.#byPool.get(pool) ?? []).filter(({ isLeaving }) => !isLeaving);
   }
 }
+
+const groupByPool = (upstreams: Iterable<Upstream>): Map<string, Upstream[]> => {
+  const byPool = new Map<string, Upstream[]>();
+  for (const upstream of upstreams) {
+    const pool = byPool.get(upstream.pool) ?? [];
+    pool.push(upstream);
+    byPool.set(upstream.pool, pool);
+  }
+  return byPool;
+};
--- a/packages/forwarding/src/PeerTable.ts
+++ b/packages/forwarding/src/PeerTable.ts
@@ -18,7 +18,10 @@
   /** Address for callers. */
   readonly callerAddress: string;
   readonly state: PeerState;
+  /** Revision of its configuration, -1 before any. */
   readonly revision: number;
+  /** Version of its list of upstreams, -1 before any. */
+  readonly listVersion: number;
 }
 
 /** A peer not heard for longer isn't handed to callers. */
--- /dev/null
+++ b/packages/forwarding/src/decisions.test.ts
@@ -0,0 +1,239 @@
+import { expect } from "chai";
+
+import { EventSplitter } from "./EventSplitter.js";
+import { decideNext, type SendHistory, type SendOutcome } from "./outcomes.js";
+import { RetryWindow } from "./RetryWindow.js";
+import { RouteTable } from "./RouteTable.js";
+import { ManualClock } from "./testing/ManualClock.js";
+import { newConfig, newRoute } from "./testing/samples.js";
+import { UpstreamHealth } from "./UpstreamHealth.js";
+import { CrashBook } from "./CrashBook.js";
+
+describe("RouteTable", () => {
+  const table = new RouteTable(
+    newConfig({
+      routes: [
+        newRoute({ name: "root", pathPrefix: "/" }),
+        newRoute({ name: "a", pathPrefix: "/a/" }),
+        newRoute({ name: "ab", pathPrefix: "/a/b/" }),
+        newRoute({ name: "other", host: "b.example", pathPrefix: "/a/" }),
+      ],
+      customers: [
+        { name: "big", apiKeys: ["k1", "k2"] },
+        { name: "small", apiKeys: ["k3"], priority: 0 },
+      ],
+    }),
+  );
+  const cases: readonly [host: string, path: string, route: string | undefined][] = [
+    ["a.example", "/a/b/c", "ab"],
+    ["a.example", "/a/b/", "ab"],
+    ["a.example", "/a/b", "a"],
+    ["a.example", "/a/bc", "a"],
+    ["a.example", "/x?y=/a/b/", "root"],
+    ["A.EXAMPLE", "/a/1", "a"],
+    ["b.example", "/a/1", "other"],
+    ["b.example", "/b/1", undefined],
+    ["c.example", "/a/1", undefined],
+  ];
+  for (const [host, path, route] of cases) {
+    it(`finds ${route ?? "nothing"} for ${host}${path}`, () => {
+      expect(table.findRoute(host, path)?.name).to.equal(route);
+    });
+  }
+
+  it("finds customers by each of their keys, and nobody by another", () => {
+    expect(["k1", "k2", "k3", "k4"].map((key) => table.findCustomer(key)?.name)).to.deep.equal([
+      "big",
+      "big",
+      "small",
+      undefined,
+    ]);
+  });
+});
+
+describe("EventSplitter", () => {
+  const stream = "id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\n: note\n\nid: 3\r\ndata: d\r\n\r\n";
+  for (const size of [1, 2, 5, 7, 1_000]) {
+    it(`gives the same whole events from pieces of ${String(size)} bytes`, () => {
+      const splitter = new EventSplitter();
+      const events = [];
+      for (let at = 0; at < stream.length; at += size) {
+        events.push(...splitter.push(Buffer.from(stream.slice(at, at + size))));
+      }
+      expect(events.map(({ id }) => id)).to.deep.equal(["1", "2", undefined, "3"]);
+      expect(Buffer.concat(events.map(({ bytes }) => bytes)).toString()).to.equal(stream);
+      expect(splitter.restBytes).to.equal(0);
+    });
+  }
+
+  it("holds an event back until it is whole", () => {
+    const splitter = new EventSplitter();
+    expect(splitter.push(Buffer.from("id: 1\ndata: hal"))).to.deep.equal([]);
+    expect(splitter.restBytes).to.equal(15);
+  });
+});
+
+describe("decideNext", () => {
+  const unsafe = newRoute({ maxAttempts: 2 });
+  const safe = newRoute({ repeat: "idempotent" });
+  const stream = newRoute({ isStream: true, isResumable: true });
+  const plainStream = newRoute({ isStream: true });
+  const once: SendHistory = {
+    ...{ sends: 1, unsent: 0, mayHaveRun: true, timeLeftMs: 1_000 },
+    trySpend: () => true,
+  };
+  const notRun = { ...once, mayHaveRun: false };
+  const outcome = (result: SendOutcome["result"]): SendOutcome => ({ result, reason: "" });
+  const cases: readonly [string, typeof unsafe, SendOutcome, SendHistory, string][] = [
+    ["a delivered answer", safe, outcome("delivered"), once, "done"],
+    ["a caller that left", unsafe, outcome("cancelled"), once, "done"],
+    [
+      "a refused connection",
+      unsafe,
+      outcome("unsent"),
+      { ...notRun, sends: 0, unsent: 1 },
+      "retry",
+    ],
+    [
+      "connections refused again and again",
+      unsafe,
+      outcome("unsent"),
+      { ...notRun, unsent: 6 },
+      "refuse",
+    ],
+    ["what an upstream didn't run", unsafe, outcome("not_run"), notRun, "retry"],
+    ["what no other may run", unsafe, outcome("not_run"), { ...notRun, sends: 2 }, "refuse"],
+    ["a broken at-most-once answer", unsafe, outcome("broken"), once, "fail"],
+    ["a broken idempotent answer", safe, outcome("broken"), once, "retry"],
+    ["a broken resumable stream", stream, outcome("broken"), once, "retry"],
+    ["a broken plain stream", plainStream, outcome("broken"), once, "fail"],
+    ["an upstream's failure of an at-most-once call", unsafe, outcome("failed"), once, "deliver"],
+    ["an upstream's failure of an idempotent call", safe, outcome("failed"), once, "retry"],
+    ["a spent budget", safe, outcome("failed"), { ...once, trySpend: () => false }, "deliver"],
+    [
+      "a spent budget after a cut",
+      safe,
+      outcome("broken"),
+      { ...once, trySpend: () => false },
+      "fail",
+    ],
+    ["time over after a run in doubt", safe, outcome("timed_out"), once, "fail"],
+    ["time over before any run", unsafe, outcome("timed_out"), { ...notRun, sends: 0 }, "refuse"],
+    ["too little time for another", safe, outcome("broken"), { ...once, timeLeftMs: 10 }, "fail"],
+    ["not run, after a run in doubt", safe, outcome("not_run"), { ...once, sends: 2 }, "fail"],
+  ];
+  for (const [name, route, sent, history, expected] of cases) {
+    it(`answers ${name} with ${expected}`, () => {
+      expect(decideNext(route, sent, history)).to.equal(expected);
+    });
+  }
+});
+
+describe("RetryWindow", () => {
+  const bounds = { ratio: 0.2, windowMs: 10_000, slack: 100 };
+
+  it("keeps the repeats of all processes within the bound when every request fails", async () => {
+    const clock = new ManualClock();
+    const processes = Array.from(
+      { length: 6 },
+      () => new RetryWindow({ clock, bounds, getProcesses: () => 6 }),
+    );
+    const sends: { atMs: number; isRepeat: boolean }[] = [];
+    for (let second = 0; second < 30; second++) {
+      for (const window of processes) {
+        for (let i = 0; i < 10; i++) {
+          window.onFirst("p");
+          sends.push({ atMs: clock.now(), isRepeat: false });
+          if (window.trySpend("p")) {
+            sends.push({ atMs: clock.now(), isRepeat: true });
+          }
+        }
+      }
+      await clock.advance(1_000);
+    }
+    for (let from = 0; from < 20_000; from += 500) {
+      const inWindow = sends.filter(({ atMs }) => atMs >= from && atMs < from + bounds.windowMs);
+      const repeats = inWindow.filter(({ isRepeat }) => isRepeat).length;
+      expect(repeats).to.be.at.most(0.2 * (inWindow.length - repeats) + bounds.slack);
+    }
+  });
+
+  it("gives the budget back after the window", async () => {
+    const clock = new ManualClock();
+    const window = new RetryWindow({ clock, bounds, getProcesses: () => 10 });
+    let spent = 0;
+    while (window.trySpend("p")) {
+      spent += 1;
+    }
+    await clock.advance(10_001);
+    expect(spent).to.equal(7);
+    expect(window.trySpend("p")).to.equal(true);
+  });
+});
+
+describe("UpstreamHealth", () => {
+  it("rests an upstream that can't be reached, longer each time, and ends the rest", async () => {
+    const clock = new ManualClock();
+    const health = new UpstreamHealth(clock);
+    expect(health.record("a", "unreachable")).to.equal(true);
+    expect(health.isResting("a")).to.equal(true);
+    await clock.advance(501);
+    expect(health.isResting("a")).to.equal(false);
+    health.record("a", "unreachable");
+    await clock.advance(600);
+    expect(health.isResting("a")).to.equal(true);
+    await clock.advance(500);
+    health.record("a", "good");
+    expect(health.isResting("a")).to.equal(false);
+  });
+
+  it("never rests more than half of a pool", () => {
+    const health = new UpstreamHealth(new ManualClock());
+    const pool = ["a", "b", "c", "d"].map((id) => ({ id }));
+    health.record("a", "unreachable");
+    health.record("b", "unreachable");
+    expect(health.selectActive(pool).map(({ id }) => id)).to.deep.equal(["c", "d"]);
+    health.record("c", "unreachable");
+    expect(health.selectActive(pool)).to.equal(pool);
+  });
+
+  it("tells a grey upstream, whose health looks good, by its answers", () => {
+    const health = new UpstreamHealth(new ManualClock());
+    for (let i = 0; i < 20; i++) {
+      health.record("grey", i % 2 === 0 ? "failed" : "good");
+      health.record("sound", "good");
+    }
+    expect(health.getFailureRate("grey")).to.be.above(0.35);
+    expect(health.getFailureRate("sound")).to.equal(0);
+  });
+});
+
+describe("CrashBook", () => {
+  it("blocks a request once three upstreams were lost to it, wherever that was seen", () => {
+    const told: string[] = [];
+    const book = new CrashBook({
+      clock: new ManualClock(),
+      onStrike: (_, id) => told.push(id),
+    });
+    book.strike("f", "u1");
+    book.strike("f", "u1");
+    book.applyStrike("f", "u2");
+    expect(book.isBlocked("f")).to.equal(false);
+    book.applyStrike("f", "u3");
+    expect(book.isBlocked("f")).to.equal(true);
+    expect(told).to.deep.equal(["u1", "u1"]);
+  });
+
+  it("clears a bystander that was answered, and forgets after a term", async () => {
+    const clock = new ManualClock();
+    const book = new CrashBook({ clock, onStrike: () => undefined });
+    ["u1", "u2", "u3"].forEach((id) => {
+      book.strike("bystander", id);
+      book.strike("old", id);
+    });
+    book.clear("bystander");
+    expect(book.isBlocked("bystander")).to.equal(false);
+    await clock.advance(60_001);
+    expect(book.isBlocked("old")).to.equal(false);
+  });
+});
--- a/packages/forwarding/src/fleetConfig.ts
+++ b/packages/forwarding/src/fleetConfig.ts
@@ -77,14 +77,15 @@
 export type CallerLimits = z.infer<typeof callerLimitsSchema>;
 
 /** Everything that operators declare for forwarding, at one revision. */
-export interface FleetConfig {
-  readonly revision: number;
-  readonly routes: readonly Route[];
-  readonly pools: readonly Pool[];
+export const fleetConfigSchema = z.object({
+  revision: z.number(),
+  routes: z.array(routeSchema),
+  pools: z.array(poolSchema),
   /** Absent when callers need no key. */
-  readonly customers: readonly ForwardCustomer[] | undefined;
-  readonly limits: CallerLimits;
-}
+  customers: z.array(customerSchema).optional(),
+  limits: callerLimitsSchema,
+});
+export type FleetConfig = z.infer<typeof fleetConfigSchema>;
 
 /** Limits in force before any configuration is known. */
 export const DEFAULT_CALLER_LIMITS: CallerLimits = {
@@ -95,13 +96,21 @@
 };
 
 /** One upstream as the platform lists it. */
-export interface Upstream {
+export const upstreamSchema = z.object({
   /** Changes with each start of the upstream. */
-  readonly id: string;
-  readonly pool: string;
-  readonly host: string;
-  readonly port: number;
-  readonly failureDomain: string;
-  readonly slots: number;
-  readonly isLeaving: boolean;
-}
+  id: z.string().min(1),
+  pool: z.string(),
+  host: z.string(),
+  port: z.number().int().positive(),
+  failureDomain: z.string(),
+  slots: z.number().int().positive(),
+  isLeaving: z.boolean(),
+});
+export type Upstream = z.infer<typeof upstreamSchema>;
+
+/** Upstreams of one moment; a greater version is newer. */
+export const upstreamListSchema = z.object({
+  version: z.number(),
+  upstreams: z.array(upstreamSchema),
+});
+export type UpstreamList = z.infer<typeof upstreamListSchema>;
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -4,6 +4,7 @@
 export * from "./fleetConfig.js";
 export * from "./FleetView.js";
 export * from "./Forwarder.js";
+export * from "./LapseGuard.js";
 export * from "./load.js";
 export * from "./LoadBoard.js";
 export * from "./outcomes.js";
--- /dev/null
+++ b/packages/forwarding/src/placement.test.ts
@@ -0,0 +1,113 @@
+import { expect } from "chai";
+
+import { getPassMs, getReadMs } from "./engineModel.js";
+import type { UpstreamLoad } from "./load.js";
+import { planPlacement, type PlacementPlan } from "./placement.js";
+import { ENGINE, newCandidates, newPrompt } from "./testing/samples.js";
+
+const idle = (count: number): Partial<UpstreamLoad>[] => Array.from({ length: count }, () => ({}));
+const shortWriter = { maxGapMs: 250, value: 1.5 };
+/** An upstream that writes `count` answers to short prompts. */
+const writing = (count: number): Partial<UpstreamLoad> => ({
+  inFlight: count,
+  writers: Array.from({ length: count }, () => shortWriter),
+  minGapMs: 250,
+  contextTokens: count * 6_000,
+  kvTokens: count * 6_000,
+});
+const LONG = { promptTokens: 133_000, maxGapMs: 1_000, targetLeftMs: 3_000, value: 14 };
+
+const plan = (
+  prompt: Parameters<typeof newPrompt>[0],
+  loads: readonly Partial<UpstreamLoad>[],
+): PlacementPlan => {
+  const found = planPlacement(ENGINE, newPrompt(prompt), newCandidates(loads));
+  if (!found) {
+    throw new Error("no plan");
+  }
+  return found;
+};
+const getMembers = ({ writer, helpers }: PlacementPlan): string[] =>
+  [writer, ...helpers].map(({ id }) => id);
+
+describe("engine model", () => {
+  const cases: readonly [tokens: number, members: number, ms: number][] = [
+    [5_000, 1, 26],
+    [133_000, 1, 1_866],
+    [133_000, 14, 133],
+    [300_000, 1, 7_666],
+  ];
+  for (const [tokens, members, ms] of cases) {
+    it(`reads ${String(tokens)} tokens on ${String(members)} in about ${String(ms)} ms`, () => {
+      expect(getReadMs(ENGINE, tokens, members)).to.be.closeTo(ms, 1);
+    });
+  }
+
+  it("takes a pass of writers for as long as its steps", () => {
+    expect(getPassMs(ENGINE, 0, 0)).to.be.closeTo(43.9, 0.1);
+    expect(getPassMs(ENGINE, 10, 60_000)).to.be.closeTo(56.4, 0.1);
+  });
+});
+
+describe("planPlacement", () => {
+  it("reads a long prompt together when upstreams are idle", () => {
+    const { helpers, firstEventMs } = plan(LONG, idle(14));
+    expect(helpers.length).to.be.above(7);
+    expect(firstEventMs).to.be.below(350);
+  });
+
+  it("keeps a long prompt's reading off upstreams with short pauses while others are free", () => {
+    const found = plan(LONG, [...idle(9), ...Array.from({ length: 5 }, () => writing(5))]);
+    expect(getMembers(found).every((id) => Number(id.slice(1)) < 9)).to.equal(true);
+  });
+
+  it("keeps short prompts together, so that others stay free of short pauses", () => {
+    expect(plan({}, [{}, {}, writing(4), {}]).writer.id).to.equal("u2");
+  });
+
+  it("opens another upstream for a short prompt once reading would make it late", () => {
+    const busy = { ...writing(4), pendingReadMs: 260 };
+    expect(plan({}, [{}, busy]).writer.id).to.equal("u0");
+  });
+
+  it("sends a short prompt where a place is free", () => {
+    expect(plan({}, [writing(11), writing(3)]).writer.id).to.equal("u1");
+  });
+
+  it("adds reading where a pause is already lost rather than where it would be", () => {
+    const ruined = { ...writing(3), pendingReadMs: 900 };
+    const found = plan({ ...LONG, promptTokens: 60_000, targetLeftMs: 9_000 }, [
+      writing(3),
+      ruined,
+    ]);
+    expect(getMembers(found)).to.deep.equal(["u1"]);
+  });
+
+  it("doesn't stretch the reading of a prompt that would then be late", () => {
+    const reader = { targetLeftMs: 420, value: 18 };
+    const reading = { pendingReadMs: 200, readers: [reader], inFlight: 1, minGapMs: 1_000 };
+    const found = plan({ ...LONG, promptTokens: 60_000 }, [reading, {}, {}, {}]);
+    expect(getMembers(found)).to.not.include("u0");
+  });
+
+  it("holds a prompt larger than one engine in tickets that together have room", () => {
+    const found = plan({ ...LONG, promptTokens: 560_000, value: 57 }, idle(14));
+    const held = found.heldTokens.reduce((sum, tokens) => sum + tokens, 0);
+    expect(560_000 + 1_300 - held).to.be.at.most(ENGINE.kvTokens);
+    expect(Math.max(...found.heldTokens)).to.be.at.most(ENGINE.kvTokens);
+  });
+
+  it("has no plan while nobody has the memory", () => {
+    const full = { kvTokens: 225_000 };
+    const none = planPlacement(ENGINE, newPrompt(LONG), newCandidates([full, full]));
+    expect(none).to.equal(undefined);
+  });
+
+  it("avoids an upstream that fails", () => {
+    const candidates = newCandidates([{}, {}]).map((candidate, index) => ({
+      ...candidate,
+      failureRate: index === 0 ? 0.5 : 0,
+    }));
+    expect(planPlacement(ENGINE, newPrompt(), candidates)?.writer.id).to.equal("u1");
+  });
+});
--- /dev/null
+++ b/packages/forwarding/src/views.test.ts
@@ -0,0 +1,173 @@
+import { expect } from "chai";
+
+import { FleetView } from "./FleetView.js";
+import { LapseGuard } from "./LapseGuard.js";
+import { sumLoads } from "./load.js";
+import { LoadBoard } from "./LoadBoard.js";
+import { PeerTable, type PeerIdentity, type PeerState } from "./PeerTable.js";
+import { ManualClock } from "./testing/ManualClock.js";
+import { newConfig, newItem, newUpstream } from "./testing/samples.js";
+
+describe("FleetView", () => {
+  const NONE: ReadonlySet<string> = new Set();
+
+  it("never goes back to an older configuration", () => {
+    const view = new FleetView();
+    const applied = [3, 2, 3, 7, 5].map((revision) => view.applyConfig(newConfig({ revision })));
+    expect(applied).to.deep.equal([true, false, false, true, false]);
+    expect(view.revision).to.equal(7);
+  });
+
+  it("never goes back to an older list of upstreams", () => {
+    const view = new FleetView();
+    const [a, b] = [newUpstream("a"), newUpstream("b")];
+    view.applyUpstreams({ version: 5, upstreams: [a] }, 0, NONE);
+    const change = view.applyUpstreams({ version: 4, upstreams: [a, b] }, 0, NONE);
+    expect(change).to.deep.equal({ joined: [], left: [] });
+    expect(view.getAvailable("p").map(({ id }) => id)).to.deep.equal(["a"]);
+  });
+
+  it("takes no new work to an upstream that leaves or is gone", () => {
+    const view = new FleetView();
+    const [a, b, c] = ["a", "b", "c"].map((id) => newUpstream(id));
+    view.applyUpstreams(
+      { version: 1, upstreams: [a, b, c].filter((u) => u !== undefined) },
+      0,
+      NONE,
+    );
+    const leaving = newUpstream("a", { isLeaving: true });
+    const change = view.applyUpstreams(
+      { version: 2, upstreams: [leaving, newUpstream("c")] },
+      0,
+      NONE,
+    );
+    expect(change.left).to.deep.equal(["a", "b"]);
+    expect(view.getAvailable("p").map(({ id }) => id)).to.deep.equal(["c"]);
+  });
+});
+
+describe("LapseGuard", () => {
+  const cases: readonly [name: string, outageMs: number, afterMs: number, isKept: boolean][] = [
+    ["right after a long outage", 4_000, 100, true],
+    ["once the entries had time to return", 4_000, 2_100, false],
+    ["after a short outage", 300, 100, false],
+  ];
+  for (const [name, outageMs, afterMs, isKept] of cases) {
+    it(`${isKept ? "keeps" : "drops"} entries that a list lacks ${name}`, async () => {
+      const clock = new ManualClock();
+      const guard = new LapseGuard(clock);
+      guard.onState(false);
+      await clock.advance(outageMs);
+      guard.onState(true);
+      await clock.advance(afterMs);
+      expect(guard.getKept(["a"]).has("a")).to.equal(isKept);
+    });
+  }
+});
+
+describe("sumLoads", () => {
+  it("counts writers, parts of prompts and memory held by tickets", () => {
+    const loads = sumLoads(
+      [
+        { ...newItem("w", { upstream: "a", kvTokens: 6_000 }), sinceMs: 0 },
+        {
+          ...newItem("r", {
+            ...{ phase: "reading", upstream: "a", helpers: ["b", "c"], readMs: 100 },
+            ...{ kvTokens: 50_000, heldTokens: [90_000, 0], maxGapMs: 1_000 },
+          }),
+          sinceMs: 0,
+        },
+        { ...newItem("q", { phase: "waiting", upstream: "" }), sinceMs: 0 },
+      ],
+      40,
+    );
+    expect([...loads.keys()]).to.have.members(["a", "b", "c"]);
+    const [a, b] = [loads.get("a"), loads.get("b")];
+    expect(a).to.include({ inFlight: 2, helping: 0, pendingReadMs: 60, kvTokens: 56_000 });
+    expect(a?.minGapMs).to.equal(250);
+    expect(b).to.include({ inFlight: 0, helping: 1, pendingReadMs: 60, kvTokens: 90_000 });
+  });
+
+  it("queues the reading of prompts one behind the other", () => {
+    const reading = { phase: "reading", upstream: "a", readMs: 100 } as const;
+    const loads = sumLoads(
+      [
+        { ...newItem("1", reading), sinceMs: 0 },
+        { ...newItem("2", reading), sinceMs: 20 },
+        { ...newItem("3", reading), sinceMs: 500 },
+      ],
+      510,
+    );
+    expect(loads.get("a")?.pendingReadMs).to.equal(90);
+  });
+});
+
+describe("LoadBoard", () => {
+  const newBoard = (): { clock: ManualClock; board: LoadBoard } => {
+    const clock = new ManualClock();
+    return { clock, board: new LoadBoard({ clock, onOwnChange: () => undefined }) };
+  };
+
+  it("drops a peer's message that was overtaken by a newer one", () => {
+    const { board } = newBoard();
+    board.applyPeerChange("n", 2, { changed: [], ended: ["1"] });
+    board.applyPeerChange("n", 1, { changed: [newItem("1")], ended: [] });
+    expect(board.getLoads().size).to.equal(0);
+  });
+
+  it("repairs a lost message with the next snapshot", () => {
+    const { board } = newBoard();
+    board.applyPeerChange("n", 1, { changed: [newItem("1"), newItem("2")], ended: [] });
+    board.replacePeer("n", 4, [newItem("2"), newItem("3")]);
+    expect(board.getLoads().get("u0")?.inFlight).to.equal(2);
+  });
+
+  it("forgets what a silent peer had in flight", async () => {
+    const { clock, board } = newBoard();
+    board.setOwn(newItem("own"));
+    board.applyPeerChange("n", 1, { changed: [newItem("1")], ended: [] });
+    expect(board.getLoads().get("u0")?.inFlight).to.equal(2);
+    await clock.advance(2_000);
+    expect(board.getLoads().get("u0")?.inFlight).to.equal(1);
+  });
+});
+
+describe("PeerTable", () => {
+  const newPeer = (host: string, state: PeerState = "live", incarnation = 1): PeerIdentity => ({
+    ...{ host, state, incarnation, failureDomain: "z" },
+    ...{ callerAddress: `${host}:80`, revision: 1, listVersion: 1 },
+  });
+  const getHosts = (peers: readonly PeerIdentity[]): string[] => peers.map(({ host }) => host);
+
+  it("hands callers only peers that are live and were heard lately", async () => {
+    const clock = new ManualClock();
+    const table = new PeerTable({ clock, self: "self" });
+    table.addHosts(["self", "unheard"]);
+    table.hear(newPeer("silent"));
+    await clock.advance(900);
+    table.hear(newPeer("live"));
+    table.hear(newPeer("leaving", "leaving"));
+    table.hear(newPeer("joining", "joining"));
+    await clock.advance(500);
+    expect(getHosts(table.getServing())).to.deep.equal(["live"]);
+    expect(table.hosts).to.have.members(["unheard", "silent", "live", "leaving", "joining"]);
+  });
+
+  it("goes on naming peers for a while when all of them fell silent at once", async () => {
+    const clock = new ManualClock();
+    const table = new PeerTable({ clock, self: "self" });
+    table.hear(newPeer("a"));
+    table.hear(newPeer("b"));
+    await clock.advance(5_000);
+    expect(getHosts(table.getServing())).to.deep.equal(["a", "b"]);
+    await clock.advance(20_000);
+    expect(getHosts(table.getServing())).to.deep.equal([]);
+  });
+
+  it("tells which incarnation a restarted peer supersedes", () => {
+    const table = new PeerTable({ clock: new ManualClock(), self: "self" });
+    expect(table.hear(newPeer("a", "live", 1))).to.equal(undefined);
+    expect(table.hear(newPeer("a", "live", 1))).to.equal(undefined);
+    expect(table.hear(newPeer("a", "joining", 2))).to.equal(1);
+  });
+});
