Test a request's life on fakes: streams, calls, memory; no promise from a bare 503

Cause: a worker's 503 without its word that nothing ran was passed on, which promises the caller that it never ran. It now becomes a 502.

--- a/packages/forwarding/src/Send.ts
+++ b/packages/forwarding/src/Send.ts
@@ -16,6 +16,9 @@
 /** Answers up to this size are kept back until they are whole. */
 const MAX_KEPT_BYTES = 1_048_576;
 
+/** Statuses that tell a caller that its request never ran. */
+const PROMISE_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
 /** State of the caller's answer that outlives one send. */
 export interface AnswerProgress {
   /** Id of the last event that went to the caller. */
@@ -198,6 +201,9 @@
         ...{ result: SendResult.NotRun, answer, faultAddress },
         reason: `status ${String(head.status)}, not run`,
       });
+    } else if (PROMISE_STATUSES.has(head.status)) {
+      const reason = `status ${String(head.status)} without a word that it didn't run`;
+      this.#finish({ result: SendResult.Failed, reason, faultAddress });
     } else if (head.status >= 500) {
       const reason = `status ${String(head.status)}`;
       this.#finish({ result: SendResult.Failed, reason, answer, faultAddress });
--- /dev/null
+++ b/packages/forwarding/src/testing/FakeUpstreams.ts
@@ -0,0 +1,134 @@
+import type {
+  AnswerWriter,
+  CallObserver,
+  Dialect,
+  HeaderList,
+  UpstreamCall,
+  UpstreamTransport,
+} from "../types.js";
+
+type OpenRequest = Parameters<UpstreamTransport["open"]>[0];
+
+/** A call that a test answers by hand. */
+export interface FakeCall {
+  readonly req: OpenRequest;
+  readonly observer: CallObserver;
+  isAborted: boolean;
+}
+
+/** Transport whose calls are answered by a test. */
+export class FakeTransport implements UpstreamTransport {
+  readonly calls: FakeCall[] = [];
+
+  open(req: OpenRequest, observer: CallObserver): UpstreamCall {
+    const call: FakeCall = { req, observer, isAborted: false };
+    this.calls.push(call);
+    return {
+      pause: () => undefined,
+      resume: () => undefined,
+      abort: () => {
+        call.isAborted = true;
+      },
+    };
+  }
+
+  get last(): FakeCall {
+    const call = this.calls.at(-1);
+    if (!call) {
+      throw new Error("nothing was sent");
+    }
+    return call;
+  }
+
+  /** Begins an event stream on the last call. */
+  startStream(headers: HeaderList = []): void {
+    this.last.observer.onHead({ status: 200, headers: ["stream", "1", ...headers] });
+  }
+
+  sendEvents(...ids: number[]): void {
+    const text = ids.map((id) => `id: ${String(id)}\ndata: x\n\n`).join("");
+    this.last.observer.onData(Buffer.from(text));
+  }
+
+  /** Gives a whole plain answer on the last call. */
+  answer(status: number, headers: HeaderList = [], body = ""): void {
+    this.last.observer.onHead({ status, headers });
+    this.last.observer.onData(Buffer.from(body));
+    this.last.observer.onEnd();
+  }
+}
+
+/** Dialect of bare words, so that tests of decisions need no real names. */
+export class FakeDialect implements Dialect {
+  readHead(): never {
+    throw new Error("not used");
+  }
+
+  newUpstreamHeaders(
+    _req: unknown,
+    fields: Parameters<Dialect["newUpstreamHeaders"]>[1],
+  ): string[] {
+    return ["upstream", fields.upstreamId, "last", fields.lastEventId ?? ""];
+  }
+
+  readAnswer(_req: unknown, head: { headers: HeaderList }): ReturnType<Dialect["readAnswer"]> {
+    const { headers } = head;
+    return {
+      isValid: !headers.includes("forged"),
+      isNotRun: headers.includes("not-run"),
+      faultAddress: undefined,
+      isEventStream: headers.includes("stream"),
+      isFramed: !headers.includes("unframed"),
+    };
+  }
+
+  newAnswerHeaders(head: { headers: HeaderList }): HeaderList {
+    return head.headers;
+  }
+}
+
+/** Keeps what a caller would have received. */
+export class FakeCaller implements AnswerWriter {
+  status: number | undefined;
+  headers: HeaderList = [];
+  body = "";
+  ending: "open" | "whole" | "cut" = "open";
+  isOwn = false;
+  retryAfterMs: number | undefined;
+  isFramed: boolean | undefined;
+
+  get isHeadSent(): boolean {
+    return this.status !== undefined;
+  }
+
+  sendHead(status: number, headers: HeaderList, isFramed: boolean): void {
+    this.status = status;
+    this.headers = headers;
+    this.isFramed = isFramed;
+  }
+
+  write(chunk: Buffer): boolean {
+    this.body += chunk.toString();
+    return true;
+  }
+
+  onDrain(): void {
+    throw new Error("never full");
+  }
+
+  end(): void {
+    this.ending = "whole";
+  }
+
+  abort(): void {
+    this.ending = "cut";
+  }
+
+  sendOwn(status: number, message: string, retryAfterMs?: number): void {
+    this.status = status;
+    this.isOwn = true;
+    this.body = message;
+    this.retryAfterMs = retryAfterMs;
+    this.ending = "whole";
+  }
+}
