--- a/packages/callers/src/forward/ForwardServer.ts
+++ b/packages/callers/src/forward/ForwardServer.ts
@@ -22,6 +22,8 @@
 /** Bytes of bodies that may be in memory at a time. */
 const MAX_BUFFERED_BYTES = 64_000_000;
 const BUSY_RETRY_MS = 500;
+/** Outages of the configuration's source last seconds; callers that come back early ask in vain. */
+const UNCONFIGURED_RETRY_MS = 3_000;
 
 /** Door that forwards requests as bytes; one connection carries many. */
 export class ForwardServer {
@@ -187,7 +189,7 @@
       ...{ requestId: head.attemptId, step: "admit", status, reason: message },
       ...{ host: head.host, path: head.path, revision: this.#view.revision },
     });
-    writer.sendOwn(status, message, status === 503 ? BUSY_RETRY_MS : undefined);
+    writer.sendOwn(status, message, status === 503 ? UNCONFIGURED_RETRY_MS : undefined);
   }
 
   async #readBody(req: IncomingMessage): Promise<Buffer> {
--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -151,6 +151,11 @@
     });
   }
 
+  /** Takes over what may change while the process runs: hosts that may know others. */
+  applySettings(settings: GatewaySettings): void {
+    this.#peers.addHosts(settings.seedHosts);
+  }
+
   /** Leaves the answers to callers, finishes what it has and resolves. */
   async drain(reason: string): Promise<void> {
     if (this.#isLeaving) {
--- a/packages/forwarding/src/load.ts
+++ b/packages/forwarding/src/load.ts
@@ -45,6 +45,8 @@
   /** Time left to its objective for the first event. */
   readonly targetLeftMs: number;
   readonly value: number;
+  /** This upstream also writes the answer; its own part waits for those of helpers. */
+  readonly isWriter: boolean;
 }
 
 /** What is in flight at one upstream. */
@@ -55,6 +57,8 @@
   helping: number;
   /** Milliseconds until the prompts queued for reading are read. */
   pendingReadMs: number;
+  /** The same for the parts that this upstream reads as a helper, which go first. */
+  pendingHelpMs: number;
   writers: WriterLoad[];
   readers: ReaderLoad[];
   /** Shortest pause objective among the answers written or to be written here. */
@@ -73,6 +77,7 @@
   inFlight: 0,
   helping: 0,
   pendingReadMs: 0,
+  pendingHelpMs: 0,
   writers: [],
   readers: [],
   minGapMs: Infinity,
@@ -92,23 +97,39 @@
   return load;
 };
 
-/** Sums requests in flight by upstream, at time `nowMs`. */
-export const sumLoads = (
-  items: Iterable<TimedLoadItem>,
+/** Queues reading at upstreams, one prompt behind the other. */
+const newReadQueue = (
+  loads: Map<string, UpstreamLoad>,
   nowMs: number,
-): Map<string, UpstreamLoad> => {
-  const loads = new Map<string, UpstreamLoad>();
-  const readEnds = new Map<string, number>();
-  const queueRead = (id: string, item: TimedLoadItem): void => {
-    const end = Math.max(readEnds.get(id) ?? 0, item.sinceMs) + item.readMs;
-    readEnds.set(id, end);
+): ((id: string, item: TimedLoadItem, isWriter: boolean) => void) => {
+  const allEnds = new Map<string, number>();
+  const helpEnds = new Map<string, number>();
+  const queue = (ends: Map<string, number>, id: string, item: TimedLoadItem): number => {
+    const end = Math.max(ends.get(id) ?? 0, item.sinceMs) + item.readMs;
+    ends.set(id, end);
+    return Math.max(OVERDUE_READ_MS, end - nowMs);
+  };
+  return (id, item, isWriter) => {
     const load = getOrAdd(loads, id);
-    load.pendingReadMs = Math.max(OVERDUE_READ_MS, end - nowMs);
+    load.pendingReadMs = queue(allEnds, id, item);
+    if (!isWriter) {
+      load.pendingHelpMs = queue(helpEnds, id, item);
+    }
     load.readers.push({
       targetLeftMs: item.targetLeftMs - (nowMs - item.sinceMs),
       value: item.value,
+      isWriter,
     });
   };
+};
+
+/** Sums requests in flight by upstream, at time `nowMs`. */
+export const sumLoads = (
+  items: Iterable<TimedLoadItem>,
+  nowMs: number,
+): Map<string, UpstreamLoad> => {
+  const loads = new Map<string, UpstreamLoad>();
+  const queueRead = newReadQueue(loads, nowMs);
   const placed = [...items].filter(({ phase }) => phase !== LoadPhase.Waiting);
   placed.sort((a, b) => a.sinceMs - b.sinceMs);
   for (const item of placed) {
@@ -126,8 +147,9 @@
       helperLoad.kvTokens += item.heldTokens[index] ?? 0;
     });
     if (item.phase === LoadPhase.Reading) {
-      [item.upstream, ...item.helpers].forEach((id) => {
-        queueRead(id, item);
+      queueRead(item.upstream, item, true);
+      item.helpers.forEach((id) => {
+        queueRead(id, item, false);
       });
     }
   }
--- a/packages/forwarding/src/placement.test.ts
+++ b/packages/forwarding/src/placement.test.ts
@@ -84,12 +84,19 @@
   });
 
   it("doesn't stretch the reading of a prompt that would then be late", () => {
-    const reader = { targetLeftMs: 420, value: 18 };
+    const reader = { targetLeftMs: 420, value: 18, isWriter: true };
     const reading = { pendingReadMs: 200, readers: [reader], inFlight: 1, minGapMs: 1_000 };
     const found = plan({ ...LONG, promptTokens: 60_000 }, [reading, {}, {}, {}]);
     expect(getMembers(found)).to.not.include("u0");
   });
 
+  it("doesn't overtake a prompt's own part with a helper's while others are free", () => {
+    const reader = { targetLeftMs: 2_500, value: 18, isWriter: true };
+    const reading = { pendingReadMs: 100, readers: [reader], inFlight: 1, minGapMs: 1_000 };
+    const found = plan(LONG, [reading, ...idle(9)]);
+    expect(getMembers(found)).to.not.include("u0");
+  });
+
   it("holds a prompt larger than one engine in tickets that together have room", () => {
     const found = plan({ ...LONG, promptTokens: 560_000, value: 57 }, idle(14));
     const held = found.heldTokens.reduce((sum, tokens) => sum + tokens, 0);
--- a/packages/forwarding/src/placement.ts
+++ b/packages/forwarding/src/placement.ts
@@ -16,6 +16,8 @@
 const SHORT_GAP_MS = 300;
 /** Cost of each millisecond read on an upstream with short pauses. */
 const READ_BESIDE_COST = 0.002;
+/** Weight of the delay of a prompt whose own part is overtaken. */
+const OVERTAKEN_WEIGHT = 0.5;
 /** Memory of an engine that placement leaves free. */
 const KV_HEADROOM = 0.05;
 /** Cost of an upstream's failures, by its failure rate. */
@@ -68,8 +70,10 @@
 
 interface Scored {
   readonly candidate: PlacementCandidate;
-  readonly harm: number;
-  readonly waitMs: number;
+  /** Time until its part is read when it only helps. */
+  readonly helpMs: number;
+  /** Time until its part is read when it writes the answer. */
+  readonly writeMs: number;
   readonly cost: number;
 }
 
@@ -83,8 +87,12 @@
   for (const { maxGapMs, value } of load.writers) {
     harm += value * (getLateRisk(afterMs, maxGapMs) - getLateRisk(beforeMs, maxGapMs));
   }
-  for (const { targetLeftMs, value } of load.readers) {
+  for (const { targetLeftMs, value, isWriter } of load.readers) {
     harm += value * (getLateRisk(afterMs, targetLeftMs) - getLateRisk(beforeMs, targetLeftMs));
+    // A part that is passed once may be passed again by those that come later.
+    harm += isWriter
+      ? OVERTAKEN_WEIGHT * value * Math.min(1, readMs / Math.max(1, targetLeftMs))
+      : 0;
   }
   return LATE_LOSS * harm;
 };
@@ -98,16 +106,16 @@
 ): Scored => {
   const { load } = candidate;
   const passMs = getPassMs(engine, load.writers.length, load.contextTokens);
-  const busyMs = load.pendingReadMs + readMs;
   const harm = getHarm(load, passMs, readMs);
   const isShort = maxGapMs <= SHORT_GAP_MS;
   const beside = !isShort && hasShortPauses(load) ? READ_BESIDE_COST * readMs : 0;
-  const waitMs = busyMs + (load.writers.length > 0 ? passMs / 2 : 0);
+  const restMs = load.writers.length > 0 ? passMs / 2 : 0;
+  const helpMs = restMs + load.pendingHelpMs + readMs;
   return {
     candidate,
-    harm,
-    waitMs,
-    cost: harm + beside + FAILURE_COST * candidate.failureRate + waitMs / 1_000,
+    helpMs,
+    writeMs: restMs + load.pendingReadMs + readMs,
+    cost: harm + beside + FAILURE_COST * candidate.failureRate + helpMs / 1_000,
   };
 };
 
@@ -137,11 +145,13 @@
   kvTokens: number,
   isShort: boolean,
 ): Scored | undefined => {
-  const getRank = ({ candidate, cost }: Scored): number => {
+  const getRank = ({ candidate, cost, writeMs }: Scored): number => {
     const { load, upstream } = candidate;
     const crowding = load.inFlight >= upstream.slots ? 10 : load.inFlight / upstream.slots;
     const lack = Math.max(0, kvTokens - getFreeKv(engine, load)) / engine.kvTokens;
-    return cost + crowding + 20 * lack + (!isShort && hasShortPauses(load) ? 1 : 0);
+    return (
+      cost + writeMs / 1_000 + crowding + 20 * lack + (!isShort && hasShortPauses(load) ? 1 : 0)
+    );
   };
   return members.reduce<Scored | undefined>(
     (best, member) => (!best || getRank(member) < getRank(best) ? member : best),
@@ -166,7 +176,9 @@
   if (!heldTokens) {
     return undefined;
   }
-  const waitMs = Math.max(...members.map((member) => member.waitMs));
+  const waitMs = Math.max(
+    ...members.map((member) => (member === writer ? member.writeMs : member.helpMs)),
+  );
   const firstEventMs = waitMs + getPassMs(engine, writer.candidate.load.writers.length + 1, 0);
   const opening = isShort && !hasShortPauses(writer.candidate.load) ? OPEN_COST : 0;
   const late = LATE_LOSS * req.value * getLateRisk(firstEventMs, Math.max(1, req.targetLeftMs));
