--- a/packages/daemon/src/gateway/types.ts
+++ b/packages/daemon/src/gateway/types.ts
@@ -33,5 +33,4 @@
   readonly retryRatio: number;
   readonly retryWindowMs: number;
   readonly retrySlack: number;
-  readonly logLevel: string;
 }
