--- a/packages/forwarding/src/placement.test.ts
+++ b/packages/forwarding/src/placement.test.ts
@@ -65,6 +65,10 @@
     expect(plan({}, [{}, {}, writing(4), {}]).writer.id).to.equal("u2");
   });
 
+  it("fills the upstream that writes most short answers, so that others drain for reading", () => {
+    expect(plan({}, [writing(1), writing(6), writing(2), writing(1)]).writer.id).to.equal("u1");
+  });
+
   it("opens another upstream for a short prompt once reading would make it late", () => {
     const busy = { ...writing(4), pendingReadMs: 260 };
     expect(plan({}, [{}, busy]).writer.id).to.equal("u0");
--- a/packages/forwarding/src/placement.ts
+++ b/packages/forwarding/src/placement.ts
@@ -12,6 +12,8 @@
 const SPEED_WEIGHT = 0.25;
 /** Cost of the first writer with short pauses on an upstream that has none. */
 const OPEN_COST = 0.3;
+/** Cost of a writer with short pauses on an upstream that is nearly empty. */
+const SPREAD_COST = 1;
 /** Pauses up to this are short: their writers are kept together. */
 const SHORT_GAP_MS = 300;
 /** Cost of each millisecond read on an upstream with short pauses. */
@@ -159,6 +161,12 @@
   );
 };
 
+/** Cost of an answer with short pauses where it keeps an upstream from long reading. */
+const getSpreadCost = ({ load, upstream }: PlacementCandidate): number => {
+  const free = 1 - Math.min(1, load.inFlight / upstream.slots);
+  return SPREAD_COST * free + (hasShortPauses(load) ? 0 : OPEN_COST);
+};
+
 const planWith = (
   engine: EngineSpec,
   req: PlacementRequest,
@@ -180,7 +188,7 @@
     ...members.map((member) => (member === writer ? member.writeMs : member.helpMs)),
   );
   const firstEventMs = waitMs + getPassMs(engine, writer.candidate.load.writers.length + 1, 0);
-  const opening = isShort && !hasShortPauses(writer.candidate.load) ? OPEN_COST : 0;
+  const opening = isShort ? getSpreadCost(writer.candidate) : 0;
   const late = LATE_LOSS * req.value * getLateRisk(firstEventMs, Math.max(1, req.targetLeftMs));
   const speed = (SPEED_WEIGHT * req.value * firstEventMs) / Math.max(1, req.targetLeftMs);
   const crowded = writer.candidate.load.inFlight >= writer.candidate.upstream.slots ? req.value : 0;
