--- a/eslint.config.js
+++ b/eslint.config.js
@@ -61,7 +61,19 @@
     "vmlist",
     "weights",
   ],
-  cli: ["core", "http", "log", "nodes", "operators", "daemon", "serving", "standins", "tools"],
+  cli: [
+    "core",
+    "http",
+    "log",
+    "nodes",
+    "operators",
+    "daemon",
+    "serving",
+    "standins",
+    "tools",
+    "telemetry",
+    "platform",
+  ],
 };
 const PACKAGES = [...Object.keys(ALLOWED_IMPORTS), "platform"];
 
--- a/packages/cli/src/registry.ts
+++ b/packages/cli/src/registry.ts
@@ -8,9 +8,11 @@
 import { configStatusCommand } from "./commands/configStatus.js";
 import { demoCommand } from "./commands/demo.js";
 import { entryCommand } from "./commands/entry.js";
+import { explainCommand } from "./commands/explain.js";
 import { fateCommand } from "./commands/fate.js";
 import { drainCommand, nodesCommand, upstreamsCommand } from "./commands/nodes.js";
 import { overheadCommand } from "./commands/overhead.js";
+import { platformDemoCommand } from "./commands/platformDemo.js";
 import { standinCommand } from "./commands/standin.js";
 
 /** Every command, in the order in which help lists them. */
@@ -22,6 +24,7 @@
   configStatusCommand,
   configHistoryCommand,
   fateCommand,
+  explainCommand,
   auditCommand,
   nodesCommand,
   upstreamsCommand,
@@ -30,6 +33,7 @@
   blockLiftCommand,
   benchCommand,
   demoCommand,
+  platformDemoCommand,
   overheadCommand,
   standinCommand,
 ];
