Wait a moment for memory that another prompt took, and blame no upstream for it

Cause: tickets that weren't held were tried again at once, six times within a few ms, each time leaving out the upstream that was to write; then the prompt was refused. It now pauses 60 ms and blames nobody. The test failed before (no send after memory came free).

--- a/packages/forwarding/src/ForwardJob.ts
+++ b/packages/forwarding/src/ForwardJob.ts
@@ -1,3 +1,5 @@
+import { sleep } from "@lycheepulley/core";
+
 import type { Upstream } from "./fleetConfig.js";
 import type { ForwardParts } from "./Forwarder.js";
 import { decideNext, NextStep, SendResult, type SendOutcome } from "./outcomes.js";
@@ -13,6 +15,14 @@
 const END_MARGIN_MS = 20;
 const NO_UPSTREAM_RETRY_MS = 500;
 const CROWDED_RETRY_MS = 250;
+/** Time after which memory that was taken by another may be free. */
+const NO_MEMORY_PAUSE_MS = 60;
+/** Results that say nothing of the upstream. */
+const BLAMELESS_RESULTS: ReadonlySet<SendResult> = new Set([
+  SendResult.Cancelled,
+  SendResult.TimedOut,
+  SendResult.NoMemory,
+]);
 
 /** One request, from the door to its final answer. */
 export class ForwardJob {
@@ -76,7 +86,8 @@
   async #sendTo(place: Place): Promise<SendOutcome> {
     const tickets = await this.#holdTickets(place);
     if (tickets === "missing") {
-      return { result: SendResult.Unsent, reason: "memory not held" };
+      await sleep(this.#parts.clock, NO_MEMORY_PAUSE_MS, this.#req.signal);
+      return { result: SendResult.NoMemory, reason: "memory not held" };
     }
     try {
       return await this.#send(place, tickets);
@@ -193,7 +204,7 @@
   }
 
   #count({ result }: SendOutcome): void {
-    if (result === SendResult.Unsent) {
+    if (result === SendResult.Unsent || result === SendResult.NoMemory) {
       this.#unsent += 1;
       return;
     }
@@ -211,7 +222,7 @@
       crashes.clear(fingerprint);
       return;
     }
-    if (result === SendResult.Cancelled || result === SendResult.TimedOut) {
+    if (BLAMELESS_RESULTS.has(result)) {
       return;
     }
     const atFault = faultAddress
@@ -229,7 +240,7 @@
     if (result === SendResult.Broken) {
       crashes.strike(fingerprint, atFault.id);
     }
-    if (reason !== "memory not held" && health.record(atFault.id, judged)) {
+    if (health.record(atFault.id, judged)) {
       logger.info("upstream rests", { step: "send", peer: atFault.id, reason });
     }
   }
--- a/packages/forwarding/src/Forwarder.test.ts
+++ b/packages/forwarding/src/Forwarder.test.ts
@@ -287,5 +287,9 @@
     await story.request(LARGE, 400_000);
     expect(story.sentTo).to.deep.equal([]);
     expect(story.orders.some((order) => order.startsWith("release"))).to.equal(true);
+    await story.clock.advance(70);
+    story.hasMemory = true;
+    await story.clock.advance(70);
+    expect(story.sentTo.length).to.equal(1);
   });
 });
--- a/packages/forwarding/src/outcomes.ts
+++ b/packages/forwarding/src/outcomes.ts
@@ -7,6 +7,8 @@
   Delivered: "delivered",
   /** No byte reached the upstream. */
   Unsent: "unsent",
+  /** Memory that the prompt needs wasn't free after all; nothing was sent. */
+  NoMemory: "no_memory",
   /** The upstream states that it didn't run the request. */
   NotRun: "not_run",
   /** The upstream answered with a failure of its own. */
@@ -83,7 +85,7 @@
       ? NextStep.Deliver
       : giveUp(history.mayHaveRun);
   }
-  if (result === SendResult.Unsent) {
+  if (result === SendResult.Unsent || result === SendResult.NoMemory) {
     return history.unsent < MAX_UNSENT ? NextStep.Retry : giveUp(history.mayHaveRun);
   }
   const maySend =
