--- a/packages/forwarding/src/outcomes.ts
+++ b/packages/forwarding/src/outcomes.ts
@@ -74,6 +74,10 @@
 
 const giveUp = (mayHaveRun: boolean): NextStep => (mayHaveRun ? NextStep.Fail : NextStep.Refuse);
 
+/** What to do when no further send is made. */
+const endWith = (outcome: SendOutcome, mayHaveRun: boolean): NextStep =>
+  outcome.answer && outcome.result === SendResult.Failed ? NextStep.Deliver : giveUp(mayHaveRun);
+
 /** Decides what follows a send; takes from the budget only for a retry. */
 export const decideNext = (route: Route, outcome: SendOutcome, history: SendHistory): NextStep => {
   const { result } = outcome;
@@ -81,20 +85,12 @@
     return NextStep.Done;
   }
   if (result === SendResult.TimedOut || history.timeLeftMs < MIN_RETRY_MS) {
-    return outcome.answer && result === SendResult.Failed
-      ? NextStep.Deliver
-      : giveUp(history.mayHaveRun);
+    return endWith(outcome, history.mayHaveRun);
   }
   if (result === SendResult.Unsent || result === SendResult.NoMemory) {
     return history.unsent < MAX_UNSENT ? NextStep.Retry : giveUp(history.mayHaveRun);
   }
   const maySend =
     history.sends < route.maxAttempts && (result === SendResult.NotRun || canRepeat(route));
-  if (maySend && history.trySpend()) {
-    return NextStep.Retry;
-  }
-  if (outcome.answer && result === SendResult.Failed) {
-    return NextStep.Deliver;
-  }
-  return giveUp(history.mayHaveRun);
+  return maySend && history.trySpend() ? NextStep.Retry : endWith(outcome, history.mayHaveRun);
 };
