End a leaving process once its farewell is over and nothing is in flight

Cause: a leaving process stayed for the whole grace time while idle connections were open; rolled one a second, all six left at once and refused what they couldn't finish. Change: after 3.2 s the door closes idle connections and takes no new ones; the process ends when the last request does.

--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -27,7 +27,9 @@
 import { PeerExchange } from "./PeerExchange.js";
 import type { GatewaySettings, GatewaySources } from "./types.js";
 
-const IDLE_CHECK_MS = 100;
+const IDLE_CHECK_MS = 50;
+/** Callers may still hold this process's address for so long after it began to leave. */
+const FAREWELL_MS = 3_200;
 /** Peers assumed beside those heard, when the retry budget is shared. */
 const SPARE_PROCESSES = 3;
 
@@ -167,7 +169,9 @@
     this.#door.startLeaving(this.#settings.drainMs);
     this.#logger.info("process leaving", { step: "stop", reason });
     const { drainMs } = this.#settings;
-    while (this.#clock.now() - startMs < drainMs && !this.#isIdle(startMs)) {
+    await sleep(this.#clock, Math.min(FAREWELL_MS, drainMs));
+    this.#door.close();
+    while (this.#clock.now() - startMs < drainMs && this.#forwarder.inFlight > 0) {
       await sleep(this.#clock, IDLE_CHECK_MS);
     }
     this.#logger.info("process stopped", {
@@ -188,13 +192,6 @@
     void this.#nodeServer.close();
   }
 
-  /** Callers keep addresses for a while, so that an idle process waits for late ones. */
-  #isIdle(startMs: number): boolean {
-    const half = this.#settings.drainMs / 2;
-    const isPast = this.#clock.now() - startMs > half;
-    return isPast && this.#forwarder.inFlight === 0 && this.#door.connections === 0;
-  }
-
   #startSources(): void {
     this.#sources.config.start({
       onValue: (config) => {
