--- a/packages/forwarding/src/ForwardJob.ts
+++ b/packages/forwarding/src/ForwardJob.ts
@@ -1,7 +1,7 @@
 import { sleep } from "@lycheepulley/core";
 
 import type { Upstream } from "./fleetConfig.js";
-import type { ForwardParts } from "./Forwarder.js";
+import type { ForwardParts } from "./forwardParts.js";
 import { decideNext, NextStep, SendResult, type SendOutcome } from "./outcomes.js";
 import { NoPlace, type Place, type Placer } from "./Placer.js";
 import { Send, type AnswerProgress } from "./Send.js";
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -4,6 +4,7 @@
 export * from "./fleetConfig.js";
 export * from "./FleetView.js";
 export * from "./Forwarder.js";
+export * from "./forwardParts.js";
 export * from "./LapseGuard.js";
 export * from "./leaving.js";
 export * from "./load.js";
