Let large fleets send fewer heartbeats and name all of their processes

Cause: on the grown sites (86 and 65 processes) each process sent four heartbeats a second to every other one, each change of a waiting prompt woke every other waiting prompt at every process, and an answer to callers that holds 64 addresses always named the same 64 of 86 processes. Heartbeats now come at 8 ms a peer, between 250 ms and 1 s; silence is judged by the sender's own interval. Answers to callers are sampled. Waiting prompts are no longer told to peers, who did nothing with them, and look again each 15 ms only. A place that came to nothing no longer counts against the next one of the same request (found by the test of memory that isn't held, which failed when the waiting phase went). Ruled out: the cost of reading a message (8 us for 324 bytes).

--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -11,6 +11,7 @@
   PeerState,
   PeerTable,
   RetryWindow,
+  sampleAddresses,
   TicketKeeper,
   UpstreamHealth,
   type Dialect,
@@ -36,6 +37,7 @@
 /** One gateway process: door, forwarding, peers and what it learns from its sources. */
 export class GatewayNode {
   readonly #clock: Clock = new SystemClock();
+  readonly #random = new SystemRandom();
   readonly #settings: GatewaySettings;
   readonly #sources: GatewaySources;
   readonly #logger: Logger;
@@ -105,7 +107,7 @@
       },
     });
     this.#forwarder = new Forwarder({
-      ...{ clock, random: new SystemRandom(), view: this.#view, board, health: this.#health },
+      ...{ clock, random: this.#random, view: this.#view, board, health: this.#health },
       ...{ crashes: this.#crashes, transport: options.transport, dialect, logger },
       retries: this.#newRetryWindow(),
       control: options.control,
@@ -128,11 +130,11 @@
     return this.#view.table !== undefined && this.#view.list.version >= 0 && !this.#isLeaving;
   }
 
-  /** Addresses of the processes that take callers, this one included. */
-  getAddresses(): string[] {
+  /** At most `most` addresses of the processes that take callers, this one included. */
+  getAddresses(most: number): string[] {
     const addresses = this.#peers.getServing().map(({ callerAddress }) => callerAddress);
     const own = this.isReady ? [this.#getIdentity().callerAddress] : [];
-    return [...own, ...addresses];
+    return sampleAddresses([...own, ...addresses], most, this.#random);
   }
 
   async start(): Promise<void> {
@@ -258,7 +260,7 @@
     });
   }
 
-  #getIdentity(): PeerIdentity {
+  #getIdentity(): Omit<PeerIdentity, "beatMs"> {
     const { host, failureDomain, callerPort } = this.#settings;
     return {
       ...{ host, failureDomain, incarnation: this.#incarnation },
--- a/packages/daemon/src/gateway/PeerExchange.ts
+++ b/packages/daemon/src/gateway/PeerExchange.ts
@@ -13,8 +13,11 @@
 import { z } from "zod";
 
 const BEAT_MS = 250;
-/** Every such heartbeat carries all requests in flight. */
-const BEATS_PER_SNAPSHOT = 4;
+/** Large fleets send fewer heartbeats: each process to every other one in this time a peer. */
+const BEAT_MS_PER_PEER = 8;
+const MAX_BEAT_MS = 1_000;
+/** Time after which a heartbeat carries all requests in flight again. */
+const SNAPSHOT_MS = 900;
 const MAX_GOSSIP_HOSTS = 64;
 
 const identitySchema = z.object({
@@ -25,6 +28,7 @@
   state: z.enum([PeerState.Joining, PeerState.Live, PeerState.Leaving]),
   revision: z.number(),
   listVersion: z.number(),
+  beatMs: z.number().nonnegative(),
 });
 const beatSchema = z.object({
   identity: identitySchema,
@@ -46,11 +50,11 @@
   readonly #channel: DatagramChannel;
   readonly #peers: PeerTable;
   readonly #logger: Logger;
-  readonly #getIdentity: () => PeerIdentity;
+  readonly #getIdentity: () => Omit<PeerIdentity, "beatMs">;
   readonly #getBoard: () => LoadBoard;
   readonly #onPeer: (peer: PeerIdentity) => void;
   #seq = 0;
-  #beats = 0;
+  #snapshotMs = -Infinity;
   #live = new Set<string>();
   #cancel: Cancel = () => undefined;
 
@@ -59,7 +63,7 @@
     channel: DatagramChannel;
     peers: PeerTable;
     logger: Logger;
-    getIdentity: () => PeerIdentity;
+    getIdentity: () => Omit<PeerIdentity, "beatMs">;
     getBoard: () => LoadBoard;
     onPeer: (peer: PeerIdentity) => void;
   }) {
@@ -116,15 +120,22 @@
     this.#logChanges();
     this.#cancel = this.#clock.setTimer(() => {
       this.#beat();
-    }, BEAT_MS);
+    }, this.#beatMs);
+  }
+
+  get #beatMs(): number {
+    const ms = BEAT_MS_PER_PEER * this.#peers.hosts.length;
+    return Math.min(MAX_BEAT_MS, Math.max(BEAT_MS, ms));
   }
 
   #sendBeat(): void {
     const hosts = this.#peers.hosts;
-    const hasItems = this.#beats++ % BEATS_PER_SNAPSHOT === 0;
+    const now = this.#clock.now();
+    const hasItems = now - this.#snapshotMs >= SNAPSHOT_MS;
     this.#seq += hasItems ? 1 : 0;
+    this.#snapshotMs = hasItems ? now : this.#snapshotMs;
     const beat: z.input<typeof beatSchema> = {
-      identity: this.#getIdentity(),
+      identity: { ...this.#getIdentity(), beatMs: this.#beatMs },
       hosts: hasItems ? hosts.slice(0, MAX_GOSSIP_HOSTS) : [],
       seq: this.#seq,
       ...(hasItems ? { items: [...this.#getBoard().own] } : {}),
@@ -143,8 +154,10 @@
     }
     this.#peers.addHosts(hosts);
     this.#onPeer(identity);
+    const key = getKey(from, identity.incarnation);
+    board.hearPeer(key, identity.beatMs);
     if (items) {
-      board.replacePeer(getKey(from, identity.incarnation), seq, items);
+      board.replacePeer(key, seq, items);
     }
   }
 
--- a/packages/forwarding/src/LoadBoard.ts
+++ b/packages/forwarding/src/LoadBoard.ts
@@ -2,11 +2,14 @@
 
 import { sumLoads, type LoadItem, type TimedLoadItem, type UpstreamLoad } from "./load.js";
 
-/** Loads of a peer that was silent for longer are forgotten. */
+/** Loads of a peer that was silent for longer are left out. */
 const PEER_SILENCE_MS = 1_500;
+/** The same in heartbeats of a peer that sends few. */
+const PEER_SILENCE_BEATS = 3;
 
 interface PeerLoads {
   heardMs: number;
+  beatMs: number;
   seq: number;
   readonly items: Map<string, TimedLoadItem>;
 }
@@ -22,7 +25,6 @@
   readonly #clock: Clock;
   readonly #own = new Map<string, TimedLoadItem>();
   readonly #peers = new Map<string, PeerLoads>();
-  readonly #listeners = new Set<() => void>();
   readonly #onOwnChange: (change: LoadChange) => void;
 
   constructor(options: { clock: Clock; onOwnChange: (change: LoadChange) => void }) {
@@ -43,7 +45,6 @@
   removeOwn(id: string): void {
     if (this.#own.delete(id)) {
       this.#onOwnChange({ changed: [], ended: [id] });
-      this.#notify();
     }
   }
 
@@ -58,7 +59,6 @@
       this.#setPeerItem(loads, item);
     });
     change.ended.forEach((id) => loads.items.delete(id));
-    this.#notify();
   }
 
   /** Replaces everything known of a peer. */
@@ -73,7 +73,11 @@
     items.forEach((item) => {
       this.#setPeerItem(loads, item);
     });
-    this.#notify();
+  }
+
+  /** Records a heartbeat of a peer that sends one each `beatMs`. */
+  hearPeer(peer: string, beatMs: number): void {
+    this.#getPeer(peer).beatMs = beatMs;
   }
 
   removePeer(peer: string): void {
@@ -90,27 +94,16 @@
     yield* this.#own.values();
     const now = this.#clock.now();
     for (const peer of this.#peers.values()) {
-      if (now - peer.heardMs < PEER_SILENCE_MS) {
+      if (now - peer.heardMs < Math.max(PEER_SILENCE_MS, PEER_SILENCE_BEATS * peer.beatMs)) {
         yield* peer.items.values();
       }
     }
   }
 
-  /** Requests of all processes that wait for a place in `pool`. */
-  getWaiting(pool: string): TimedLoadItem[] {
-    return [...this.#items()].filter((item) => item.phase === "waiting" && item.pool === pool);
-  }
-
-  /** Calls `fn` when a request ended or a peer told of a change. */
-  subscribe(fn: () => void): () => void {
-    this.#listeners.add(fn);
-    return () => this.#listeners.delete(fn);
-  }
-
   #getPeer(name: string): PeerLoads {
     let loads = this.#peers.get(name);
     if (!loads) {
-      loads = { heardMs: 0, seq: -1, items: new Map() };
+      loads = { heardMs: 0, beatMs: 0, seq: -1, items: new Map() };
       this.#peers.set(name, loads);
     }
     loads.heardMs = this.#clock.now();
@@ -122,10 +115,4 @@
     const isSame = known?.phase === item.phase && known.upstream === item.upstream;
     loads.items.set(item.id, { ...item, sinceMs: isSame ? known.sinceMs : this.#clock.now() });
   }
-
-  #notify(): void {
-    this.#listeners.forEach((fn) => {
-      fn();
-    });
-  }
 }
--- a/packages/forwarding/src/PeerTable.ts
+++ b/packages/forwarding/src/PeerTable.ts
@@ -22,10 +22,14 @@
   readonly revision: number;
   /** Version of its list of upstreams, -1 before any. */
   readonly listVersion: number;
+  /** Time between its heartbeats, milliseconds. */
+  readonly beatMs: number;
 }
 
 /** A peer not heard for longer isn't handed to callers. */
 const LIVE_SILENCE_MS = 1_100;
+/** The same in heartbeats of a peer that sends few, one of which may be lost. */
+const LIVE_SILENCE_BEATS = 2.5;
 /** A peer silent for longer is forgotten. */
 const FORGET_MS = 60_000;
 /** When every peer fell silent, the silence is more likely this process's own. */
@@ -71,14 +75,18 @@
 
   /** Peers heard lately. */
   getLive(): PeerIdentity[] {
-    return this.#heardWithin(LIVE_SILENCE_MS);
+    return this.#heardWithin(({ beatMs }) =>
+      Math.max(LIVE_SILENCE_MS, LIVE_SILENCE_BEATS * beatMs),
+    );
   }
 
   /** Peers that take callers. */
   getServing(): PeerIdentity[] {
     const isServing = ({ state }: PeerIdentity): boolean => state === PeerState.Live;
     const live = this.getLive();
-    return (live.length > 0 ? live : this.#heardWithin(ISOLATION_MEMORY_MS)).filter(isServing);
+    return (live.length > 0 ? live : this.#heardWithin(() => ISOLATION_MEMORY_MS)).filter(
+      isServing,
+    );
   }
 
   /** Drops peers that were silent for long. */
@@ -91,10 +99,10 @@
     }
   }
 
-  #heardWithin(ms: number): PeerIdentity[] {
+  #heardWithin(getMs: (peer: PeerIdentity) => number): PeerIdentity[] {
     const now = this.#clock.now();
     return [...this.#entries.values()].flatMap(({ identity, heardMs }) =>
-      identity && now - heardMs <= ms ? [identity] : [],
+      identity && now - heardMs <= getMs(identity) ? [identity] : [],
     );
   }
 }
--- a/packages/forwarding/src/Placer.ts
+++ b/packages/forwarding/src/Placer.ts
@@ -6,6 +6,7 @@
 import type { LoadBoard } from "./LoadBoard.js";
 import {
   estimateValue,
+  MAX_HELPERS,
   planIdle,
   pickServiceUpstream,
   planPlacement,
@@ -76,6 +77,8 @@
   async find(query: PlaceQuery): Promise<Place | NoPlace> {
     const engine = this.#view.table?.findPool(query.pool)?.engine;
     const startMs = this.#clock.now();
+    // A place that came to nothing must not count against the next one.
+    this.#board.removeOwn(query.req.head.attemptId);
     const isPrompt = engine !== undefined && query.req.head.promptTokens > 0;
     const place = isPrompt
       ? await this.#findForPrompt(query, engine, startMs)
@@ -98,7 +101,6 @@
     startMs: number,
   ): Promise<Place | NoPlace> {
     const { req, endMs } = query;
-    let isWaiting = false;
     for (;;) {
       const now = this.#clock.now();
       if (req.signal.aborted) {
@@ -116,11 +118,7 @@
       if (plan && this.#isAcceptable({ query, engine, request, plan, candidates, now })) {
         return { writer: plan.writer, plan, request, waitedMs: now - startMs };
       }
-      if (!isWaiting) {
-        isWaiting = true;
-        this.#board.setOwn(newWaitingItem(query, request));
-      }
-      await this.#waitForChange(req.signal);
+      await sleep(this.#clock, RECHECK_MS, req.signal);
     }
   }
 
@@ -134,7 +132,7 @@
   }): boolean {
     const { query, engine, request, plan, candidates, now } = options;
     const { route, receivedMs } = query.req;
-    const upstreams = candidates.map(({ upstream }) => upstream);
+    const upstreams = candidates.slice(0, MAX_HELPERS + 1).map(({ upstream }) => upstream);
     const idle = planIdle(engine, request, upstreams);
     if (!idle || plan.loss - idle.loss <= ACCEPTED_LOSS) {
       return true;
@@ -155,21 +153,6 @@
     }));
   }
 
-  #waitForChange(signal: AbortSignal): Promise<void> {
-    return new Promise((resolve) => {
-      const abort = new AbortController();
-      const done = (): void => {
-        unsubscribe();
-        signal.removeEventListener("abort", done);
-        abort.abort();
-        resolve();
-      };
-      const unsubscribe = this.#board.subscribe(done);
-      signal.addEventListener("abort", done);
-      void sleep(this.#clock, RECHECK_MS, abort.signal).then(done);
-    });
-  }
-
   #occupy({ req, pool }: PlaceQuery, { writer, plan, request }: Place): void {
     this.#board.setOwn({
       id: req.head.attemptId,
@@ -201,20 +184,3 @@
   targetLeftMs: req.route.targetMs - (now - req.receivedMs),
   value: estimateValue(req.head.promptTokens),
 });
-
-const newWaitingItem = (
-  { req, pool }: PlaceQuery,
-  request: PlacementRequest,
-): Parameters<LoadBoard["setOwn"]>[0] => ({
-  id: req.head.attemptId,
-  pool,
-  phase: "waiting",
-  upstream: "",
-  helpers: [],
-  readMs: 0,
-  kvTokens: 0,
-  heldTokens: [],
-  maxGapMs: request.maxGapMs,
-  targetLeftMs: request.targetLeftMs,
-  value: request.value,
-});
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./callerAddresses.js";
 export * from "./CrashBook.js";
 export * from "./engineModel.js";
 export * from "./EventSplitter.js";
--- a/packages/forwarding/src/load.ts
+++ b/packages/forwarding/src/load.ts
@@ -2,8 +2,6 @@
 
 /** What a request is doing at its upstreams. */
 export const LoadPhase = {
-  /** Waits at an entry process for a place. */
-  Waiting: "waiting",
   /** Its prompt is being read; nothing was written yet. */
   Reading: "reading",
   Writing: "writing",
@@ -14,8 +12,8 @@
 export const loadItemSchema = z.object({
   id: z.string().max(64),
   pool: z.string(),
-  phase: z.enum([LoadPhase.Waiting, LoadPhase.Reading, LoadPhase.Writing]),
-  /** Upstream that writes the answer; empty while the request waits. */
+  phase: z.enum([LoadPhase.Reading, LoadPhase.Writing]),
+  /** Upstream that writes the answer. */
   upstream: z.string(),
   /** Upstreams that read parts of the prompt. */
   helpers: z.array(z.string()),
@@ -130,8 +128,7 @@
 ): Map<string, UpstreamLoad> => {
   const loads = new Map<string, UpstreamLoad>();
   const queueRead = newReadQueue(loads, nowMs);
-  const placed = [...items].filter(({ phase }) => phase !== LoadPhase.Waiting);
-  placed.sort((a, b) => a.sinceMs - b.sinceMs);
+  const placed = [...items].sort((a, b) => a.sinceMs - b.sinceMs);
   for (const item of placed) {
     const load = getOrAdd(loads, item.upstream);
     load.inFlight += 1;
