End requests in time while memory is ordered, and bound headers as configured

Cause 1: a prompt that waited for the answer to an order for memory had no bound of its own: it got its final answer only after the order's, and was then sent although its time was over.

--- a/packages/callers/src/forward/ForwardServer.ts
+++ b/packages/callers/src/forward/ForwardServer.ts
@@ -142,6 +142,12 @@
     signal: AbortSignal;
   }): Promise<void> {
     const { req, head, writer, receivedMs, signal } = options;
+    const { maxHeaderBytes } = this.#view.table?.config.limits ?? DEFAULT_CALLER_LIMITS;
+    if (countHeaderBytes(req) > maxHeaderBytes) {
+      writer.closeAfterAnswer();
+      this.#reject(head, writer, { status: 431, message: "headers exceed the limit" });
+      return;
+    }
     const admission = this.#check(head);
     if ("status" in admission) {
       this.#reject(head, writer, admission);
@@ -257,6 +263,9 @@
 /** Raised when bodies in memory exceed their bound. */
 class BusyError extends Error {}
 
+const countHeaderBytes = ({ url, rawHeaders }: IncomingMessage): number =>
+  rawHeaders.reduce((sum, text) => sum + text.length, url?.length ?? 0);
+
 const getFingerprint = (head: RequestHead, customer: string | undefined, body: Buffer): string =>
   createHash("sha1")
     .update(`${head.method} ${head.path} ${customer ?? ""}\n`)
--- a/packages/forwarding/src/ForwardJob.ts
+++ b/packages/forwarding/src/ForwardJob.ts
@@ -6,6 +6,7 @@
 import { NoPlace, type Place, type Placer } from "./Placer.js";
 import { Send, type AnswerProgress } from "./Send.js";
 import { getEndMs, getSilence, getUrgency, orderHelpers } from "./sendTerms.js";
+import { settleBy, TOO_LATE } from "./settleBy.js";
 import type { HeldTickets } from "./TicketKeeper.js";
 import type { AnswerWriter, ForwardRequest } from "./types.js";
 import { UpstreamResult } from "./UpstreamHealth.js";
@@ -104,7 +105,14 @@
       return undefined;
     }
     const id = `${this.#req.head.attemptId}-${String(this.#sends + this.#unsent)}`;
-    return (await this.#parts.tickets.hold(id, wishes)) ?? "missing";
+    const hold = this.#parts.tickets.hold(id, wishes);
+    const { clock } = this.#parts;
+    const held = await settleBy(hold, clock, this.#endMs - END_MARGIN_MS, this.#req.signal);
+    if (held === TOO_LATE) {
+      void hold.then((tickets) => tickets?.release());
+      return "missing";
+    }
+    return held ?? "missing";
   }
 
   async #send(place: Place, tickets: HeldTickets | undefined): Promise<SendOutcome> {
--- a/packages/forwarding/src/Forwarder.test.ts
+++ b/packages/forwarding/src/Forwarder.test.ts
@@ -1,4 +1,4 @@
-import { SeededRandom } from "@lycheepulley/core";
+import { SeededRandom, sleep } from "@lycheepulley/core";
 import { newSilentLogger } from "@lycheepulley/telemetry";
 import { expect } from "chai";
 
@@ -28,6 +28,8 @@
   readonly orders: string[] = [];
   isUpstreamAlive = true;
   hasMemory = true;
+  /** Orders for memory get no answer until this long has passed. */
+  reserveMs = 0;
   readonly #abort = new AbortController();
   readonly #forwarder: Forwarder;
 
@@ -41,7 +43,7 @@
       isAlive: () => Promise.resolve(this.isUpstreamAlive),
       reserve: (upstream: { id: string }, ticket: { id: string }) => {
         this.orders.push(`reserve ${upstream.id} ${ticket.id}`);
-        return Promise.resolve(this.hasMemory);
+        return sleep(this.clock, this.reserveMs).then(() => this.hasMemory);
       },
       release: (upstream: { id: string }, id: string) => {
         this.orders.push(`release ${upstream.id} ${id}`);
@@ -293,3 +295,75 @@
     expect(story.sentTo.length).to.equal(1);
   });
 });
+
+describe("Forwarder: the end of a route's time", () => {
+  const END_MS = 1_000;
+  const SLACK_MS = 300;
+  const cases: readonly [
+    name: string,
+    route: Partial<Route>,
+    tokens: number,
+    prepare: (story: Story) => void,
+    expected: { status: number; ending: string },
+  ][] = [
+    ["a call that may have run", UNSAFE, 0, () => undefined, { status: 504, ending: "whole" }],
+    ["a call that may repeat", SAFE, 0, () => undefined, { status: 504, ending: "whole" }],
+    [
+      "a stream before its first event",
+      STREAM,
+      5_000,
+      () => undefined,
+      { status: 504, ending: "whole" },
+    ],
+    [
+      "a prompt whose memory is never free",
+      STREAM,
+      400_000,
+      (story) => {
+        story.hasMemory = false;
+      },
+      { status: 503, ending: "whole" },
+    ],
+    [
+      "a prompt whose order for memory gets no answer",
+      STREAM,
+      400_000,
+      (story) => {
+        story.reserveMs = 60_000;
+      },
+      { status: 503, ending: "whole" },
+    ],
+  ];
+  for (const [name, route, tokens, prepare, expected] of cases) {
+    it(`answers ${name} in time`, async () => {
+      const story = new Story();
+      prepare(story);
+      await story.request({ ...route, timeoutMs: END_MS }, tokens);
+      await story.clock.advance(END_MS + SLACK_MS);
+      expect(story.caller).to.include(expected);
+      expect(story.transport.calls.every(({ isAborted }) => isAborted)).to.equal(true);
+      expect(story.board.own).to.deep.equal([]);
+    });
+  }
+
+  it("lets go of memory whose order was answered after the end", async () => {
+    const story = new Story();
+    story.reserveMs = 1_500;
+    await story.request({ ...STREAM, timeoutMs: END_MS }, 400_000);
+    await story.clock.advance(5_000);
+    expect(story.sentTo).to.deep.equal([]);
+    const count = (verb: string): number =>
+      story.orders.filter((order) => order.startsWith(verb)).length;
+    expect(count("release")).to.equal(count("reserve"));
+    expect(story.orders.at(-1)).to.match(/^release/);
+  });
+
+  it("cuts a stream in the middle", async () => {
+    const story = new Story();
+    await story.request({ ...STREAM, timeoutMs: END_MS }, 5_000);
+    story.transport.startStream();
+    story.transport.sendEvents(1);
+    await story.clock.advance(END_MS + SLACK_MS);
+    expect(story.caller).to.include({ status: 200, ending: "cut" });
+  });
+});
