Read the store in three processes for all

Cause: each process asked the store for the list of upstreams each 550 ms and for the configuration each 1.5 s. Now the first three processes in an order by name whose reads are fresh read, and the others learn from them: heartbeats carry the digest of the list and the age of its read; who is behind asks the peer; readers announce changes at once. A process that hears no fresh readers reads itself, after 1.1 s of their silence at the latest. Entries that lapse are judged by the time between lists, whoever read them.

--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -10,6 +10,7 @@
   LoadBoard,
   PeerState,
   PeerTable,
+  ReadTurns,
   RetryWindow,
   sampleAddresses,
   TicketKeeper,
@@ -43,11 +44,12 @@
   readonly #logger: Logger;
   readonly #metrics = new ForwardMetrics();
   readonly #view = new FleetView();
-  readonly #lapses = new LapseGuard(this.#clock);
+  readonly #lapses: LapseGuard;
   readonly #nodeServer = new NodeServer();
   readonly #sharing: FleetSharing;
   readonly #health: UpstreamHealth;
   readonly #peers: PeerTable;
+  readonly #turns: ReadTurns;
   readonly #channel: DatagramChannel;
   readonly #exchange: PeerExchange;
   readonly #crashes: CrashBook;
@@ -71,7 +73,9 @@
     this.#sources = options.sources;
     this.#logger = logger;
     this.#health = new UpstreamHealth(clock);
+    this.#lapses = new LapseGuard({ clock, upstreamBeatMs: settings.upstreamBeatMs });
     this.#peers = new PeerTable({ clock, self: settings.host });
+    this.#turns = new ReadTurns({ clock, self: settings.host, peers: this.#peers });
     this.#channel = new DatagramChannel({
       onBadMessage: (peer, reason) => {
         logger.warn("message dropped", { step: "membership", peer, reason });
@@ -90,12 +94,15 @@
       },
     });
     this.#sharing = new FleetSharing({
-      ...{ clock, view: this.#view, logger, port: settings.peerPort },
+      ...{ clock, random: this.#random, view: this.#view, logger, port: settings.peerPort },
       onConfig: (config) => {
         this.#applyConfig(config);
       },
-      onList: (list) => {
-        this.#applyUpstreams(list);
+      onList: (list, atMs) => {
+        this.#applyUpstreams(list, atMs);
+      },
+      onConfirmed: (version, atMs) => {
+        this.#confirmUpstreams(version, atMs);
       },
     });
     this.#exchange = new PeerExchange({
@@ -195,23 +202,34 @@
   }
 
   #startSources(): void {
+    const isWanted = (): boolean => this.#turns.isOwnTurn();
     this.#sources.config.start({
+      isWanted,
+      onRead: () => {
+        this.#turns.onRead("config");
+      },
       onValue: (config) => {
-        this.#applyConfig(config);
+        if (this.#applyConfig(config)) {
+          this.#exchange.announce();
+        }
       },
       onState: this.#newStateLogger("configuration"),
     });
-    const logListState = this.#newStateLogger("upstream list");
     this.#sources.upstreams.start({
-      onValue: (list) => {
-        this.#applyUpstreams(list);
+      isWanted,
+      onRead: () => {
+        this.#turns.onRead("list");
       },
-      onState: (isConnected, reason) => {
-        this.#lapses.onState(isConnected);
-        logListState(isConnected, reason);
+      onValue: (list) => {
+        if (this.#applyUpstreams(list, this.#clock.now())) {
+          this.#exchange.announce();
+        }
       },
+      onState: this.#newStateLogger("upstream list"),
     });
     this.#sources.peers.start({
+      isWanted,
+      onRead: () => undefined,
       onValue: (hosts) => {
         this.#peers.addHosts(hosts);
       },
@@ -226,22 +244,25 @@
     };
   }
 
-  #applyConfig(config: FleetConfig): void {
+  /** Puts a configuration in force; false when one as new already is. */
+  #applyConfig(config: FleetConfig): boolean {
     const before = this.#view.revision;
     if (!this.#view.applyConfig(config)) {
-      return;
+      return false;
     }
     this.#door.applyLimits();
     this.#logger.info("configuration in force", {
       ...{ step: "config_read_back", revision: config.revision, before },
       ...{ routes: config.routes.length, pools: config.pools.length },
     });
-    this.#exchange.announce();
+    return true;
   }
 
-  #applyUpstreams(list: UpstreamList): void {
+  /** Applies a list that was current at `atMs`; true when it changed something. */
+  #applyUpstreams(list: UpstreamList, atMs: number): boolean {
+    this.#lapses.onList(atMs);
     const kept = this.#lapses.getKept(this.#view.upstreams.keys());
-    const { joined, left } = this.#view.applyUpstreams(list, this.#clock.now(), kept);
+    const { joined, left } = this.#view.applyUpstreams(list, atMs, kept);
     this.#health.retain(new Set(this.#view.upstreams.keys()));
     if (left.length > 0 || joined.length > 0) {
       this.#logger.info("upstreams changed", {
@@ -249,6 +270,15 @@
         ...{ size: this.#view.upstreams.size, listVersion: list.version },
       });
     }
+    return left.length > 0 || joined.length > 0;
+  }
+
+  #confirmUpstreams(version: number, atMs: number): void {
+    this.#view.confirmList(version, atMs);
+    this.#lapses.onList(atMs);
+    if (this.#view.hasLapsed) {
+      this.#applyUpstreams(this.#view.list, atMs);
+    }
   }
 
   #newRetryWindow(): RetryWindow {
@@ -268,6 +298,8 @@
       state: this.#getState(),
       revision: this.#view.revision,
       listVersion: this.#view.list.version,
+      listDigest: this.#view.listDigest,
+      reads: this.#turns.getAges(),
     };
   }
 
--- a/packages/daemon/src/gateway/PeerExchange.ts
+++ b/packages/daemon/src/gateway/PeerExchange.ts
@@ -28,6 +28,8 @@
   state: z.enum([PeerState.Joining, PeerState.Live, PeerState.Leaving]),
   revision: z.number(),
   listVersion: z.number(),
+  listDigest: z.string(),
+  reads: z.object({ configMs: z.number().optional(), listMs: z.number().optional() }),
   beatMs: z.number().nonnegative(),
 });
 const beatSchema = z.object({
--- a/packages/daemon/src/gateway/types.ts
+++ b/packages/daemon/src/gateway/types.ts
@@ -2,8 +2,14 @@
 
 /** Keeps telling of values that another system holds. */
 export interface Source<T> {
-  /** Begins to watch; `onState` tells of a lost or regained connection. */
+  /**
+   * Begins to watch while `isWanted`, but reads once in any case. `onRead` tells
+   * of each answer, also when nothing changed; `onState` of a lost or regained
+   * connection.
+   */
   start(observer: {
+    isWanted: () => boolean;
+    onRead: () => void;
     onValue: (value: T) => void;
     onState: (isConnected: boolean, reason: string) => void;
   }): void;
@@ -33,4 +39,6 @@
   readonly retryRatio: number;
   readonly retryWindowMs: number;
   readonly retrySlack: number;
+  /** Time between the heartbeats of upstreams at the lister. */
+  readonly upstreamBeatMs: number;
 }
--- a/packages/forwarding/src/FleetView.ts
+++ b/packages/forwarding/src/FleetView.ts
@@ -1,3 +1,5 @@
+import { createHash } from "node:crypto";
+
 import type { FleetConfig, Upstream, UpstreamList } from "./fleetConfig.js";
 import { RouteTable } from "./RouteTable.js";
 
@@ -14,6 +16,7 @@
   #byPool = new Map<string, readonly Upstream[]>();
   #list: UpstreamList = { version: -1, upstreams: [] };
   #listedMs = 0;
+  #listDigest = "";
 
   /** Table of the configuration in force; undefined before any is known. */
   get table(): RouteTable | undefined {
@@ -34,10 +37,20 @@
     return this.#listedMs;
   }
 
+  /** Digest of the entries of the newest list, which changes when one of them does. */
+  get listDigest(): string {
+    return this.#listDigest;
+  }
+
   get upstreams(): ReadonlyMap<string, Upstream> {
     return this.#upstreams;
   }
 
+  /** True while upstreams stay that the newest list lacks. */
+  get hasLapsed(): boolean {
+    return this.#upstreams.size > this.#list.upstreams.length;
+  }
+
   /** Puts a configuration in force; false when one as new already is. */
   applyConfig(config: FleetConfig): boolean {
     if (config.revision <= this.revision) {
@@ -70,15 +83,27 @@
     this.#byPool = groupByPool(next.values());
     this.#list = list;
     this.#listedMs = nowMs;
+    this.#listDigest = getDigest(list);
     return change;
   }
 
+  /** Records that the list in force was still the newest one at `version`. */
+  confirmList(version: number, atMs: number): void {
+    this.#list = { ...this.#list, version: Math.max(version, this.#list.version) };
+    this.#listedMs = Math.max(this.#listedMs, atMs);
+  }
+
   /** Upstreams of a pool that may take new work. */
   getAvailable(pool: string): readonly Upstream[] {
     return (this.#byPool.get(pool) ?? []).filter(({ isLeaving }) => !isLeaving);
   }
 }
 
+const getDigest = ({ upstreams }: UpstreamList): string => {
+  const sorted = [...upstreams].sort((a, b) => (a.id < b.id ? -1 : 1));
+  return createHash("sha1").update(JSON.stringify(sorted)).digest("base64");
+};
+
 const groupByPool = (upstreams: Iterable<Upstream>): Map<string, Upstream[]> => {
   const byPool = new Map<string, Upstream[]>();
   for (const upstream of upstreams) {
--- a/packages/forwarding/src/LapseGuard.ts
+++ b/packages/forwarding/src/LapseGuard.ts
@@ -1,31 +1,29 @@
 import type { Clock } from "@lycheepulley/core";
 
-/** Outages shorter than this make no entry of the list lapse. */
-const MIN_OUTAGE_MS = 1_500;
 /** Time after an outage within which lapsed entries are listed again. */
 const RETURN_MS = 2_000;
+/** Entries lapse after three heartbeats; the last one came up to one before the outage. */
+const LAPSE_HEARTBEATS = 2;
+const MARGIN_MS = 200;
 
 /** Decides which upstreams stay though a list lacks them, because the lister was away. */
 export class LapseGuard {
   readonly #clock: Clock;
-  #lostMs: number | undefined;
+  readonly #minOutageMs: number;
+  #listedMs: number | undefined;
   #keepUntilMs = -Infinity;
 
-  constructor(clock: Clock) {
-    this.#clock = clock;
+  constructor(options: { clock: Clock; upstreamBeatMs: number }) {
+    this.#clock = options.clock;
+    this.#minOutageMs = LAPSE_HEARTBEATS * options.upstreamBeatMs - MARGIN_MS;
   }
 
-  /** Records that the list can't be read, or can be read again. */
-  onState(isConnected: boolean): void {
-    const now = this.#clock.now();
-    if (!isConnected) {
-      this.#lostMs ??= now;
-      return;
+  /** Records a list that was current at `atMs`. */
+  onList(atMs: number): void {
+    if (this.#listedMs !== undefined && atMs - this.#listedMs >= this.#minOutageMs) {
+      this.#keepUntilMs = this.#clock.now() + RETURN_MS;
     }
-    if (this.#lostMs !== undefined && now - this.#lostMs >= MIN_OUTAGE_MS) {
-      this.#keepUntilMs = now + RETURN_MS;
-    }
-    this.#lostMs = undefined;
+    this.#listedMs = Math.max(atMs, this.#listedMs ?? -Infinity);
   }
 
   /** Those of the known upstreams that a list may lack without being gone. */
--- a/packages/forwarding/src/PeerTable.ts
+++ b/packages/forwarding/src/PeerTable.ts
@@ -1,5 +1,7 @@
 import type { Clock } from "@lycheepulley/core";
 
+import type { ReadAges } from "./ReadTurns.js";
+
 /** What a process says of its willingness to serve. */
 export const PeerState = {
   Joining: "joining",
@@ -22,10 +24,21 @@
   readonly revision: number;
   /** Version of its list of upstreams, -1 before any. */
   readonly listVersion: number;
+  /** Digest of that list's entries. */
+  readonly listDigest: string;
+  /** Age of its own reads when it sent the heartbeat. */
+  readonly reads: ReadAges;
   /** Time between its heartbeats, milliseconds. */
   readonly beatMs: number;
 }
 
+/** A peer heard lately. */
+export interface HeardPeer {
+  readonly peer: PeerIdentity;
+  /** Time since its newest heartbeat. */
+  readonly silentMs: number;
+}
+
 /** A peer not heard for longer isn't handed to callers. */
 const LIVE_SILENCE_MS = 1_100;
 /** The same in heartbeats of a peer that sends few, one of which may be lost. */
@@ -80,6 +93,15 @@
     );
   }
 
+  /** Peers heard lately, with the time since. */
+  getHeard(): HeardPeer[] {
+    const now = this.#clock.now();
+    return this.getLive().map((peer) => ({
+      peer,
+      silentMs: now - (this.#entries.get(peer.host)?.heardMs ?? now),
+    }));
+  }
+
   /** Peers that take callers. */
   getServing(): PeerIdentity[] {
     const isServing = ({ state }: PeerIdentity): boolean => state === PeerState.Live;
--- /dev/null
+++ b/packages/forwarding/src/ReadTurns.test.ts
@@ -0,0 +1,89 @@
+import { expect } from "chai";
+
+import { PeerState, PeerTable } from "./PeerTable.js";
+import { ReadTurns, type ReadAges } from "./ReadTurns.js";
+import { ManualClock } from "./testing/ManualClock.js";
+
+const HOSTS = Array.from({ length: 8 }, (_, index) => `10.0.0.${String(index)}`);
+const FRESH: ReadAges = { configMs: 1_000, listMs: 300 };
+
+/** A fleet whose members hear each other's heartbeats at once. */
+class Fleet {
+  readonly clock = new ManualClock();
+  readonly #members = HOSTS.map((host) => {
+    const peers = new PeerTable({ clock: this.clock, self: host });
+    return { host, peers, turns: new ReadTurns({ clock: this.clock, self: host, peers }) };
+  });
+
+  /** Each of `hosts` tells all others the ages of its reads. */
+  beat(hosts: readonly string[], reads: ReadAges, state: PeerState = PeerState.Live): void {
+    for (const { host, peers } of this.#members) {
+      for (const from of hosts.filter((other) => other !== host)) {
+        peers.hear({
+          ...{ host: from, incarnation: 1, failureDomain: "z", callerAddress: `${from}:80` },
+          ...{ state, revision: 1, listVersion: 1, listDigest: "d", reads, beatMs: 250 },
+        });
+      }
+    }
+  }
+
+  get readers(): string[] {
+    return this.#members.filter(({ turns }) => turns.isOwnTurn()).map(({ host }) => host);
+  }
+}
+
+describe("ReadTurns", () => {
+  it("has all processes read before any has", () => {
+    const fleet = new Fleet();
+    fleet.beat(HOSTS, {});
+    expect(fleet.readers).to.deep.equal(HOSTS);
+  });
+
+  it("has three processes read for all once they do", () => {
+    const fleet = new Fleet();
+    fleet.beat(HOSTS, FRESH);
+    expect(fleet.readers.length).to.equal(3);
+  });
+
+  const losses: readonly [name: string, reads: ReadAges][] = [
+    ["whose list is old", { configMs: 1_000, listMs: 1_700 }],
+    ["whose configuration is old", { configMs: 2_700, listMs: 300 }],
+  ];
+  for (const [name, reads] of losses) {
+    it(`doesn't rely on readers ${name}`, () => {
+      const fleet = new Fleet();
+      fleet.beat(HOSTS, FRESH);
+      const first = fleet.readers;
+      fleet.beat(first, reads);
+      const others = fleet.readers.filter((host) => !first.includes(host));
+      expect(others.length).to.equal(3);
+    });
+  }
+
+  it("replaces readers that fell silent before their reads would be too old", async () => {
+    const fleet = new Fleet();
+    fleet.beat(HOSTS, FRESH);
+    const first = fleet.readers;
+    const others = HOSTS.filter((host) => !first.includes(host));
+    for (let beat = 0; beat < 5; beat++) {
+      await fleet.clock.advance(250);
+      fleet.beat(others, FRESH);
+    }
+    expect(fleet.readers.filter((host) => others.includes(host)).length).to.equal(3);
+  });
+
+  it("doesn't rely on readers that leave", () => {
+    const fleet = new Fleet();
+    fleet.beat(HOSTS, FRESH);
+    const first = fleet.readers;
+    fleet.beat(first, FRESH, PeerState.Leaving);
+    expect(fleet.readers.filter((host) => !first.includes(host)).length).to.equal(3);
+  });
+
+  it("has a process read that hears no peer", async () => {
+    const fleet = new Fleet();
+    fleet.beat(HOSTS, FRESH);
+    await fleet.clock.advance(1_200);
+    expect(fleet.readers).to.deep.equal(HOSTS);
+  });
+});
