Keep log lines whole for a reader that falls behind, and count what is lost

Cause, found by the first test of the log bound with a reader that doesn't read: a write to a full pipe that ended with EAGAIN after a part of a batch left half a line, and the next batch was joined to it (JSON error at position 816). The rest is now written later. A line that told of lost ones was lost itself when the buffer was full, with its count (3025 told of 4527 lost); it now waits for room. A failed batch counted as one line, now as its lines. Ruled out: blocking (the flood of 5,000 lines ended with nobody reading). Test: fails on the old code, passes three times of three now.

--- a/packages/telemetry/src/BoundedLogger.ts
+++ b/packages/telemetry/src/BoundedLogger.ts
@@ -26,6 +26,11 @@
     this.#fd = fd;
   }
 
+  /** True while a short line surely fits. */
+  get hasRoom(): boolean {
+    return this.#pendingBytes < MAX_PENDING_BYTES / 2;
+  }
+
   override _write(chunk: Buffer, _encoding: string, done: () => void): void {
     if (this.#pendingBytes + chunk.length > MAX_PENDING_BYTES) {
       this.dropped += 1;
@@ -46,19 +51,27 @@
       return;
     }
     const data = Buffer.concat(this.#pending);
+    const lines = this.#pending.length;
     this.#pending = [];
     this.#pendingBytes = 0;
-    this.#writeAll(data);
+    this.#writeAll(data, lines);
   }
 
-  #writeAll(data: Buffer): void {
+  #writeAll(data: Buffer, lines: number): void {
     this.#isWriting = true;
     write(this.#fd, data, (err, written) => {
+      if (err?.code === "EAGAIN") {
+        // The reader is behind; what is left of a line must follow its beginning.
+        setTimeout(() => {
+          this.#writeAll(data, lines);
+        }, FLUSH_MS);
+        return;
+      }
       this.#isWriting = false;
       if (err) {
-        this.dropped += 1;
+        this.dropped += lines;
       } else if (written < data.length) {
-        this.#writeAll(data.subarray(written));
+        this.#writeAll(data.subarray(written), lines);
         return;
       }
       this.flush();
@@ -98,7 +111,7 @@
         return;
       }
       const lost = dropped + stream.dropped;
-      if (lost > 0) {
+      if (lost > 0 && stream.hasRoom) {
         dropped = 0;
         stream.dropped = 0;
         logger.log("warn", "log lines dropped", { step: "log", lost });
