--- a/packages/daemon/src/gateway/PeerExchange.ts
+++ b/packages/daemon/src/gateway/PeerExchange.ts
@@ -18,7 +18,8 @@
 const MAX_BEAT_MS = 1_000;
 /** Time after which a heartbeat carries all requests in flight again. */
 const SNAPSHOT_MS = 900;
-const MAX_GOSSIP_HOSTS = 64;
+/** Hosts named in a heartbeat; over time each one is. */
+const MAX_GOSSIP_HOSTS = 8;
 
 const identitySchema = z.object({
   host: z.string(),
@@ -42,6 +43,7 @@
   incarnation: z.number(),
   seq: z.number().int(),
   changed: z.array(loadItemSchema),
+  writing: z.array(z.string()),
   ended: z.array(z.string()),
 });
 const strikeSchema = z.object({ fingerprint: z.string(), upstream: z.string() });
@@ -57,6 +59,7 @@
   readonly #onPeer: (peer: PeerIdentity) => void;
   #seq = 0;
   #snapshotMs = -Infinity;
+  #gossipAt = 0;
   #live = new Set<string>();
   #cancel: Cancel = () => undefined;
 
@@ -138,13 +141,20 @@
     this.#snapshotMs = hasItems ? now : this.#snapshotMs;
     const beat: z.input<typeof beatSchema> = {
       identity: { ...this.#getIdentity(), beatMs: this.#beatMs },
-      hosts: hasItems ? hosts.slice(0, MAX_GOSSIP_HOSTS) : [],
+      hosts: hasItems ? this.#nextGossip(hosts) : [],
       seq: this.#seq,
       ...(hasItems ? { items: [...this.#getBoard().own] } : {}),
     };
     this.#channel.notify("node.beat", beat, hosts);
   }
 
+  /** Hosts to name next, in turns. */
+  #nextGossip(hosts: readonly string[]): string[] {
+    const start = this.#gossipAt < hosts.length ? this.#gossipAt : 0;
+    this.#gossipAt = start + MAX_GOSSIP_HOSTS;
+    return hosts.slice(start, this.#gossipAt);
+  }
+
   #onBeat({ identity, hosts, seq, items }: z.output<typeof beatSchema>, from: string): void {
     if (identity.host !== from) {
       return;
--- a/packages/forwarding/src/ForwardJob.ts
+++ b/packages/forwarding/src/ForwardJob.ts
@@ -309,10 +309,7 @@
   #onFirstEvent(place: Place): void {
     const { board, clock, logger } = this.#parts;
     this.#firstMs ??= clock.now() - this.#req.receivedMs;
-    const item = board.own.find(({ id }) => id === this.#req.head.attemptId);
-    if (item) {
-      board.setOwn({ ...item, phase: "writing" });
-    }
+    board.startWriting(this.#req.head.attemptId);
     logger.info("first event", {
       ...{ requestId: this.#req.head.attemptId, step: "first_token", peer: place.writer.id },
       ms: Math.round(this.#firstMs),
--- a/packages/forwarding/src/LoadBoard.ts
+++ b/packages/forwarding/src/LoadBoard.ts
@@ -1,6 +1,12 @@
 import type { Clock } from "@lycheepulley/core";
 
-import { sumLoads, type LoadItem, type TimedLoadItem, type UpstreamLoad } from "./load.js";
+import {
+  LoadPhase,
+  sumLoads,
+  type LoadItem,
+  type TimedLoadItem,
+  type UpstreamLoad,
+} from "./load.js";
 
 /** Loads of a peer that was silent for longer are left out. */
 const PEER_SILENCE_MS = 1_500;
@@ -17,6 +23,8 @@
 /** Changes of one process's requests in flight since its last message. */
 export interface LoadChange {
   readonly changed: readonly LoadItem[];
+  /** Ids of requests whose first event came. */
+  readonly writing: readonly string[];
   readonly ended: readonly string[];
 }
 
@@ -39,12 +47,21 @@
   /** Records a request of this process in its present phase. */
   setOwn(item: LoadItem): void {
     this.#own.set(item.id, { ...item, sinceMs: this.#clock.now() });
-    this.#onOwnChange({ changed: [item], ended: [] });
+    this.#onOwnChange({ changed: [item], writing: [], ended: [] });
+  }
+
+  /** Records that a request of this process had its first event. */
+  startWriting(id: string): void {
+    const item = this.#own.get(id);
+    if (item && item.phase !== LoadPhase.Writing) {
+      this.#own.set(id, { ...item, phase: LoadPhase.Writing, sinceMs: this.#clock.now() });
+      this.#onOwnChange({ changed: [], writing: [id], ended: [] });
+    }
   }
 
   removeOwn(id: string): void {
     if (this.#own.delete(id)) {
-      this.#onOwnChange({ changed: [], ended: [id] });
+      this.#onOwnChange({ changed: [], writing: [], ended: [id] });
     }
   }
 
@@ -58,6 +75,12 @@
     change.changed.forEach((item) => {
       this.#setPeerItem(loads, item);
     });
+    for (const id of change.writing) {
+      const item = loads.items.get(id);
+      if (item) {
+        this.#setPeerItem(loads, { ...item, phase: LoadPhase.Writing });
+      }
+    }
     change.ended.forEach((id) => loads.items.delete(id));
   }
 
--- a/packages/forwarding/src/Placer.ts
+++ b/packages/forwarding/src/Placer.ts
@@ -160,12 +160,12 @@
       phase: plan ? "reading" : "writing",
       upstream: writer.id,
       helpers: plan?.helpers.map(({ id }) => id) ?? [],
-      readMs: plan?.readMs ?? 0,
+      readMs: Math.ceil(plan?.readMs ?? 0),
       kvTokens: getKvTokens(req, plan),
       heldTokens: plan ? [...plan.heldTokens] : [],
       maxGapMs: request?.maxGapMs ?? DEFAULT_GAP_MS,
-      targetLeftMs: request?.targetLeftMs ?? 0,
-      value: request?.value ?? 1,
+      targetLeftMs: Math.round(request?.targetLeftMs ?? 0),
+      value: Number((request?.value ?? 1).toFixed(2)),
     });
   }
 }
--- a/packages/forwarding/src/views.test.ts
+++ b/packages/forwarding/src/views.test.ts
@@ -5,7 +5,7 @@
 import { FleetView } from "./FleetView.js";
 import { LapseGuard } from "./LapseGuard.js";
 import { sumLoads } from "./load.js";
-import { LoadBoard } from "./LoadBoard.js";
+import { LoadBoard, type LoadChange } from "./LoadBoard.js";
 import { PeerTable, type PeerIdentity, type PeerState } from "./PeerTable.js";
 import { ManualClock } from "./testing/ManualClock.js";
 import { newConfig, newItem, newUpstream } from "./testing/samples.js";
@@ -157,14 +157,35 @@
 
   it("drops a peer's message that was overtaken by a newer one", () => {
     const { board } = newBoard();
-    board.applyPeerChange("n", 2, { changed: [], ended: ["1"] });
-    board.applyPeerChange("n", 1, { changed: [newItem("1")], ended: [] });
+    board.applyPeerChange("n", 2, { changed: [], writing: [], ended: ["1"] });
+    board.applyPeerChange("n", 1, { changed: [newItem("1")], writing: [], ended: [] });
     expect(board.getLoads().size).to.equal(0);
   });
 
+  it("tells peers once, and only by its id, that a request had its first event", () => {
+    const changes: LoadChange[] = [];
+    const clock = new ManualClock();
+    const sender = new LoadBoard({ clock, onOwnChange: (change) => changes.push(change) });
+    const receiver = new LoadBoard({ clock, onOwnChange: () => undefined });
+    sender.setOwn(newItem("1", { phase: "reading", readMs: 100 }));
+    sender.startWriting("1");
+    sender.startWriting("1");
+    sender.startWriting("unknown");
+    changes.forEach((change, seq) => {
+      receiver.applyPeerChange("n", seq, change);
+    });
+    expect(changes.slice(1)).to.deep.equal([{ changed: [], writing: ["1"], ended: [] }]);
+    expect(receiver.getLoads().get("u0")).to.include({ pendingReadMs: 0, inFlight: 1 });
+    expect(receiver.getLoads().get("u0")?.writers.length).to.equal(1);
+  });
+
   it("repairs a lost message with the next snapshot", () => {
     const { board } = newBoard();
-    board.applyPeerChange("n", 1, { changed: [newItem("1"), newItem("2")], ended: [] });
+    board.applyPeerChange("n", 1, {
+      changed: [newItem("1"), newItem("2")],
+      writing: [],
+      ended: [],
+    });
     board.replacePeer("n", 4, [newItem("2"), newItem("3")]);
     expect(board.getLoads().get("u0")?.inFlight).to.equal(2);
   });
@@ -172,7 +193,7 @@
   it("forgets what a silent peer had in flight", async () => {
     const { clock, board } = newBoard();
     board.setOwn(newItem("own"));
-    board.applyPeerChange("n", 1, { changed: [newItem("1")], ended: [] });
+    board.applyPeerChange("n", 1, { changed: [newItem("1")], writing: [], ended: [] });
     expect(board.getLoads().get("u0")?.inFlight).to.equal(2);
     await clock.advance(2_000);
     expect(board.getLoads().get("u0")?.inFlight).to.equal(1);
