Raise the risk share to 0.85 and the least part to 8,000 tokens

Cause: placement spread prompts of 24,000 tokens over up to eight readers, each of which stretches a pause elsewhere, and avoided places where a writer's pause came near its aim but not beyond.

--- a/packages/forwarding/src/placement.ts
+++ b/packages/forwarding/src/placement.ts
@@ -7,7 +7,7 @@
 /** A late answer loses about this share of what it is worth. */
 const LATE_LOSS = 0.75;
 /** Share of an objective at which it begins to be at risk. */
-const RISK_SHARE = 0.7;
+const RISK_SHARE = 0.85;
 /** Weight of the time to the first event while it is within its objective. */
 const SPEED_WEIGHT = 0.25;
 /** Cost of the first writer with short pauses on an upstream that has none. */
@@ -25,7 +25,7 @@
 /** Cost of an upstream's failures, by its failure rate. */
 const FAILURE_COST = 2;
 /** Parts smaller than this aren't worth another member. */
-const MIN_PART_TOKENS = 3_000;
+const MIN_PART_TOKENS = 8_000;
 
 /** An upstream that may take the request. */
 export interface PlacementCandidate {
