Add a fault soak of real processes on the platform's stand-ins

Promises are checked against what callers and workers saw: at most once, 503 only for what didn't run, whole own answers, whole streams, nothing unasked, no request to a worker that left, no end of a process that nobody asked for.

--- /dev/null
+++ b/packages/cli/src/commands/faultSoak.ts
@@ -0,0 +1,37 @@
+import { runFaultSoak } from "@lycheepulley/platform/soak";
+
+import { ExitCode, type Command } from "../Command.js";
+import { JSON_FLAG } from "../flags.js";
+
+const DEFAULT_SECONDS = 20;
+
+/** Plays a seeded schedule of faults on the users' platform's stand-ins. */
+export const faultSoakCommand: Command = {
+  name: "fault-soak",
+  summary: "Disrupt real processes on stand-ins of the users' platform and check the promises",
+  flags: {
+    seed: { type: "number", default: 1, help: "Seed of load and faults" },
+    seconds: { type: "number", default: DEFAULT_SECONDS, help: "Time of load" },
+    json: JSON_FLAG,
+  },
+  example: "lycheepulley fault-soak --seed 3 --seconds 20",
+  run: async (ctx) => {
+    const report = await runFaultSoak({
+      seed: ctx.getNumber("seed"),
+      seconds: ctx.getNumber("seconds"),
+    });
+    if (ctx.getBoolean("json")) {
+      ctx.printJson(report);
+    } else {
+      const { seed, requests, answers, faults, violations, logs } = report;
+      ctx.print(`seed ${String(seed)}: ${String(requests)} requests`);
+      ctx.print(`answers by status: ${JSON.stringify(answers)}`);
+      ctx.print(`faults: ${JSON.stringify(faults)}`);
+      ctx.print(`violations: ${String(violations.length)}${logs ? `, logs in ${logs}` : ""}`);
+      violations.forEach(({ rule, attempt, detail }) => {
+        ctx.print(`  ${rule} ${attempt}: ${detail}`);
+      });
+    }
+    return report.violations.length === 0 ? ExitCode.Done : ExitCode.Failed;
+  },
+};
--- a/packages/cli/src/registry.ts
+++ b/packages/cli/src/registry.ts
@@ -12,6 +12,7 @@
 import { fateCommand } from "./commands/fate.js";
 import { drainCommand, nodesCommand, upstreamsCommand } from "./commands/nodes.js";
 import { overheadCommand } from "./commands/overhead.js";
+import { faultSoakCommand } from "./commands/faultSoak.js";
 import { platformDemoCommand } from "./commands/platformDemo.js";
 import { standinCommand } from "./commands/standin.js";
 
@@ -33,6 +34,7 @@
   blockLiftCommand,
   benchCommand,
   demoCommand,
+  faultSoakCommand,
   platformDemoCommand,
   overheadCommand,
   standinCommand,
