--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -12,7 +12,7 @@
   PeerTable,
   ReadTurns,
   RetryWindow,
-  sampleAddresses,
+  sample,
   TicketKeeper,
   UpstreamHealth,
   type Dialect,
@@ -145,7 +145,8 @@
   getAddresses(most: number): string[] {
     const addresses = this.#peers.getServing().map(({ callerAddress }) => callerAddress);
     const own = this.isReady ? [this.#getIdentity().callerAddress] : [];
-    return sampleAddresses([...own, ...addresses], most, this.#random);
+    // Processes that answer for a large fleet mustn't all name the same part of it.
+    return sample([...own, ...addresses], most, this.#random);
   }
 
   async start(): Promise<void> {
--- a/packages/forwarding/src/Placer.ts
+++ b/packages/forwarding/src/Placer.ts
@@ -14,6 +14,7 @@
   type PlacementPlan,
   type PlacementRequest,
 } from "./placement.js";
+import { sample } from "./sample.js";
 import type { ForwardRequest } from "./types.js";
 import type { UpstreamHealth } from "./UpstreamHealth.js";
 
@@ -22,6 +23,11 @@
 /** Share of the slack before the objective that a prompt may wait for room. */
 const HOLD_SHARE = 0.5;
 const RECHECK_MS = 15;
+/**
+ * Upstreams among which one request chooses. Many processes that choose at the
+ * same moment from a larger pool would all take the same one.
+ */
+const MAX_CANDIDATES = 24;
 /** Pause between events assumed for routes that state none. */
 const DEFAULT_GAP_MS = 1_000;
 
@@ -146,7 +152,9 @@
     const untried = available.filter(({ id }) => !excluded.has(id));
     const active = this.#health.selectActive(untried.length > 0 ? untried : available);
     const loads = this.#board.getLoads();
-    return active.map((upstream) => ({
+    const considered =
+      active.length > MAX_CANDIDATES ? sample(active, MAX_CANDIDATES, this.#random) : active;
+    return considered.map((upstream) => ({
       upstream,
       load: loads.get(upstream.id) ?? newUpstreamLoad(),
       failureRate: this.#health.getFailureRate(upstream.id),
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -1,4 +1,3 @@
-export * from "./callerAddresses.js";
 export * from "./CrashBook.js";
 export * from "./engineModel.js";
 export * from "./EventSplitter.js";
@@ -16,6 +15,7 @@
 export * from "./Placer.js";
 export * from "./RetryWindow.js";
 export * from "./RouteTable.js";
+export * from "./sample.js";
 export * from "./Send.js";
 export * from "./TicketKeeper.js";
 export * from "./types.js";
--- a/packages/forwarding/src/views.test.ts
+++ b/packages/forwarding/src/views.test.ts
@@ -1,12 +1,12 @@
 import { expect } from "chai";
 import { SeededRandom } from "@lycheepulley/core";
 
-import { sampleAddresses } from "./callerAddresses.js";
 import { FleetView } from "./FleetView.js";
 import { LapseGuard } from "./LapseGuard.js";
 import { sumLoads } from "./load.js";
 import { LoadBoard, type LoadChange } from "./LoadBoard.js";
 import { PeerTable, type PeerIdentity, type PeerState } from "./PeerTable.js";
+import { sample } from "./sample.js";
 import { ManualClock } from "./testing/ManualClock.js";
 import { newConfig, newItem, newUpstream } from "./testing/samples.js";
 
@@ -218,14 +218,14 @@
   }
 });
 
-describe("sampleAddresses", () => {
+describe("sample", () => {
   const fleet = Array.from({ length: 86 }, (_, index) => `10.0.0.${String(index)}:80`);
 
   it("names each process of a fleet too large for one answer about as often", () => {
     const random = new SeededRandom(5);
     const counts = new Map<string, number>();
     for (let i = 0; i < 500; i++) {
-      const picked = sampleAddresses(fleet, 64, random);
+      const picked = sample(fleet, 64, random);
       expect(new Set(picked).size).to.equal(64);
       picked.forEach((address) => counts.set(address, (counts.get(address) ?? 0) + 1));
     }
@@ -233,7 +233,7 @@
   });
 
   it("names all of a small fleet", () => {
-    const picked = sampleAddresses(fleet.slice(0, 6), 64, new SeededRandom(5));
+    const picked = sample(fleet.slice(0, 6), 64, new SeededRandom(5));
     expect(picked).to.have.members(fleet.slice(0, 6));
   });
 });
