--- a/packages/cli/src/commands/faultSoak.ts
+++ b/packages/cli/src/commands/faultSoak.ts
@@ -3,7 +3,7 @@
 import { ExitCode, type Command } from "../Command.js";
 import { JSON_FLAG } from "../flags.js";
 
-const DEFAULT_SECONDS = 30;
+const DEFAULT_SECONDS = 40;
 
 /** Plays a seeded schedule of faults on the users' platform's stand-ins. */
 export const faultSoakCommand: Command = {
