--- /dev/null
+++ b/packages/forwarding/src/testing/ForwardStory.ts
@@ -0,0 +1,101 @@
+import { SeededRandom, sleep } from "@lycheepulley/core";
+import { newSilentLogger } from "@lycheepulley/telemetry";
+import { CrashBook } from "../CrashBook.js";
+import type { Route } from "../fleetConfig.js";
+import { FleetView } from "../FleetView.js";
+import { Forwarder } from "../Forwarder.js";
+import { LoadBoard } from "../LoadBoard.js";
+import { RetryWindow } from "../RetryWindow.js";
+import { FakeCaller, FakeDialect, FakeTransport } from "./FakeUpstreams.js";
+import { ManualClock } from "./ManualClock.js";
+import { newConfig, newRoute, newUpstream } from "./samples.js";
+import { TicketKeeper } from "../TicketKeeper.js";
+import { UpstreamHealth } from "../UpstreamHealth.js";
+
+export const STREAM: Partial<Route> = { isStream: true, isResumable: true, maxGapMs: 250 };
+export const SAFE: Partial<Route> = { repeat: "idempotent", targetMs: 150, timeoutMs: 1_000 };
+export const UNSAFE: Partial<Route> = { timeoutMs: 1_000 };
+
+/** One process with fakes around it, and requests sent through it. */
+export class Story {
+  readonly clock = new ManualClock();
+  readonly transport = new FakeTransport();
+  readonly caller = new FakeCaller();
+  readonly view = new FleetView();
+  readonly board = new LoadBoard({ clock: this.clock, onOwnChange: () => undefined });
+  readonly orders: string[] = [];
+  isUpstreamAlive = true;
+  hasMemory = true;
+  /** Orders for memory get no answer until this long has passed. */
+  reserveMs = 0;
+  readonly #abort = new AbortController();
+  readonly #forwarder: Forwarder;
+
+  constructor(upstreams = ["u0", "u1", "u2"]) {
+    const { clock, transport, view, board } = this;
+    const logger = newSilentLogger();
+    view.applyConfig(newConfig());
+    const list = upstreams.map((id, index) => newUpstream(id, { port: index + 1 }));
+    view.applyUpstreams({ version: 1, upstreams: list }, 0, new Set());
+    const control = {
+      isAlive: () => Promise.resolve(this.isUpstreamAlive),
+      reserve: (upstream: { id: string }, ticket: { id: string }) => {
+        this.orders.push(`reserve ${upstream.id} ${ticket.id}`);
+        return sleep(this.clock, this.reserveMs).then(() => this.hasMemory);
+      },
+      release: (upstream: { id: string }, id: string) => {
+        this.orders.push(`release ${upstream.id} ${id}`);
+        return Promise.resolve();
+      },
+    };
+    this.#forwarder = new Forwarder({
+      ...{ clock, transport, view, board, logger, control },
+      random: new SeededRandom(1),
+      health: new UpstreamHealth(clock),
+      retries: new RetryWindow({
+        clock,
+        bounds: { ratio: 0.2, windowMs: 10_000, slack: 100 },
+        getProcesses: () => 6,
+      }),
+      crashes: new CrashBook({ clock, onStrike: () => undefined }),
+      tickets: new TicketKeeper({ clock, control, logger }),
+      dialect: new FakeDialect(),
+      onEnd: () => undefined,
+    });
+  }
+
+  /** Takes a request; resolves once it was sent or answered. */
+  async request(route: Partial<Route>, promptTokens = 0): Promise<void> {
+    void this.#forwarder.forward(
+      {
+        head: {
+          ...{ attemptId: "a1", method: "POST", path: "/a/", host: "a.example", headers: [] },
+          ...{ deadlineMs: 10_000, apiKey: undefined, promptTokens, outputTokens: 100 },
+          lastEventId: undefined,
+        },
+        route: newRoute(route),
+        ...{ body: Buffer.from("body"), customer: undefined, priority: 1, revision: 1 },
+        ...{ receivedMs: this.clock.now(), fingerprint: "f", signal: this.#abort.signal },
+      },
+      this.caller,
+    );
+    await this.settle();
+  }
+
+  async settle(): Promise<void> {
+    await this.clock.advance(0);
+  }
+
+  async leave(): Promise<void> {
+    this.#abort.abort();
+    await this.settle();
+  }
+
+  get sentTo(): string[] {
+    return this.transport.calls.map(({ req }) => req.headers[1] ?? "");
+  }
+
+  get resumedAfter(): string | undefined {
+    return this.transport.last.req.headers[3];
+  }
+}
