--- a/eslint.config.js
+++ b/eslint.config.js
@@ -13,6 +13,7 @@
   services: ["core", "http"],
   nodes: ["core", "http", "streams"],
   forwarding: ["core", "telemetry"],
+  simulation: ["core", "forwarding", "telemetry"],
   upstreams: ["core", "forwarding"],
   callers: ["core", "http", "telemetry", "forwarding"],
   serving: [
@@ -69,6 +70,7 @@
     "operators",
     "daemon",
     "serving",
+    "simulation",
     "standins",
     "tools",
     "telemetry",
--- a/packages/forwarding/src/ForwardJob.ts
+++ b/packages/forwarding/src/ForwardJob.ts
@@ -1,5 +1,6 @@
 import { sleep } from "@lycheepulley/core";
 
+import { AnswerTimeline } from "./AnswerTimeline.js";
 import type { Upstream } from "./fleetConfig.js";
 import type { ForwardDependencies } from "./forwardDependencies.js";
 import { decideNext, NextStep, SendResult, type SendOutcome } from "./outcomes.js";
@@ -7,6 +8,7 @@
 import { Send, type AnswerProgress } from "./Send.js";
 import { getDeadlineAtMs, getStallTimeouts, getUrgency, orderHelpers } from "./sendParameters.js";
 import { raceDeadline, NOT_SETTLED } from "./raceDeadline.js";
+import { RequestLog } from "./RequestLog.js";
 import type { Reservations } from "./ReservationManager.js";
 import type { AnswerWriter, ForwardRequest } from "./types.js";
 import { UpstreamResult } from "./UpstreamHealth.js";
@@ -16,6 +18,8 @@
 const MARGIN_MS = 20;
 const NO_UPSTREAM_RETRY_AFTER_MS = 500;
 const REJECTED_RETRY_AFTER_MS = 250;
+/** Share of the time to return by which it varies. */
+const RETURN_SPREAD = 0.5;
 /** Pause after KV memory that a plan counted on was taken by another request. */
 const NO_MEMORY_PAUSE_MS = 60;
 /** Results that say nothing about the health of the upstream. */
@@ -35,10 +39,11 @@
   readonly #deadlineAtMs: number;
   readonly #excluded = new Set<string>();
   readonly #progress: AnswerProgress;
+  readonly #timeline: AnswerTimeline;
+  readonly #log: RequestLog;
   #sends = 0;
   #unsentSends = 0;
   #mayHaveRun = false;
-  #firstMs: number | undefined;
 
   constructor(options: {
     deps: ForwardDependencies;
@@ -52,6 +57,8 @@
     this.#writer = options.writer;
     this.#pool = this.#pickPool();
     this.#deadlineAtMs = getDeadlineAtMs(options.req);
+    this.#log = new RequestLog(options.deps.logger, options.req);
+    this.#timeline = new AnswerTimeline(options.req.receivedMs, options.req.route);
     this.#progress = {
       lastEventId: options.req.head.lastEventId,
       isHeadSent: false,
@@ -71,6 +78,7 @@
         req: this.#req,
         pool: this.#pool,
         excluded: this.#excluded,
+        timeline: this.#timeline,
         deadlineAtMs: this.#deadlineAtMs,
       });
       if (typeof placement === "string") {
@@ -125,8 +133,8 @@
     const send = new Send({
       ...{ clock, dialect, req, writer: this.#writer, progress: this.#progress },
       timeouts: getStallTimeouts(req.route, placement, this.#sends + 1 >= req.route.maxAttempts),
-      onFirstEvent: () => {
-        this.#onFirstEvent(placement);
+      onEvents: () => {
+        this.#onEvents(placement);
       },
       isAlive: () => this.#deps.control.isAlive(placement.upstream),
     });
@@ -135,10 +143,11 @@
       upstreamId: placement.upstream.id,
       customer: req.customer,
       lastEventId: this.#progress.lastEventId,
-      urgency: placement.request ? getUrgency(placement.request.maxGapMs) : undefined,
+      urgency: getUrgency(placement),
       helpers: orderHelpers(placement, reservations),
     });
-    this.#logSend(placement, now);
+    const { listedMs } = this.#deps.view;
+    this.#log.logSend(placement, { sends: this.#sends, nowMs: now, listedMs });
     const call = transport.open(
       {
         ...{ host: placement.upstream.host, port: placement.upstream.port },
@@ -174,7 +183,7 @@
 
   /** Records the outcome of a send and takes the next step. */
   #handleOutcome(placement: Placement, outcome: SendOutcome): NextStep {
-    const { clock, retryBudget, logger } = this.#deps;
+    const { clock, retryBudget } = this.#deps;
     this.#countSend(outcome);
     this.#updateHealth(placement.upstream, outcome);
     const next = decideNext(this.#req.route, outcome, {
@@ -184,10 +193,8 @@
       timeLeftMs: this.#deadlineAtMs - clock.now(),
       trySpend: () => retryBudget.trySpend(this.#pool),
     });
-    logger.info("send ended", {
-      ...{ requestId: this.#req.head.attemptId, step: "send", peer: placement.upstream.id },
-      ...{ result: outcome.result, reason: outcome.reason, next, sends: this.#sends },
-      ms: Math.round(clock.now() - this.#req.receivedMs),
+    this.#log.logSendEnd(placement.upstream.id, outcome, {
+      ...{ next, sends: this.#sends, nowMs: clock.now() },
     });
     this.#performStep(next, outcome);
     return next;
@@ -222,7 +229,7 @@
 
   /** Updates the upstream's health, the request's crashes and the excluded upstreams after a send. */
   #updateHealth(upstream: Upstream, outcome: SendOutcome): void {
-    const { health, view, crashes, logger } = this.#deps;
+    const { health, view, crashes } = this.#deps;
     const { result, reason, faultAddress } = outcome;
     const { fingerprint } = this.#req;
     if (result === SendResult.Delivered) {
@@ -249,7 +256,7 @@
       crashes.recordCrash(fingerprint, faulty.id);
     }
     if (health.record(faulty.id, healthResult)) {
-      logger.info("upstream ejected", { step: "send", peer: faulty.id, reason });
+      this.#log.logEjection(faulty.id, reason);
     }
   }
 
@@ -259,10 +266,19 @@
     } else if (this.#mayHaveRun) {
       this.#fail({ result: SendResult.TimedOut, reason });
     } else {
-      this.#reject(reason, NO_UPSTREAM_RETRY_AFTER_MS);
+      this.#reject(reason, this.#getRetryAfterMs(reason));
     }
   }
 
+  /** Rejected prompts come back when room is expected, at unlike times, so that they don't return all at once. */
+  #getRetryAfterMs(reason: PlacementFailure): number {
+    if (reason !== PlacementFailure.Overloaded) {
+      return NO_UPSTREAM_RETRY_AFTER_MS;
+    }
+    const roomMs = Math.max(NO_UPSTREAM_RETRY_AFTER_MS, this.#placer.getRoomMs(this.#pool));
+    return roomMs * (1 + RETURN_SPREAD * this.#deps.random.next());
+  }
+
   #reject(reason: string, retryAfterMs: number): void {
     if (this.#progress.isHeadSent) {
       this.#writer.abort();
@@ -295,41 +311,27 @@
   }
 
   #end(result: string, reason?: string): void {
-    const { clock, logger, onEnd } = this.#deps;
+    const { clock, onEnd } = this.#deps;
     const totalMs = clock.now() - this.#req.receivedMs;
-    const { route, head } = this.#req;
-    logger.info("request ended", {
-      ...{ requestId: head.attemptId, step: "reply", route: route.name, result, reason },
-      ...{ sends: this.#sends, ms: Math.round(totalMs) },
-    });
-    const { name } = route;
-    onEnd({ route: name, result, firstMs: this.#firstMs, totalMs, sends: this.#sends });
+    const sends = this.#sends;
+    this.#log.logEnd(this.#timeline, { result, reason, sends, totalMs });
+    const { firstMs } = this.#timeline;
+    onEnd({ route: this.#req.route.name, result, firstMs, totalMs, sends });
   }
 
-  #onFirstEvent(placement: Placement): void {
-    const { loadTracker, clock, logger } = this.#deps;
-    this.#firstMs ??= clock.now() - this.#req.receivedMs;
-    loadTracker.startWriting(this.#req.head.attemptId);
-    logger.info("first event received", {
-      ...{ requestId: this.#req.head.attemptId, step: "first_token", peer: placement.upstream.id },
-      ms: Math.round(this.#firstMs),
-      expectedMs: Math.round(placement.waitedMs + (placement.plan?.firstEventMs ?? 0)),
-    });
-  }
-
-  #logSend(placed: Placement, now: number): void {
-    const { view, logger } = this.#deps;
-    const { head, route, revision, receivedMs, customer } = this.#req;
-    logger.info("sent to upstream", {
-      ...{ requestId: head.attemptId, step: "send", peer: placed.upstream.id, route: route.name },
-      ...{ customer, tokens: head.promptTokens, revision, sends: this.#sends },
-      helpers: placed.plan?.helpers.map(({ id }) => id) ?? [],
-      held: placed.plan?.heldTokens.filter((tokens) => tokens > 0).length ?? 0,
-      expectedMs: Math.round(placed.plan?.firstEventMs ?? 0),
-      loss: Number((placed.plan?.loss ?? 0).toFixed(2)),
-      listAgeMs: Math.round(now - view.listedMs),
-      waitedMs: Math.round(now - receivedMs),
-    });
+  #onEvents(placement: Placement): void {
+    const { loadTracker, clock } = this.#deps;
+    const { attemptId } = this.#req.head;
+    const isFirst = this.#timeline.firstMs === undefined;
+    const now = clock.now();
+    this.#timeline.record(now);
+    loadTracker.startWriting(attemptId);
+    if (this.#timeline.getTargetLeftMs(now) <= 0) {
+      loadTracker.markLate(attemptId);
+    }
+    if (isFirst) {
+      this.#log.logFirstEvent(placement, this.#timeline);
+    }
   }
 
   #pickPool(): string {
--- a/packages/forwarding/src/LoadTracker.ts
+++ b/packages/forwarding/src/LoadTracker.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "@lycheepulley/core";
 
 import {
+  isPastObjective,
   LoadPhase,
   sumLoads,
   type LoadItem,
@@ -54,11 +55,21 @@
   startWriting(id: string): void {
     const item = this.#own.get(id);
     if (item && item.phase !== LoadPhase.Writing) {
-      this.#own.set(id, { ...item, phase: LoadPhase.Writing, sinceMs: this.#clock.now() });
+      this.#own.set(id, this.#newWriting(item));
       this.#onOwnChange({ changed: [], writing: [id], ended: [] });
     }
   }
 
+  /** Records that a gap of a request of this process missed its objective. */
+  markLate(id: string): void {
+    const item = this.#own.get(id);
+    if (item && !item.isLate) {
+      const late = { ...item, isLate: true };
+      this.#own.set(id, late);
+      this.#onOwnChange({ changed: [late], writing: [], ended: [] });
+    }
+  }
+
   removeOwn(id: string): void {
     if (this.#own.delete(id)) {
       this.#onOwnChange({ changed: [], writing: [], ended: [id] });
@@ -77,8 +88,8 @@
     });
     for (const id of change.writing) {
       const item = loads.items.get(id);
-      if (item) {
-        this.#setPeerItem(loads, { ...item, phase: LoadPhase.Writing });
+      if (item && item.phase !== LoadPhase.Writing) {
+        loads.items.set(id, this.#newWriting(item));
       }
     }
     change.ended.forEach((id) => loads.items.delete(id));
@@ -136,6 +147,12 @@
     return loads;
   }
 
+  #newWriting(item: TimedLoadItem): TimedLoadItem {
+    const now = this.#clock.now();
+    const isLate = isPastObjective(item, now);
+    return { ...item, phase: LoadPhase.Writing, isLate, sinceMs: now };
+  }
+
   #setPeerItem(loads: PeerLoads, item: LoadItem): void {
     const known = loads.items.get(item.id);
     const isSame = known?.phase === item.phase && known.upstream === item.upstream;
--- a/packages/forwarding/src/Placer.test.ts
+++ b/packages/forwarding/src/Placer.test.ts
@@ -1,6 +1,7 @@
 import { SeededRandom } from "@lycheepulley/core";
 import { expect } from "chai";
 
+import { AnswerTimeline } from "./AnswerTimeline.js";
 import { FleetView } from "./FleetView.js";
 import { LoadTracker } from "./LoadTracker.js";
 import { Placer } from "./Placer.js";
@@ -28,6 +29,7 @@
     tracker.replacePeer("peer", 1, items);
     const health = new UpstreamHealth(clock);
     const placer = new Placer({ clock, random, view, loadTracker: tracker, health });
+    const route = newRoute({ isStream: true, maxGapMs: 250 });
     const placement = await placer.find({
       req: {
         head: {
@@ -41,11 +43,12 @@
           ...{ deadlineMs: 10_000, apiKey: undefined, promptTokens: 5_000, outputTokens: 430 },
           lastEventId: undefined,
         },
-        route: newRoute({ isStream: true, maxGapMs: 250 }),
+        route,
         ...{ body: Buffer.alloc(0), customer: undefined, priority: 1, revision: 1 },
         ...{ receivedMs: 0, fingerprint: "f", signal: new AbortController().signal },
       },
       ...{ pool: "p", excluded: new Set<string>(), deadlineAtMs: 5_000 },
+      timeline: new AnswerTimeline(0, route),
     });
     if (typeof placement !== "string") {
       counts.set(placement.upstream.id, (counts.get(placement.upstream.id) ?? 0) + 1);
--- a/packages/forwarding/src/Placer.ts
+++ b/packages/forwarding/src/Placer.ts
@@ -1,11 +1,15 @@
 import { sleep, type Clock, type Random } from "@lycheepulley/core";
 
+import { AdmissionControl, getBusyShare, getRoomMs, getWorkMs } from "./AdmissionControl.js";
+import type { AnswerTimeline } from "./AnswerTimeline.js";
 import type { EngineSpec, Route, Upstream } from "./fleetConfig.js";
 import type { FleetView } from "./FleetView.js";
-import { newUpstreamLoad } from "./load.js";
+import { getReadMs } from "./engineModel.js";
+import { estimateValue } from "./lateness.js";
+import { LoadPhase, newUpstreamLoad, type LoadItem } from "./load.js";
 import type { LoadTracker } from "./LoadTracker.js";
 import {
-  estimateValue,
+  isExpectedLate,
   MAX_HELPERS,
   planIdle,
   pickServiceUpstream,
@@ -44,6 +48,8 @@
 export const PlacementFailure = {
   NoUpstream: "no_upstream",
   TimeOver: "time_over",
+  /** The fleet is busy, and other requests are worth more for the same work. */
+  Overloaded: "overloaded",
   Cancelled: "cancelled",
 } as const;
 export type PlacementFailure = (typeof PlacementFailure)[keyof typeof PlacementFailure];
@@ -56,6 +62,8 @@
   readonly excluded: ReadonlySet<string>;
   /** Monotonic time of the request's deadline. */
   readonly deadlineAtMs: number;
+  /** Events that the caller received from earlier sends. */
+  readonly timeline: AnswerTimeline;
 }
 
 /** Chooses upstreams for requests; a prompt waits while it would delay others too much. */
@@ -65,6 +73,7 @@
   readonly #view: FleetView;
   readonly #loadTracker: LoadTracker;
   readonly #health: UpstreamHealth;
+  readonly #admission: AdmissionControl;
 
   constructor(options: {
     clock: Clock;
@@ -78,6 +87,12 @@
     this.#view = options.view;
     this.#loadTracker = options.loadTracker;
     this.#health = options.health;
+    this.#admission = new AdmissionControl(options.clock);
+  }
+
+  /** Time after which a rejected request should find room in a pool, milliseconds. */
+  getRoomMs(pool: string): number {
+    return getRoomMs(this.#getCandidates({ pool, excluded: new Set() }));
   }
 
   /** Resolves with a placement once there is an acceptable one, or with the reason for none. */
@@ -122,7 +137,10 @@
       if (candidates.length === 0) {
         return PlacementFailure.NoUpstream;
       }
-      const request = newPlacementRequest(req, now);
+      const request = newPlacementRequest(query, engine, now);
+      if (!this.#isAdmitted({ query, engine, request, candidates, isFirst: now === startMs })) {
+        return PlacementFailure.Overloaded;
+      }
       const plan = planPlacement(engine, request, candidates);
       if (plan && this.#isAcceptable({ query, engine, request, plan, candidates, now })) {
         return { upstream: plan.upstream, plan, request, waitedMs: now - startMs };
@@ -131,6 +149,26 @@
     }
   }
 
+  /** Decides once, when the prompt arrives or has to be sent again. */
+  #isAdmitted(options: {
+    query: PlacementQuery;
+    engine: EngineSpec;
+    request: PlacementRequest;
+    candidates: readonly PlacementCandidate[];
+    isFirst: boolean;
+  }): boolean {
+    const { query, engine, request, candidates, isFirst } = options;
+    if (!isFirst || query.timeline.firstMs !== undefined) {
+      return true;
+    }
+    const workMs = getWorkMs(engine, request);
+    const busyShare = getBusyShare(candidates, query.req.route.targetMs);
+    const prefillMs = getReadMs(engine, request.promptTokens);
+    const isAdmitted = this.#admission.admits(query.pool, request.value, prefillMs, busyShare);
+    this.#admission.record(query.pool, request.value, workMs);
+    return isAdmitted;
+  }
+
   #isAcceptable(options: {
     query: PlacementQuery;
     engine: EngineSpec;
@@ -150,7 +188,10 @@
     return now - receivedMs >= maxWaitMs;
   }
 
-  #getCandidates({ pool, excluded }: PlacementQuery): PlacementCandidate[] {
+  #getCandidates({
+    pool,
+    excluded,
+  }: Pick<PlacementQuery, "pool" | "excluded">): PlacementCandidate[] {
     const available = this.#view.getAvailable(pool);
     const untried = available.filter(({ id }) => !excluded.has(id));
     const active = this.#health.selectActive(untried.length > 0 ? untried : available);
@@ -165,22 +206,35 @@
   }
 
   #recordLoad({ req, pool }: PlacementQuery, { upstream, plan, request }: Placement): void {
+    const { attemptId } = req.head;
+    const isPrompt = plan !== undefined && request !== undefined;
     this.#loadTracker.setOwn({
-      id: req.head.attemptId,
-      pool,
-      phase: plan ? "reading" : "writing",
-      upstream: upstream.id,
-      helpers: plan?.helpers.map(({ id }) => id) ?? [],
-      readMs: Math.ceil(plan?.readMs ?? 0),
-      kvTokens: getKvTokens(req, plan),
-      heldTokens: plan ? [...plan.heldTokens] : [],
-      maxGapMs: request?.maxGapMs ?? DEFAULT_GAP_MS,
-      targetLeftMs: Math.round(request?.targetLeftMs ?? 0),
-      value: Number((request?.value ?? 1).toFixed(2)),
+      ...{ id: attemptId, pool, upstream: upstream.id, kvTokens: getKvTokens(req, plan) },
+      ...(isPrompt ? getPromptLoad(plan, request) : CALL_LOAD),
     });
   }
 }
 
+type RequestLoad = Omit<LoadItem, "id" | "pool" | "upstream" | "kvTokens">;
+
+/** Load of a call to a plain service, which has no phases, parts or events. */
+const CALL_LOAD: RequestLoad = {
+  ...{ phase: LoadPhase.Writing, helpers: [], readMs: 0, heldTokens: [], value: 1 },
+  ...{ maxGapMs: DEFAULT_GAP_MS, targetLeftMs: 0, deadlineLeftMs: 0, isLate: false },
+};
+
+const getPromptLoad = (plan: PlacementPlan, request: PlacementRequest): RequestLoad => ({
+  phase: LoadPhase.Reading,
+  helpers: plan.helpers.map(({ id }) => id),
+  readMs: Math.ceil(plan.readMs),
+  heldTokens: [...plan.heldTokens],
+  maxGapMs: request.maxGapMs,
+  targetLeftMs: Math.round(request.targetLeftMs),
+  deadlineLeftMs: Math.round(request.deadlineLeftMs),
+  value: Number(request.value.toFixed(2)),
+  isLate: isExpectedLate(plan, request),
+});
+
 const getKvTokens = (req: ForwardRequest, plan: PlacementPlan | undefined): number => {
   const held = plan?.heldTokens.reduce((sum, tokens) => sum + tokens, 0) ?? 0;
   return Math.max(0, req.head.promptTokens + req.head.outputTokens - held);
@@ -188,10 +242,15 @@
 
 const getGapMs = (route: Route): number => route.maxGapMs ?? DEFAULT_GAP_MS;
 
-const newPlacementRequest = (req: ForwardRequest, now: number): PlacementRequest => ({
+const newPlacementRequest = (
+  { req, deadlineAtMs, timeline }: PlacementQuery,
+  engine: EngineSpec,
+  now: number,
+): PlacementRequest => ({
   promptTokens: req.head.promptTokens,
   outputTokens: req.head.outputTokens,
   maxGapMs: getGapMs(req.route),
-  targetLeftMs: req.route.targetMs - (now - req.receivedMs),
+  targetLeftMs: timeline.getTargetLeftMs(now),
+  deadlineLeftMs: deadlineAtMs - now - req.head.outputTokens * engine.stepMs,
   value: estimateValue(req.head.promptTokens),
 });
--- /dev/null
+++ b/packages/forwarding/src/RequestLog.ts
@@ -0,0 +1,71 @@
+import type { Logger } from "@lycheepulley/telemetry";
+
+import type { AnswerTimeline } from "./AnswerTimeline.js";
+import type { NextStep, SendOutcome } from "./outcomes.js";
+import type { Placement } from "./Placer.js";
+import type { ForwardRequest } from "./types.js";
+
+/** Writes the log lines of one request's decisions. */
+export class RequestLog {
+  readonly #logger: Logger;
+  readonly #req: ForwardRequest;
+
+  constructor(logger: Logger, req: ForwardRequest) {
+    this.#logger = logger;
+    this.#req = req;
+  }
+
+  /** `listedMs` is the time at which the upstream list was current. */
+  logSend(placed: Placement, fields: { sends: number; nowMs: number; listedMs: number }): void {
+    const { head, route, revision, receivedMs, customer } = this.#req;
+    const { sends, nowMs, listedMs } = fields;
+    this.#logger.info("sent to upstream", {
+      ...{ requestId: head.attemptId, step: "send", peer: placed.upstream.id, route: route.name },
+      ...{ customer, tokens: head.promptTokens, revision, sends },
+      helpers: placed.plan?.helpers.map(({ id }) => id) ?? [],
+      held: placed.plan?.heldTokens.filter((tokens) => tokens > 0).length ?? 0,
+      expectedMs: Math.round(placed.plan?.firstEventMs ?? 0),
+      loss: Number((placed.plan?.loss ?? 0).toFixed(2)),
+      listAgeMs: Math.round(nowMs - listedMs),
+      waitedMs: Math.round(nowMs - receivedMs),
+    });
+  }
+
+  logSendEnd(
+    peer: string,
+    { result, reason }: SendOutcome,
+    fields: { next: NextStep; sends: number; nowMs: number },
+  ): void {
+    const { next, sends, nowMs } = fields;
+    this.#logger.info("send ended", {
+      ...{ requestId: this.#req.head.attemptId, step: "send", peer },
+      ...{ result, reason, next, sends },
+      ms: Math.round(nowMs - this.#req.receivedMs),
+    });
+  }
+
+  logFirstEvent(placement: Placement, timeline: AnswerTimeline): void {
+    this.#logger.info("first event received", {
+      ...{ requestId: this.#req.head.attemptId, step: "first_token", peer: placement.upstream.id },
+      ms: Math.round(timeline.firstMs ?? 0),
+      expectedMs: Math.round(placement.waitedMs + (placement.plan?.firstEventMs ?? 0)),
+    });
+  }
+
+  logEjection(peer: string, reason: string): void {
+    this.#logger.info("upstream ejected", { step: "send", peer, reason });
+  }
+
+  logEnd(
+    timeline: AnswerTimeline,
+    fields: { result: string; reason: string | undefined; sends: number; totalMs: number },
+  ): void {
+    const { result, reason, sends, totalMs } = fields;
+    const { head, route } = this.#req;
+    this.#logger.info("request ended", {
+      ...{ requestId: head.attemptId, step: "reply", route: route.name, result, reason, sends },
+      ms: Math.round(totalMs),
+      longestGapMs: Math.round(timeline.longestGapMs),
+    });
+  }
+}
--- a/packages/forwarding/src/Send.ts
+++ b/packages/forwarding/src/Send.ts
@@ -51,7 +51,7 @@
   readonly #writer: AnswerWriter;
   readonly #progress: AnswerProgress;
   readonly #stallTimeouts: StallTimeouts | undefined;
-  readonly #onFirstEvent: () => void;
+  readonly #onEvents: () => void;
   readonly #splitter = new EventSplitter();
   readonly #buffered: Buffer[] = [];
   #bufferedBytes = 0;
@@ -65,7 +65,6 @@
   #stallRound = 0;
   #resolveOutcome: (outcome: SendOutcome) => void = () => undefined;
   #isSettled = false;
-  #hasEvents = false;
 
   /** Resolves once, when the call has ended. */
   readonly outcome: Promise<SendOutcome>;
@@ -78,7 +77,8 @@
     progress: AnswerProgress;
     /** Undefined when a stall is no reason to give up. */
     timeouts: StallTimeouts | undefined;
-    onFirstEvent: () => void;
+    /** Called when one or more events of the answer arrived. */
+    onEvents: () => void;
     /** Asks the upstream whether it is alive. */
     isAlive: () => Promise<boolean>;
   }) {
@@ -88,7 +88,7 @@
     this.#writer = options.writer;
     this.#progress = options.progress;
     this.#stallTimeouts = options.timeouts;
-    this.#onFirstEvent = options.onFirstEvent;
+    this.#onEvents = options.onEvents;
     this.#isAlive = options.isAlive;
     this.outcome = new Promise((resolve) => {
       this.#resolveOutcome = resolve;
@@ -167,10 +167,7 @@
     if (events.length === 0) {
       return;
     }
-    if (!this.#hasEvents) {
-      this.#hasEvents = true;
-      this.#onFirstEvent();
-    }
+    this.#onEvents();
     this.#sendHeadOnce();
     for (const event of events) {
       this.#progress.lastEventId = event.id ?? this.#progress.lastEventId;
--- a/packages/forwarding/src/load.ts
+++ b/packages/forwarding/src/load.ts
@@ -1,5 +1,7 @@
 import { z } from "zod";
 
+import type { Prospect } from "./lateness.js";
+
 /** What a request is doing at its upstreams. */
 export const LoadPhase = {
   /** Its prompt is in prefill; nothing was decoded yet. */
@@ -28,22 +30,23 @@
   maxGapMs: z.number().positive(),
   /** Time left until the objective for the first event when this phase began, milliseconds. */
   targetLeftMs: z.number(),
+  /** Time left until the first event came too late for the whole answer when this phase began, milliseconds. */
+  deadlineLeftMs: z.number(),
   /** Estimated worth of the request to its caller. */
   value: z.number().nonnegative(),
+  /** It was expected to miss its objective when it was sent, or an event has missed one. */
+  isLate: z.boolean(),
 });
 export type LoadItem = z.infer<typeof loadItemSchema>;
 
-/** A request whose answer one upstream decodes. */
+/** A request whose answer one upstream decodes, with its objectives met so far. */
 export interface DecodeLoad {
   readonly maxGapMs: number;
   readonly value: number;
 }
 
 /** A request whose prompt one upstream prefills, in whole or in part. */
-export interface PrefillLoad {
-  /** Time left until its objective for the first event, milliseconds. */
-  readonly targetLeftMs: number;
-  readonly value: number;
+export interface PrefillLoad extends Prospect {
   /** This upstream also decodes the answer; parts that it prefills as a helper go before such a part. */
   readonly isDecoder: boolean;
 }
@@ -52,15 +55,20 @@
 export interface UpstreamLoad {
   /** Requests whose answer this upstream decodes or will decode. */
   inFlight: number;
+  /** Requests among them that wait behind others, because they were late when they were sent. */
+  deferred: number;
   /** Prompts that this upstream prefills only as a helper. */
   helping: number;
   /** Milliseconds until all queued prompt parts are prefilled. */
   pendingReadMs: number;
   /** The same for the parts that this upstream prefills as a helper, which go first. */
   pendingHelpMs: number;
+  /** Number of answers in the decode phase. */
+  decoding: number;
+  /** The answers among them that still have an objective to meet. */
   decodes: DecodeLoad[];
   prefills: PrefillLoad[];
-  /** Smallest gap objective among the answers decoded or to be decoded here. */
+  /** Smallest gap objective that an answer decoded or to be decoded here can still meet. */
   minGapMs: number;
   kvTokens: number;
   contextTokens: number;
@@ -74,9 +82,11 @@
 /** Load of an upstream with nothing in flight. */
 export const newUpstreamLoad = (): UpstreamLoad => ({
   inFlight: 0,
+  deferred: 0,
   helping: 0,
   pendingReadMs: 0,
   pendingHelpMs: 0,
+  decoding: 0,
   decodes: [],
   prefills: [],
   minGapMs: Infinity,
@@ -116,12 +126,17 @@
     }
     load.prefills.push({
       targetLeftMs: item.targetLeftMs - (nowMs - item.sinceMs),
+      deadlineLeftMs: item.deadlineLeftMs - (nowMs - item.sinceMs),
       value: item.value,
       isDecoder,
     });
   };
 };
 
+/** True when no gap can make the answer late any more, because it is late already. */
+export const isPastObjective = (item: TimedLoadItem, nowMs: number): boolean =>
+  item.isLate || (item.phase === LoadPhase.Reading && nowMs - item.sinceMs > item.targetLeftMs);
+
 /** Sums in-flight requests by upstream, at the monotonic time `nowMs`. */
 export const sumLoads = (
   items: Iterable<TimedLoadItem>,
@@ -135,9 +150,13 @@
     load.inFlight += 1;
     load.kvTokens += item.kvTokens;
     load.contextTokens += item.kvTokens;
-    load.minGapMs = Math.min(load.minGapMs, item.maxGapMs);
-    if (item.phase === LoadPhase.Writing) {
-      load.decodes.push({ maxGapMs: item.maxGapMs, value: item.value });
+    load.deferred += item.phase === LoadPhase.Reading && item.isLate ? 1 : 0;
+    load.decoding += item.phase === LoadPhase.Writing ? 1 : 0;
+    if (!isPastObjective(item, nowMs)) {
+      load.minGapMs = Math.min(load.minGapMs, item.maxGapMs);
+      if (item.phase === LoadPhase.Writing) {
+        load.decodes.push({ maxGapMs: item.maxGapMs, value: item.value });
+      }
     }
     item.helpers.forEach((helper, index) => {
       const helperLoad = getOrAdd(loads, helper);
--- a/packages/forwarding/src/placement.test.ts
+++ b/packages/forwarding/src/placement.test.ts
@@ -88,14 +88,14 @@
   });
 
   it("doesn't delay the prefill of a prompt that would then be late", () => {
-    const prefill = { targetLeftMs: 420, value: 18, isDecoder: true };
+    const prefill = { targetLeftMs: 420, deadlineLeftMs: 9_000, value: 18, isDecoder: true };
     const reading = { pendingReadMs: 200, prefills: [prefill], inFlight: 1, minGapMs: 1_000 };
     const found = plan({ ...LONG, promptTokens: 60_000 }, [reading, {}, {}, {}]);
     expect(getMembers(found)).to.not.include("u0");
   });
 
   it("doesn't put a helper's part before a decoder's part while others are free", () => {
-    const prefill = { targetLeftMs: 2_500, value: 18, isDecoder: true };
+    const prefill = { targetLeftMs: 2_500, deadlineLeftMs: 9_000, value: 18, isDecoder: true };
     const reading = { pendingReadMs: 100, prefills: [prefill], inFlight: 1, minGapMs: 1_000 };
     const found = plan(LONG, [reading, ...idle(9)]);
     expect(getMembers(found)).to.not.include("u0");
--- a/packages/forwarding/src/placement.ts
+++ b/packages/forwarding/src/placement.ts
@@ -1,15 +1,17 @@
 import { getPassMs, getReadMs } from "./engineModel.js";
 import type { EngineSpec, Upstream } from "./fleetConfig.js";
+import {
+  getDelayCost,
+  getLatenessLoss,
+  getLateRisk,
+  getOwnDelayCost,
+  LATE_LOSS,
+  type Prospect,
+} from "./lateness.js";
 import { newUpstreamLoad, type UpstreamLoad } from "./load.js";
 
 /** Most upstreams that prefill a prompt besides the one that decodes the answer. */
 export const MAX_HELPERS = 16;
-/** Share of its value that a late answer loses. */
-const LATE_LOSS = 0.75;
-/** Share of an objective from which it is at risk. */
-const RISK_SHARE = 0.85;
-/** Weight of the time to the first event while it is within its objective. */
-const SPEED_WEIGHT = 0.25;
 /** Cost of the first answer with a short gap objective on an upstream that has none. */
 const OPEN_COST = 0.3;
 /** Cost of an answer with a short gap objective on an upstream that is nearly empty. */
@@ -19,9 +21,11 @@
 /** Cost of each millisecond of prefill on an upstream that decodes answers with short gap objectives. */
 const PREFILL_INTERFERENCE_COST = 0.002;
 /** Weight of the delay of a prompt when another prefill goes before its decoder's part. */
-const OVERTAKEN_WEIGHT = 0.5;
+const OVERTAKEN_WEIGHT = 0.375;
 /** Share of an engine's KV memory that placement leaves free. */
 const KV_HEADROOM = 0.05;
+/** Slots become free at irregular times, so the expected wait is taken this many times. */
+const QUEUE_RISK = 2;
 /** Cost of an upstream, multiplied by its failure rate. */
 const FAILURE_COST = 2;
 /** Another member isn't worth it when the parts get smaller than this. */
@@ -36,15 +40,11 @@
 }
 
 /** A prompt to place. */
-export interface PlacementRequest {
+export interface PlacementRequest extends Prospect {
   readonly promptTokens: number;
   readonly outputTokens: number;
   /** Objective for the longest gap between events, milliseconds. */
   readonly maxGapMs: number;
-  /** Time left until the objective for the first event, milliseconds. */
-  readonly targetLeftMs: number;
-  /** Estimated worth of the answer to its caller. */
-  readonly value: number;
 }
 
 /** Upstreams for a prompt, with the expected times and loss. */
@@ -63,17 +63,9 @@
   readonly loss: number;
 }
 
-/** Estimated worth of a prompt; a short one is worth about 1. */
-export const estimateValue = (tokens: number): number => 1 + tokens / 10_000;
-
-/** Risk of missing an objective: 0 while `ms` is well within `limitMs`, 1 at the limit and beyond. */
-export const getLateRisk = (ms: number, limitMs: number): number => {
-  if (limitMs <= 0) {
-    return 1;
-  }
-  const start = limitMs * RISK_SHARE;
-  return Math.min(1, Math.max(0, (ms - start) / (limitMs - start)));
-};
+/** True when the plan's first event is expected after the objective. */
+export const isExpectedLate = (plan: PlacementPlan, { targetLeftMs }: Prospect): boolean =>
+  plan.firstEventMs > targetLeftMs;
 
 /** A candidate with its times and cost as a member of a plan. */
 interface ScoredMember {
@@ -93,16 +85,15 @@
   const afterMs = beforeMs + readMs;
   let addedLoss = 0;
   for (const { maxGapMs, value } of load.decodes) {
-    addedLoss += value * (getLateRisk(afterMs, maxGapMs) - getLateRisk(beforeMs, maxGapMs));
+    addedLoss +=
+      LATE_LOSS * value * (getLateRisk(afterMs, maxGapMs) - getLateRisk(beforeMs, maxGapMs));
   }
-  for (const { targetLeftMs, value, isDecoder } of load.prefills) {
-    addedLoss += value * (getLateRisk(afterMs, targetLeftMs) - getLateRisk(beforeMs, targetLeftMs));
+  for (const prefill of load.prefills) {
+    addedLoss += getLatenessLoss(prefill, afterMs) - getLatenessLoss(prefill, beforeMs);
     // A decoder's part that is overtaken once may be overtaken again by later parts.
-    addedLoss += isDecoder
-      ? OVERTAKEN_WEIGHT * value * Math.min(1, readMs / Math.max(1, targetLeftMs))
-      : 0;
+    addedLoss += prefill.isDecoder ? OVERTAKEN_WEIGHT * getDelayCost(prefill, readMs) : 0;
   }
-  return LATE_LOSS * addedLoss;
+  return addedLoss;
 };
 
 /** Scores one upstream as a member that prefills for `readMs`. */
@@ -113,11 +104,11 @@
   maxGapMs: number,
 ): ScoredMember => {
   const { load } = candidate;
-  const passMs = getPassMs(engine, load.decodes.length, load.contextTokens);
+  const passMs = getPassMs(engine, load.decoding, load.contextTokens);
   const addedLoss = getAddedLoss(load, passMs, readMs);
   const isShort = maxGapMs <= SHORT_GAP_MS;
   const interference = !isShort && hasShortGaps(load) ? PREFILL_INTERFERENCE_COST * readMs : 0;
-  const passLeftMs = load.decodes.length > 0 ? passMs / 2 : 0;
+  const passLeftMs = load.decoding > 0 ? passMs / 2 : 0;
   const helperReadyMs = passLeftMs + load.pendingHelpMs + readMs;
   return {
     candidate,
@@ -177,6 +168,21 @@
   return SPREAD_COST * freeShare + (hasShortGaps(load) ? 0 : OPEN_COST);
 };
 
+/** Time until a slot of the upstream becomes free, when the answers there are like this one. */
+const getQueueMs = (
+  engine: EngineSpec,
+  req: PlacementRequest,
+  { load, upstream }: PlacementCandidate,
+): number => {
+  const waiting = load.inFlight - load.deferred + 1 - upstream.slots;
+  if (waiting <= 0) {
+    return 0;
+  }
+  const passMs = getPassMs(engine, upstream.slots, load.contextTokens);
+  const answerMs = Math.ceil(req.outputTokens / engine.stepsPerPass) * passMs;
+  return (QUEUE_RISK * waiting * answerMs) / upstream.slots;
+};
+
 /** Plans the prompt on exactly these members; undefined when they lack the KV memory. */
 const planMembers = (
   engine: EngineSpec,
@@ -198,12 +204,12 @@
   const waitMs = Math.max(
     ...members.map((member) => (member === decoder ? member.decoderReadyMs : member.helperReadyMs)),
   );
-  const firstEventMs = waitMs + getPassMs(engine, decoder.candidate.load.decodes.length + 1, 0);
+  const queueMs = getQueueMs(engine, req, decoder.candidate);
+  const passMs = getPassMs(engine, decoder.candidate.load.decoding + 1, 0);
+  const firstEventMs = queueMs + waitMs + passMs;
   const spreadCost = isShort ? getSpreadCost(decoder.candidate) : 0;
-  const lateLoss = LATE_LOSS * req.value * getLateRisk(firstEventMs, Math.max(1, req.targetLeftMs));
-  const delayCost = (SPEED_WEIGHT * req.value * firstEventMs) / Math.max(1, req.targetLeftMs);
-  const crowdingCost =
-    decoder.candidate.load.inFlight >= decoder.candidate.upstream.slots ? req.value : 0;
+  const lateLoss = getLatenessLoss(req, firstEventMs);
+  const delayCost = getOwnDelayCost(req, firstEventMs);
   const memberCost = members.reduce((sum, { cost }) => sum + cost, 0);
   return {
     upstream: decoder.candidate.upstream,
@@ -211,7 +217,7 @@
     heldTokens,
     readMs,
     firstEventMs,
-    loss: memberCost + lateLoss + delayCost + spreadCost + crowdingCost,
+    loss: memberCost + lateLoss + delayCost + spreadCost + (queueMs > 0 ? req.value : 0),
   };
 };
 
--- a/packages/forwarding/src/sendParameters.ts
+++ b/packages/forwarding/src/sendParameters.ts
@@ -1,3 +1,4 @@
+import { isExpectedLate } from "./placement.js";
 import type { Placement } from "./Placer.js";
 import type { StallTimeouts } from "./Send.js";
 import type { Reservations } from "./ReservationManager.js";
@@ -21,9 +22,9 @@
 const CALLER_WAIT_GAPS = 8;
 /** Share of the caller's wait after which another upstream is tried. */
 const ABANDON_SHARE = 0.75;
-/** Largest gap objectives of the two more urgent classes. */
-const SHORT_GAP_MS = 300;
-const MEDIUM_GAP_MS = 700;
+/** Requests with less slack are in the most urgent class that is used. */
+const URGENT_SLACK_MS = 100;
+const LEAST_URGENT = 9;
 
 /** Monotonic time of the request's deadline, by the route's time-out and the caller's own deadline. */
 export const getDeadlineAtMs = ({ receivedMs, route, head }: ForwardRequest): number =>
@@ -64,12 +65,17 @@
   };
 };
 
-/** Urgency class at the upstream: answers with short gap objectives are decoded first. */
-export const getUrgency = (maxGapMs: number): number => {
-  if (maxGapMs <= SHORT_GAP_MS) {
-    return 2;
+/**
+ * Urgency class at the upstream, 0 the most urgent: by the time until something is
+ * lost, which doubles from class to class. A request that will be late anyway loses nothing until its deadline.
+ */
+export const getUrgency = ({ plan, request }: Placement): number | undefined => {
+  if (!plan || !request) {
+    return undefined;
   }
-  return maxGapMs <= MEDIUM_GAP_MS ? 4 : 5;
+  const slackMs = isExpectedLate(plan, request) ? request.deadlineLeftMs : request.targetLeftMs;
+  const urgency = 1 + Math.floor(Math.log2(Math.max(1, slackMs / URGENT_SLACK_MS)));
+  return Math.min(LEAST_URGENT, urgency);
 };
 
 /** Helpers in the order in which memory is filled: those with reservations first. */
--- a/packages/forwarding/src/testing/samples.ts
+++ b/packages/forwarding/src/testing/samples.ts
@@ -61,7 +61,9 @@
   heldTokens: [],
   maxGapMs: 250,
   targetLeftMs: 300,
+  deadlineLeftMs: 9_000,
   value: 1.5,
+  isLate: false,
   ...fields,
 });
 
@@ -69,7 +71,7 @@
 export const newCandidates = (loads: readonly Partial<UpstreamLoad>[]): PlacementCandidate[] =>
   loads.map((load, index) => ({
     upstream: newUpstream(`u${String(index)}`),
-    load: { ...newUpstreamLoad(), ...load },
+    load: { ...newUpstreamLoad(), decoding: load.decodes?.length ?? 0, ...load },
     failureRate: 0,
   }));
 
@@ -78,6 +80,7 @@
   outputTokens: 1_300,
   maxGapMs: 250,
   targetLeftMs: 300,
+  deadlineLeftMs: 9_000,
   value: 1.5,
   ...fields,
 });
--- /dev/null
+++ b/packages/simulation/src/SimulatedFleet.ts
@@ -0,0 +1,280 @@
+import type { Clock, Random } from "@lycheepulley/core";
+import {
+  DEFAULT_CALLER_LIMITS,
+  type FleetConfig,
+  type LoadChange,
+  type Route,
+  type Upstream,
+  type UpstreamControl,
+  type UpstreamTransport,
+} from "@lycheepulley/forwarding";
+
+import type { Incident, Pattern, PromptClass } from "./pattern.js";
+import { SimulatedGateway } from "./SimulatedGateway.js";
+import { SimulatedUpstream, UpstreamState } from "./SimulatedUpstream.js";
+import type { WorkerModel } from "./WorkerModel.js";
+
+const POOL = "engines";
+/** Delay between a gateway and an upstream or another gateway, in one direction. */
+const NETWORK_MS = 1;
+/** Time until the gateways know that the list of upstreams changed. */
+const LIST_LAG_MS = 120;
+/** Time between an upstream's notice that it leaves and its end. */
+const DRAIN_MS = 2_800;
+/** Time between the end of an upstream and its successor's start. */
+const SUCCESSOR_MS = 300;
+/** Time until a crashed upstream is missing on the list. */
+const CRASH_LIST_MS = 2_500;
+/** Interval of the peers' signs of life. */
+const HEARTBEAT_MS = 250;
+
+/** Route of one class of prompts. */
+export const newRoute = (prompt: PromptClass): Route => ({
+  ...{ name: prompt.name, host: "fleet.example", pathPrefix: `/${prompt.name}/` },
+  ...{ repeat: "at_most_once", isStream: true, isResumable: true, isPublic: true, priority: 1 },
+  ...{ timeoutMs: prompt.deadlineMs, targetMs: prompt.targetMs, maxGapMs: prompt.maxGapMs },
+  ...{ pools: [{ pool: POOL, weight: 1 }], maxAttempts: 2 },
+});
+
+/** Work at all upstreams of a fleet at one moment. */
+export interface FleetUtilization {
+  readonly upstreams: number;
+  /** Requests that hold a slot. */
+  readonly running: number;
+  readonly queued: number;
+  /** Parts of prompts that upstreams prefill as helpers. */
+  readonly helping: number;
+  /** Prefill that is left to do, milliseconds of one upstream. */
+  readonly prefillMs: number;
+}
+
+/** Gateways and upstreams of a pattern, and the incidents that they go through. */
+export class SimulatedFleet {
+  readonly #clock: Clock;
+  readonly #random: Random;
+  readonly #pattern: Pattern;
+  readonly #config: FleetConfig;
+  readonly #upstreams = new Map<string, SimulatedUpstream>();
+  readonly #leaving = new Set<string>();
+  #gateways: SimulatedGateway[] = [];
+  #nextUpstream = 0;
+  #incarnation = 0;
+
+  constructor(pattern: Pattern, clock: Clock, random: Random) {
+    this.#pattern = pattern;
+    this.#clock = clock;
+    this.#random = random;
+    this.#config = {
+      revision: 1,
+      routes: pattern.classes.map((prompt) => newRoute(prompt)),
+      pools: [{ name: POOL, engine: pattern.engine }],
+      limits: DEFAULT_CALLER_LIMITS,
+    };
+    for (let count = 0; count < pattern.upstreams; count++) {
+      this.#addUpstream();
+    }
+    this.#startGateways();
+    this.#sendHeartbeats();
+    pattern.incidents.forEach((incident) => {
+      clock.setTimer(() => {
+        this.#begin(incident);
+      }, incident.atMs);
+    });
+  }
+
+  /** A random gateway that accepts callers; undefined while all are down. */
+  pickGateway(): SimulatedGateway | undefined {
+    return this.#gateways[Math.floor(this.#random.next() * this.#gateways.length)];
+  }
+
+  /** False once the gateway's process has ended. */
+  isUp(gateway: SimulatedGateway): boolean {
+    return this.#gateways.includes(gateway);
+  }
+
+  /** Work at the serving upstreams now. */
+  getUtilization(): FleetUtilization {
+    const models = [...this.#upstreams.values()]
+      .filter(({ state }) => state === UpstreamState.Serving)
+      .map(({ model }) => model);
+    const sum = (count: (model: WorkerModel) => number): number =>
+      models.reduce((total, model) => total + count(model), 0);
+    return {
+      upstreams: models.length,
+      running: sum(({ running }) => running),
+      queued: sum(({ queued }) => queued),
+      helping: sum(({ helperJobs }) => helperJobs),
+      prefillMs: Math.round(sum(({ pendingPrefillMs }) => pendingPrefillMs)),
+    };
+  }
+
+  #begin(incident: Incident): void {
+    switch (incident.kind) {
+      case "replace":
+        for (let at = 0; at < incident.count; at++) {
+          this.#clock.setTimer(() => {
+            this.#retire(true);
+          }, at * incident.gapMs);
+        }
+        return;
+      case "scaleIn":
+        for (let at = 0; at < incident.count; at++) {
+          this.#retire(false);
+        }
+        return;
+      case "crash":
+        for (let at = 0; at < incident.count; at++) {
+          this.#crash(incident.backMs);
+        }
+        return;
+      case "restart":
+        this.#gateways = [];
+        this.#clock.setTimer(() => {
+          this.#startGateways();
+        }, incident.downMs);
+    }
+  }
+
+  #startGateways(): void {
+    this.#incarnation += 1;
+    const incarnation = this.#incarnation;
+    const transport: UpstreamTransport = {
+      open: (req, observer) => {
+        const upstream = this.#findByPort(req.port);
+        if (!upstream) {
+          throw new Error(`no upstream listens at port ${String(req.port)}`);
+        }
+        return upstream.open(req.headers, observer);
+      },
+    };
+    this.#gateways = Array.from({ length: this.#pattern.processes }, (_, index) => {
+      const name = `g${String(index)}-${String(incarnation)}`;
+      const gateway = new SimulatedGateway({
+        ...{ name, clock: this.#clock, random: this.#random, config: this.#config, transport },
+        ...{ control: this.#newControl(), processes: this.#pattern.processes },
+        onLoadChange: (seq, change) => {
+          this.#sendLoadChange(name, seq, change);
+        },
+      });
+      gateway.applyUpstreams(this.#list());
+      return gateway;
+    });
+  }
+
+  #newControl(): UpstreamControl {
+    return {
+      isAlive: ({ id }) =>
+        Promise.resolve(this.#upstreams.get(id)?.state === UpstreamState.Serving),
+      reserve: ({ id }, { id: reservation, tokens, holdMs }) =>
+        Promise.resolve(
+          this.#upstreams.get(id)?.model.reserve(reservation, tokens, holdMs) ?? false,
+        ),
+      release: ({ id }, reservation) => {
+        this.#upstreams.get(id)?.model.release(reservation);
+        return Promise.resolve();
+      },
+    };
+  }
+
+  #sendLoadChange(from: string, seq: number, change: LoadChange): void {
+    this.#clock.setTimer(() => {
+      for (const gateway of this.#gateways) {
+        if (gateway.name !== from) {
+          gateway.applyPeerChange(from, seq, change);
+        }
+      }
+    }, NETWORK_MS);
+  }
+
+  #sendHeartbeats(): void {
+    for (const to of this.#gateways) {
+      for (const from of this.#gateways) {
+        if (from !== to) {
+          to.loads.recordHeartbeat(from.name, HEARTBEAT_MS);
+        }
+      }
+    }
+    this.#clock.setTimer(() => {
+      this.#sendHeartbeats();
+    }, HEARTBEAT_MS);
+  }
+
+  #addUpstream(): void {
+    const index = this.#nextUpstream++;
+    const { engine, chunkTokens, queueSlots } = this.#pattern;
+    const upstream: Upstream = {
+      ...{ id: `u${String(index)}`, pool: POOL, host: "upstream", port: index + 1 },
+      ...{ failureDomain: "z", slots: engine.slots, isLeaving: false },
+    };
+    this.#upstreams.set(
+      upstream.id,
+      new SimulatedUpstream({
+        ...{ clock: this.#clock, upstream, delayMs: NETWORK_MS },
+        spec: { ...engine, chunkTokens, queueSlots },
+        find: (id) => this.#upstreams.get(id),
+      }),
+    );
+    this.#announceList();
+  }
+
+  /** Announces that an upstream leaves, ends it after the drain time, and may start a successor. */
+  #retire(isReplaced: boolean): void {
+    const upstream = this.#pickServing();
+    if (!upstream) {
+      return;
+    }
+    const { id } = upstream.upstream;
+    this.#leaving.add(id);
+    this.#announceList();
+    this.#clock.setTimer(() => {
+      upstream.end(UpstreamState.Ended);
+      this.#announceList();
+      if (isReplaced) {
+        this.#clock.setTimer(() => {
+          this.#addUpstream();
+        }, SUCCESSOR_MS);
+      }
+    }, DRAIN_MS);
+  }
+
+  #crash(backMs: number): void {
+    const upstream = this.#pickServing();
+    if (!upstream) {
+      return;
+    }
+    upstream.end(UpstreamState.Dead);
+    this.#clock.setTimer(() => {
+      upstream.end(UpstreamState.Ended);
+      this.#announceList();
+    }, CRASH_LIST_MS);
+    this.#clock.setTimer(() => {
+      this.#addUpstream();
+    }, backMs);
+  }
+
+  #pickServing(): SimulatedUpstream | undefined {
+    const serving = [...this.#upstreams.values()].filter(
+      ({ state, upstream }) => state === UpstreamState.Serving && !this.#leaving.has(upstream.id),
+    );
+    return serving[Math.floor(this.#random.next() * serving.length)];
+  }
+
+  #announceList(): void {
+    this.#clock.setTimer(() => {
+      const list = this.#list();
+      this.#gateways.forEach((gateway) => {
+        gateway.applyUpstreams(list);
+      });
+    }, LIST_LAG_MS);
+  }
+
+  #list(): Upstream[] {
+    return [...this.#upstreams.values()]
+      .filter(({ state }) => state !== UpstreamState.Ended)
+      .map(({ upstream }) => ({ ...upstream, isLeaving: this.#leaving.has(upstream.id) }));
+  }
+
+  #findByPort(port: number): SimulatedUpstream | undefined {
+    return this.#upstreams.get(`u${String(port - 1)}`);
+  }
+}
--- /dev/null
+++ b/packages/simulation/src/SimulatedGateway.ts
@@ -0,0 +1,90 @@
+import type { Clock, Random } from "@lycheepulley/core";
+import {
+  CrashTracker,
+  FleetView,
+  Forwarder,
+  LoadTracker,
+  ReservationManager,
+  RetryBudget,
+  UpstreamHealth,
+  type AnswerWriter,
+  type FleetConfig,
+  type ForwardRequest,
+  type LoadChange,
+  type Upstream,
+  type UpstreamControl,
+  type UpstreamTransport,
+} from "@lycheepulley/forwarding";
+import { newSilentLogger } from "@lycheepulley/telemetry";
+
+import { SimulatedDialect } from "./simulatedDialect.js";
+
+const RETRY_LIMITS = { ratio: 0.2, windowMs: 10_000, slack: 100 };
+
+/** One entry process: the real decision modules, with simulated upstreams and peers. */
+export class SimulatedGateway {
+  readonly name: string;
+  readonly #clock: Clock;
+  readonly #view = new FleetView();
+  readonly #health: UpstreamHealth;
+  readonly #loadTracker: LoadTracker;
+  readonly #forwarder: Forwarder;
+  #seq = 0;
+  #listVersion = 0;
+
+  constructor(options: {
+    name: string;
+    clock: Clock;
+    random: Random;
+    config: FleetConfig;
+    transport: UpstreamTransport;
+    control: UpstreamControl;
+    processes: number;
+    onLoadChange: (seq: number, change: LoadChange) => void;
+  }) {
+    const { clock, random, transport, control } = options;
+    this.name = options.name;
+    this.#clock = clock;
+    this.#health = new UpstreamHealth(clock);
+    this.#loadTracker = new LoadTracker({
+      clock,
+      onOwnChange: (change) => {
+        this.#seq += 1;
+        options.onLoadChange(this.#seq, change);
+      },
+    });
+    this.#view.applyConfig(options.config);
+    const logger = newSilentLogger();
+    this.#forwarder = new Forwarder({
+      ...{ clock, random, transport, control, logger, view: this.#view },
+      ...{ health: this.#health, loadTracker: this.#loadTracker, dialect: new SimulatedDialect() },
+      retryBudget: new RetryBudget({
+        ...{ clock, limits: RETRY_LIMITS },
+        getProcessCount: () => options.processes,
+      }),
+      crashes: new CrashTracker({ clock, onCrash: () => undefined }),
+      reservations: new ReservationManager({ clock, control, logger }),
+      onEnd: () => undefined,
+    });
+  }
+
+  forward(req: ForwardRequest, writer: AnswerWriter): Promise<void> {
+    return this.#forwarder.forward(req, writer);
+  }
+
+  applyPeerChange(peer: string, seq: number, change: LoadChange): void {
+    this.#loadTracker.applyPeerChange(peer, seq, change);
+  }
+
+  applyUpstreams(upstreams: readonly Upstream[]): void {
+    this.#listVersion += 1;
+    const list = { version: this.#listVersion, upstreams: [...upstreams] };
+    this.#view.applyUpstreams(list, this.#clock.now(), new Set());
+    this.#health.retain(new Set(this.#view.upstreams.keys()));
+  }
+
+  /** Keeps peers from taking this process for silent. */
+  get loads(): LoadTracker {
+    return this.#loadTracker;
+  }
+}
--- a/platform/src/standin/WorkerModel.test.ts
+++ b/packages/simulation/src/WorkerModel.test.ts
@@ -2,7 +2,7 @@
 import { createClock, type Clock as FakeTimers } from "@sinonjs/fake-timers";
 import { expect } from "chai";
 
-import { STANDIN_SPEC as SPEC } from "./PlatformStandin.js";
+import { SAMPLE_SPEC as SPEC } from "./sampleSpec.js";
 import { WorkerModel, type WorkerJob } from "./WorkerModel.js";
 
 /** A worker model on a fake clock, which records when jobs are prefilled and emit tokens. */
--- a/platform/src/standin/WorkerModel.ts
+++ b/packages/simulation/src/WorkerModel.ts
@@ -9,6 +9,8 @@
 export interface WorkerSpec extends EngineSpec {
   /** Maximum number of prompt tokens prefilled per step. */
   readonly chunkTokens: number;
+  /** Requests that wait for a slot before the worker rejects more. */
+  readonly queueSlots: number;
 }
 
 /** A prompt, or a part of one, to prefill at one worker, and the answer to decode there. */
@@ -51,6 +53,8 @@
   readonly spec: WorkerSpec;
   readonly #clock: Clock;
   readonly #jobs = new Map<string, RunningJob>();
+  /** Requests that wait for a slot. */
+  readonly #queue: RunningJob[] = [];
   readonly #tickets = new Map<string, Ticket>();
   #cancelPass: Cancel | undefined;
   /** Number of times that a request was preempted because memory ran out. */
@@ -65,6 +69,18 @@
     return [...this.#jobs.values()].filter(({ isHelper }) => !isHelper).length;
   }
 
+  get queued(): number {
+    return this.#queue.length;
+  }
+
+  /** Time that the prompts in prefill still take, milliseconds. */
+  get pendingPrefillMs(): number {
+    return [...this.#jobs.values()].reduce(
+      (sum, job) => sum + job.prefillLeft * this.#getPrefillMsPerToken(job),
+      0,
+    );
+  }
+
   get helperJobs(): number {
     return this.#jobs.size - this.running;
   }
@@ -79,19 +95,43 @@
     return [...this.#tickets.keys()];
   }
 
-  /** Accepts a job; returns false when no slot is free or the job exceeds the memory. */
+  /** Accepts a job, which may wait for a slot; returns false when the queue is full or the job exceeds the memory. */
   submit(job: WorkerJob): boolean {
-    const usedSlots = job.isHelper ? this.helperJobs : this.running;
-    if (usedSlots >= this.spec.slots || job.kvTokens > this.spec.kvTokens) {
+    if (job.kvTokens > this.spec.kvTokens) {
       return false;
     }
-    this.#jobs.set(job.id, {
+    const running: RunningJob = {
       ...job,
       ...{ prefillLeft: job.partTokens, decoded: 0, isPrefilled: false, mayDecode: false },
-    });
+    };
+    if (this.#hasSlot(job)) {
+      this.#start(running);
+      return true;
+    }
+    if (job.isHelper || this.#queue.length >= this.spec.queueSlots) {
+      return false;
+    }
+    this.#queue.push(running);
+    return true;
+  }
+
+  #hasSlot(job: WorkerJob): boolean {
+    return (job.isHelper ? this.helperJobs : this.running) < this.spec.slots;
+  }
+
+  #start(job: RunningJob): void {
+    this.#jobs.set(job.id, job);
     this.#preempt();
     this.#schedulePass();
-    return true;
+  }
+
+  /** Starts waiting requests, the most urgent first, while slots are free. */
+  #startQueued(): void {
+    this.#queue.sort((a, b) => a.urgency - b.urgency);
+    for (let next = this.#queue[0]; next && this.#hasSlot(next); next = this.#queue[0]) {
+      this.#queue.shift();
+      this.#start(next);
+    }
   }
 
   /** Starts the decode of a job, once all members have prefilled their parts. */
@@ -104,7 +144,19 @@
   }
 
   cancel(id: string): void {
-    this.#jobs.delete(id);
+    const at = this.#queue.findIndex((job) => job.id === id);
+    if (at >= 0) {
+      this.#queue.splice(at, 1);
+    }
+    if (this.#jobs.delete(id)) {
+      this.#startQueued();
+    }
+  }
+
+  /** Ends all work without a word, as a crash does. */
+  clear(): void {
+    this.#jobs.clear();
+    this.#queue.length = 0;
   }
 
   /** Reserves memory or renews a ticket; returns false when memory or tickets run out. */
@@ -220,6 +272,7 @@
         this.#decode(job);
       }
     }
+    this.#startQueued();
     this.#schedulePass();
   }
 
--- /dev/null
+++ b/packages/simulation/src/index.ts
@@ -0,0 +1,7 @@
+export * from "./experiment.js";
+export * from "./pattern.js";
+export * from "./patterns.js";
+export * from "./sampleSpec.js";
+export type { RequestRecord } from "./SimulatedCaller.js";
+export * from "./SimulatedClock.js";
+export * from "./WorkerModel.js";
--- /dev/null
+++ b/packages/simulation/src/pattern.ts
@@ -0,0 +1,65 @@
+import { engineSpecSchema } from "@lycheepulley/forwarding";
+import { z } from "zod";
+
+/** One kind of prompt and its objectives. */
+export const promptClassSchema = z.object({
+  name: z.string().min(1),
+  perSecond: z.number().nonnegative(),
+  promptTokens: z.object({ mean: z.number().positive(), spread: z.number(), max: z.number() }),
+  outputTokens: z.object({ mean: z.number().positive(), spread: z.number(), max: z.number() }),
+  targetMs: z.number().positive(),
+  maxGapMs: z.number().positive(),
+  deadlineMs: z.number().positive(),
+  /** Worth of an answer in time, and of a late one. */
+  worth: z.number().positive(),
+  lateWorth: z.number().nonnegative(),
+});
+export type PromptClass = z.infer<typeof promptClassSchema>;
+
+/** A change of the rates for some time: a factor for each class of prompts. */
+export const surgeSchema = z.object({
+  atMs: z.number(),
+  forMs: z.number().positive(),
+  factors: z.record(z.string(), z.number().nonnegative()),
+});
+
+export type Surge = z.infer<typeof surgeSchema>;
+
+/** Something that happens to upstreams or entry processes. */
+export const incidentSchema = z.discriminatedUnion("kind", [
+  z.object({
+    kind: z.literal("replace"),
+    atMs: z.number(),
+    /** Upstreams replaced one after the other, with this pause between. */
+    count: z.number().int().positive(),
+    gapMs: z.number().positive(),
+  }),
+  z.object({
+    kind: z.literal("scaleIn"),
+    atMs: z.number(),
+    count: z.number().int().positive(),
+  }),
+  z.object({
+    kind: z.literal("crash"),
+    atMs: z.number(),
+    count: z.number().int().positive(),
+    backMs: z.number().positive(),
+  }),
+  z.object({ kind: z.literal("restart"), atMs: z.number(), downMs: z.number().positive() }),
+]);
+export type Incident = z.infer<typeof incidentSchema>;
+
+/** A deployment and the load and incidents that it goes through. */
+export const patternSchema = z.object({
+  name: z.string().min(1),
+  lengthMs: z.number().positive(),
+  processes: z.number().int().positive(),
+  upstreams: z.number().int().positive(),
+  engine: engineSpecSchema,
+  chunkTokens: z.number().int().positive(),
+  queueSlots: z.number().int().nonnegative(),
+  classes: z.array(promptClassSchema).min(1),
+  surges: z.array(surgeSchema),
+  incidents: z.array(incidentSchema),
+});
+export type Pattern = z.infer<typeof patternSchema>;
