--- a/packages/daemon/src/gateway/PeerExchange.ts
+++ b/packages/daemon/src/gateway/PeerExchange.ts
@@ -1,6 +1,6 @@
 import type { Cancel, Clock } from "@lycheepulley/core";
 import {
-  LoadRelay,
+  Batcher,
   loadItemSchema,
   pickRelays,
   PeerState,
@@ -21,11 +21,21 @@
 const MAX_HEARTBEAT_MS = 1_000;
 /** Time between heartbeats that carry all in-flight requests, which repairs lost load changes. */
 const SNAPSHOT_INTERVAL_MS = 900;
+/** The same when heartbeats go through relays, whose links carry them many times. */
+const RELAYED_SNAPSHOT_INTERVAL_MS = 2_000;
 /** Hosts named in one heartbeat with a snapshot; successive ones go through all known hosts. */
 const MAX_GOSSIP_HOSTS = 8;
 
-/** With more live peers than this, load changes go through one relay in each failure domain. */
+/** With more live peers than this, messages go through relays in each failure domain. */
 const MAX_DIRECT_PEERS = 24;
+/** Heartbeats take turns among this many relays of a failure domain, so that the end of one loses few. */
+const HEARTBEAT_RELAYS = 2;
+/** Times for which relays collect messages, milliseconds. */
+const LOAD_BATCH_MS = 60;
+const HEARTBEAT_BATCH_MS = 400;
+/** Batches have to fit into a datagram. */
+const MAX_LOAD_BATCH = 80;
+const MAX_HEARTBEAT_BATCH = 30;
 
 const identitySchema = z.object({
   host: z.string(),
@@ -39,6 +49,7 @@
   listDigest: z.string(),
   reads: z.object({ configMs: z.number().optional(), listMs: z.number().optional() }),
   beatMs: z.number().nonnegative(),
+  beat: z.number().int().optional(),
 });
 const heartbeatSchema = z.object({
   identity: identitySchema,
@@ -46,6 +57,8 @@
   seq: z.number().int(),
   items: z.array(loadItemSchema).optional(),
 });
+type Heartbeat = z.output<typeof heartbeatSchema>;
+const heartbeatBatchSchema = z.object({ beats: z.array(heartbeatSchema) });
 const loadChangeSchema = z.object({
   host: z.string(),
   incarnation: z.number(),
@@ -66,7 +79,9 @@
   readonly #getIdentity: () => Omit<PeerIdentity, "beatMs">;
   readonly #getLoadTracker: () => LoadTracker;
   readonly #onPeerHeartbeat: (peer: PeerIdentity) => void;
-  readonly #relay: LoadRelay;
+  readonly #loadRelay: Batcher<RelayedChange>;
+  readonly #heartbeatRelay: Batcher<{ heartbeat: Heartbeat; receivedMs: number }>;
+  #beat = 0;
   #seq = 0;
   #lastSnapshotMs = -Infinity;
   #gossipIndex = 0;
@@ -89,24 +104,50 @@
     this.#getIdentity = options.getIdentity;
     this.#getLoadTracker = options.getLoadTracker;
     this.#onPeerHeartbeat = options.onPeerHeartbeat;
-    this.#relay = new LoadRelay({
-      clock: this.#clock,
+    const { clock } = options;
+    this.#loadRelay = new Batcher({
+      ...{ clock, delayMs: LOAD_BATCH_MS, maxItems: MAX_LOAD_BATCH },
       send: (changes) => {
-        this.#sendBatch(changes);
+        this.#channel.notify("load.batch", { changes }, this.#getDomainHosts());
+      },
+    });
+    this.#heartbeatRelay = new Batcher({
+      ...{ clock, delayMs: HEARTBEAT_BATCH_MS, maxItems: MAX_HEARTBEAT_BATCH },
+      send: (received) => {
+        const beats = received.map(({ heartbeat, receivedMs }) =>
+          withLaterReads(heartbeat, clock.now() - receivedMs),
+        );
+        this.#channel.notify("node.beat.batch", { beats }, this.#getDomainHosts());
       },
     });
   }
 
   start(crashes: CrashTracker): void {
     this.#channel.handle("node.beat", heartbeatSchema, (heartbeat, host) => {
-      this.#onHeartbeat(heartbeat, host);
+      if (heartbeat.identity.host === host) {
+        this.#onHeartbeat(heartbeat);
+      }
+    });
+    this.#channel.handle("node.beat.relay", heartbeatSchema, (heartbeat, host) => {
+      if (heartbeat.identity.host === host) {
+        this.#onHeartbeat(heartbeat);
+        this.#heartbeatRelay.add({ heartbeat, receivedMs: this.#clock.now() });
+      }
+    });
+    this.#channel.handle("node.beat.batch", heartbeatBatchSchema, ({ beats }) => {
+      const { host } = this.#getIdentity();
+      beats
+        .filter(({ identity }) => identity.host !== host)
+        .forEach((heartbeat) => {
+          this.#onHeartbeat(heartbeat);
+        });
     });
     this.#channel.handle("load.change", loadChangeSchema, (change) => {
       this.#applyChange(change);
     });
     this.#channel.handle("load.relay", loadChangeSchema, (change) => {
       this.#applyChange(change);
-      this.#relay.add(change);
+      this.#loadRelay.add(change);
     });
     this.#channel.handle("load.batch", loadBatchSchema, ({ changes }) => {
       changes.forEach((change) => {
@@ -125,7 +166,7 @@
 
   /** Sends a heartbeat at once, so that a change of this process's state reaches the peers. */
   announce(): void {
-    this.#sendHeartbeat();
+    this.#channel.notify("node.beat", this.#newHeartbeat(), this.#peers.hosts);
   }
 
   /** Sends a change of this process's load to the peers, directly or through relays. */
@@ -141,18 +182,15 @@
     }
     const relays = pickRelays([self, ...peers]);
     if (relays.includes(self)) {
-      this.#relay.add(message);
+      this.#loadRelay.add(message);
     }
     this.#channel.notify("load.relay", message, getHosts(relays.filter((peer) => peer !== self)));
   }
 
-  /** Relays collected changes to the other processes of this failure domain. */
-  #sendBatch(changes: readonly RelayedChange[]): void {
+  /** Live peers of this process's failure domain. */
+  #getDomainHosts(): string[] {
     const { failureDomain } = this.#getIdentity();
-    const domainPeers = this.#peers
-      .getLive()
-      .filter((peer) => peer.failureDomain === failureDomain);
-    this.#channel.notify("load.batch", { changes }, getHosts(domainPeers));
+    return getHosts(this.#peers.getLive().filter((peer) => peer.failureDomain === failureDomain));
   }
 
   #applyChange({ host, incarnation, seq, ...change }: RelayedChange): void {
@@ -162,7 +200,7 @@
   }
 
   get #identity(): PeerIdentity {
-    return { ...this.#getIdentity(), beatMs: this.#heartbeatMs };
+    return { ...this.#getIdentity(), beatMs: this.#heartbeatMs, beat: this.#beat };
   }
 
   /** Reports to the peers that `upstream` broke off while it ran a request with this fingerprint. */
@@ -188,19 +226,40 @@
     return Math.min(MAX_HEARTBEAT_MS, Math.max(MIN_HEARTBEAT_MS, ms));
   }
 
+  /** Sends a heartbeat to all known hosts, or in a large fleet to relays in each failure domain. */
   #sendHeartbeat(): void {
-    const hosts = this.#peers.hosts;
+    const heartbeat = this.#newHeartbeat();
+    if (!this.#isRelayed) {
+      this.#channel.notify("node.beat", heartbeat, this.#peers.hosts);
+      return;
+    }
+    const { host } = heartbeat.identity;
+    const processes = [heartbeat.identity, ...this.#peers.getLive()];
+    const relays = getHosts(pickRelays(processes, this.#beat % HEARTBEAT_RELAYS));
+    if (relays.includes(host)) {
+      this.#heartbeatRelay.add({ heartbeat, receivedMs: this.#clock.now() });
+    }
+    const others = relays.filter((relay) => relay !== host);
+    this.#channel.notify("node.beat.relay", heartbeat, others);
+  }
+
+  get #isRelayed(): boolean {
+    return this.#peers.getLive().length > MAX_DIRECT_PEERS;
+  }
+
+  #newHeartbeat(): Heartbeat {
     const now = this.#clock.now();
-    const isSnapshotDue = now - this.#lastSnapshotMs >= SNAPSHOT_INTERVAL_MS;
+    const intervalMs = this.#isRelayed ? RELAYED_SNAPSHOT_INTERVAL_MS : SNAPSHOT_INTERVAL_MS;
+    const isSnapshotDue = now - this.#lastSnapshotMs >= intervalMs;
+    this.#beat += 1;
     this.#seq += isSnapshotDue ? 1 : 0;
     this.#lastSnapshotMs = isSnapshotDue ? now : this.#lastSnapshotMs;
-    const heartbeat: z.input<typeof heartbeatSchema> = {
+    return {
       identity: this.#identity,
-      hosts: isSnapshotDue ? this.#nextGossipHosts(hosts) : [],
+      hosts: isSnapshotDue ? this.#nextGossipHosts(this.#peers.hosts) : [],
       seq: this.#seq,
       ...(isSnapshotDue ? { items: [...this.#getLoadTracker().own] } : {}),
     };
-    this.#channel.notify("node.beat", heartbeat, hosts);
   }
 
   /** The next hosts to name in a heartbeat, round-robin. */
@@ -210,13 +269,8 @@
     return hosts.slice(start, this.#gossipIndex);
   }
 
-  #onHeartbeat(
-    { identity, hosts, seq, items }: z.output<typeof heartbeatSchema>,
-    from: string,
-  ): void {
-    if (identity.host !== from) {
-      return;
-    }
+  #onHeartbeat({ identity, hosts, seq, items }: Heartbeat): void {
+    const from = identity.host;
     const superseded = this.#peers.recordHeartbeat(identity);
     const loadTracker = this.#getLoadTracker();
     if (superseded !== undefined) {
@@ -248,6 +302,16 @@
   }
 }
 
+/** The heartbeat after `heldMs` at a relay: the reads that it reports are older by then. */
+const withLaterReads = (heartbeat: Heartbeat, heldMs: number): Heartbeat => {
+  const { configMs, listMs } = heartbeat.identity.reads;
+  const reads = {
+    ...(configMs === undefined ? {} : { configMs: configMs + heldMs }),
+    ...(listMs === undefined ? {} : { listMs: listMs + heldMs }),
+  };
+  return { ...heartbeat, identity: { ...heartbeat.identity, reads } };
+};
+
 const getHosts = (peers: readonly PeerIdentity[]): string[] => peers.map(({ host }) => host);
 
 const getProcessKey = (host: string, incarnation: number): string =>
--- a/packages/forwarding/src/PeerTable.ts
+++ b/packages/forwarding/src/PeerTable.ts
@@ -32,6 +32,8 @@
   readonly reads: ReadAges;
   /** Heartbeat interval, milliseconds. */
   readonly beatMs: number;
+  /** Number of the heartbeat; relayed ones may arrive after newer ones. */
+  readonly beat?: number | undefined;
 }
 
 /** A peer with a recent heartbeat. */
@@ -59,6 +61,12 @@
   lastSeenMs: number;
 }
 
+const isOlder = (one: PeerIdentity, other: PeerIdentity): boolean =>
+  one.incarnation === other.incarnation &&
+  one.beat !== undefined &&
+  other.beat !== undefined &&
+  one.beat < other.beat;
+
 /** Other entry processes: all known hosts, and those with a recent heartbeat. */
 export class PeerTable {
   readonly #clock: Clock;
@@ -85,9 +93,12 @@
     }
   }
 
-  /** Records a heartbeat; returns the incarnation that it supersedes, if any. */
+  /** Records a heartbeat unless a newer one is known; returns the incarnation that it supersedes, if any. */
   recordHeartbeat(identity: PeerIdentity): number | undefined {
     const known = this.#entries.get(identity.host)?.identity;
+    if (known && isOlder(identity, known)) {
+      return undefined;
+    }
     this.#entries.set(identity.host, { identity, lastSeenMs: this.#clock.now() });
     return known && known.incarnation !== identity.incarnation ? known.incarnation : undefined;
   }
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./Batcher.js";
 export * from "./CrashTracker.js";
 export * from "./engineModel.js";
 export * from "./EventSplitter.js";
@@ -9,7 +10,7 @@
 export * from "./draining.js";
 export * from "./load.js";
 export * from "./LoadTracker.js";
-export * from "./LoadRelay.js";
+export * from "./relays.js";
 export * from "./outcomes.js";
 export * from "./placement.js";
 export * from "./Placer.js";
--- a/packages/forwarding/src/views.test.ts
+++ b/packages/forwarding/src/views.test.ts
@@ -288,6 +288,13 @@
     expect(getHosts(table.getServing())).to.deep.equal([]);
   });
 
+  it("doesn't go back to an older heartbeat that was relayed late", () => {
+    const table = new PeerTable({ clock: new ManualClock(), self: "self" });
+    table.recordHeartbeat({ ...newPeer("a", "leaving"), beat: 8 });
+    table.recordHeartbeat({ ...newPeer("a", "live"), beat: 7 });
+    expect(table.getServing()).to.deep.equal([]);
+  });
+
   it("returns the incarnation that a restarted peer supersedes", () => {
     const table = new PeerTable({ clock: new ManualClock(), self: "self" });
     expect(table.recordHeartbeat(newPeer("a", "live", 1))).to.equal(undefined);
