Place prompts at once in place of waiting, and play load patterns by command

A prompt of 926,000 tokens took 43 s of prefill and failed at its deadline. Change: a prompt is placed at once, and waits only for KV memory; the extra cost of prefill beside answers with short gaps is gone (the added loss says it already), and that of overtaking a decoder's part is higher. lycheepulley experiment plays the patterns.

--- a/packages/cli/src/registry.ts
+++ b/packages/cli/src/registry.ts
@@ -8,6 +8,7 @@
 import { configStatusCommand } from "./commands/configStatus.js";
 import { demoCommand } from "./commands/demo.js";
 import { entryCommand } from "./commands/entry.js";
+import { experimentCommand } from "./commands/experiment.js";
 import { explainCommand } from "./commands/explain.js";
 import { fateCommand } from "./commands/fate.js";
 import { drainCommand, nodesCommand, upstreamsCommand } from "./commands/nodes.js";
@@ -33,6 +34,7 @@
   blockListCommand,
   blockLiftCommand,
   benchCommand,
+  experimentCommand,
   demoCommand,
   faultSoakCommand,
   platformDemoCommand,
--- a/packages/forwarding/src/AdmissionControl.ts
+++ b/packages/forwarding/src/AdmissionControl.ts
@@ -39,8 +39,8 @@
 /**
  * Sheds prompts under load: the prefill of the longest grows with the square of
  * their length, so that one of them can cost the fleet many others. A prompt is
- * admitted while it is worth as much as the same work on average requests,
- * weighted with the share of the fleet that is busy.
+ * admitted unless the same work on average requests is worth more, weighted with
+ * the share of the fleet that is busy.
  */
 export class AdmissionControl {
   readonly #clock: Clock;
--- a/packages/forwarding/src/Placer.ts
+++ b/packages/forwarding/src/Placer.ts
@@ -10,8 +10,6 @@
 import type { LoadTracker } from "./LoadTracker.js";
 import {
   isExpectedLate,
-  MAX_HELPERS,
-  planIdle,
   pickServiceUpstream,
   planPlacement,
   type PlacementCandidate,
@@ -22,11 +20,7 @@
 import type { ForwardRequest } from "./types.js";
 import type { UpstreamHealth } from "./UpstreamHealth.js";
 
-/** A prompt is sent at once when its loss exceeds that on idle upstreams by at most this. */
-const ACCEPTED_LOSS = 0.5;
-/** Share of the slack before the latency objective that a prompt may wait for a better placement. */
-const MAX_WAIT_SHARE = 0.5;
-/** Interval at which a waiting prompt is planned again. */
+/** Interval at which a prompt that waits for KV memory is planned again. */
 const REPLAN_INTERVAL_MS = 15;
 /**
  * Upstreams among which one request chooses, a random sample of a larger pool.
@@ -66,7 +60,7 @@
   readonly timeline: AnswerTimeline;
 }
 
-/** Chooses upstreams for requests; a prompt waits while it would delay others too much. */
+/** Chooses upstreams for requests; a prompt waits only while no upstreams have the KV memory. */
 export class Placer {
   readonly #clock: Clock;
   readonly #random: Random;
@@ -142,7 +136,7 @@
         return PlacementFailure.Overloaded;
       }
       const plan = planPlacement(engine, request, candidates);
-      if (plan && this.#isAcceptable({ query, engine, request, plan, candidates, now })) {
+      if (plan) {
         return { upstream: plan.upstream, plan, request, waitedMs: now - startMs };
       }
       await sleep(this.#clock, REPLAN_INTERVAL_MS, req.signal);
@@ -169,25 +163,6 @@
     return isAdmitted;
   }
 
-  #isAcceptable(options: {
-    query: PlacementQuery;
-    engine: EngineSpec;
-    request: PlacementRequest;
-    plan: PlacementPlan;
-    candidates: readonly PlacementCandidate[];
-    now: number;
-  }): boolean {
-    const { query, engine, request, plan, candidates, now } = options;
-    const { route, receivedMs } = query.req;
-    const upstreams = candidates.slice(0, MAX_HELPERS + 1).map(({ upstream }) => upstream);
-    const idle = planIdle(engine, request, upstreams);
-    if (!idle || plan.loss - idle.loss <= ACCEPTED_LOSS) {
-      return true;
-    }
-    const maxWaitMs = MAX_WAIT_SHARE * Math.max(0, route.targetMs - idle.firstEventMs);
-    return now - receivedMs >= maxWaitMs;
-  }
-
   #getCandidates({
     pool,
     excluded,
--- a/packages/forwarding/src/placement.test.ts
+++ b/packages/forwarding/src/placement.test.ts
@@ -87,6 +87,27 @@
     expect(getMembers(found)).to.deep.equal(["u1"]);
   });
 
+  it("spares the upstreams of answers in time, not those of late ones", () => {
+    const lateOnly = { ...writing(3), decodes: [], decoding: 3, minGapMs: Infinity };
+    const found = plan({ ...LONG, promptTokens: 60_000 }, [writing(3), lateOnly]);
+    expect(getMembers(found)).to.deep.equal(["u1"]);
+  });
+
+  it("doesn't take all upstreams for a prompt that is late already", () => {
+    const late = { ...LONG, promptTokens: 270_000, targetLeftMs: -4_000, deadlineLeftMs: 6_000 };
+    const loads = Array.from({ length: 14 }, () => writing(6));
+    const { helpers } = plan({ ...late, value: 28 }, loads);
+    expect(helpers.length).to.be.at.most(2);
+  });
+
+  it("expects a queue at an upstream without a free slot, but not behind deferred requests", () => {
+    const full = plan({ targetLeftMs: 2_000 }, [writing(11)]).firstEventMs;
+    const deferred = plan({ targetLeftMs: 2_000 }, [
+      { ...writing(10), inFlight: 11, deferred: 1 },
+    ]).firstEventMs;
+    expect(full - deferred).to.be.above(200);
+  });
+
   it("doesn't delay the prefill of a prompt that would then be late", () => {
     const prefill = { targetLeftMs: 420, deadlineLeftMs: 9_000, value: 18, isDecoder: true };
     const reading = { pendingReadMs: 200, prefills: [prefill], inFlight: 1, minGapMs: 1_000 };
--- a/packages/forwarding/src/placement.ts
+++ b/packages/forwarding/src/placement.ts
@@ -8,7 +8,7 @@
   LATE_LOSS,
   type Prospect,
 } from "./lateness.js";
-import { newUpstreamLoad, type UpstreamLoad } from "./load.js";
+import type { UpstreamLoad } from "./load.js";
 
 /** Most upstreams that prefill a prompt besides the one that decodes the answer. */
 export const MAX_HELPERS = 16;
@@ -18,10 +18,8 @@
 const SPREAD_COST = 1;
 /** Gap objectives up to this are short. Their answers share upstreams, which leaves others free for long prefills. */
 const SHORT_GAP_MS = 300;
-/** Cost of each millisecond of prefill on an upstream that decodes answers with short gap objectives. */
-const PREFILL_INTERFERENCE_COST = 0.002;
 /** Weight of the delay of a prompt when another prefill goes before its decoder's part. */
-const OVERTAKEN_WEIGHT = 0.375;
+const OVERTAKEN_WEIGHT = 0.8;
 /** Share of an engine's KV memory that placement leaves free. */
 const KV_HEADROOM = 0.05;
 /** Slots become free at irregular times, so the expected wait is taken this many times. */
@@ -101,20 +99,17 @@
   engine: EngineSpec,
   candidate: PlacementCandidate,
   readMs: number,
-  maxGapMs: number,
 ): ScoredMember => {
   const { load } = candidate;
   const passMs = getPassMs(engine, load.decoding, load.contextTokens);
   const addedLoss = getAddedLoss(load, passMs, readMs);
-  const isShort = maxGapMs <= SHORT_GAP_MS;
-  const interference = !isShort && hasShortGaps(load) ? PREFILL_INTERFERENCE_COST * readMs : 0;
   const passLeftMs = load.decoding > 0 ? passMs / 2 : 0;
   const helperReadyMs = passLeftMs + load.pendingHelpMs + readMs;
   return {
     candidate,
     helperReadyMs,
     decoderReadyMs: passLeftMs + load.pendingReadMs + readMs,
-    cost: addedLoss + interference + FAILURE_COST * candidate.failureRate + helperReadyMs / 1_000,
+    cost: addedLoss + FAILURE_COST * candidate.failureRate + helperReadyMs / 1_000,
   };
 };
 
@@ -240,7 +235,7 @@
   for (let count = 1; count <= maxMembers; count++) {
     const readMs = getReadMs(engine, req.promptTokens, count);
     const scored = candidates
-      .map((candidate) => scoreMember(engine, candidate, readMs, req.maxGapMs))
+      .map((candidate) => scoreMember(engine, candidate, readMs))
       .sort((a, b) => a.cost - b.cost);
     if (count === 1) {
       for (const member of scored) {
@@ -255,18 +250,6 @@
   return best;
 };
 
-/** Plans the prompt as if the upstreams were idle; waiting is weighed against this plan. */
-export const planIdle = (
-  engine: EngineSpec,
-  req: PlacementRequest,
-  upstreams: readonly Upstream[],
-): PlacementPlan | undefined =>
-  planPlacement(
-    engine,
-    req,
-    upstreams.map((upstream) => ({ upstream, load: newUpstreamLoad(), failureRate: 0 })),
-  );
-
 /** Chooses an upstream for a call to a plain service; undefined from an empty list. */
 export const pickServiceUpstream = (
   candidates: readonly PlacementCandidate[],
