Tell short gap objectives from the configured routes, answer unusual request targets, and check keys on resume

Change: short is below the middle, by ratio, of the gap objectives that routes to the pool declare; HttpServer answers 400 to targets that are no URL; a resumed stream needs its customer's key; load items of older builds are taken without the new fields.

--- a/packages/callers/src/CallerServer.ts
+++ b/packages/callers/src/CallerServer.ts
@@ -30,7 +30,7 @@
 export class CallerServer {
   readonly #api: ServingApi;
   readonly #server: HttpServer;
-  readonly #streamedAnswers = new Map<string, ResumableAnswer>();
+  readonly #streamedAnswers = new Map<string, { answer: ResumableAnswer; customer: string }>();
 
   constructor(api: ServingApi) {
     this.#api = api;
@@ -202,7 +202,7 @@
       },
       createdS: Math.floor(Date.now() / MS_PER_S),
     });
-    this.#streamedAnswers.set(requestId, answer);
+    this.#streamedAnswers.set(requestId, { answer, customer: request.customer });
     answer.attach(res, 0);
     try {
       const onChunk = answer.push.bind(answer);
@@ -224,7 +224,10 @@
   }
 
   #resumeStream(req: IncomingMessage, res: ServerResponse, id: string): void {
-    const answer = this.#streamedAnswers.get(id);
+    const streamed = this.#streamedAnswers.get(id);
+    // An id is no secret, so that only the customer who asked may read the answer.
+    const isOwn = streamed && this.#api.authenticate(getApiKey(req)) === streamed.customer;
+    const answer = isOwn ? streamed.answer : undefined;
     const lastEventId = getHeader(req, "last-event-id") ?? "";
     const lastSeq = Number(lastEventId.slice(lastEventId.lastIndexOf(":") + 1) || -1);
     if (!answer || !Number.isInteger(lastSeq)) {
--- a/packages/cli/src/integration/openaiClient.test.ts
+++ b/packages/cli/src/integration/openaiClient.test.ts
@@ -61,9 +61,12 @@
     const events = received.slice(0, received.lastIndexOf("\n\n")).split("\n\n");
     abort.abort();
     const lastId = events.at(-1)?.match(/^id: (.*)$/m)?.[1] ?? "";
-    const rest = await fetch(`${origin}/v1/requests/${id}/stream`, {
-      headers: { "last-event-id": lastId },
-    });
+    const resume = (authorization: string): Promise<Response> =>
+      fetch(`${origin}/v1/requests/${id}/stream`, {
+        headers: { authorization, "last-event-id": lastId },
+      });
+    expect((await resume("Bearer another")).status).to.equal(410);
+    const rest = await resume(headers.authorization);
     const text = [...events, ...(await rest.text()).split("\n\n")]
       .flatMap((event) => /^data: (\{.*)$/m.exec(event)?.[1] ?? [])
       .map((data) => JSON.parse(data) as OpenAI.ChatCompletionChunk)
--- a/packages/forwarding/src/Placer.ts
+++ b/packages/forwarding/src/Placer.ts
@@ -131,7 +131,8 @@
       if (candidates.length === 0) {
         return PlacementFailure.NoUpstream;
       }
-      const request = newPlacementRequest(query, engine, now);
+      const shortGapMs = this.#view.table?.getShortGapMs(query.pool) ?? 0;
+      const request = { ...newPlacementRequest(query, engine, now), shortGapMs };
       if (!this.#isAdmitted({ query, engine, request, candidates, isFirst: now === startMs })) {
         return PlacementFailure.Overloaded;
       }
@@ -221,7 +222,7 @@
   { req, deadlineAtMs, timeline }: PlacementQuery,
   engine: EngineSpec,
   now: number,
-): PlacementRequest => ({
+): Omit<PlacementRequest, "shortGapMs"> => ({
   promptTokens: req.head.promptTokens,
   outputTokens: req.head.outputTokens,
   maxGapMs: getGapMs(req.route),
--- a/packages/forwarding/src/RouteTable.ts
+++ b/packages/forwarding/src/RouteTable.ts
@@ -6,6 +6,8 @@
   readonly #byHost = new Map<string, Map<string, Route>>();
   readonly #byApiKey = new Map<string, ForwardCustomer>();
   readonly #pools = new Map<string, Pool>();
+  /** Shortest and longest gap objective of the routes to each pool. */
+  readonly #gapsByPool = new Map<string, { shortestMs: number; longestMs: number }>();
 
   constructor(config: FleetConfig) {
     this.config = config;
@@ -14,6 +16,7 @@
       const prefixes = this.#byHost.get(host) ?? new Map<string, Route>();
       prefixes.set(route.pathPrefix, route);
       this.#byHost.set(host, prefixes);
+      this.#addGap(route);
     }
     for (const customer of config.customers ?? []) {
       for (const key of customer.apiKeys) {
@@ -48,6 +51,30 @@
     return this.#byApiKey.get(key);
   }
 
+  /**
+   * Gap objectives below this are short for the pool: the middle, by ratio, between the shortest
+   * and the longest that its routes declare. 0 when all are equal.
+   */
+  getShortGapMs(pool: string): number {
+    const gaps = this.#gapsByPool.get(pool);
+    return gaps && gaps.shortestMs < gaps.longestMs
+      ? Math.sqrt(gaps.shortestMs * gaps.longestMs)
+      : 0;
+  }
+
+  #addGap({ maxGapMs, pools }: Route): void {
+    if (maxGapMs === undefined) {
+      return;
+    }
+    for (const { pool } of pools) {
+      const known = this.#gapsByPool.get(pool);
+      this.#gapsByPool.set(pool, {
+        shortestMs: Math.min(known?.shortestMs ?? maxGapMs, maxGapMs),
+        longestMs: Math.max(known?.longestMs ?? maxGapMs, maxGapMs),
+      });
+    }
+  }
+
   findPool(name: string): Pool | undefined {
     return this.#pools.get(name);
   }
--- a/packages/forwarding/src/decisions.test.ts
+++ b/packages/forwarding/src/decisions.test.ts
@@ -9,6 +9,24 @@
 import { UpstreamHealth } from "./UpstreamHealth.js";
 import { CrashTracker } from "./CrashTracker.js";
 
+describe("RouteTable: short gap objectives", () => {
+  const cases: readonly [gapsMs: (number | undefined)[], shortGapMs: number][] = [
+    [[200, 500, 800], 400],
+    [[350, 900, 1_500], 725],
+    [[250, 250], 0],
+    [[undefined], 0],
+  ];
+  for (const [gapsMs, shortGapMs] of cases) {
+    it(`are below ${String(shortGapMs)} ms among ${gapsMs.join(", ")}`, () => {
+      const routes = gapsMs.map((maxGapMs, index) =>
+        newRoute({ name: `r${String(index)}`, pathPrefix: `/${String(index)}/`, maxGapMs }),
+      );
+      const table = new RouteTable(newConfig({ routes }));
+      expect(table.getShortGapMs("p")).to.be.closeTo(shortGapMs, 1);
+    });
+  }
+});
+
 describe("RouteTable", () => {
   const table = new RouteTable(
     newConfig({
--- a/packages/forwarding/src/load.ts
+++ b/packages/forwarding/src/load.ts
@@ -11,6 +11,9 @@
 } as const;
 export type LoadPhase = (typeof LoadPhase)[keyof typeof LoadPhase];
 
+/** Time until the deadline of a request whose process, of an older build, doesn't report it. */
+const UNKNOWN_DEADLINE_MS = 10_000;
+
 /** One in-flight request, as the entry processes report it to each other. */
 export const loadItemSchema = z.object({
   id: z.string().max(64),
@@ -31,11 +34,11 @@
   /** Time left until the objective for the first event when this phase began, milliseconds. */
   targetLeftMs: z.number(),
   /** Time left until the first event came too late for the whole answer when this phase began, milliseconds. */
-  deadlineLeftMs: z.number(),
+  deadlineLeftMs: z.number().default(UNKNOWN_DEADLINE_MS),
   /** Estimated worth of the request to its caller. */
   value: z.number().nonnegative(),
   /** It was expected to miss its objective when it was sent, or an event has missed one. */
-  isLate: z.boolean(),
+  isLate: z.boolean().default(false),
 });
 export type LoadItem = z.infer<typeof loadItemSchema>;
 
--- a/packages/forwarding/src/placement.ts
+++ b/packages/forwarding/src/placement.ts
@@ -16,8 +16,6 @@
 const OPEN_COST = 0.3;
 /** Cost of an answer with a short gap objective on an upstream that is nearly empty. */
 const SPREAD_COST = 1;
-/** Gap objectives up to this are short. Their answers share upstreams, which leaves others free for long prefills. */
-const SHORT_GAP_MS = 300;
 /** Weight of the delay of a prompt when another prefill goes before its decoder's part. */
 const OVERTAKEN_WEIGHT = 0.8;
 /** Share of an engine's KV memory that placement leaves free. */
@@ -43,6 +41,11 @@
   readonly outputTokens: number;
   /** Objective for the longest gap between events, milliseconds. */
   readonly maxGapMs: number;
+  /**
+   * Gap objectives below this are short. Their answers share upstreams, which leaves
+   * others free for long prefills.
+   */
+  readonly shortGapMs: number;
 }
 
 /** Upstreams for a prompt, with the expected times and loss. */
@@ -75,7 +78,10 @@
   readonly cost: number;
 }
 
-const hasShortGaps = (load: UpstreamLoad): boolean => load.minGapMs <= SHORT_GAP_MS;
+const isShort = (req: PlacementRequest): boolean => req.maxGapMs < req.shortGapMs;
+
+const hasShortGaps = (load: UpstreamLoad, req: PlacementRequest): boolean =>
+  load.minGapMs < req.shortGapMs;
 
 /** Added loss of the requests at an upstream when its next pass prefills for `readMs` longer. */
 const getAddedLoss = (load: UpstreamLoad, passMs: number, readMs: number): number => {
@@ -137,7 +143,7 @@
   engine: EngineSpec,
   members: readonly ScoredMember[],
   kvTokens: number,
-  isShort: boolean,
+  req: PlacementRequest,
 ): ScoredMember | undefined => {
   const getPenalty = ({ candidate, cost, decoderReadyMs }: ScoredMember): number => {
     const { load, upstream } = candidate;
@@ -148,7 +154,7 @@
       decoderReadyMs / 1_000 +
       crowding +
       20 * lackingShare +
-      (!isShort && hasShortGaps(load) ? 1 : 0)
+      (!isShort(req) && hasShortGaps(load, req) ? 1 : 0)
     );
   };
   return members.reduce<ScoredMember | undefined>(
@@ -158,9 +164,9 @@
 };
 
 /** Cost of an answer with a short gap objective on an upstream that could take long prefills instead. */
-const getSpreadCost = ({ load, upstream }: PlacementCandidate): number => {
+const getSpreadCost = ({ load, upstream }: PlacementCandidate, req: PlacementRequest): number => {
   const freeShare = 1 - Math.min(1, load.inFlight / upstream.slots);
-  return SPREAD_COST * freeShare + (hasShortGaps(load) ? 0 : OPEN_COST);
+  return SPREAD_COST * freeShare + (hasShortGaps(load, req) ? 0 : OPEN_COST);
 };
 
 /** Time until a slot of the upstream becomes free, when the answers there are like this one. */
@@ -185,9 +191,8 @@
   members: readonly ScoredMember[],
   readMs: number,
 ): PlacementPlan | undefined => {
-  const isShort = req.maxGapMs <= SHORT_GAP_MS;
   const kvTokens = req.promptTokens + req.outputTokens;
-  const decoder = pickDecoder(engine, members, kvTokens, isShort);
+  const decoder = pickDecoder(engine, members, kvTokens, req);
   if (!decoder) {
     return undefined;
   }
@@ -202,7 +207,7 @@
   const queueMs = getQueueMs(engine, req, decoder.candidate);
   const passMs = getPassMs(engine, decoder.candidate.load.decoding + 1, 0);
   const firstEventMs = queueMs + waitMs + passMs;
-  const spreadCost = isShort ? getSpreadCost(decoder.candidate) : 0;
+  const spreadCost = isShort(req) ? getSpreadCost(decoder.candidate, req) : 0;
   const lateLoss = getLatenessLoss(req, firstEventMs);
   const delayCost = getOwnDelayCost(req, firstEventMs);
   const memberCost = members.reduce((sum, { cost }) => sum + cost, 0);
--- a/packages/forwarding/src/testing/samples.ts
+++ b/packages/forwarding/src/testing/samples.ts
@@ -79,6 +79,7 @@
   promptTokens: 5_000,
   outputTokens: 1_300,
   maxGapMs: 250,
+  shortGapMs: 500,
   targetLeftMs: 300,
   deadlineLeftMs: 9_000,
   value: 1.5,
--- a/packages/http/src/HttpServer.ts
+++ b/packages/http/src/HttpServer.ts
@@ -16,6 +16,8 @@
   readonly handle: Handler;
 }
 
+const BASE_URL = "http://localhost";
+
 interface CompiledRoute extends Route {
   readonly pattern: RegExp;
 }
@@ -128,7 +130,13 @@
   }
 
   async #dispatch(req: IncomingMessage, res: ServerResponse): Promise<void> {
-    const url = new URL(req.url ?? "/", "http://localhost");
+    // A request target such as "//" is valid HTTP, but no URL.
+    const target = req.url ?? "/";
+    if (!URL.canParse(target, BASE_URL)) {
+      sendJson(res, 400, { error: { message: "the request target is not a URL path" } });
+      return;
+    }
+    const url = new URL(target, BASE_URL);
     try {
       for (const route of this.#routes) {
         const match = route.method === req.method ? route.pattern.exec(url.pathname) : null;
