--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -110,6 +110,11 @@
     );
     return ExitCode.Usage;
   }
+  // meow shows help by itself only when it is the only argument.
+  if (cli.flags["help"] === true) {
+    process.stdout.write(`${cli.help}\n`);
+    return ExitCode.Done;
+  }
   const args = cli.input.slice(command.name.split(" ").length);
   const operands = command.operands ?? [];
   if (args.length < operands.length) {
