--- a/packages/core/src/folds/fates.ts
+++ b/packages/core/src/folds/fates.ts
@@ -53,6 +53,13 @@
 /** Process name and incarnation at the start of a request id. */
 const REQUEST_ID_PREFIX_PARTS = 2;
 
+/** Escapes what separates the steps of a compact fate. */
+const escapeDetail = (detail: string): string =>
+  detail.replace(/[% @]/g, (char) => `%${char.charCodeAt(0).toString(16)}`);
+
+const unescapeDetail = (text: string): string =>
+  text.replace(/%(25|20|40)/g, (_, code: string) => String.fromCharCode(parseInt(code, 16)));
+
 /** Converts a fate to its compact form for the log; the record's writer names the process. */
 export const compactFate = (fate: Fate): CompactFate => [
   fate.requestId.split(".").slice(REQUEST_ID_PREFIX_PARTS).join("."),
@@ -61,7 +68,7 @@
   Math.round(fate.endedAfterMs ?? 0),
   fate.steps
     .filter(([, , detail]) => detail !== "")
-    .map(([step, ms, detail]) => `${step}@${String(Math.round(ms))}:${detail}`)
+    .map(([step, ms, detail]) => `${step}@${String(Math.round(ms))}:${escapeDetail(detail)}`)
     .slice(fate.state === FateState.Finished ? -1 : -MAX_STEPS_OF_UNFINISHED)
     .join(" "),
   (fate.reason ?? "").slice(0, MAX_REASON_LENGTH),
@@ -86,7 +93,7 @@
       .map((text) => {
         const [step = "", rest = ""] = text.split("@");
         const [ms = "0", ...detail] = rest.split(":");
-        return [step, Number(ms), detail.join(":")];
+        return [step, Number(ms), unescapeDetail(detail.join(":"))];
       }),
     ...(reason === "" ? {} : { reason }),
   };
--- a/packages/daemon/src/EntryNode.ts
+++ b/packages/daemon/src/EntryNode.ts
@@ -1,5 +1,3 @@
-import { monitorEventLoopDelay } from "node:perf_hooks";
-
 import {
   ALL_PROTECTIONS,
   SystemClock,
@@ -15,6 +13,7 @@
 import { Metrics, newLogger, type Logger } from "@lycheepulley/telemetry";
 import { HttpWeightStoreClient } from "@lycheepulley/weights";
 
+import { LoopDelayMonitor } from "./LoopDelayMonitor.js";
 import { NodeApi } from "./NodeApi.js";
 import { addNodeGauges } from "./nodeGauges.js";
 import { newPlacementPolicy } from "./placement.js";
@@ -22,9 +21,6 @@
 import { newUpstreamDirectory } from "./upstreamClients.js";
 import { VmListWatcher } from "./VmListWatcher.js";
 
-const LOOP_SAMPLING_MS = 5;
-const NS_PER_MS = 1e6;
-
 /** One entry process: a coordination node with the HTTP clients and servers that it uses. */
 export class EntryNode {
   readonly settings: Settings;
@@ -38,7 +34,7 @@
   readonly #nodeServer = new NodeServer();
   readonly #callerServer: CallerServer;
   readonly #node: CoordinationNode;
-  readonly #loopDelay = monitorEventLoopDelay({ resolution: LOOP_SAMPLING_MS });
+  readonly #loopDelay = new LoopDelayMonitor(this.#clock);
 
   constructor(settings: Settings) {
     this.settings = settings;
@@ -68,7 +64,7 @@
     this.#vmList.start();
     this.#node.start();
     await this.#callerServer.listen(host, callerPort);
-    this.#loopDelay.enable();
+    this.#loopDelay.start();
     this.#logger.info("entry process started", { step: "start", name });
   }
 
@@ -84,6 +80,7 @@
 
   /** Closes servers and clients without draining. */
   async stop(): Promise<void> {
+    this.#loopDelay.stop();
     await this.#callerServer.close();
     await Promise.all([this.#node.stop(), this.#vmList.stop()]);
     await this.#nodeServer.close();
@@ -91,13 +88,6 @@
     await this.#log.close();
   }
 
-  /** Longest event-loop delay since the previous call, without the sampling interval. */
-  #readLoopDelay(): number {
-    const ms = this.#loopDelay.max / NS_PER_MS - LOOP_SAMPLING_MS;
-    this.#loopDelay.reset();
-    return Math.max(0, ms);
-  }
-
   #newCoordinationNode(metrics: Metrics): CoordinationNode {
     const { name, site, failureDomain, host, callerPort, controlPort, platform, placement } =
       this.settings;
@@ -124,7 +114,7 @@
       getServerTraffic: () => ({
         connections: this.#nodeServer.connections,
         ...this.#nodeServer.traffic,
-        loopDelayMaxMs: this.#readLoopDelay(),
+        loopDelayMaxMs: this.#loopDelay.maxMs,
       }),
       newPolicy: () => newPlacementPolicy(placement, this.#random),
       protections: ALL_PROTECTIONS,
--- a/packages/serving/src/fates/FateRecorder.test.ts
+++ b/packages/serving/src/fates/FateRecorder.test.ts
@@ -69,13 +69,19 @@
     const fate = {
       ...{ requestId: "req_p.1.2.3", state: FateState.FailedMayHaveRun, className: "dialogue" },
       ...{ customer: "c", acceptedMs: 5, endedAfterMs: 70, reason: "stream at e1: reset" },
-      steps: [["send", 12.4, "e1"]] as [string, number, string][],
+      steps: [
+        ["send", 12.4, "e1"],
+        ["reply", 20, "a@b: 40% of x y"],
+      ] as [string, number, string][],
     };
     const line = JSON.parse(JSON.stringify(compactFate(fate))) as CompactFate;
     expect(expandFate("req_p.1.2.3", 5, line)).to.deep.equal({
       ...fate,
       customer: "",
-      steps: [["send", 12, "e1"]],
+      steps: [
+        ["send", 12, "e1"],
+        ["reply", 20, "a@b: 40% of x y"],
+      ],
     });
   });
 });
