Log what a caller received in the end, and connections that end on an error

Cause: the lines of a request don't tell whether its caller got an answer or a cut connection: "failed" is written for a 502 and for a stream that is broken off alike. A connection that the listener closes on an error (headers too large or too late, bytes that are no request) leaves no line, and the line of an internal error lacks the request's id.

Change: "request ended" has `ending` (whole, own, cut, none); "caller's connection closed on an error" with code and bytes received; the internal error names the request and the configuration's revision. FinalAnswer is split from ForwardJob, unchanged.

No change of what callers receive.

--- a/packages/callers/src/forward/ForwardServer.ts
+++ b/packages/callers/src/forward/ForwardServer.ts
@@ -62,8 +62,8 @@
     this.#server.on("connection", (socket) => {
       this.#watchSocket(socket);
     });
-    this.#server.on("clientError", (_err, socket) => {
-      socket.destroy();
+    this.#server.on("clientError", (err: NodeJS.ErrnoException, socket) => {
+      this.#handleConnectionError(err, socket as Socket);
     });
     this.#server.on("error", (err) => {
       this.#logger.error("listener failed", { step: "accept", err: err.message });
@@ -106,6 +106,16 @@
     this.#server.closeIdleConnections();
   }
 
+  #handleConnectionError(err: NodeJS.ErrnoException, socket: Socket): void {
+    if (err.code !== "ECONNRESET") {
+      this.#logger.warn("caller's connection closed on an error", {
+        ...{ step: "accept", err: err.message, code: err.code },
+        receivedBytes: socket.bytesRead,
+      });
+    }
+    socket.destroy();
+  }
+
   #watchSocket(socket: Socket): void {
     socket.setNoDelay(true);
     this.#sockets.add(socket);
@@ -122,15 +132,16 @@
       abort.abort();
     });
     const writer = new ResponseWriter(res, { isClosing: () => this.#drain !== undefined });
+    let head: RequestHead | undefined;
     try {
-      const head = this.#dialect.readHead({
+      head = this.#dialect.readHead({
         method: req.method ?? "GET",
         path: req.url ?? "/",
         headers: req.rawHeaders,
       });
       await this.#admit({ req, head, writer, receivedMs, signal: abort.signal });
     } catch (err) {
-      this.#handleFailure(err, req, writer);
+      this.#handleFailure(err, { req, head, writer });
     }
   }
 
@@ -238,7 +249,11 @@
     }
   }
 
-  #handleFailure(err: unknown, req: IncomingMessage, writer: ResponseWriter): void {
+  #handleFailure(
+    err: unknown,
+    options: { req: IncomingMessage; head: RequestHead | undefined; writer: ResponseWriter },
+  ): void {
+    const { req, head, writer } = options;
     if (writer.isClosed) {
       return;
     }
@@ -252,7 +267,7 @@
       writer.abort();
     } else {
       this.#logger.error("request failed with an internal error", {
-        step: "accept",
+        ...{ requestId: head?.attemptId, step: "accept", revision: this.#view.revision },
         err: err instanceof Error ? (err.stack ?? err.message) : String(err),
       });
       writer.abort();
--- a/packages/forwarding/src/ForwardJob.ts
+++ b/packages/forwarding/src/ForwardJob.ts
@@ -8,6 +8,7 @@
 import { Send, type AnswerProgress } from "./Send.js";
 import { getDeadlineAtMs, getStallTimeouts, getUrgency, orderHelpers } from "./sendParameters.js";
 import { raceDeadline, NOT_SETTLED } from "./raceDeadline.js";
+import { FinalAnswer } from "./FinalAnswer.js";
 import { RequestLog } from "./RequestLog.js";
 import type { Reservations } from "./ReservationManager.js";
 import type { AnswerWriter, ForwardRequest } from "./types.js";
@@ -41,6 +42,7 @@
   readonly #progress: AnswerProgress;
   readonly #timeline: AnswerTimeline;
   readonly #log: RequestLog;
+  readonly #final: FinalAnswer;
   #sends = 0;
   #unsentSends = 0;
   #mayHaveRun = false;
@@ -64,12 +66,16 @@
       isHeadSent: false,
       isFramed: false,
     };
+    this.#final = new FinalAnswer({
+      ...{ deps: options.deps, req: options.req, writer: options.writer, log: this.#log },
+      ...{ progress: this.#progress, timeline: this.#timeline, getSends: () => this.#sends },
+    });
   }
 
   async run(): Promise<void> {
     const { fingerprint } = this.#req;
     if (this.#deps.crashes.isBlocked(fingerprint)) {
-      this.#reject("blocked: it crashed its upstreams", NO_UPSTREAM_RETRY_AFTER_MS);
+      this.#final.reject("blocked: it crashed its upstreams", NO_UPSTREAM_RETRY_AFTER_MS);
       return;
     }
     this.#deps.retryBudget.addRequest(this.#pool);
@@ -205,16 +211,16 @@
       case NextStep.Retry:
         return;
       case NextStep.Done:
-        this.#end(outcome.result);
+        this.#final.finish(outcome);
         return;
       case NextStep.Deliver:
-        this.#deliver(outcome);
+        this.#final.deliver(outcome);
         return;
       case NextStep.Reject:
-        this.#reject(outcome.reason, REJECTED_RETRY_AFTER_MS);
+        this.#final.reject(outcome.reason, REJECTED_RETRY_AFTER_MS);
         return;
       case NextStep.Fail:
-        this.#fail(outcome);
+        this.#final.fail(outcome);
     }
   }
 
@@ -262,11 +268,11 @@
 
   #endWithoutPlacement(reason: PlacementFailure): void {
     if (reason === PlacementFailure.Cancelled) {
-      this.#end(SendResult.Cancelled);
+      this.#final.finish({ result: SendResult.Cancelled, reason });
     } else if (this.#mayHaveRun) {
-      this.#fail({ result: SendResult.TimedOut, reason });
+      this.#final.fail({ result: SendResult.TimedOut, reason });
     } else {
-      this.#reject(reason, this.#getRetryAfterMs(reason));
+      this.#final.reject(reason, this.#getRetryAfterMs(reason));
     }
   }
 
@@ -279,46 +285,6 @@
     return roomMs * (1 + RETURN_SPREAD * this.#deps.random.next());
   }
 
-  #reject(reason: string, retryAfterMs: number): void {
-    if (this.#progress.isHeadSent) {
-      this.#writer.abort();
-    } else {
-      this.#writer.sendOwn(503, `not run: ${reason}`, retryAfterMs);
-    }
-    this.#end("refused", reason);
-  }
-
-  #fail({ result, reason, answer }: SendOutcome): void {
-    if (this.#progress.isHeadSent) {
-      this.#writer.abort();
-    } else {
-      const status = result === SendResult.TimedOut ? 504 : 502;
-      this.#writer.sendOwn(status, `may have run: ${reason}`);
-    }
-    this.#end("failed", answer ? `${reason} (${String(answer.head.status)})` : reason);
-  }
-
-  #deliver({ answer }: SendOutcome): void {
-    if (!answer || this.#progress.isHeadSent) {
-      this.#writer.abort();
-    } else {
-      const headers = this.#deps.dialect.newAnswerHeaders(answer.head, { keepLength: true });
-      this.#writer.sendHead(answer.head.status, headers, answer.isFramed);
-      this.#writer.write(answer.body);
-      this.#writer.end();
-    }
-    this.#end("upstream_failure");
-  }
-
-  #end(result: string, reason?: string): void {
-    const { clock, onEnd } = this.#deps;
-    const totalMs = clock.now() - this.#req.receivedMs;
-    const sends = this.#sends;
-    this.#log.logEnd(this.#timeline, { result, reason, sends, totalMs });
-    const { firstMs } = this.#timeline;
-    onEnd({ route: this.#req.route.name, result, firstMs, totalMs, sends });
-  }
-
   #onEvents(placement: Placement): void {
     const { loadTracker, clock } = this.#deps;
     const { attemptId } = this.#req.head;
--- a/packages/forwarding/src/RequestLog.ts
+++ b/packages/forwarding/src/RequestLog.ts
@@ -5,6 +5,19 @@
 import type { Placement } from "./Placer.js";
 import type { ForwardRequest } from "./types.js";
 
+/** What the caller received in the end. */
+export const AnswerEnding = {
+  /** An upstream's complete answer. */
+  Whole: "whole",
+  /** An answer of this process. */
+  Own: "own",
+  /** The connection was closed in the middle of an answer. */
+  Cut: "cut",
+  /** Nothing: the caller had left. */
+  None: "none",
+} as const;
+export type AnswerEnding = (typeof AnswerEnding)[keyof typeof AnswerEnding];
+
 /** Writes the log lines of one request's decisions. */
 export class RequestLog {
   readonly #logger: Logger;
@@ -58,12 +71,18 @@
 
   logEnd(
     timeline: AnswerTimeline,
-    fields: { result: string; reason: string | undefined; sends: number; totalMs: number },
+    fields: {
+      result: string;
+      reason: string | undefined;
+      ending: AnswerEnding;
+      sends: number;
+      totalMs: number;
+    },
   ): void {
-    const { result, reason, sends, totalMs } = fields;
+    const { totalMs, ...rest } = fields;
     const { head, route } = this.#req;
     this.#logger.info("request ended", {
-      ...{ requestId: head.attemptId, step: "reply", route: route.name, result, reason, sends },
+      ...{ requestId: head.attemptId, step: "reply", route: route.name, ...rest },
       ms: Math.round(totalMs),
       longestGapMs: Math.round(timeline.longestGapMs),
     });
