Await a silent upstream unless another one takes over its request

Cause: a resumable stream had a stall time-out on every send, the last one too. The class of fault: giving up what one has before its replacement is certain.

Change: a stalled send stays in flight; another one starts beside it only if attempts, retry budget, time and another active upstream allow. Whichever sends the next event first goes on, the other ends, so that only one ever writes to the caller; a replacement that fails leaves the first as it was. A send that stalls at an upstream that answers probes ends once its replacement was not rejected at once, since silence there is mostly another request's prefill. Silence of an upstream that answers probes is no crash by the request. No probe is sent when nothing could follow. "upstream stalled" logs each decision. SendRunner and SendFeedback are split from ForwardJob.

--- a/packages/forwarding/src/ForwardJob.ts
+++ b/packages/forwarding/src/ForwardJob.ts
@@ -1,48 +1,57 @@
-import { sleep } from "@lycheepulley/core";
-
 import { AnswerTimeline } from "./AnswerTimeline.js";
-import type { Upstream } from "./fleetConfig.js";
 import type { ForwardDependencies } from "./forwardDependencies.js";
-import { decideNext, NextStep, SendResult, type SendOutcome } from "./outcomes.js";
+import {
+  canReplaceStalled,
+  decideNext,
+  NextStep,
+  SendResult,
+  type SendOutcome,
+} from "./outcomes.js";
 import { PlacementFailure, type Placement, type Placer } from "./Placer.js";
-import { Send, type AnswerProgress } from "./Send.js";
-import { getDeadlineAtMs, getStallTimeouts, getUrgency, orderHelpers } from "./sendParameters.js";
-import { raceDeadline, NOT_SETTLED } from "./raceDeadline.js";
+import { getDeadlineAtMs, pickPool } from "./sendParameters.js";
+import { SendFeedback } from "./SendFeedback.js";
+import { SendRunner, type SendObserver } from "./SendRunner.js";
+import { EventQueue } from "./EventQueue.js";
 import { FinalAnswer } from "./FinalAnswer.js";
 import { RequestLog } from "./RequestLog.js";
-import type { Reservations } from "./ReservationManager.js";
 import type { AnswerWriter, ForwardRequest } from "./types.js";
-import { UpstreamResult } from "./UpstreamHealth.js";
 
-const CONNECT_TIMEOUT_MS = 400;
-/** Time before the deadline at which this process answers itself. */
-const MARGIN_MS = 20;
 const NO_UPSTREAM_RETRY_AFTER_MS = 500;
 const REJECTED_RETRY_AFTER_MS = 250;
 /** Share of the time to return by which it varies. */
 const RETURN_SPREAD = 0.5;
-/** Pause after KV memory that a plan counted on was taken by another request. */
-const NO_MEMORY_PAUSE_MS = 60;
-/** Results that say nothing about the health of the upstream. */
-const NEUTRAL_RESULTS: ReadonlySet<SendResult> = new Set([
-  SendResult.Cancelled,
-  SendResult.TimedOut,
-  SendResult.NoMemory,
-]);
+/** Time in which an upstream that can't take a request rejects it. */
+const REJECTION_WAIT_MS = 50;
+/** One send, from the search of an upstream to its outcome. */
+interface LiveSend {
+  /** Aborted with the result of a send that is ended early. */
+  readonly abort: AbortController;
+  placement: Placement | undefined;
+  /** It stalls at an upstream that is alive, and keeps a place there. */
+  isSlow: boolean;
+}
+
+type JobEvent =
+  | { readonly kind: "unplaced"; readonly reason: PlacementFailure }
+  /** A send stalls, and another one may follow. */
+  | { readonly kind: "stalled" }
+  | { readonly kind: "ended"; readonly placement: Placement; readonly outcome: SendOutcome };
 
 /** Forwards one request, from its admission to its final answer. */
 export class ForwardJob {
   readonly #deps: ForwardDependencies;
   readonly #placer: Placer;
   readonly #req: ForwardRequest;
-  readonly #writer: AnswerWriter;
   readonly #pool: string;
   readonly #deadlineAtMs: number;
-  readonly #excluded = new Set<string>();
-  readonly #progress: AnswerProgress;
+  readonly #feedback: SendFeedback;
   readonly #timeline: AnswerTimeline;
   readonly #log: RequestLog;
   readonly #final: FinalAnswer;
+  readonly #runner: SendRunner;
+  readonly #live = new Set<LiveSend>();
+  readonly #events = new EventQueue<JobEvent>();
+  /** Sends whose bytes reached an upstream or may do so. */
   #sends = 0;
   #unsentSends = 0;
   #mayHaveRun = false;
@@ -56,147 +65,189 @@
     this.#deps = options.deps;
     this.#placer = options.placer;
     this.#req = options.req;
-    this.#writer = options.writer;
-    this.#pool = this.#pickPool();
+    this.#pool = pickPool(options.req.route, options.deps.random);
     this.#deadlineAtMs = getDeadlineAtMs(options.req);
     this.#log = new RequestLog(options.deps.logger, options.req);
     this.#timeline = new AnswerTimeline(options.req.receivedMs, options.req.route);
-    this.#progress = {
-      lastEventId: options.req.head.lastEventId,
-      isHeadSent: false,
-      isFramed: false,
-    };
+    const { deps, req, writer } = options;
+    this.#feedback = new SendFeedback({ deps, req, log: this.#log });
+    const progress = { lastEventId: req.head.lastEventId, isHeadSent: false, isFramed: false };
+    this.#runner = new SendRunner({
+      ...{ deps, req, writer, progress, deadlineAtMs: this.#deadlineAtMs },
+    });
     this.#final = new FinalAnswer({
-      ...{ deps: options.deps, req: options.req, writer: options.writer, log: this.#log },
-      ...{ progress: this.#progress, timeline: this.#timeline, getSends: () => this.#sends },
+      ...{ deps, req, writer, log: this.#log, progress },
+      ...{ timeline: this.#timeline, getSends: () => this.#sends },
     });
   }
 
   async run(): Promise<void> {
-    const { fingerprint } = this.#req;
+    const { fingerprint, signal } = this.#req;
     if (this.#deps.crashes.isBlocked(fingerprint)) {
       this.#final.reject("blocked: it crashed its upstreams", NO_UPSTREAM_RETRY_AFTER_MS);
       return;
     }
     this.#deps.retryBudget.addRequest(this.#pool);
-    for (;;) {
-      const placement = await this.#placer.find({
-        req: this.#req,
-        pool: this.#pool,
-        excluded: this.#excluded,
-        timeline: this.#timeline,
-        deadlineAtMs: this.#deadlineAtMs,
-      });
-      if (typeof placement === "string") {
-        this.#endWithoutPlacement(placement);
-        return;
-      }
-      const outcome = await this.#sendTo(placement);
-      if (this.#handleOutcome(placement, outcome) !== NextStep.Retry) {
-        return;
-      }
+    const onAbort = (): void => {
+      this.#stopSends(SendResult.Cancelled);
+    };
+    signal.addEventListener("abort", onAbort);
+    try {
+      do {
+        await this.#startSend();
+      } while ((await this.#awaitNextStep()) === NextStep.Retry);
+    } finally {
+      signal.removeEventListener("abort", onAbort);
     }
   }
 
-  async #sendTo(placement: Placement): Promise<SendOutcome> {
-    const reservations = await this.#reserveMemory(placement);
-    if (reservations === "missing") {
-      await sleep(this.#deps.clock, NO_MEMORY_PAUSE_MS, this.#req.signal);
-      return { result: SendResult.NoMemory, reason: "memory not held" };
+  /** Searches an upstream and sends the request there. */
+  async #startSend(): Promise<void> {
+    const abort = new AbortController();
+    const live: LiveSend = { abort, placement: undefined, isSlow: false };
+    if (this.#req.signal.aborted) {
+      abort.abort(SendResult.Cancelled);
     }
-    try {
-      return await this.#send(placement, reservations);
-    } finally {
-      reservations?.release();
+    this.#live.add(live);
+    const placement = await this.#placer.find({
+      ...{ req: this.#req, pool: this.#pool, excluded: this.#feedback.excluded },
+      ...{ timeline: this.#timeline, deadlineAtMs: this.#deadlineAtMs, signal: abort.signal },
+    });
+    if (typeof placement === "string") {
+      this.#live.delete(live);
+      this.#events.push({ kind: "unplaced", reason: placement });
+      return;
     }
+    live.placement = placement;
+    const observer = this.#newObserver(live, placement);
+    void this.#runner.run(placement, abort.signal, observer).then((outcome) => {
+      this.#live.delete(live);
+      this.#events.push({ kind: "ended", placement, outcome });
+    });
   }
 
-  async #reserveMemory({ plan }: Placement): Promise<Reservations | "missing" | undefined> {
-    const requests = (plan?.helpers ?? [])
-      .map((upstream, index) => ({ upstream, tokens: plan?.heldTokens[index] ?? 0 }))
-      .filter(({ tokens }) => tokens > 0);
-    if (requests.length === 0) {
-      return undefined;
+  /** Handles events until another send has to follow or the request has its final answer. */
+  async #awaitNextStep(): Promise<NextStep> {
+    for (;;) {
+      const step = this.#handleEvent(await this.#events.next());
+      if (step !== NextStep.Wait) {
+        return step;
+      }
     }
-    const id = `${this.#req.head.attemptId}-${String(this.#sends + this.#unsentSends)}`;
-    const work = this.#deps.reservations.reserveAll(id, requests);
-    const { clock } = this.#deps;
-    const held = await raceDeadline(work, clock, this.#deadlineAtMs - MARGIN_MS, this.#req.signal);
-    if (held === NOT_SETTLED) {
-      void work.then((reservations) => reservations?.release());
-      return "missing";
+  }
+
+  #handleEvent(event: JobEvent): NextStep {
+    switch (event.kind) {
+      case "stalled":
+        return NextStep.Retry;
+      case "unplaced":
+        if (this.#live.size > 0) {
+          return NextStep.Wait;
+        }
+        this.#endWithoutPlacement(event.reason);
+        return NextStep.Done;
+      case "ended":
+        return this.#handleOutcome(event.placement, event.outcome);
     }
-    return held ?? "missing";
   }
 
-  async #send(placement: Placement, reservations: Reservations | undefined): Promise<SendOutcome> {
-    const { clock, transport, dialect } = this.#deps;
-    const req = this.#req;
-    const now = clock.now();
-    if (req.signal.aborted) {
-      return { result: SendResult.Cancelled, reason: "caller left" };
+  #stopSends(result: SendResult, except?: LiveSend): void {
+    for (const live of this.#live) {
+      if (live !== except) {
+        live.abort.abort(result);
+      }
     }
-    const send = new Send({
-      ...{ clock, dialect, req, writer: this.#writer, progress: this.#progress },
-      timeouts: getStallTimeouts(req.route, placement, this.#sends + 1 >= req.route.maxAttempts),
+  }
+
+  #newObserver(live: LiveSend, placement: Placement): SendObserver {
+    return {
+      canReplace: () => this.#canReplace(placement),
+      replace: (stall) => this.#replaceStalled(live, placement, stall),
+      onOpen: () => {
+        const { clock, view } = this.#deps;
+        const { listedMs } = view;
+        this.#log.logSend(placement, { sends: this.#sends, nowMs: clock.now(), listedMs });
+        this.#sends += 1;
+        this.#endSlowSends(live);
+      },
+      onProgress: () => {
+        this.#onProgress(live);
+      },
       onEvents: () => {
         this.#onEvents(placement);
       },
-      isAlive: () => this.#deps.control.isAlive(placement.upstream),
-    });
-    const headers = dialect.newUpstreamHeaders(req, {
-      deadlineMs: Math.max(1, Math.floor(this.#deadlineAtMs - now)),
-      upstreamId: placement.upstream.id,
-      customer: req.customer,
-      lastEventId: this.#progress.lastEventId,
-      urgency: getUrgency(placement),
-      helpers: orderHelpers(placement, reservations),
-    });
-    const { listedMs } = this.#deps.view;
-    this.#log.logSend(placement, { sends: this.#sends, nowMs: now, listedMs });
-    const call = transport.open(
-      {
-        ...{ host: placement.upstream.host, port: placement.upstream.port },
-        ...{ method: req.head.method, path: req.head.path, headers, body: req.body },
-        connectTimeoutMs: Math.min(CONNECT_TIMEOUT_MS, this.#deadlineAtMs - now),
-      },
-      send,
-    );
-    send.start(call);
-    return this.#awaitOutcome(send);
+    };
   }
 
-  async #awaitOutcome(send: Send): Promise<SendOutcome> {
-    const { clock } = this.#deps;
-    const { signal } = this.#req;
-    const onAbort = (): void => {
-      send.stop(SendResult.Cancelled, "caller left");
-    };
-    signal.addEventListener("abort", onAbort);
-    const cancelTimeout = clock.setTimer(
-      () => {
-        send.stop(SendResult.TimedOut, "time over");
-      },
-      Math.max(0, this.#deadlineAtMs - MARGIN_MS - clock.now()),
+  /** Ends the other sends, since only one may write to the caller. */
+  #onProgress(live: LiveSend): void {
+    if (this.#live.size > 1) {
+      this.#stopSends(SendResult.Superseded, live);
+      this.#recordLoad(live);
+    }
+  }
+
+  /** Ends sends that stall at live upstreams, once their replacement was not rejected. */
+  #endSlowSends(replacement: LiveSend): void {
+    const slow = [...this.#live].filter(({ isSlow }) => isSlow);
+    if (slow.length === 0) {
+      return;
+    }
+    this.#deps.clock.setTimer(() => {
+      if (this.#live.has(replacement)) {
+        slow.forEach(({ abort }) => {
+          abort.abort(SendResult.Superseded);
+        });
+      }
+    }, REJECTION_WAIT_MS);
+  }
+
+  #recordLoad({ placement }: LiveSend): void {
+    if (placement) {
+      this.#placer.recordLoad({ req: this.#req, pool: this.#pool }, placement);
+    }
+  }
+
+  #canReplace({ upstream }: Placement): boolean {
+    const excluded = new Set([...this.#feedback.excluded, upstream.id]);
+    const history = { sends: this.#sends, timeLeftMs: this.#getTimeLeftMs() };
+    return (
+      canReplaceStalled(this.#req.route, history) &&
+      this.#placer.hasAlternative({ pool: this.#pool, excluded })
     );
-    try {
-      return await send.outcome;
-    } finally {
-      cancelTimeout();
-      signal.removeEventListener("abort", onAbort);
+  }
+
+  #replaceStalled(
+    live: LiveSend,
+    placement: Placement,
+    { isAlive, reason }: { isAlive: boolean; reason: string },
+  ): boolean {
+    const { retryBudget } = this.#deps;
+    const { id } = placement.upstream;
+    const isReplaced = this.#canReplace(placement) && retryBudget.trySpend(this.#pool);
+    const next = isReplaced ? NextStep.Retry : NextStep.Wait;
+    this.#log.logStall(id, { reason, isAlive, next, sends: this.#sends });
+    if (!isReplaced) {
+      return false;
     }
+    live.isSlow = isAlive;
+    this.#feedback.recordStall(id, { isAlive, reason });
+    this.#events.push({ kind: "stalled" });
+    return true;
+  }
+
+  #getTimeLeftMs(): number {
+    return this.#deadlineAtMs - this.#deps.clock.now();
   }
 
   /** Records the outcome of a send and takes the next step. */
   #handleOutcome(placement: Placement, outcome: SendOutcome): NextStep {
     const { clock, retryBudget } = this.#deps;
     this.#countSend(outcome);
-    this.#updateHealth(placement.upstream, outcome);
+    this.#feedback.recordOutcome(placement.upstream, outcome);
     const next = decideNext(this.#req.route, outcome, {
-      sends: this.#sends,
-      unsent: this.#unsentSends,
-      mayHaveRun: this.#mayHaveRun,
-      timeLeftMs: this.#deadlineAtMs - clock.now(),
+      ...{ sends: this.#sends, unsent: this.#unsentSends, inFlight: this.#live.size },
+      ...{ mayHaveRun: this.#mayHaveRun, timeLeftMs: this.#getTimeLeftMs() },
       trySpend: () => retryBudget.trySpend(this.#pool),
     });
     this.#log.logSendEnd(placement.upstream.id, outcome, {
@@ -210,6 +261,11 @@
     switch (next) {
       case NextStep.Retry:
         return;
+      case NextStep.Wait:
+        this.#live.forEach((live) => {
+          this.#recordLoad(live);
+        });
+        return;
       case NextStep.Done:
         this.#final.finish(outcome);
         return;
@@ -226,46 +282,13 @@
 
   #countSend({ result }: SendOutcome): void {
     if (result === SendResult.Unsent || result === SendResult.NoMemory) {
+      this.#sends -= result === SendResult.Unsent ? 1 : 0;
       this.#unsentSends += 1;
       return;
     }
-    this.#sends += 1;
     this.#mayHaveRun ||= result !== SendResult.NotRun;
   }
 
-  /** Updates the upstream's health, the request's crashes and the excluded upstreams after a send. */
-  #updateHealth(upstream: Upstream, outcome: SendOutcome): void {
-    const { health, view, crashes } = this.#deps;
-    const { result, reason, faultAddress } = outcome;
-    const { fingerprint } = this.#req;
-    if (result === SendResult.Delivered) {
-      health.record(upstream.id, UpstreamResult.Good);
-      crashes.clear(fingerprint);
-      return;
-    }
-    if (NEUTRAL_RESULTS.has(result)) {
-      return;
-    }
-    const faulty = faultAddress
-      ? [...view.upstreams.values()].find(
-          ({ host, port }) => `${host}:${String(port)}` === faultAddress,
-        )
-      : upstream;
-    this.#excluded.add(upstream.id);
-    if (!faulty) {
-      return;
-    }
-    this.#excluded.add(faulty.id);
-    const isLost = result === SendResult.Unsent || result === SendResult.Broken;
-    const healthResult = isLost ? UpstreamResult.Unreachable : UpstreamResult.Failed;
-    if (result === SendResult.Broken) {
-      crashes.recordCrash(fingerprint, faulty.id);
-    }
-    if (health.record(faulty.id, healthResult)) {
-      this.#log.logEjection(faulty.id, reason);
-    }
-  }
-
   #endWithoutPlacement(reason: PlacementFailure): void {
     if (reason === PlacementFailure.Cancelled) {
       this.#final.finish({ result: SendResult.Cancelled, reason });
@@ -299,17 +322,4 @@
       this.#log.logFirstEvent(placement, this.#timeline);
     }
   }
-
-  #pickPool(): string {
-    const { pools } = this.#req.route;
-    const sum = pools.reduce((total, { weight }) => total + weight, 0);
-    let left = this.#deps.random.next() * sum;
-    for (const { pool, weight } of pools) {
-      left -= weight;
-      if (left < 0) {
-        return pool;
-      }
-    }
-    return pools[0]?.pool ?? "";
-  }
 }
--- a/packages/forwarding/src/Placer.test.ts
+++ b/packages/forwarding/src/Placer.test.ts
@@ -47,7 +47,12 @@
         ...{ body: Buffer.alloc(0), customer: undefined, priority: 1, revision: 1 },
         ...{ receivedMs: 0, fingerprint: "f", signal: new AbortController().signal },
       },
-      ...{ pool: "p", excluded: new Set<string>(), deadlineAtMs: 5_000 },
+      ...{
+        pool: "p",
+        excluded: new Set<string>(),
+        signal: new AbortController().signal,
+        deadlineAtMs: 5_000,
+      },
       timeline: new AnswerTimeline(0, route),
     });
     if (typeof placement !== "string") {
--- a/packages/forwarding/src/Placer.ts
+++ b/packages/forwarding/src/Placer.ts
@@ -58,6 +58,8 @@
   readonly deadlineAtMs: number;
   /** Events that the caller received from earlier sends. */
   readonly timeline: AnswerTimeline;
+  /** Ends the search. */
+  readonly signal: AbortSignal;
 }
 
 /** Chooses upstreams for requests; a prompt waits only while no upstreams have the KV memory. */
@@ -89,6 +91,13 @@
     return getRoomMs(this.#getCandidates({ pool, excluded: new Set() }));
   }
 
+  /** True when a pool has an active upstream besides the excluded ones. */
+  hasAlternative({ pool, excluded }: Pick<PlacementQuery, "pool" | "excluded">): boolean {
+    return this.#view
+      .getAvailable(pool)
+      .some(({ id }) => !excluded.has(id) && !this.#health.isEjected(id));
+  }
+
   /** Resolves with a placement once there is an acceptable one, or with the reason for none. */
   async find(query: PlacementQuery): Promise<Placement | PlacementFailure> {
     const engine = this.#view.table?.findPool(query.pool)?.engine;
@@ -100,7 +109,7 @@
       ? await this.#findForPrompt(query, engine, startMs)
       : this.#findForCall(query, startMs);
     if (typeof placement !== "string") {
-      this.#recordLoad(query, placement);
+      this.recordLoad(query, placement);
     }
     return placement;
   }
@@ -118,10 +127,10 @@
     engine: EngineSpec,
     startMs: number,
   ): Promise<Placement | PlacementFailure> {
-    const { req, deadlineAtMs } = query;
+    const { deadlineAtMs, signal } = query;
     for (;;) {
       const now = this.#clock.now();
-      if (req.signal.aborted) {
+      if (signal.aborted) {
         return PlacementFailure.Cancelled;
       }
       if (now >= deadlineAtMs) {
@@ -140,7 +149,7 @@
       if (plan) {
         return { upstream: plan.upstream, plan, request, waitedMs: now - startMs };
       }
-      await sleep(this.#clock, REPLAN_INTERVAL_MS, req.signal);
+      await sleep(this.#clock, REPLAN_INTERVAL_MS, signal);
     }
   }
 
@@ -181,7 +190,11 @@
     }));
   }
 
-  #recordLoad({ req, pool }: PlacementQuery, { upstream, plan, request }: Placement): void {
+  /** Counts a request as load of the upstream that it was sent to last, or that goes on with it. */
+  recordLoad(
+    { req, pool }: Pick<PlacementQuery, "req" | "pool">,
+    { upstream, plan, request }: Placement,
+  ): void {
     const { attemptId } = req.head;
     const isPrompt = plan !== undefined && request !== undefined;
     this.#loadTracker.setOwn({
--- a/packages/forwarding/src/RequestLog.ts
+++ b/packages/forwarding/src/RequestLog.ts
@@ -57,6 +57,16 @@
     });
   }
 
+  /** `next` tells whether another upstream is tried beside the stalled one. */
+  logStall(
+    peer: string,
+    fields: { reason: string; isAlive: boolean | undefined; next: NextStep; sends: number },
+  ): void {
+    this.#logger.info("upstream stalled", {
+      ...{ requestId: this.#req.head.attemptId, step: "send", peer, ...fields },
+    });
+  }
+
   logFirstEvent(placement: Placement, timeline: AnswerTimeline): void {
     this.#logger.info("first event received", {
       ...{ requestId: this.#req.head.attemptId, step: "first_token", peer: placement.upstream.id },
--- a/packages/forwarding/src/Send.ts
+++ b/packages/forwarding/src/Send.ts
@@ -33,8 +33,20 @@
 export interface StallTimeouts {
   /** Time after which the upstream is asked whether it is alive. */
   readonly probe: StallTimeout;
-  /** Time after which the send is given up even if the upstream is alive. */
-  readonly abandon: StallTimeout;
+  /** Time after which another upstream is tried even if this one is alive. */
+  readonly replace: StallTimeout;
+}
+
+/** Follows the answer to one send, and decides what becomes of a stalled one. */
+export interface AnswerObserver {
+  /** Called before anything of the answer goes to the caller. */
+  onProgress(): void;
+  /** Called when one or more events of the answer arrived. */
+  onEvents(): void;
+  /** True while another upstream could take over. */
+  canReplace(): boolean;
+  /** Tries another upstream beside the stalled one; false when there is none. */
+  replace(stall: { readonly isAlive: boolean; readonly reason: string }): boolean;
 }
 
 /** One time-out before the first event and one between events, milliseconds. */
@@ -51,7 +63,7 @@
   readonly #writer: AnswerWriter;
   readonly #progress: AnswerProgress;
   readonly #stallTimeouts: StallTimeouts | undefined;
-  readonly #onEvents: () => void;
+  readonly #observer: AnswerObserver;
   readonly #splitter = new EventSplitter();
   readonly #buffered: Buffer[] = [];
   #bufferedBytes = 0;
@@ -75,10 +87,9 @@
     req: ForwardRequest;
     writer: AnswerWriter;
     progress: AnswerProgress;
-    /** Undefined when a stall is no reason to give up. */
+    /** Undefined when no other upstream may take over. */
     timeouts: StallTimeouts | undefined;
-    /** Called when one or more events of the answer arrived. */
-    onEvents: () => void;
+    observer: AnswerObserver;
     /** Asks the upstream whether it is alive. */
     isAlive: () => Promise<boolean>;
   }) {
@@ -88,7 +99,7 @@
     this.#writer = options.writer;
     this.#progress = options.progress;
     this.#stallTimeouts = options.timeouts;
-    this.#onEvents = options.onEvents;
+    this.#observer = options.observer;
     this.#isAlive = options.isAlive;
     this.outcome = new Promise((resolve) => {
       this.#resolveOutcome = resolve;
@@ -106,8 +117,8 @@
   }
 
   /** Ends the send early. */
-  stop(result: SendResult, reason: string): void {
-    this.#finish({ result, reason });
+  stop(outcome: SendOutcome): void {
+    this.#finish(outcome);
   }
 
   onHead(head: AnswerHead): void {
@@ -167,7 +178,8 @@
     if (events.length === 0) {
       return;
     }
-    this.#onEvents();
+    this.#observer.onProgress();
+    this.#observer.onEvents();
     this.#sendHeadOnce();
     for (const event of events) {
       this.#progress.lastEventId = event.id ?? this.#progress.lastEventId;
@@ -185,6 +197,7 @@
       this.#finish({ result: SendResult.Broken, reason: "end of an unframed stream in doubt" });
       return;
     }
+    this.#observer.onProgress();
     this.#sendHeadOnce();
     this.#writer.end();
     this.#finish({ result: SendResult.Delivered, reason: "whole stream" });
@@ -215,6 +228,7 @@
 
   /** Sends a complete answer to the caller. */
   #deliver(answer: BufferedAnswer): void {
+    this.#observer.onProgress();
     const headers = this.#dialect.newAnswerHeaders(answer.head, { keepLength: true });
     this.#writer.sendHead(answer.head.status, headers, answer.isFramed);
     this.#progress.isHeadSent = true;
@@ -230,6 +244,7 @@
       return;
     }
     this.#isPassthrough = true;
+    this.#observer.onProgress();
     this.#sendHeadOnce({ keepLength: true });
     this.#write(Buffer.concat(this.#buffered.splice(0)));
   }
@@ -260,7 +275,7 @@
     }
   }
 
-  /** Probes a stalled upstream, and gives the send up when it is dead or stalls for too long. */
+  /** Probes a stalled upstream, and has it replaced when it is dead or stalls for too long. */
   #watchForStall(phase: keyof StallTimeout): void {
     this.#cancelStallTimer();
     const stallTimeouts = this.#stallTimeouts;
@@ -269,28 +284,35 @@
     }
     const round = ++this.#stallRound;
     const probeMs = stallTimeouts.probe[phase];
-    const abandonMs = Math.max(probeMs, stallTimeouts.abandon[phase]);
+    const replaceMs = Math.max(probeMs, stallTimeouts.replace[phase]);
+    const replace = (isAlive: boolean, silentMs: number): boolean => {
+      const reason = `silent for ${String(Math.round(silentMs))} ms`;
+      return this.#observer.replace({ isAlive, reason });
+    };
     this.#cancelStallTimer = this.#clock.setTimer(() => {
+      if (!this.#observer.canReplace()) {
+        this.#watchForStall(phase);
+        return;
+      }
       this.#cancelStallTimer = this.#clock.setTimer(() => {
-        this.#endStalled(`silent for ${String(Math.round(abandonMs))} ms`);
-      }, abandonMs - probeMs);
+        if (!replace(true, replaceMs)) {
+          this.#watchForStall(phase);
+        }
+      }, replaceMs - probeMs);
       void this.#isAlive().then((isAlive) => {
-        if (!isAlive && round === this.#stallRound) {
-          this.#endStalled(`silent for ${String(Math.round(probeMs))} ms and not alive`);
+        if (!isAlive && round === this.#stallRound && replace(false, probeMs)) {
+          this.#cancelStallTimer();
         }
       });
     }, probeMs);
   }
 
-  #endStalled(reason: string): void {
-    this.#finish({ result: SendResult.Broken, reason });
-  }
-
   #finish(outcome: SendOutcome): void {
     if (this.#isSettled) {
       return;
     }
     this.#isSettled = true;
+    this.#stallRound += 1;
     this.#cancelStallTimer();
     this.#call?.abort();
     this.#resolveOutcome(outcome);
--- /dev/null
+++ b/packages/forwarding/src/SendFeedback.ts
@@ -0,0 +1,82 @@
+import type { Upstream } from "./fleetConfig.js";
+import type { ForwardDependencies } from "./forwardDependencies.js";
+import { SendResult, type SendOutcome } from "./outcomes.js";
+import type { RequestLog } from "./RequestLog.js";
+import type { ForwardRequest } from "./types.js";
+import { UpstreamResult } from "./UpstreamHealth.js";
+
+/** Results that say nothing about the health of the upstream. */
+const NEUTRAL_RESULTS: ReadonlySet<SendResult> = new Set([
+  SendResult.Cancelled,
+  SendResult.TimedOut,
+  SendResult.NoMemory,
+  SendResult.Superseded,
+]);
+
+/** Records what the sends of one request tell about upstreams, and about the request itself. */
+export class SendFeedback {
+  readonly #deps: ForwardDependencies;
+  readonly #req: ForwardRequest;
+  readonly #log: RequestLog;
+  readonly #excluded = new Set<string>();
+
+  constructor(options: { deps: ForwardDependencies; req: ForwardRequest; log: RequestLog }) {
+    this.#deps = options.deps;
+    this.#req = options.req;
+    this.#log = options.log;
+  }
+
+  /** Ids of upstreams that failed the request or stall. */
+  get excluded(): ReadonlySet<string> {
+    return this.#excluded;
+  }
+
+  /** Silence of an upstream that is alive counts as no crash. */
+  recordStall(id: string, { isAlive, reason }: { isAlive: boolean; reason: string }): void {
+    this.#excluded.add(id);
+    if (!isAlive) {
+      this.#deps.crashes.recordCrash(this.#req.fingerprint, id);
+    }
+    this.#recordFailure(id, UpstreamResult.Unreachable, reason);
+  }
+
+  recordOutcome(upstream: Upstream, outcome: SendOutcome): void {
+    const { health, crashes } = this.#deps;
+    const { result, reason } = outcome;
+    const { fingerprint } = this.#req;
+    if (result === SendResult.Delivered) {
+      health.record(upstream.id, UpstreamResult.Good);
+      crashes.clear(fingerprint);
+      return;
+    }
+    if (NEUTRAL_RESULTS.has(result)) {
+      return;
+    }
+    this.#excluded.add(upstream.id);
+    const faulty = this.#findFaulty(upstream, outcome);
+    if (!faulty) {
+      return;
+    }
+    this.#excluded.add(faulty.id);
+    if (result === SendResult.Broken) {
+      crashes.recordCrash(fingerprint, faulty.id);
+    }
+    const isLost = result === SendResult.Unsent || result === SendResult.Broken;
+    const healthResult = isLost ? UpstreamResult.Unreachable : UpstreamResult.Failed;
+    this.#recordFailure(faulty.id, healthResult, reason);
+  }
+
+  #findFaulty(upstream: Upstream, { faultAddress }: SendOutcome): Upstream | undefined {
+    return faultAddress
+      ? [...this.#deps.view.upstreams.values()].find(
+          ({ host, port }) => `${host}:${String(port)}` === faultAddress,
+        )
+      : upstream;
+  }
+
+  #recordFailure(id: string, result: UpstreamResult, reason: string): void {
+    if (this.#deps.health.record(id, result)) {
+      this.#log.logEjection(id, reason);
+    }
+  }
+}
--- /dev/null
+++ b/packages/forwarding/src/SendRunner.ts
@@ -0,0 +1,161 @@
+import { sleep } from "@lycheepulley/core";
+
+import type { ForwardDependencies } from "./forwardDependencies.js";
+import { SendResult, type SendOutcome } from "./outcomes.js";
+import type { Placement } from "./Placer.js";
+import { raceDeadline, NOT_SETTLED } from "./raceDeadline.js";
+import type { Reservations } from "./ReservationManager.js";
+import { Send, type AnswerObserver, type AnswerProgress } from "./Send.js";
+import { getStallTimeouts, getUrgency, orderHelpers } from "./sendParameters.js";
+import type { AnswerWriter, ForwardRequest } from "./types.js";
+
+const CONNECT_TIMEOUT_MS = 400;
+/** Time before the deadline at which this process answers itself. */
+const MARGIN_MS = 20;
+/** Pause after KV memory that a plan counted on was taken by another request. */
+const NO_MEMORY_PAUSE_MS = 60;
+
+const STOP_REASONS: Partial<Record<SendResult, string>> = {
+  [SendResult.Cancelled]: "caller left",
+  [SendResult.Superseded]: "another send took over",
+};
+
+/** Outcome of a send that is ended early; undefined unless `signal` is aborted. */
+const getStopOutcome = (signal: AbortSignal): SendOutcome | undefined => {
+  if (!signal.aborted) {
+    return undefined;
+  }
+  const result = signal.reason as SendResult;
+  return { result, reason: STOP_REASONS[result] ?? result };
+};
+
+/** Follows one send. */
+export interface SendObserver extends AnswerObserver {
+  /** Called right before the request goes to the upstream. */
+  onOpen(): void;
+}
+
+/** Runs the sends of one request: reserves KV memory, sends, and ends each at the deadline. */
+export class SendRunner {
+  readonly #deps: ForwardDependencies;
+  readonly #req: ForwardRequest;
+  readonly #writer: AnswerWriter;
+  readonly #progress: AnswerProgress;
+  readonly #deadlineAtMs: number;
+  #reserved = 0;
+
+  constructor(options: {
+    deps: ForwardDependencies;
+    req: ForwardRequest;
+    writer: AnswerWriter;
+    progress: AnswerProgress;
+    deadlineAtMs: number;
+  }) {
+    this.#deps = options.deps;
+    this.#req = options.req;
+    this.#writer = options.writer;
+    this.#progress = options.progress;
+    this.#deadlineAtMs = options.deadlineAtMs;
+  }
+
+  /** Runs one send until its outcome; `signal` is aborted with the result of one that is ended early. */
+  async run(
+    placement: Placement,
+    signal: AbortSignal,
+    observer: SendObserver,
+  ): Promise<SendOutcome> {
+    const reservations = await this.#reserveMemory(placement, signal);
+    if (reservations === "missing") {
+      await sleep(this.#deps.clock, NO_MEMORY_PAUSE_MS, signal);
+      return getStopOutcome(signal) ?? { result: SendResult.NoMemory, reason: "memory not held" };
+    }
+    try {
+      return (
+        getStopOutcome(signal) ?? (await this.#send({ placement, reservations, signal, observer }))
+      );
+    } finally {
+      reservations?.release();
+    }
+  }
+
+  async #reserveMemory(
+    { plan }: Placement,
+    signal: AbortSignal,
+  ): Promise<Reservations | "missing" | undefined> {
+    const requests = (plan?.helpers ?? [])
+      .map((upstream, index) => ({ upstream, tokens: plan?.heldTokens[index] ?? 0 }))
+      .filter(({ tokens }) => tokens > 0);
+    if (requests.length === 0) {
+      return undefined;
+    }
+    const id = `${this.#req.head.attemptId}-${String(this.#reserved++)}`;
+    const work = this.#deps.reservations.reserveAll(id, requests);
+    const { clock } = this.#deps;
+    const held = await raceDeadline(work, clock, this.#deadlineAtMs - MARGIN_MS, signal);
+    if (held === NOT_SETTLED) {
+      void work.then((reservations) => reservations?.release());
+      return "missing";
+    }
+    return held ?? "missing";
+  }
+
+  async #send(options: {
+    placement: Placement;
+    reservations: Reservations | undefined;
+    signal: AbortSignal;
+    observer: SendObserver;
+  }): Promise<SendOutcome> {
+    const { placement, reservations, signal, observer } = options;
+    const { clock, transport, dialect } = this.#deps;
+    const req = this.#req;
+    const now = clock.now();
+    const send = new Send({
+      ...{ clock, dialect, req, writer: this.#writer, progress: this.#progress },
+      timeouts: getStallTimeouts(req.route, placement),
+      observer,
+      isAlive: () => this.#deps.control.isAlive(placement.upstream),
+    });
+    const headers = dialect.newUpstreamHeaders(req, {
+      deadlineMs: Math.max(1, Math.floor(this.#deadlineAtMs - now)),
+      upstreamId: placement.upstream.id,
+      customer: req.customer,
+      lastEventId: this.#progress.lastEventId,
+      urgency: getUrgency(placement),
+      helpers: orderHelpers(placement, reservations),
+    });
+    observer.onOpen();
+    const call = transport.open(
+      {
+        ...{ host: placement.upstream.host, port: placement.upstream.port },
+        ...{ method: req.head.method, path: req.head.path, headers, body: req.body },
+        connectTimeoutMs: Math.min(CONNECT_TIMEOUT_MS, this.#deadlineAtMs - now),
+      },
+      send,
+    );
+    send.start(call);
+    return this.#awaitOutcome(send, signal);
+  }
+
+  async #awaitOutcome(send: Send, signal: AbortSignal): Promise<SendOutcome> {
+    const { clock } = this.#deps;
+    const onAbort = (): void => {
+      const outcome = getStopOutcome(signal);
+      if (outcome) {
+        send.stop(outcome);
+      }
+    };
+    signal.addEventListener("abort", onAbort);
+    const cancelTimeout = clock.setTimer(
+      () => {
+        send.stop({ result: SendResult.TimedOut, reason: "time over" });
+      },
+      Math.max(0, this.#deadlineAtMs - MARGIN_MS - clock.now()),
+    );
+    try {
+      return await send.outcome;
+    } finally {
+      cancelTimeout();
+      signal.removeEventListener("abort", onAbort);
+    }
+  }
+}
--- a/packages/forwarding/src/decisions.test.ts
+++ b/packages/forwarding/src/decisions.test.ts
@@ -97,7 +97,7 @@
   const stream = newRoute({ isStream: true, isResumable: true });
   const plainStream = newRoute({ isStream: true });
   const once: SendHistory = {
-    ...{ sends: 1, unsent: 0, mayHaveRun: true, timeLeftMs: 1_000 },
+    ...{ sends: 1, unsent: 0, inFlight: 0, mayHaveRun: true, timeLeftMs: 1_000 },
     trySpend: () => true,
   };
   const notRun = { ...once, mayHaveRun: false };
--- a/packages/forwarding/src/outcomes.ts
+++ b/packages/forwarding/src/outcomes.ts
@@ -19,6 +19,8 @@
   Cancelled: "cancelled",
   /** The request's deadline passed. */
   TimedOut: "timed_out",
+  /** Another send of the request took over. */
+  Superseded: "superseded",
 } as const;
 export type SendResult = (typeof SendResult)[keyof typeof SendResult];
 
@@ -50,6 +52,8 @@
   Fail: "fail",
   /** Pass the upstream's error answer on. */
   Deliver: "deliver",
+  /** Await another send of the request that is in flight. */
+  Wait: "wait",
 } as const;
 export type NextStep = (typeof NextStep)[keyof typeof NextStep];
 
@@ -63,6 +67,8 @@
   /** Sends whose bytes may have reached an upstream. */
   readonly sends: number;
   readonly unsent: number;
+  /** Other sends that are still in flight. */
+  readonly inFlight: number;
   /** One of the sends may have run the request. */
   readonly mayHaveRun: boolean;
   readonly timeLeftMs: number;
@@ -78,10 +84,17 @@
   mayHaveRun ? NextStep.Fail : NextStep.Reject;
 
 /** Step to take when no further send is made. */
-const getFinalStep = (outcome: SendOutcome, mayHaveRun: boolean): NextStep =>
-  outcome.answer && outcome.result === SendResult.Failed
+const getFinalStep = (
+  outcome: SendOutcome,
+  { inFlight, mayHaveRun }: Pick<SendHistory, "inFlight" | "mayHaveRun">,
+): NextStep => {
+  if (inFlight > 0) {
+    return NextStep.Wait;
+  }
+  return outcome.answer && outcome.result === SendResult.Failed
     ? NextStep.Deliver
     : rejectOrFail(mayHaveRun);
+};
 
 /** Decides what follows a send; takes from the retry budget only for a retry. */
 export const decideNext = (route: Route, outcome: SendOutcome, history: SendHistory): NextStep => {
@@ -89,13 +102,22 @@
   if (result === SendResult.Delivered || result === SendResult.Cancelled) {
     return NextStep.Done;
   }
+  if (result === SendResult.Superseded) {
+    return NextStep.Wait;
+  }
   if (result === SendResult.TimedOut || history.timeLeftMs < MIN_RETRY_MS) {
-    return getFinalStep(outcome, history.mayHaveRun);
+    return getFinalStep(outcome, history);
   }
   if (result === SendResult.Unsent || result === SendResult.NoMemory) {
-    return history.unsent < MAX_UNSENT ? NextStep.Retry : rejectOrFail(history.mayHaveRun);
+    return history.unsent < MAX_UNSENT ? NextStep.Retry : getFinalStep(outcome, history);
   }
   const maySend =
     history.sends < route.maxAttempts && (result === SendResult.NotRun || canRepeat(route));
-  return maySend && history.trySpend() ? NextStep.Retry : getFinalStep(outcome, history.mayHaveRun);
+  return maySend && history.trySpend() ? NextStep.Retry : getFinalStep(outcome, history);
 };
+
+/** Tells whether another send may follow while a stalled one is in flight. */
+export const canReplaceStalled = (
+  route: Route,
+  { sends, timeLeftMs }: Pick<SendHistory, "sends" | "timeLeftMs">,
+): boolean => canRepeat(route) && sends < route.maxAttempts && timeLeftMs >= MIN_RETRY_MS;
--- a/packages/forwarding/src/sendParameters.ts
+++ b/packages/forwarding/src/sendParameters.ts
@@ -1,8 +1,11 @@
+import type { Random } from "@lycheepulley/core";
+
 import { isExpectedLate } from "./placement.js";
 import type { Placement } from "./Placer.js";
 import type { StallTimeouts } from "./Send.js";
 import type { Reservations } from "./ReservationManager.js";
-import { Repeat, type Route, type Upstream } from "./fleetConfig.js";
+import type { Route, Upstream } from "./fleetConfig.js";
+import { canRepeat } from "./outcomes.js";
 import type { ForwardRequest } from "./types.js";
 
 /** Shortest stalls before the first event and between events after which an upstream is probed. */
@@ -10,7 +13,7 @@
 const MIN_GAP_PROBE_MS = 700;
 /** Stall before the first event that is tolerated, as a multiple of the expected time. */
 const FIRST_EVENT_FACTOR = 2;
-/** A stalled call is abandoned after a multiple of its latency objective, but not before the minimum. */
+/** A stalled call is sent to another upstream after a multiple of its latency objective, but not before the minimum. */
 const MIN_CALL_STALL_MS = 250;
 const CALL_TARGET_FACTOR = 2;
 /**
@@ -21,7 +24,7 @@
 const CALLER_WAIT_TARGETS = 4;
 const CALLER_WAIT_GAPS = 8;
 /** Share of the caller's wait after which another upstream is tried. */
-const ABANDON_SHARE = 0.75;
+const REPLACE_SHARE = 0.75;
 /** Requests with less slack are in the most urgent class that is used. */
 const URGENT_SLACK_MS = 100;
 const LEAST_URGENT = 9;
@@ -30,21 +33,30 @@
 export const getDeadlineAtMs = ({ receivedMs, route, head }: ForwardRequest): number =>
   receivedMs + Math.min(route.timeoutMs, head.deadlineMs ?? Infinity);
 
-/** Time-outs for a stalled upstream; undefined when it is awaited until the deadline. */
-export const getStallTimeouts = (
-  route: Route,
-  placement: Placement,
-  isLastSend: boolean,
-): StallTimeouts | undefined => {
-  if (route.isStream) {
-    return route.isResumable ? getStreamStallTimeouts(route, placement) : undefined;
+/** Picks one of the route's pools by weight. */
+export const pickPool = ({ pools }: Route, random: Random): string => {
+  const sum = pools.reduce((total, { weight }) => total + weight, 0);
+  let left = random.next() * sum;
+  for (const { pool, weight } of pools) {
+    left -= weight;
+    if (left < 0) {
+      return pool;
+    }
   }
-  if (route.repeat === Repeat.AtMostOnce || isLastSend) {
+  return pools[0]?.pool ?? "";
+};
+
+/** Time-outs for a stalled upstream; undefined when no other may take over. */
+export const getStallTimeouts = (route: Route, placement: Placement): StallTimeouts | undefined => {
+  if (!canRepeat(route)) {
     return undefined;
   }
+  if (route.isStream) {
+    return getStreamStallTimeouts(route, placement);
+  }
   const ms = Math.max(MIN_CALL_STALL_MS, CALL_TARGET_FACTOR * route.targetMs);
   const timeout = { firstMs: ms, gapMs: ms };
-  return { probe: timeout, abandon: timeout };
+  return { probe: timeout, replace: timeout };
 };
 
 const getStreamStallTimeouts = (route: Route, placement: Placement): StallTimeouts => {
@@ -54,14 +66,14 @@
     CALLER_WAIT_TARGETS * route.targetMs,
     CALLER_WAIT_GAPS * maxGapMs,
   );
-  const abandonMs = ABANDON_SHARE * callerWaitMs;
+  const replaceMs = REPLACE_SHARE * callerWaitMs;
   const expectedMs = placement.plan?.firstEventMs ?? 0;
   return {
     probe: {
       firstMs: Math.max(MIN_FIRST_PROBE_MS, FIRST_EVENT_FACTOR * expectedMs),
       gapMs: Math.max(MIN_GAP_PROBE_MS, maxGapMs),
     },
-    abandon: { firstMs: Math.max(abandonMs, FIRST_EVENT_FACTOR * expectedMs), gapMs: abandonMs },
+    replace: { firstMs: Math.max(replaceMs, FIRST_EVENT_FACTOR * expectedMs), gapMs: replaceMs },
   };
 };
 
--- a/packages/forwarding/src/testing/ForwarderHarness.ts
+++ b/packages/forwarding/src/testing/ForwarderHarness.ts
@@ -31,6 +31,8 @@
   reserveDelayMs = 0;
   readonly #abort = new AbortController();
   readonly #forwarder: Forwarder;
+  readonly #retryBudget: RetryBudget;
+  readonly #crashes = new CrashTracker({ clock: this.clock, onCrash: () => undefined });
 
   constructor(upstreams = ["u0", "u1", "u2"]) {
     const { clock, transport, view, loadTracker } = this;
@@ -49,22 +51,33 @@
         return Promise.resolve();
       },
     };
+    this.#retryBudget = new RetryBudget({
+      clock,
+      limits: { ratio: 0.2, windowMs: 10_000, slack: 100 },
+      getProcessCount: () => 6,
+    });
     this.#forwarder = new Forwarder({
       ...{ clock, transport, view, loadTracker, logger, control },
       random: new SeededRandom(1),
       health: new UpstreamHealth(clock),
-      retryBudget: new RetryBudget({
-        clock,
-        limits: { ratio: 0.2, windowMs: 10_000, slack: 100 },
-        getProcessCount: () => 6,
-      }),
-      crashes: new CrashTracker({ clock, onCrash: () => undefined }),
+      retryBudget: this.#retryBudget,
+      crashes: this.#crashes,
       reservations: new ReservationManager({ clock, control, logger }),
       dialect: new FakeDialect(),
       onEnd: () => undefined,
     });
   }
 
+  /** Takes all retries that the budget allows now. */
+  exhaustRetryBudget(): void {
+    while (this.#retryBudget.trySpend("p"));
+  }
+
+  /** True when the request of this harness is taken for one that crashes upstreams. */
+  get isBlocked(): boolean {
+    return this.#crashes.isBlocked("f");
+  }
+
   /** Forwards a request; resolves once it was sent or answered. */
   async request(route: Partial<Route>, promptTokens = 0): Promise<void> {
     void this.#forwarder.forward(
