Deliver an answer that is complete before a slow caller has read it

What callers saw: a caller that reads slowly got a broken stream or a 502, or its request was sent again, though the upstream had answered in whole.

Cause: the transport took the end of the connection for the end of the call. While the answer is paused for the caller, its last bytes wait in memory; the upstream closes its connection, and the call failed with "connection closed" before they were read.

Evidence: the new test fails on the code before ("expected … property 'end' of 'end', but got 'error'"); one that is cut while it is paused is still an error, by a second test.

--- a/packages/upstreams/src/HttpUpstreamTransport.test.ts
+++ b/packages/upstreams/src/HttpUpstreamTransport.test.ts
@@ -28,14 +28,15 @@
     });
   });
 
-const send = (port: number): Promise<Observed> =>
+/** `pauseMs` pauses the answer at its first data, as a caller that reads slowly does. */
+const send = (port: number, pauseMs = 0): Promise<Observed> =>
   new Promise((resolve) => {
     let head: AnswerHead | undefined;
     let body = "";
     const finish = (end: Observed["end"], state?: SendState): void => {
       resolve({ end, state, head, body });
     };
-    new HttpUpstreamTransport().open(
+    const call = new HttpUpstreamTransport().open(
       {
         ...{ host: "127.0.0.1", port, method: "POST", path: "/a/?b=1", body: Buffer.from("xy") },
         headers: ["Host", "a.example", "Content-Length", "2", "Connection", "close"],
@@ -46,6 +47,12 @@
           head = value;
         },
         onData: (chunk) => {
+          if (pauseMs > 0 && body === "") {
+            call.pause();
+            setTimeout(() => {
+              call.resume();
+            }, pauseMs);
+          }
           body += chunk.toString();
         },
         onEnd: () => {
@@ -122,6 +129,29 @@
     });
   }
 
+  // Whole answers to slow callers were dropped as broken when the upstream closed its connection.
+  it("delivers an answer that is complete before a slow caller has read it", async () => {
+    const server = await listen((socket) => {
+      socket.write(`${HEAD}Content-Length: 6\r\n\r\nabc`, () => {
+        setTimeout(() => socket.end("def"), 20);
+      });
+    });
+    const observed = await send((server.address() as AddressInfo).port, 100);
+    server.close();
+    expect(observed).to.include({ end: "end", body: "abcdef" });
+  });
+
+  it("reports an answer that is cut while a slow caller reads it", async () => {
+    const server = await listen((socket) => {
+      socket.write(`${HEAD}Content-Length: 9\r\n\r\nabc`, () => {
+        setTimeout(() => socket.end("def"), 20);
+      });
+    });
+    const observed = await send((server.address() as AddressInfo).port, 100);
+    server.close();
+    expect(observed.end).to.equal("error");
+  });
+
   it("reports that nothing was sent when the connection is refused", async () => {
     const server = await listen(() => undefined);
     const { port } = server.address() as AddressInfo;
--- a/packages/upstreams/src/HttpUpstreamTransport.ts
+++ b/packages/upstreams/src/HttpUpstreamTransport.ts
@@ -62,7 +62,10 @@
       this.#fail(err);
     });
     req.on("close", () => {
-      this.#fail(new Error("connection closed"));
+      // A paused answer that is complete is read to its end after the connection has closed.
+      if (!this.#res?.complete) {
+        this.#fail(new Error("connection closed"));
+      }
     });
     req.on("response", (res) => {
       this.#observeAnswer(res);
