Answer requests that the listener can't read, in place of closing their connections

What callers saw: a connection that was closed without an answer or a refusal. A configuration that raised the header limit above 32 KiB did it to requests within that limit.

Cause: the listener destroyed the connection on every error of its parser, and its own limit for headers was a fixed 32 KiB, whatever the configuration allows.

Evidence: five tests fail on the code before (no status in place of 200, 431 and 400).

Change: 431, 408 or 400 and then the end of the connection, which is read on for a second so that unread bytes don't reset it; the listener's limit for any request is 128 KiB, the configuration's is applied to complete headers.

--- /dev/null
+++ b/packages/callers/src/forward/ForwardServer.test.ts
@@ -0,0 +1,199 @@
+import { connect, type Socket } from "node:net";
+
+import { SystemClock } from "@lycheepulley/core";
+import {
+  DEFAULT_CALLER_LIMITS,
+  FleetView,
+  type AnswerWriter,
+  type Dialect,
+  type FleetConfig,
+  type ForwardRequest,
+} from "@lycheepulley/forwarding";
+import { newSilentLogger } from "@lycheepulley/telemetry";
+import { expect } from "chai";
+import fc from "fast-check";
+
+import { ForwardServer } from "./ForwardServer.js";
+
+const HOST = "127.0.0.1";
+/** Bounds for a busy machine; answers take a few milliseconds. */
+const FIRST_ANSWER_MS = 5_000;
+const QUIET_MS = 200;
+
+const newConfig = (revision: number, limits: Partial<FleetConfig["limits"]> = {}): FleetConfig => ({
+  revision,
+  routes: [
+    {
+      ...{ name: "r", host: "a.example", pathPrefix: "/a/", repeat: "at_most_once" },
+      ...{ isStream: false, isResumable: false, timeoutMs: 4_000, targetMs: 300, priority: 1 },
+      ...{ pools: [{ pool: "p", weight: 1 }], maxAttempts: 1, isPublic: true },
+    },
+  ],
+  pools: [{ name: "p" }],
+  limits: { ...DEFAULT_CALLER_LIMITS, ...limits },
+});
+
+/** A listener whose requests are answered by `forward`. */
+class ListenerHarness {
+  readonly view = new FleetView();
+  readonly server: ForwardServer;
+  readonly #port: number;
+  forward: (req: ForwardRequest, writer: AnswerWriter) => Promise<void> = (_req, writer) => {
+    writer.sendOwn(200, "answered");
+    return Promise.resolve();
+  };
+  readHead: Dialect["readHead"] = ({ method, path, headers }) => ({
+    ...{ attemptId: "a1", method, path, headers, host: "a.example", deadlineMs: undefined },
+    ...{ apiKey: undefined, promptTokens: 0, outputTokens: 0, lastEventId: undefined },
+  });
+
+  private constructor(port: number) {
+    this.#port = port;
+    this.view.applyConfig(newConfig(1));
+    this.server = new ForwardServer({
+      ...{ clock: new SystemClock(), view: this.view, logger: newSilentLogger() },
+      dialect: {
+        readHead: (req: Parameters<Dialect["readHead"]>[0]) => this.readHead(req),
+      } as Dialect,
+      forward: (req, writer) => this.forward(req, writer),
+    });
+  }
+
+  static async start(): Promise<ListenerHarness> {
+    const port = 20_000 + Math.floor(Math.random() * 20_000);
+    const harness = new ListenerHarness(port);
+    try {
+      await harness.server.listen(HOST, port);
+    } catch {
+      return ListenerHarness.start();
+    }
+    return harness;
+  }
+
+  applyConfig(config: FleetConfig): void {
+    this.view.applyConfig(config);
+    this.server.applyLimits();
+  }
+
+  connect(): Promise<Socket> {
+    return new Promise((resolve) => {
+      const socket = connect(this.#port, HOST, () => {
+        resolve(socket);
+      });
+      socket.on("error", () => undefined);
+    });
+  }
+
+  /** Sends bytes on a new connection, and returns what comes back until nothing more does. */
+  async exchange(bytes: string): Promise<string> {
+    const socket = await this.connect();
+    let answer = "";
+    await new Promise<void>((resolve) => {
+      let quiet = setTimeout(resolve, FIRST_ANSWER_MS);
+      socket.on("data", (chunk) => {
+        answer += chunk.toString();
+        clearTimeout(quiet);
+        quiet = setTimeout(resolve, QUIET_MS);
+      });
+      socket.on("close", () => {
+        clearTimeout(quiet);
+        resolve();
+      });
+      socket.write(bytes, "latin1");
+    });
+    socket.destroy();
+    return answer;
+  }
+
+  /** Sends bytes and then the end of the connection, and returns all that comes back. */
+  async exchangeToEnd(bytes: string): Promise<string> {
+    const socket = await this.connect();
+    let answer = "";
+    socket.on("data", (chunk) => (answer += chunk.toString()));
+    socket.end(bytes, "latin1");
+    await new Promise((resolve) => socket.once("close", resolve));
+    return answer;
+  }
+}
+
+const newRequest = (headers: string[] = [], body = ""): string =>
+  [
+    ...["POST /a/1 HTTP/1.1", "Host: a.example", `Content-Length: ${String(body.length)}`],
+    ...[...headers, "", body],
+  ].join("\r\n");
+
+const getStatus = (answer: string): number => Number(/^HTTP\/1.1 (\d+)/.exec(answer)?.[1]);
+
+const useListener = (): { readonly harness: ListenerHarness } => {
+  const fixture = {} as { harness: ListenerHarness };
+  beforeEach(async () => {
+    fixture.harness = await ListenerHarness.start();
+  });
+  afterEach(() => {
+    fixture.harness.server.close();
+  });
+  return fixture;
+};
+
+describe("ForwardServer: every request gets an answer", () => {
+  const fixture = useListener();
+
+  // Requests within a configuration's raised header limit were cut off without an answer.
+  it("takes headers up to the configuration's limit, also far above the default", async () => {
+    const { harness } = fixture;
+    harness.applyConfig(newConfig(2, { maxHeaderBytes: 100_000 }));
+    const request = newRequest([`X-Note: ${"n".repeat(60_000)}`]);
+    expect(getStatus(await harness.exchange(request))).to.equal(200);
+  });
+
+  // Callers saw a closed connection in place of an error that tells what is wrong.
+  const refused: readonly [name: string, bytes: string, status: number][] = [
+    ["headers over the listener's own limit", newRequest([`X-Note: ${"n".repeat(300_000)}`]), 431],
+    ["a header without a colon", "POST /a/1 HTTP/1.1\r\nHost a.example\r\n\r\n", 400],
+    ["a length that is no number", "POST /a/1 HTTP/1.1\r\nContent-Length: x\r\n\r\n", 400],
+    ["bytes that are no request", "\u0001\u0002\u0003\r\n\r\n", 400],
+  ];
+  for (const [name, bytes, status] of refused) {
+    it(`answers ${name} with ${String(status)}`, async () => {
+      expect(getStatus(await fixture.harness.exchange(bytes))).to.equal(status);
+    });
+  }
+
+  it("closes a connection on which an answer is in progress rather than write another into it", async () => {
+    const { harness } = fixture;
+    harness.forward = (_req, writer) => {
+      writer.sendHead(200, ["Content-Length", "10"], true);
+      writer.write(Buffer.from("part"));
+      return Promise.resolve();
+    };
+    const answer = await harness.exchange(`${newRequest()}\u0001\u0002\r\n\r\n`);
+    expect(answer).to.not.include("Bad Request");
+  });
+
+  it("survives any bytes", async () => {
+    const { harness } = fixture;
+    const piece = fc.oneof(
+      fc.string({ maxLength: 200 }),
+      fc.constantFrom("POST /a/1 HTTP/1.1\r\n", "Host: a.example\r\n", "\r\n\r\n", "Expect: x\r\n"),
+      fc.constantFrom(
+        "Transfer-Encoding: chunked\r\n",
+        "Content-Length: 5\r\n",
+        "GET // HTTP/1.1\r\n",
+      ),
+      fc.constantFrom(
+        "CONNECT a:1 HTTP/1.1\r\n",
+        "Upgrade: x\r\nConnection: upgrade\r\n",
+        "ff\r\n",
+      ),
+    );
+    const bytes = fc.array(piece, { maxLength: 12 }).map((pieces) => pieces.join(""));
+    await fc.assert(
+      fc.asyncProperty(bytes, async (text) => {
+        const answer = await harness.exchangeToEnd(text);
+        expect(answer === "" || /^HTTP\/1\.1 \d{3} /.test(answer)).to.equal(true);
+      }),
+      { seed: 1, numRuns: 300 },
+    );
+    expect(getStatus(await harness.exchange(newRequest()))).to.equal(200);
+  });
+});
--- a/packages/callers/src/forward/ForwardServer.ts
+++ b/packages/callers/src/forward/ForwardServer.ts
@@ -16,10 +16,13 @@
 import { readBody, BodyTooLargeError } from "@lycheepulley/http";
 import type { Logger } from "@lycheepulley/telemetry";
 
+import { CallerConnections } from "./CallerConnections.js";
 import { ResponseWriter } from "./ResponseWriter.js";
 
 /** Added to the configured time-outs, so that a request sent just within them isn't cut off. */
 const TIMEOUT_GRACE_MS = 2_000;
+/** Limit for the headers of any request; that of the configuration is applied to complete headers. */
+const MAX_HEADER_BYTES = 131_072;
 /** Limit for the bytes of request bodies being received, over all connections. */
 const MAX_BUFFERED_BYTES = 64_000_000;
 const BUFFERS_FULL_RETRY_MS = 500;
@@ -28,10 +31,17 @@
 /** Other processes can take the request at once. */
 const DRAINING_RETRY_MS = 50;
 
+/** Answers to connections that end on an error, by its code. */
+const ERROR_ANSWERS: Readonly<Record<string, readonly [status: number, reason: string]>> = {
+  HPE_HEADER_OVERFLOW: [431, "Request Header Fields Too Large"],
+  ERR_HTTP_REQUEST_TIMEOUT: [408, "Request Timeout"],
+};
+const BAD_REQUEST = [400, "Bad Request"] as const;
+
 /** HTTP server that admits callers' requests and forwards their bytes to upstreams. */
 export class ForwardServer {
   readonly #server: Server;
-  readonly #sockets = new Set<Socket>();
+  readonly #connections = new CallerConnections();
   readonly #clock: Clock;
   readonly #view: FleetView;
   readonly #dialect: Dialect;
@@ -53,14 +63,15 @@
     this.#logger = options.logger;
     this.#forward = options.forward;
     this.#server = createServer(
-      { maxHeaderSize: DEFAULT_CALLER_LIMITS.maxHeaderBytes * 2, requestTimeout: 0 },
+      { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0 },
       (req, res) => {
         void this.#handleRequest(req, res);
       },
     );
     this.applyLimits();
     this.#server.on("connection", (socket) => {
-      this.#watchSocket(socket);
+      socket.setNoDelay(true);
+      this.#connections.add(socket);
     });
     this.#server.on("clientError", (err: NodeJS.ErrnoException, socket) => {
       this.#handleConnectionError(err, socket as Socket);
@@ -71,7 +82,7 @@
   }
 
   get connections(): number {
-    return this.#sockets.size;
+    return this.#connections.size;
   }
 
   listen(host: string, port: number): Promise<void> {
@@ -107,41 +118,40 @@
   }
 
   #handleConnectionError(err: NodeJS.ErrnoException, socket: Socket): void {
-    if (err.code !== "ECONNRESET") {
-      this.#logger.warn("caller's connection closed on an error", {
-        ...{ step: "accept", err: err.message, code: err.code },
-        receivedBytes: socket.bytesRead,
-      });
+    if (err.code === "ECONNRESET") {
+      socket.destroy();
+      return;
     }
-    socket.destroy();
-  }
-
-  #watchSocket(socket: Socket): void {
-    socket.setNoDelay(true);
-    this.#sockets.add(socket);
-    socket.on("error", () => undefined);
-    socket.on("close", () => this.#sockets.delete(socket));
+    this.#logger.warn("caller's connection closed on an error", {
+      ...{ step: "accept", err: err.message, code: err.code },
+      receivedBytes: socket.bytesRead,
+    });
+    this.#connections.endWithStatus(socket, ...(ERROR_ANSWERS[err.code ?? ""] ?? BAD_REQUEST));
   }
 
   async #handleRequest(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const receivedMs = this.#clock.now();
     const abort = new AbortController();
+    const { socket } = req;
+    this.#connections.startRequest(socket);
     res.on("error", () => undefined);
     req.on("error", () => undefined);
     res.on("close", () => {
       abort.abort();
+      this.#connections.endRequest(socket);
     });
     const writer = new ResponseWriter(res, { isClosing: () => this.#drain !== undefined });
-    let head: RequestHead | undefined;
+    const progress: AdmissionProgress = { head: undefined, isForwarded: false };
     try {
-      head = this.#dialect.readHead({
+      progress.head = this.#dialect.readHead({
         method: req.method ?? "GET",
         path: req.url ?? "/",
         headers: req.rawHeaders,
       });
-      await this.#admit({ req, head, writer, receivedMs, signal: abort.signal });
+      const head = progress.head;
+      await this.#admit({ req, head, writer, receivedMs, signal: abort.signal, progress });
     } catch (err) {
-      this.#handleFailure(err, { req, head, writer });
+      this.#handleFailure(err, { req, progress, writer });
     }
   }
 
@@ -151,8 +161,9 @@
     writer: ResponseWriter;
     receivedMs: number;
     signal: AbortSignal;
+    progress: AdmissionProgress;
   }): Promise<void> {
-    const { req, head, writer, receivedMs, signal } = options;
+    const { req, head, writer, receivedMs, signal, progress } = options;
     const { maxHeaderBytes } = this.#view.table?.config.limits ?? DEFAULT_CALLER_LIMITS;
     if (countHeaderBytes(req) > maxHeaderBytes) {
       writer.closeAfterAnswer();
@@ -169,6 +180,7 @@
     if (signal.aborted) {
       return;
     }
+    progress.isForwarded = true;
     await this.#forward(
       {
         ...{ head, route, body, customer, priority, revision, receivedMs, signal },
@@ -251,9 +263,9 @@
 
   #handleFailure(
     err: unknown,
-    options: { req: IncomingMessage; head: RequestHead | undefined; writer: ResponseWriter },
+    options: { req: IncomingMessage; progress: AdmissionProgress; writer: ResponseWriter },
   ): void {
-    const { req, head, writer } = options;
+    const { req, progress, writer } = options;
     if (writer.isClosed) {
       return;
     }
@@ -267,7 +279,7 @@
       writer.abort();
     } else {
       this.#logger.error("request failed with an internal error", {
-        ...{ requestId: head?.attemptId, step: "accept", revision: this.#view.revision },
+        ...{ requestId: progress.head?.attemptId, step: "accept", revision: this.#view.revision },
         err: err instanceof Error ? (err.stack ?? err.message) : String(err),
       });
       writer.abort();
@@ -275,6 +287,13 @@
   }
 }
 
+/** How far a request came. */
+interface AdmissionProgress {
+  head: RequestHead | undefined;
+  /** It was handed on, so that an upstream may have it. */
+  isForwarded: boolean;
+}
+
 /** Thrown when the request bodies being received exceed their limit. */
 class BuffersFullError extends Error {}
 
