Answer a request that an error inside the process ends

What callers saw: a whole request whose connection was closed with neither an answer nor a refusal.

Cause: ForwardServer aborted the connection on an error that it doesn't know, also when nothing of the request had left the process.

Evidence: two tests fail on the code before (no status in place of 503 and 502).

Change: 503 with a time to come back before the request is handed on (it never ran), 502 after that, since an upstream may have it.

--- a/packages/callers/src/forward/ForwardServer.test.ts
+++ b/packages/callers/src/forward/ForwardServer.test.ts
@@ -159,6 +159,25 @@
     });
   }
 
+  // An error inside ended the connection without a word, though nothing had been sent.
+  it("answers that a request didn't run when an error ends it before it is forwarded", async () => {
+    const { harness } = fixture;
+    harness.readHead = () => {
+      throw new Error("unexpected");
+    };
+    const answer = await harness.exchange(newRequest([], "body"));
+    expect(getStatus(answer)).to.equal(503);
+    expect(answer).to.match(/\r\nRetry-After: /);
+  });
+
+  it("answers that a request may have run when an error ends it after it was forwarded", async () => {
+    const { harness } = fixture;
+    harness.forward = () => Promise.reject(new Error("unexpected"));
+    const answer = await harness.exchange(newRequest([], "body"));
+    expect(getStatus(answer)).to.equal(502);
+    expect(answer).to.not.match(/\r\nRetry-After: /);
+  });
+
   it("closes a connection on which an answer is in progress rather than write another into it", async () => {
     const { harness } = fixture;
     harness.forward = (_req, writer) => {
--- a/packages/callers/src/forward/ForwardServer.ts
+++ b/packages/callers/src/forward/ForwardServer.ts
@@ -28,6 +28,8 @@
 const BUFFERS_FULL_RETRY_MS = 500;
 /** Outages of the configuration source last seconds; an earlier retry would fail as well. */
 const UNCONFIGURED_RETRY_MS = 3_000;
+/** Another process may not meet the error that ended the request here. */
+const INTERNAL_ERROR_RETRY_MS = 500;
 /** Other processes can take the request at once. */
 const DRAINING_RETRY_MS = 50;
 
@@ -282,7 +284,11 @@
         ...{ requestId: progress.head?.attemptId, step: "accept", revision: this.#view.revision },
         err: err instanceof Error ? (err.stack ?? err.message) : String(err),
       });
-      writer.abort();
+      if (progress.isForwarded) {
+        writer.sendOwn(502, "may have run: internal error");
+      } else {
+        writer.sendOwn(503, "not run: internal error", INTERNAL_ERROR_RETRY_MS);
+      }
     }
   }
 }
