Keep idle connections for an idle limit that is raised meanwhile

What callers saw: a connection that closed under a request sent within the configured idle limit, after a change of the configuration.

Cause: a changed limit was applied to the server only, which sets a connection's timer at the end of an answer; those that were idle kept the old limit.

Evidence: the test of a raised limit fails on the code before; a lowered one never shortens what the last answer announced (passes before and after).

Change: CallerConnections extends the timers of idle connections when the limit grows.

--- a/packages/callers/src/forward/CallerConnections.ts
+++ b/packages/callers/src/forward/CallerConnections.ts
@@ -6,6 +6,8 @@
 interface ConnectionState {
   /** Requests without a complete answer. */
   requests: number;
+  /** Time after which the connection is closed when it stays idle. */
+  idleMs: number;
 }
 
 /** Connections of callers, with what is in progress on each. */
@@ -17,7 +19,7 @@
   }
 
   add(socket: Socket): void {
-    this.#states.set(socket, { requests: 0 });
+    this.#states.set(socket, { requests: 0, idleMs: 0 });
     socket.on("error", () => undefined);
     socket.on("close", () => this.#states.delete(socket));
   }
@@ -29,10 +31,22 @@
     }
   }
 
-  endRequest(socket: Socket): void {
+  /** `idleMs` is the time for which the connection may stay idle from now on. */
+  endRequest(socket: Socket, idleMs: number): void {
     const state = this.#states.get(socket);
     if (state) {
       state.requests -= 1;
+      state.idleMs = idleMs;
+    }
+  }
+
+  /** Keeps idle connections for `idleMs` from now on, unless they are kept for longer already. */
+  extendIdle(idleMs: number): void {
+    for (const [socket, state] of this.#states) {
+      if (state.requests === 0 && state.idleMs > 0 && state.idleMs < idleMs) {
+        state.idleMs = idleMs;
+        socket.setTimeout(idleMs);
+      }
     }
   }
 
--- a/packages/callers/src/forward/ForwardServer.test.ts
+++ b/packages/callers/src/forward/ForwardServer.test.ts
@@ -216,3 +216,42 @@
     expect(getStatus(await harness.exchange(newRequest()))).to.equal(200);
   });
 });
+
+describe("ForwardServer: idle connections", () => {
+  const fixture = useListener();
+
+  const answer = (socket: Socket): Promise<void> =>
+    new Promise((resolve) => {
+      socket.once("data", () => {
+        resolve();
+      });
+      socket.write(newRequest());
+    });
+  const isOpenAfter = async (socket: Socket, ms: number): Promise<boolean> => {
+    await new Promise((resolve) => setTimeout(resolve, ms));
+    return !socket.destroyed && !socket.readableEnded;
+  };
+
+  // A connection that was idle when the limit was raised was closed by the old limit, while its caller sent.
+  it("are kept for a limit that is raised while they are idle", async () => {
+    const { harness } = fixture;
+    harness.applyConfig(newConfig(2, { idleTimeoutMs: 10 }));
+    const socket = await harness.connect();
+    socket.resume();
+    await answer(socket);
+    harness.applyConfig(newConfig(3, { idleTimeoutMs: 20_000 }));
+    expect(await isOpenAfter(socket, 3_500)).to.equal(true);
+    socket.destroy();
+  });
+
+  it("are kept for the limit that their last answer announced when it is lowered", async () => {
+    const { harness } = fixture;
+    harness.applyConfig(newConfig(2, { idleTimeoutMs: 20_000 }));
+    const socket = await harness.connect();
+    socket.resume();
+    await answer(socket);
+    harness.applyConfig(newConfig(3, { idleTimeoutMs: 10 }));
+    expect(await isOpenAfter(socket, 3_500)).to.equal(true);
+    socket.destroy();
+  });
+});
--- a/packages/callers/src/forward/ForwardServer.ts
+++ b/packages/callers/src/forward/ForwardServer.ts
@@ -102,6 +102,7 @@
     const limits = this.#view.table?.config.limits ?? DEFAULT_CALLER_LIMITS;
     this.#server.keepAliveTimeout = limits.idleTimeoutMs + TIMEOUT_GRACE_MS;
     this.#server.headersTimeout = limits.headerTimeoutMs + TIMEOUT_GRACE_MS;
+    this.#connections.extendIdle(this.#server.keepAliveTimeout);
   }
 
   /**
@@ -140,7 +141,7 @@
     req.on("error", () => undefined);
     res.on("close", () => {
       abort.abort();
-      this.#connections.endRequest(socket);
+      this.#connections.endRequest(socket, this.#server.keepAliveTimeout);
     });
     const writer = new ResponseWriter(res, { isClosing: () => this.#drain !== undefined });
     const progress: AdmissionProgress = { head: undefined, isForwarded: false };
