End a request at once when an error inside the process meets it

What callers saw: a request that got no answer until its deadline, or whose connection was closed without one.

Cause: an error in the handling of an upstream's answer ended in the process's handler of uncaught exceptions, and the send went on waiting; one while a send is prepared reached ForwardServer, which knows nothing of what was sent.

Change: Send ends on such an error with a result of its own, which is never retried, since what the caller received is in doubt.

--- a/packages/forwarding/src/ForwardJob.ts
+++ b/packages/forwarding/src/ForwardJob.ts
@@ -35,6 +35,8 @@
   | { readonly kind: "unplaced"; readonly reason: PlacementFailure }
   /** A send stalls, and another one may follow. */
   | { readonly kind: "stalled" }
+  /** An error of this process ended a send. */
+  | { readonly kind: "failed"; readonly err: unknown }
   | { readonly kind: "ended"; readonly placement: Placement; readonly outcome: SendOutcome };
 
 /** Forwards one request, from its admission to its final answer. */
@@ -96,6 +98,8 @@
       do {
         await this.#startSend();
       } while ((await this.#awaitNextStep()) === NextStep.Retry);
+    } catch (err) {
+      this.#endOnError(err);
     } finally {
       signal.removeEventListener("abort", onAbort);
     }
@@ -120,10 +124,15 @@
     }
     live.placement = placement;
     const observer = this.#newObserver(live, placement);
-    void this.#runner.run(placement, abort.signal, observer).then((outcome) => {
-      this.#live.delete(live);
-      this.#events.push({ kind: "ended", placement, outcome });
-    });
+    this.#runner.run(placement, abort.signal, observer).then(
+      (outcome) => {
+        this.#live.delete(live);
+        this.#events.push({ kind: "ended", placement, outcome });
+      },
+      (err: unknown) => {
+        this.#events.push({ kind: "failed", err });
+      },
+    );
   }
 
   /** Handles events until another send has to follow or the request has its final answer. */
@@ -146,11 +155,24 @@
         }
         this.#endWithoutPlacement(event.reason);
         return NextStep.Done;
+      case "failed":
+        throw event.err;
       case "ended":
         return this.#handleOutcome(event.placement, event.outcome);
     }
   }
 
+  #endOnError(err: unknown): void {
+    this.#log.logError(err);
+    this.#stopSends(SendResult.Cancelled);
+    const reason = "internal error";
+    if (this.#sends > 0) {
+      this.#final.fail({ result: SendResult.Internal, reason });
+    } else {
+      this.#final.reject(reason, NO_UPSTREAM_RETRY_AFTER_MS);
+    }
+  }
+
   #stopSends(result: SendResult, except?: LiveSend): void {
     for (const live of this.#live) {
       if (live !== except) {
--- a/packages/forwarding/src/RequestLog.ts
+++ b/packages/forwarding/src/RequestLog.ts
@@ -75,6 +75,13 @@
     });
   }
 
+  logError(err: unknown): void {
+    this.#logger.error("request failed with an internal error", {
+      ...{ requestId: this.#req.head.attemptId, step: "send", revision: this.#req.revision },
+      err: err instanceof Error ? (err.stack ?? err.message) : String(err),
+    });
+  }
+
   logEjection(peer: string, reason: string): void {
     this.#logger.info("upstream ejected", { step: "send", peer, reason });
   }
--- a/packages/forwarding/src/Send.ts
+++ b/packages/forwarding/src/Send.ts
@@ -1,4 +1,4 @@
-import type { Clock } from "@lycheepulley/core";
+import { getMessage, type Clock } from "@lycheepulley/core";
 
 import { EventSplitter, type StreamEvent } from "./EventSplitter.js";
 import { SendResult, type BufferedAnswer, type SendOutcome } from "./outcomes.js";
@@ -122,6 +122,38 @@
   }
 
   onHead(head: AnswerHead): void {
+    this.#guard(() => {
+      this.#handleHead(head);
+    });
+  }
+
+  onData(chunk: Buffer): void {
+    this.#guard(() => {
+      this.#handleData(chunk);
+    });
+  }
+
+  onEnd(): void {
+    this.#guard(() => {
+      this.#handleEnd();
+    });
+  }
+
+  onError(state: SendState, err: Error): void {
+    const result = state === SendState.Unsent ? SendResult.Unsent : SendResult.Broken;
+    this.#finish({ result, reason: err.message });
+  }
+
+  /** Ends the send on an error of this process, which its caller would otherwise await in vain. */
+  #guard(handle: () => void): void {
+    try {
+      handle();
+    } catch (err) {
+      this.#finish({ result: SendResult.Internal, reason: `internal error: ${getMessage(err)}` });
+    }
+  }
+
+  #handleHead(head: AnswerHead): void {
     this.#head = head;
     this.#facts = this.#dialect.readAnswer(this.#req, head);
     if (!this.#facts.isValid) {
@@ -129,7 +161,7 @@
     }
   }
 
-  onData(chunk: Buffer): void {
+  #handleData(chunk: Buffer): void {
     if (this.#isSettled) {
       return;
     }
@@ -142,7 +174,7 @@
     }
   }
 
-  onEnd(): void {
+  #handleEnd(): void {
     if (this.#isSettled || !this.#head || !this.#facts) {
       return;
     }
@@ -158,11 +190,6 @@
     this.#endBuffered(this.#head, this.#facts);
   }
 
-  onError(state: SendState, err: Error): void {
-    const result = state === SendState.Unsent ? SendResult.Unsent : SendResult.Broken;
-    this.#finish({ result, reason: err.message });
-  }
-
   get #isEventStream(): boolean {
     return this.#head?.status === 200 && (this.#facts?.isEventStream ?? false);
   }
--- a/packages/forwarding/src/SendFeedback.ts
+++ b/packages/forwarding/src/SendFeedback.ts
@@ -10,6 +10,7 @@
   SendResult.Cancelled,
   SendResult.TimedOut,
   SendResult.NoMemory,
+  SendResult.Internal,
   SendResult.Superseded,
 ]);
 
--- a/packages/forwarding/src/outcomes.ts
+++ b/packages/forwarding/src/outcomes.ts
@@ -19,6 +19,8 @@
   Cancelled: "cancelled",
   /** The request's deadline passed. */
   TimedOut: "timed_out",
+  /** This process failed to handle the answer. */
+  Internal: "internal",
   /** Another send of the request took over. */
   Superseded: "superseded",
 } as const;
@@ -112,7 +114,9 @@
     return history.unsent < MAX_UNSENT ? NextStep.Retry : getFinalStep(outcome, history);
   }
   const maySend =
-    history.sends < route.maxAttempts && (result === SendResult.NotRun || canRepeat(route));
+    result !== SendResult.Internal &&
+    history.sends < route.maxAttempts &&
+    (result === SendResult.NotRun || canRepeat(route));
   return maySend && history.trySpend() ? NextStep.Retry : getFinalStep(outcome, history);
 };
 
--- a/packages/forwarding/src/testing/ForwarderHarness.ts
+++ b/packages/forwarding/src/testing/ForwarderHarness.ts
@@ -10,6 +10,7 @@
 import { ManualClock } from "./ManualClock.js";
 import { newConfig, newRoute, newUpstream } from "./samples.js";
 import { ReservationManager } from "../ReservationManager.js";
+import type { Dialect } from "../types.js";
 import { UpstreamHealth } from "../UpstreamHealth.js";
 
 export const STREAM: Partial<Route> = { isStream: true, isResumable: true, maxGapMs: 250 };
@@ -20,6 +21,7 @@
 export class ForwarderHarness {
   readonly clock = new ManualClock();
   readonly transport = new FakeTransport();
+  readonly dialect: Dialect = new FakeDialect();
   readonly caller = new FakeCaller();
   readonly view = new FleetView();
   readonly loadTracker = new LoadTracker({ clock: this.clock, onOwnChange: () => undefined });
@@ -35,7 +37,7 @@
   readonly #crashes = new CrashTracker({ clock: this.clock, onCrash: () => undefined });
 
   constructor(upstreams = ["u0", "u1", "u2"]) {
-    const { clock, transport, view, loadTracker } = this;
+    const { clock, transport, dialect, view, loadTracker } = this;
     const logger = newSilentLogger();
     view.applyConfig(newConfig());
     const list = upstreams.map((id, index) => newUpstream(id, { port: index + 1 }));
@@ -57,13 +59,12 @@
       getProcessCount: () => 6,
     });
     this.#forwarder = new Forwarder({
-      ...{ clock, transport, view, loadTracker, logger, control },
+      ...{ clock, transport, dialect, view, loadTracker, logger, control },
       random: new SeededRandom(1),
       health: new UpstreamHealth(clock),
       retryBudget: this.#retryBudget,
       crashes: this.#crashes,
       reservations: new ReservationManager({ clock, control, logger }),
-      dialect: new FakeDialect(),
       onEnd: () => undefined,
     });
   }
