Say "not run" only of requests that certainly didn't run

Callers were told "not run" of requests that may have run: after an error in passing on an answer, after an engine rejected the resume of a stream it had begun, after parts of a split prompt were prefilled, and after a route or connection timed out while the answer was awaited. A call that a service itself states not to have run was said to "may have run", and its key was spent.

The causes: the callers' listener gave "not run" to every error but a PulleyError; ETIMEDOUT, EHOSTUNREACH and ENETUNREACH counted as unsent whatever call failed; a rejected resume was taken for a rejected prompt; exported parts and ended answers didn't count as sent; a service's answer counted as sent before its status was compared with notRunStatuses. Now an error counts as unsent only when it comes from connecting, errors after a request was handed on get "may have run", and the rest is noted where it happens.

--- a/packages/callers/src/CallerServer.ts
+++ b/packages/callers/src/CallerServer.ts
@@ -10,7 +10,7 @@
 } from "@lycheepulley/core";
 import { HttpServer, readBody, sendJson, type Route } from "@lycheepulley/http";
 
-import { newCompletionBody } from "./completionBody.js";
+import { sendCompletion, sendServiceAnswer, toHandedOnError, type PromptCall } from "./answers.js";
 import { sendError, toPulleyError } from "./errorAnswer.js";
 import { parsePrompt, type ParsedPrompt } from "./parse.js";
 import { ResumableAnswer } from "./ResumableAnswer.js";
@@ -208,7 +208,7 @@
       const onChunk = answer.push.bind(answer);
       answer.finish(await accepted.runPrompt(request, { onChunk }));
     } catch (err) {
-      answer.fail(toPulleyError(err));
+      answer.fail(toHandedOnError(err));
     } finally {
       this.#removeAnswer(requestId, reconnectMs);
     }
@@ -252,7 +252,7 @@
     });
     try {
       const body = await readBody(req, this.#api.maxBodyBytes);
-      const outcome = await accepted.runService({
+      await sendServiceAnswer(res, accepted, {
         ...target,
         customer,
         contentType: getHeader(req, "content-type") ?? "application/octet-stream",
@@ -260,12 +260,6 @@
         idempotencyKey: getHeader(req, "idempotency-key"),
         signal: abort.signal,
       });
-      res.writeHead(outcome.status, {
-        "content-type": outcome.contentType,
-        "x-request-id": accepted.requestId,
-        ...(outcome.isReplay ? { "x-replayed": "true" } : {}),
-      });
-      res.end(outcome.body);
     } catch (err) {
       accepted.reject(err);
       sendError(res, toPulleyError(err), accepted.requestId);
@@ -284,36 +278,6 @@
   }
 }
 
-interface PromptCall {
-  readonly accepted: AcceptedRequest;
-  readonly request: PromptRequest;
-  readonly parsed: ParsedPrompt;
-  readonly abort: AbortController;
-}
-
-const sendCompletion = async (res: ServerResponse, call: PromptCall): Promise<void> => {
-  const { accepted, request, parsed, abort } = call;
-  res.on("close", () => {
-    abort.abort();
-  });
-  const parts: string[] = [];
-  const outcome = await accepted.runPrompt(request, {
-    onChunk: (chunk) => {
-      parts.push(chunk.text);
-    },
-  });
-  const text = outcome.replayed ?? parts.join("");
-  sendJson(
-    res,
-    200,
-    newCompletionBody(accepted.requestId, request.path, parsed.model, text, outcome),
-    {
-      "x-request-id": accepted.requestId,
-      ...(outcome.replayed === undefined ? {} : { "x-replayed": "true" }),
-    },
-  );
-};
-
 const newPromptRequest = (
   path: PromptPath,
   parsed: ParsedPrompt,
--- a/packages/callers/src/errorAnswer.ts
+++ b/packages/callers/src/errorAnswer.ts
@@ -6,16 +6,19 @@
 const MS_PER_S = 1_000;
 const HTTP_TOO_LARGE = 413;
 
-/** Converts anything thrown to a {@link PulleyError}; other errors get the verdict "not run". */
-export const toPulleyError = (err: unknown): PulleyError => {
+/**
+ * Converts anything thrown to a {@link PulleyError}. Other errors get the given verdict; "not run"
+ * is only true of errors before the request was handed on.
+ */
+export const toPulleyError = (err: unknown, verdict: Verdict = Verdict.NotRun): PulleyError => {
   if (err instanceof PulleyError) {
     return err;
   }
   const isTooLarge = err instanceof BodyTooLargeError;
   return new PulleyError(err instanceof Error ? err.message : String(err), {
     code: isTooLarge ? "body_too_large" : "internal_error",
-    step: Step.Accept,
-    verdict: Verdict.NotRun,
+    step: verdict === Verdict.NotRun ? Step.Accept : Step.Reply,
+    verdict,
     status: isTooLarge ? HTTP_TOO_LARGE : 500,
     ...(isTooLarge ? { param: "(body)" } : {}),
     cause: err,
--- /dev/null
+++ b/packages/http/src/HttpPeer.test.ts
@@ -0,0 +1,78 @@
+import { expect } from "chai";
+
+import { HttpPeer } from "./HttpPeer.js";
+
+const newSystemError = (code: string, syscall?: string): Error =>
+  Object.assign(new Error(code), { code, ...(syscall === undefined ? {} : { syscall }) });
+
+const CASES = [
+  { name: "a refused connection", err: newSystemError("ECONNREFUSED", "connect"), sent: false },
+  {
+    name: "a connection attempt without answer",
+    err: newSystemError("ETIMEDOUT", "connect"),
+    sent: false,
+  },
+  { name: "no route to connect by", err: newSystemError("EHOSTUNREACH", "connect"), sent: false },
+  { name: "no network to connect by", err: newSystemError("ENETUNREACH", "connect"), sent: false },
+  {
+    name: "a host name without address",
+    err: newSystemError("ENOTFOUND", "getaddrinfo"),
+    sent: false,
+  },
+  {
+    name: "undici's time limit for connecting",
+    err: newSystemError("UND_ERR_CONNECT_TIMEOUT"),
+    sent: false,
+  },
+  {
+    name: "failed attempts at every address",
+    err: new AggregateError([
+      newSystemError("ECONNREFUSED", "connect"),
+      newSystemError("ETIMEDOUT", "connect"),
+    ]),
+    sent: false,
+  },
+  {
+    name: "failed attempts of which one read",
+    err: new AggregateError([
+      newSystemError("ECONNREFUSED", "connect"),
+      newSystemError("ETIMEDOUT", "read"),
+    ]),
+    sent: true,
+  },
+  { name: "several errors without any", err: new AggregateError([]), sent: true },
+  {
+    name: "an open connection that times out",
+    err: newSystemError("ETIMEDOUT", "read"),
+    sent: true,
+  },
+  { name: "a write that times out", err: newSystemError("ETIMEDOUT", "write"), sent: true },
+  { name: "a route lost while reading", err: newSystemError("EHOSTUNREACH", "read"), sent: true },
+  { name: "a network lost while reading", err: newSystemError("ENETUNREACH", "read"), sent: true },
+  { name: "a code without its call", err: newSystemError("ECONNREFUSED"), sent: true },
+  { name: "a reset connection", err: newSystemError("ECONNRESET", "read"), sent: true },
+  { name: "headers that don't come", err: newSystemError("UND_ERR_HEADERS_TIMEOUT"), sent: true },
+  { name: "a body that doesn't come", err: newSystemError("UND_ERR_BODY_TIMEOUT"), sent: true },
+  { name: "an aborted request", err: newSystemError("UND_ERR_ABORTED"), sent: true },
+  { name: "an error without a code", err: new Error("unknown"), sent: true },
+  { name: "something thrown that is no error", err: "text", sent: true },
+];
+
+describe("HttpPeer", () => {
+  const peer = new HttpPeer({ name: "p", kind: "test", origin: "http://127.0.0.1:1" });
+
+  after(() => peer.close());
+
+  // Guards against "not run" after a request was sent: codes such as ETIMEDOUT also end a connection
+  // that has carried the request.
+  for (const { name, err, sent } of CASES) {
+    it(`counts a request as ${sent ? "sent" : "unsent"} after ${name}`, () => {
+      expect(peer.toPeerError(err).sent).to.equal(sent);
+    });
+  }
+
+  it("counts a request as unsent when the peer's port is closed", async () => {
+    const failure: unknown = await peer.call("/").catch((err: unknown) => err);
+    expect(failure).to.include({ sent: false });
+  });
+});
--- a/packages/http/src/HttpPeer.ts
+++ b/packages/http/src/HttpPeer.ts
@@ -8,14 +8,10 @@
 const DEFAULT_MAX_CONNECTIONS = 64;
 const CONNECT_TIMEOUT_MS = 1_000;
 
-/** Error codes by which no byte of the request counts as sent. */
-const UNSENT_ERROR_CODES: readonly string[] = [
-  "ECONNREFUSED",
-  "EHOSTUNREACH",
-  "ENETUNREACH",
-  "UND_ERR_CONNECT_TIMEOUT",
-  "ETIMEDOUT",
-];
+/** Code of undici's own time limit for connecting. */
+const CONNECT_TIMEOUT_CODE = "UND_ERR_CONNECT_TIMEOUT";
+/** System calls that come before the first byte of a request. */
+const CONNECTING_SYSCALLS: readonly string[] = ["connect", "getaddrinfo"];
 
 export interface HttpPeerOptions {
   /** Name used in errors and logs. */
@@ -40,6 +36,21 @@
 const getErrorCode = (err: unknown): string | undefined =>
   typeof err === "object" && err !== null && "code" in err ? String(err.code) : undefined;
 
+/**
+ * Tells whether a connection couldn't be opened, so that no byte was sent. The code alone doesn't
+ * tell: ETIMEDOUT or EHOSTUNREACH can also end a connection that has carried the request.
+ */
+const isConnectError = (err: unknown): boolean => {
+  if (err instanceof AggregateError) {
+    return err.errors.length > 0 && err.errors.every(isConnectError);
+  }
+  const isOfConnect =
+    err instanceof Error &&
+    "syscall" in err &&
+    CONNECTING_SYSCALLS.some((syscall) => syscall === err.syscall);
+  return isOfConnect || getErrorCode(err) === CONNECT_TIMEOUT_CODE;
+};
+
 /** HTTP client of one peer with a connection pool; failures become {@link PeerError}s. */
 export class HttpPeer {
   readonly name: string;
@@ -153,7 +164,7 @@
     }
     const code = getErrorCode(err);
     return new PeerError(this.name, getMessage(err), {
-      sent: code === undefined || !UNSENT_ERROR_CODES.includes(code),
+      sent: !isConnectError(err),
       ...(code === undefined ? {} : { code }),
       cause: err,
     });
--- a/packages/serving/src/requests/AttemptStream.ts
+++ b/packages/serving/src/requests/AttemptStream.ts
@@ -19,6 +19,7 @@
   readonly #assembler: AnswerAssembler;
   readonly #onChunk: (chunk: AnswerChunk) => void;
   readonly #requireEndMarker: boolean;
+  #hasResumed = false;
 
   constructor(options: {
     engine: EngineClient;
@@ -34,6 +35,11 @@
     this.#requireEndMarker = options.requireEndMarker;
   }
 
+  /** True once a connection that had carried the request broke, however its resume ended. */
+  get hasResumed(): boolean {
+    return this.#hasResumed;
+  }
+
   /** Resolves when the answer is complete; throws when this engine can't finish it. */
   async run(call: Omit<GenerateCall, "signal">, options: AttemptLimits): Promise<void> {
     this.#assembler.beginAttempt(call.attemptId);
@@ -47,6 +53,7 @@
         if (mustStop || !isResumable(err)) {
           throw resumes > 0 ? toSent(err) : err;
         }
+        this.#hasResumed = true;
       }
     }
   }
--- a/packages/serving/src/requests/EngineGroup.ts
+++ b/packages/serving/src/requests/EngineGroup.ts
@@ -1,6 +1,8 @@
 import { PeerError, type Cancel, type Clock } from "@lycheepulley/core";
 import type { EngineClient } from "@lycheepulley/engines";
 
+import { mayHaveReached } from "./reach.js";
+
 const RESERVATION_TERM_MS = 10_000;
 const RESERVATION_RENEW_INTERVAL_MS = 3_000;
 
@@ -16,6 +18,8 @@
   readonly priority: number;
   readonly timeoutMs: number;
   readonly signal: AbortSignal;
+  /** Called when an engine has, or may have, started to prefill a part. */
+  readonly onReach: () => void;
 }
 
 /** Engines that prefill one long prompt in parts and together hold its KV cache. */
@@ -39,18 +43,12 @@
   async prepare(): Promise<string[]> {
     await this.#reserveAll();
     this.#scheduleRenewal();
-    const { attemptId, body, promptTokens, priority, timeoutMs, signal } = this.#call;
+    const { promptTokens } = this.#call;
     const partTokens = Math.ceil(promptTokens / this.#members.length);
     const segments: string[] = [];
     for (const [i, member] of this.#members.slice(0, -1).entries()) {
-      const handle = await member.exportSegment({
-        reservationId: attemptId,
-        fromToken: i * partTokens,
-        toToken: (i + 1) * partTokens,
-        segments: [...segments],
-        ...{ body, priority, timeoutMs, signal },
-      });
-      segments.push(handle);
+      const part = { fromToken: i * partTokens, toToken: (i + 1) * partTokens };
+      segments.push(await this.#exportPart(member, part, [...segments]));
     }
     return segments;
   }
@@ -63,6 +61,25 @@
     );
   }
 
+  async #exportPart(
+    member: EngineClient,
+    part: { readonly fromToken: number; readonly toToken: number },
+    segments: readonly string[],
+  ): Promise<string> {
+    const { attemptId, body, priority, timeoutMs, signal, onReach } = this.#call;
+    const call = { ...part, segments, body, priority, timeoutMs, signal };
+    try {
+      const handle = await member.exportSegment({ reservationId: attemptId, ...call });
+      onReach();
+      return handle;
+    } catch (err) {
+      if (mayHaveReached(err)) {
+        onReach();
+      }
+      throw err;
+    }
+  }
+
   async #reserveAll(): Promise<void> {
     const { attemptId, owner, promptTokens, outputTokens } = this.#call;
     const tokens = Math.ceil(promptTokens / this.#members.length) + outputTokens;
--- a/packages/serving/src/requests/PromptRunner.ts
+++ b/packages/serving/src/requests/PromptRunner.ts
@@ -25,8 +25,9 @@
 import type { UpstreamDirectory } from "../upstreams/UpstreamDirectory.js";
 import type { AtMostOnce } from "./AtMostOnce.js";
 import { MAX_STORED_ANSWER_CHARS } from "./AtMostOnce.js";
-import { isRejection, runAttempt } from "./promptAttempt.js";
+import { runAttempt } from "./promptAttempt.js";
 import type { PromptJob } from "./PromptJob.js";
+import { isRejection } from "./reach.js";
 import { getFateState, RequestContext } from "./RequestContext.js";
 
 const MS_PER_S = 1_000;
--- a/packages/serving/src/requests/ServiceRunner.ts
+++ b/packages/serving/src/requests/ServiceRunner.ts
@@ -159,7 +159,9 @@
           ctx.enter(Step.Send, client.name);
         },
       });
-      ctx.noteSent();
+      if (!service.notRunStatuses.includes(answer.status)) {
+        ctx.noteSent();
+      }
       return answer;
     } catch (err) {
       if (!isPeerError(err) || err.sent) {
--- a/packages/serving/src/requests/promptAttempt.ts
+++ b/packages/serving/src/requests/promptAttempt.ts
@@ -1,4 +1,4 @@
-import { isPeerError, PeerError, Step, type Clock, type Protections } from "@lycheepulley/core";
+import { PeerError, Step, type Clock, type Protections } from "@lycheepulley/core";
 import type { EngineClient } from "@lycheepulley/engines";
 
 import type { Grant } from "../scheduler/PoolRouter.js";
@@ -6,12 +6,12 @@
 import { AttemptStream } from "./AttemptStream.js";
 import { EngineGroup } from "./EngineGroup.js";
 import type { PromptJob } from "./PromptJob.js";
+import { mayHaveReached } from "./reach.js";
 
 const MS_PER_S = 1_000;
 /** The first token may take this many times the estimated prefill time, plus the slack. */
 const FIRST_TOKEN_FACTOR = 4;
 const FIRST_TOKEN_SLACK_MS = 5_000;
-const REJECTION_STATUSES: readonly number[] = [429, 503];
 
 interface AttemptOptions {
   readonly job: PromptJob;
@@ -90,6 +90,9 @@
       priority: classified.cls.priority,
       timeoutMs: Math.max(1, ctx.remainingMs),
       signal,
+      onReach: () => {
+        ctx.noteSent();
+      },
     },
   });
   try {
@@ -140,8 +143,9 @@
       },
       { signal: target.signal, firstTokenTimeoutMs: getFirstTokenTimeoutMs(job) },
     );
+    ctx.noteSent();
   } catch (err) {
-    if (isSendStarted && mayHaveReached(err)) {
+    if (isSendStarted && (attemptStream.hasResumed || mayHaveReached(err))) {
       ctx.noteSent();
     }
     client.cancel(grant.id).catch(() => undefined);
@@ -160,11 +164,3 @@
   "x-request-id": ctx.trace.requestId,
   ...(req.idempotencyKey === undefined ? {} : { "idempotency-key": req.idempotencyKey }),
 });
-
-/** Tells whether an engine rejected a request because it takes no new work now. */
-export const isRejection = (err: unknown): boolean =>
-  isPeerError(err) && err.status !== undefined && REJECTION_STATUSES.includes(err.status);
-
-/** Tells whether the engine may have run something; false when it certainly hasn't. */
-const mayHaveReached = (err: unknown): boolean =>
-  !isPeerError(err) || (err.sent && !isRejection(err));
