Give the first caller of an at-most-once call its whole answer, and count bytes as bytes

The first caller's answer to an at-most-once service call was cut at 32,000 characters, the length that is kept for replays. Log appends could exceed their 128,000 bytes with text beyond ASCII, and a node's traffic figures were too low.

The service runner cut the answer before it returned it, though only the claim's record needs to be short; now AtMostOnce alone cuts what it keeps. LogWriter, NodeServer and FateRecorder took a string's length for its size; they now take its bytes. A second send after a broken idempotent answer isn't in vain here: the service client reads the whole answer before any of it is passed on, without the gateway's limit of 1 MiB.

--- a/packages/log/src/LogWriter.ts
+++ b/packages/log/src/LogWriter.ts
@@ -81,7 +81,7 @@
     let resolveAppended: PendingRecord["resolveAppended"] = () => undefined;
     const seq = new Promise<number>((resolve) => (resolveSeq = resolve));
     const appended = new Promise<void>((resolve) => (resolveAppended = resolve));
-    const bytes = JSON.stringify(draft).length;
+    const bytes = Buffer.byteLength(JSON.stringify(draft));
     const pending: PendingRecord = { draft, bytes, resolveSeq, resolveAppended, state: "queued" };
     this.#queue.push(pending);
     this.#flushing ??= this.#flushQueue();
--- a/packages/nodes/src/NodeServer.ts
+++ b/packages/nodes/src/NodeServer.ts
@@ -58,11 +58,11 @@
     req: Parameters<Route["handle"]>[0],
     res: Parameters<Route["handle"]>[1],
   ): Promise<void> {
-    const text = (await readBody(req, MAX_BODY_BYTES)).toString();
-    const answer = JSON.stringify(await this.#rpc.receiveJSON(text));
-    this.#receivedBytes += text.length + HEADER_BYTES;
+    const body = await readBody(req, MAX_BODY_BYTES);
+    const answer = Buffer.from(JSON.stringify(await this.#rpc.receiveJSON(body.toString())));
+    this.#receivedBytes += body.length + HEADER_BYTES;
     this.#sentBytes += answer.length + HEADER_BYTES;
-    res.writeHead(200, { "content-length": String(Buffer.byteLength(answer)) });
+    res.writeHead(200, { "content-length": String(answer.length) });
     res.end(answer);
   }
 }
--- a/packages/serving/src/fates/FateRecorder.ts
+++ b/packages/serving/src/fates/FateRecorder.ts
@@ -174,7 +174,7 @@
       lines: this.#unflushed.map((trace) => compactFate(trace.fate)),
     };
     this.#unflushed = [];
-    this.#flushedBytes += JSON.stringify(body).length;
+    this.#flushedBytes += Buffer.byteLength(JSON.stringify(body));
     const draft = { kind: RecordKind.Fates, key: this.#process, follows: null, body };
     return this.#writer.submit(draft).appended;
   }
--- a/packages/serving/src/requests/AtMostOnce.ts
+++ b/packages/serving/src/requests/AtMostOnce.ts
@@ -16,7 +16,7 @@
 /** How long a response is held back for its outcome to be appended to the log. */
 const OUTCOME_APPEND_TIMEOUT_MS = 1_000;
 /** Longest answer that is stored for replay to a repeated key, in characters. */
-export const MAX_STORED_ANSWER_CHARS = 32_000;
+const MAX_STORED_ANSWER_CHARS = 32_000;
 
 /** Response of the upstream to a request that was dispatched under a claim. */
 export interface DispatchOutcome {
--- a/packages/serving/src/requests/PromptRunner.ts
+++ b/packages/serving/src/requests/PromptRunner.ts
@@ -24,7 +24,6 @@
 import { GrantEnd, type AcquireRequest } from "../scheduler/types.js";
 import type { UpstreamDirectory } from "../upstreams/UpstreamDirectory.js";
 import type { AtMostOnce } from "./AtMostOnce.js";
-import { MAX_STORED_ANSWER_CHARS } from "./AtMostOnce.js";
 import { runAttempt } from "./promptAttempt.js";
 import type { PromptJob } from "./PromptJob.js";
 import { isRejection } from "./reach.js";
@@ -142,7 +141,7 @@
       { key, bodySha256: sha256(req.body) },
       async () => {
         await this.#runAttempt(job, 1);
-        return { status: 200, body: job.answerTexts.join("").slice(0, MAX_STORED_ANSWER_CHARS) };
+        return { status: 200, body: job.answerTexts.join("") };
       },
     );
     return { ...this.#newOutcome(job), replayed: once.isReplay ? once.body : undefined };
--- a/packages/serving/src/requests/ServiceRunner.ts
+++ b/packages/serving/src/requests/ServiceRunner.ts
@@ -21,7 +21,7 @@
 import type { ConfigTracker } from "../config/ConfigTracker.js";
 import type { RequestTrace } from "../fates/FateRecorder.js";
 import type { ServiceInstance, UpstreamDirectory } from "../upstreams/UpstreamDirectory.js";
-import { MAX_STORED_ANSWER_CHARS, type AtMostOnce } from "./AtMostOnce.js";
+import type { AtMostOnce } from "./AtMostOnce.js";
 import { newKeyMissingError } from "./PromptRunner.js";
 import { getFateState, RequestContext } from "./RequestContext.js";
 
@@ -98,8 +98,7 @@
       if (service.notRunStatuses.includes(answer.status)) {
         throw newNotRunError(req.service, answer.status);
       }
-      const body = answer.body.slice(0, MAX_STORED_ANSWER_CHARS);
-      return { status: answer.status, body, contentType: answer.contentType };
+      return { status: answer.status, body: answer.body, contentType: answer.contentType };
     });
     return { contentType: "application/json", ...outcome };
   }
--- a/packages/serving/src/requests/sendEnds.test.ts
+++ b/packages/serving/src/requests/sendEnds.test.ts
@@ -142,6 +142,12 @@
     throw newError();
   };
 
+const newServiceRequest = (): ServiceRequest => ({
+  ...{ service: "letters", method: "POST", path: "/send", contentType: "text/plain" },
+  ...{ body: undefined, customer: "c", idempotencyKey: "k" },
+  signal: new AbortController().signal,
+});
+
 const observeService = async (
   steps: readonly ServiceStep[],
   change: Partial<ServiceRequest> = {},
@@ -158,14 +164,7 @@
   const directory = { getServices: () => [{ client }] } as unknown as UpstreamDirectory;
   const runner = new ServiceRunner({ ...getCommon(ends), directory });
   const trace = newTrace();
-  return observe(trace, ends, () =>
-    runner.run(trace, {
-      ...{ service: "letters", method: "POST", path: "/send", contentType: "text/plain" },
-      ...{ body: undefined, customer: "c", idempotencyKey: "k" },
-      signal: new AbortController().signal,
-      ...change,
-    }),
-  );
+  return observe(trace, ends, () => runner.run(trace, { ...newServiceRequest(), ...change }));
 };
 
 // Guards against "not run" of what may have run, and against "may have run" of what the service
@@ -198,6 +197,25 @@
   });
 });
 
+describe("the answer to a call that runs at most once", () => {
+  // Guards against the first caller's answer being cut to the length that is kept for replays.
+  it("reaches its first caller whole, however little of it is kept", async () => {
+    const body = "x".repeat(100_000);
+    const ends: ClaimEnd[] = [];
+    const client = {
+      name: "letters-1",
+      call: () => Promise.resolve({ status: 200, contentType: "text/plain", body }),
+    };
+    const directory = { getServices: () => [{ client }] } as unknown as UpstreamDirectory;
+    const outcome = await new ServiceRunner({ ...getCommon(ends), directory }).run(
+      newTrace(),
+      newServiceRequest(),
+    );
+    expect(outcome.body.length).to.equal(body.length);
+    expect(ends[0]?.outcome?.body.length).to.equal(32_000);
+  });
+});
+
 type EngineStep = (onChunk: OnChunk, attemptId: string) => void;
 
 interface PromptCase {
