Take an unreadable lease for held and an unreadable claim for one that may have run

A duty whose lease a process couldn't read got a second holder at once, and a caller who sent an idempotency key again was told that the key was used with another body when the claim couldn't be read, though the first request may have run. Both arise when another version writes the record.

isLeaseFree took a lease that can't be parsed for one that was never claimed; it now looks at the register, so that such a lease is only claimed after its term without a renewal. decideClaim answered "refuse_body"; it now replays an outcome of "unknown", which the message between processes can carry already, so that old processes read it too.

Tests: "make a claim count as one whose request may have run" and "leave a lease that can't be read held" in registers.test.ts.

--- a/packages/core/src/folds/claims.ts
+++ b/packages/core/src/folds/claims.ts
@@ -65,6 +65,16 @@
   return { kind: RecordKind.Claim, key: options.key, follows: options.version, body };
 };
 
+/** Claim in place of one that can't be read, whose request may have run. */
+const newUnreadableClaim = (register: Register, req: ClaimRequest): ClaimBody => ({
+  state: ClaimState.Unknown,
+  attempt: 0,
+  requestId: "(unreadable)",
+  holder: register.writer,
+  bodySha256: req.bodySha256,
+  deadlineMs: 0,
+});
+
 /** Tolerated clock skew between processes. */
 export const CLAIM_EXPIRY_SLACK_MS = 2_000;
 
@@ -83,7 +93,7 @@
     return { action: "claim", draft: newClaimDraft(req, version, 1) };
   }
   if (!claim) {
-    return { action: "refuse_body" };
+    return { action: "replay", claim: newUnreadableClaim(register, req) };
   }
   if (claim.bodySha256 !== req.bodySha256) {
     return { action: "refuse_body" };
--- a/packages/core/src/folds/leases.ts
+++ b/packages/core/src/folds/leases.ts
@@ -48,6 +48,9 @@
   body: { ...lease, action },
 });
 
-/** Tells whether a duty has no holder, without regard to the lease's term. */
-export const isLeaseFree = (lease: LeaseBody | undefined): boolean =>
-  lease === undefined || lease.action === LeaseAction.Release;
+/**
+ * Tells whether a duty has no holder, without regard to the lease's term. A lease that can't be
+ * read has one: a process with another version may have written it.
+ */
+export const isLeaseFree = (register: Register | undefined): boolean =>
+  register === undefined || parseLease(register)?.action === LeaseAction.Release;
--- a/packages/core/src/folds/registers.test.ts
+++ b/packages/core/src/folds/registers.test.ts
@@ -5,7 +5,7 @@
 import { isLeaseFree, LeaseAction, newLeaseClaim, newLeaseUpdate, parseLease } from "./leases.js";
 import { PoisonAction, reducePoison } from "./poison.js";
 import { RecordKind, type LogEntry, type LogRecord } from "./records.js";
-import { Acceptance, RegisterFold } from "./registers.js";
+import { Acceptance, RegisterFold, type Register } from "./registers.js";
 
 const SEED = 20_261_203;
 const RUNS = 300;
@@ -181,6 +181,39 @@
   ): LogRecord => ({ v: 1, ...draft, writer, seq });
 });
 
+describe("records that can't be read", () => {
+  const unreadable = (kind: string): Register => ({
+    ...{ kind, key: "k", version: 3, body: { from: "a newer version" } },
+    ...{ offset: 9, timeMs: 9, writer: "p2/1" },
+  });
+
+  // Guards against "key reused" for a key whose request may have run.
+  it("make a claim count as one whose request may have run", () => {
+    const decision = decideClaim(unreadable(RecordKind.Claim), newRequest("r", "p1"), 0);
+    expect(decision).to.have.nested.property("claim.state", ClaimState.Unknown);
+    expect(decision.action).to.equal("replay");
+  });
+
+  const LEASES = [
+    { name: "that was never claimed", register: undefined, isFree: true },
+    { name: "that can't be read", register: unreadable(RecordKind.Lease), isFree: false },
+    ...Object.values(LeaseAction).map((action) => ({
+      name: `after a ${action}`,
+      register: {
+        ...unreadable(RecordKind.Lease),
+        body: { action, holder: "p2/1", epoch: 3, termMs: 1 },
+      },
+      isFree: action === LeaseAction.Release,
+    })),
+  ];
+  for (const { name, register, isFree } of LEASES) {
+    // Guards against a second holder of a duty whose lease this version can't read.
+    it(`leave a lease ${name} ${isFree ? "free" : "held"}`, () => {
+      expect(isLeaseFree(register)).to.equal(isFree);
+    });
+  }
+});
+
 describe("leases under any interleaving", () => {
   it("give each epoch to one holder and never decrease it", () => {
     check(
@@ -198,7 +231,7 @@
           steps.forEach(([holder, action], offset) => {
             const register = fold.getRegister(RecordKind.Lease, "d");
             const lease = parseLease(register);
-            const isOwn = lease?.holder === holder && !isLeaseFree(lease);
+            const isOwn = lease?.holder === holder && !isLeaseFree(register);
             if (action !== "claim" && !isOwn) {
               return;
             }
--- a/packages/serving/src/duties/LeaseManager.ts
+++ b/packages/serving/src/duties/LeaseManager.ts
@@ -128,7 +128,7 @@
     }
     this.#isProposing = true;
     try {
-      if (this.#lease?.holder === holder && !isLeaseFree(this.#lease)) {
+      if (this.#lease?.holder === holder && !isLeaseFree(this.#register)) {
         await this.#renew(this.#lease);
       } else if (this.#mayClaim()) {
         await this.#claim();
@@ -146,7 +146,7 @@
    */
   #mayClaim(): boolean {
     const { members, clock, duty } = this.#options;
-    const isFree = isLeaseFree(this.#lease);
+    const isFree = isLeaseFree(this.#register);
     const isExpired = clock.now() - this.#lastRecordMs > LEASE_TERM_MS;
     const [first] = rankMembers(`duty/${duty}`, members.getLive());
     const isStartDelayOver = clock.now() >= this.#claimsFromMs;
