Notice renewals of KV reservations that fail

The answer to a prompt split over several engines went on after an engine had freed the memory of its part, until the engine failed in its own way; nothing told operators of it, neither here nor at the gateway.

EngineGroup and ReservationManager ignored the result of renewals. EngineGroup now ends the attempt, so that another one can take over, when an engine no longer knows the reservation or when renewals have failed for its whole term; the grant's end doesn't count against the prompt. ReservationManager logs "reservation not renewed" with the request and the upstream.

--- a/packages/forwarding/src/ReservationManager.ts
+++ b/packages/forwarding/src/ReservationManager.ts
@@ -72,7 +72,7 @@
     const renew = (): void => {
       cancel = this.#clock.setTimer(() => {
         entries.forEach(({ request, id }) => {
-          void this.#renew(request, id, () => isReleased);
+          void this.#renew(requestId, { request, id, isReleased: () => isReleased });
         });
         renew();
       }, RENEWAL_INTERVAL_MS);
@@ -106,10 +106,20 @@
   }
 
   /** Renews a reservation, and releases it again when its request ended meanwhile. */
-  async #renew(request: ReservationRequest, id: string, isReleased: () => boolean): Promise<void> {
-    await this.#reserve(request, id);
+  async #renew(
+    requestId: string,
+    {
+      request,
+      id,
+      isReleased,
+    }: { request: ReservationRequest; id: string; isReleased: () => boolean },
+  ): Promise<void> {
+    const isRenewed = await this.#reserve(request, id);
     if (isReleased()) {
       await this.#control.release(request.upstream, id).catch(() => undefined);
+    } else if (!isRenewed) {
+      const peer = request.upstream.id;
+      this.#logger.warn("reservation not renewed", { requestId, step: "reserve", peer });
     }
   }
 
--- a/packages/serving/src/requests/EngineGroup.ts
+++ b/packages/serving/src/requests/EngineGroup.ts
@@ -1,10 +1,13 @@
-import { PeerError, type Cancel, type Clock } from "@lycheepulley/core";
+import { isPeerError, PeerError, type Cancel, type Clock } from "@lycheepulley/core";
 import type { EngineClient } from "@lycheepulley/engines";
 
 import { mayHaveReached } from "./reach.js";
 
 const RESERVATION_TERM_MS = 10_000;
 const RESERVATION_RENEW_INTERVAL_MS = 3_000;
+const HTTP_NOT_FOUND = 404;
+/** Error code of a group whose memory on an engine has lapsed. */
+export const RESERVATION_LOST_CODE = "reservation_lost";
 
 /** A prompt that doesn't fit into the KV memory of one engine. */
 export interface GroupCall {
@@ -24,15 +27,28 @@
 
 /** Engines that prefill one long prompt in parts and together hold its KV cache. */
 export class EngineGroup {
+  /** Aborts with the call, and once a member no longer holds the memory. */
+  readonly signal: AbortSignal;
   readonly #members: readonly EngineClient[];
   readonly #clock: Clock;
   readonly #call: GroupCall;
+  readonly #abort = new AbortController();
+  /** Time before the last accepted renewal of each member was sent. */
+  readonly #renewedMs = new Map<EngineClient, number>();
   #cancelRenewal: Cancel = () => undefined;
+  #isReleased = false;
+  #lossError: PeerError | undefined;
 
   constructor(options: { members: readonly EngineClient[]; clock: Clock; call: GroupCall }) {
     this.#members = options.members;
     this.#clock = options.clock;
     this.#call = options.call;
+    this.signal = AbortSignal.any([options.call.signal, this.#abort.signal]);
+  }
+
+  /** Error to report when a member no longer holds the memory. */
+  get lossError(): PeerError | undefined {
+    return this.#lossError;
   }
 
   /**
@@ -55,6 +71,7 @@
 
   /** Releases the reservations; an engine that isn't reached frees its own when the term ends. */
   async release(): Promise<void> {
+    this.#isReleased = true;
     this.#cancelRenewal();
     await Promise.all(
       this.#members.map((member) => member.releaseKv(this.#call.attemptId).catch(() => undefined)),
@@ -66,8 +83,8 @@
     part: { readonly fromToken: number; readonly toToken: number },
     segments: readonly string[],
   ): Promise<string> {
-    const { attemptId, body, priority, timeoutMs, signal, onReach } = this.#call;
-    const call = { ...part, segments, body, priority, timeoutMs, signal };
+    const { attemptId, body, priority, timeoutMs, onReach } = this.#call;
+    const call = { ...part, segments, body, priority, timeoutMs, signal: this.signal };
     try {
       const handle = await member.exportSegment({ reservationId: attemptId, ...call });
       onReach();
@@ -84,6 +101,7 @@
     const { attemptId, owner, promptTokens, outputTokens } = this.#call;
     const tokens = Math.ceil(promptTokens / this.#members.length) + outputTokens;
     for (const member of this.#members) {
+      this.#renewedMs.set(member, this.#clock.now());
       const isReserved = await member.reserveKv({
         id: attemptId,
         owner,
@@ -102,9 +120,32 @@
   #scheduleRenewal(): void {
     this.#cancelRenewal = this.#clock.setTimer(() => {
       this.#members.forEach((member) => {
-        void member.renewKv(this.#call.attemptId, RESERVATION_TERM_MS).catch(() => undefined);
+        void this.#renew(member);
       });
       this.#scheduleRenewal();
     }, RESERVATION_RENEW_INTERVAL_MS);
   }
+  async #renew(member: EngineClient): Promise<void> {
+    const sentMs = this.#clock.now();
+    try {
+      await member.renewKv(this.#call.attemptId, RESERVATION_TERM_MS);
+      this.#renewedMs.set(member, sentMs);
+    } catch (err) {
+      const ageMs = this.#clock.now() - (this.#renewedMs.get(member) ?? 0);
+      const isUnknown = isPeerError(err) && err.status === HTTP_NOT_FOUND;
+      if (!this.#isReleased && (isUnknown || ageMs >= RESERVATION_TERM_MS)) {
+        this.#lose(member, err);
+      }
+    }
+  }
+
+  #lose(member: EngineClient, cause: unknown): void {
+    const message = "no longer holds the memory for a part of the prompt";
+    this.#lossError ??= new PeerError(member.name, message, {
+      sent: true,
+      code: RESERVATION_LOST_CODE,
+      cause,
+    });
+    this.#abort.abort();
+  }
 }
--- a/packages/serving/src/requests/PromptRunner.ts
+++ b/packages/serving/src/requests/PromptRunner.ts
@@ -24,6 +24,7 @@
 import { GrantEnd, type AcquireRequest } from "../scheduler/types.js";
 import type { UpstreamDirectory } from "../upstreams/UpstreamDirectory.js";
 import type { AtMostOnce } from "./AtMostOnce.js";
+import { RESERVATION_LOST_CODE } from "./EngineGroup.js";
 import { runAttempt } from "./promptAttempt.js";
 import type { PromptJob } from "./PromptJob.js";
 import { isRejection } from "./reach.js";
@@ -235,7 +236,9 @@
   isPeerError(err) && (err.status === undefined || err.status >= 500 || isRejection(err));
 
 const getGrantEnd = (err: unknown, signal: AbortSignal): GrantEnd => {
-  if (signal.aborted || !isPeerError(err)) {
+  // A lapsed reservation doesn't show that the engine died of this prompt.
+  const isLapse = isPeerError(err) && err.options.code === RESERVATION_LOST_CODE;
+  if (signal.aborted || !isPeerError(err) || isLapse) {
     return GrantEnd.Unused;
   }
   if (isRejection(err)) {
--- a/packages/serving/src/requests/promptAttempt.ts
+++ b/packages/serving/src/requests/promptAttempt.ts
@@ -97,7 +97,9 @@
   });
   try {
     const segments = await group.prepare();
-    await streamAnswer(options, { members, signal, segments });
+    await streamAnswer(options, { members, signal: group.signal, segments });
+  } catch (err) {
+    throw group.lossError ?? err;
   } finally {
     await group.release();
   }
