Go on doubling ejections after a failure during one

An upstream that stayed unreachable was tried again every half second or second, in place of every four seconds, whenever a request that was already on its way failed during the ejection.

UpstreamHealth set the length of the ejection back to its first value in that case, so that the next one started from there. A failure during an ejection now leaves the length alone; it extends the running ejection as before, by half a second at most.

Test: "goes on doubling after a failure during an ejection" in decisions.test.ts. With the old code it fails (an ejection of 1 s ended early, "expected false to equal true"); now it passes with the other tests of the file.

--- a/packages/forwarding/src/UpstreamHealth.ts
+++ b/packages/forwarding/src/UpstreamHealth.ts
@@ -51,13 +51,15 @@
     if (result !== UpstreamResult.Unreachable) {
       return false;
     }
-    const isNew = now >= record.ejectedUntilMs;
-    record.ejectionMs = Math.min(
-      MAX_EJECTION_MS,
-      Math.max(FIRST_EJECTION_MS, isNew ? record.ejectionMs * 2 : 0),
-    );
-    record.ejectedUntilMs = Math.max(record.ejectedUntilMs, now + record.ejectionMs);
-    return isNew;
+    if (now < record.ejectedUntilMs) {
+      // A request sent before the ejection says nothing new, so the next ejection still doubles.
+      record.ejectedUntilMs = Math.max(record.ejectedUntilMs, now + FIRST_EJECTION_MS);
+      return false;
+    }
+    const doubledMs = Math.max(FIRST_EJECTION_MS, record.ejectionMs * 2);
+    record.ejectionMs = Math.min(MAX_EJECTION_MS, doubledMs);
+    record.ejectedUntilMs = now + record.ejectionMs;
+    return true;
   }
 
   /** Recent share of failed answers, 0 to 1. */
--- a/packages/forwarding/src/decisions.test.ts
+++ b/packages/forwarding/src/decisions.test.ts
@@ -227,6 +227,23 @@
     expect(health.isEjected("a")).to.equal(false);
   });
 
+  // Guards against short ejections of an upstream that stays unreachable: a failure during an
+  // ejection took the length back to its first value.
+  it("goes on doubling after a failure during an ejection", async () => {
+    const clock = new ManualClock();
+    const health = new UpstreamHealth(clock);
+    const ejectionsMs = [500, 1_000, 2_000, 4_000, 4_000];
+    for (const ejectionMs of ejectionsMs) {
+      expect(health.record("a", "unreachable")).to.equal(true);
+      await clock.advance(1);
+      expect(health.record("a", "unreachable")).to.equal(false);
+      await clock.advance(Math.max(ejectionMs - 2, 499));
+      expect(health.isEjected("a")).to.equal(true);
+      await clock.advance(2);
+      expect(health.isEjected("a")).to.equal(false);
+    }
+  });
+
   it("never ejects more than half of a pool", () => {
     const health = new UpstreamHealth(new ManualClock());
     const pool = ["a", "b", "c", "d"].map((id) => ({ id }));
