Count the short prompts that wait beside a long prefill

Short prompts gathered on an engine with a long prefill: the first few hundred milliseconds of cost were counted for the long one, and each further short prompt cost nothing but its stream.

LengthAwarePlacement left out the whole backlog of such an engine, since the engine prefills short prompts before the long one; but the other short prompts are ahead all the same. The engine's view now tells the backlog of short prompts apart, and a short prompt counts that part.

--- a/packages/core/src/decisions.test.ts
+++ b/packages/core/src/decisions.test.ts
@@ -63,7 +63,13 @@
 
 const newEngine = (name: string, change: Partial<EngineView> = {}): EngineView => ({
   ...{ name, failureDomain: "a", requests: 0, prefillBacklogTokens: 0, outstandingTokens: 0 },
-  ...{ kvReservedTokens: 0, kvTotalTokens: 400_000, maxStreams: 16, longPrefills: 0 },
+  ...{
+    shortBacklogTokens: 0,
+    kvReservedTokens: 0,
+    kvTotalTokens: 400_000,
+    maxStreams: 16,
+    longPrefills: 0,
+  },
   ...{ longRequests: 0, prefillTokensPerS: 20_000 },
   ...change,
 });
@@ -78,6 +84,19 @@
     ],
     chosen: "busy",
   },
+  {
+    // Guards against short prompts that gather behind one long prefill, as they cost nothing there.
+    name: "counts the short prompts that wait beside a long prefill",
+    prompt: 2_000,
+    engines: [
+      newEngine("crowded", {
+        ...{ longPrefills: 1, requests: 5 },
+        ...{ prefillBacklogTokens: 220_000, shortBacklogTokens: 20_000 },
+      }),
+      newEngine("backlog", { requests: 5, prefillBacklogTokens: 16_000 }),
+    ],
+    chosen: "backlog",
+  },
   {
     name: "prefers an engine with a cached prefix at equal load",
     prompt: 8_000,
--- a/packages/core/src/placement/LengthAwarePlacement.ts
+++ b/packages/core/src/placement/LengthAwarePlacement.ts
@@ -60,8 +60,9 @@
   Math.max(0, req.promptTokens - (req.cachedTokens[engine.name] ?? 0));
 
 const getShortCostMs = (engine: EngineView, req: PlacementRequest): number => {
-  // Engines prefill short prompts first, so a backlog with a long prompt isn't ahead.
-  const backlogTokens = engine.longPrefills > 0 ? 0 : engine.prefillBacklogTokens;
+  // Engines prefill short prompts first, so of a backlog with a long prompt only these are ahead.
+  const backlogTokens =
+    engine.longPrefills > 0 ? engine.shortBacklogTokens : engine.prefillBacklogTokens;
   return (
     toPrefillMs(engine, backlogTokens + getUncachedTokens(engine, req)) +
     engine.longPrefills * LONG_PREFILL_COST_MS +
--- a/packages/core/src/placement/types.ts
+++ b/packages/core/src/placement/types.ts
@@ -6,6 +6,8 @@
   readonly requests: number;
   /** Estimated prompt tokens of granted requests that are still to be prefilled. */
   readonly prefillBacklogTokens: number;
+  /** The part of that backlog of short prompts without a first token. */
+  readonly shortBacklogTokens: number;
   /** Prompt and answer tokens of all granted requests. */
   readonly outstandingTokens: number;
   /** KV memory reserved for granted requests, in tokens. */
--- a/packages/serving/src/scheduler/TrackedEngine.ts
+++ b/packages/serving/src/scheduler/TrackedEngine.ts
@@ -105,6 +105,10 @@
       failureDomain: this.failureDomain,
       requests: grants.length,
       prefillBacklogTokens: sum(grants, (grant) => grant.remainingPrefillTokens),
+      shortBacklogTokens: sum(
+        grants.filter((grant) => !isLongPrompt(grant) && !grant.hasFirstToken),
+        (grant) => grant.remainingPrefillTokens,
+      ),
       outstandingTokens: tokens,
       kvReservedTokens: tokens,
       kvTotalTokens: this.#capacity?.kvTokens ?? 0,
