Free the memory of a preempted request in the worker model

When memory ran out, the worker model preempted every prefilled request, and its memory stayed over the limit, where the platform preempts the newest request and reads it again later.

A preempted request kept its memory, so that the loop over the requests found memory short to the end. It now gives the memory up, keeps its place, and is prefilled again once enough memory is free: when a request ends or a reservation is released or expires.

Test: "preempts no more requests than memory needs" in WorkerModel.test.ts. With the old code it fails (2 preemptions in place of 1); now it passes, and so do the four simulated patterns of experiment.test.ts with their bounds unchanged.

--- a/packages/simulation/src/WorkerModel.test.ts
+++ b/packages/simulation/src/WorkerModel.test.ts
@@ -94,6 +94,21 @@
     expect(harness.events.get("b")?.length).to.equal(10);
   });
 
+  // Guards against preemptions that free nothing, so that one large prompt preempted every answer.
+  it("preempts no more requests than memory needs", () => {
+    const harness = new ModelHarness();
+    harness.submit("old", 80_000, { outputTokens: 8_600 });
+    harness.submit("new", 80_000, { outputTokens: 8_600 });
+    harness.timers.tick(2_500);
+    harness.submit("large", 100_000, { outputTokens: 43 });
+    expect(harness.model.preemptions).to.equal(1);
+    expect(harness.model.kvUsed).to.be.at.most(SPEC.kvTokens);
+    harness.timers.tick(30_000);
+    expect([...harness.events.keys()].sort()).to.deep.equal(["large", "new", "old"]);
+    expect(harness.model.running).to.equal(0);
+    expect(harness.model.kvUsed).to.equal(0);
+  });
+
   it("accepts no more requests than it has slots", () => {
     const harness = new ModelHarness();
     const accepted = Array.from({ length: 12 }, (_, at) => harness.submit(`r${String(at)}`, 1_000));
--- a/packages/simulation/src/WorkerModel.ts
+++ b/packages/simulation/src/WorkerModel.ts
@@ -38,6 +38,8 @@
   decoded: number;
   isPrefilled: boolean;
   mayDecode: boolean;
+  /** False after a preemption until enough memory is free again. */
+  hasMemory: boolean;
 }
 
 interface Ticket {
@@ -88,7 +90,9 @@
   /** KV memory used by requests and held by tickets, in tokens. */
   get kvUsed(): number {
     const held = [...this.#tickets.values()].reduce((sum, { tokens }) => sum + tokens, 0);
-    return [...this.#jobs.values()].reduce((sum, { kvTokens }) => sum + kvTokens, held);
+    return [...this.#jobs.values()]
+      .filter(({ hasMemory }) => hasMemory)
+      .reduce((sum, { kvTokens }) => sum + kvTokens, held);
   }
 
   get ticketIds(): string[] {
@@ -103,6 +107,7 @@
     const running: RunningJob = {
       ...job,
       ...{ prefillLeft: job.partTokens, decoded: 0, isPrefilled: false, mayDecode: false },
+      hasMemory: true,
     };
     if (this.#hasSlot(job)) {
       this.#start(running);
@@ -150,6 +155,7 @@
     }
     if (this.#jobs.delete(id)) {
       this.#startQueued();
+      this.#readmit();
     }
   }
 
@@ -169,7 +175,9 @@
       return false;
     }
     existing?.cancel();
-    const cancel = this.#clock.setTimer(() => this.#tickets.delete(id), holdMs);
+    const cancel = this.#clock.setTimer(() => {
+      this.release(id);
+    }, holdMs);
     this.#tickets.set(id, { tokens: existing?.tokens ?? tokens, cancel });
     return true;
   }
@@ -177,9 +185,10 @@
   release(id: string): void {
     this.#tickets.get(id)?.cancel();
     this.#tickets.delete(id);
+    this.#readmit();
   }
 
-  /** Preempts prefilled requests, newest first, while memory is short; they prefill again. */
+  /** Preempts prefilled requests, newest first, while memory is short; they prefill again later. */
   #preempt(): void {
     const newest = [...this.#jobs.values()].reverse();
     for (const job of newest) {
@@ -189,11 +198,22 @@
       if (!job.isHelper && job.isPrefilled) {
         this.preemptions += 1;
         job.isPrefilled = false;
+        job.hasMemory = false;
         job.prefillLeft = job.partTokens;
       }
     }
   }
 
+  /** Gives preempted requests their memory back, oldest first, while it is free. */
+  #readmit(): void {
+    for (const job of this.#jobs.values()) {
+      if (!job.hasMemory && this.kvUsed + job.kvTokens <= this.spec.kvTokens) {
+        job.hasMemory = true;
+      }
+    }
+    this.#schedulePass();
+  }
+
   #schedulePass(): void {
     if (this.#cancelPass || !this.#hasWork()) {
       return;
@@ -215,7 +235,9 @@
   }
 
   #hasWork(): boolean {
-    return [...this.#jobs.values()].some((job) => !job.isPrefilled || job.mayDecode);
+    return [...this.#jobs.values()].some(
+      (job) => job.hasMemory && (!job.isPrefilled || job.mayDecode),
+    );
   }
 
   #getStepMs(decoding: readonly RunningJob[]): number {
@@ -238,7 +260,7 @@
     let left = this.spec.chunkTokens;
     let ms = 0;
     const queue = [...this.#jobs.values()]
-      .filter(({ prefillLeft }) => prefillLeft > 0)
+      .filter(({ prefillLeft, hasMemory }) => prefillLeft > 0 && hasMemory)
       .sort((a, b) => Number(b.isHelper) - Number(a.isHelper) || a.urgency - b.urgency);
     for (const job of queue) {
       const tokens = Math.min(left, job.prefillLeft);
@@ -273,7 +295,7 @@
       }
     }
     this.#startQueued();
-    this.#schedulePass();
+    this.#readmit();
   }
 
   #decode(job: RunningJob): void {
