Number poisonous prompts by cell in the fault matrix

The text of a poisonous prompt, and with it its fingerprint and answer, depended on how many cells had run before in the same process, so that a cell run by itself could give another result than in the whole matrix.

The number was a variable of the module; it is now one of the cell's world.

--- a/packages/tools/src/matrix/World.ts
+++ b/packages/tools/src/matrix/World.ts
@@ -71,6 +71,8 @@
   readonly services: readonly FakeService[];
   readonly processes: MatrixProcess[];
   readonly protections: Protections;
+  /** Poisonous prompts so far, each of which gets a text of its own. */
+  poisonCount = 0;
   readonly #leavingSinceMs = new Map<string, number>();
   #vmList: VmList;
   #operatorCount = 0;
--- a/packages/tools/src/matrix/faults.ts
+++ b/packages/tools/src/matrix/faults.ts
@@ -32,8 +32,6 @@
 const findOtherProcess = ({ world, process }: FaultTarget): MatrixProcess | undefined =>
   world.liveProcesses.find((other) => other !== process && !other.clock.isPaused);
 
-let poisonCount = 0;
-
 /** Injects each fault; its name is a column of the matrix. */
 export const FAULTS: Readonly<Record<string, (target: FaultTarget) => void>> = {
   "engine dies": (target) => {
@@ -92,8 +90,8 @@
   },
   "poison request": (target) => {
     const { world, caller } = target;
-    poisonCount += 1;
-    const text = `${POISON} ${String(poisonCount)}`;
+    world.poisonCount += 1;
+    const text = `${POISON} ${String(world.poisonCount)}`;
     for (let i = 0; i < POISON_SENDS; i += 1) {
       world.clock.setTimer(() => {
         const process = world.liveProcesses[i % world.liveProcesses.length];
