State once how long callers use an address, and name the numbers of placement

Two constants ADDRESS_CACHE_MS, of 3,200 ms in the gateway and 2,800 ms in the drain's rule, and a time of one second in the directory's answers depended on each other without saying so; placement.ts held numbers without names.

draining.ts now derives all of them from ADDRESS_TTL_MS: callers keep an answer for up to three times its second; the listener stays open a margin longer, and until a margin before a draining process takes every request. The figures are unchanged. In placement.ts the costs, shares and factors got names.

--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -6,6 +6,7 @@
   CrashTracker,
   FleetView,
   Forwarder,
+  LISTENER_CLOSE_DELAY_MS,
   ListOutageGuard,
   LoadTracker,
   PeerState,
@@ -30,8 +31,6 @@
 import type { GatewaySettings, GatewaySources } from "./types.js";
 
 const DRAIN_POLL_MS = 50;
-/** Time for which callers may still use this process's address after a drain began. */
-const ADDRESS_CACHE_MS = 3_200;
 /** Processes assumed besides the live peers when the retry budget is divided. */
 const ASSUMED_EXTRA_PROCESSES = 3;
 
@@ -193,7 +192,7 @@
     this.#listener.startDrain(this.#settings.drainMs);
     this.#logger.info("drain started", { step: "stop", reason });
     const { drainMs } = this.#settings;
-    await sleep(this.#clock, Math.min(ADDRESS_CACHE_MS, drainMs));
+    await sleep(this.#clock, Math.min(LISTENER_CLOSE_DELAY_MS, drainMs));
     this.#listener.close();
     while (this.#clock.now() - startMs < drainMs && this.#forwarder.inFlight > 0) {
       await sleep(this.#clock, DRAIN_POLL_MS);
--- a/packages/forwarding/src/draining.ts
+++ b/packages/forwarding/src/draining.ts
@@ -2,8 +2,21 @@
 import type { EngineSpec, Route } from "./fleetConfig.js";
 import type { RequestHead } from "./types.js";
 
+/** Time for which callers may keep an answer that names addresses. */
+export const ADDRESS_TTL_MS = 1_000;
+/** Some callers keep an answer for up to this many times its `ADDRESS_TTL_MS`. */
+const MAX_ADDRESS_TTLS = 3;
 /** Callers may go on using this process's address for this long after it began to drain. */
-const ADDRESS_CACHE_MS = 2_800;
+export const ADDRESS_CACHE_MS = MAX_ADDRESS_TTLS * ADDRESS_TTL_MS;
+/** Allowed for the news of the drain to reach the peers, and for requests on their way. */
+const TRAVEL_MARGIN_MS = 200;
+/** The listener closes this long after the start of the drain: no caller uses the address then. */
+export const LISTENER_CLOSE_DELAY_MS = ADDRESS_CACHE_MS + TRAVEL_MARGIN_MS;
+/**
+ * Until then a draining process takes all requests. It ends a little before the
+ * last caches do, as callers that are refused after it are about to get other addresses.
+ */
+const ANY_REQUEST_MS = ADDRESS_CACHE_MS - TRAVEL_MARGIN_MS;
 /** Time allowed for the first event beyond the latency objective. */
 const FIRST_EVENT_MARGIN_MS = 700;
 /** Passes that also prefill take longer than decode-only passes by about this factor. */
@@ -27,7 +40,7 @@
 
 /**
  * Tells whether a draining process can finish a request that arrives now. It
- * takes all requests while callers may still use its address.
+ * takes all requests while most callers may still use its address.
  */
 export const canFinishWhileDraining = (options: {
   route: Route;
@@ -38,5 +51,5 @@
   /** Time until the process exits. */
   leftMs: number;
 }): boolean =>
-  options.sinceMs <= ADDRESS_CACHE_MS ||
+  options.sinceMs <= ANY_REQUEST_MS ||
   estimateServiceMs(options.route, options.head, options.engine) <= options.leftMs;
--- a/packages/forwarding/src/placement.ts
+++ b/packages/forwarding/src/placement.ts
@@ -24,6 +24,19 @@
 const QUEUE_RISK = 2;
 /** Cost of an upstream, multiplied by its failure rate. */
 const FAILURE_COST = 2;
+/** A full upstream costs this much to decode at; one with free slots their taken share. */
+const FULL_COST = 10;
+/** Cost of a decoder that lacks as much KV memory as an engine has; less in proportion. */
+const LACKING_MEMORY_COST = 20;
+/** Cost of an answer without a short gap objective on an upstream that has answers with one. */
+const MIXED_GAPS_COST = 1;
+/** Share of a helper's free KV memory that one prompt may take. */
+const HELPER_MEMORY_SHARE = 0.8;
+/** Share of a running pass that is left on average when a prompt arrives. */
+const PASS_LEFT_SHARE = 0.5;
+/** Spreads calls to equally loaded instances of a service. */
+const CALL_COST_JITTER = 0.05;
+const MS_PER_S = 1_000;
 /** Another member isn't worth it when the parts get smaller than this. */
 const MIN_PART_TOKENS = 8_000;
 
@@ -109,13 +122,13 @@
   const { load } = candidate;
   const passMs = getPassMs(engine, load.decoding, load.contextTokens);
   const addedLoss = getAddedLoss(load, passMs, readMs);
-  const passLeftMs = load.decoding > 0 ? passMs / 2 : 0;
+  const passLeftMs = load.decoding > 0 ? passMs * PASS_LEFT_SHARE : 0;
   const helperReadyMs = passLeftMs + load.pendingHelpMs + readMs;
   return {
     candidate,
     helperReadyMs,
     decoderReadyMs: passLeftMs + load.pendingReadMs + readMs,
-    cost: addedLoss + FAILURE_COST * candidate.failureRate + helperReadyMs / 1_000,
+    cost: addedLoss + FAILURE_COST * candidate.failureRate + helperReadyMs / MS_PER_S,
   };
 };
 
@@ -131,7 +144,9 @@
 ): number[] | undefined => {
   let lackingTokens = kvTokens - getFreeKv(engine, decoder.load);
   const held = helpers.map(({ load }) => {
-    const part = Math.floor(Math.max(0, Math.min(lackingTokens, getFreeKv(engine, load) * 0.8)));
+    const part = Math.floor(
+      Math.max(0, Math.min(lackingTokens, getFreeKv(engine, load) * HELPER_MEMORY_SHARE)),
+    );
     lackingTokens -= part;
     return part;
   });
@@ -147,14 +162,14 @@
 ): ScoredMember | undefined => {
   const getPenalty = ({ candidate, cost, decoderReadyMs }: ScoredMember): number => {
     const { load, upstream } = candidate;
-    const crowding = load.inFlight >= upstream.slots ? 10 : load.inFlight / upstream.slots;
+    const crowding = load.inFlight >= upstream.slots ? FULL_COST : load.inFlight / upstream.slots;
     const lackingShare = Math.max(0, kvTokens - getFreeKv(engine, load)) / engine.kvTokens;
     return (
       cost +
-      decoderReadyMs / 1_000 +
+      decoderReadyMs / MS_PER_S +
       crowding +
-      20 * lackingShare +
-      (!isShort(req) && hasShortGaps(load, req) ? 1 : 0)
+      LACKING_MEMORY_COST * lackingShare +
+      (!isShort(req) && hasShortGaps(load, req) ? MIXED_GAPS_COST : 0)
     );
   };
   return members.reduce<ScoredMember | undefined>(
@@ -262,7 +277,10 @@
 ): Upstream | undefined => {
   let best: { upstream: Upstream; cost: number } | undefined;
   for (const { upstream, load, failureRate } of candidates) {
-    const cost = load.inFlight / upstream.slots + FAILURE_COST * failureRate + random.next() * 0.05;
+    const cost =
+      load.inFlight / upstream.slots +
+      FAILURE_COST * failureRate +
+      random.next() * CALL_COST_JITTER;
     if (!best || cost < best.cost) {
       best = { upstream, cost };
     }
