Survive heartbeats with unusable hosts, and refuse requests that are no URL at the metrics listener

A heartbeat batch with a host that is no address, and a newer revision, left an unhandled rejection in each process that tried to fetch from it: where these aren't caught the process ends. The metrics listener served request targets such as "//" with 200, and CONNECT was closed without an answer at every listener.

The client for a peer was created outside the try of the fetch. The metrics listener was a bare server of node:http; it now uses HttpServer like the others, which answers CONNECT with 400 and lets an error of accepting a connection concern that connection only.

Tests: GatewayNode.test.ts, fast-check and 250 runs each for the metrics listener, the peers' listener and datagrams, and a table of request lines; a CONNECT case in HttpServer.test.ts. With the old code "survives a peer with a newer configuration whose host is no address" and "drops or handles any datagram and goes on" fail ("TypeError: Invalid URL", unhandled), as do "answers GET // HTTP/1.1 at the metrics listener with 400" and CONNECT at both; now all pass, three runs in a row.

--- a/packages/daemon/src/gateway/FleetStateSync.ts
+++ b/packages/daemon/src/gateway/FleetStateSync.ts
@@ -114,8 +114,10 @@
       return;
     }
     const origin = `http://${peer.host}:${String(this.#port)}`;
-    const client = new NodeClient({ name: peer.host, origin });
+    let client: NodeClient | undefined;
     try {
+      // Throws when a heartbeat gave a host that is no address.
+      client = new NodeClient({ name: peer.host, origin });
       const { revision, listDigest } = this.#view;
       const known = { revision, listDigest };
       const state = await client.call(fleetStateMethod, known, { timeoutMs: FETCH_TIMEOUT_MS });
@@ -136,7 +138,7 @@
         err: getMessage(err),
       });
     } finally {
-      await client.close();
+      await client?.close();
     }
   }
 }
--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -1,7 +1,7 @@
-import { createServer, type Server } from "node:http";
+import type { ServerResponse } from "node:http";
 
 import { ForwardServer } from "@lycheepulley/callers";
-import { sleep, SystemClock, SystemRandom, type Clock } from "@lycheepulley/core";
+import { getMessage, sleep, SystemClock, SystemRandom, type Clock } from "@lycheepulley/core";
 import {
   CrashTracker,
   FleetView,
@@ -23,6 +23,7 @@
   type UpstreamList,
   type UpstreamTransport,
 } from "@lycheepulley/forwarding";
+import { HttpServer, sendJson } from "@lycheepulley/http";
 import { DatagramChannel, NodeServer } from "@lycheepulley/nodes";
 import { ForwardMetrics, type Logger } from "@lycheepulley/telemetry";
 
@@ -54,7 +55,7 @@
   readonly #crashTracker: CrashTracker;
   readonly #forwarder: Forwarder;
   readonly #listener: ForwardServer;
-  readonly #metricsServer: Server;
+  readonly #metricsServer: HttpServer;
   readonly #incarnation = Date.now();
   #isDraining = false;
 
@@ -136,9 +137,7 @@
       ...{ clock, view: this.#view, dialect, logger },
       forward: (req, writer) => this.#forwarder.forward(req, writer),
     });
-    this.#metricsServer = createServer((_req, res) => {
-      void this.#metrics.getText().then((text) => res.end(text));
-    });
+    this.#metricsServer = this.#newMetricsServer();
   }
 
   /** True while this process has a configuration and an upstream list and isn't draining. */
@@ -163,10 +162,9 @@
     this.#peerExchange.start(this.#crashTracker);
     this.#startSources();
     await this.#listener.listen(host, callerPort);
-    this.#metricsServer.on("error", (err) => {
-      this.#logger.error("metrics server failed", { step: "start", err: err.message });
+    this.#metricsServer.listen(host, metricsPort).catch((err: unknown) => {
+      this.#logger.error("metrics server failed", { step: "start", err: getMessage(err) });
     });
-    this.#metricsServer.listen(metricsPort, host);
     this.#logger.info("process started", {
       ...{ step: "start", name: this.#settings.name, incarnation: this.#incarnation },
     });
@@ -210,7 +208,7 @@
     this.#sources.config.stop();
     this.#sources.upstreams.stop();
     this.#sources.peers.stop();
-    this.#metricsServer.close();
+    void this.#metricsServer.close();
     this.#channel.close();
     void this.#nodeServer.close();
   }
@@ -298,6 +296,19 @@
     }
   }
 
+  /** Server that answers every path with the metrics. */
+  #newMetricsServer(): HttpServer {
+    const routes = ["GET", "HEAD"].map((method) => ({
+      ...{ method, path: "/*" },
+      handle: async (_req: unknown, res: ServerResponse): Promise<void> => {
+        res.end(await this.#metrics.getText());
+      },
+    }));
+    return new HttpServer(routes, (err, _req, res) => {
+      sendJson(res, 500, { error: { message: getMessage(err) } });
+    });
+  }
+
   #newRetryBudget(): RetryBudget {
     const { retryRatio, retryWindowMs, retrySlack } = this.#settings;
     return new RetryBudget({
--- a/packages/http/src/HttpServer.test.ts
+++ b/packages/http/src/HttpServer.test.ts
@@ -46,6 +46,7 @@
     ["GET /%00%ff HTTP/1.1", "HTTP/1.1 404 Not Found"],
     ["GET ? HTTP/1.1", "HTTP/1.1 400 Bad Request"],
     ["BREW /good HTTP/1.1", "HTTP/1.1 400 Bad Request"],
+    ["CONNECT a:1 HTTP/1.1", "HTTP/1.1 400 Bad Request"],
     ["GET /good HTTP/1.1", "HTTP/1.1 200 OK"],
   ];
   for (const [line, answer] of cases) {
--- a/packages/http/src/HttpServer.ts
+++ b/packages/http/src/HttpServer.ts
@@ -88,6 +88,11 @@
     this.#server = createServer((req, res) => {
       void this.#dispatch(req, res);
     });
+    this.#server.on("connect", (_req, socket) => {
+      socket.end("HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n");
+    });
+    // A connection that can't be accepted concerns only its caller; `listen` reports its own errors.
+    this.#server.on("error", () => undefined);
     this.#server.keepAliveTimeout = 60_000;
     this.#server.requestTimeout = 0;
     this.#server.on("connection", (socket) => {
