Let in prompts that their callers resume

A caller whose stream broke and who resumed it with Last-Event-Id could be refused in a busy fleet like a new prompt, midway in an answer that it had begun to read.

Placer asked admission control for every prompt without an event in this process; the events of a resumed stream came through another connection, and often another process. A prompt with Last-Event-Id on a route with resume is now let in, and doesn't count again towards the mean value of its pool's work.

--- a/packages/forwarding/src/Placer.ts
+++ b/packages/forwarding/src/Placer.ts
@@ -144,7 +144,10 @@
     }
   }
 
-  /** Decides once, when the prompt arrives or has to be sent again. */
+  /**
+   * Decides once, when the prompt arrives or has to be sent again. A caller that has events of the
+   * answer is let in: shedding the rest would waste what it has.
+   */
   #isAdmitted(options: {
     query: PlacementQuery;
     engine: EngineSpec;
@@ -153,7 +156,7 @@
     isFirst: boolean;
   }): boolean {
     const { query, engine, request, candidates, isFirst } = options;
-    if (!isFirst || query.timeline.firstMs !== undefined) {
+    if (!isFirst || query.timeline.firstMs !== undefined || isResumed(query.req)) {
       return true;
     }
     const workMs = getWorkMs(engine, request);
@@ -216,6 +219,10 @@
   return Math.max(0, req.head.promptTokens + req.head.outputTokens - held);
 };
 
+/** True when the caller resumes a stream of which it has events, perhaps from another process. */
+const isResumed = ({ head, route }: ForwardRequest): boolean =>
+  route.isResumable && head.lastEventId !== undefined;
+
 const getGapMs = (route: Route): number => route.maxGapMs ?? DEFAULT_GAP_MS;
 
 const newPlacementRequest = (
