--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -1,11 +1,12 @@
-import { createServer, type Server } from "node:http";
+import type { ServerResponse } from "node:http";
 
 import { ForwardServer } from "@lycheepulley/callers";
-import { sleep, SystemClock, SystemRandom, type Clock } from "@lycheepulley/core";
+import { getMessage, sleep, SystemClock, SystemRandom, type Clock } from "@lycheepulley/core";
 import {
   CrashTracker,
   FleetView,
   Forwarder,
+  LISTENER_CLOSE_DELAY_MS,
   ListOutageGuard,
   LoadTracker,
   PeerState,
@@ -22,6 +23,7 @@
   type UpstreamList,
   type UpstreamTransport,
 } from "@lycheepulley/forwarding";
+import { HttpServer, sendJson } from "@lycheepulley/http";
 import { DatagramChannel, NodeServer } from "@lycheepulley/nodes";
 import { ForwardMetrics, type Logger } from "@lycheepulley/telemetry";
 
@@ -30,8 +32,6 @@
 import type { GatewaySettings, GatewaySources } from "./types.js";
 
 const DRAIN_POLL_MS = 50;
-/** Time for which callers may still use this process's address after a drain began. */
-const ADDRESS_CACHE_MS = 3_200;
 /** Processes assumed besides the live peers when the retry budget is divided. */
 const ASSUMED_EXTRA_PROCESSES = 3;
 
@@ -55,7 +55,7 @@
   readonly #crashTracker: CrashTracker;
   readonly #forwarder: Forwarder;
   readonly #listener: ForwardServer;
-  readonly #metricsServer: Server;
+  readonly #metricsServer: HttpServer;
   readonly #incarnation = Date.now();
   #isDraining = false;
 
@@ -137,9 +137,7 @@
       ...{ clock, view: this.#view, dialect, logger },
       forward: (req, writer) => this.#forwarder.forward(req, writer),
     });
-    this.#metricsServer = createServer((_req, res) => {
-      void this.#metrics.getText().then((text) => res.end(text));
-    });
+    this.#metricsServer = this.#newMetricsServer();
   }
 
   /** True while this process has a configuration and an upstream list and isn't draining. */
@@ -164,10 +162,9 @@
     this.#peerExchange.start(this.#crashTracker);
     this.#startSources();
     await this.#listener.listen(host, callerPort);
-    this.#metricsServer.on("error", (err) => {
-      this.#logger.error("metrics server failed", { step: "start", err: err.message });
+    this.#metricsServer.listen(host, metricsPort).catch((err: unknown) => {
+      this.#logger.error("metrics server failed", { step: "start", err: getMessage(err) });
     });
-    this.#metricsServer.listen(metricsPort, host);
     this.#logger.info("process started", {
       ...{ step: "start", name: this.#settings.name, incarnation: this.#incarnation },
     });
@@ -193,7 +190,7 @@
     this.#listener.startDrain(this.#settings.drainMs);
     this.#logger.info("drain started", { step: "stop", reason });
     const { drainMs } = this.#settings;
-    await sleep(this.#clock, Math.min(ADDRESS_CACHE_MS, drainMs));
+    await sleep(this.#clock, Math.min(LISTENER_CLOSE_DELAY_MS, drainMs));
     this.#listener.close();
     while (this.#clock.now() - startMs < drainMs && this.#forwarder.inFlight > 0) {
       await sleep(this.#clock, DRAIN_POLL_MS);
@@ -211,7 +208,7 @@
     this.#sources.config.stop();
     this.#sources.upstreams.stop();
     this.#sources.peers.stop();
-    this.#metricsServer.close();
+    void this.#metricsServer.close();
     this.#channel.close();
     void this.#nodeServer.close();
   }
@@ -299,6 +296,19 @@
     }
   }
 
+  /** Server that answers every path with the metrics. */
+  #newMetricsServer(): HttpServer {
+    const routes = ["GET", "HEAD"].map((method) => ({
+      ...{ method, path: "/*" },
+      handle: async (_req: unknown, res: ServerResponse): Promise<void> => {
+        res.end(await this.#metrics.getText());
+      },
+    }));
+    return new HttpServer(routes, (err, _req, res) => {
+      sendJson(res, 500, { error: { message: getMessage(err) } });
+    });
+  }
+
   #newRetryBudget(): RetryBudget {
     const { retryRatio, retryWindowMs, retrySlack } = this.#settings;
     return new RetryBudget({
--- a/packages/serving/src/requests/PromptRunner.ts
+++ b/packages/serving/src/requests/PromptRunner.ts
@@ -24,9 +24,10 @@
 import { GrantEnd, type AcquireRequest } from "../scheduler/types.js";
 import type { UpstreamDirectory } from "../upstreams/UpstreamDirectory.js";
 import type { AtMostOnce } from "./AtMostOnce.js";
-import { MAX_STORED_ANSWER_CHARS } from "./AtMostOnce.js";
-import { isRejection, runAttempt } from "./promptAttempt.js";
+import { RESERVATION_LOST_CODE } from "./EngineGroup.js";
+import { runAttempt } from "./promptAttempt.js";
 import type { PromptJob } from "./PromptJob.js";
+import { isRejection } from "./reach.js";
 import { getFateState, RequestContext } from "./RequestContext.js";
 
 const MS_PER_S = 1_000;
@@ -141,7 +142,7 @@
       { key, bodySha256: sha256(req.body) },
       async () => {
         await this.#runAttempt(job, 1);
-        return { status: 200, body: job.answerTexts.join("").slice(0, MAX_STORED_ANSWER_CHARS) };
+        return { status: 200, body: job.answerTexts.join("") };
       },
     );
     return { ...this.#newOutcome(job), replayed: once.isReplay ? once.body : undefined };
@@ -235,7 +236,9 @@
   isPeerError(err) && (err.status === undefined || err.status >= 500 || isRejection(err));
 
 const getGrantEnd = (err: unknown, signal: AbortSignal): GrantEnd => {
-  if (signal.aborted || !isPeerError(err)) {
+  // A lapsed reservation doesn't show that the engine died of this prompt.
+  const isLapse = isPeerError(err) && err.options.code === RESERVATION_LOST_CODE;
+  if (signal.aborted || !isPeerError(err) || isLapse) {
     return GrantEnd.Unused;
   }
   if (isRejection(err)) {
