Keep a silent upstream's answer until its replacement has gone on with it

What callers saw: a stream at a sound upstream that was silent for 1.5 s ended when the upstream that should take over broke off, rejected the request late or couldn't be reached; a large answer without events was cut while it arrived; a slow caller's upstream was taken for a silent one.

Besides, a retry could go out beside a replacement in flight, one that reserves memory wasn't counted as an attempt, an error in the replacement ended the first send too, and a send could outlive its request.

Change: no send ends for a stall; a live upstream that prefills other prompts is awaited, since moving its work only adds work; one replacement at a time; with another send in flight a failed one is followed by nothing. StallWatch is split from Send.

--- a/packages/forwarding/src/ForwardJob.ts
+++ b/packages/forwarding/src/ForwardJob.ts
@@ -20,24 +20,20 @@
 const REJECTED_RETRY_AFTER_MS = 250;
 /** Share of the time to return by which it varies. */
 const RETURN_SPREAD = 0.5;
-/** Time in which an upstream that can't take a request rejects it. */
-const REJECTION_WAIT_MS = 50;
 /** One send, from the search of an upstream to its outcome. */
 interface LiveSend {
   /** Aborted with the result of a send that is ended early. */
   readonly abort: AbortController;
   placement: Placement | undefined;
-  /** It stalls at an upstream that is alive, and keeps a place there. */
-  isSlow: boolean;
+  /** The request went to the upstream. */
+  isOpen: boolean;
 }
 
 type JobEvent =
   | { readonly kind: "unplaced"; readonly reason: PlacementFailure }
   /** A send stalls, and another one may follow. */
   | { readonly kind: "stalled" }
-  /** An error of this process ended a send. */
-  | { readonly kind: "failed"; readonly err: unknown }
-  | { readonly kind: "ended"; readonly placement: Placement; readonly outcome: SendOutcome };
+  | { readonly kind: "ended"; readonly live: LiveSend; readonly outcome: SendOutcome };
 
 /** Forwards one request, from its admission to its final answer. */
 export class ForwardJob {
@@ -53,6 +49,8 @@
   readonly #runner: SendRunner;
   readonly #live = new Set<LiveSend>();
   readonly #events = new EventQueue<JobEvent>();
+  /** The send that the request's load item describes. */
+  #loaded: LiveSend | undefined;
   /** Sends whose bytes reached an upstream or may do so. */
   #sends = 0;
   #unsentSends = 0;
@@ -102,17 +100,19 @@
       this.#endOnError(err);
     } finally {
       signal.removeEventListener("abort", onAbort);
+      this.#stopSends(SendResult.Cancelled);
     }
   }
 
   /** Searches an upstream and sends the request there. */
   async #startSend(): Promise<void> {
     const abort = new AbortController();
-    const live: LiveSend = { abort, placement: undefined, isSlow: false };
+    const live: LiveSend = { abort, placement: undefined, isOpen: false };
     if (this.#req.signal.aborted) {
       abort.abort(SendResult.Cancelled);
     }
     this.#live.add(live);
+    this.#loaded = undefined;
     const placement = await this.#placer.find({
       ...{ req: this.#req, pool: this.#pool, excluded: this.#feedback.excluded },
       ...{ timeline: this.#timeline, deadlineAtMs: this.#deadlineAtMs, signal: abort.signal },
@@ -123,16 +123,16 @@
       return;
     }
     live.placement = placement;
+    this.#sends += 1;
+    this.#loaded = live;
     const observer = this.#newObserver(live, placement);
-    this.#runner.run(placement, abort.signal, observer).then(
-      (outcome) => {
-        this.#live.delete(live);
-        this.#events.push({ kind: "ended", placement, outcome });
-      },
-      (err: unknown) => {
-        this.#events.push({ kind: "failed", err });
-      },
-    );
+    const outcome = this.#runner.run(placement, abort.signal, observer).catch((err: unknown) => {
+      this.#log.logError(err);
+      return { result: SendResult.Internal, reason: "internal error" };
+    });
+    void outcome.then((ended) => {
+      this.#events.push({ kind: "ended", live, outcome: ended });
+    });
   }
 
   /** Handles events until another send has to follow or the request has its final answer. */
@@ -151,20 +151,18 @@
         return NextStep.Retry;
       case "unplaced":
         if (this.#live.size > 0) {
+          this.#restoreLoad();
           return NextStep.Wait;
         }
         this.#endWithoutPlacement(event.reason);
         return NextStep.Done;
-      case "failed":
-        throw event.err;
       case "ended":
-        return this.#handleOutcome(event.placement, event.outcome);
+        return this.#handleOutcome(event.live, event.outcome);
     }
   }
 
   #endOnError(err: unknown): void {
     this.#log.logError(err);
-    this.#stopSends(SendResult.Cancelled);
     const reason = "internal error";
     if (this.#sends > 0) {
       this.#final.fail({ result: SendResult.Internal, reason });
@@ -184,13 +182,12 @@
   #newObserver(live: LiveSend, placement: Placement): SendObserver {
     return {
       canReplace: () => this.#canReplace(placement),
-      replace: (stall) => this.#replaceStalled(live, placement, stall),
+      replace: (stall) => this.#replaceStalled(placement, stall),
       onOpen: () => {
         const { clock, view } = this.#deps;
         const { listedMs } = view;
-        this.#log.logSend(placement, { sends: this.#sends, nowMs: clock.now(), listedMs });
-        this.#sends += 1;
-        this.#endSlowSends(live);
+        this.#log.logSend(placement, { sends: this.#sends - 1, nowMs: clock.now(), listedMs });
+        live.isOpen = true;
       },
       onProgress: () => {
         this.#onProgress(live);
@@ -209,24 +206,18 @@
     }
   }
 
-  /** Ends sends that stall at live upstreams, once their replacement was not rejected. */
-  #endSlowSends(replacement: LiveSend): void {
-    const slow = [...this.#live].filter(({ isSlow }) => isSlow);
-    if (slow.length === 0) {
-      return;
+  /** Counts the request as load of the upstream that goes on with it. */
+  #recordLoad(live: LiveSend): void {
+    if (live.placement && this.#loaded !== live) {
+      this.#loaded = live;
+      this.#placer.recordLoad({ req: this.#req, pool: this.#pool }, live.placement);
     }
-    this.#deps.clock.setTimer(() => {
-      if (this.#live.has(replacement)) {
-        slow.forEach(({ abort }) => {
-          abort.abort(SendResult.Superseded);
-        });
-      }
-    }, REJECTION_WAIT_MS);
   }
 
-  #recordLoad({ placement }: LiveSend): void {
-    if (placement) {
-      this.#placer.recordLoad({ req: this.#req, pool: this.#pool }, placement);
+  #restoreLoad(): void {
+    const [live] = this.#live;
+    if (live) {
+      this.#recordLoad(live);
     }
   }
 
@@ -234,25 +225,27 @@
     const excluded = new Set([...this.#feedback.excluded, upstream.id]);
     const history = { sends: this.#sends, timeLeftMs: this.#getTimeLeftMs() };
     return (
+      this.#live.size === 1 &&
       canReplaceStalled(this.#req.route, history) &&
       this.#placer.hasAlternative({ pool: this.#pool, excluded })
     );
   }
 
   #replaceStalled(
-    live: LiveSend,
     placement: Placement,
     { isAlive, reason }: { isAlive: boolean; reason: string },
   ): boolean {
     const { retryBudget } = this.#deps;
     const { id } = placement.upstream;
-    const isReplaced = this.#canReplace(placement) && retryBudget.trySpend(this.#pool);
+    // A live upstream that prefills other prompts is silent meanwhile, and would be elsewhere too.
+    const isExpected = isAlive && this.#placer.isPrefilling(id);
+    const isReplaced =
+      !isExpected && this.#canReplace(placement) && retryBudget.trySpend(this.#pool);
     const next = isReplaced ? NextStep.Retry : NextStep.Wait;
-    this.#log.logStall(id, { reason, isAlive, next, sends: this.#sends });
+    this.#log.logStall(id, { reason, isAlive, isExpected, next, sends: this.#sends });
     if (!isReplaced) {
       return false;
     }
-    live.isSlow = isAlive;
     this.#feedback.recordStall(id, { isAlive, reason });
     this.#events.push({ kind: "stalled" });
     return true;
@@ -263,16 +256,20 @@
   }
 
   /** Records the outcome of a send and takes the next step. */
-  #handleOutcome(placement: Placement, outcome: SendOutcome): NextStep {
+  #handleOutcome(live: LiveSend, outcome: SendOutcome): NextStep {
     const { clock, retryBudget } = this.#deps;
-    this.#countSend(outcome);
-    this.#feedback.recordOutcome(placement.upstream, outcome);
+    const { upstream } = live.placement ?? { upstream: undefined };
+    this.#live.delete(live);
+    this.#countSend(live, outcome);
+    if (upstream) {
+      this.#feedback.recordOutcome(upstream, outcome);
+    }
     const next = decideNext(this.#req.route, outcome, {
       ...{ sends: this.#sends, unsent: this.#unsentSends, inFlight: this.#live.size },
       ...{ mayHaveRun: this.#mayHaveRun, timeLeftMs: this.#getTimeLeftMs() },
       trySpend: () => retryBudget.trySpend(this.#pool),
     });
-    this.#log.logSendEnd(placement.upstream.id, outcome, {
+    this.#log.logSendEnd(upstream?.id ?? "", outcome, {
       ...{ next, sends: this.#sends, nowMs: clock.now() },
     });
     this.#performStep(next, outcome);
@@ -284,9 +281,7 @@
       case NextStep.Retry:
         return;
       case NextStep.Wait:
-        this.#live.forEach((live) => {
-          this.#recordLoad(live);
-        });
+        this.#restoreLoad();
         return;
       case NextStep.Done:
         this.#final.finish(outcome);
@@ -302,10 +297,12 @@
     }
   }
 
-  #countSend({ result }: SendOutcome): void {
+  #countSend({ isOpen }: LiveSend, { result }: SendOutcome): void {
     if (result === SendResult.Unsent || result === SendResult.NoMemory) {
-      this.#sends -= result === SendResult.Unsent ? 1 : 0;
       this.#unsentSends += 1;
+    }
+    if (!isOpen || result === SendResult.Unsent) {
+      this.#sends -= 1;
       return;
     }
     this.#mayHaveRun ||= result !== SendResult.NotRun;
--- a/packages/forwarding/src/Placer.ts
+++ b/packages/forwarding/src/Placer.ts
@@ -91,6 +91,11 @@
     return getRoomMs(this.#getCandidates({ pool, excluded: new Set() }));
   }
 
+  /** True while an upstream has prompts to prefill. */
+  isPrefilling(upstreamId: string): boolean {
+    return (this.#loadTracker.getLoads().get(upstreamId)?.pendingReadMs ?? 0) > 0;
+  }
+
   /** True when a pool has an active upstream besides the excluded ones. */
   hasAlternative({ pool, excluded }: Pick<PlacementQuery, "pool" | "excluded">): boolean {
     return this.#view
--- a/packages/forwarding/src/RequestLog.ts
+++ b/packages/forwarding/src/RequestLog.ts
@@ -57,10 +57,16 @@
     });
   }
 
-  /** `next` tells whether another upstream is tried beside the stalled one. */
+  /** `isExpected`: its prefill explains the silence; `next`: whether another upstream is tried beside it. */
   logStall(
     peer: string,
-    fields: { reason: string; isAlive: boolean | undefined; next: NextStep; sends: number },
+    fields: {
+      reason: string;
+      isAlive: boolean;
+      isExpected: boolean;
+      next: NextStep;
+      sends: number;
+    },
   ): void {
     this.#logger.info("upstream stalled", {
       ...{ requestId: this.#req.head.attemptId, step: "send", peer, ...fields },
--- a/packages/forwarding/src/Send.ts
+++ b/packages/forwarding/src/Send.ts
@@ -2,6 +2,12 @@
 
 import { EventSplitter, type StreamEvent } from "./EventSplitter.js";
 import { SendResult, type BufferedAnswer, type SendOutcome } from "./outcomes.js";
+import {
+  StallWatch,
+  type StallHandler,
+  type StallTimeout,
+  type StallTimeouts,
+} from "./StallWatch.js";
 import {
   SendState,
   type AnswerFacts,
@@ -29,41 +35,22 @@
   isFramed: boolean;
 }
 
-/** Time-outs for an upstream that sends nothing. */
-export interface StallTimeouts {
-  /** Time after which the upstream is asked whether it is alive. */
-  readonly probe: StallTimeout;
-  /** Time after which another upstream is tried even if this one is alive. */
-  readonly replace: StallTimeout;
-}
-
 /** Follows the answer to one send, and decides what becomes of a stalled one. */
-export interface AnswerObserver {
+export interface AnswerObserver extends StallHandler {
   /** Called before anything of the answer goes to the caller. */
   onProgress(): void;
   /** Called when one or more events of the answer arrived. */
   onEvents(): void;
-  /** True while another upstream could take over. */
-  canReplace(): boolean;
-  /** Tries another upstream beside the stalled one; false when there is none. */
-  replace(stall: { readonly isAlive: boolean; readonly reason: string }): boolean;
-}
-
-/** One time-out before the first event and one between events, milliseconds. */
-export interface StallTimeout {
-  readonly firstMs: number;
-  readonly gapMs: number;
 }
 
 /** One send of a request to an upstream, until its outcome is known. */
 export class Send implements CallObserver {
-  readonly #clock: Clock;
   readonly #dialect: Dialect;
   readonly #req: ForwardRequest;
   readonly #writer: AnswerWriter;
   readonly #progress: AnswerProgress;
-  readonly #stallTimeouts: StallTimeouts | undefined;
   readonly #observer: AnswerObserver;
+  readonly #stallWatch: StallWatch;
   readonly #splitter = new EventSplitter();
   readonly #buffered: Buffer[] = [];
   #bufferedBytes = 0;
@@ -71,10 +58,8 @@
   #facts: AnswerFacts | undefined;
   #isPassthrough = false;
   #call: UpstreamCall | undefined;
-  #cancelStallTimer: () => void = () => undefined;
-  readonly #isAlive: () => Promise<boolean>;
-  /** Changes when data arrives, so that the result of an earlier probe is ignored. */
-  #stallRound = 0;
+  /** The caller has to take what it has before more of the answer is read. */
+  #isPaused = false;
   #resolveOutcome: (outcome: SendOutcome) => void = () => undefined;
   #isSettled = false;
 
@@ -93,14 +78,12 @@
     /** Asks the upstream whether it is alive. */
     isAlive: () => Promise<boolean>;
   }) {
-    this.#clock = options.clock;
     this.#dialect = options.dialect;
     this.#req = options.req;
     this.#writer = options.writer;
     this.#progress = options.progress;
-    this.#stallTimeouts = options.timeouts;
     this.#observer = options.observer;
-    this.#isAlive = options.isAlive;
+    this.#stallWatch = new StallWatch(options);
     this.outcome = new Promise((resolve) => {
       this.#resolveOutcome = resolve;
     });
@@ -267,10 +250,12 @@
   #buffer(chunk: Buffer): void {
     this.#buffered.push(chunk);
     this.#bufferedBytes += chunk.length;
+    this.#watchForStall("gapMs");
     if (this.#bufferedBytes <= MAX_BUFFERED_BYTES || !this.#head || this.#progress.isHeadSent) {
       return;
     }
     this.#isPassthrough = true;
+    this.#stallWatch.stop();
     this.#observer.onProgress();
     this.#sendHeadOnce({ keepLength: true });
     this.#write(Buffer.concat(this.#buffered.splice(0)));
@@ -291,9 +276,10 @@
     const call = this.#call;
     if (!this.#writer.write(chunk) && call) {
       call.pause();
-      this.#cancelStallTimer();
-      this.#stallRound += 1;
+      this.#isPaused = true;
+      this.#stallWatch.stop();
       this.#writer.onDrain(() => {
+        this.#isPaused = false;
         if (!this.#isSettled) {
           call.resume();
           this.#watchForStall("gapMs");
@@ -302,36 +288,12 @@
     }
   }
 
-  /** Probes a stalled upstream, and has it replaced when it is dead or stalls for too long. */
   #watchForStall(phase: keyof StallTimeout): void {
-    this.#cancelStallTimer();
-    const stallTimeouts = this.#stallTimeouts;
-    if (!stallTimeouts || this.#isSettled) {
+    // No other upstream can go on in the middle of an answer without events.
+    if (this.#isSettled || this.#isPaused || this.#isPassthrough) {
       return;
     }
-    const round = ++this.#stallRound;
-    const probeMs = stallTimeouts.probe[phase];
-    const replaceMs = Math.max(probeMs, stallTimeouts.replace[phase]);
-    const replace = (isAlive: boolean, silentMs: number): boolean => {
-      const reason = `silent for ${String(Math.round(silentMs))} ms`;
-      return this.#observer.replace({ isAlive, reason });
-    };
-    this.#cancelStallTimer = this.#clock.setTimer(() => {
-      if (!this.#observer.canReplace()) {
-        this.#watchForStall(phase);
-        return;
-      }
-      this.#cancelStallTimer = this.#clock.setTimer(() => {
-        if (!replace(true, replaceMs)) {
-          this.#watchForStall(phase);
-        }
-      }, replaceMs - probeMs);
-      void this.#isAlive().then((isAlive) => {
-        if (!isAlive && round === this.#stallRound && replace(false, probeMs)) {
-          this.#cancelStallTimer();
-        }
-      });
-    }, probeMs);
+    this.#stallWatch.start(phase);
   }
 
   #finish(outcome: SendOutcome): void {
@@ -339,8 +301,7 @@
       return;
     }
     this.#isSettled = true;
-    this.#stallRound += 1;
-    this.#cancelStallTimer();
+    this.#stallWatch.stop();
     this.#call?.abort();
     this.#resolveOutcome(outcome);
   }
--- a/packages/forwarding/src/sendParameters.ts
+++ b/packages/forwarding/src/sendParameters.ts
@@ -2,7 +2,7 @@
 
 import { isExpectedLate } from "./placement.js";
 import type { Placement } from "./Placer.js";
-import type { StallTimeouts } from "./Send.js";
+import type { StallTimeouts } from "./StallWatch.js";
 import type { Reservations } from "./ReservationManager.js";
 import type { Route, Upstream } from "./fleetConfig.js";
 import { canRepeat } from "./outcomes.js";
--- a/packages/forwarding/src/testing/ForwarderHarness.ts
+++ b/packages/forwarding/src/testing/ForwarderHarness.ts
@@ -8,7 +8,7 @@
 import { RetryBudget } from "../RetryBudget.js";
 import { FakeCaller, FakeDialect, FakeTransport } from "./FakeUpstreams.js";
 import { ManualClock } from "./ManualClock.js";
-import { newConfig, newRoute, newUpstream } from "./samples.js";
+import { newConfig, newItem, newRoute, newUpstream } from "./samples.js";
 import { ReservationManager } from "../ReservationManager.js";
 import type { Dialect } from "../types.js";
 import { UpstreamHealth } from "../UpstreamHealth.js";
@@ -69,6 +69,11 @@
     });
   }
 
+  /** Has another request's prompt wait for its prefill at an upstream. */
+  addPrefill(upstream: string): void {
+    this.loadTracker.setOwn(newItem("other", { upstream, phase: "reading", readMs: 5_000 }));
+  }
+
   /** Takes all retries that the budget allows now. */
   exhaustRetryBudget(): void {
     while (this.#retryBudget.trySpend("p"));
