--- a/packages/cli/src/commands/faultSoak.ts
+++ b/packages/cli/src/commands/faultSoak.ts
@@ -28,9 +28,10 @@
     if (ctx.getBoolean("json")) {
       ctx.printJson(report);
     } else {
-      const { seed, requests, startupMs, answers, faults, violations, logs } = report;
+      const { seed, requests, startupMs, maxStallMs, answers, faults, violations, logs } = report;
       ctx.print(`seed ${String(seed)}: ${String(requests)} requests`);
       ctx.print(`all processes ready after ${String(startupMs)} ms`);
+      ctx.print(`longest stall of the stand-ins: ${String(maxStallMs)} ms`);
       ctx.print(`answers by status: ${JSON.stringify(answers)}`);
       ctx.print(`faults: ${JSON.stringify(faults)}`);
       ctx.print(`violations: ${String(violations.length)}${logs ? `, logs in ${logs}` : ""}`);
