--- a/packages/forwarding/src/PeerTable.ts
+++ b/packages/forwarding/src/PeerTable.ts
@@ -1,7 +1,5 @@
 import type { Clock } from "@lycheepulley/core";
 
-import type { ReadAges } from "./ReaderSelection.js";
-
 /** Whether a process serves callers, as it states in its heartbeats. */
 export const PeerState = {
   Joining: "joining",
@@ -10,6 +8,12 @@
 } as const;
 export type PeerState = (typeof PeerState)[keyof typeof PeerState];
 
+/** Age of a process's newest reads of its sources, milliseconds; absent before the first one. */
+export interface ReadAges {
+  readonly configMs?: number | undefined;
+  readonly listMs?: number | undefined;
+}
+
 /** Identity and state of one entry process. */
 export interface PeerIdentity {
   /** IP address, unique for each VM. */
--- a/packages/forwarding/src/ReaderSelection.test.ts
+++ b/packages/forwarding/src/ReaderSelection.test.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
 
-import { PeerState, PeerTable } from "./PeerTable.js";
-import { ReaderSelection, type ReadAges } from "./ReaderSelection.js";
+import { PeerState, PeerTable, type ReadAges } from "./PeerTable.js";
+import { ReaderSelection } from "./ReaderSelection.js";
 import { ManualClock } from "./testing/ManualClock.js";
 
 const HOSTS = Array.from({ length: 8 }, (_, index) => `10.0.0.${String(index)}`);
--- a/packages/forwarding/src/ReaderSelection.ts
+++ b/packages/forwarding/src/ReaderSelection.ts
@@ -2,7 +2,13 @@
 
 import type { Clock } from "@lycheepulley/core";
 
-import { PeerState, type LivePeer, type PeerIdentity, type PeerTable } from "./PeerTable.js";
+import {
+  PeerState,
+  type LivePeer,
+  type PeerIdentity,
+  type PeerTable,
+  type ReadAges,
+} from "./PeerTable.js";
 
 /** Number of processes that read the sources for all. */
 const READER_COUNT = 3;
@@ -14,12 +20,6 @@
 /** Time for which a process reads the sources itself after a peer failed to share what it read. */
 const SELF_READ_MS = 1_500;
 
-/** Age of a process's newest reads of its sources, milliseconds; absent before the first one. */
-export interface ReadAges {
-  readonly configMs?: number | undefined;
-  readonly listMs?: number | undefined;
-}
-
 type RankedProcess = Pick<PeerIdentity, "host" | "capacity">;
 
 /** A source that is read: the configuration or the list of upstreams. */
--- a/packages/tools/src/matrix/MatrixProcess.ts
+++ b/packages/tools/src/matrix/MatrixProcess.ts
@@ -7,15 +7,19 @@
   TrafficMeter,
   withTimeout,
   type PromptRequest,
+  type Protections,
   type ServiceRequest,
+  type VmList,
 } from "@lycheepulley/core";
 import type { RpcClient, RpcMethod, RpcRegistrar } from "@lycheepulley/nodes";
 import { CoordinationNode, UpstreamDirectory, type RequestTrace } from "@lycheepulley/serving";
 import { newSilentLogger } from "@lycheepulley/telemetry";
 import type { z } from "zod";
 
-import { ProcessClock } from "./MatrixClock.js";
-import type { World } from "./World.js";
+import type { FakeEngine } from "./FakeEngine.js";
+import type { FakeLog } from "./FakeLog.js";
+import type { FakeService } from "./FakeService.js";
+import { ProcessClock, type MatrixClock } from "./MatrixClock.js";
 
 const VM_LIST_INTERVAL_MS = 1_000;
 const LINK_DELAY_MS = 2;
@@ -23,19 +27,30 @@
 
 type RpcHandler = (params: unknown) => unknown;
 
+/** What surrounds the processes of one cell. */
+export interface MatrixSurroundings {
+  readonly clock: MatrixClock;
+  readonly log: FakeLog;
+  readonly protections: Protections;
+  readonly vmList: VmList;
+  readonly engines: readonly FakeEngine[];
+  readonly services: readonly FakeService[];
+  readonly processes: readonly MatrixProcess[];
+}
+
 /** One entry process of a cell: the real coordination code, with fake upstreams, log and links. */
 export class MatrixProcess {
   readonly name: string;
   readonly clock: ProcessClock;
   readonly node: CoordinationNode;
-  readonly #world: World;
+  readonly #world: MatrixSurroundings;
   readonly #handlers = new Map<string, RpcHandler>();
   /** Configuration revisions applied by this process, in order. */
   readonly revisions: { readonly revision: number; readonly atMs: number }[] = [];
   onStep: (trace: RequestTrace, step: string) => void = () => undefined;
 
   constructor(options: {
-    world: World;
+    world: MatrixSurroundings;
     name: string;
     domain: string;
     index: number;
@@ -188,7 +203,7 @@
     });
   }
 
-  #findEngine(id: string): World["engines"][number] {
+  #findEngine(id: string): FakeEngine {
     const engine = this.#world.engines.find(({ name }) => name === id);
     if (!engine) {
       throw new Error(`unknown engine ${id}`);
@@ -196,7 +211,7 @@
     return engine;
   }
 
-  #findService(id: string): World["services"][number] {
+  #findService(id: string): FakeService {
     const service = this.#world.services.find(({ name }) => name === id);
     if (!service) {
       throw new Error(`unknown service ${id}`);
