Use the product's words for reservations, tokens of fencing and changes in place

platform/ called a reservation of memory by the platform's word in its variables, and so did the worker model outside it; "fencing number" stood beside "fencing token"; methods that apply an entry, a list or a report were named mutateWith….

They now say reservation, fencing token, and applyEntry, applyList and so on. Names on the wire (tickets in a worker's report, fence in an order) are unchanged, and so is behaviour.

--- a/packages/core/src/config/schema.ts
+++ b/packages/core/src/config/schema.ts
@@ -4,7 +4,7 @@
 const durationMs = z.number().int().positive();
 const tokens = z.number().int().positive();
 
-/** Whether engines of a model reject orders with a stale fencing number. */
+/** Whether engines of a model reject orders with a stale fencing token. */
 export const Fencing = { Enforced: "enforced", Ignored: "ignored" } as const;
 
 export const modelSchema = z.strictObject({
--- a/packages/core/src/folds/leases.ts
+++ b/packages/core/src/folds/leases.ts
@@ -9,7 +9,7 @@
   action: z.enum(LeaseAction),
   /** Process name and incarnation. */
   holder: z.string(),
-  /** Fencing number: increases with every change of holder. */
+  /** Fencing token: increases with every change of holder. */
   epoch: z.number().int(),
   termMs: z.number().positive(),
 });
--- a/packages/core/src/folds/registers.test.ts
+++ b/packages/core/src/folds/registers.test.ts
@@ -15,7 +15,7 @@
 
 const foldAll = (entries: readonly LogEntry[]): RegisterFold => {
   const fold = new RegisterFold();
-  entries.forEach((entry) => fold.mutateWithEntry(entry));
+  entries.forEach((entry) => fold.applyEntry(entry));
   return fold;
 };
 
@@ -56,8 +56,8 @@
         const entries = toEntries(records);
         const early = foldAll(entries.slice(0, at));
         const late = new RegisterFold();
-        late.mutateWithSnapshot(early.getSnapshot());
-        entries.forEach((entry) => late.mutateWithEntry(entry));
+        late.applySnapshot(early.getSnapshot());
+        entries.forEach((entry) => late.applyEntry(entry));
         expect(late.getSnapshot()).to.deep.equal(foldAll(entries).getSnapshot());
       }),
     );
@@ -73,7 +73,7 @@
           const whole = foldAll(entries);
           const before = whole.getSnapshot();
           const old = foldAll(entries.slice(0, at % records.length)).getSnapshot();
-          expect(whole.mutateWithSnapshot(old)).to.equal(false);
+          expect(whole.applySnapshot(old)).to.equal(false);
           expect(whole.getSnapshot()).to.deep.equal(before);
         },
       ),
@@ -95,7 +95,7 @@
           };
         });
         const fold = new RegisterFold();
-        const results = toEntries(records).flatMap((entry) => fold.mutateWithEntry(entry));
+        const results = toEntries(records).flatMap((entry) => fold.applyEntry(entry));
         const accepted = results.filter(({ acceptance }) => acceptance === Acceptance.Accepted);
         expect(accepted.map(({ record }) => record.writer)).to.deep.equal([writers[0]]);
       }),
@@ -106,7 +106,7 @@
     const fold = new RegisterFold({ retentionMs: { claim: 100 } });
     const put = (offset: number, timeMs: number, kind: string, key: string): void => {
       const record = { v: 1, kind, key, follows: 0, writer: `w${String(offset)}`, seq: 1, body: 1 };
-      fold.mutateWithEntry({ offset, timeMs, records: [record] });
+      fold.applyEntry({ offset, timeMs, records: [record] });
     };
     put(0, 0, "claim", "old");
     put(1, 10, "config", "kept");
@@ -142,7 +142,7 @@
           seqs.set(writer, seq);
           const entry = { offset, timeMs: offset, records: [newRecord(writer, draft, seq)] };
           offset += 1;
-          return fold.mutateWithEntry(entry)[0]?.acceptance === Acceptance.Accepted;
+          return fold.applyEntry(entry)[0]?.acceptance === Acceptance.Accepted;
         };
         for (const { process, act, wallMs } of steps) {
           const register = fold.getRegister(RecordKind.Claim, "k");
@@ -244,7 +244,7 @@
                   )
                 : newLeaseClaim({ duty: "d", register, holder, termMs: 1 });
             const record = { v: 1, ...draft, writer: holder, seq: offset + 1 };
-            fold.mutateWithEntry({ offset, timeMs: offset, records: [record] });
+            fold.applyEntry({ offset, timeMs: offset, records: [record] });
             const now = parseLease(fold.getRegister(RecordKind.Lease, "d"));
             if (now) {
               expect(now.epoch).to.be.at.least(lastEpoch);
--- a/packages/core/src/folds/registers.ts
+++ b/packages/core/src/folds/registers.ts
@@ -122,13 +122,13 @@
   }
 
   /** Folds one entry; ignores entries that were folded before. */
-  mutateWithEntry(entry: LogEntry): FoldedRecord[] {
+  applyEntry(entry: LogEntry): FoldedRecord[] {
     if (entry.offset < this.#nextOffset) {
       return [];
     }
     this.#nextOffset = entry.offset + 1;
     this.#timeMs = Math.max(this.#timeMs, entry.timeMs);
-    const folded = entry.records.map((record) => this.#mutateWithRecord(entry, record));
+    const folded = entry.records.map((record) => this.#applyRecord(entry, record));
     this.#evictExpired();
     return folded;
   }
@@ -143,7 +143,7 @@
   }
 
   /** Replaces the state by a snapshot's; returns false if the snapshot isn't newer. */
-  mutateWithSnapshot(snapshot: FoldSnapshot): boolean {
+  applySnapshot(snapshot: FoldSnapshot): boolean {
     if (snapshot.asOf < this.#nextOffset) {
       return false;
     }
@@ -160,7 +160,7 @@
     return true;
   }
 
-  #mutateWithRecord(entry: LogEntry, record: LogRecord): FoldedRecord {
+  #applyRecord(entry: LogEntry, record: LogRecord): FoldedRecord {
     const { kind, key, body } = record;
     const old = this.getRegister(kind, key);
     const acceptance = this.#getAcceptance(record, old);
--- a/packages/core/src/protections.ts
+++ b/packages/core/src/protections.ts
@@ -4,7 +4,7 @@
   readonly readBack: boolean;
   /** The deadline is checked right before bytes are sent. */
   readonly deadlineCheck: boolean;
-  /** Leases are checked, and orders carry fencing numbers. */
+  /** Leases are checked, and orders carry fencing tokens. */
   readonly fencing: boolean;
   /** Chunks of attempts other than the current one are dropped. */
   readonly attemptId: boolean;
--- a/packages/daemon/src/EntryNode.ts
+++ b/packages/daemon/src/EntryNode.ts
@@ -49,7 +49,7 @@
     this.#vmList = new VmListWatcher({
       ...{ origin: platform.vmList, clock, traffic },
       onList: (list) => {
-        this.#node.mutateWithVmList(list);
+        this.#node.applyVmList(list);
       },
     });
     addNodeGauges(metrics, this.#node.status);
--- a/packages/engines/src/EngineClient.ts
+++ b/packages/engines/src/EngineClient.ts
@@ -39,7 +39,7 @@
 
 /** Complete desired state of an engine; sent as the body of an order. */
 export interface EngineOrder {
-  /** Fencing number of the issuer; the engine rejects orders with an older one. */
+  /** Fencing token of the issuer; the engine rejects orders with an older one. */
   readonly fence: number;
   readonly model: string;
   readonly version: string;
@@ -80,7 +80,7 @@
   fetchLoad(): Promise<EngineLoad>;
   fetchCacheEvents(fromSeq: number): Promise<CacheEventPage>;
   fetchState(): Promise<EngineState>;
-  /** Sends the desired state; the result says whether the fencing number was accepted. */
+  /** Sends the desired state; the result says whether the fencing token was accepted. */
   order(order: EngineOrder): Promise<OrderResult>;
   listKv(): Promise<KvHolding[]>;
   /** Reserves KV memory; resolves to false if the engine can't provide it. */
--- a/packages/engines/src/types.ts
+++ b/packages/engines/src/types.ts
@@ -61,7 +61,7 @@
 /** Answer of an engine to an order. */
 export const orderResultSchema = z.object({
   accepted: z.boolean(),
-  /** Highest fencing number that the engine has seen. */
+  /** Highest fencing token that the engine has seen. */
   fence: z.number().int(),
 });
 export type OrderResult = z.infer<typeof orderResultSchema>;
--- a/packages/log/src/FoldReader.test.ts
+++ b/packages/log/src/FoldReader.test.ts
@@ -43,7 +43,7 @@
 
 const addSnapshot = (log: TrimmedLog): void => {
   const fold = new RegisterFold();
-  log.entries.forEach((entry) => fold.mutateWithEntry(entry));
+  log.entries.forEach((entry) => fold.applyEntry(entry));
   const body = fold.getSnapshot();
   log.add({ kind: RecordKind.Snapshot, key: "control", follows: null, body });
 };
@@ -69,7 +69,7 @@
         addConfig(log, follows);
       });
       const fold = new RegisterFold();
-      log.entries.slice(0, known).forEach((entry) => fold.mutateWithEntry(entry));
+      log.entries.slice(0, known).forEach((entry) => fold.applyEntry(entry));
       addSnapshot(log);
       addConfig(log, 4);
       addSnapshot(log);
@@ -89,10 +89,10 @@
     addConfig(log, 0);
     addConfig(log, 1);
     const old = new RegisterFold();
-    log.entries.slice(0, 1).forEach((entry) => old.mutateWithEntry(entry));
+    log.entries.slice(0, 1).forEach((entry) => old.applyEntry(entry));
     const fold = new RegisterFold();
-    log.entries.forEach((entry) => fold.mutateWithEntry(entry));
-    expect(newReader(log, fold).mutateWithPeerSnapshot(old.getSnapshot())).to.equal(false);
+    log.entries.forEach((entry) => fold.applyEntry(entry));
+    expect(newReader(log, fold).applyPeerSnapshot(old.getSnapshot())).to.equal(false);
     expect(fold.getVersion(RecordKind.Config, "fleet")).to.equal(2);
   });
 });
--- a/packages/log/src/FoldReader.ts
+++ b/packages/log/src/FoldReader.ts
@@ -94,8 +94,8 @@
   }
 
   /** Applies a peer's snapshot while the log can't be read; returns false if it isn't newer. */
-  mutateWithPeerSnapshot(snapshot: FoldSnapshot): boolean {
-    const applied = this.fold.mutateWithSnapshot(snapshot);
+  applyPeerSnapshot(snapshot: FoldSnapshot): boolean {
+    const applied = this.fold.applySnapshot(snapshot);
     if (applied) {
       this.#isCaughtUp = true;
     }
@@ -140,7 +140,7 @@
   }
 
   #mutateAndPublish(entry: LogEntry): void {
-    for (const folded of this.fold.mutateWithEntry(entry)) {
+    for (const folded of this.fold.applyEntry(entry)) {
       this.#records.publish(folded);
     }
     this.#entries.publish(entry);
@@ -151,12 +151,12 @@
     const { clock, onError, stream } = this.#options;
     if (this.#options.skipsTrimmedEntries) {
       const { timeMs } = this.fold;
-      this.fold.mutateWithSnapshot({ asOf: first - 1, timeMs, registers: [], writers: {} });
+      this.fold.applySnapshot({ asOf: first - 1, timeMs, registers: [], writers: {} });
       return;
     }
     try {
       const snapshot = await this.#findSnapshot(first);
-      if (snapshot && this.fold.mutateWithSnapshot(snapshot)) {
+      if (snapshot && this.fold.applySnapshot(snapshot)) {
         return;
       }
       this.#isCaughtUp = false;
--- a/packages/operators/src/ControlHistory.ts
+++ b/packages/operators/src/ControlHistory.ts
@@ -36,7 +36,7 @@
   const fold = new RegisterFold({ retentionMs: CONTROL_RETENTION_MS });
   if (first > 0) {
     // Earlier entries are no longer retained: start from an empty state before the first one.
-    fold.mutateWithSnapshot({ asOf: first - 1, timeMs: 0, registers: [], writers: {} });
+    fold.applySnapshot({ asOf: first - 1, timeMs: 0, registers: [], writers: {} });
   }
   const lines: AuditLine[] = [];
   for (let from = first; from < end;) {
@@ -56,7 +56,7 @@
 const foldEntry = (fold: RegisterFold, entry: LogEntry): AuditLine[] => {
   const snapshots = entry.records.filter(({ kind }) => kind === RecordKind.Snapshot);
   return fold
-    .mutateWithEntry(entry)
+    .applyEntry(entry)
     .filter(({ record }) => !snapshots.includes(record))
     .map((folded) => toAuditLine(folded));
 };
--- a/packages/serving/src/membership/MemberTable.ts
+++ b/packages/serving/src/membership/MemberTable.ts
@@ -75,7 +75,7 @@
   }
 
   /** Stores a process's own report, unless a newer incarnation or version is known. */
-  mutateWithReport(report: NodeReport, lastAliveMs: number): void {
+  applyReport(report: NodeReport, lastAliveMs: number): void {
     const known = this.#members.get(report.name);
     if (known && isNewer(known.report, report)) {
       return;
@@ -85,19 +85,19 @@
   }
 
   /** Merges the gossip of a heartbeat. */
-  mutateWithGossip(gossip: Gossip, nowMs: number): void {
+  applyGossip(gossip: Gossip, nowMs: number): void {
     for (const report of gossip.reports) {
-      this.mutateWithReport(report, -Infinity);
+      this.applyReport(report, -Infinity);
     }
     const [sender, incarnation] = gossip.from;
-    this.#mutateWithEntry([sender, incarnation, 0, 0], nowMs);
+    this.#applyEntry([sender, incarnation, 0, 0], nowMs);
     for (const entry of gossip.members) {
-      this.#mutateWithEntry(entry, nowMs);
+      this.#applyEntry(entry, nowMs);
     }
     for (const entry of gossip.domains) {
-      this.#mutateWithDigest(entry, nowMs);
+      this.#applyDigest(entry, nowMs);
     }
-    this.#mutateWithRemoteEntries(gossip.members);
+    this.#applyRemoteEntries(gossip.members);
   }
 
   getView(name: string, nowMs: number): MemberView | undefined {
@@ -192,7 +192,7 @@
   }
 
   /** Stores a domain's digest if it is newer; a known list that matches it is confirmed again. */
-  #mutateWithDigest([domain, digest, ageMs]: DomainEntry, nowMs: number): void {
+  #applyDigest([domain, digest, ageMs]: DomainEntry, nowMs: number): void {
     const known = this.#domains.get(domain) ?? UNKNOWN_DOMAIN;
     const digestMs = nowMs - ageMs;
     if (domain === this.#domain || digestMs <= known.digestMs) {
@@ -204,7 +204,7 @@
     }
   }
 
-  #mutateWithEntry([name, incarnation, version, ageMs]: DigestEntry, nowMs: number): void {
+  #applyEntry([name, incarnation, version, ageMs]: DigestEntry, nowMs: number): void {
     const known = this.#members.get(name);
     const isSame = known?.report.incarnation === incarnation && known.report.version >= version;
     if (known && isSame) {
@@ -214,7 +214,7 @@
   }
 
   /** Replaces the list of a domain's live members by entries that match its newest digest. */
-  #mutateWithRemoteEntries(entries: readonly DigestEntry[]): void {
+  #applyRemoteEntries(entries: readonly DigestEntry[]): void {
     const byDomain = new Map<string, DigestEntry[]>();
     for (const entry of entries) {
       const domain = this.#members.get(entry[0])?.report.failureDomain;
--- a/packages/serving/src/membership/Membership.ts
+++ b/packages/serving/src/membership/Membership.ts
@@ -114,7 +114,7 @@
   receive(gossip: Gossip): Gossip {
     const now = this.#options.clock.now();
     this.#touchSelf();
-    this.#table.mutateWithGossip(gossip, now);
+    this.#table.applyGossip(gossip, now);
     this.#publishChanges();
     return this.#newGossip(gossip.from[0], gossip);
   }
@@ -130,7 +130,7 @@
   }
 
   /** Updates the contacts and the leaving VMs from the platform's VM list. */
-  mutateWithList(list: VmList): void {
+  applyList(list: VmList): void {
     this.#listedVms = list.vms.filter((vm) => vm.role === VmRole.Entry && vm.id !== this.self);
     const leaving = list.vms.filter((vm) => vm.state === VmState.Leaving);
     this.#table.setListedLeaving(new Set(leaving.map((vm) => vm.id)));
@@ -274,7 +274,7 @@
       });
       const now = this.#options.clock.now();
       this.#failedMs.delete(answer.from[0]);
-      this.#table.mutateWithGossip(answer, now);
+      this.#table.applyGossip(answer, now);
       const domains = [this.#options.self.failureDomain, ...answer.wanted];
       this.#missingReports.set(
         answer.from[0],
@@ -322,7 +322,7 @@
   }
 
   #touchSelf(): void {
-    this.#table.mutateWithReport(this.#report, this.#options.clock.now());
+    this.#table.applyReport(this.#report, this.#options.clock.now());
   }
 
   #publishChanges(): void {
--- a/packages/serving/src/node/CoordinationNode.ts
+++ b/packages/serving/src/node/CoordinationNode.ts
@@ -145,9 +145,9 @@
   }
 
   /** Applies an answer of the platform's VM list. */
-  mutateWithVmList(list: VmList): void {
-    this.#options.directory.mutateWithList(list);
-    this.membership.mutateWithList(list);
+  applyVmList(list: VmList): void {
+    this.#options.directory.applyList(list);
+    this.membership.applyList(list);
   }
 
   /** Starts to read the log and to exchange heartbeats with other processes. */
--- a/packages/serving/src/node/bootstrap.ts
+++ b/packages/serving/src/node/bootstrap.ts
@@ -26,7 +26,7 @@
       nextAskMs = clock.now() + PEER_RETRY_INTERVAL_MS;
       const newest = await fetchNewestSnapshot(getClients());
       if (newest) {
-        reader.mutateWithPeerSnapshot(newest);
+        reader.applyPeerSnapshot(newest);
       }
     }
     await sleep(clock, POLL_INTERVAL_MS);
--- a/packages/serving/src/upstreams/UpstreamDirectory.ts
+++ b/packages/serving/src/upstreams/UpstreamDirectory.ts
@@ -42,13 +42,13 @@
   }
 
   /** Applies an answer of the VM list, unless its version is not newer. */
-  mutateWithList(list: VmList): void {
+  applyList(list: VmList): void {
     if (list.version <= this.#version) {
       return;
     }
     this.#version = list.version;
-    this.#mutateKind(this.#engines, list, VmRole.Engine, this.#options.newEngineClient);
-    this.#mutateKind(this.#services, list, VmRole.Service, this.#options.newServiceClient);
+    this.#applyKind(this.#engines, list, VmRole.Engine, this.#options.newEngineClient);
+    this.#applyKind(this.#services, list, VmRole.Service, this.#options.newServiceClient);
     this.#changes.publish(list);
   }
 
@@ -76,7 +76,7 @@
     await Promise.all(clients.map(({ client }) => client.close()));
   }
 
-  #mutateKind<C extends { close(): Promise<void> }>(
+  #applyKind<C extends { close(): Promise<void> }>(
     known: Map<string, { readonly vm: Vm; readonly client: C }>,
     list: VmList,
     role: Vm["role"],
--- a/packages/simulation/src/WorkerModel.test.ts
+++ b/packages/simulation/src/WorkerModel.test.ts
@@ -115,14 +115,14 @@
     expect(accepted.filter(Boolean).length).to.equal(11);
   });
 
-  it("holds a ticket until it expires or is released, and extends it when it is renewed", () => {
+  it("holds a reservation until it expires or is released, and extends it when it is renewed", () => {
     const harness = new ModelHarness();
     expect(harness.model.reserve("t1", 200_000, 1_000)).to.equal(true);
     expect(harness.model.reserve("t2", 100_000, 1_000)).to.equal(false);
     harness.timers.tick(900);
     expect(harness.model.reserve("t1", 200_000, 1_000)).to.equal(true);
     harness.timers.tick(900);
-    expect(harness.model.ticketIds).to.deep.equal(["t1"]);
+    expect(harness.model.reservationIds).to.deep.equal(["t1"]);
     harness.timers.tick(200);
     expect(harness.model.reserve("t2", 100_000, 1_000)).to.equal(true);
     harness.model.release("t2");
--- a/packages/simulation/src/WorkerModel.ts
+++ b/packages/simulation/src/WorkerModel.ts
@@ -3,7 +3,7 @@
 
 const TOKENS_PER_THOUSAND = 1_000;
 const PAIRS_PER_MILLION = 1_000_000;
-const MAX_TICKETS = 64;
+const MAX_RESERVATIONS = 64;
 
 /** Published constants of a worker, and its chunk size, which placement does not use. */
 export interface WorkerSpec extends EngineSpec {
@@ -42,7 +42,7 @@
   hasMemory: boolean;
 }
 
-interface Ticket {
+interface Reservation {
   readonly tokens: number;
   cancel: Cancel;
 }
@@ -57,7 +57,7 @@
   readonly #jobs = new Map<string, RunningJob>();
   /** Requests that wait for a slot. */
   readonly #queue: RunningJob[] = [];
-  readonly #tickets = new Map<string, Ticket>();
+  readonly #reservations = new Map<string, Reservation>();
   #cancelPass: Cancel | undefined;
   /** Number of times that a request was preempted because memory ran out. */
   preemptions = 0;
@@ -87,16 +87,16 @@
     return this.#jobs.size - this.running;
   }
 
-  /** KV memory used by requests and held by tickets, in tokens. */
+  /** KV memory used by requests and reserved, in tokens. */
   get kvUsed(): number {
-    const held = [...this.#tickets.values()].reduce((sum, { tokens }) => sum + tokens, 0);
+    const held = [...this.#reservations.values()].reduce((sum, { tokens }) => sum + tokens, 0);
     return [...this.#jobs.values()]
       .filter(({ hasMemory }) => hasMemory)
       .reduce((sum, { kvTokens }) => sum + kvTokens, held);
   }
 
-  get ticketIds(): string[] {
-    return [...this.#tickets.keys()];
+  get reservationIds(): string[] {
+    return [...this.#reservations.keys()];
   }
 
   /** Accepts a job, which may wait for a slot; returns false when the queue is full or the job exceeds the memory. */
@@ -165,10 +165,10 @@
     this.#queue.length = 0;
   }
 
-  /** Reserves memory or renews a ticket; returns false when memory or tickets run out. */
+  /** Reserves memory or renews a reservation; returns false when memory or reservations run out. */
   reserve(id: string, tokens: number, holdMs: number): boolean {
-    const existing = this.#tickets.get(id);
-    if (!existing && this.#tickets.size >= MAX_TICKETS) {
+    const existing = this.#reservations.get(id);
+    if (!existing && this.#reservations.size >= MAX_RESERVATIONS) {
       return false;
     }
     if (!existing && this.kvUsed + tokens > this.spec.kvTokens) {
@@ -178,13 +178,13 @@
     const cancel = this.#clock.setTimer(() => {
       this.release(id);
     }, holdMs);
-    this.#tickets.set(id, { tokens: existing?.tokens ?? tokens, cancel });
+    this.#reservations.set(id, { tokens: existing?.tokens ?? tokens, cancel });
     return true;
   }
 
   release(id: string): void {
-    this.#tickets.get(id)?.cancel();
-    this.#tickets.delete(id);
+    this.#reservations.get(id)?.cancel();
+    this.#reservations.delete(id);
     this.#readmit();
   }
 
--- a/packages/standins/src/engine/EngineExtension.ts
+++ b/packages/standins/src/engine/EngineExtension.ts
@@ -115,7 +115,7 @@
     });
   }
 
-  /** Applies an order unless its fencing number is too old; a new version takes time to load. */
+  /** Applies an order unless its fencing token is too old; a new version takes time to load. */
   async #order(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const order = orderSchema.parse(await readJson(req));
     const accepted = !this.#options.isFencing || order.fence >= this.#state.fence;
--- a/packages/standins/src/engine/EngineStandin.ts
+++ b/packages/standins/src/engine/EngineStandin.ts
@@ -39,7 +39,7 @@
   readonly rates: EngineRates;
   /** Simulated time runs this many times faster than real time. */
   readonly timeScale: number;
-  /** Whether orders with an old fencing number are rejected. */
+  /** Whether orders with an old fencing token are rejected. */
   readonly isFencing: boolean;
   readonly model: string;
   readonly version: string;
--- a/packages/tools/src/matrix/MatrixProcess.ts
+++ b/packages/tools/src/matrix/MatrixProcess.ts
@@ -164,7 +164,7 @@
   }
 
   #pollVmList(): void {
-    this.node.mutateWithVmList(this.#world.vmList);
+    this.node.applyVmList(this.#world.vmList);
     this.clock.setTimer(() => {
       this.#pollVmList();
     }, VM_LIST_INTERVAL_MS);
--- a/packages/tools/src/matrix/World.ts
+++ b/packages/tools/src/matrix/World.ts
@@ -161,7 +161,7 @@
   /** Folds all entries of a stream into new state. */
   foldStream(stream: string): RegisterFold {
     const fold = new RegisterFold({ protections: this.protections });
-    this.log.getEntries(stream).forEach((entry: LogEntry) => fold.mutateWithEntry(entry));
+    this.log.getEntries(stream).forEach((entry: LogEntry) => fold.applyEntry(entry));
     return fold;
   }
 
--- a/packages/tools/src/matrix/checks.ts
+++ b/packages/tools/src/matrix/checks.ts
@@ -188,7 +188,7 @@
 };
 
 /**
- * Fencing engines never accept an older fencing number, and every engine ends in the configured
+ * Fencing engines never accept an older fencing token, and every engine ends in the configured
  * state.
  */
 const checkOrders = ({ world }: CheckOptions): string[] =>
@@ -201,7 +201,7 @@
     const expectedVersion = world.liveProcesses[0]?.node.cfg?.models["m"]?.version;
     const isWrongVersion = expectedVersion !== undefined && state.version !== expectedVersion;
     return [
-      ...(isRegressing ? [`${name} accepted an order with an older fencing number`] : []),
+      ...(isRegressing ? [`${name} accepted an order with an older fencing token`] : []),
       ...supersededOrders.map(
         ({ order }) => `${name} accepted order ${String(order.fence)} of a superseded holder`,
       ),
--- a/packages/tools/src/matrix/membership.test.ts
+++ b/packages/tools/src/matrix/membership.test.ts
@@ -68,7 +68,7 @@
     }));
     const list = { version: this.#incarnations, isDelta: false, vms, removed: [] };
     this.nodes.forEach(({ membership }) => {
-      membership.mutateWithList(list);
+      membership.applyList(list);
     });
   }
 
