Leave a reservation alone once its engine answers from it

Since renewals are noticed, an answer to a split prompt could be broken off after three seconds when the engine that generates it had taken the reservation over and no longer knew it by its id, which the interface allows; the callers saw "upstream_failed".

EngineGroup took the refused renewal of the last member for a loss. From the end of the preparation on, the last member's renewals no longer count: the engine itself runs the request in that memory. The other members' still do.

Test: "goes on when the engine that answers doesn't know the reservation any more" in EngineGroup.test.ts.

--- a/packages/serving/src/requests/EngineGroup.test.ts
+++ b/packages/serving/src/requests/EngineGroup.test.ts
@@ -12,8 +12,12 @@
   Promise.reject(new PeerError("b", "status 404", { sent: true, status: 404 }));
 const lose: Renewal = () => Promise.reject(new PeerError("b", "reset", { sent: true }));
 
-/** Prepares a group of two engines, of which the second renews as told, and lets time pass. */
-const runGroup = async (renewals: readonly Renewal[], ms: number): Promise<EngineGroup> => {
+/** Prepares a group of two engines, of which one renews as told, and lets time pass. */
+const runGroup = async (
+  renewals: readonly Renewal[],
+  ms: number,
+  isLast: boolean,
+): Promise<EngineGroup> => {
   const timers = createClock(0);
   const clock: Clock = {
     now: () => timers.now,
@@ -33,7 +37,8 @@
       exportSegment: () => Promise.resolve("handle"),
       releaseKv: () => Promise.resolve(),
     }) as Partial<EngineClient> as EngineClient;
-  const members = [newMember("a", accept), newMember("b", () => (left.shift() ?? accept)())];
+  const told = newMember("b", () => (left.shift() ?? accept)());
+  const members = isLast ? [newMember("a", accept), told] : [told, newMember("a", accept)];
   const group = new EngineGroup({
     ...{ members, clock },
     call: {
@@ -79,10 +84,17 @@
   ];
   for (const { name, renewals, ms, isLost } of CASES) {
     it(`${isLost ? "ends" : "goes on"} when ${name}`, async () => {
-      const group = await runGroup(renewals, ms);
+      const group = await runGroup(renewals, ms, false);
       expect(group.signal.aborted).to.equal(isLost);
       expect(group.lossError?.peer).to.equal(isLost ? "b" : undefined);
       await group.release();
     });
   }
+
+  // Guards against an answer that is broken off because its engine took the reservation over.
+  it("goes on when the engine that answers doesn't know the reservation any more", async () => {
+    const group = await runGroup([forget, forget, forget], 12_500, true);
+    expect(group.signal.aborted).to.equal(false);
+    await group.release();
+  });
 });
--- a/packages/serving/src/requests/EngineGroup.ts
+++ b/packages/serving/src/requests/EngineGroup.ts
@@ -36,6 +36,7 @@
   /** Time before the last accepted renewal of each member was sent. */
   readonly #renewedMs = new Map<EngineClient, number>();
   #cancelRenewal: Cancel = () => undefined;
+  #isPrepared = false;
   #isReleased = false;
   #lossError: PeerError | undefined;
 
@@ -66,6 +67,7 @@
       const part = { fromToken: i * partTokens, toToken: (i + 1) * partTokens };
       segments.push(await this.#exportPart(member, part, [...segments]));
     }
+    this.#isPrepared = true;
     return segments;
   }
 
@@ -133,12 +135,21 @@
     } catch (err) {
       const ageMs = this.#clock.now() - (this.#renewedMs.get(member) ?? 0);
       const isUnknown = isPeerError(err) && err.status === HTTP_NOT_FOUND;
-      if (!this.#isReleased && (isUnknown || ageMs >= RESERVATION_TERM_MS)) {
+      if (
+        !this.#isReleased &&
+        !this.#isInUse(member) &&
+        (isUnknown || ageMs >= RESERVATION_TERM_MS)
+      ) {
         this.#lose(member, err);
       }
     }
   }
 
+  /** The last member takes its reservation over for the answer, and may then not know it by its id. */
+  #isInUse(member: EngineClient): boolean {
+    return this.#isPrepared && member === this.#members.at(-1);
+  }
+
   #lose(member: EngineClient, cause: unknown): void {
     const message = "no longer holds the memory for a part of the prompt";
     this.#lossError ??= new PeerError(member.name, message, {
