Follow a store that returns from an older copy

Cause: after such a return offsets go back. Callers saw a new configuration seconds late or not at all; entries in the peer list that were lost stayed lost.

Change: a position is the pair of era and end. UpstreamListTracker keeps upstreams that are missing after a return for two seconds, keeps drained ones draining, and holds back those that had left until their old entries have expired. Readers of an older epoch don't count.

--- a/packages/daemon/src/gateway/FleetStateSync.test.ts
+++ b/packages/daemon/src/gateway/FleetStateSync.test.ts
@@ -1,4 +1,4 @@
-import { SeededRandom, SystemClock } from "@lycheepulley/core";
+import { SeededRandom, sleep, SystemClock } from "@lycheepulley/core";
 import {
   DEFAULT_CALLER_LIMITS,
   FleetView,
@@ -14,15 +14,22 @@
 import { FleetStateSync } from "./FleetStateSync.js";
 
 const LOCALHOST = "127.0.0.1";
+/** Longer than the random delay of a fetch. */
+const MAX_FETCH_DELAY_MS = 80;
 
 const newUpstream = (id: string): Upstream => ({
   ...{ id, pool: "p", host: LOCALHOST, port: 1, failureDomain: "z", slots: 4, isLeaving: false },
 });
 
-const newView = (revision: number, version: number, ids: readonly string[]): FleetView => {
+const newView = (
+  revision: number,
+  version: number,
+  ids: readonly string[],
+  epoch?: number,
+): FleetView => {
   const view = new FleetView();
   view.applyConfig({ revision, routes: [], pools: [], limits: DEFAULT_CALLER_LIMITS });
-  const list = { version, upstreams: ids.map((id) => newUpstream(id)) };
+  const list = { epoch, version, upstreams: ids.map((id) => newUpstream(id)) };
   view.applyUpstreams(list, 0, new Set());
   return view;
 };
@@ -52,7 +59,8 @@
     const peer: PeerIdentity = {
       ...{ host: LOCALHOST, incarnation: 1, failureDomain: "z", callerAddress: "a:1" },
       ...{ state: PeerState.Live, revision: this.#peer.revision, beatMs: 250 },
-      ...{ listVersion: this.#peer.list.version, listDigest: this.#peer.listDigest },
+      ...{ listEpoch: this.#peer.list.epoch, listVersion: this.#peer.list.version },
+      ...{ listDigest: this.#peer.listDigest },
       ...{ reads: { configMs: 400, listMs: 400 }, capacity: 1 },
     };
     this.#peers.recordHeartbeat(peer);
@@ -87,9 +95,12 @@
         },
       },
       onConfig: ({ revision }) => this.events.push(`config ${String(revision)}`),
-      onList: ({ version }) => this.events.push(`list ${String(version)}`),
+      onList: ({ epoch, version }) =>
+        this.events.push(
+          `list ${epoch === undefined ? "" : `${String(epoch)}/`}${String(version)}`,
+        ),
       onFetchFailed: () => this.events.push("failed"),
-      onListConfirmed: (version) => this.events.push(`confirmed ${String(version)}`),
+      onListConfirmed: ({ version }) => this.events.push(`confirmed ${String(version)}`),
     });
   }
 }
@@ -121,7 +132,28 @@
       ["confirmed 9"],
     ],
   ];
-  for (const [name, own, peer, events] of cases) {
+  // Guard against peers in different epochs that overrule each other by version alone.
+  const epochCases: typeof cases = [
+    [
+      "row peers: fetches a list of a newer epoch although its version is lower",
+      newView(1, 900, ["a"], 1),
+      newView(1, 40, ["b"], 2),
+      ["list 2/40"],
+    ],
+    [
+      "row peers: fetches from one that has epochs when it knows none",
+      newView(1, 900, ["a"]),
+      newView(1, 40, ["b"], 1),
+      ["list 1/40"],
+    ],
+    [
+      "row peers: confirms its list when one of a newer epoch has the same entries",
+      newView(1, 900, ["a"], 1),
+      newView(1, 40, ["a"], 2),
+      ["confirmed 40"],
+    ],
+  ];
+  for (const [name, own, peer, events] of [...cases, ...epochCases]) {
     it(name, async () => {
       const pair = new SyncedPair(own, peer);
       await pair.start();
@@ -151,11 +183,28 @@
     expect(pair.events).to.deep.equal(["failed"]);
   });
 
-  it("doesn't fetch from a peer with older state", async () => {
-    const pair = new SyncedPair(newView(3, 9, ["a"]), newView(2, 6, ["b"]));
-    await pair.start();
-    pair.receiveHeartbeat();
-    await pair.close();
-    expect(pair.events).to.deep.equal([]);
-  });
+  const older: readonly [name: string, own: FleetView, peer: FleetView][] = [
+    ["with older state", newView(3, 9, ["a"]), newView(2, 6, ["b"])],
+    [
+      "row peers: of an older epoch although its version is greater",
+      newView(1, 40, ["a"], 2),
+      newView(1, 900, ["b"], 1),
+    ],
+    [
+      "row peers: of an older epoch that has the same entries",
+      newView(1, 40, ["a"], 2),
+      newView(1, 900, ["a"], 1),
+    ],
+    ["row peers: of a build without epochs", newView(1, 40, ["a"], 2), newView(1, 900, ["b"])],
+  ];
+  for (const [name, own, peer] of older) {
+    it(`neither fetches from nor is confirmed by a peer ${name}`, async () => {
+      const pair = new SyncedPair(own, peer);
+      await pair.start();
+      pair.receiveHeartbeat();
+      await sleep(new SystemClock(), MAX_FETCH_DELAY_MS);
+      await pair.close();
+      expect(pair.events).to.deep.equal([]);
+    });
+  }
 });
--- a/packages/daemon/src/gateway/FleetStateSync.ts
+++ b/packages/daemon/src/gateway/FleetStateSync.ts
@@ -1,9 +1,12 @@
 import { getMessage, sleep, type Clock, type Random } from "@lycheepulley/core";
 import {
   fleetConfigSchema,
+  getEpoch,
+  isListBefore,
   upstreamListSchema,
   type FleetConfig,
   type FleetView,
+  type ListPosition,
   type PeerIdentity,
   type PeerTable,
   type UpstreamList,
@@ -37,7 +40,7 @@
   readonly #port: number;
   readonly #onConfig: (config: FleetConfig) => void;
   readonly #onList: (list: UpstreamList, atMs: number) => void;
-  readonly #onListConfirmed: (version: number, atMs: number) => void;
+  readonly #onListConfirmed: (position: ListPosition, atMs: number) => void;
   readonly #onFetchFailed: () => void;
   #isFetching = false;
 
@@ -52,7 +55,7 @@
     /** Called with a fetched list that was current at `atMs`. */
     onList: (list: UpstreamList, atMs: number) => void;
     /** Called when a peer's heartbeat shows that the list in force was current at `atMs`. */
-    onListConfirmed: (version: number, atMs: number) => void;
+    onListConfirmed: (position: ListPosition, atMs: number) => void;
     /** Called when a fetch from a peer with newer state failed. */
     onFetchFailed: () => void;
   }) {
@@ -82,8 +85,13 @@
 
   /** Compares a peer's heartbeat with this process's state, and fetches what is newer there. */
   onPeerHeartbeat(peer: PeerIdentity): void {
-    if (peer.listDigest === this.#view.listDigest && peer.reads.listMs !== undefined) {
-      this.#onListConfirmed(peer.listVersion, this.#clock.now() - peer.reads.listMs);
+    const position = getListPosition(peer);
+    if (
+      peer.listDigest === this.#view.listDigest &&
+      peer.reads.listMs !== undefined &&
+      getEpoch(position) >= getEpoch(this.#view.list)
+    ) {
+      this.#onListConfirmed(position, this.#clock.now() - peer.reads.listMs);
     }
     if (!this.#isFetching && this.#isBehind(peer)) {
       this.#isFetching = true;
@@ -98,7 +106,7 @@
       return true;
     }
     const { list, listDigest } = this.#view;
-    return peer.listDigest !== listDigest && peer.listVersion > list.version;
+    return peer.listDigest !== listDigest && isListBefore(list, getListPosition(peer));
   }
 
   /**
@@ -140,3 +148,8 @@
     }
   }
 }
+
+const getListPosition = ({ listEpoch, listVersion }: PeerIdentity): ListPosition => ({
+  epoch: listEpoch,
+  version: listVersion,
+});
--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -6,7 +6,7 @@
   CrashTracker,
   FleetView,
   Forwarder,
-  ListOutageGuard,
+  getEpoch,
   LoadTracker,
   PeerState,
   PeerTable,
@@ -15,6 +15,7 @@
   sample,
   ReservationManager,
   UpstreamHealth,
+  UpstreamListTracker,
   type Dialect,
   type FleetConfig,
   type UpstreamControl,
@@ -35,6 +36,9 @@
 /** Processes assumed besides the live peers when the retry budget is divided. */
 const ASSUMED_EXTRA_PROCESSES = 3;
 
+/** Time over which processes read the peer list again after its service was restored. */
+const PEERS_REREAD_SPREAD_MS = 2_000;
+
 /** One gateway process: forwards requests and tracks configuration, upstreams and peers. */
 export class GatewayNode {
   readonly #clock: Clock = new SystemClock();
@@ -44,7 +48,7 @@
   readonly #logger: Logger;
   readonly #metrics = new ForwardMetrics();
   readonly #view = new FleetView();
-  readonly #outageGuard: ListOutageGuard;
+  readonly #listTracker: UpstreamListTracker;
   readonly #nodeServer = new NodeServer();
   readonly #stateSync: FleetStateSync;
   readonly #health: UpstreamHealth;
@@ -57,6 +61,8 @@
   readonly #listener: ForwardServer;
   readonly #metricsServer: Server;
   readonly #incarnation = Date.now();
+  /** When to read the peer list, which may lack this process, even if it isn't a reader. */
+  #peersDueMs = Infinity;
   #isDraining = false;
 
   constructor(options: {
@@ -73,9 +79,17 @@
     this.#sources = options.sources;
     this.#logger = logger;
     this.#health = new UpstreamHealth(clock);
-    this.#outageGuard = new ListOutageGuard({ clock, upstreamBeatMs: settings.upstreamBeatMs });
+    this.#listTracker = new UpstreamListTracker({
+      ...{ clock, view: this.#view, logger, upstreamBeatMs: settings.upstreamBeatMs },
+      onRestored: () => {
+        this.#peersDueMs = clock.now() + this.#random.next() * PEERS_REREAD_SPREAD_MS;
+      },
+    });
     this.#peers = new PeerTable({ clock, self: settings.host });
-    this.#readerSelection = new ReaderSelection({ clock, self: settings, peers: this.#peers });
+    this.#readerSelection = new ReaderSelection({
+      ...{ clock, self: settings, peers: this.#peers },
+      getListEpoch: () => getEpoch(this.#view.list),
+    });
     this.#channel = new DatagramChannel({
       onError: (peer, reason) => {
         logger.warn("datagram error", { step: "membership", peer, reason });
@@ -102,8 +116,9 @@
       onList: (list, atMs) => {
         this.#applyUpstreams(list, atMs);
       },
-      onListConfirmed: (version, atMs) => {
-        this.#confirmUpstreams(version, atMs);
+      onListConfirmed: (position, atMs) => {
+        this.#listTracker.confirm(position, atMs);
+        this.#metrics.setListEpoch(getEpoch(this.#view.list));
       },
       onFetchFailed: () => {
         this.#readerSelection.onPeerFailed();
@@ -236,15 +251,19 @@
         this.#readerSelection.onRead("list");
       },
       onValue: (list) => {
-        if (this.#applyUpstreams(list, this.#clock.now())) {
+        if (this.#listTracker.isOfOlderEpoch(list)) {
+          this.#readerSelection.onStaleRead("list");
+        } else if (this.#applyUpstreams(list, this.#clock.now())) {
           this.#peerExchange.announce();
         }
       },
       onConnectionChange: this.#newConnectionLogger("upstream list"),
     });
     this.#sources.peers.start({
-      shouldRead,
-      onRead: () => undefined,
+      shouldRead: () => shouldRead() || this.#clock.now() >= this.#peersDueMs,
+      onRead: () => {
+        this.#peersDueMs = Infinity;
+      },
       onValue: (hosts) => {
         this.#peers.addHosts(hosts);
       },
@@ -275,28 +294,12 @@
     return true;
   }
 
-  /** Applies an upstream list that was current at `atMs`; true when upstreams joined or left. */
+  /** Applies an upstream list that was current at `atMs`; true when upstreams or the epoch changed. */
   #applyUpstreams(list: UpstreamList, atMs: number): boolean {
-    this.#outageGuard.onList(atMs);
-    const retained = this.#outageGuard.getRetained(this.#view.upstreams.keys());
-    const { joined, left } = this.#view.applyUpstreams(list, atMs, retained);
+    const hasChanged = this.#listTracker.apply(list, atMs);
     this.#health.retain(new Set(this.#view.upstreams.keys()));
-    if (left.length > 0 || joined.length > 0) {
-      this.#logger.info("upstreams changed", {
-        ...{ step: "membership", left, joined, kept: retained.size },
-        ...{ size: this.#view.upstreams.size, listVersion: list.version },
-      });
-    }
-    return left.length > 0 || joined.length > 0;
-  }
-
-  /** Records that the list in force was current at `atMs`; drops upstreams that it lacks once they are no longer retained. */
-  #confirmUpstreams(version: number, atMs: number): void {
-    this.#view.confirmList(version, atMs);
-    this.#outageGuard.onList(atMs);
-    if (this.#view.hasUnlisted) {
-      this.#applyUpstreams(this.#view.list, atMs);
-    }
+    this.#metrics.setListEpoch(getEpoch(this.#view.list));
+    return hasChanged;
   }
 
   #newRetryBudget(): RetryBudget {
@@ -315,7 +318,7 @@
       callerAddress: `${host}:${String(callerPort)}`,
       state: this.#getState(),
       revision: this.#view.revision,
-      listVersion: this.#view.list.version,
+      ...{ listEpoch: this.#view.list.epoch, listVersion: this.#view.list.version },
       listDigest: this.#view.listDigest,
       reads: this.#readerSelection.getAges(),
     };
--- a/packages/daemon/src/gateway/PeerExchange.ts
+++ b/packages/daemon/src/gateway/PeerExchange.ts
@@ -45,6 +45,7 @@
   callerAddress: z.string(),
   state: z.enum([PeerState.Joining, PeerState.Live, PeerState.Leaving]),
   revision: z.number(),
+  listEpoch: z.number().optional(),
   listVersion: z.number(),
   listDigest: z.string(),
   reads: z.object({ configMs: z.number().optional(), listMs: z.number().optional() }),
--- a/packages/forwarding/src/FleetView.ts
+++ b/packages/forwarding/src/FleetView.ts
@@ -1,6 +1,13 @@
 import { createHash } from "node:crypto";
 
-import type { FleetConfig, Upstream, UpstreamList } from "./fleetConfig.js";
+import {
+  isListBefore,
+  type FleetConfig,
+  type ListPosition,
+  type Upstream,
+  type UpstreamList,
+} from "./fleetConfig.js";
+import type { ListCorrections } from "./DepartedUpstreams.js";
 import { RouteTable } from "./RouteTable.js";
 
 /** Ids of upstreams that a list added, and of those that it removed or that began to drain. */
@@ -9,6 +16,8 @@
   readonly left: readonly string[];
 }
 
+const NO_CORRECTIONS: ListCorrections = { heldBack: new Set(), leaving: new Set() };
+
 /** Configuration and upstreams in force at this process. */
 export class FleetView {
   #table: RouteTable | undefined;
@@ -17,6 +26,7 @@
   #list: UpstreamList = { version: -1, upstreams: [] };
   #listedMs = 0;
   #listDigest = "";
+  #isProvisional = false;
 
   /** Route table of the configuration in force; undefined before one is known. */
   get table(): RouteTable | undefined {
@@ -46,9 +56,9 @@
     return this.#upstreams;
   }
 
-  /** True while upstreams are retained that the newest list lacks. */
-  get hasUnlisted(): boolean {
-    return this.#upstreams.size > this.#list.upstreams.length;
+  /** True while upstreams are in use that the newest list lacks, or listed ones are held back. */
+  get isProvisional(): boolean {
+    return this.#isProvisional;
   }
 
   /** Puts a configuration in force; false when the one in force is as new or newer. */
@@ -62,19 +72,27 @@
 
   /**
    * Applies a list of upstreams unless it is older than the one in force, and
-   * returns what changed. `retained` are upstreams that stay in use even if the list lacks them.
+   * returns what changed. `retained` are upstreams that stay in use even if the list lacks them;
+   * `corrections` apply to those that it has.
    */
-  applyUpstreams(list: UpstreamList, nowMs: number, retained: ReadonlySet<string>): ListChange {
-    if (list.version < this.#list.version) {
+  applyUpstreams(
+    list: UpstreamList,
+    nowMs: number,
+    retained: ReadonlySet<string>,
+    { heldBack, leaving }: ListCorrections = NO_CORRECTIONS,
+  ): ListChange {
+    if (isListBefore(list, this.#list)) {
       return { joined: [], left: [] };
     }
-    const listed = new Map(list.upstreams.map((upstream) => [upstream.id, upstream]));
+    const listed = new Set(list.upstreams.map(({ id }) => id));
     const unlisted = [...this.#upstreams.values()].filter(
       ({ id }) => !listed.has(id) && retained.has(id),
     );
-    const next = new Map(
-      [...unlisted, ...list.upstreams].map((upstream) => [upstream.id, upstream]),
-    );
+    const usable = list.upstreams
+      .filter(({ id }) => !heldBack.has(id))
+      .map((upstream) => (leaving.has(upstream.id) ? { ...upstream, isLeaving: true } : upstream));
+    const next = new Map([...unlisted, ...usable].map((upstream) => [upstream.id, upstream]));
+    this.#isProvisional = unlisted.length > 0 || usable.length < list.upstreams.length;
     const change = {
       joined: [...next.keys()].filter((id) => !this.#upstreams.has(id)),
       left: [...this.#upstreams.values()]
@@ -89,9 +107,11 @@
     return change;
   }
 
-  /** Records that the list in force is still current at `version`. */
-  confirmList(version: number, atMs: number): void {
-    this.#list = { ...this.#list, version: Math.max(version, this.#list.version) };
+  /** Records that the list in force is still current at `position`. */
+  confirmList({ epoch, version }: ListPosition, atMs: number): void {
+    if (isListBefore(this.#list, { epoch, version })) {
+      this.#list = { ...this.#list, epoch, version };
+    }
     this.#listedMs = Math.max(this.#listedMs, atMs);
   }
 
--- a/packages/forwarding/src/ListOutageGuard.ts
+++ b/packages/forwarding/src/ListOutageGuard.ts
@@ -1,7 +1,7 @@
 import type { Clock } from "@lycheepulley/core";
 
-/** Time after an outage within which live upstreams with expired entries are listed again. */
-const RELIST_MS = 2_000;
+/** Time after an outage within which live upstreams with expired or lost entries are listed again. */
+export const RELIST_MS = 2_000;
 /**
  * Shortest outage in which entries can expire, in heartbeats: they expire after
  * three, and the last one came up to one before the outage.
@@ -12,12 +12,14 @@
 /**
  * Decides which upstreams stay in use although a list lacks them. While the
  * service that lists them is down, it gets no heartbeats, and the entries of
- * live upstreams expire.
+ * live upstreams expire. When it was restored from an older copy (a newer
+ * epoch), it lacks the entries written since.
  */
 export class ListOutageGuard {
   readonly #clock: Clock;
   readonly #minOutageMs: number;
   #lastListMs: number | undefined;
+  #epoch: number | undefined;
   #retainUntilMs = -Infinity;
 
   constructor(options: { clock: Clock; upstreamBeatMs: number }) {
@@ -25,12 +27,16 @@
     this.#minOutageMs = MIN_OUTAGE_HEARTBEATS * options.upstreamBeatMs - OUTAGE_MARGIN_MS;
   }
 
-  /** Records a list that was current at `atMs`. */
-  onList(atMs: number): void {
-    if (this.#lastListMs !== undefined && atMs - this.#lastListMs >= this.#minOutageMs) {
+  /** Records a list of an epoch that was current at `atMs`; true when the epoch rose. */
+  onList(atMs: number, epoch = 0): boolean {
+    const wasOut = this.#lastListMs !== undefined && atMs - this.#lastListMs >= this.#minOutageMs;
+    const hasRisen = this.#epoch !== undefined && epoch > this.#epoch;
+    if (wasOut || hasRisen) {
       this.#retainUntilMs = this.#clock.now() + RELIST_MS;
     }
+    this.#epoch = Math.max(epoch, this.#epoch ?? -Infinity);
     this.#lastListMs = Math.max(atMs, this.#lastListMs ?? -Infinity);
+    return hasRisen;
   }
 
   /** The known upstreams shortly after an outage, otherwise none. */
--- a/packages/forwarding/src/PeerTable.ts
+++ b/packages/forwarding/src/PeerTable.ts
@@ -24,7 +24,9 @@
   readonly state: PeerState;
   /** Revision of its configuration, -1 before one is known. */
   readonly revision: number;
-  /** Version of its list of upstreams, -1 before one is known. */
+  /** Epoch of its list of upstreams, absent for a service without epochs. */
+  readonly listEpoch?: number | undefined;
+  /** Version of that list within its epoch, -1 before one is known. */
   readonly listVersion: number;
   /** Digest of that list's entries. */
   readonly listDigest: string;
--- a/packages/forwarding/src/ReaderSelection.test.ts
+++ b/packages/forwarding/src/ReaderSelection.test.ts
@@ -12,6 +12,8 @@
   readonly clock = new ManualClock();
   readonly #members: readonly { host: string; peers: PeerTable; selection: ReaderSelection }[];
   readonly #capacities: readonly number[];
+  /** Epoch of the list that every member has. */
+  listEpoch = 0;
 
   constructor(capacities: readonly number[] = []) {
     this.#capacities = capacities;
@@ -19,7 +21,8 @@
       const { clock } = this;
       const peers = new PeerTable({ clock, self: host });
       const self = { host, capacity: capacities[index] ?? 1 };
-      return { host, peers, selection: new ReaderSelection({ clock, self, peers }) };
+      const getListEpoch = (): number => this.listEpoch;
+      return { host, peers, selection: new ReaderSelection({ clock, self, peers, getListEpoch }) };
     });
   }
 
@@ -28,13 +31,14 @@
     hosts: readonly string[],
     reads: ReadAges,
     state: PeerState = PeerState.Live,
+    listEpoch?: number,
   ): void {
     for (const { host, peers } of this.#members) {
       for (const from of hosts.filter((other) => other !== host)) {
         peers.recordHeartbeat({
           ...{ host: from, incarnation: 1, failureDomain: "z", callerAddress: `${from}:80` },
           capacity: this.#capacities[HOSTS.indexOf(from)] ?? 1,
-          ...{ state, revision: 1, listVersion: 1, listDigest: "d", reads, beatMs: 250 },
+          ...{ state, revision: 1, listVersion: 1, listDigest: "d", reads, beatMs: 250, listEpoch },
         });
       }
     }
@@ -114,6 +118,24 @@
     expect(fleet.readers.filter((host) => !first.includes(host)).length).to.equal(3);
   });
 
+  // Guards against a fleet that trusts readers which don't know that the store returned from a copy.
+  it("row readers: replaces those whose list is of an older epoch", () => {
+    const fleet = new Fleet();
+    fleet.listEpoch = 2;
+    fleet.sendHeartbeats(HOSTS, FRESH, PeerState.Live, 2);
+    const first = fleet.readers;
+    fleet.sendHeartbeats(first, FRESH, PeerState.Live, 1);
+    expect(fleet.readers.filter((host) => !first.includes(host)).length).to.equal(3);
+  });
+
+  // Guards against a list that no process reads any more while old and new builds run together.
+  it("row readers: doesn't rely on peers of a build without epochs", () => {
+    const fleet = new Fleet();
+    fleet.listEpoch = 2;
+    fleet.sendHeartbeats(HOSTS, FRESH);
+    expect(fleet.readers).to.deep.equal(HOSTS);
+  });
+
   it("makes a process a reader when it gets no heartbeats", async () => {
     const fleet = new Fleet();
     fleet.sendHeartbeats(HOSTS, FRESH);
--- a/packages/forwarding/src/ReaderSelection.ts
+++ b/packages/forwarding/src/ReaderSelection.ts
@@ -2,6 +2,7 @@
 
 import type { Clock } from "@lycheepulley/core";
 
+import { getEpoch } from "./fleetConfig.js";
 import { PeerState, type LivePeer, type PeerIdentity, type PeerTable } from "./PeerTable.js";
 
 /** Number of processes that read the sources for all. */
@@ -35,14 +36,22 @@
   readonly #clock: Clock;
   readonly #self: RankedProcess;
   readonly #peers: PeerTable;
+  readonly #getListEpoch: () => number;
   readonly #hostDigests = new Map<string, string>();
   #selfReadUntilMs = -Infinity;
   readonly #lastReadMs = new Map<ReadSource, number>();
 
-  constructor(options: { clock: Clock; self: RankedProcess; peers: PeerTable }) {
+  constructor(options: {
+    clock: Clock;
+    self: RankedProcess;
+    peers: PeerTable;
+    /** Epoch of the list in force; a peer with an older list doesn't count as a reader. */
+    getListEpoch?: () => number;
+  }) {
     this.#clock = options.clock;
     this.#self = options.self;
     this.#peers = options.peers;
+    this.#getListEpoch = options.getListEpoch ?? (() => 0);
   }
 
   /** Records that a peer failed to share what it read. */
@@ -55,6 +64,11 @@
     this.#lastReadMs.set(source, this.#clock.now());
   }
 
+  /** Records that this process's own reads of a source are older than what its peers know. */
+  onStaleRead(source: ReadSource): void {
+    this.#lastReadMs.delete(source);
+  }
+
   /** Ages of the reads that this process made itself. */
   getAges(): ReadAges {
     return { configMs: this.#getAge("config"), listMs: this.#getAge("list") };
@@ -65,8 +79,10 @@
     if (this.#clock.now() < this.#selfReadUntilMs) {
       return true;
     }
+    const epoch = this.#getListEpoch();
     const isAhead = ({ peer, silentMs }: LivePeer): boolean =>
       peer.state !== PeerState.Leaving &&
+      getEpoch({ epoch: peer.listEpoch }) >= epoch &&
       this.#ranksBefore(peer, this.#self) &&
       isFresh(peer.reads, silentMs);
     return this.#peers.getLiveWithSilence().filter(isAhead).length < READER_COUNT;
--- /dev/null
+++ b/packages/forwarding/src/UpstreamListTracker.ts
@@ -0,0 +1,97 @@
+import type { Clock } from "@lycheepulley/core";
+import type { Logger } from "@lycheepulley/telemetry";
+
+import { DepartedUpstreams, type ListCorrections } from "./DepartedUpstreams.js";
+import { getEpoch, isListBefore, type ListPosition, type UpstreamList } from "./fleetConfig.js";
+import type { FleetView } from "./FleetView.js";
+import { ListOutageGuard } from "./ListOutageGuard.js";
+
+/**
+ * Applies lists of upstreams to the view, from the listing service or from peers.
+ * Bridges outages of the service and its returns from an older copy.
+ */
+export class UpstreamListTracker {
+  readonly #view: FleetView;
+  readonly #logger: Logger;
+  readonly #onRestored: () => void;
+  readonly #outageGuard: ListOutageGuard;
+  readonly #departed: DepartedUpstreams;
+  #position: ListPosition = { version: -1 };
+
+  /** `onRestored` is called when the service came back from an older copy. */
+  constructor(options: {
+    clock: Clock;
+    view: FleetView;
+    logger: Logger;
+    upstreamBeatMs: number;
+    onRestored: () => void;
+  }) {
+    const { clock, upstreamBeatMs } = options;
+    this.#view = options.view;
+    this.#logger = options.logger;
+    this.#onRestored = options.onRestored;
+    this.#outageGuard = new ListOutageGuard({ clock, upstreamBeatMs });
+    this.#departed = new DepartedUpstreams({ clock, upstreamBeatMs });
+  }
+
+  /** True when `list` is of an older epoch than the list in force. */
+  isOfOlderEpoch(list: ListPosition): boolean {
+    return getEpoch(list) < getEpoch(this.#view.list);
+  }
+
+  /** Applies a list that was current at `atMs`; true when upstreams or the epoch changed. */
+  apply(list: UpstreamList, atMs: number): boolean {
+    if (this.isOfOlderEpoch(list)) {
+      return false;
+    }
+    const hasRisen = this.#outageGuard.onList(atMs, getEpoch(list));
+    if (isListBefore(list, this.#view.list)) {
+      return false;
+    }
+    const retained = this.#outageGuard.getRetained(this.#view.upstreams.keys());
+    const corrections = this.#departed.getCorrections(list);
+    const { joined, left } = this.#view.applyUpstreams(list, atMs, retained, corrections);
+    this.#departed.record(list, corrections, this.#view.upstreams);
+    if (left.length > 0 || joined.length > 0) {
+      this.#logger.info("upstreams changed", {
+        ...{ step: "membership", left, joined, kept: retained.size },
+        ...{ size: this.#view.upstreams.size, listVersion: list.version },
+      });
+    }
+    if (hasRisen) {
+      this.#logRestored(list, corrections);
+      this.#onRestored();
+    }
+    this.#position = { epoch: list.epoch, version: list.version };
+    return left.length > 0 || joined.length > 0 || hasRisen;
+  }
+
+  /**
+   * Records that the list in force was current at `atMs`, at a newer position. Applies it again
+   * while upstreams are retained or held back.
+   */
+  confirm(position: ListPosition, atMs: number): void {
+    if (this.isOfOlderEpoch(position)) {
+      return;
+    }
+    const hasRisen = getEpoch(position) > getEpoch(this.#view.list);
+    this.#view.confirmList(position, atMs);
+    if (hasRisen || this.#view.isProvisional) {
+      this.apply(this.#view.list, atMs);
+    } else {
+      this.#outageGuard.onList(atMs, getEpoch(position));
+    }
+  }
+
+  #logRestored(list: UpstreamList, { heldBack, leaving }: ListCorrections): void {
+    const listed = new Set(list.upstreams.map(({ id }) => id));
+    this.#logger.info("store restored from an older copy", {
+      ...{ step: "membership", epochBefore: this.#position.epoch, epoch: list.epoch },
+      ...{ listVersionBefore: this.#position.version, listVersion: list.version },
+      ...{ revision: this.#view.revision, size: this.#view.upstreams.size },
+      retained: [...this.#view.upstreams.keys()].filter((id) => !listed.has(id)),
+      ...{ heldBack: [...heldBack], leaving: [...leaving] },
+      readAnew: ["configuration", "upstream list", "peer list"],
+    });
+  }
+}
--- a/packages/forwarding/src/fleetConfig.ts
+++ b/packages/forwarding/src/fleetConfig.ts
@@ -108,9 +108,24 @@
 });
 export type Upstream = z.infer<typeof upstreamSchema>;
 
-/** Upstreams at one time; a greater version is newer. */
+/** Upstreams at one time. Positions are compared with `isListBefore`. */
 export const upstreamListSchema = z.object({
+  /**
+   * Rises when the service that lists the upstreams was restored from an older
+   * copy; versions are comparable only within one epoch. Absent for a service without epochs.
+   */
+  epoch: z.number().optional(),
   version: z.number(),
   upstreams: z.array(upstreamSchema),
 });
 export type UpstreamList = z.infer<typeof upstreamListSchema>;
+
+/** Position of a list: its epoch and its version within that. */
+export type ListPosition = Pick<UpstreamList, "epoch" | "version">;
+
+/** Epoch of a position; 0 without one. */
+export const getEpoch = ({ epoch }: Pick<ListPosition, "epoch">): number => epoch ?? 0;
+
+/** True when the position `one` is older than `other`. */
+export const isListBefore = (one: ListPosition, other: ListPosition): boolean =>
+  getEpoch(one) === getEpoch(other) ? one.version < other.version : getEpoch(one) < getEpoch(other);
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -1,5 +1,6 @@
 export * from "./Batcher.js";
 export * from "./CrashTracker.js";
+export * from "./DepartedUpstreams.js";
 export * from "./engineModel.js";
 export * from "./EventSplitter.js";
 export * from "./fleetConfig.js";
@@ -21,5 +22,6 @@
 export * from "./ReservationManager.js";
 export * from "./types.js";
 export * from "./UpstreamHealth.js";
+export * from "./UpstreamListTracker.js";
 export * from "./PeerTable.js";
 export * from "./ReaderSelection.js";
--- a/packages/forwarding/src/views.test.ts
+++ b/packages/forwarding/src/views.test.ts
@@ -66,7 +66,7 @@
   it("doesn't go back to a list older than the confirmed one", () => {
     const view = new FleetView();
     apply(view, 5);
-    view.confirmList(9, 100);
+    view.confirmList({ version: 9 }, 100);
     apply(view, 7, [a]);
     expect(view.upstreams.size).to.equal(2);
     expect(view).to.include({ listedMs: 100 });
@@ -76,9 +76,9 @@
     const view = new FleetView();
     apply(view, 5);
     view.applyUpstreams({ version: 6, upstreams: [a] }, 0, new Set(["b"]));
-    expect(view.hasUnlisted).to.equal(true);
+    expect(view.isProvisional).to.equal(true);
     apply(view, 6, [a]);
-    expect(view.hasUnlisted).to.equal(false);
+    expect(view.isProvisional).to.equal(false);
   });
 });
 
--- a/packages/telemetry/src/ForwardMetrics.ts
+++ b/packages/telemetry/src/ForwardMetrics.ts
@@ -10,6 +10,7 @@
   readonly #latencies = new Map<string, Histogram>();
   readonly #requests: Counter;
   readonly #sends: Counter;
+  readonly #listEpoch: Gauge;
 
   constructor() {
     const registers = [this.#registry];
@@ -25,6 +26,11 @@
       labelNames: ["route"],
       registers,
     });
+    this.#listEpoch = new Gauge({
+      name: "lycheepulley_list_epoch",
+      help: "Epoch of the list of upstreams; rises when its service was restored from an older copy",
+      registers,
+    });
     const latencies = this.#latencies;
     new Gauge({
       name: "lycheepulley_forward_ms",
@@ -60,6 +66,11 @@
     }
   }
 
+  /** Sets the epoch of the list of upstreams in force; 0 for a service without epochs. */
+  setListEpoch(epoch: number): void {
+    this.#listEpoch.set(epoch);
+  }
+
   getText(): Promise<string> {
     return this.#registry.metrics();
   }
