End the retention after an outage by the newest list

Cause: upstreams that a list lacks after an outage or a return stayed in use for two seconds by the clock. When the store was away again within them, nothing could be listed meanwhile, and the next heartbeat that confirmed the list dropped live upstreams; an old entry that was held back was used although the store had had no time to let it expire.

Change: both end once a list is that much newer than the one that showed the outage or the return.

Result: "row two returns in a row: time without a newer list doesn't end the retention" fails without the change and passes with it.

--- a/packages/forwarding/src/DepartedUpstreams.ts
+++ b/packages/forwarding/src/DepartedUpstreams.ts
@@ -49,11 +49,11 @@
     return this.#departures.size;
   }
 
-  /** Corrections to a list that is not older than those recorded. */
-  getCorrections(list: UpstreamList): ListCorrections {
+  /** Corrections to a list that was current at `atMs` and isn't older than those recorded. */
+  getCorrections(list: UpstreamList, atMs: number): ListCorrections {
     const epoch = getEpoch(list);
     this.#trackEpoch(epoch);
-    const isHolding = this.#clock.now() < this.#holdUntilMs;
+    const isHolding = atMs < this.#holdUntilMs;
     const [heldBack, leaving] = [new Set<string>(), new Set<string>()];
     for (const { id } of list.upstreams) {
       const departure = this.#departures.get(id);
--- a/packages/forwarding/src/ListOutageGuard.ts
+++ b/packages/forwarding/src/ListOutageGuard.ts
@@ -39,8 +39,12 @@
     return hasRisen;
   }
 
-  /** The known upstreams shortly after an outage, otherwise none. */
+  /**
+   * The known upstreams while the newest list is of shortly after an outage, otherwise none.
+   * Time without a newer list doesn't count: the service may be out again.
+   */
   getRetained(known: Iterable<string>): ReadonlySet<string> {
-    return this.#clock.now() < this.#retainUntilMs ? new Set(known) : new Set();
+    const isRetaining = (this.#lastListMs ?? -Infinity) < this.#retainUntilMs;
+    return isRetaining ? new Set(known) : new Set();
   }
 }
--- a/packages/forwarding/src/UpstreamListTracker.test.ts
+++ b/packages/forwarding/src/UpstreamListTracker.test.ts
@@ -49,8 +49,9 @@
     return this.#tracker.apply({ epoch, version: this.#version, upstreams }, this.clock.now());
   }
 
-  confirm(position: ListPosition): void {
-    this.#tracker.confirm(position, this.clock.now());
+  /** A peer confirms the list, which it read `ageMs` ago. */
+  confirm(position: ListPosition, ageMs = 0): void {
+    this.#tracker.confirm(position, this.clock.now() - ageMs);
   }
 
   /** Applies the same list at the usual interval for `ms`. */
@@ -207,6 +208,19 @@
     expect(harness.available).to.equal("a");
   });
 
+  // Guards against upstreams that are dropped while a second outage keeps them from being listed.
+  it("row two returns in a row: time without a newer list doesn't end the retention", async () => {
+    const harness = new TrackerHarness();
+    harness.apply(1, ["a", "b", "c"]);
+    harness.apply(1, ["a", "b"]);
+    harness.apply(2, ["a", "c"], 40);
+    await harness.clock.advance(8_000);
+    harness.confirm({ epoch: 2, version: 40 }, 7_900);
+    expect(harness.available).to.equal("a b");
+    harness.confirm({ epoch: 2, version: 41 });
+    expect(harness.available).to.equal("a b c");
+  });
+
   it("row peers: one in an older epoch doesn't confirm the list", () => {
     const harness = new TrackerHarness();
     harness.apply(2, ["a"], 40);
--- a/packages/forwarding/src/UpstreamListTracker.ts
+++ b/packages/forwarding/src/UpstreamListTracker.ts
@@ -49,7 +49,7 @@
       return false;
     }
     const retained = this.#outageGuard.getRetained(this.#view.upstreams.keys());
-    const corrections = this.#departed.getCorrections(list);
+    const corrections = this.#departed.getCorrections(list, atMs);
     const { joined, left } = this.#view.applyUpstreams(list, atMs, retained, corrections);
     this.#departed.record(list, corrections, this.#view.upstreams);
     if (left.length > 0 || joined.length > 0) {
