Check messages of peers by hand before their schemas

Each process validates every heartbeat and load change of the fleet; zod took 13.6 in 100 of the profiled time.

Complete messages pass checks written by hand; others, such as those of older builds without the fields that have defaults, go through the schema as before. Messages don't change. A process's own host is no longer read by making its whole identity.

--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -110,7 +110,7 @@
       },
     });
     this.#peerExchange = new PeerExchange({
-      ...{ clock, channel: this.#channel, peers: this.#peers, logger },
+      ...{ clock, channel: this.#channel, peers: this.#peers, logger, self: settings },
       getIdentity: () => this.#getIdentity(),
       getLoadTracker: () => loadTracker,
       onPeerHeartbeat: (peer) => {
--- a/packages/daemon/src/gateway/PeerExchange.ts
+++ b/packages/daemon/src/gateway/PeerExchange.ts
@@ -1,9 +1,7 @@
 import type { Cancel, Clock } from "@lycheepulley/core";
 import {
   Batcher,
-  loadItemSchema,
   pickRelays,
-  PeerState,
   type CrashTracker,
   type LoadTracker,
   type LoadChange,
@@ -13,7 +11,16 @@
 } from "@lycheepulley/forwarding";
 import type { DatagramChannel } from "@lycheepulley/nodes";
 import type { Logger } from "@lycheepulley/telemetry";
-import { z } from "zod";
+
+import {
+  crashStrikeSchema,
+  heartbeatBatchParser,
+  heartbeatParser,
+  loadBatchParser,
+  loadChangeParser,
+  MAX_GOSSIP_HOSTS,
+  type Heartbeat,
+} from "./peerMessages.js";
 
 const MIN_HEARTBEAT_MS = 250;
 /** The heartbeat interval of large fleets grows by this time for each peer. */
@@ -23,9 +30,6 @@
 const SNAPSHOT_INTERVAL_MS = 900;
 /** The same when heartbeats go through relays, whose links carry them many times. */
 const RELAYED_SNAPSHOT_INTERVAL_MS = 2_000;
-/** Hosts named in one heartbeat with a snapshot; successive ones go through all known hosts. */
-const MAX_GOSSIP_HOSTS = 8;
-
 /** With more live peers than this, messages go through relays in each failure domain. */
 const MAX_DIRECT_PEERS = 24;
 /** Heartbeats take turns among this many relays of a failure domain, so that the end of one loses few. */
@@ -37,38 +41,7 @@
 const MAX_LOAD_BATCH = 80;
 const MAX_HEARTBEAT_BATCH = 30;
 
-const identitySchema = z.object({
-  host: z.string(),
-  incarnation: z.number(),
-  failureDomain: z.string(),
-  capacity: z.number(),
-  callerAddress: z.string(),
-  state: z.enum([PeerState.Joining, PeerState.Live, PeerState.Leaving]),
-  revision: z.number(),
-  listVersion: z.number(),
-  listDigest: z.string(),
-  reads: z.object({ configMs: z.number().optional(), listMs: z.number().optional() }),
-  beatMs: z.number().nonnegative(),
-  beat: z.number().int().optional(),
-});
-const heartbeatSchema = z.object({
-  identity: identitySchema,
-  hosts: z.array(z.string()).max(MAX_GOSSIP_HOSTS),
-  seq: z.number().int(),
-  items: z.array(loadItemSchema).optional(),
-});
-type Heartbeat = z.output<typeof heartbeatSchema>;
-const heartbeatBatchSchema = z.object({ beats: z.array(heartbeatSchema) });
-const loadChangeSchema = z.object({
-  host: z.string(),
-  incarnation: z.number(),
-  seq: z.number().int(),
-  changed: z.array(loadItemSchema),
-  writing: z.array(z.string()),
-  ended: z.array(z.string()),
-});
-const loadBatchSchema = z.object({ changes: z.array(loadChangeSchema) });
-const crashStrikeSchema = z.object({ fingerprint: z.string(), upstream: z.string() });
+type ProcessName = Pick<PeerIdentity, "host" | "failureDomain">;
 
 /** Exchanges heartbeats, load changes and crash strikes with peers by datagram. */
 export class PeerExchange {
@@ -76,6 +49,7 @@
   readonly #channel: DatagramChannel;
   readonly #peers: PeerTable;
   readonly #logger: Logger;
+  readonly #self: ProcessName;
   readonly #getIdentity: () => Omit<PeerIdentity, "beatMs">;
   readonly #getLoadTracker: () => LoadTracker;
   readonly #onPeerHeartbeat: (peer: PeerIdentity) => void;
@@ -93,6 +67,7 @@
     channel: DatagramChannel;
     peers: PeerTable;
     logger: Logger;
+    self: ProcessName;
     getIdentity: () => Omit<PeerIdentity, "beatMs">;
     getLoadTracker: () => LoadTracker;
     onPeerHeartbeat: (peer: PeerIdentity) => void;
@@ -101,6 +76,7 @@
     this.#channel = options.channel;
     this.#peers = options.peers;
     this.#logger = options.logger;
+    this.#self = options.self;
     this.#getIdentity = options.getIdentity;
     this.#getLoadTracker = options.getLoadTracker;
     this.#onPeerHeartbeat = options.onPeerHeartbeat;
@@ -123,33 +99,33 @@
   }
 
   start(crashes: CrashTracker): void {
-    this.#channel.handle("node.beat", heartbeatSchema, (heartbeat, host) => {
+    this.#channel.handle("node.beat", heartbeatParser, (heartbeat, host) => {
       if (heartbeat.identity.host === host) {
         this.#onHeartbeat(heartbeat);
       }
     });
-    this.#channel.handle("node.beat.relay", heartbeatSchema, (heartbeat, host) => {
+    this.#channel.handle("node.beat.relay", heartbeatParser, (heartbeat, host) => {
       if (heartbeat.identity.host === host) {
         this.#onHeartbeat(heartbeat);
         this.#heartbeatRelay.add({ heartbeat, receivedMs: this.#clock.now() });
       }
     });
-    this.#channel.handle("node.beat.batch", heartbeatBatchSchema, ({ beats }) => {
-      const { host } = this.#getIdentity();
+    this.#channel.handle("node.beat.batch", heartbeatBatchParser, ({ beats }) => {
+      const { host } = this.#self;
       beats
         .filter(({ identity }) => identity.host !== host)
         .forEach((heartbeat) => {
           this.#onHeartbeat(heartbeat);
         });
     });
-    this.#channel.handle("load.change", loadChangeSchema, (change) => {
+    this.#channel.handle("load.change", loadChangeParser, (change) => {
       this.#applyChange(change);
     });
-    this.#channel.handle("load.relay", loadChangeSchema, (change) => {
+    this.#channel.handle("load.relay", loadChangeParser, (change) => {
       this.#applyChange(change);
       this.#loadRelay.add(change);
     });
-    this.#channel.handle("load.batch", loadBatchSchema, ({ changes }) => {
+    this.#channel.handle("load.batch", loadBatchParser, ({ changes }) => {
       changes.forEach((change) => {
         this.#applyChange(change);
       });
@@ -189,12 +165,12 @@
 
   /** Live peers of this process's failure domain. */
   #getDomainHosts(): string[] {
-    const { failureDomain } = this.#getIdentity();
+    const { failureDomain } = this.#self;
     return getHosts(this.#peers.getLive().filter((peer) => peer.failureDomain === failureDomain));
   }
 
   #applyChange({ host, incarnation, seq, ...change }: RelayedChange): void {
-    if (host !== this.#getIdentity().host) {
+    if (host !== this.#self.host) {
       this.#getLoadTracker().applyPeerChange(getProcessKey(host, incarnation), seq, change);
     }
   }
--- a/packages/forwarding/src/load.ts
+++ b/packages/forwarding/src/load.ts
@@ -13,10 +13,11 @@
 
 /** Time until the deadline of a request whose process, of an older build, doesn't report it. */
 const UNKNOWN_DEADLINE_MS = 10_000;
+const MAX_ID_LENGTH = 64;
 
 /** One in-flight request, as the entry processes report it to each other. */
 export const loadItemSchema = z.object({
-  id: z.string().max(64),
+  id: z.string().max(MAX_ID_LENGTH),
   pool: z.string(),
   phase: z.enum([LoadPhase.Reading, LoadPhase.Writing]),
   /** Upstream that decodes the answer. */
@@ -42,6 +43,42 @@
 });
 export type LoadItem = z.infer<typeof loadItemSchema>;
 
+const isAmount = (value: unknown): value is number =>
+  Number.isFinite(value) && (value as number) >= 0;
+
+const AMOUNTS = ["readMs", "kvTokens", "value"] as const;
+
+const isArrayOf = (value: unknown, isEntry: (entry: unknown) => boolean): boolean =>
+  Array.isArray(value) && value.every(isEntry);
+
+const isString = (value: unknown): value is string => typeof value === "string";
+
+const isPhase = (value: unknown): boolean =>
+  value === LoadPhase.Reading || value === LoadPhase.Writing;
+
+/** True for what {@link loadItemSchema} accepts unchanged, at a fraction of its cost. */
+export const isLoadItem = (value: unknown): value is LoadItem => {
+  if (typeof value !== "object" || value === null) {
+    return false;
+  }
+  const item = value as Partial<Record<keyof LoadItem, unknown>>;
+  return (
+    isString(item.id) &&
+    item.id.length <= MAX_ID_LENGTH &&
+    isString(item.pool) &&
+    isPhase(item.phase) &&
+    isString(item.upstream) &&
+    isArrayOf(item.helpers, isString) &&
+    isArrayOf(item.heldTokens, isAmount) &&
+    AMOUNTS.every((field) => isAmount(item[field])) &&
+    isAmount(item.maxGapMs) &&
+    item.maxGapMs > 0 &&
+    Number.isFinite(item.targetLeftMs) &&
+    Number.isFinite(item.deadlineLeftMs) &&
+    typeof item.isLate === "boolean"
+  );
+};
+
 /** A request whose answer one upstream decodes, with its objectives met so far. */
 export interface DecodeLoad {
   readonly maxGapMs: number;
--- a/packages/nodes/src/DatagramChannel.ts
+++ b/packages/nodes/src/DatagramChannel.ts
@@ -5,11 +5,25 @@
 
 const MAX_DATAGRAM_BYTES = 60_000;
 
-const notificationSchema = z.object({
-  jsonrpc: z.literal("2.0"),
-  method: z.string(),
-  params: z.unknown(),
-});
+/** Validates the parameters of a notification, as a zod schema does. */
+export interface MessageParser<T> {
+  safeParse(
+    value: unknown,
+  ): { success: true; data: T } | { success: false; error: z.core.$ZodError };
+}
+
+interface Notification {
+  readonly method: string;
+  readonly params?: unknown;
+}
+
+const isNotification = (value: unknown): value is Notification =>
+  typeof value === "object" &&
+  value !== null &&
+  "jsonrpc" in value &&
+  value.jsonrpc === "2.0" &&
+  "method" in value &&
+  typeof value.method === "string";
 
 type Handler = (params: unknown, host: string) => void;
 
@@ -33,10 +47,10 @@
     return this.#sentBytes;
   }
 
-  /** Handles one method's notifications; those that don't match `schema` are dropped. */
-  handle<T>(method: string, schema: z.ZodType<T>, fn: (params: T, host: string) => void): void {
+  /** Handles one method's notifications; those that `parser` rejects are dropped. */
+  handle<T>(method: string, parser: MessageParser<T>, fn: (params: T, host: string) => void): void {
     this.#handlers.set(method, (params, host) => {
-      const parsed = schema.safeParse(params);
+      const parsed = parser.safeParse(params);
       if (parsed.success) {
         fn(parsed.data, host);
       } else {
@@ -91,9 +105,8 @@
       this.#onError(host, "not JSON");
       return;
     }
-    const message = notificationSchema.safeParse(raw);
-    if (message.success) {
-      this.#handlers.get(message.data.method)?.(message.data.params, host);
+    if (isNotification(raw)) {
+      this.#handlers.get(raw.method)?.(raw.params, host);
     } else {
       this.#onError(host, "not a JSON-RPC notification");
     }
