Send datagrams to IP addresses without the resolver

Node passes each address of a datagram through its resolver, which defers the send to the next tick even for an IP address.

A lookup of the channel's own takes IP addresses as they are and leaves names to the resolver.

--- a/packages/nodes/src/DatagramChannel.ts
+++ b/packages/nodes/src/DatagramChannel.ts
@@ -1,4 +1,6 @@
-import { createSocket, type Socket } from "node:dgram";
+import { createSocket, type Socket, type SocketOptions } from "node:dgram";
+import { lookup } from "node:dns";
+import { isIP } from "node:net";
 
 import { createJSONRPCNotification } from "json-rpc-2.0";
 import { z } from "zod";
@@ -25,6 +27,16 @@
   "method" in value &&
   typeof value.method === "string";
 
+/** Takes an IP address as it is: the resolver would defer each send and cost as much as the send. */
+const lookUpHost: NonNullable<SocketOptions["lookup"]> = (host, options, done) => {
+  const family = isIP(host);
+  if (family === 0) {
+    lookup(host, options, done);
+  } else {
+    done(null, host, family);
+  }
+};
+
 type Handler = (params: unknown, host: string) => void;
 
 /** Sends and receives JSON-RPC notifications as UDP datagrams, which may be lost or reordered. */
@@ -62,7 +74,7 @@
   /** Binds the port, which is the same for all processes. */
   listen(host: string, port: number): Promise<void> {
     this.#port = port;
-    const socket = createSocket("udp4");
+    const socket = createSocket({ type: "udp4", lookup: lookUpHost });
     this.#socket = socket;
     socket.on("message", (data, { address }) => {
       this.#receive(data, address);
