Replace one stale reader of the store by few processes in place of all

Cause, by the code: with 90 processes a heartbeat comes once a second and up to 400 ms later through a relay, so a reader's list, read every 550 ms, looks older than 1,600 ms at times. Each process counts the fresh readers ahead of it, and those that don't read are never fresh: one stale reader of three made all the others read.

While one or two readers are left, the three next in rank take over at once, and twice as many after each 400 ms. When none is left all read at once, as before. The test of a large fleet fails without it (48 readers at once).

--- a/packages/forwarding/src/ReaderSelection.test.ts
+++ b/packages/forwarding/src/ReaderSelection.test.ts
@@ -13,9 +13,9 @@
   readonly #members: readonly { host: string; peers: PeerTable; selection: ReaderSelection }[];
   readonly #capacities: readonly number[];
 
-  constructor(capacities: readonly number[] = []) {
+  constructor(capacities: readonly number[] = [], hosts: readonly string[] = HOSTS) {
     this.#capacities = capacities;
-    this.#members = HOSTS.map((host, index) => {
+    this.#members = hosts.map((host, index) => {
       const { clock } = this;
       const peers = new PeerTable({ clock, self: host });
       const self = { host, capacity: capacities[index] ?? 1 };
@@ -120,4 +120,31 @@
     await fleet.clock.advance(1_200);
     expect(fleet.readers).to.deep.equal(HOSTS);
   });
+
+  // Otherwise a list that is old for a moment makes each of 90 processes read the sources.
+  it("replaces one of three readers in a large fleet by few at first, and by more until there are enough", async () => {
+    const hosts = Array.from({ length: 48 }, (_, index) => `10.0.1.${String(index)}`);
+    const fleet = new Fleet([], hosts);
+    fleet.sendHeartbeats(hosts, FRESH);
+    const first = fleet.readers;
+    const rest = hosts.filter((host) => !first.includes(host));
+    const counts: number[] = [];
+    for (let step = 0; step < 5; step++) {
+      fleet.sendHeartbeats(rest, { configMs: 9_000, listMs: 9_000 });
+      fleet.sendHeartbeats(first.slice(0, 2), FRESH);
+      fleet.sendHeartbeats(first.slice(2), { configMs: 1_000, listMs: 1_700 });
+      counts.push(fleet.readers.length);
+      await fleet.clock.advance(400);
+    }
+    expect(counts).to.deep.equal([6, 12, 24, 48, 48]);
+    fleet.sendHeartbeats(first, FRESH);
+    expect(fleet.readers).to.deep.equal(first);
+  });
+
+  it("replaces all readers of a large fleet by all others at once", () => {
+    const hosts = Array.from({ length: 48 }, (_, index) => `10.0.1.${String(index)}`);
+    const fleet = new Fleet([], hosts);
+    fleet.sendHeartbeats(hosts, { configMs: 9_000, listMs: 9_000 });
+    expect(fleet.readers).to.deep.equal(hosts);
+  });
 });
--- a/packages/forwarding/src/ReaderSelection.ts
+++ b/packages/forwarding/src/ReaderSelection.ts
@@ -2,10 +2,15 @@
 
 import type { Clock } from "@lycheepulley/core";
 
-import { PeerState, type LivePeer, type PeerIdentity, type PeerTable } from "./PeerTable.js";
+import { PeerState, type PeerIdentity, type PeerTable } from "./PeerTable.js";
 
 /** Number of processes that read the sources for all. */
 const READER_COUNT = 3;
+/**
+ * While one or two readers are left, the processes next in rank take over first; after each such
+ * time twice as many may, until there are enough. Their reads get known only with their heartbeats.
+ */
+const TAKEOVER_STEP_MS = 400;
 /** A process whose newest list of upstreams is older doesn't count as a reader. */
 const MAX_LIST_AGE_MS = 1_600;
 /** The same for the configuration, whose reads are long polls that wait for a change. */
@@ -29,7 +34,7 @@
  * Decides whether this process reads the sources itself or gets their content
  * from its peers. The readers are the few processes with the most capacity among
  * those whose reads are recent. When they fall silent or their reads become
- * stale, the next ones in rank take over.
+ * stale, the next ones in rank take over; all do when no reader is left.
  */
 export class ReaderSelection {
   readonly #clock: Clock;
@@ -37,6 +42,8 @@
   readonly #peers: PeerTable;
   readonly #hostDigests = new Map<string, string>();
   #selfReadUntilMs = -Infinity;
+  /** Time since which there were too few readers ahead of this process. */
+  #lackingSinceMs: number | undefined;
   readonly #lastReadMs = new Map<ReadSource, number>();
 
   constructor(options: { clock: Clock; self: RankedProcess; peers: PeerTable }) {
@@ -65,11 +72,22 @@
     if (this.#clock.now() < this.#selfReadUntilMs) {
       return true;
     }
-    const isAhead = ({ peer, silentMs }: LivePeer): boolean =>
-      peer.state !== PeerState.Leaving &&
-      this.#ranksBefore(peer, this.#self) &&
-      isFresh(peer.reads, silentMs);
-    return this.#peers.getLiveWithSilence().filter(isAhead).length < READER_COUNT;
+    const ahead = this.#peers
+      .getLiveWithSilence()
+      .filter(
+        ({ peer }) => peer.state !== PeerState.Leaving && this.#ranksBefore(peer, this.#self),
+      );
+    const readers = ahead.filter(({ peer, silentMs }) => isFresh(peer.reads, silentMs)).length;
+    if (readers >= READER_COUNT) {
+      this.#lackingSinceMs = undefined;
+      return false;
+    }
+    this.#lackingSinceMs ??= this.#clock.now();
+    if (readers === 0 || ahead.length < READER_COUNT) {
+      return true;
+    }
+    const steps = Math.floor(Math.log2(ahead.length / READER_COUNT));
+    return this.#clock.now() - this.#lackingSinceMs >= steps * TAKEOVER_STEP_MS;
   }
 
   /** Ranks by capacity, then by a hash of the host, which isn't correlated with failure domains. */
