--- a/packages/nodes/src/DatagramChannel.ts
+++ b/packages/nodes/src/DatagramChannel.ts
@@ -1,15 +1,41 @@
-import { createSocket, type Socket } from "node:dgram";
+import { createSocket, type Socket, type SocketOptions } from "node:dgram";
+import { lookup } from "node:dns";
+import { isIP } from "node:net";
 
 import { createJSONRPCNotification } from "json-rpc-2.0";
 import { z } from "zod";
 
 const MAX_DATAGRAM_BYTES = 60_000;
 
-const notificationSchema = z.object({
-  jsonrpc: z.literal("2.0"),
-  method: z.string(),
-  params: z.unknown(),
-});
+/** Validates the parameters of a notification, as a zod schema does. */
+export interface MessageParser<T> {
+  safeParse(
+    value: unknown,
+  ): { success: true; data: T } | { success: false; error: z.core.$ZodError };
+}
+
+interface Notification {
+  readonly method: string;
+  readonly params?: unknown;
+}
+
+const isNotification = (value: unknown): value is Notification =>
+  typeof value === "object" &&
+  value !== null &&
+  "jsonrpc" in value &&
+  value.jsonrpc === "2.0" &&
+  "method" in value &&
+  typeof value.method === "string";
+
+/** Takes an IP address as it is: the resolver would defer each send and cost as much as the send. */
+const lookUpHost: NonNullable<SocketOptions["lookup"]> = (host, options, done) => {
+  const family = isIP(host);
+  if (family === 0) {
+    lookup(host, options, done);
+  } else {
+    done(null, host, family);
+  }
+};
 
 type Handler = (params: unknown, host: string) => void;
 
@@ -33,10 +59,10 @@
     return this.#sentBytes;
   }
 
-  /** Handles one method's notifications; those that don't match `schema` are dropped. */
-  handle<T>(method: string, schema: z.ZodType<T>, fn: (params: T, host: string) => void): void {
+  /** Handles one method's notifications; those that `parser` rejects are dropped. */
+  handle<T>(method: string, parser: MessageParser<T>, fn: (params: T, host: string) => void): void {
     this.#handlers.set(method, (params, host) => {
-      const parsed = schema.safeParse(params);
+      const parsed = parser.safeParse(params);
       if (parsed.success) {
         fn(parsed.data, host);
       } else {
@@ -48,7 +74,7 @@
   /** Binds the port, which is the same for all processes. */
   listen(host: string, port: number): Promise<void> {
     this.#port = port;
-    const socket = createSocket("udp4");
+    const socket = createSocket({ type: "udp4", lookup: lookUpHost });
     this.#socket = socket;
     socket.on("message", (data, { address }) => {
       this.#receive(data, address);
@@ -91,9 +117,8 @@
       this.#onError(host, "not JSON");
       return;
     }
-    const message = notificationSchema.safeParse(raw);
-    if (message.success) {
-      this.#handlers.get(message.data.method)?.(message.data.params, host);
+    if (isNotification(raw)) {
+      this.#handlers.get(raw.method)?.(raw.params, host);
     } else {
       this.#onError(host, "not a JSON-RPC notification");
     }
