Answer what was received before a connection ends

What callers saw: a whole request lost its answer to unreadable bytes that came behind it on the connection; a pipelined request was forwarded though the answer before it closed the connection; a process ended its drain while it was still receiving a request; a 503 during a drain was lost to a reset when the body was still coming.

The drain counted forwarded requests only.

Change: requests of a connection take turns; after unreadable bytes the pending answers are sent and then the connection ends; the drain waits for all that was received; a draining process reads what is left of a rejected body, half a second at most.

--- a/packages/callers/src/forward/CallerConnections.ts
+++ b/packages/callers/src/forward/CallerConnections.ts
@@ -4,10 +4,22 @@
 const LINGER_MS = 1_000;
 
 interface ConnectionState {
-  /** Requests without a complete answer. */
-  requests: number;
+  /** Ends of the requests without a complete answer, oldest first. */
+  readonly pending: Set<() => void>;
+  /** Resolves when the newest request has ended. */
+  newest: Promise<void> | undefined;
   /** Time after which the connection is closed when it stays idle. */
   idleMs: number;
+  /** It is closed once nothing is in progress on it. */
+  isLast: boolean;
+}
+
+/** One request on a connection, from its head to the end of its answer. */
+export interface ConnectionTurn {
+  /** Resolves when the request before it on the connection has ended; undefined when there is none. */
+  readonly earlier: Promise<void> | undefined;
+  /** Ends the request; the connection may stay idle for `idleMs` from now on. */
+  end(idleMs: number): void;
 }
 
 /** Connections of callers, with what is in progress on each. */
@@ -18,42 +30,71 @@
     return this.#states.size;
   }
 
-  add(socket: Socket): void {
-    this.#states.set(socket, { requests: 0, idleMs: 0 });
-    socket.on("error", () => undefined);
-    socket.on("close", () => this.#states.delete(socket));
+  /** Requests without a complete answer, over all connections. */
+  get requests(): number {
+    return [...this.#states.values()].reduce((sum, { pending }) => sum + pending.size, 0);
   }
 
-  startRequest(socket: Socket): void {
-    const state = this.#states.get(socket);
-    if (state) {
-      state.requests += 1;
-    }
+  add(socket: Socket): void {
+    const state: ConnectionState = {
+      pending: new Set(),
+      newest: undefined,
+      idleMs: 0,
+      isLast: false,
+    };
+    this.#states.set(socket, state);
+    socket.on("error", () => undefined);
+    socket.on("close", () => {
+      this.#states.delete(socket);
+      state.pending.forEach((end) => {
+        end();
+      });
+    });
   }
 
-  /** `idleMs` is the time for which the connection may stay idle from now on. */
-  endRequest(socket: Socket, idleMs: number): void {
+  startRequest(socket: Socket): ConnectionTurn {
     const state = this.#states.get(socket);
-    if (state) {
-      state.requests -= 1;
-      state.idleMs = idleMs;
+    if (!state) {
+      return { earlier: undefined, end: () => undefined };
     }
+    const earlier = state.pending.size > 0 ? state.newest : undefined;
+    let resolve = (): void => undefined;
+    state.newest = new Promise((done) => {
+      resolve = done;
+    });
+    const end = resolve;
+    state.pending.add(end);
+    return {
+      earlier,
+      end: (idleMs) => {
+        state.pending.delete(end);
+        state.idleMs = idleMs;
+        end();
+        if (state.isLast && state.pending.size === 0) {
+          socket.end();
+        }
+      },
+    };
   }
 
   /** Keeps idle connections for `idleMs` from now on, unless they are kept for longer already. */
   extendIdle(idleMs: number): void {
     for (const [socket, state] of this.#states) {
-      if (state.requests === 0 && state.idleMs > 0 && state.idleMs < idleMs) {
+      if (state.pending.size === 0 && state.idleMs > 0 && state.idleMs < idleMs) {
         state.idleMs = idleMs;
         socket.setTimeout(idleMs);
       }
     }
   }
 
-  /** Ends a connection after an answer without a body, unless another answer is in progress on it. */
+  /** Ends a connection after an answer without a body, or after the answers in progress on it. */
   endWithStatus(socket: Socket, status: number, reason: string): void {
-    const isAnswering = (this.#states.get(socket)?.requests ?? 0) > 0;
-    if (isAnswering || !socket.writable || socket.bytesRead === 0) {
+    const state = this.#states.get(socket);
+    if (state && state.pending.size > 0) {
+      state.isLast = true;
+      return;
+    }
+    if (!socket.writable || socket.bytesRead === 0) {
       socket.destroy();
       return;
     }
--- a/packages/callers/src/forward/ForwardServer.test.ts
+++ b/packages/callers/src/forward/ForwardServer.test.ts
@@ -178,15 +178,67 @@
     expect(answer).to.not.match(/\r\nRetry-After: /);
   });
 
-  it("closes a connection on which an answer is in progress rather than write another into it", async () => {
+  const late: readonly [name: string, bytes: string][] = [
+    ["bytes that are no request", "\u0001\u0002\r\n\r\n"],
+    ["headers over the limit", newRequest([`X-Note: ${"n".repeat(300_000)}`])],
+  ];
+  for (const [name, bytes] of late) {
+    // A whole request lost its answer to what came behind it on the connection.
+    it(`answers a request that is followed by ${name}, and then ends the connection`, async () => {
+      const { harness } = fixture;
+      harness.forward = async (_req, writer) => {
+        await new Promise((resolve) => setTimeout(resolve, 50));
+        writer.sendOwn(200, "answered");
+      };
+      const answer = await harness.exchange(`${newRequest()}${bytes}`);
+      expect(getStatus(answer)).to.equal(200);
+      expect(answer.match(/HTTP\/1.1/g)?.length).to.equal(1);
+    });
+  }
+
+  // A pipelined request was forwarded, and the answer before it closed the connection.
+  it("forwards no request behind an answer that ends the connection", async () => {
+    const { harness } = fixture;
+    const forwarded: string[] = [];
+    harness.forward = async (req, writer) => {
+      forwarded.push(req.head.path);
+      await new Promise((resolve) => setTimeout(resolve, 20));
+      writer.sendOwn(200, "answered");
+    };
+    harness.server.startDrain(5_000);
+    const answer = await harness.exchange(`${newRequest()}${newRequest()}`);
+    expect(answer.match(/HTTP\/1.1 200/g)?.length).to.equal(1);
+    expect(forwarded.length).to.equal(1);
+  });
+
+  it("answers pipelined requests in order", async () => {
     const { harness } = fixture;
+    let count = 0;
     harness.forward = (_req, writer) => {
-      writer.sendHead(200, ["Content-Length", "10"], true);
-      writer.write(Buffer.from("part"));
+      count += 1;
+      writer.sendOwn(200, `answer ${String(count)}`);
       return Promise.resolve();
     };
-    const answer = await harness.exchange(`${newRequest()}\u0001\u0002\r\n\r\n`);
-    expect(answer).to.not.include("Bad Request");
+    const answer = await harness.exchange(`${newRequest()}${newRequest()}${newRequest()}`);
+    expect(answer.match(/answer \d/g)).to.deep.equal(["answer 1", "answer 2", "answer 3"]);
+  });
+
+  // A process ended its drain under requests whose bodies it was still receiving.
+  it("counts a request as in progress from its head to its answer", async () => {
+    const { harness } = fixture;
+    const socket = await harness.connect();
+    socket.write("POST /a/1 HTTP/1.1\r\nHost: a.example\r\nContent-Length: 4\r\n\r\nbo");
+    while (harness.server.requests === 0) {
+      await new Promise((resolve) => setTimeout(resolve, 5));
+    }
+    await new Promise((resolve) => {
+      socket.once("data", resolve);
+      socket.write("dy");
+    });
+    while (harness.server.requests > 0) {
+      await new Promise((resolve) => setTimeout(resolve, 5));
+    }
+    socket.destroy();
   });
 
   it("survives any bytes", async () => {
--- a/packages/callers/src/forward/ForwardServer.ts
+++ b/packages/callers/src/forward/ForwardServer.ts
@@ -2,7 +2,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 
-import type { Clock } from "@lycheepulley/core";
+import { sleep, type Clock } from "@lycheepulley/core";
 import {
   canFinishWhileDraining,
   DEFAULT_CALLER_LIMITS,
@@ -30,6 +30,8 @@
 const UNCONFIGURED_RETRY_MS = 3_000;
 /** Another process may not meet the error that ended the request here. */
 const INTERNAL_ERROR_RETRY_MS = 500;
+/** Longest time for which the body of a rejected request is awaited. */
+const MAX_DISCARD_MS = 500;
 /** Other processes can take the request at once. */
 const DRAINING_RETRY_MS = 50;
 
@@ -83,6 +85,11 @@
     });
   }
 
+  /** Requests without a complete answer, also those that are still being received. */
+  get requests(): number {
+    return this.#connections.requests;
+  }
+
   get connections(): number {
     return this.#connections.size;
   }
@@ -136,14 +143,19 @@
     const receivedMs = this.#clock.now();
     const abort = new AbortController();
     const { socket } = req;
-    this.#connections.startRequest(socket);
+    const turn = this.#connections.startRequest(socket);
     res.on("error", () => undefined);
     req.on("error", () => undefined);
     res.on("close", () => {
       abort.abort();
-      this.#connections.endRequest(socket, this.#server.keepAliveTimeout);
+      turn.end(this.#server.keepAliveTimeout);
     });
     const writer = new ResponseWriter(res, { isClosing: () => this.#drain !== undefined });
+    await turn.earlier;
+    if (!socket.writable) {
+      // The answer before ended the connection; the caller knows that this request wasn't read.
+      return;
+    }
     const progress: AdmissionProgress = { head: undefined, isForwarded: false };
     try {
       progress.head = this.#dialect.readHead({
@@ -175,6 +187,10 @@
     }
     const admission = this.#findRoute(head);
     if ("status" in admission) {
+      if (this.#drain && !req.complete) {
+        // The connection closes after the answer, and unread bytes would reset it.
+        await this.#discardBody(req);
+      }
       this.#reject(head, writer, admission);
       return;
     }
@@ -248,6 +264,15 @@
     writer.sendOwn(status, message, status === 503 ? retryAfterMs : undefined);
   }
 
+  async #discardBody(req: IncomingMessage): Promise<void> {
+    const end = new AbortController();
+    req.once("close", () => {
+      end.abort();
+    });
+    req.resume();
+    await sleep(this.#clock, MAX_DISCARD_MS, end.signal);
+  }
+
   async #readBody(req: IncomingMessage): Promise<Buffer> {
     const { maxBodyBytes } = this.#view.table?.config.limits ?? DEFAULT_CALLER_LIMITS;
     let size = 0;
--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -207,11 +207,11 @@
     const { drainMs } = this.#settings;
     await sleep(this.#clock, Math.min(LISTENER_CLOSE_DELAY_MS, drainMs));
     this.#listener.close();
-    while (this.#clock.now() - startMs < drainMs && this.#forwarder.inFlight > 0) {
+    while (this.#clock.now() - startMs < drainMs && this.#listener.requests > 0) {
       await sleep(this.#clock, DRAIN_POLL_MS);
     }
     this.#logger.info("drain finished", {
-      ...{ step: "stop", inFlight: this.#forwarder.inFlight },
+      ...{ step: "stop", inFlight: this.#listener.requests },
       ...{ connections: this.#listener.connections, ms: Math.round(this.#clock.now() - startMs) },
     });
   }
