--- a/eslint.config.js
+++ b/eslint.config.js
@@ -107,6 +107,7 @@
       "node_modules/**",
       "target/**",
       "deploy/**",
+      ".mocharc.cjs",
       "packages/cli/bin/**",
       "*.config.js",
     ],
