--- a/packages/forwarding/src/stalledSends.test.ts
+++ b/packages/forwarding/src/stalledSends.test.ts
@@ -1,5 +1,7 @@
 import { expect } from "chai";
 
+import type { Route } from "./fleetConfig.js";
+import type { FakeCall } from "./testing/FakeUpstreams.js";
 import { ForwarderHarness, SAFE, STREAM } from "./testing/ForwarderHarness.js";
 
 /** Longer than the time after which another upstream is tried for a stream. */
@@ -8,6 +10,26 @@
 const SLOW_REPLACED_MS = 1_510;
 const SILENT_REPLACED_MS = 720;
 
+/** Starts a request whose upstream sends one event. */
+const startAnswer = async (
+  harness: ForwarderHarness,
+  route: Partial<Route> = STREAM,
+): Promise<void> => {
+  await harness.request(route, 5_000);
+  harness.transport.startStream();
+  harness.transport.sendEvents(1);
+};
+
+/** Sends the second event and the end of an answer. */
+const finishAnswer = async (
+  harness: ForwarderHarness,
+  call: FakeCall | undefined,
+): Promise<void> => {
+  call?.observer.onData(Buffer.from("id: 2\ndata: x\n\n"));
+  call?.observer.onEnd();
+  await harness.settle();
+};
+
 describe("Forwarder: an upstream that falls silent and goes on", () => {
   const deadOrAlive: readonly [name: string, isAlive: boolean][] = [
     ["answers probes", true],
@@ -19,9 +41,7 @@
     it(`is awaited on the last attempt when it ${name}`, async () => {
       const harness = new ForwarderHarness();
       harness.isUpstreamAlive = isAlive;
-      await harness.request({ ...STREAM, maxAttempts: 1 }, 5_000);
-      harness.transport.startStream();
-      harness.transport.sendEvents(1);
+      await startAnswer(harness, { ...STREAM, maxAttempts: 1 });
       await harness.clock.advance(STALL_MS);
       expect(harness.caller.ending).to.equal("open");
       harness.transport.sendEvents(2);
@@ -36,9 +56,7 @@
   it("is awaited while the retry budget is exhausted", async () => {
     const harness = new ForwarderHarness();
     harness.exhaustRetryBudget();
-    await harness.request(STREAM, 5_000);
-    harness.transport.startStream();
-    harness.transport.sendEvents(1);
+    await startAnswer(harness);
     await harness.clock.advance(STALL_MS);
     expect(harness.sentTo.length).to.equal(1);
     harness.transport.sendEvents(2);
@@ -50,9 +68,7 @@
   // A stream was given up for a resume at the same pool's only upstream, which could not take it.
   it("is awaited while no other upstream is available", async () => {
     const harness = new ForwarderHarness(["u0"]);
-    await harness.request(STREAM, 5_000);
-    harness.transport.startStream();
-    harness.transport.sendEvents(1);
+    await startAnswer(harness);
     await harness.clock.advance(STALL_MS);
     expect(harness.sentTo).to.deep.equal(["u0"]);
     expect(harness.transport.last.isAborted).to.equal(false);
@@ -63,18 +79,14 @@
     it(`goes on when it ${name} and the upstream that should take over rejects the request`, async () => {
       const harness = new ForwarderHarness();
       harness.isUpstreamAlive = isAlive;
-      await harness.request(STREAM, 5_000);
-      harness.transport.startStream();
-      harness.transport.sendEvents(1);
+      await startAnswer(harness);
       const [first] = harness.transport.calls;
       await harness.clock.advance(isAlive ? SLOW_REPLACED_MS : SILENT_REPLACED_MS);
       expect(harness.sentTo.length).to.equal(2);
       harness.transport.answer(503, ["not-run"]);
       await harness.settle();
       expect(harness.caller.ending).to.equal("open");
-      first?.observer.onData(Buffer.from("id: 2\ndata: x\n\n"));
-      first?.observer.onEnd();
-      await harness.settle();
+      await finishAnswer(harness, first);
       expect(harness.caller.ending).to.equal("whole");
       expect(harness.caller.body.match(/id: \d/g)).to.deep.equal(["id: 1", "id: 2"]);
     });
@@ -84,9 +96,7 @@
   it("wins over the upstream that should take over when its next event comes first", async () => {
     const harness = new ForwarderHarness();
     harness.isUpstreamAlive = false;
-    await harness.request(STREAM, 5_000);
-    harness.transport.startStream();
-    harness.transport.sendEvents(1);
+    await startAnswer(harness);
     const [first] = harness.transport.calls;
     await harness.clock.advance(STALL_MS);
     first?.observer.onData(Buffer.from("id: 2\ndata: x\n\n"));
@@ -135,18 +145,14 @@
   for (const [name, fail] of failures) {
     it(`goes on when it answers probes and its replacement ${name}`, async () => {
       const harness = new ForwarderHarness(["u0", "u1"]);
-      await harness.request(STREAM, 5_000);
-      harness.transport.startStream();
-      harness.transport.sendEvents(1);
+      await startAnswer(harness);
       const [first] = harness.transport.calls;
       await harness.clock.advance(STALL_MS);
       expect(harness.sentTo.length).to.equal(2);
       fail(harness);
       await harness.settle();
       expect(first?.isAborted).to.equal(false);
-      first?.observer.onData(Buffer.from("id: 2\ndata: x\n\n"));
-      first?.observer.onEnd();
-      await harness.settle();
+      await finishAnswer(harness, first);
       expect(harness.caller.ending).to.equal("whole");
     });
   }
@@ -154,9 +160,7 @@
   // In a busy fleet silence is mostly another prompt's prefill; work that went on twice made it busier.
   it("is awaited when it answers probes and has prompts to prefill", async () => {
     const harness = new ForwarderHarness();
-    await harness.request(STREAM, 5_000);
-    harness.transport.startStream();
-    harness.transport.sendEvents(1);
+    await startAnswer(harness);
     const [upstream = ""] = harness.sentTo;
     harness.addPrefill(upstream);
     await harness.clock.advance(STALL_MS);
@@ -169,9 +173,7 @@
     const harness = new ForwarderHarness();
     harness.caller.write = () => false;
     harness.caller.onDrain = () => undefined;
-    await harness.request(STREAM, 5_000);
-    harness.transport.startStream();
-    harness.transport.sendEvents(1);
+    await startAnswer(harness);
     await harness.clock.advance(STALL_MS);
     expect(harness.sentTo.length).to.equal(1);
   });
@@ -180,9 +182,7 @@
   it("keeps its load while no upstream takes over", async () => {
     const harness = new ForwarderHarness(["u0", "u1"]);
     harness.isUpstreamAlive = false;
-    await harness.request(STREAM, 5_000);
-    harness.transport.startStream();
-    harness.transport.sendEvents(1);
+    await startAnswer(harness);
     await harness.clock.advance(SILENT_REPLACED_MS);
     harness.transport.answer(503, ["not-run"]);
     await harness.settle();
@@ -216,9 +216,7 @@
   it("is ended once another upstream has taken over", async () => {
     const harness = new ForwarderHarness();
     harness.isUpstreamAlive = false;
-    await harness.request(STREAM, 5_000);
-    harness.transport.startStream();
-    harness.transport.sendEvents(1);
+    await startAnswer(harness);
     const [first] = harness.transport.calls;
     await harness.clock.advance(STALL_MS);
     expect(first?.isAborted).to.equal(false);
@@ -236,9 +234,7 @@
   it("counts as no crash of the request while it answers probes", async () => {
     const harness = new ForwarderHarness();
     for (let round = 0; round < 3; round++) {
-      await harness.request(STREAM, 5_000);
-      harness.transport.startStream();
-      harness.transport.sendEvents(1);
+      await startAnswer(harness);
       await harness.clock.advance(STALL_MS);
       await harness.clock.advance(10_000);
     }
@@ -262,9 +258,7 @@
 
   it("ends with the caller's disconnection, at both upstreams", async () => {
     const harness = new ForwarderHarness();
-    await harness.request(STREAM, 5_000);
-    harness.transport.startStream();
-    harness.transport.sendEvents(1);
+    await startAnswer(harness);
     await harness.clock.advance(STALL_MS);
     await harness.disconnect();
     expect(harness.transport.calls.map(({ isAborted }) => isAborted)).to.deep.equal([true, true]);
@@ -273,9 +267,7 @@
 
   it("ends with the request's deadline, at both upstreams", async () => {
     const harness = new ForwarderHarness();
-    await harness.request({ ...STREAM, timeoutMs: 3_000 }, 5_000);
-    harness.transport.startStream();
-    harness.transport.sendEvents(1);
+    await startAnswer(harness, { ...STREAM, timeoutMs: 3_000 });
     await harness.clock.advance(3_100);
     expect(harness.transport.calls.map(({ isAborted }) => isAborted)).to.deep.equal([true, true]);
     expect(harness.caller.ending).to.equal("cut");
