Log the limits that upstreams name

Change: the dialect reads the limit of an answer, UpstreamLimits keeps the newest one of each upstream, and the log has a line when one is named, changed or lifted, with its age and whom it is from; sends to a limited upstream carry the limit, and a gauge counts the limited upstreams. Values that can't be read name none and are logged. An answer without a limit ends one only if its request went out after the naming answer had arrived. No decision depends on it yet.

--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -16,6 +16,7 @@
   sample,
   ReservationManager,
   UpstreamHealth,
+  UpstreamLimits,
   UpstreamListTracker,
   type Dialect,
   type FleetConfig,
@@ -46,12 +47,13 @@
   readonly #settings: GatewaySettings;
   readonly #sources: GatewaySources;
   readonly #logger: Logger;
-  readonly #metrics = new ForwardMetrics();
+  readonly #metrics = new ForwardMetrics({ countLimited: () => this.#limits.size });
   readonly #view = new FleetView();
   readonly #listTracker: UpstreamListTracker;
   readonly #nodeServer = new NodeServer();
   readonly #stateSync: FleetStateSync;
   readonly #health: UpstreamHealth;
+  readonly #limits: UpstreamLimits;
   readonly #peers: PeerTable;
   readonly #readerSelection: ReaderSelection;
   readonly #channel: DatagramChannel;
@@ -79,6 +81,7 @@
     this.#sources = options.sources;
     this.#logger = logger;
     this.#health = new UpstreamHealth(clock);
+    this.#limits = new UpstreamLimits({ clock, logger, onOwnChange: () => undefined });
     this.#listTracker = new UpstreamListTracker({
       ...{ clock, view: this.#view, logger, upstreamBeatMs: settings.upstreamBeatMs },
       onRestored: () => {
@@ -139,6 +142,7 @@
         view: this.#view,
         loadTracker,
         health: this.#health,
+        limits: this.#limits,
       },
       ...{ crashes: this.#crashTracker, transport: options.transport, dialect, logger },
       retryBudget: this.#newRetryBudget(),
@@ -294,7 +298,9 @@
   /** Applies an upstream list that was current at `atMs`; true when upstreams or the epoch changed. */
   #applyUpstreams(list: UpstreamList, atMs: number): boolean {
     const hasChanged = this.#listTracker.apply(list, atMs);
-    this.#health.retain(new Set(this.#view.upstreams.keys()));
+    const ids = new Set(this.#view.upstreams.keys());
+    this.#health.retain(ids);
+    this.#limits.retain(ids);
     this.#metrics.setListEpoch(getEpoch(this.#view.list));
     return hasChanged;
   }
--- a/packages/forwarding/src/ForwardJob.ts
+++ b/packages/forwarding/src/ForwardJob.ts
@@ -180,18 +180,25 @@
   }
 
   #newObserver(live: LiveSend, placement: Placement): SendObserver {
+    let sentMs = Infinity;
     return {
       canReplace: () => this.#canReplace(placement),
       replace: (stall) => this.#replaceStalled(placement, stall),
       onOpen: () => {
-        const { clock, view } = this.#deps;
+        const { clock, view, limits } = this.#deps;
         const { listedMs } = view;
-        this.#log.logSend(placement, { sends: this.#sends - 1, nowMs: clock.now(), listedMs });
+        sentMs = clock.now();
+        const limit = limits.get(placement.upstream.id);
+        const sends = this.#sends - 1;
+        this.#log.logSend(placement, { sends, nowMs: sentMs, listedMs, limit });
         live.isOpen = true;
       },
       onProgress: () => {
         this.#onProgress(live);
       },
+      onHead: (facts) => {
+        this.#feedback.recordHead(placement.upstream, sentMs, facts);
+      },
       onEvents: () => {
         this.#onEvents(placement);
       },
--- a/packages/forwarding/src/RequestLog.ts
+++ b/packages/forwarding/src/RequestLog.ts
@@ -1,6 +1,7 @@
 import type { Logger } from "@lycheepulley/telemetry";
 
 import type { AnswerTimeline } from "./AnswerTimeline.js";
+import type { KnownLimit } from "./limits/UpstreamLimits.js";
 import type { NextStep, SendOutcome } from "./outcomes.js";
 import type { Placement } from "./Placer.js";
 import type { ForwardRequest } from "./types.js";
@@ -18,6 +19,9 @@
 } as const;
 export type AnswerEnding = (typeof AnswerEnding)[keyof typeof AnswerEnding];
 
+/** Characters of a value from outside that go into a log line. */
+const MAX_VALUE_LENGTH = 40;
+
 /** Writes the log lines of one request's decisions. */
 export class RequestLog {
   readonly #logger: Logger;
@@ -29,9 +33,12 @@
   }
 
   /** `listedMs` is the time at which the upstream list was current. */
-  logSend(placed: Placement, fields: { sends: number; nowMs: number; listedMs: number }): void {
+  logSend(
+    placed: Placement,
+    fields: { sends: number; nowMs: number; listedMs: number; limit: KnownLimit | undefined },
+  ): void {
     const { head, route, revision, receivedMs, customer } = this.#req;
-    const { sends, nowMs, listedMs } = fields;
+    const { sends, nowMs, listedMs, limit } = fields;
     this.#logger.info("sent to upstream", {
       ...{ requestId: head.attemptId, step: "send", peer: placed.upstream.id, route: route.name },
       ...{ customer, tokens: head.promptTokens, revision, sends },
@@ -41,6 +48,7 @@
       loss: Number((placed.plan?.loss ?? 0).toFixed(2)),
       listAgeMs: Math.round(nowMs - listedMs),
       waitedMs: Math.round(nowMs - receivedMs),
+      ...(limit && { limit: limit.perSecond, limitAgeMs: Math.round(nowMs - limit.receivedMs) }),
     });
   }
 
@@ -81,6 +89,13 @@
     });
   }
 
+  logUnreadableLimit(peer: string, value: string): void {
+    this.#logger.warn("upstream limit unreadable", {
+      ...{ requestId: this.#req.head.attemptId, step: "limit", peer },
+      value: value.slice(0, MAX_VALUE_LENGTH),
+    });
+  }
+
   logError(err: unknown): void {
     this.#logger.error("request failed with an internal error", {
       ...{ requestId: this.#req.head.attemptId, step: "send", revision: this.#req.revision },
--- a/packages/forwarding/src/Send.ts
+++ b/packages/forwarding/src/Send.ts
@@ -39,6 +39,8 @@
 export interface AnswerObserver extends StallHandler {
   /** Called before anything of the answer goes to the caller. */
   onProgress(): void;
+  /** Called with the head of each answer that is the request's. */
+  onHead(facts: AnswerFacts): void;
   /** Called when one or more events of the answer arrived. */
   onEvents(): void;
 }
@@ -141,7 +143,9 @@
     this.#facts = this.#dialect.readAnswer(this.#req, head);
     if (!this.#facts.isValid) {
       this.#finish({ result: SendResult.Broken, reason: "answer is not the request's" });
+      return;
     }
+    this.#observer.onHead(this.#facts);
   }
 
   #handleData(chunk: Buffer): void {
--- a/packages/forwarding/src/SendFeedback.ts
+++ b/packages/forwarding/src/SendFeedback.ts
@@ -2,7 +2,7 @@
 import type { ForwardDependencies } from "./forwardDependencies.js";
 import { SendResult, type SendOutcome } from "./outcomes.js";
 import type { RequestLog } from "./RequestLog.js";
-import type { ForwardRequest } from "./types.js";
+import type { AnswerFacts, ForwardRequest } from "./types.js";
 import { UpstreamResult } from "./UpstreamHealth.js";
 
 /** Results that say nothing about the health of the upstream. */
@@ -41,6 +41,17 @@
     this.#recordFailure(id, UpstreamResult.Unreachable, reason);
   }
 
+  /** Records the limit that the head of an answer names, or its lack; the request went out at `sentMs`. */
+  recordHead({ id }: Upstream, sentMs: number, facts: AnswerFacts): void {
+    const { limits, clock } = this.#deps;
+    if (facts.unreadableLimit !== undefined) {
+      this.#log.logUnreadableLimit(id, facts.unreadableLimit);
+    }
+    limits.record({
+      ...{ upstream: id, perSecond: facts.limitPerSecond, sentMs, receivedMs: clock.now() },
+    });
+  }
+
   recordOutcome(upstream: Upstream, outcome: SendOutcome): void {
     const { health, crashes } = this.#deps;
     const { result, reason } = outcome;
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -9,6 +9,7 @@
 export * from "./forwardDependencies.js";
 export * from "./ListOutageGuard.js";
 export * from "./draining.js";
+export * from "./limits/UpstreamLimits.js";
 export * from "./load.js";
 export * from "./LoadTracker.js";
 export * from "./relays.js";
--- a/packages/forwarding/src/testing/FakeUpstreams.ts
+++ b/packages/forwarding/src/testing/FakeUpstreams.ts
@@ -73,7 +73,9 @@
 
   readAnswer(_req: unknown, head: { headers: HeaderList }): ReturnType<Dialect["readAnswer"]> {
     const { headers } = head;
+    const limitAt = headers.indexOf("limit");
     return {
+      limitPerSecond: limitAt < 0 ? undefined : Number(headers[limitAt + 1]),
       isValid: !headers.includes("forged"),
       isNotRun: headers.includes("not-run"),
       faultAddress: undefined,
--- a/packages/forwarding/src/testing/ForwarderHarness.ts
+++ b/packages/forwarding/src/testing/ForwarderHarness.ts
@@ -4,6 +4,7 @@
 import type { Route } from "../fleetConfig.js";
 import { FleetView } from "../FleetView.js";
 import { Forwarder } from "../Forwarder.js";
+import { UpstreamLimits } from "../limits/UpstreamLimits.js";
 import { LoadTracker } from "../LoadTracker.js";
 import { RetryBudget } from "../RetryBudget.js";
 import { FakeCaller, FakeDialect, FakeTransport } from "./FakeUpstreams.js";
@@ -31,6 +32,9 @@
   hasMemory = true;
   /** Delay of the answers to reservations. */
   reserveDelayMs = 0;
+  readonly limits = new UpstreamLimits({
+    ...{ clock: this.clock, logger: newSilentLogger(), onOwnChange: () => undefined },
+  });
   readonly #abort = new AbortController();
   readonly #forwarder: Forwarder;
   readonly #retryBudget: RetryBudget;
@@ -62,6 +66,7 @@
       ...{ clock, transport, dialect, view, loadTracker, logger, control },
       random: new SeededRandom(1),
       health: new UpstreamHealth(clock),
+      limits: this.limits,
       retryBudget: this.#retryBudget,
       crashes: this.#crashes,
       reservations: new ReservationManager({ clock, control, logger }),
--- a/packages/simulation/src/SimulatedGateway.ts
+++ b/packages/simulation/src/SimulatedGateway.ts
@@ -7,6 +7,7 @@
   ReservationManager,
   RetryBudget,
   UpstreamHealth,
+  UpstreamLimits,
   type AnswerWriter,
   type FleetConfig,
   type ForwardRequest,
@@ -63,6 +64,7 @@
         getProcessCount: () => options.processes,
       }),
       crashes: new CrashTracker({ clock, onCrash: () => undefined }),
+      limits: new UpstreamLimits({ clock, logger, onOwnChange: () => undefined }),
       reservations: new ReservationManager({ clock, control, logger }),
       onEnd: () => undefined,
     });
--- a/packages/simulation/src/simulatedDialect.ts
+++ b/packages/simulation/src/simulatedDialect.ts
@@ -49,9 +49,11 @@
 
   readAnswer(_req: ForwardRequest, { headers }: AnswerHead): AnswerFacts {
     const faultAt = headers.indexOf("fault");
+    const limitAt = headers.indexOf("limit");
     return {
       ...{ isValid: true, isNotRun: headers.includes("not-run"), isFramed: true },
       ...{ isEventStream: headers.includes("stream") },
+      limitPerSecond: limitAt >= 0 ? Number(headers[limitAt + 1]) : undefined,
       faultAddress: faultAt >= 0 ? headers[faultAt + 1] : undefined,
     };
   }
--- a/packages/telemetry/src/ForwardMetrics.ts
+++ b/packages/telemetry/src/ForwardMetrics.ts
@@ -12,7 +12,8 @@
   readonly #sends: Counter;
   readonly #listEpoch: Gauge;
 
-  constructor() {
+  /** `countLimited` returns the number of upstreams that name a limit. */
+  constructor({ countLimited }: { countLimited: () => number }) {
     const registers = [this.#registry];
     this.#requests = new Counter({
       name: "lycheepulley_forwarded_total",
@@ -31,6 +32,14 @@
       help: "Epoch of the list of upstreams; rises when its service was restored from an older copy",
       registers,
     });
+    new Gauge({
+      name: "lycheepulley_limited_upstreams",
+      help: "Upstreams that name a limit on the requests that they take",
+      registers,
+      collect() {
+        this.set(countLimited());
+      },
+    });
     const latencies = this.#latencies;
     new Gauge({
       name: "lycheepulley_forward_ms",
