--- a/packages/forwarding/src/ForwardJob.ts
+++ b/packages/forwarding/src/ForwardJob.ts
@@ -189,8 +189,7 @@
         const { listedMs } = view;
         sentMs = clock.now();
         const limit = limits.get(placement.upstream.id);
-        const sends = this.#sends - 1;
-        this.#log.logSend(placement, { sends, nowMs: sentMs, listedMs, limit });
+        this.#log.logSend(placement, { sends: this.#sends - 1, nowMs: sentMs, listedMs, limit });
         live.isOpen = true;
       },
       onProgress: () => {
--- a/packages/simulation/src/SimulatedFleet.ts
+++ b/packages/simulation/src/SimulatedFleet.ts
@@ -48,6 +48,15 @@
   readonly prefillMs: number;
 }
 
+/** A time during which an upstream named a limit. */
+export interface LimitPeriod {
+  /** Times at which requests arrived at the upstream, also before and after the period. */
+  readonly arrivals: readonly number[];
+  readonly perSecond: number;
+  readonly fromMs: number;
+  readonly untilMs: number;
+}
+
 /** Gateways and upstreams of a pattern, and the incidents that they go through. */
 export class SimulatedFleet {
   readonly #clock: Clock;
@@ -57,6 +66,8 @@
   readonly #upstreams = new Map<string, SimulatedUpstream>();
   readonly #leaving = new Set<string>();
   #gateways: SimulatedGateway[] = [];
+  /** Times during which upstreams named limits. */
+  readonly limitPeriods: LimitPeriod[] = [];
   #nextUpstream = 0;
   #incarnation = 0;
 
@@ -127,6 +138,11 @@
           this.#crash(incident.backMs);
         }
         return;
+      case "limit":
+        for (let at = 0; at < incident.count; at++) {
+          this.#limit(incident);
+        }
+        return;
       case "restart":
         this.#gateways = [];
         this.#clock.setTimer(() => {
@@ -252,9 +268,29 @@
     }, backMs);
   }
 
-  #pickServing(): SimulatedUpstream | undefined {
+  /** Has an upstream without a limit name one for some time. */
+  #limit({ perSecond, forMs }: Extract<Incident, { kind: "limit" }>): void {
+    const upstream = this.#pickServing(({ limitPerSecond }) => limitPerSecond === undefined);
+    if (!upstream) {
+      return;
+    }
+    upstream.limitPerSecond = perSecond;
+    const fromMs = this.#clock.now();
+    const period = { arrivals: upstream.arrivals, perSecond, fromMs, untilMs: fromMs + forMs };
+    this.limitPeriods.push(period);
+    this.#clock.setTimer(() => {
+      upstream.limitPerSecond = undefined;
+    }, forMs);
+  }
+
+  #pickServing(
+    isWanted: (upstream: SimulatedUpstream) => boolean = () => true,
+  ): SimulatedUpstream | undefined {
     const serving = [...this.#upstreams.values()].filter(
-      ({ state, upstream }) => state === UpstreamState.Serving && !this.#leaving.has(upstream.id),
+      (candidate) =>
+        candidate.state === UpstreamState.Serving &&
+        !this.#leaving.has(candidate.upstream.id) &&
+        isWanted(candidate),
     );
     return serving[Math.floor(this.#random.next() * serving.length)];
   }
--- a/packages/simulation/src/SimulatedUpstream.ts
+++ b/packages/simulation/src/SimulatedUpstream.ts
@@ -39,6 +39,10 @@
   readonly #find: (id: string) => SimulatedUpstream | undefined;
   readonly #calls = new Set<RunningCall>();
   #state: UpstreamState = UpstreamState.Serving;
+  /** Requests a second that the upstream names as its limit; undefined for no limit. */
+  limitPerSecond: number | undefined;
+  /** Times at which requests arrived. */
+  readonly arrivals: number[] = [];
   #nextCall = 1;
 
   constructor(options: {
@@ -108,6 +112,7 @@
       eventId: fields.lastEventId,
     };
     this.#calls.add(call);
+    this.arrivals.push(this.#clock.now());
     if (this.#state === UpstreamState.Serving) {
       this.#run(call, fields);
     }
@@ -174,7 +179,7 @@
         return;
       }
       if (id === call.skipped + 1) {
-        call.observer.onHead({ status: 200, headers: ["stream", "1"] });
+        call.observer.onHead({ status: 200, headers: ["stream", "1", ...this.#limitHeaders] });
       }
       call.observer.onData(Buffer.from(`id: ${String(id)}\ndata: x\n\n`));
       if (isLast) {
@@ -188,11 +193,18 @@
     this.#stop(call);
     const fault = faulty ? ["fault", `${faulty.host}:${String(faulty.port)}`] : [];
     this.#later(() => {
-      call.observer.onHead({ status: 503, headers: ["not-run", "1", ...fault] });
+      call.observer.onHead({
+        status: 503,
+        headers: ["not-run", "1", ...fault, ...this.#limitHeaders],
+      });
       call.observer.onEnd();
     });
   }
 
+  get #limitHeaders(): string[] {
+    return this.limitPerSecond === undefined ? [] : ["limit", String(this.limitPerSecond)];
+  }
+
   #fail(call: RunningCall, reason: string): void {
     this.#stop(call);
     this.#later(() => {
--- a/packages/simulation/src/experiment.ts
+++ b/packages/simulation/src/experiment.ts
@@ -3,7 +3,7 @@
 import type { Pattern } from "./pattern.js";
 import { SimulatedCaller, type RequestRecord } from "./SimulatedCaller.js";
 import { SimulatedClock } from "./SimulatedClock.js";
-import { SimulatedFleet, type FleetUtilization } from "./SimulatedFleet.js";
+import { SimulatedFleet, type FleetUtilization, type LimitPeriod } from "./SimulatedFleet.js";
 
 const WINDOW_MS = 2_000;
 const SAMPLE_MS = 500;
@@ -45,6 +45,7 @@
 export interface PatternPlay {
   readonly records: readonly RequestRecord[];
   readonly samples: readonly UtilizationSample[];
+  readonly limitPeriods: readonly LimitPeriod[];
 }
 
 /** Plays one pattern on an injected clock, and returns what became of each request. */
@@ -60,7 +61,7 @@
     samples.push({ atMs, ...fleet.getUtilization() });
   }
   await clock.run(endMs);
-  return { records: caller.records, samples };
+  return { records: caller.records, samples, limitPeriods: fleet.limitPeriods };
 };
 
 /** Plays one pattern and sums up its credit; the same seed gives the same result. */
--- a/packages/simulation/src/pattern.ts
+++ b/packages/simulation/src/pattern.ts
@@ -45,6 +45,14 @@
     count: z.number().int().positive(),
     backMs: z.number().positive(),
   }),
+  z.object({
+    kind: z.literal("limit"),
+    atMs: z.number(),
+    count: z.number().int().positive(),
+    /** Requests a second that each of the upstreams names as its limit. */
+    perSecond: z.number().nonnegative(),
+    forMs: z.number().positive(),
+  }),
   z.object({ kind: z.literal("restart"), atMs: z.number(), downMs: z.number().positive() }),
 ]);
 export type Incident = z.infer<typeof incidentSchema>;
