Share the limits that upstreams name among all processes

Cause: nobody read the limit. A bound for each process wouldn't mend it: 90 that may send one request each are 90.

Change: each limited upstream has one owner among the processes, by rendezvous hashing, which grants single sends out of a token bucket; who wants to send there asks. Not granted, unanswered or not owned means that another upstream is planned on. An owner grants 0.95 of the limit, and half of it for 15 s after the owner may have changed, so that two that both take themselves for it stay within the rule; one that sees none of its peers grants its part. Changes of limits are told to the peers at once and again to four a second; whoever asks tells the limit that it knows. Limited upstreams cost more, the older the knowledge the less, and get no parts of long prompts; orders count, probes aren't made. When all upstreams of a pool are limited, as many requests wait as can expect a send in time, the worthier first, and the rest is rejected at once with the time of the next one.

Ruled out: few senders chosen for each upstream (callers of the other processes would be rejected when all upstreams are limited), a share for each process (see above).

--- a/packages/core/src/tokenBucket.ts
+++ b/packages/core/src/tokenBucket.ts
@@ -8,11 +8,11 @@
   #tokens: number;
   #updatedMs: number;
 
-  constructor(options: { clock: Clock; ratePerS: number; burst: number }) {
+  constructor(options: { clock: Clock; ratePerS: number; burst: number; initialTokens?: number }) {
     this.#clock = options.clock;
     this.#ratePerS = options.ratePerS;
     this.#burst = options.burst;
-    this.#tokens = options.burst;
+    this.#tokens = options.initialTokens ?? options.burst;
     this.#updatedMs = options.clock.now();
   }
 
@@ -31,6 +31,12 @@
     return true;
   }
 
+  /** Takes `amount` tokens; those that aren't available are owed. */
+  take(amount = 1): void {
+    this.#refill();
+    this.#tokens -= amount;
+  }
+
   /** Milliseconds until `amount` tokens are available. */
   getWaitMs(amount = 1): number {
     this.#refill();
--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -1,5 +1,3 @@
-import type { ServerResponse } from "node:http";
-
 import { ForwardServer } from "@lycheepulley/callers";
 import { getMessage, sleep, SystemClock, SystemRandom, type Clock } from "@lycheepulley/core";
 import {
@@ -16,7 +14,7 @@
   sample,
   ReservationManager,
   UpstreamHealth,
-  UpstreamLimits,
+  LimitedControl,
   UpstreamListTracker,
   type Dialect,
   type FleetConfig,
@@ -25,11 +23,13 @@
   type UpstreamList,
   type UpstreamTransport,
 } from "@lycheepulley/forwarding";
-import { HttpServer, sendJson } from "@lycheepulley/http";
+import type { HttpServer } from "@lycheepulley/http";
 import { DatagramChannel, NodeServer } from "@lycheepulley/nodes";
 import { ForwardMetrics, type Logger } from "@lycheepulley/telemetry";
 
 import { FleetStateSync } from "./FleetStateSync.js";
+import { LimitExchange } from "./LimitExchange.js";
+import { newMetricsServer } from "./metricsServer.js";
 import { PeerExchange } from "./PeerExchange.js";
 import type { GatewaySettings, GatewaySources } from "./types.js";
 
@@ -47,17 +47,19 @@
   readonly #settings: GatewaySettings;
   readonly #sources: GatewaySources;
   readonly #logger: Logger;
-  readonly #metrics = new ForwardMetrics({ countLimited: () => this.#limits.size });
+  readonly #metrics = new ForwardMetrics({
+    countLimited: () => this.#limitExchange.limits.all.length,
+  });
   readonly #view = new FleetView();
   readonly #listTracker: UpstreamListTracker;
   readonly #nodeServer = new NodeServer();
   readonly #stateSync: FleetStateSync;
   readonly #health: UpstreamHealth;
-  readonly #limits: UpstreamLimits;
   readonly #peers: PeerTable;
   readonly #readerSelection: ReaderSelection;
   readonly #channel: DatagramChannel;
   readonly #peerExchange: PeerExchange;
+  readonly #limitExchange: LimitExchange;
   readonly #crashTracker: CrashTracker;
   readonly #forwarder: Forwarder;
   readonly #listener: ForwardServer;
@@ -81,7 +83,6 @@
     this.#sources = options.sources;
     this.#logger = logger;
     this.#health = new UpstreamHealth(clock);
-    this.#limits = new UpstreamLimits({ clock, logger, onOwnChange: () => undefined });
     this.#listTracker = new UpstreamListTracker({
       ...{ clock, view: this.#view, logger, upstreamBeatMs: settings.upstreamBeatMs },
       onRestored: () => {
@@ -135,6 +136,12 @@
         this.#stateSync.onPeerHeartbeat(peer);
       },
     });
+    this.#limitExchange = new LimitExchange({
+      ...{ clock, random: this.#random, channel: this.#channel, peers: this.#peers, logger },
+      ...{ host: settings.host, port: settings.peerPort, isServing: () => this.isReady },
+    });
+    const { limits, quota } = this.#limitExchange;
+    const control = new LimitedControl(options.control, quota);
     this.#forwarder = new Forwarder({
       ...{
         clock,
@@ -142,12 +149,11 @@
         view: this.#view,
         loadTracker,
         health: this.#health,
-        limits: this.#limits,
       },
       ...{ crashes: this.#crashTracker, transport: options.transport, dialect, logger },
       retryBudget: this.#newRetryBudget(),
-      control: options.control,
-      reservations: new ReservationManager({ clock, control: options.control, logger }),
+      ...{ control, limits, quota },
+      reservations: new ReservationManager({ clock, control, logger }),
       onEnd: (end) => {
         this.#metrics.onEnd(end);
       },
@@ -156,7 +162,7 @@
       ...{ clock, view: this.#view, dialect, logger },
       forward: (req, writer) => this.#forwarder.forward(req, writer),
     });
-    this.#metricsServer = this.#newMetricsServer();
+    this.#metricsServer = newMetricsServer(this.#metrics);
   }
 
   /** True while this process has a configuration and an upstream list and isn't draining. */
@@ -179,6 +185,7 @@
     this.#stateSync.serve(this.#nodeServer);
     await this.#nodeServer.listen(host, peerPort);
     this.#peerExchange.start(this.#crashTracker);
+    this.#limitExchange.start(this.#nodeServer);
     this.#startSources();
     await this.#listener.listen(host, callerPort);
     this.#metricsServer.listen(host, metricsPort).catch((err: unknown) => {
@@ -224,6 +231,7 @@
   stop(): void {
     this.#listener.close();
     this.#peerExchange.stop();
+    this.#limitExchange.stop();
     this.#sources.config.stop();
     this.#sources.upstreams.stop();
     this.#sources.peers.stop();
@@ -300,24 +308,11 @@
     const hasChanged = this.#listTracker.apply(list, atMs);
     const ids = new Set(this.#view.upstreams.keys());
     this.#health.retain(ids);
-    this.#limits.retain(ids);
+    this.#limitExchange.retain(ids);
     this.#metrics.setListEpoch(getEpoch(this.#view.list));
     return hasChanged;
   }
 
-  /** Server that answers every path with the metrics. */
-  #newMetricsServer(): HttpServer {
-    const routes = ["GET", "HEAD"].map((method) => ({
-      ...{ method, path: "/*" },
-      handle: async (_req: unknown, res: ServerResponse): Promise<void> => {
-        res.end(await this.#metrics.getText());
-      },
-    }));
-    return new HttpServer(routes, (err, _req, res) => {
-      sendJson(res, 500, { error: { message: getMessage(err) } });
-    });
-  }
-
   #newRetryBudget(): RetryBudget {
     const { retryRatio, retryWindowMs, retrySlack } = this.#settings;
     return new RetryBudget({
--- a/packages/forwarding/src/ForwardJob.ts
+++ b/packages/forwarding/src/ForwardJob.ts
@@ -10,16 +10,17 @@
 import { PlacementFailure, type Placement, type Placer } from "./Placer.js";
 import { getDeadlineAtMs, pickPool } from "./sendParameters.js";
 import { SendFeedback } from "./SendFeedback.js";
+import {
+  getRetryAfterMs,
+  NO_UPSTREAM_RETRY_AFTER_MS,
+  REJECTED_RETRY_AFTER_MS,
+} from "./retryAfter.js";
 import { SendRunner, type SendObserver } from "./SendRunner.js";
 import { EventQueue } from "./EventQueue.js";
 import { FinalAnswer } from "./FinalAnswer.js";
 import { RequestLog } from "./RequestLog.js";
 import type { AnswerWriter, ForwardRequest } from "./types.js";
 
-const NO_UPSTREAM_RETRY_AFTER_MS = 500;
-const REJECTED_RETRY_AFTER_MS = 250;
-/** Share of the time to return by which it varies. */
-const RETURN_SPREAD = 0.5;
 /** One send, from the search of an upstream to its outcome. */
 interface LiveSend {
   /** Aborted with the result of a send that is ended early. */
@@ -320,17 +321,9 @@
     } else if (this.#mayHaveRun) {
       this.#final.fail({ result: SendResult.TimedOut, reason });
     } else {
-      this.#final.reject(reason, this.#getRetryAfterMs(reason));
-    }
-  }
-
-  /** Rejected prompts come back when room is expected, at unlike times, so that they don't return all at once. */
-  #getRetryAfterMs(reason: PlacementFailure): number {
-    if (reason !== PlacementFailure.Overloaded) {
-      return NO_UPSTREAM_RETRY_AFTER_MS;
+      const roomMs = this.#placer.getRoomMs(this.#pool, reason);
+      this.#final.reject(reason, getRetryAfterMs(roomMs, this.#deps.random));
     }
-    const roomMs = Math.max(NO_UPSTREAM_RETRY_AFTER_MS, this.#placer.getRoomMs(this.#pool));
-    return roomMs * (1 + RETURN_SPREAD * this.#deps.random.next());
   }
 
   #onEvents(placement: Placement): void {
--- a/packages/forwarding/src/Placer.test.ts
+++ b/packages/forwarding/src/Placer.test.ts
@@ -1,3 +1,4 @@
+import { newSilentLogger } from "@lycheepulley/telemetry";
 import { SeededRandom } from "@lycheepulley/core";
 import { expect } from "chai";
 
@@ -6,10 +7,19 @@
 import { FleetView } from "./FleetView.js";
 import { LoadTracker } from "./LoadTracker.js";
 import { Placer, PlacementFailure, type Placement, type PlacementQuery } from "./Placer.js";
+import type { SendQuota } from "./limits/SendQuota.js";
+import { UpstreamLimits } from "./limits/UpstreamLimits.js";
+import { newLoneSendQuota } from "./testing/newLoneSendQuota.js";
 import { ManualClock } from "./testing/ManualClock.js";
 import { newConfig, newItem, newRoute, newUpstream } from "./testing/samples.js";
 import { UpstreamHealth } from "./UpstreamHealth.js";
 
+const newQuota = (clock: ManualClock): SendQuota =>
+  newLoneSendQuota(
+    clock,
+    new UpstreamLimits({ clock, logger: newSilentLogger(), onOwnChange: () => undefined }),
+  );
+
 const PROCESSES = 12;
 
 const newQuery = (
@@ -52,7 +62,14 @@
       .map(({ id }) => newItem(`w-${id}`, { upstream: id, kvTokens: 5_000 }));
     tracker.replacePeer("peer", 1, items);
     const health = new UpstreamHealth(clock);
-    const placer = new Placer({ clock, random, view, loadTracker: tracker, health });
+    const placer = new Placer({
+      clock,
+      random,
+      view,
+      loadTracker: tracker,
+      health,
+      quota: newQuota(clock),
+    });
     const route = newRoute({ isStream: true, maxGapMs: 250 });
     const placement = await placer.find(
       newQuery(`a${String(process)}`, route, { promptTokens: 5_000, lastEventId: undefined }),
@@ -81,7 +98,14 @@
   tracker.replacePeer("peer", 1, items);
   const health = new UpstreamHealth(clock);
   const random = new SeededRandom(1);
-  const placer = new Placer({ clock, random, view, loadTracker: tracker, health });
+  const placer = new Placer({
+    clock,
+    random,
+    view,
+    loadTracker: tracker,
+    health,
+    quota: newQuota(clock),
+  });
   await placer.find(newQuery("short", route, { promptTokens: 1_000, lastEventId: undefined }));
   return placer.find(newQuery("long", route, { promptTokens: 200_000, lastEventId }));
 };
--- a/packages/forwarding/src/Placer.ts
+++ b/packages/forwarding/src/Placer.ts
@@ -6,6 +6,8 @@
 import type { FleetView } from "./FleetView.js";
 import { getReadMs } from "./engineModel.js";
 import { estimateValue } from "./lateness.js";
+import { QuotaQueue } from "./limits/QuotaQueue.js";
+import type { SendQuota } from "./limits/SendQuota.js";
 import { LoadPhase, newUpstreamLoad, type LoadItem } from "./load.js";
 import type { LoadTracker } from "./LoadTracker.js";
 import {
@@ -44,6 +46,8 @@
   TimeOver: "time_over",
   /** The fleet is busy, and other requests are worth more for the same work. */
   Overloaded: "overloaded",
+  /** The upstreams name limits, and take no more requests in time. */
+  Limited: "limited",
   Cancelled: "cancelled",
 } as const;
 export type PlacementFailure = (typeof PlacementFailure)[keyof typeof PlacementFailure];
@@ -70,6 +74,8 @@
   readonly #loadTracker: LoadTracker;
   readonly #health: UpstreamHealth;
   readonly #admission: AdmissionControl;
+  readonly #quota: SendQuota;
+  readonly #quotaQueue: QuotaQueue;
 
   constructor(options: {
     clock: Clock;
@@ -77,6 +83,7 @@
     view: FleetView;
     loadTracker: LoadTracker;
     health: UpstreamHealth;
+    quota: SendQuota;
   }) {
     this.#clock = options.clock;
     this.#random = options.random;
@@ -84,11 +91,20 @@
     this.#loadTracker = options.loadTracker;
     this.#health = options.health;
     this.#admission = new AdmissionControl(options.clock);
+    this.#quota = options.quota;
+    this.#quotaQueue = new QuotaQueue(options.clock, options.quota);
   }
 
-  /** Time after which a rejected request should find room in a pool, milliseconds. */
-  getRoomMs(pool: string): number {
-    return getRoomMs(this.#getCandidates({ pool, excluded: new Set() }));
+  /** Time after which a rejected request should find room in a pool, milliseconds; undefined when unknown. */
+  getRoomMs(pool: string, reason: PlacementFailure): number | undefined {
+    switch (reason) {
+      case PlacementFailure.Overloaded:
+        return getRoomMs(this.#getCandidates({ pool, excluded: new Set() }));
+      case PlacementFailure.Limited:
+        return this.#quotaQueue.getOpenInMs(this.#view.getAvailable(pool).map(({ id }) => id));
+      default:
+        return undefined;
+    }
   }
 
   /** True while an upstream has prompts to prefill. */
@@ -100,7 +116,7 @@
   hasAlternative({ pool, excluded }: Pick<PlacementQuery, "pool" | "excluded">): boolean {
     return this.#view
       .getAvailable(pool)
-      .some(({ id }) => !excluded.has(id) && !this.#health.isEjected(id));
+      .some(({ id }) => !excluded.has(id) && !this.#health.isEjected(id) && this.#quota.isOpen(id));
   }
 
   /** Resolves with a placement once there is an acceptable one, or with the reason for none. */
@@ -110,51 +126,95 @@
     // The load of an earlier send of this request must not count against its next placement.
     this.#loadTracker.removeOwn(query.req.head.attemptId);
     const isPrompt = engine !== undefined && query.req.head.promptTokens > 0;
-    const placement = isPrompt
-      ? await this.#findForPrompt(query, engine, startMs)
-      : this.#findForCall(query, startMs);
-    if (typeof placement !== "string") {
-      this.recordLoad(query, placement);
+    for (let isFirst = true; ; isFirst = false) {
+      const placement = isPrompt
+        ? await this.#findForPrompt(query, engine, { startMs, isFirst })
+        : this.#findForCall(query, startMs);
+      if (typeof placement !== "string") {
+        // Other upstreams are considered when this one takes no more requests.
+        if (await this.#quota.tryTake(placement.upstream.id)) {
+          return this.#accept(query, placement);
+        }
+      } else if (placement !== PlacementFailure.Limited || !(await this.#waitForQuota(query))) {
+        return placement;
+      }
+    }
+  }
+
+  #accept(query: PlacementQuery, placement: Placement): Placement | PlacementFailure {
+    if (this.#clock.now() >= query.deadlineAtMs) {
+      return PlacementFailure.TimeOver;
     }
+    this.recordLoad(query, placement);
     return placement;
   }
 
+  /** Resolves with false at once when no limited upstream is expected to take the request in time. */
+  #waitForQuota(query: PlacementQuery): Promise<boolean> {
+    const { req, timeline, deadlineAtMs, signal } = query;
+    const now = this.#clock.now();
+    const hasEvents = timeline.firstMs !== undefined;
+    const untilMs = hasEvents ? deadlineAtMs : now + timeline.getTargetLeftMs(now);
+    return this.#quotaQueue.wait({
+      upstreams: this.#getUsable(query).map(({ id }) => id),
+      value: estimateValue(req.head.promptTokens),
+      ...{ untilMs, signal },
+    });
+  }
+
   #findForCall(query: PlacementQuery, startMs: number): Placement | PlacementFailure {
+    const now = this.#clock.now();
+    const failure = getEnd(query, now);
+    if (failure) {
+      return failure;
+    }
     const upstream = pickServiceUpstream(this.#getCandidates(query), this.#random);
-    const waitedMs = this.#clock.now() - startMs;
+    const waitedMs = now - startMs;
     return upstream
       ? { upstream, plan: undefined, request: undefined, waitedMs }
+      : this.#getLack(query.pool);
+  }
+
+  /** Why there are no candidates. */
+  #getLack(pool: string): PlacementFailure {
+    return this.#view.getAvailable(pool).length > 0
+      ? PlacementFailure.Limited
       : PlacementFailure.NoUpstream;
   }
 
   async #findForPrompt(
     query: PlacementQuery,
     engine: EngineSpec,
-    startMs: number,
+    { startMs, isFirst }: { startMs: number; isFirst: boolean },
   ): Promise<Placement | PlacementFailure> {
-    const { deadlineAtMs, signal } = query;
     for (;;) {
       const now = this.#clock.now();
-      if (signal.aborted) {
-        return PlacementFailure.Cancelled;
-      }
-      if (now >= deadlineAtMs) {
-        return PlacementFailure.TimeOver;
+      const failure = getEnd(query, now);
+      if (failure) {
+        return failure;
       }
       const candidates = this.#getCandidates(query);
       if (candidates.length === 0) {
-        return PlacementFailure.NoUpstream;
+        return this.#getLack(query.pool);
       }
       const shortGapMs = this.#view.table?.getShortGapMs(query.pool) ?? 0;
       const request = { ...newPlacementRequest(query, engine, now), shortGapMs };
-      if (!this.#isAdmitted({ query, engine, request, candidates, isFirst: now === startMs })) {
+      if (
+        !this.#isAdmitted({
+          query,
+          engine,
+          request,
+          candidates,
+          isFirst: isFirst && now === startMs,
+        })
+      ) {
         return PlacementFailure.Overloaded;
       }
       const plan = planPlacement(engine, request, candidates);
       if (plan) {
         return { upstream: plan.upstream, plan, request, waitedMs: now - startMs };
       }
-      await sleep(this.#clock, REPLAN_INTERVAL_MS, signal);
+      await sleep(this.#clock, REPLAN_INTERVAL_MS, query.signal);
     }
   }
 
@@ -181,13 +241,19 @@
     return isAdmitted;
   }
 
+  /** Upstreams that haven't failed the request, or all when they have. */
+  #getUsable({ pool, excluded }: Pick<PlacementQuery, "pool" | "excluded">): readonly Upstream[] {
+    const available = this.#view.getAvailable(pool);
+    const untried = available.filter(({ id }) => !excluded.has(id));
+    return untried.length > 0 ? untried : available;
+  }
+
   #getCandidates({
     pool,
     excluded,
   }: Pick<PlacementQuery, "pool" | "excluded">): PlacementCandidate[] {
-    const available = this.#view.getAvailable(pool);
-    const untried = available.filter(({ id }) => !excluded.has(id));
-    const active = this.#health.selectActive(untried.length > 0 ? untried : available);
+    const open = this.#getUsable({ pool, excluded }).filter(({ id }) => this.#quota.isOpen(id));
+    const active = this.#health.selectActive(open);
     const loads = this.#loadTracker.getLoads();
     const considered =
       active.length > MAX_CANDIDATES ? sample(active, MAX_CANDIDATES, this.#random) : active;
@@ -195,6 +261,7 @@
       upstream,
       load: loads.get(upstream.id) ?? newUpstreamLoad(),
       failureRate: this.#health.getFailureRate(upstream.id),
+      avoidance: this.#quota.getAvoidance(upstream.id),
     }));
   }
 
@@ -212,6 +279,17 @@
   }
 }
 
+/** Why a search ends without a look at the upstreams; undefined while it goes on. */
+const getEnd = (
+  { deadlineAtMs, signal }: PlacementQuery,
+  now: number,
+): PlacementFailure | undefined => {
+  if (signal.aborted) {
+    return PlacementFailure.Cancelled;
+  }
+  return now >= deadlineAtMs ? PlacementFailure.TimeOver : undefined;
+};
+
 type RequestLoad = Omit<LoadItem, "id" | "pool" | "upstream" | "kvTokens">;
 
 /** Load of a call to a plain service, which has no phases, parts or events. */
--- a/packages/forwarding/src/forwardDependencies.ts
+++ b/packages/forwarding/src/forwardDependencies.ts
@@ -3,6 +3,7 @@
 
 import type { CrashTracker } from "./CrashTracker.js";
 import type { FleetView } from "./FleetView.js";
+import type { SendQuota } from "./limits/SendQuota.js";
 import type { UpstreamLimits } from "./limits/UpstreamLimits.js";
 import type { LoadTracker } from "./LoadTracker.js";
 import type { RetryBudget } from "./RetryBudget.js";
@@ -29,6 +30,7 @@
   readonly loadTracker: LoadTracker;
   readonly health: UpstreamHealth;
   readonly limits: UpstreamLimits;
+  readonly quota: SendQuota;
   readonly retryBudget: RetryBudget;
   readonly crashes: CrashTracker;
   readonly reservations: ReservationManager;
--- /dev/null
+++ b/packages/forwarding/src/limits/LimitedControl.ts
@@ -0,0 +1,34 @@
+import type { Upstream } from "../fleetConfig.js";
+import type { UpstreamControl } from "../types.js";
+import type { SendQuota } from "./SendQuota.js";
+
+/** Counts the orders to upstreams with limits, and spares these upstreams the probes. */
+export class LimitedControl implements UpstreamControl {
+  readonly #control: UpstreamControl;
+  readonly #quota: SendQuota;
+
+  constructor(control: UpstreamControl, quota: SendQuota) {
+    this.#control = control;
+    this.#quota = quota;
+  }
+
+  /** A limited upstream is taken to be alive; it is replaced after the longer time-out. */
+  isAlive(upstream: Upstream): Promise<boolean> {
+    return this.#quota.isLimited(upstream.id)
+      ? Promise.resolve(true)
+      : this.#control.isAlive(upstream);
+  }
+
+  reserve(
+    upstream: Upstream,
+    reservation: Parameters<UpstreamControl["reserve"]>[1],
+  ): Promise<boolean> {
+    this.#quota.charge(upstream.id);
+    return this.#control.reserve(upstream, reservation);
+  }
+
+  release(upstream: Upstream, reservationId: string): Promise<void> {
+    this.#quota.charge(upstream.id);
+    return this.#control.release(upstream, reservationId);
+  }
+}
--- a/packages/forwarding/src/limits/UpstreamLimits.test.ts
+++ b/packages/forwarding/src/limits/UpstreamLimits.test.ts
@@ -114,7 +114,7 @@
         limits.record(newReport(answer));
       });
       expect(limits.get("u")?.perSecond).to.equal(perSecond);
-      expect(limits.size).to.equal(perSecond === undefined ? 0 : 1);
+      expect(limits.all).to.have.length(perSecond === undefined ? 0 : 1);
     });
   }
 
--- a/packages/forwarding/src/limits/UpstreamLimits.ts
+++ b/packages/forwarding/src/limits/UpstreamLimits.ts
@@ -51,9 +51,9 @@
     this.#onOwnChange = options.onOwnChange;
   }
 
-  /** Number of upstreams with a limit. */
-  get size(): number {
-    return [...this.#reports.values()].filter((report) => isLimit(report)).length;
+  /** Limits in force. */
+  get all(): readonly KnownLimit[] {
+    return [...this.#reports.values()].filter((report) => isLimit(report));
   }
 
   /** Reports of answers that this process received itself, for its peers. */
@@ -67,6 +67,11 @@
     return isLimit(report) ? report : undefined;
   }
 
+  /** The newest report of an upstream that has a limit or had one. */
+  getReport(upstream: string): LimitReport | undefined {
+    return this.#reports.get(upstream);
+  }
+
   /** Records an answer that this process received. */
   record(report: LimitReport): void {
     if (this.#apply({ ...report, peer: undefined })) {
--- a/packages/forwarding/src/placement.ts
+++ b/packages/forwarding/src/placement.ts
@@ -24,6 +24,8 @@
 const QUEUE_RISK = 2;
 /** Cost of an upstream, multiplied by its failure rate. */
 const FAILURE_COST = 2;
+/** Cost of an upstream that names a limit, and the same for each second of prefill there. */
+const LIMITED_COST = 2;
 /** A full upstream costs this much to decode at; one with free slots their taken share. */
 const FULL_COST = 10;
 /** Cost of a decoder that lacks as much KV memory as an engine has; less in proportion. */
@@ -46,6 +48,8 @@
   readonly load: UpstreamLoad;
   /** Recent share of failed requests, 0 to 1. */
   readonly failureRate: number;
+  /** How far to avoid the upstream because it names a limit, 0 to 1. */
+  readonly avoidance: number;
 }
 
 /** A prompt to place. */
@@ -128,7 +132,11 @@
     candidate,
     helperReadyMs,
     decoderReadyMs: passLeftMs + load.pendingReadMs + readMs,
-    cost: addedLoss + FAILURE_COST * candidate.failureRate + helperReadyMs / MS_PER_S,
+    cost:
+      addedLoss +
+      FAILURE_COST * candidate.failureRate +
+      LIMITED_COST * candidate.avoidance * (1 + readMs / MS_PER_S) +
+      helperReadyMs / MS_PER_S,
   };
 };
 
@@ -251,10 +259,12 @@
   candidates: readonly PlacementCandidate[],
 ): PlacementPlan | undefined => {
   let best: PlacementPlan | undefined;
-  const maxMembers = getMaxMembers(req.promptTokens, candidates.length);
+  // Each part of a prompt is work for an upstream in need, and so are the orders for its memory.
+  const unlimited = candidates.filter(({ avoidance }) => avoidance === 0);
+  const maxMembers = Math.max(1, getMaxMembers(req.promptTokens, unlimited.length));
   for (let count = 1; count <= maxMembers; count++) {
     const readMs = getReadMs(engine, req.promptTokens, count);
-    const scored = candidates
+    const scored = (count === 1 ? candidates : unlimited)
       .map((candidate) => scoreMember(engine, candidate, readMs))
       .sort((a, b) => a.cost - b.cost);
     if (count === 1) {
@@ -276,10 +286,11 @@
   random: { next(): number },
 ): Upstream | undefined => {
   let best: { upstream: Upstream; cost: number } | undefined;
-  for (const { upstream, load, failureRate } of candidates) {
+  for (const { upstream, load, failureRate, avoidance } of candidates) {
     const cost =
       load.inFlight / upstream.slots +
       FAILURE_COST * failureRate +
+      LIMITED_COST * avoidance +
       random.next() * CALL_COST_JITTER;
     if (!best || cost < best.cost) {
       best = { upstream, cost };
--- a/packages/forwarding/src/testing/ForwarderHarness.ts
+++ b/packages/forwarding/src/testing/ForwarderHarness.ts
@@ -9,6 +9,7 @@
 import { RetryBudget } from "../RetryBudget.js";
 import { FakeCaller, FakeDialect, FakeTransport } from "./FakeUpstreams.js";
 import { ManualClock } from "./ManualClock.js";
+import { newLoneSendQuota } from "./newLoneSendQuota.js";
 import { newConfig, newItem, newRoute, newUpstream } from "./samples.js";
 import { ReservationManager } from "../ReservationManager.js";
 import type { Dialect } from "../types.js";
@@ -35,6 +36,7 @@
   readonly limits = new UpstreamLimits({
     ...{ clock: this.clock, logger: newSilentLogger(), onOwnChange: () => undefined },
   });
+  readonly quota = newLoneSendQuota(this.clock, this.limits);
   readonly #abort = new AbortController();
   readonly #forwarder: Forwarder;
   readonly #retryBudget: RetryBudget;
@@ -67,6 +69,7 @@
       random: new SeededRandom(1),
       health: new UpstreamHealth(clock),
       limits: this.limits,
+      quota: this.quota,
       retryBudget: this.#retryBudget,
       crashes: this.#crashes,
       reservations: new ReservationManager({ clock, control, logger }),
--- /dev/null
+++ b/packages/forwarding/src/testing/newLoneSendQuota.ts
@@ -0,0 +1,16 @@
+import type { Clock } from "@lycheepulley/core";
+import { newSilentLogger } from "@lycheepulley/telemetry";
+
+import { QuotaOwner, type QuotaMembers } from "../limits/QuotaOwner.js";
+import { SendQuota } from "../limits/SendQuota.js";
+import type { UpstreamLimits } from "../limits/UpstreamLimits.js";
+
+/** The quotas of a process without peers. */
+export const newLoneSendQuota = (clock: Clock, limits: UpstreamLimits): SendQuota => {
+  const getMembers = (): QuotaMembers => ({ self: "n0", hosts: ["n0"], known: 0 });
+  return new SendQuota({
+    ...{ clock, limits, getMembers, logger: newSilentLogger() },
+    owner: new QuotaOwner({ clock, limits, getMembers }),
+    peers: { ask: () => Promise.reject(new Error("no peers")), charge: () => undefined },
+  });
+};
--- a/packages/forwarding/src/testing/samples.ts
+++ b/packages/forwarding/src/testing/samples.ts
@@ -73,6 +73,7 @@
     upstream: newUpstream(`u${String(index)}`),
     load: { ...newUpstreamLoad(), decoding: load.decodes?.length ?? 0, ...load },
     failureRate: 0,
+    avoidance: 0,
   }));
 
 export const newPrompt = (fields: Partial<PlacementRequest> = {}): PlacementRequest => ({
--- a/packages/simulation/src/SimulatedFleet.ts
+++ b/packages/simulation/src/SimulatedFleet.ts
@@ -2,21 +2,19 @@
 import {
   DEFAULT_CALLER_LIMITS,
   type FleetConfig,
-  type LoadChange,
   type Route,
   type Upstream,
   type UpstreamControl,
   type UpstreamTransport,
 } from "@lycheepulley/forwarding";
 
+import { GatewayNetwork, NETWORK_MS } from "./GatewayNetwork.js";
 import type { Incident, Pattern, PromptClass } from "./pattern.js";
 import { SimulatedGateway } from "./SimulatedGateway.js";
 import { SimulatedUpstream, UpstreamState } from "./SimulatedUpstream.js";
 import type { WorkerModel } from "./WorkerModel.js";
 
 const POOL = "engines";
-/** Delay between a gateway and an upstream or another gateway, in one direction. */
-const NETWORK_MS = 1;
 /** Time until the gateways know that the list of upstreams changed. */
 const LIST_LAG_MS = 120;
 /** Time between an upstream's notice that it leaves and its end. */
@@ -25,8 +23,6 @@
 const SUCCESSOR_MS = 300;
 /** Time until a crashed upstream is missing on the list. */
 const CRASH_LIST_MS = 2_500;
-/** Interval of the peers' signs of life. */
-const HEARTBEAT_MS = 250;
 
 /** Route of one class of prompts. */
 export const newRoute = (prompt: PromptClass): Route => ({
@@ -65,6 +61,7 @@
   readonly #config: FleetConfig;
   readonly #upstreams = new Map<string, SimulatedUpstream>();
   readonly #leaving = new Set<string>();
+  readonly #network: GatewayNetwork;
   #gateways: SimulatedGateway[] = [];
   /** Times during which upstreams named limits. */
   readonly limitPeriods: LimitPeriod[] = [];
@@ -75,6 +72,7 @@
     this.#pattern = pattern;
     this.#clock = clock;
     this.#random = random;
+    this.#network = new GatewayNetwork(clock, () => this.#gateways);
     this.#config = {
       revision: 1,
       routes: pattern.classes.map((prompt) => newRoute(prompt)),
@@ -85,7 +83,8 @@
       this.#addUpstream();
     }
     this.#startGateways();
-    this.#sendHeartbeats();
+    this.#network.sendHeartbeats();
+    this.#network.observeQuotas();
     pattern.incidents.forEach((incident) => {
       clock.setTimer(() => {
         this.#begin(incident);
@@ -168,8 +167,13 @@
       const gateway = new SimulatedGateway({
         ...{ name, clock: this.#clock, random: this.#random, config: this.#config, transport },
         ...{ control: this.#newControl(), processes: this.#pattern.processes },
+        getMembers: () => this.#network.getMembers(name),
+        quotaPeers: this.#network.newQuotaPeers(name),
+        onLimitChange: (report) => {
+          this.#network.sendLimit(name, report);
+        },
         onLoadChange: (seq, change) => {
-          this.#sendLoadChange(name, seq, change);
+          this.#network.sendLoadChange(name, seq, change);
         },
       });
       gateway.applyUpstreams(this.#list());
@@ -192,29 +196,6 @@
     };
   }
 
-  #sendLoadChange(from: string, seq: number, change: LoadChange): void {
-    this.#clock.setTimer(() => {
-      for (const gateway of this.#gateways) {
-        if (gateway.name !== from) {
-          gateway.applyPeerChange(from, seq, change);
-        }
-      }
-    }, NETWORK_MS);
-  }
-
-  #sendHeartbeats(): void {
-    for (const to of this.#gateways) {
-      for (const from of this.#gateways) {
-        if (from !== to) {
-          to.loads.recordHeartbeat(from.name, HEARTBEAT_MS);
-        }
-      }
-    }
-    this.#clock.setTimer(() => {
-      this.#sendHeartbeats();
-    }, HEARTBEAT_MS);
-  }
-
   #addUpstream(): void {
     const index = this.#nextUpstream++;
     const { engine, chunkTokens, queueSlots } = this.#pattern;
--- a/packages/simulation/src/SimulatedGateway.ts
+++ b/packages/simulation/src/SimulatedGateway.ts
@@ -4,14 +4,20 @@
   FleetView,
   Forwarder,
   LoadTracker,
+  QuotaOwner,
   ReservationManager,
   RetryBudget,
+  SendQuota,
   UpstreamHealth,
   UpstreamLimits,
   type AnswerWriter,
   type FleetConfig,
   type ForwardRequest,
+  type LimitReport,
   type LoadChange,
+  type QuotaAnswer,
+  type QuotaMembers,
+  type QuotaPeers,
   type Upstream,
   type UpstreamControl,
   type UpstreamTransport,
@@ -30,6 +36,8 @@
   readonly #health: UpstreamHealth;
   readonly #loadTracker: LoadTracker;
   readonly #forwarder: Forwarder;
+  readonly #limits: UpstreamLimits;
+  readonly #quotaOwner: QuotaOwner;
   #seq = 0;
   #listVersion = 0;
 
@@ -41,6 +49,9 @@
     transport: UpstreamTransport;
     control: UpstreamControl;
     processes: number;
+    onLimitChange: (report: LimitReport) => void;
+    quotaPeers: QuotaPeers;
+    getMembers: () => QuotaMembers;
     onLoadChange: (seq: number, change: LoadChange) => void;
   }) {
     const { clock, random, transport, control } = options;
@@ -56,6 +67,14 @@
     });
     this.#view.applyConfig(options.config);
     const logger = newSilentLogger();
+    const limits = new UpstreamLimits({ clock, logger, onOwnChange: options.onLimitChange });
+    const { getMembers } = options;
+    this.#limits = limits;
+    this.#quotaOwner = new QuotaOwner({ clock, limits, getMembers });
+    const quota = new SendQuota({
+      ...{ clock, limits, owner: this.#quotaOwner, peers: options.quotaPeers },
+      ...{ getMembers, logger },
+    });
     this.#forwarder = new Forwarder({
       ...{ clock, random, transport, control, logger, view: this.#view },
       ...{ health: this.#health, loadTracker: this.#loadTracker, dialect: new SimulatedDialect() },
@@ -64,7 +83,7 @@
         getProcessCount: () => options.processes,
       }),
       crashes: new CrashTracker({ clock, onCrash: () => undefined }),
-      limits: new UpstreamLimits({ clock, logger, onOwnChange: () => undefined }),
+      ...{ limits, quota },
       reservations: new ReservationManager({ clock, control, logger }),
       onEnd: () => undefined,
     });
@@ -78,11 +97,26 @@
     this.#loadTracker.applyPeerChange(peer, seq, change);
   }
 
+  applyPeerLimit(peer: string, report: LimitReport): void {
+    this.#limits.recordPeer(peer, report);
+  }
+
+  /** Answers a peer that asks for one send to an upstream with a limit. */
+  takeForPeer(peer: string, limit: LimitReport): QuotaAnswer {
+    return this.#quotaOwner.takeForPeer(peer, limit);
+  }
+
+  observeQuotas(): void {
+    this.#quotaOwner.observe();
+  }
+
   applyUpstreams(upstreams: readonly Upstream[]): void {
     this.#listVersion += 1;
     const list = { version: this.#listVersion, upstreams: [...upstreams] };
     this.#view.applyUpstreams(list, this.#clock.now(), new Set());
-    this.#health.retain(new Set(this.#view.upstreams.keys()));
+    const ids = new Set(this.#view.upstreams.keys());
+    this.#health.retain(ids);
+    this.#limits.retain(ids);
   }
 
   /** Keeps peers from taking this process for silent. */
