Deliver a complete answer that is followed by bytes that aren't HTTP

What callers saw: a 502 in place of a whole answer, when the upstream sent more bytes right behind it; for requests that may not run twice, work that had been done was lost.

Cause: the parser's error about the bytes behind the answer was taken for an error of the answer, which was already complete.

Change: errors of a connection count only until its answer is complete.

Result: the new case fails on the code before (end 'error', body '') and passes now.

--- a/packages/upstreams/src/HttpUpstreamTransport.test.ts
+++ b/packages/upstreams/src/HttpUpstreamTransport.test.ts
@@ -83,6 +83,12 @@
     end: "end",
     body: "abc",
   },
+  {
+    name: "bytes after a complete answer that aren't HTTP are ignored",
+    answer: (socket) => socket.write(`${HEAD}Content-Length: 3\r\n\r\nabcxyz`),
+    end: "end",
+    body: "abc",
+  },
   {
     name: "an answer that ends before its length is an error",
     answer: (socket) => socket.end(`${HEAD}Content-Length: 9\r\n\r\nabc`),
--- a/packages/upstreams/src/HttpUpstreamTransport.ts
+++ b/packages/upstreams/src/HttpUpstreamTransport.ts
@@ -59,13 +59,10 @@
 
   #observe(req: ClientRequest): void {
     req.on("error", (err) => {
-      this.#fail(err);
+      this.#failUnlessComplete(err);
     });
     req.on("close", () => {
-      // A paused answer that is complete is read to its end after the connection has closed.
-      if (!this.#res?.complete) {
-        this.#fail(new Error("connection closed"));
-      }
+      this.#failUnlessComplete(new Error("connection closed"));
     });
     req.on("response", (res) => {
       this.#observeAnswer(res);
@@ -96,6 +93,13 @@
     });
   }
 
+  /** A complete answer is still read to its end, whatever comes behind it on the connection. */
+  #failUnlessComplete(err: Error): void {
+    if (!this.#res?.complete) {
+      this.#fail(err);
+    }
+  }
+
   #fail(err: Error): void {
     if (this.#isClosed) {
       return;
