End answers whose bytes never end long before the deadline

Found with a worker that does so, 14 ways: five were read until the request's deadline (4 s): empty lines before the head (1.6 GB read), interim answers (54 MB), digits of a chunk's length (1.1 GB), the bodies of a failure and of a rejection, which also went on to the caller (over 0.5 GB). Nine were closed within 200 ms already.

Change: the transport counts what it receives besides the body and ends an answer with more than 64 KiB of it, plus 16 bytes for each byte of body. The body of a failure over 1 MiB isn't passed on: a rejection is one by its head, any other failure counts as failed.

Result: each of the 14 is closed within 2.5 s and 16 MB, most within 20 ms; callers get 502 (may have run), 503 where the upstream said that it didn't run, 200 where the answer was complete. The five cases fail on the code before.

--- a/packages/forwarding/src/Send.ts
+++ b/packages/forwarding/src/Send.ts
@@ -22,6 +22,8 @@
 /** Answers up to this size are buffered until they are complete, so that a broken one can be retried. */
 const MAX_BUFFERED_BYTES = 1_048_576;
 
+const FIRST_FAILURE_STATUS = 400;
+
 /** Statuses from which a caller concludes that its request never ran. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
@@ -255,7 +257,11 @@
     this.#buffered.push(chunk);
     this.#bufferedBytes += chunk.length;
     this.#watchForStall("gapMs");
-    if (this.#bufferedBytes <= MAX_BUFFERED_BYTES || !this.#head || this.#progress.isHeadSent) {
+    if (this.#bufferedBytes <= MAX_BUFFERED_BYTES || !this.#head) {
+      return;
+    }
+    if (this.#head.status >= FIRST_FAILURE_STATUS || this.#progress.isHeadSent) {
+      this.#endOversizedFailure(this.#head);
       return;
     }
     this.#isPassthrough = true;
@@ -265,6 +271,13 @@
     this.#write(Buffer.concat(this.#buffered.splice(0)));
   }
 
+  /** Ends a failure whose body is too long to be buffered, and may have no end. */
+  #endOversizedFailure({ status }: AnswerHead): void {
+    const result = this.#facts?.isNotRun ? SendResult.NotRun : SendResult.Failed;
+    const reason = `status ${String(status)}, body over ${String(MAX_BUFFERED_BYTES)} bytes`;
+    this.#finish({ result, reason, faultAddress: this.#facts?.faultAddress });
+  }
+
   #sendHeadOnce(options = { keepLength: false }): void {
     if (this.#progress.isHeadSent || !this.#head) {
       return;
--- a/packages/upstreams/src/HttpUpstreamTransport.ts
+++ b/packages/upstreams/src/HttpUpstreamTransport.ts
@@ -7,6 +7,14 @@
   type UpstreamTransport,
 } from "@lycheepulley/forwarding";
 
+/**
+ * Bytes of an answer that aren't its body: heads, interim answers, framing. The parser limits single
+ * heads, but takes empty lines, interim answers and digits of a chunk's length without end.
+ */
+const MAX_OVERHEAD_BYTES = 65_536;
+/** Framing allowed for each byte of body, which tiny chunks need. */
+const OVERHEAD_PER_BODY_BYTE = 16;
+
 type OpenRequest = Parameters<UpstreamTransport["open"]>[0];
 
 /** One request to an upstream, on its own connection. */
@@ -16,6 +24,8 @@
   #res: IncomingMessage | undefined;
   #state: SendState = SendState.Unsent;
   #isClosed = false;
+  #receivedBytes = 0;
+  #bodyBytes = 0;
   readonly #connectTimer: NodeJS.Timeout;
 
   constructor(options: OpenRequest, observer: CallObserver) {
@@ -35,6 +45,9 @@
     // Nothing is written before the connection is open: an earlier error means that nothing was sent.
     this.#req.on("socket", (socket) => {
       socket.setNoDelay(true);
+      socket.on("data", (data: Buffer) => {
+        this.#countReceived(data.length);
+      });
       socket.once("connect", () => {
         clearTimeout(this.#connectTimer);
         if (!this.#isClosed) {
@@ -79,6 +92,7 @@
     }
     this.#observer.onHead({ status: res.statusCode ?? 0, headers: res.rawHeaders });
     res.on("data", (chunk: Buffer) => {
+      this.#bodyBytes += chunk.length;
       if (!this.#isClosed) {
         this.#observer.onData(chunk);
       }
@@ -93,6 +107,15 @@
     });
   }
 
+  /** Ends an answer that consists of little but framing. */
+  #countReceived(bytes: number): void {
+    this.#receivedBytes += bytes;
+    const overheadBytes = this.#receivedBytes - this.#bodyBytes - (this.#res?.readableLength ?? 0);
+    if (overheadBytes > MAX_OVERHEAD_BYTES + OVERHEAD_PER_BODY_BYTE * this.#bodyBytes) {
+      this.#failUnlessComplete(new Error(`${String(overheadBytes)} bytes that are no body`));
+    }
+  }
+
   /** A complete answer is still read to its end, whatever comes behind it on the connection. */
   #failUnlessComplete(err: Error): void {
     if (!this.#res?.complete) {
