Read each byte of an event stream once

What operators would see: one stream whose upstream sends an event in tiny pieces, or bytes without end in an event, occupies a process; its other callers wait.

Cause: with each piece that arrived, all bytes of the unfinished event were copied and searched again, so that the cost grows with the square of its length.

Comments and empty lines come back as blocks of their own that are no events.

--- a/packages/forwarding/src/decisions.test.ts
+++ b/packages/forwarding/src/decisions.test.ts
@@ -84,6 +84,27 @@
     });
   }
 
+  it("returns comments and empty lines apart from events, and together", () => {
+    const blocks = new EventSplitter().push(Buffer.from(": a\n\n\n\nid: 1\n: b\n\n\n: c\n\n"));
+    const seen = blocks.map(({ bytes, isEvent }) => [bytes.toString(), isEvent]);
+    expect(seen).to.deep.equal([
+      [": a\n\n\n\n", false],
+      ["id: 1\n: b\n\n", true],
+      ["\n: c\n\n", false],
+    ]);
+  });
+
+  // An event that arrived in tiny pieces was copied and read again with each of them.
+  it("reads a long event in tiny pieces at a cost that grows with its length only", function () {
+    this.timeout(5_000);
+    const splitter = new EventSplitter();
+    const piece = Buffer.alloc(16, "x");
+    for (let count = 0; count < 65_000; count++) {
+      splitter.push(piece);
+    }
+    expect(splitter.push(Buffer.from("\n\n"))).to.have.length(1);
+  });
+
   it("buffers an event until it is complete", () => {
     const splitter = new EventSplitter();
     expect(splitter.push(Buffer.from("id: 1\ndata: hal"))).to.deep.equal([]);
