Don't take comments for the progress of a stream

What callers of other systems saw, and it could happen here: a stalled stream whose upstream sent a byte now and then was never taken over by another upstream.

Cause: each comment or empty line of a stream counted as an event: it restarted the watch for stalls, was timed as an event of the answer, and ended the other send when a replacement sent one.

Change: only events count. Comments are passed on between events as they arrive, and are held back until the first event of a send, since another one may go on with the answer. How a complete answer fails is now a function beside the outcomes.

--- a/packages/forwarding/src/Send.ts
+++ b/packages/forwarding/src/Send.ts
@@ -1,7 +1,7 @@
 import { getMessage, type Clock } from "@lycheepulley/core";
 
 import { EventSplitter, type StreamEvent } from "./EventSplitter.js";
-import { SendResult, type BufferedAnswer, type SendOutcome } from "./outcomes.js";
+import { getFailure, SendResult, type BufferedAnswer, type SendOutcome } from "./outcomes.js";
 import {
   StallWatch,
   type StallHandler,
@@ -24,9 +24,6 @@
 
 const FIRST_FAILURE_STATUS = 400;
 
-/** Statuses from which a caller concludes that its request never ran. */
-const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
-
 /** State of the caller's answer, shared by all sends of a request. */
 export interface AnswerProgress {
   /** Id of the last event that went to the caller. */
@@ -58,6 +55,8 @@
   readonly #splitter = new EventSplitter();
   readonly #buffered: Buffer[] = [];
   #bufferedBytes = 0;
+  /** An event of the stream arrived. */
+  #hasEvents = false;
   #head: AnswerHead | undefined;
   #facts: AnswerFacts | undefined;
   #isPassthrough = false;
@@ -184,26 +183,49 @@
   }
 
   #forwardEvents(chunk: Buffer): void {
-    let events: StreamEvent[];
+    let blocks: StreamEvent[];
     try {
-      events = this.#splitter.push(chunk);
+      blocks = this.#splitter.push(chunk);
     } catch (err) {
       this.#finish({ result: SendResult.Broken, reason: String(err) });
       return;
     }
-    if (events.length === 0) {
+    if (!blocks.some(({ isEvent }) => isEvent)) {
+      this.#forwardComments(blocks);
       return;
     }
+    this.#hasEvents = true;
     this.#observer.onProgress();
     this.#observer.onEvents();
     this.#sendHeadOnce();
-    for (const event of events) {
-      this.#progress.lastEventId = event.id ?? this.#progress.lastEventId;
+    for (const { id } of blocks) {
+      this.#progress.lastEventId = id ?? this.#progress.lastEventId;
     }
-    this.#write(Buffer.concat(events.map(({ bytes }) => bytes)));
+    this.#write(Buffer.concat([...this.#takeBuffered(), ...blocks.map(({ bytes }) => bytes)]));
     this.#watchForStall("gapMs");
   }
 
+  /** Comments show that the upstream is alive, but not that the answer goes on. */
+  #forwardComments(blocks: readonly StreamEvent[]): void {
+    for (const { bytes } of blocks) {
+      if (this.#hasEvents) {
+        this.#write(bytes);
+      } else {
+        // Another send may go on with the answer until this one has an event.
+        this.#buffered.push(bytes);
+        this.#bufferedBytes += bytes.length;
+      }
+    }
+    if (this.#bufferedBytes > MAX_BUFFERED_BYTES) {
+      this.#finish({ result: SendResult.Broken, reason: "comments without an event" });
+    }
+  }
+
+  #takeBuffered(): Buffer[] {
+    this.#bufferedBytes = 0;
+    return this.#buffered.splice(0);
+  }
+
   #endEventStream(): void {
     if (this.#splitter.pendingBytes > 0) {
       this.#finish({ result: SendResult.Broken, reason: "stream ended inside an event" });
@@ -215,25 +237,18 @@
     }
     this.#observer.onProgress();
     this.#sendHeadOnce();
+    this.#takeBuffered().forEach((bytes) => {
+      this.#write(bytes);
+    });
     this.#writer.end();
     this.#finish({ result: SendResult.Delivered, reason: "whole stream" });
   }
 
   #endBuffered(head: AnswerHead, facts: AnswerFacts): void {
-    const body = Buffer.concat(this.#buffered);
-    const { faultAddress, isFramed } = facts;
-    const answer = { head, body, isFramed };
-    if (facts.isNotRun) {
-      this.#finish({
-        ...{ result: SendResult.NotRun, answer, faultAddress },
-        reason: `status ${String(head.status)}, not run`,
-      });
-    } else if (NOT_RUN_STATUSES.has(head.status)) {
-      const reason = `status ${String(head.status)} without a word that it didn't run`;
-      this.#finish({ result: SendResult.Failed, reason, faultAddress });
-    } else if (head.status >= 500) {
-      const reason = `status ${String(head.status)}`;
-      this.#finish({ result: SendResult.Failed, reason, answer, faultAddress });
+    const answer = { head, body: Buffer.concat(this.#buffered), isFramed: facts.isFramed };
+    const failure = getFailure(answer, facts);
+    if (failure) {
+      this.#finish(failure);
     } else if (this.#progress.isHeadSent) {
       this.#finish({ result: SendResult.Broken, reason: "resumed stream without events" });
     } else {
@@ -268,7 +283,7 @@
     this.#stallWatch.stop();
     this.#observer.onProgress();
     this.#sendHeadOnce({ keepLength: true });
-    this.#write(Buffer.concat(this.#buffered.splice(0)));
+    this.#write(Buffer.concat(this.#takeBuffered()));
   }
 
   /** Ends a failure whose body is too long to be buffered, and may have no end. */
--- a/packages/forwarding/src/outcomes.ts
+++ b/packages/forwarding/src/outcomes.ts
@@ -1,5 +1,5 @@
 import { Repeat, type Route } from "./fleetConfig.js";
-import type { AnswerHead } from "./types.js";
+import type { AnswerFacts, AnswerHead } from "./types.js";
 
 /** Result of one send to an upstream. */
 export const SendResult = {
@@ -44,6 +44,30 @@
   readonly faultAddress?: string | undefined;
 }
 
+/** Statuses from which a caller concludes that its request never ran. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+const FIRST_ERROR_STATUS = 500;
+
+/** The failure that a complete answer tells; undefined for an answer to pass on. */
+export const getFailure = (
+  answer: BufferedAnswer,
+  { isNotRun, faultAddress }: AnswerFacts,
+): SendOutcome | undefined => {
+  const { status } = answer.head;
+  const reason = `status ${String(status)}`;
+  if (isNotRun) {
+    return { result: SendResult.NotRun, answer, faultAddress, reason: `${reason}, not run` };
+  }
+  if (NOT_RUN_STATUSES.has(status)) {
+    // Passed on, it would promise what the upstream doesn't say.
+    const doubt = `${reason} without a word that it didn't run`;
+    return { result: SendResult.Failed, faultAddress, reason: doubt };
+  }
+  return status >= FIRST_ERROR_STATUS
+    ? { result: SendResult.Failed, answer, faultAddress, reason }
+    : undefined;
+};
+
 /** What to do after a send. */
 export const NextStep = {
   Done: "done",
--- a/packages/forwarding/src/stalledSends.test.ts
+++ b/packages/forwarding/src/stalledSends.test.ts
@@ -52,6 +52,35 @@
     });
   }
 
+  // Stalled streams whose upstream sent a comment now and then were never taken over.
+  for (const comment of [": ping\n\n", "\n", ":"]) {
+    it(`is replaced although it sends ${JSON.stringify(comment)} now and then`, async () => {
+      const harness = new ForwarderHarness();
+      await startAnswer(harness);
+      const { observer } = harness.transport.last;
+      for (let passedMs = 0; passedMs < STALL_MS; passedMs += 100) {
+        observer.onData(Buffer.from(comment));
+        await harness.clock.advance(100);
+      }
+      expect(harness.sentTo).to.have.length(2);
+      expect(harness.resumedAfter).to.equal("1");
+      expect(harness.caller.ending).to.equal("open");
+    });
+  }
+
+  // Comments of an upstream without events must not end the send that has the caller's answer.
+  it("goes on although its replacement sends comments", async () => {
+    const harness = new ForwarderHarness();
+    await startAnswer(harness);
+    const [first] = harness.transport.calls;
+    await harness.clock.advance(SLOW_REPLACED_MS);
+    harness.transport.startStream();
+    harness.transport.last.observer.onData(Buffer.from(": ping\n\n"));
+    await finishAnswer(harness, first);
+    expect(harness.caller).to.include({ ending: "whole" });
+    expect(harness.caller.body).to.equal("id: 1\ndata: x\n\nid: 2\ndata: x\n\n");
+  });
+
   // With the retry budget used up, silence ended streams that nothing could resume.
   it("is awaited while the retry budget is exhausted", async () => {
     const harness = new ForwarderHarness();
