Reset the connection of an answer without a length that is cut

What callers saw: an answer without a length, which ends with its connection, reached them as a complete success when it was broken off halfway, by an upstream that reset its own connection or by this process.

Cause: the caller's connection was closed in the ordinary way, which is just how such an answer ends. Found by the test of bodies without end.

Ruled out: Node's resetAndDestroy, which ends the connection first when nothing is waiting to be written. Chunks for the caller would tell a cut from an end, but would also vouch for the end of an upstream's answer that ended with its connection.

Result: the caller's socket reports ECONNRESET; the new test fails on the code before (no error). Answers in chunks are cut as before, without their last chunk. On this machine a raw socket with over a megabyte still unread saw an ordinary end in a trial of 40 MB; not explained.

--- a/packages/callers/src/forward/ForwardServer.test.ts
+++ b/packages/callers/src/forward/ForwardServer.test.ts
@@ -196,6 +196,32 @@
     });
   }
 
+  // An answer that broke off halfway reached the caller as a complete success.
+  for (const isFramed of [true, false]) {
+    it(`tells a caller that an answer ${isFramed ? "in chunks" : "without a length"} was cut`, async () => {
+      const { harness } = fixture;
+      harness.forward = async (_req, writer) => {
+        writer.sendHead(200, [], isFramed);
+        writer.write(Buffer.from("half of it"));
+        await new Promise((resolve) => setTimeout(resolve, 50));
+        writer.abort();
+      };
+      const socket = await harness.connect();
+      let answer = "";
+      const errors: string[] = [];
+      socket.on("data", (chunk) => (answer += chunk.toString()));
+      socket.on("error", (err: NodeJS.ErrnoException) => errors.push(err.code ?? ""));
+      socket.write(newRequest());
+      await new Promise((resolve) => socket.once("close", resolve));
+      expect(answer).to.include("half of it");
+      if (isFramed) {
+        expect(answer).to.not.match(/\r\n0\r\n\r\n$/);
+      } else {
+        expect(errors).to.deep.equal(["ECONNRESET"]);
+      }
+    });
+  }
+
   // A pipelined request was forwarded, and the answer before it closed the connection.
   it("forwards no request behind an answer that ends the connection", async () => {
     const { harness } = fixture;
--- a/packages/callers/src/forward/ResponseWriter.ts
+++ b/packages/callers/src/forward/ResponseWriter.ts
@@ -9,6 +9,8 @@
   readonly #res: ServerResponse;
   readonly #isClosing: () => boolean;
   #isLastAnswer = false;
+  /** Only a reset tells a caller that such an answer isn't complete. */
+  #isUnframed = false;
 
   constructor(res: ServerResponse, options: { isClosing: () => boolean }) {
     this.#res = res;
@@ -35,6 +37,7 @@
     }
     if (!isFramed) {
       this.#isLastAnswer = true;
+      this.#isUnframed = true;
       this.#res.useChunkedEncodingByDefault = false;
     }
     this.#res.writeHead(status, [...headers, ...this.#newConnectionHeader()]);
@@ -58,6 +61,11 @@
   }
 
   abort(): void {
+    const { socket } = this.#res;
+    if (this.#isUnframed && socket) {
+      // `resetAndDestroy` sends a FIN before the reset, which looks like the end of the answer.
+      Object.assign(socket, { resetAndClosing: true });
+    }
     this.#res.destroy();
   }
 
