--- a/packages/forwarding/src/FinalAnswer.ts
+++ b/packages/forwarding/src/FinalAnswer.ts
@@ -2,7 +2,7 @@
 import type { ForwardDependencies } from "./forwardDependencies.js";
 import { SendResult, type SendOutcome } from "./outcomes.js";
 import { AnswerEnding, type RequestLog } from "./RequestLog.js";
-import type { AnswerProgress } from "./Send.js";
+import type { AnswerProgress } from "./answerProgress.js";
 import type { AnswerWriter, ForwardRequest } from "./types.js";
 
 /** Ends a request: sends the final answer to its caller, and reports the end. */
--- a/packages/forwarding/src/Send.ts
+++ b/packages/forwarding/src/Send.ts
@@ -1,13 +1,9 @@
 import { getMessage, type Clock } from "@lycheepulley/core";
 
+import type { AnswerObserver, AnswerProgress } from "./answerProgress.js";
 import { EventSplitter, type StreamEvent } from "./EventSplitter.js";
 import { getFailure, SendResult, type BufferedAnswer, type SendOutcome } from "./outcomes.js";
-import {
-  StallWatch,
-  type StallHandler,
-  type StallTimeout,
-  type StallTimeouts,
-} from "./StallWatch.js";
+import { StallWatch, type StallTimeout, type StallTimeouts } from "./StallWatch.js";
 import {
   SendState,
   type AnswerFacts,
@@ -24,25 +20,8 @@
 
 const FIRST_FAILURE_STATUS = 400;
 
-/** State of the caller's answer, shared by all sends of a request. */
-export interface AnswerProgress {
-  /** Id of the last event that went to the caller. */
-  lastEventId: string | undefined;
-  /** The head of the answer was sent to the caller. */
-  isHeadSent: boolean;
-  /** The framing of the sent head tells the answer's end from a cut connection. */
-  isFramed: boolean;
-}
-
-/** Follows the answer to one send, and decides what becomes of a stalled one. */
-export interface AnswerObserver extends StallHandler {
-  /** Called before anything of the answer goes to the caller. */
-  onProgress(): void;
-  /** Called with the head of each answer that is the request's. */
-  onHead(facts: AnswerFacts): void;
-  /** Called when one or more events of the answer arrived. */
-  onEvents(): void;
-}
+/** Longest plain answer without a declared length; a longer one is taken for one without end. */
+const MAX_UNDECLARED_BYTES = 67_108_864;
 
 /** One send of a request to an upstream, until its outcome is known. */
 export class Send implements CallObserver {
@@ -55,6 +34,7 @@
   readonly #splitter = new EventSplitter();
   readonly #buffered: Buffer[] = [];
   #bufferedBytes = 0;
+  #passedBytes = 0;
   /** An event of the stream arrived. */
   #hasEvents = false;
   #head: AnswerHead | undefined;
@@ -156,12 +136,22 @@
     if (this.#isEventStream) {
       this.#forwardEvents(chunk);
     } else if (this.#isPassthrough) {
-      this.#write(chunk);
+      this.#passThrough(chunk);
     } else {
       this.#buffer(chunk);
     }
   }
 
+  #passThrough(chunk: Buffer): void {
+    this.#passedBytes += chunk.length;
+    if (this.#passedBytes > MAX_UNDECLARED_BYTES && !this.#facts?.hasLength) {
+      const reason = `body without a length over ${String(MAX_UNDECLARED_BYTES)} bytes`;
+      this.#finish({ result: SendResult.Broken, reason });
+      return;
+    }
+    this.#write(chunk);
+  }
+
   #handleEnd(): void {
     if (this.#isSettled || !this.#head || !this.#facts) {
       return;
--- a/packages/forwarding/src/SendRunner.ts
+++ b/packages/forwarding/src/SendRunner.ts
@@ -5,7 +5,8 @@
 import type { Placement } from "./Placer.js";
 import { raceDeadline, NOT_SETTLED } from "./raceDeadline.js";
 import type { Reservations } from "./ReservationManager.js";
-import { Send, type AnswerObserver, type AnswerProgress } from "./Send.js";
+import type { AnswerObserver, AnswerProgress } from "./answerProgress.js";
+import { Send } from "./Send.js";
 import { getStallTimeouts, getUrgency, orderHelpers } from "./sendParameters.js";
 import type { AnswerWriter, ForwardRequest } from "./types.js";
 
--- /dev/null
+++ b/packages/forwarding/src/answerProgress.ts
@@ -0,0 +1,22 @@
+import type { StallHandler } from "./StallWatch.js";
+import type { AnswerFacts } from "./types.js";
+
+/** State of the caller's answer, shared by all sends of a request. */
+export interface AnswerProgress {
+  /** Id of the last event that went to the caller. */
+  lastEventId: string | undefined;
+  /** The head of the answer was sent to the caller. */
+  isHeadSent: boolean;
+  /** The framing of the sent head tells the answer's end from a cut connection. */
+  isFramed: boolean;
+}
+
+/** Follows the answer to one send, and decides what becomes of a stalled one. */
+export interface AnswerObserver extends StallHandler {
+  /** Called before anything of the answer goes to the caller. */
+  onProgress(): void;
+  /** Called with the head of each answer that is the request's. */
+  onHead(facts: AnswerFacts): void;
+  /** Called when one or more events of the answer arrived. */
+  onEvents(): void;
+}
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./answerProgress.js";
 export * from "./Batcher.js";
 export * from "./CrashTracker.js";
 export * from "./DepartedUpstreams.js";
--- a/packages/forwarding/src/testing/FakeUpstreams.ts
+++ b/packages/forwarding/src/testing/FakeUpstreams.ts
@@ -80,6 +80,7 @@
       isNotRun: headers.includes("not-run"),
       faultAddress: undefined,
       isEventStream: headers.includes("stream"),
+      hasLength: headers.includes("length"),
       isFramed: !headers.includes("unframed"),
     };
   }
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -73,6 +73,8 @@
   readonly isEventStream: boolean;
   /** It has a length or is sent in chunks, so that its end differs from a cut connection. */
   readonly isFramed: boolean;
+  /** Its head declares the length of its body. */
+  readonly hasLength: boolean;
   /** Requests a second that the upstream takes from all processes; undefined when it names no limit. */
   readonly limitPerSecond: number | undefined;
   /** A limit that can't be read, as it was sent. */
--- a/packages/http/src/HttpPeer.test.ts
+++ b/packages/http/src/HttpPeer.test.ts
@@ -1,3 +1,5 @@
+import { createServer, type AddressInfo, type Server } from "node:net";
+
 import { expect } from "chai";
 
 import { HttpPeer } from "./HttpPeer.js";
@@ -76,3 +78,54 @@
     expect(failure).to.include({ sent: false });
   });
 });
+
+describe("HttpPeer: responses without end", () => {
+  const servers: Server[] = [];
+  /** Starts a server that answers each request with `start` and then `rest` again and again. */
+  const listen = async (start: string, rest: string, gapMs: number): Promise<string> => {
+    const server = createServer((socket) => {
+      socket.on("error", () => undefined);
+      socket.once("data", () => {
+        socket.write(start);
+        const timer = setInterval(() => socket.write(rest), gapMs);
+        socket.on("close", () => {
+          clearInterval(timer);
+        });
+      });
+    });
+    servers.push(server);
+    await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+    return `http://127.0.0.1:${String((server.address() as AddressInfo).port)}`;
+  };
+  after(() => {
+    servers.forEach((server) => server.close());
+  });
+
+  const OK = "HTTP/1.1 200 OK\r\n\r\n";
+  const FAILED = "HTTP/1.1 500 No\r\n\r\n";
+  const BLOCK = "x".repeat(1_000_000);
+  // A response without end was kept in memory until the process had none left, or forever.
+  const cases: readonly [name: string, start: string, rest: string, gapMs: number][] = [
+    ["of large blocks", OK, BLOCK, 1],
+    ["of a byte now and then", OK, "x", 20],
+  ];
+  for (const [name, start, rest, gapMs] of cases) {
+    it(`ends a call whose response goes on ${name}`, async () => {
+      const origin = await listen(start, rest, gapMs);
+      const peer = new HttpPeer({ name: "p", kind: "test", origin, timeoutMs: 300 });
+      const failure: unknown = await peer.call("/").catch((err: unknown) => err);
+      expect(failure).to.include({ sent: true });
+      await peer.close();
+    });
+  }
+
+  it("ends a stream whose error response goes on", async () => {
+    const origin = await listen(FAILED, BLOCK, 1);
+    const peer = new HttpPeer({ name: "p", kind: "test", origin });
+    const failure: unknown = await peer
+      .stream("/", {}, () => undefined)
+      .catch((err: unknown) => err);
+    expect(failure).to.include({ sent: true, status: 500 });
+    await peer.close();
+  });
+});
--- a/packages/http/src/HttpPeer.ts
+++ b/packages/http/src/HttpPeer.ts
@@ -7,6 +7,10 @@
 const DEFAULT_TIMEOUT_MS = 2_000;
 const DEFAULT_MAX_CONNECTIONS = 64;
 const CONNECT_TIMEOUT_MS = 1_000;
+/** Longest response that is read as a whole. */
+const MAX_TEXT_BYTES = 33_554_432;
+/** A response that is read as a whole, also one that goes on in small pieces, ends within this many time-outs. */
+const MAX_TIMEOUTS = 4;
 
 /** Code of undici's own time limit for connecting. */
 const CONNECT_TIMEOUT_CODE = "UND_ERR_CONNECT_TIMEOUT";
@@ -22,6 +26,11 @@
   readonly origin: string;
   readonly timeoutMs?: number;
   readonly connections?: number;
+  /**
+   * False for peers whose answers must not be taken for one another: each request then has a
+   * connection of its own, on which a second copy of an earlier answer can't arrive.
+   */
+  readonly reusesConnections?: boolean;
   readonly traffic?: TrafficMeter | undefined;
 }
 
@@ -51,6 +60,19 @@
   return isOfConnect || getErrorCode(err) === CONNECT_TIMEOUT_CODE;
 };
 
+const readText = async (body: AsyncIterable<Buffer>): Promise<string> => {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of body) {
+    size += chunk.length;
+    if (size > MAX_TEXT_BYTES) {
+      throw new Error(`response exceeds ${String(MAX_TEXT_BYTES)} bytes`);
+    }
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks).toString();
+};
+
 /** HTTP client of one peer with a connection pool; failures become {@link PeerError}s. */
 export class HttpPeer {
   readonly name: string;
@@ -58,6 +80,7 @@
   readonly #kind: string;
   readonly #pool: Pool;
   readonly #timeoutMs: number;
+  readonly #reusesConnections: boolean;
   readonly #traffic: TrafficMeter | undefined;
 
   constructor(options: HttpPeerOptions) {
@@ -65,6 +88,7 @@
     this.origin = options.origin;
     this.#kind = options.kind;
     this.#timeoutMs = options.timeoutMs ?? DEFAULT_TIMEOUT_MS;
+    this.#reusesConnections = options.reusesConnections ?? true;
     this.#traffic = options.traffic;
     this.#pool = new Pool(options.origin, {
       connections: options.connections ?? DEFAULT_MAX_CONNECTIONS,
@@ -83,6 +107,7 @@
         headers: { "content-type": "application/json", ...options.headers },
         body: options.body ?? null,
         signal: options.signal ?? null,
+        reset: !this.#reusesConnections,
         headersTimeout: timeoutMs,
         bodyTimeout: timeoutMs,
       });
@@ -105,6 +130,7 @@
           method: options.method ?? "GET",
           headers: { "content-type": "application/json", ...options.headers },
           body: options.body ?? null,
+          reset: !this.#reusesConnections,
           headersTimeout: timeoutMs,
           bodyTimeout: timeoutMs,
         },
@@ -115,9 +141,12 @@
 
   /** Sends a request and reads the whole response body as text. */
   async call(path: string, options: CallOptions = {}): Promise<{ status: number; text: string }> {
-    const res = await this.open(path, options);
+    const totalMs = MAX_TIMEOUTS * (options.timeoutMs ?? this.#timeoutMs);
+    const timeout = AbortSignal.timeout(totalMs);
+    const signal = options.signal ? AbortSignal.any([timeout, options.signal]) : timeout;
+    const res = await this.open(path, { ...options, signal });
     try {
-      const text = await res.body.text();
+      const text = await readText(res.body);
       const sentBytes = Buffer.byteLength(options.body ?? "") + ESTIMATED_HEADER_BYTES;
       this.#traffic?.count(this.#kind, sentBytes, Buffer.byteLength(text) + ESTIMATED_HEADER_BYTES);
       return { status: res.statusCode, text };
@@ -185,12 +214,14 @@
 
 const HTTP_OK = 200;
 const MAX_ERROR_TEXT_LENGTH = 200;
+const MAX_ERROR_BYTES = 1_048_576;
 
 /** Passes on the body of one streamed response without buffering it. */
 class StreamHandler implements Dispatcher.DispatchHandler {
   readonly #peer: HttpPeer;
   readonly #options: StreamHandlerOptions;
-  readonly #errorText: string[] = [];
+  #errorText = "";
+  #errorBytes = 0;
   #status = 0;
   #controller: Dispatcher.DispatchController | undefined;
 
@@ -215,7 +246,7 @@
 
   onResponseData(controller: Dispatcher.DispatchController, bytes: Buffer): void {
     if (this.#status !== HTTP_OK) {
-      this.#errorText.push(bytes.toString());
+      this.#handleErrorData(controller, bytes);
       return;
     }
     try {
@@ -225,16 +256,30 @@
     }
   }
 
+  /** Ends a response with an error status whose body is long and may have no end. */
+  #handleErrorData(controller: Dispatcher.DispatchController, bytes: Buffer): void {
+    this.#errorBytes += bytes.length;
+    if (this.#errorText.length < MAX_ERROR_TEXT_LENGTH) {
+      this.#errorText += bytes.toString().slice(0, MAX_ERROR_TEXT_LENGTH);
+    }
+    if (this.#errorBytes > MAX_ERROR_BYTES) {
+      controller.abort(this.#newStatusError());
+    }
+  }
+
+  #newStatusError(): PeerError {
+    const text = this.#errorText.slice(0, MAX_ERROR_TEXT_LENGTH);
+    const message = `status ${String(this.#status)}: ${text}`;
+    return new PeerError(this.#peer.name, message, { sent: true, status: this.#status });
+  }
+
   onResponseEnd(): void {
     this.#options.signal?.removeEventListener("abort", this.#onAbort);
     if (this.#status === HTTP_OK) {
       this.#options.resolve();
       return;
     }
-    const text = this.#errorText.join("").slice(0, MAX_ERROR_TEXT_LENGTH);
-    const message = `status ${String(this.#status)}: ${text}`;
-    const details = { sent: true, status: this.#status };
-    this.#options.reject(new PeerError(this.#peer.name, message, details));
+    this.#options.reject(this.#newStatusError());
   }
 
   onResponseError(_controller: Dispatcher.DispatchController, err: Error): void {
--- a/packages/simulation/src/simulatedDialect.ts
+++ b/packages/simulation/src/simulatedDialect.ts
@@ -52,6 +52,7 @@
     const limitAt = headers.indexOf("limit");
     return {
       ...{ isValid: true, isNotRun: headers.includes("not-run"), isFramed: true },
+      hasLength: false,
       ...{ isEventStream: headers.includes("stream") },
       limitPerSecond: limitAt >= 0 ? Number(headers[limitAt + 1]) : undefined,
       faultAddress: faultAt >= 0 ? headers[faultAt + 1] : undefined,
