Give each call of an engine or service a connection of its own

What callers of other systems saw, and it could happen here: a second copy of an answer came late, on a connection that was in use again, and the next caller got an answer that wasn't its own. The forwarding path opens a connection for each request already; the product's own interface kept them.

Change: prompts to engines and calls to services ask for their connection to be closed.

--- a/packages/engines/src/ExtendedEngineClient.ts
+++ b/packages/engines/src/ExtendedEngineClient.ts
@@ -54,6 +54,7 @@
       kind: "engine-stream",
       origin,
       connections: MAX_STREAM_CONNECTIONS,
+      reusesConnections: false,
     });
   }
 
--- a/packages/services/src/ServiceClient.ts
+++ b/packages/services/src/ServiceClient.ts
@@ -35,7 +35,7 @@
 
   constructor(options: { name: string; origin: string }) {
     this.name = options.name;
-    this.#peer = new HttpPeer({ ...options, kind: "service" });
+    this.#peer = new HttpPeer({ ...options, kind: "service", reusesConnections: false });
   }
 
   async call(call: ServiceCall): Promise<ServiceAnswer> {
