Answer callers that closed their sending side after the request

Cause: the end of what a caller sends ended its connection.

Change: the connection stays half open. A caller that left and one that only closed its side look the same until something is sent; the system of one that left answers with a reset. So an interim answer (100 Continue) is sent every 100 ms until the head of the answer. A caller that closes its side during an answer, or speaks HTTP/1.0, counts as one that left, as before.

Result: two new tests fail on the code before (no answer at once and after 600 ms); the third, of callers that left, holds that their request ends within 400 ms, by an end and by a reset.

--- a/packages/callers/src/forward/ForwardServer.test.ts
+++ b/packages/callers/src/forward/ForwardServer.test.ts
@@ -222,6 +222,45 @@
     });
   }
 
+  const waits = [0, 600];
+  for (const waitMs of waits) {
+    // A caller that had sent its whole request and closed its sending side got no answer.
+    it(`answers a caller that closed its sending side ${String(waitMs)} ms before`, async () => {
+      const { harness } = fixture;
+      harness.forward = async (_req, writer) => {
+        await new Promise((resolve) => setTimeout(resolve, waitMs));
+        writer.sendOwn(200, "answered");
+      };
+      expect(await harness.exchangeToEnd(newRequest([], "body"))).to.match(
+        /^(HTTP\/1.1 100 Continue\r\n\r\n)*HTTP\/1.1 200/,
+      );
+    });
+  }
+
+  // A request of a caller that left would cost its engine the time until the deadline.
+  it("ends the request of a caller that left, with its connection or its process", async () => {
+    const { harness } = fixture;
+    const endsMs: number[] = [];
+    harness.forward = (req) =>
+      new Promise((resolve) => {
+        req.signal.addEventListener("abort", () => {
+          endsMs.push(performance.now());
+          resolve();
+        });
+      });
+    for (const leave of ["destroy", "resetAndDestroy"] as const) {
+      const socket = await harness.connect();
+      socket.write(newRequest([], "body"));
+      await new Promise((resolve) => setTimeout(resolve, 100));
+      const leftMs = performance.now();
+      socket[leave]();
+      while (endsMs.length === 0) {
+        await new Promise((resolve) => setTimeout(resolve, 5));
+      }
+      expect((endsMs.pop() ?? Infinity) - leftMs).to.be.below(400);
+    }
+  });
+
   // A pipelined request was forwarded, and the answer before it closed the connection.
   it("forwards no request behind an answer that ends the connection", async () => {
     const { harness } = fixture;
--- a/packages/callers/src/forward/ForwardServer.ts
+++ b/packages/callers/src/forward/ForwardServer.ts
@@ -17,6 +17,7 @@
 import type { Logger } from "@lycheepulley/telemetry";
 
 import { CallerConnections } from "./CallerConnections.js";
+import { allowHalfClosed, probeHalfClosed } from "./halfClosed.js";
 import { ResponseWriter } from "./ResponseWriter.js";
 
 /** Added to the configured time-outs, so that a request sent just within them isn't cut off. */
@@ -72,6 +73,7 @@
         void this.#handleRequest(req, res);
       },
     );
+    allowHalfClosed(this.#server);
     this.applyLimits();
     this.#server.on("connection", (socket) => {
       socket.setNoDelay(true);
@@ -150,6 +152,7 @@
       abort.abort();
       turn.end(this.#server.keepAliveTimeout);
     });
+    probeHalfClosed(req, res, this.#clock);
     const writer = new ResponseWriter(res, { isClosing: () => this.#drain !== undefined });
     await turn.earlier;
     if (!socket.writable) {
