Plan as before for upstreams without limits, and log refused quotas

Cause: found on reading the diff. Each placement awaited the quota, also without a limit, so that requests of the same moment could plan before the first one's load was recorded; connections to an owner that had failed to answer were kept; an upstream that was left out for its limit had no line.

Change: only limited upstreams are asked for; failed connections are dropped; the line says the limit, its age and when to ask again.

--- a/packages/daemon/src/gateway/LimitExchange.ts
+++ b/packages/daemon/src/gateway/LimitExchange.ts
@@ -156,10 +156,18 @@
     return { self, hosts: this.#isServing() ? [...hosts, self] : hosts, known };
   }
 
-  #ask(host: string, limit: KnownLimit): Promise<QuotaAnswer> {
+  async #ask(host: string, limit: KnownLimit): Promise<QuotaAnswer> {
     const params = { host: this.#host, limit: this.#toMessage(limit) };
     const signal = AbortSignal.timeout(ASK_TIMEOUT_MS);
-    return this.#getClient(host).call(askMethod, params, { timeoutMs: ASK_TIMEOUT_MS, signal });
+    try {
+      const client = this.#getClient(host);
+      return await client.call(askMethod, params, { timeoutMs: ASK_TIMEOUT_MS, signal });
+    } catch (err) {
+      // The next call opens new connections, also to a process that was replaced meanwhile.
+      void this.#clients.get(host)?.close();
+      this.#clients.delete(host);
+      throw err;
+    }
   }
 
   #getClient(host: string): NodeClient {
--- a/packages/forwarding/src/Placer.ts
+++ b/packages/forwarding/src/Placer.ts
@@ -131,8 +131,9 @@
         ? await this.#findForPrompt(query, engine, { startMs, isFirst })
         : this.#findForCall(query, startMs);
       if (typeof placement !== "string") {
+        const { id } = placement.upstream;
         // Other upstreams are considered when this one takes no more requests.
-        if (await this.#quota.tryTake(placement.upstream.id)) {
+        if (!this.#quota.isLimited(id) || (await this.#quota.tryTake(id))) {
           return this.#accept(query, placement);
         }
       } else if (placement !== PlacementFailure.Limited || !(await this.#waitForQuota(query))) {
--- a/packages/forwarding/src/limits/QuotaOwner.ts
+++ b/packages/forwarding/src/limits/QuotaOwner.ts
@@ -2,9 +2,9 @@
 
 import type { KnownLimit, LimitReport, UpstreamLimits } from "./UpstreamLimits.js";
 
-/** Sends that an idle quota saves up; fewer than a limit's rule allows beyond the rate. */
+/** Sends that an unused quota saves up. */
 const BURST_SENDS = 2;
-/** Share of a limit that is granted; the rest covers sends that arrive closer together than they left. */
+/** Share of a limit that is granted, since sends may arrive closer together than they left. */
 const GRANTED_SHARE = 0.95;
 /** The same while another process may still take itself for the owner. */
 const UNSETTLED_SHARE = 0.5;
@@ -149,9 +149,9 @@
   #getQuota(upstream: string, ratePerS: number): Quota {
     let quota = this.#quotas.get(upstream);
     if (!quota) {
-      const { clock, burst } = { clock: this.#clock, burst: BURST_SENDS };
       // The owner before, if any, has granted the sends of this moment.
-      const bucket = new TokenBucket({ clock, ratePerS, burst, initialTokens: 0 });
+      const tokens = { burst: BURST_SENDS, initialTokens: 0 };
+      const bucket = new TokenBucket({ clock: this.#clock, ratePerS, ...tokens });
       quota = { bucket, refused: 0 };
       this.#quotas.set(upstream, quota);
     }
--- a/packages/forwarding/src/limits/SendQuota.ts
+++ b/packages/forwarding/src/limits/SendQuota.ts
@@ -96,10 +96,18 @@
     const { isGranted, retryMs } = await this.#ask(limit);
     if (!isGranted) {
       this.#closedUntilMs.set(upstream, this.#clock.now() + retryMs);
+      this.#logRefusal(limit, retryMs);
     }
     return isGranted;
   }
 
+  #logRefusal({ upstream, perSecond, receivedMs }: KnownLimit, retryMs: number): void {
+    this.#logger.info("upstream left out for its limit", {
+      ...{ step: "limit", peer: upstream, perSecond, retryMs: Math.round(retryMs) },
+      ageMs: Math.round(this.#clock.now() - receivedMs),
+    });
+  }
+
   /** Counts a call that can't wait, such as an order that frees memory. */
   charge(upstream: string): void {
     const limit = this.#limits.get(upstream);
