--- a/packages/daemon/src/gateway/GatewayNode.test.ts
+++ b/packages/daemon/src/gateway/GatewayNode.test.ts
@@ -116,6 +116,10 @@
   ...{ host: hostText, incarnation: fc.integer(), seq: fc.integer() },
   ...{ changed: fc.constant([]), writing: fc.array(text), ended: fc.array(text) },
 });
+const limit = fc.record(
+  { upstream: text, perSecond: fc.double(), sentAgoMs: fc.double(), receivedAgoMs: fc.double() },
+  { requiredKeys: ["upstream", "sentAgoMs", "receivedAgoMs"] },
+);
 const paramsByMethod: Readonly<Record<string, fc.Arbitrary<unknown>>> = {
   "node.beat": heartbeat,
   "node.beat.relay": heartbeat,
@@ -124,6 +128,8 @@
   "load.relay": change,
   "load.batch": fc.record({ changes: fc.array(change, { maxLength: 3 }) }),
   "crash.strike": fc.record({ fingerprint: text, upstream: text }),
+  "limit.report": fc.record({ limits: fc.array(limit, { maxLength: 3 }) }),
+  "limit.charge": fc.record({ limit }),
   toString: fc.jsonValue(),
   constructor: fc.jsonValue(),
 };
