--- a/packages/callers/src/forward/ForwardServer.test.ts
+++ b/packages/callers/src/forward/ForwardServer.test.ts
@@ -45,6 +45,7 @@
   readHead: Dialect["readHead"] = ({ method, path, headers }) => ({
     ...{ attemptId: "a1", method, path, headers, host: "a.example", deadlineMs: undefined },
     ...{ apiKey: undefined, promptTokens: 0, outputTokens: 0, lastEventId: undefined },
+    sharedParts: [],
   });
 
   private constructor(port: number) {
--- a/packages/forwarding/src/CrashTracker.ts
+++ b/packages/forwarding/src/CrashTracker.ts
@@ -51,7 +51,12 @@
   }
 
   isBlocked(fingerprint: string): boolean {
-    return (this.#get(fingerprint)?.upstreams.size ?? 0) >= MAX_CRASHED_UPSTREAMS;
+    return this.count(fingerprint) >= MAX_CRASHED_UPSTREAMS;
+  }
+
+  /** Upstreams that crashed while they ran equal requests. */
+  count(fingerprint: string): number {
+    return this.#get(fingerprint)?.upstreams.size ?? 0;
   }
 
   #get(fingerprint: string): CrashRecord | undefined {
--- a/packages/forwarding/src/Placer.test.ts
+++ b/packages/forwarding/src/Placer.test.ts
@@ -30,7 +30,7 @@
   req: {
     head: {
       ...{ attemptId, method: "POST", path: "/", host: "h", headers: [] },
-      ...{ deadlineMs: 10_000, apiKey: undefined, outputTokens: 430, ...fields },
+      ...{ deadlineMs: 10_000, apiKey: undefined, outputTokens: 430, sharedParts: [], ...fields },
     },
     route,
     ...{ body: Buffer.alloc(0), customer: undefined, priority: 1, revision: 1 },
--- a/packages/forwarding/src/RequestLog.ts
+++ b/packages/forwarding/src/RequestLog.ts
@@ -42,6 +42,7 @@
     this.#logger.info("sent to upstream", {
       ...{ requestId: head.attemptId, step: "send", peer: placed.upstream.id, route: route.name },
       ...{ customer, tokens: head.promptTokens, revision, sends },
+      ...(head.sharedParts.length > 0 && { parts: head.sharedParts }),
       helpers: placed.plan?.helpers.map(({ id }) => id) ?? [],
       held: placed.plan?.heldTokens.filter((tokens) => tokens > 0).length ?? 0,
       expectedMs: Math.round(placed.plan?.firstEventMs ?? 0),
@@ -65,6 +66,14 @@
     });
   }
 
+  /** An upstream broke off or fell silent; `crashes` counts the upstreams that did so under equal requests. */
+  logBreak(peer: string, fields: { reason: string; crashes: number }): void {
+    const { attemptId, sharedParts } = this.#req.head;
+    this.#logger.info("upstream broke off", {
+      ...{ requestId: attemptId, step: "send", peer, ...fields, parts: sharedParts },
+    });
+  }
+
   /** `isExpected`: its prefill explains the silence; `next`: whether another upstream is tried beside it. */
   logStall(
     peer: string,
--- a/packages/forwarding/src/SendFeedback.ts
+++ b/packages/forwarding/src/SendFeedback.ts
@@ -36,7 +36,7 @@
   recordStall(id: string, { isAlive, reason }: { isAlive: boolean; reason: string }): void {
     this.#excluded.add(id);
     if (!isAlive) {
-      this.#deps.crashes.recordCrash(this.#req.fingerprint, id);
+      this.#recordCrash(id, reason);
     }
     this.#recordFailure(id, UpstreamResult.Unreachable, reason);
   }
@@ -71,13 +71,20 @@
     }
     this.#excluded.add(faulty.id);
     if (result === SendResult.Broken) {
-      crashes.recordCrash(fingerprint, faulty.id);
+      this.#recordCrash(faulty.id, reason);
     }
     const isLost = result === SendResult.Unsent || result === SendResult.Broken;
     const healthResult = isLost ? UpstreamResult.Unreachable : UpstreamResult.Failed;
     this.#recordFailure(faulty.id, healthResult, reason);
   }
 
+  #recordCrash(id: string, reason: string): void {
+    const { crashes } = this.#deps;
+    const { fingerprint } = this.#req;
+    crashes.recordCrash(fingerprint, id);
+    this.#log.logBreak(id, { reason, crashes: crashes.count(fingerprint) });
+  }
+
   #findFaulty(upstream: Upstream, { faultAddress }: SendOutcome): Upstream | undefined {
     return faultAddress
       ? [...this.#deps.view.upstreams.values()].find(
--- a/packages/forwarding/src/testing/ForwarderHarness.ts
+++ b/packages/forwarding/src/testing/ForwarderHarness.ts
@@ -100,6 +100,7 @@
           ...{ attemptId: "a1", method: "POST", path: "/a/", host: "a.example", headers: [] },
           ...{ deadlineMs: 10_000, apiKey: undefined, promptTokens, outputTokens: 100 },
           lastEventId: undefined,
+          sharedParts: [],
         },
         route: newRoute(route),
         ...{ body: Buffer.from("body"), customer: undefined, priority: 1, revision: 1 },
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -18,6 +18,8 @@
   readonly promptTokens: number;
   readonly outputTokens: number;
   readonly lastEventId: string | undefined;
+  /** Ids of the parts of the prompt that other requests may share, in their order. */
+  readonly sharedParts: readonly string[];
 }
 
 /** A request that the listener admitted. */
--- a/packages/simulation/src/SimulatedCaller.ts
+++ b/packages/simulation/src/SimulatedCaller.ts
@@ -162,6 +162,7 @@
         ...{ attemptId, method: "POST", path, host: "fleet.example", headers: [], deadlineMs },
         ...{ apiKey: undefined, promptTokens, outputTokens },
         lastEventId: lastEventId > 0 ? String(lastEventId) : undefined,
+        sharedParts: [],
       },
       route: newRoute(prompt),
       ...{ body: Buffer.alloc(0), customer: undefined, priority: 1, revision: 1 },
