--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -18,6 +18,7 @@
   UpstreamListTracker,
   type Dialect,
   type FleetConfig,
+  type Members,
   type UpstreamControl,
   type PeerIdentity,
   type UpstreamList,
@@ -27,25 +28,28 @@
 import { DatagramChannel, NodeServer } from "@lycheepulley/nodes";
 import { ForwardMetrics, type Logger } from "@lycheepulley/telemetry";
 
+import { CrashExchange } from "./CrashExchange.js";
 import { FleetStateSync } from "./FleetStateSync.js";
 import { LimitExchange } from "./LimitExchange.js";
 import { newMetricsServer } from "./metricsServer.js";
+import { PeerCalls } from "./PeerCalls.js";
 import { PeerExchange } from "./PeerExchange.js";
+import { SourceFeed } from "./SourceFeed.js";
 import type { GatewaySettings, GatewaySources } from "./types.js";
 
 const DRAIN_POLL_MS = 50;
 /** Processes assumed besides the live peers when the retry budget is divided. */
 const ASSUMED_EXTRA_PROCESSES = 3;
 
-/** Time over which processes read the peer list again after its service was restored. */
-const PEERS_REREAD_SPREAD_MS = 2_000;
+/** Time that a request waits for the answer of a process that owns a quota or a trial. */
+const OWNER_TIMEOUT_MS = 80;
 
 /** One gateway process: forwards requests and tracks configuration, upstreams and peers. */
 export class GatewayNode {
   readonly #clock: Clock = new SystemClock();
   readonly #random = new SystemRandom();
   readonly #settings: GatewaySettings;
-  readonly #sources: GatewaySources;
+  readonly #sourceFeed: SourceFeed;
   readonly #logger: Logger;
   readonly #metrics = new ForwardMetrics({
     countLimited: () => this.#limitExchange.limits.all.length,
@@ -59,14 +63,14 @@
   readonly #readerSelection: ReaderSelection;
   readonly #channel: DatagramChannel;
   readonly #peerExchange: PeerExchange;
+  readonly #peerCalls: PeerCalls;
   readonly #limitExchange: LimitExchange;
+  readonly #crashExchange: CrashExchange;
   readonly #crashTracker: CrashTracker;
   readonly #forwarder: Forwarder;
   readonly #listener: ForwardServer;
   readonly #metricsServer: HttpServer;
   readonly #incarnation = Date.now();
-  /** When to read the peer list, which may lack this process, even if it isn't a reader. */
-  #peersDueMs = Infinity;
   #isDraining = false;
 
   constructor(options: {
@@ -80,13 +84,12 @@
     const { settings, dialect, logger } = options;
     const clock = this.#clock;
     this.#settings = settings;
-    this.#sources = options.sources;
     this.#logger = logger;
     this.#health = new UpstreamHealth(clock);
     this.#listTracker = new UpstreamListTracker({
       ...{ clock, view: this.#view, logger, upstreamBeatMs: settings.upstreamBeatMs },
       onRestored: () => {
-        this.#peersDueMs = clock.now() + this.#random.next() * PEERS_REREAD_SPREAD_MS;
+        this.#sourceFeed.rereadPeers();
       },
     });
     this.#peers = new PeerTable({ clock, self: settings.host });
@@ -94,6 +97,23 @@
       ...{ clock, self: settings, peers: this.#peers },
       getListEpoch: () => getEpoch(this.#view.list),
     });
+    this.#sourceFeed = new SourceFeed({
+      ...{ clock, random: this.#random, sources: options.sources, logger },
+      ...{ readerSelection: this.#readerSelection, listTracker: this.#listTracker },
+      onConfig: (config) => {
+        if (this.#applyConfig(config)) {
+          this.#peerExchange.announce();
+        }
+      },
+      onUpstreams: (list) => {
+        if (this.#applyUpstreams(list, clock.now())) {
+          this.#peerExchange.announce();
+        }
+      },
+      onPeers: (hosts) => {
+        this.#peers.addHosts(hosts);
+      },
+    });
     this.#channel = new DatagramChannel({
       onError: (peer, reason) => {
         logger.warn("datagram error", { step: "membership", peer, reason });
@@ -135,11 +155,17 @@
       onPeerHeartbeat: (peer) => {
         this.#stateSync.onPeerHeartbeat(peer);
       },
+      onPeerReturned: (host) => {
+        this.#crashExchange.inform(host);
+      },
     });
-    this.#limitExchange = new LimitExchange({
+    this.#peerCalls = new PeerCalls({ port: settings.peerPort, timeoutMs: OWNER_TIMEOUT_MS });
+    const exchange = {
       ...{ clock, random: this.#random, channel: this.#channel, peers: this.#peers, logger },
-      ...{ host: settings.host, port: settings.peerPort, isServing: () => this.isReady },
-    });
+      ...{ host: settings.host, calls: this.#peerCalls, getMembers: () => this.#getMembers() },
+    };
+    this.#limitExchange = new LimitExchange(exchange);
+    this.#crashExchange = new CrashExchange(exchange);
     const { limits, quota } = this.#limitExchange;
     const control = new LimitedControl(options.control, quota);
     this.#forwarder = new Forwarder({
@@ -152,7 +178,7 @@
       },
       ...{ crashes: this.#crashTracker, transport: options.transport, dialect, logger },
       retryBudget: this.#newRetryBudget(),
-      ...{ control, limits, quota },
+      ...{ control, limits, quota, guard: this.#crashExchange.guard },
       reservations: new ReservationManager({ clock, control, logger }),
       onEnd: (end) => {
         this.#metrics.onEnd(end);
@@ -186,7 +212,8 @@
     await this.#nodeServer.listen(host, peerPort);
     this.#peerExchange.start(this.#crashTracker);
     this.#limitExchange.start(this.#nodeServer);
-    this.#startSources();
+    this.#crashExchange.start(this.#nodeServer);
+    this.#sourceFeed.start();
     await this.#listener.listen(host, callerPort);
     this.#metricsServer.listen(host, metricsPort).catch((err: unknown) => {
       this.#logger.error("metrics server failed", { step: "start", err: getMessage(err) });
@@ -232,63 +259,14 @@
     this.#listener.close();
     this.#peerExchange.stop();
     this.#limitExchange.stop();
-    this.#sources.config.stop();
-    this.#sources.upstreams.stop();
-    this.#sources.peers.stop();
+    this.#crashExchange.stop();
+    this.#peerCalls.close();
+    this.#sourceFeed.stop();
     void this.#metricsServer.close();
     this.#channel.close();
     void this.#nodeServer.close();
   }
 
-  #startSources(): void {
-    const shouldRead = (): boolean => this.#readerSelection.isReader();
-    this.#sources.config.start({
-      shouldRead,
-      onRead: () => {
-        this.#readerSelection.onRead("config");
-      },
-      onValue: (config) => {
-        if (this.#applyConfig(config)) {
-          this.#peerExchange.announce();
-        }
-      },
-      onConnectionChange: this.#newConnectionLogger("configuration"),
-    });
-    this.#sources.upstreams.start({
-      shouldRead,
-      onRead: () => {
-        this.#readerSelection.onRead("list");
-      },
-      onValue: (list) => {
-        if (this.#listTracker.isOfOlderEpoch(list)) {
-          this.#readerSelection.onStaleRead("list");
-        } else if (this.#applyUpstreams(list, this.#clock.now())) {
-          this.#peerExchange.announce();
-        }
-      },
-      onConnectionChange: this.#newConnectionLogger("upstream list"),
-    });
-    this.#sources.peers.start({
-      shouldRead: () => shouldRead() || this.#clock.now() >= this.#peersDueMs,
-      onRead: () => {
-        this.#peersDueMs = Infinity;
-      },
-      onValue: (hosts) => {
-        this.#peers.addHosts(hosts);
-      },
-      onConnectionChange: this.#newConnectionLogger("peer list"),
-    });
-  }
-
-  #newConnectionLogger(dependency: string): (isConnected: boolean, reason: string) => void {
-    return (isConnected, reason) => {
-      const message = isConnected
-        ? "connection to dependency restored"
-        : "connection to dependency lost";
-      this.#logger.info(message, { step: "membership", peer: dependency, reason });
-    };
-  }
-
   /** Puts a configuration in force; false when the one in force is at least as new. */
   #applyConfig(config: FleetConfig): boolean {
     const before = this.#view.revision;
@@ -322,6 +300,17 @@
     });
   }
 
+  #getMembers(): Members {
+    const serving = this.#peers.getLive().filter(({ state }) => state === PeerState.Live);
+    const hosts = serving.map(({ host }) => host);
+    const self = this.#settings.host;
+    return {
+      self,
+      hosts: this.isReady ? [...hosts, self] : hosts,
+      known: this.#peers.hosts.length,
+    };
+  }
+
   #getIdentity(): Omit<PeerIdentity, "beatMs"> {
     const { host, failureDomain, capacity, callerPort } = this.#settings;
     return {
--- a/packages/daemon/src/gateway/LimitExchange.ts
+++ b/packages/daemon/src/gateway/LimitExchange.ts
@@ -1,6 +1,5 @@
 import type { Cancel, Clock, Random } from "@lycheepulley/core";
 import {
-  PeerState,
   QuotaOwner,
   sample,
   SendQuota,
@@ -9,20 +8,15 @@
   type LimitReport,
   type PeerTable,
   type QuotaAnswer,
-  type QuotaMembers,
+  type Members,
   type QuotaPeers,
 } from "@lycheepulley/forwarding";
-import {
-  newRpcMethod,
-  NodeClient,
-  type DatagramChannel,
-  type NodeServer,
-} from "@lycheepulley/nodes";
+import { newRpcMethod, type DatagramChannel, type NodeServer } from "@lycheepulley/nodes";
 import type { Logger } from "@lycheepulley/telemetry";
 import { z } from "zod";
 
-/** Time that a request waits for the grant of an owner. */
-const ASK_TIMEOUT_MS = 80;
+import type { PeerCalls } from "./PeerCalls.js";
+
 /** Interval at which limits are told again, to peers that missed a message or started since. */
 const GOSSIP_INTERVAL_MS = 1_000;
 /** Peers that limits are told to each time, so that the cost doesn't grow with the fleet. */
@@ -58,9 +52,7 @@
   readonly #peers: PeerTable;
   readonly #owner: QuotaOwner;
   readonly #host: string;
-  readonly #port: number;
-  readonly #isServing: () => boolean;
-  readonly #clients = new Map<string, NodeClient>();
+  readonly #calls: PeerCalls;
   #cancelTimer: Cancel = () => undefined;
 
   constructor(options: {
@@ -70,9 +62,8 @@
     peers: PeerTable;
     logger: Logger;
     host: string;
-    port: number;
-    /** False while this process starts or leaves, and owns no quotas. */
-    isServing: () => boolean;
+    calls: PeerCalls;
+    getMembers: () => Members;
   }) {
     const { clock, logger } = options;
     this.#clock = clock;
@@ -80,9 +71,8 @@
     this.#channel = options.channel;
     this.#peers = options.peers;
     this.#host = options.host;
-    this.#port = options.port;
-    this.#isServing = options.isServing;
-    const getMembers = (): QuotaMembers => this.#getMembers();
+    this.#calls = options.calls;
+    const { getMembers } = options;
     const peers: QuotaPeers = {
       ask: (host, limit) => this.#ask(host, limit),
       charge: (host, limit) => {
@@ -118,8 +108,6 @@
 
   stop(): void {
     this.#cancelTimer();
-    this.#clients.forEach((client) => void client.close());
-    this.#clients.clear();
   }
 
   /** Forgets upstreams that are no longer listed. */
@@ -148,35 +136,8 @@
     return this.#peers.getLive().map(({ host }) => host);
   }
 
-  #getMembers(): QuotaMembers {
-    const serving = this.#peers.getLive().filter(({ state }) => state === PeerState.Live);
-    const hosts = serving.map(({ host }) => host);
-    const self = this.#host;
-    const known = this.#peers.hosts.length;
-    return { self, hosts: this.#isServing() ? [...hosts, self] : hosts, known };
-  }
-
-  async #ask(host: string, limit: KnownLimit): Promise<QuotaAnswer> {
-    const params = { host: this.#host, limit: this.#toMessage(limit) };
-    const signal = AbortSignal.timeout(ASK_TIMEOUT_MS);
-    try {
-      const client = this.#getClient(host);
-      return await client.call(askMethod, params, { timeoutMs: ASK_TIMEOUT_MS, signal });
-    } catch (err) {
-      // The next call opens new connections, also to a process that was replaced meanwhile.
-      void this.#clients.get(host)?.close();
-      this.#clients.delete(host);
-      throw err;
-    }
-  }
-
-  #getClient(host: string): NodeClient {
-    let client = this.#clients.get(host);
-    if (!client) {
-      client = new NodeClient({ name: host, origin: `http://${host}:${String(this.#port)}` });
-      this.#clients.set(host, client);
-    }
-    return client;
+  #ask(host: string, limit: KnownLimit): Promise<QuotaAnswer> {
+    return this.#calls.call(host, askMethod, { host: this.#host, limit: this.#toMessage(limit) });
   }
 
   #toMessage({ upstream, perSecond, sentMs, receivedMs }: LimitReport): LimitMessage {
--- a/packages/daemon/src/gateway/PeerExchange.ts
+++ b/packages/daemon/src/gateway/PeerExchange.ts
@@ -53,6 +53,7 @@
   readonly #getIdentity: () => Omit<PeerIdentity, "beatMs">;
   readonly #getLoadTracker: () => LoadTracker;
   readonly #onPeerHeartbeat: (peer: PeerIdentity) => void;
+  readonly #onPeerReturned: (host: string) => void;
   readonly #loadRelay: Batcher<RelayedChange>;
   readonly #heartbeatRelay: Batcher<{ heartbeat: Heartbeat; receivedMs: number }>;
   #beat = 0;
@@ -71,6 +72,8 @@
     getIdentity: () => Omit<PeerIdentity, "beatMs">;
     getLoadTracker: () => LoadTracker;
     onPeerHeartbeat: (peer: PeerIdentity) => void;
+    /** Called when a peer may lack what was told since: it started, or was silent before. */
+    onPeerReturned: (host: string) => void;
   }) {
     this.#clock = options.clock;
     this.#channel = options.channel;
@@ -80,6 +83,7 @@
     this.#getIdentity = options.getIdentity;
     this.#getLoadTracker = options.getLoadTracker;
     this.#onPeerHeartbeat = options.onPeerHeartbeat;
+    this.#onPeerReturned = options.onPeerReturned;
     const { clock } = options;
     this.#loadRelay = new Batcher({
       ...{ clock, delayMs: LOAD_BATCH_MS, maxItems: MAX_LOAD_BATCH },
@@ -252,6 +256,9 @@
     if (superseded !== undefined) {
       loadTracker.removePeer(getProcessKey(from, superseded));
     }
+    if (superseded !== undefined || !this.#liveHosts.has(from)) {
+      this.#onPeerReturned(from);
+    }
     this.#peers.addHosts(hosts);
     this.#onPeerHeartbeat(identity);
     const key = getProcessKey(from, identity.incarnation);
--- a/packages/forwarding/src/ForwardJob.ts
+++ b/packages/forwarding/src/ForwardJob.ts
@@ -1,4 +1,5 @@
 import { AnswerTimeline } from "./AnswerTimeline.js";
+import { SendEvidence } from "./crashes/SendEvidence.js";
 import type { ForwardDependencies } from "./forwardDependencies.js";
 import {
   canReplaceStalled,
@@ -15,31 +16,19 @@
   NO_UPSTREAM_RETRY_AFTER_MS,
   REJECTED_RETRY_AFTER_MS,
 } from "./retryAfter.js";
+import type { FailedPlan, JobEvent, LiveSend } from "./liveSend.js";
+import type { SendPlanner } from "./SendPlanner.js";
 import { SendRunner, type SendObserver } from "./SendRunner.js";
 import { EventQueue } from "./EventQueue.js";
 import { FinalAnswer } from "./FinalAnswer.js";
 import { RequestLog } from "./RequestLog.js";
 import type { AnswerWriter, ForwardRequest } from "./types.js";
 
-/** One send, from the search of an upstream to its outcome. */
-interface LiveSend {
-  /** Aborted with the result of a send that is ended early. */
-  readonly abort: AbortController;
-  placement: Placement | undefined;
-  /** The request went to the upstream. */
-  isOpen: boolean;
-}
-
-type JobEvent =
-  | { readonly kind: "unplaced"; readonly reason: PlacementFailure }
-  /** A send stalls, and another one may follow. */
-  | { readonly kind: "stalled" }
-  | { readonly kind: "ended"; readonly live: LiveSend; readonly outcome: SendOutcome };
-
 /** Forwards one request, from its admission to its final answer. */
 export class ForwardJob {
   readonly #deps: ForwardDependencies;
   readonly #placer: Placer;
+  readonly #planner: SendPlanner;
   readonly #req: ForwardRequest;
   readonly #pool: string;
   readonly #deadlineAtMs: number;
@@ -60,11 +49,13 @@
   constructor(options: {
     deps: ForwardDependencies;
     placer: Placer;
+    planner: SendPlanner;
     req: ForwardRequest;
     writer: AnswerWriter;
   }) {
     this.#deps = options.deps;
     this.#placer = options.placer;
+    this.#planner = options.planner;
     this.#req = options.req;
     this.#pool = pickPool(options.req.route, options.deps.random);
     this.#deadlineAtMs = getDeadlineAtMs(options.req);
@@ -108,21 +99,22 @@
   /** Searches an upstream and sends the request there. */
   async #startSend(): Promise<void> {
     const abort = new AbortController();
-    const live: LiveSend = { abort, placement: undefined, isOpen: false };
+    const live: LiveSend = { abort, placement: undefined, evidence: undefined };
     if (this.#req.signal.aborted) {
       abort.abort(SendResult.Cancelled);
     }
     this.#live.add(live);
     this.#loaded = undefined;
-    const placement = await this.#placer.find({
+    const planned = await this.#planner.plan({
       ...{ req: this.#req, pool: this.#pool, excluded: this.#feedback.excluded },
       ...{ timeline: this.#timeline, deadlineAtMs: this.#deadlineAtMs, signal: abort.signal },
     });
-    if (typeof placement === "string") {
+    if (planned.kind !== "planned") {
       this.#live.delete(live);
-      this.#events.push({ kind: "unplaced", reason: placement });
+      this.#events.push(planned);
       return;
     }
+    const { placement } = planned;
     live.placement = placement;
     this.#sends += 1;
     this.#loaded = live;
@@ -132,6 +124,8 @@
       return { result: SendResult.Internal, reason: "internal error" };
     });
     void outcome.then((ended) => {
+      live.evidence?.onEnd(ended);
+      planned.end();
       this.#events.push({ kind: "ended", live, outcome: ended });
     });
   }
@@ -151,11 +145,12 @@
       case "stalled":
         return NextStep.Retry;
       case "unplaced":
+      case "held":
         if (this.#live.size > 0) {
           this.#restoreLoad();
           return NextStep.Wait;
         }
-        this.#endWithoutPlacement(event.reason);
+        this.#endWithoutPlacement(event);
         return NextStep.Done;
       case "ended":
         return this.#handleOutcome(event.live, event.outcome);
@@ -182,24 +177,30 @@
 
   #newObserver(live: LiveSend, placement: Placement): SendObserver {
     let sentMs = Infinity;
+    const { upstream } = placement;
     return {
       canReplace: () => this.#canReplace(placement),
-      replace: (stall) => this.#replaceStalled(placement, stall),
+      replace: (stall) => {
+        live.evidence?.onStall(stall);
+        return this.#replaceStalled(placement, stall);
+      },
       onOpen: () => {
-        const { clock, view, limits } = this.#deps;
+        const { clock, view, limits, guard } = this.#deps;
         const { listedMs } = view;
         sentMs = clock.now();
-        const limit = limits.get(placement.upstream.id);
+        const limit = limits.get(upstream.id);
         this.#log.logSend(placement, { sends: this.#sends - 1, nowMs: sentMs, listedMs, limit });
-        live.isOpen = true;
+        live.evidence = new SendEvidence(guard.evidence, this.#req, upstream);
       },
       onProgress: () => {
         this.#onProgress(live);
       },
       onHead: (facts) => {
-        this.#feedback.recordHead(placement.upstream, sentMs, facts);
+        this.#feedback.recordHead(upstream, sentMs, facts);
+        live.evidence?.onHead(facts);
       },
       onEvents: () => {
+        live.evidence?.onEvents();
         this.#onEvents(placement);
       },
     };
@@ -265,7 +266,7 @@
   /** Records the outcome of a send and takes the next step. */
   #handleOutcome(live: LiveSend, outcome: SendOutcome): NextStep {
     const { clock, retryBudget } = this.#deps;
-    const { upstream } = live.placement ?? { upstream: undefined };
+    const upstream = live.placement?.upstream;
     this.#live.delete(live);
     this.#countSend(live, outcome);
     this.#final.recordOutcome(outcome);
@@ -305,25 +306,29 @@
     }
   }
 
-  #countSend({ isOpen }: LiveSend, { result }: SendOutcome): void {
+  #countSend({ evidence }: LiveSend, { result }: SendOutcome): void {
     if (result === SendResult.Unsent || result === SendResult.NoMemory) {
       this.#unsentSends += 1;
     }
-    if (!isOpen || result === SendResult.Unsent) {
+    if (!evidence || result === SendResult.Unsent) {
       this.#sends -= 1;
       return;
     }
     this.#mayHaveRun ||= result !== SendResult.NotRun;
   }
 
-  #endWithoutPlacement(reason: PlacementFailure): void {
+  #endWithoutPlacement(failed: FailedPlan): void {
+    const { reason } = failed;
     if (reason === PlacementFailure.Cancelled) {
       this.#final.finish({ result: SendResult.Cancelled, reason });
     } else if (this.#mayHaveRun) {
-      this.#final.fail({ result: SendResult.TimedOut, reason });
+      const result = failed.kind === "held" ? SendResult.Broken : SendResult.TimedOut;
+      this.#final.fail({ result, reason });
     } else {
-      const roomMs = this.#placer.getRoomMs(this.#pool, reason);
-      this.#final.reject(reason, getRetryAfterMs(roomMs, this.#deps.random));
+      const { random } = this.#deps;
+      const roomMs =
+        failed.kind === "held" ? failed.retryMs : this.#placer.getRoomMs(this.#pool, failed.reason);
+      this.#final.reject(reason, getRetryAfterMs(roomMs, random));
     }
   }
 
--- a/packages/forwarding/src/Forwarder.ts
+++ b/packages/forwarding/src/Forwarder.ts
@@ -1,17 +1,20 @@
 import type { ForwardDependencies } from "./forwardDependencies.js";
 import { ForwardJob } from "./ForwardJob.js";
 import { Placer } from "./Placer.js";
+import { SendPlanner } from "./SendPlanner.js";
 import type { AnswerWriter, ForwardRequest } from "./types.js";
 
 /** Forwards requests to upstreams and their answers to callers. */
 export class Forwarder {
   readonly #deps: ForwardDependencies;
   readonly #placer: Placer;
+  readonly #planner: SendPlanner;
   #inFlight = 0;
 
   constructor(deps: ForwardDependencies) {
     this.#deps = deps;
     this.#placer = new Placer(deps);
+    this.#planner = new SendPlanner({ guard: deps.guard, placer: this.#placer });
   }
 
   /** Number of requests without a final answer. */
@@ -23,7 +26,9 @@
   async forward(req: ForwardRequest, writer: AnswerWriter): Promise<void> {
     this.#inFlight += 1;
     try {
-      await new ForwardJob({ deps: this.#deps, placer: this.#placer, req, writer }).run();
+      await new ForwardJob({
+        ...{ deps: this.#deps, placer: this.#placer, planner: this.#planner, req, writer },
+      }).run();
     } finally {
       this.#inFlight -= 1;
       this.#deps.loadTracker.removeOwn(req.head.attemptId);
--- a/packages/forwarding/src/Placer.test.ts
+++ b/packages/forwarding/src/Placer.test.ts
@@ -38,6 +38,7 @@
   },
   ...{
     pool: "p",
+    isApart: false,
     excluded: new Set<string>(),
     deadlineAtMs: 5_000,
     signal: new AbortController().signal,
--- a/packages/forwarding/src/Placer.ts
+++ b/packages/forwarding/src/Placer.ts
@@ -19,6 +19,7 @@
   type PlacementRequest,
 } from "./placement.js";
 import { sample } from "./sample.js";
+import { selectSeparate } from "./selectSeparate.js";
 import type { ForwardRequest } from "./types.js";
 import type { UpstreamHealth } from "./UpstreamHealth.js";
 
@@ -38,6 +39,8 @@
   readonly plan: PlacementPlan | undefined;
   readonly request: PlacementRequest | undefined;
   readonly waitedMs: number;
+  /** Other requests avoid the upstream meanwhile. */
+  readonly isApart: boolean;
 }
 
 /** Why a request has no placement. */
@@ -64,6 +67,8 @@
   readonly timeline: AnswerTimeline;
   /** Ends the search. */
   readonly signal: AbortSignal;
+  /** The request may crash its upstream, so that it should share it with few others. */
+  readonly isApart: boolean;
 }
 
 /** Chooses upstreams for requests; a prompt waits only while no upstreams have the KV memory. */
@@ -172,7 +177,7 @@
     const upstream = pickServiceUpstream(this.#getCandidates(query), this.#random);
     const waitedMs = now - startMs;
     return upstream
-      ? { upstream, plan: undefined, request: undefined, waitedMs }
+      ? { upstream, plan: undefined, request: undefined, waitedMs, isApart: query.isApart }
       : this.#getLack(query.pool);
   }
 
@@ -213,7 +218,8 @@
       }
       const plan = planPlacement(engine, request, candidates);
       if (plan) {
-        return { upstream: plan.upstream, plan, request, waitedMs: now - startMs };
+        const { isApart } = query;
+        return { upstream: plan.upstream, plan, request, waitedMs: now - startMs, isApart };
       }
       await sleep(this.#clock, REPLAN_INTERVAL_MS, query.signal);
     }
@@ -252,29 +258,34 @@
   #getCandidates({
     pool,
     excluded,
-  }: Pick<PlacementQuery, "pool" | "excluded">): PlacementCandidate[] {
+    isApart = false,
+  }: Pick<PlacementQuery, "pool" | "excluded"> & {
+    isApart?: boolean;
+  }): readonly PlacementCandidate[] {
     const open = this.#getUsable({ pool, excluded }).filter(({ id }) => this.#quota.isOpen(id));
     const active = this.#health.selectActive(open);
     const loads = this.#loadTracker.getLoads();
     const considered =
       active.length > MAX_CANDIDATES ? sample(active, MAX_CANDIDATES, this.#random) : active;
-    return considered.map((upstream) => ({
+    const candidates = considered.map((upstream) => ({
       upstream,
       load: loads.get(upstream.id) ?? newUpstreamLoad(),
       failureRate: this.#health.getFailureRate(upstream.id),
       avoidance: this.#quota.getAvoidance(upstream.id),
     }));
+    return selectSeparate(candidates, isApart);
   }
 
   /** Counts a request as load of the upstream that it was sent to last, or that goes on with it. */
   recordLoad(
     { req, pool }: Pick<PlacementQuery, "req" | "pool">,
-    { upstream, plan, request }: Placement,
+    { upstream, plan, request, isApart }: Placement,
   ): void {
     const { attemptId } = req.head;
     const isPrompt = plan !== undefined && request !== undefined;
     this.#loadTracker.setOwn({
       ...{ id: attemptId, pool, upstream: upstream.id, kvTokens: getKvTokens(req, plan) },
+      ...(isApart && { isApart }),
       ...(isPrompt ? getPromptLoad(plan, request) : CALL_LOAD),
     });
   }
--- a/packages/forwarding/src/Send.ts
+++ b/packages/forwarding/src/Send.ts
@@ -106,8 +106,9 @@
   }
 
   onError(state: SendState, err: Error): void {
-    const result = state === SendState.Unsent ? SendResult.Unsent : SendResult.Broken;
-    this.#finish({ result, reason: err.message });
+    const isCut = state === SendState.Sent;
+    const result = isCut ? SendResult.Broken : SendResult.Unsent;
+    this.#finish({ result, reason: err.message, isCut });
   }
 
   /** Ends the send on an error of this process, which its caller would otherwise await in vain. */
@@ -218,7 +219,8 @@
 
   #endEventStream(): void {
     if (this.#splitter.pendingBytes > 0) {
-      this.#finish({ result: SendResult.Broken, reason: "stream ended inside an event" });
+      const reason = "stream ended inside an event";
+      this.#finish({ result: SendResult.Broken, reason, isCut: true });
       return;
     }
     if (this.#progress.isFramed && !this.#facts?.isFramed) {
--- /dev/null
+++ b/packages/forwarding/src/crashes/PartGuard.test.ts
@@ -0,0 +1,149 @@
+import { newSilentLogger } from "@lycheepulley/telemetry";
+import { expect } from "chai";
+
+import { pickOwner, type Members } from "../members.js";
+import { ManualClock } from "../testing/ManualClock.js";
+import { CrashEvidence } from "./CrashEvidence.js";
+import { PartGuard, type Admission } from "./PartGuard.js";
+import { TrialOwner } from "./TrialOwner.js";
+
+interface Process {
+  readonly evidence: CrashEvidence;
+  readonly guard: PartGuard;
+}
+
+/** Processes whose calls arrive at once, or are lost while `isCut` is set. */
+class Processes {
+  readonly clock = new ManualClock();
+  readonly hosts: readonly string[];
+  readonly #owners = new Map<string, { evidence: CrashEvidence; owner: TrialOwner }>();
+  isCut = false;
+
+  constructor(count: number) {
+    this.hosts = Array.from({ length: count }, (_, index) => `n${String(index)}`);
+  }
+
+  start(self: string, getHosts = (): readonly string[] => this.hosts): Process {
+    const { clock } = this;
+    const logger = newSilentLogger();
+    const evidence = new CrashEvidence({ clock, logger, onNews: () => undefined });
+    const owner = new TrialOwner({ clock, evidence });
+    this.#owners.set(self, { evidence, owner });
+    const getMembers = (): Members => ({ self, hosts: getHosts(), known: this.hosts.length - 1 });
+    const guard = new PartGuard({
+      ...{ clock, evidence, owner, getMembers, logger },
+      peers: {
+        ask: (host, { part, parts, report }) => {
+          const peer = this.#owners.get(host);
+          if (this.isCut || !peer) {
+            return Promise.reject(new Error("no answer"));
+          }
+          peer.evidence.recordPeer(self, report);
+          return Promise.resolve(peer.owner.take(part, parts));
+        },
+        end: (host, part) => {
+          this.#owners.get(host)?.owner.end(part);
+        },
+      },
+    });
+    return { evidence, guard };
+  }
+}
+
+const endTrial = (admission: Admission): void => {
+  if (admission.kind === "trial") {
+    admission.end();
+  }
+};
+
+describe("PartGuard", () => {
+  let processes: Processes;
+  let all: Process[];
+  beforeEach(() => {
+    processes = new Processes(6);
+    all = processes.hosts.map((host) => processes.start(host));
+  });
+
+  const accuse = (upstream: string, ...parts: string[]): void => {
+    all.forEach(({ evidence }) => {
+      evidence.recordLoss(upstream, parts);
+    });
+  };
+  const admit = (...parts: string[]): Promise<Admission[]> =>
+    Promise.all(all.map(({ guard }) => guard.admit(parts)));
+  const count = (admissions: readonly Admission[], kind: Admission["kind"]): number =>
+    admissions.filter((admission) => admission.kind === kind).length;
+
+  it("admits requests freely without a suspicion", async () => {
+    accuse("u1", "bad");
+    expect(count(await admit("a"), "free")).to.equal(6);
+    expect(count(await admit(), "free")).to.equal(6);
+  });
+
+  // Guards against a storm of requests with a suspect part before it is known to crash upstreams.
+  it("admits one trial of a suspect part at a time, over all processes", async () => {
+    accuse("u1", "bad");
+    const first = await admit("bad", "a");
+    expect([count(first, "trial"), count(first, "refused")]).to.deep.equal([1, 5]);
+    expect(count(await admit("bad"), "refused")).to.equal(6);
+    first.forEach(endTrial);
+    expect(count(await admit("bad"), "trial")).to.equal(1);
+  });
+
+  it("admits a trial when the end of the one before wasn't told", async () => {
+    accuse("u1", "bad");
+    await admit("bad");
+    await processes.clock.advance(10_001);
+    expect(count(await admit("bad"), "trial")).to.equal(1);
+  });
+
+  it("returns what it was granted when another part of the request is being tried", async () => {
+    accuse("u1", "bad");
+    accuse("u2", "worse");
+    const [trial] = await Promise.all(all.slice(0, 1).map(({ guard }) => guard.admit(["worse"])));
+    expect(count(await admit("bad", "worse"), "refused")).to.equal(6);
+    expect(count(await admit("bad"), "trial")).to.equal(1);
+    expect(trial?.kind).to.equal("trial");
+  });
+
+  it("refuses a blocked part until its next trial, and then admits one", async () => {
+    ["u1", "u2", "u3"].forEach((upstream) => {
+      accuse(upstream, "bad");
+    });
+    const refused = await admit("bad");
+    expect(refused.map((one) => one.kind === "refused" && one.retryMs)).to.deep.equal(
+      Array<number>(6).fill(30_000),
+    );
+    await processes.clock.advance(30_001);
+    expect(count(await admit("bad"), "trial")).to.equal(1);
+  });
+
+  // Guards against a process that sends on its own because its peers don't answer.
+  it("refuses suspect parts while the owner of their trials doesn't answer", async () => {
+    accuse("u1", "bad");
+    processes.isCut = true;
+    const owner = pickOwner("bad", { self: "", hosts: processes.hosts, known: 0 });
+    const admissions = await admit("bad");
+    const kinds = admissions.map(({ kind }) => kind);
+    const expected = processes.hosts.map((host) => (host === owner ? "trial" : "refused"));
+    expect(kinds).to.deep.equal(expected);
+  });
+
+  it("grants no trial that the owner's newer evidence rules out", async () => {
+    accuse("u1", "bad");
+    const owner = processes.hosts.indexOf(
+      pickOwner("bad", { self: "", hosts: processes.hosts, known: 0 }),
+    );
+    ["u2", "u3"].forEach((upstream) => all[owner]?.evidence.recordLoss(upstream, ["bad"]));
+    expect(count(await admit("bad"), "refused")).to.equal(6);
+  });
+
+  it("tells an owner that has just started what it knows", async () => {
+    accuse("u1", "bad");
+    const host = pickOwner("bad", { self: "", hosts: processes.hosts, known: 0 });
+    processes.start(host);
+    const others = all.filter((_, index) => processes.hosts[index] !== host);
+    const admissions = await Promise.all(others.map(({ guard }) => guard.admit(["bad"])));
+    expect([count(admissions, "trial"), count(admissions, "refused")]).to.deep.equal([1, 4]);
+  });
+});
--- /dev/null
+++ b/packages/forwarding/src/crashes/PartGuard.ts
@@ -0,0 +1,126 @@
+import { getMessage, type Clock } from "@lycheepulley/core";
+import type { Logger } from "@lycheepulley/telemetry";
+
+import { pickOwner, type Members } from "../members.js";
+import type { CrashEvidence, CrashReport } from "./CrashEvidence.js";
+import type { TrialAnswer, TrialOwner } from "./TrialOwner.js";
+
+/** Time after which to ask an owner again that didn't answer. */
+const NO_ANSWER_RETRY_MS = 1_000;
+
+/** A request for the trial of a suspect part. */
+export interface TrialRequest {
+  readonly part: string;
+  /** All shared parts of the request. */
+  readonly parts: readonly string[];
+  /** What the asking process knows about these parts. */
+  readonly report: CrashReport;
+}
+
+/** Asks other processes for trials of suspect parts. */
+export interface TrialPeers {
+  /** Asks the owner of a part; rejects when it doesn't answer in time. */
+  ask(host: string, req: TrialRequest): Promise<TrialAnswer>;
+  /** Tells the owner that a trial ended. */
+  end(host: string, part: string): void;
+}
+
+/** Whether a request may be sent to an upstream now. */
+export type Admission =
+  | { readonly kind: "free" }
+  | {
+      /** It is the only one with its suspect parts, until it ends. */
+      readonly kind: "trial";
+      readonly end: () => void;
+    }
+  | {
+      readonly kind: "refused";
+      readonly reason: string;
+      /** Time after which to come back, milliseconds. */
+      readonly retryMs: number;
+    };
+
+/** Decides whether requests may be sent, by the parts of their prompts that may crash upstreams. */
+export class PartGuard {
+  readonly evidence: CrashEvidence;
+  readonly #clock: Clock;
+  readonly #owner: TrialOwner;
+  readonly #peers: TrialPeers;
+  readonly #getMembers: () => Members;
+  readonly #logger: Logger;
+
+  constructor(options: {
+    clock: Clock;
+    evidence: CrashEvidence;
+    owner: TrialOwner;
+    peers: TrialPeers;
+    getMembers: () => Members;
+    logger: Logger;
+  }) {
+    this.evidence = options.evidence;
+    this.#clock = options.clock;
+    this.#owner = options.owner;
+    this.#peers = options.peers;
+    this.#getMembers = options.getMembers;
+    this.#logger = options.logger;
+  }
+
+  /** True when no part of the request is suspect. */
+  isFree(parts: readonly string[]): boolean {
+    return this.evidence.getStanding(parts).suspects.length === 0;
+  }
+
+  /** Admits a request; one with suspect parts only as a trial, which it takes from their owners. */
+  async admit(parts: readonly string[]): Promise<Admission> {
+    const { suspects, blocked } = this.evidence.getStanding(parts);
+    if (blocked) {
+      const retryMs = blocked.untilMs - this.#clock.now();
+      return { kind: "refused", reason: `prompt part ${blocked.part} is blocked`, retryMs };
+    }
+    if (suspects.length === 0) {
+      return { kind: "free" };
+    }
+    const members = this.#getMembers();
+    const granted: string[] = [];
+    const end = (): void => {
+      granted.forEach((part) => {
+        this.#end(part, members);
+      });
+    };
+    for (const part of suspects) {
+      const { isGranted, retryMs } = await this.#ask(part, parts, members);
+      if (!isGranted) {
+        end();
+        return { kind: "refused", reason: `prompt part ${part} is suspected`, retryMs };
+      }
+      granted.push(part);
+    }
+    return { kind: "trial", end };
+  }
+
+  async #ask(part: string, parts: readonly string[], members: Members): Promise<TrialAnswer> {
+    const owner = pickOwner(part, members);
+    if (owner === members.self) {
+      return this.#owner.take(part, parts);
+    }
+    try {
+      return await this.#peers.ask(owner, {
+        ...{ part, parts, report: this.evidence.getReport(parts) },
+      });
+    } catch (err) {
+      this.#logger.warn("trial not granted: no answer from its owner", {
+        ...{ step: "admit", part, owner, err: getMessage(err) },
+      });
+      return { isGranted: false, retryMs: NO_ANSWER_RETRY_MS };
+    }
+  }
+
+  #end(part: string, members: Members): void {
+    const owner = pickOwner(part, members);
+    if (owner === members.self) {
+      this.#owner.end(part);
+    } else {
+      this.#peers.end(owner, part);
+    }
+  }
+}
--- /dev/null
+++ b/packages/forwarding/src/crashes/SendEvidence.ts
@@ -0,0 +1,72 @@
+import type { Upstream } from "../fleetConfig.js";
+import { SendResult, type SendOutcome } from "../outcomes.js";
+import type { AnswerFacts, ForwardRequest } from "../types.js";
+import type { CrashEvidence } from "./CrashEvidence.js";
+
+/** Time after its first event at which an answer shows that its upstream doesn't crash under it. */
+const SOUND_AFTER_MS = 1_000;
+
+/** Reports what one send tells about its upstream and about the parts of its prompt. */
+export class SendEvidence {
+  readonly #evidence: CrashEvidence;
+  readonly #parts: readonly string[];
+  readonly #upstream: string;
+  readonly #sentMs: number;
+  #firstMs: number | undefined;
+  #isFramed = false;
+  #isSound = false;
+
+  constructor(evidence: CrashEvidence, { head }: ForwardRequest, upstream: Upstream) {
+    this.#evidence = evidence;
+    this.#parts = head.sharedParts;
+    this.#upstream = upstream.id;
+    this.#sentMs = evidence.now();
+  }
+
+  onHead({ isFramed }: AnswerFacts): void {
+    this.#isFramed = isFramed;
+  }
+
+  onEvents(): void {
+    const now = this.#evidence.now();
+    if (this.#firstMs === undefined) {
+      this.#firstMs = now;
+      this.#evidence.recordAnswer(this.#upstream, this.#sentMs);
+    }
+    if (now - this.#firstMs >= SOUND_AFTER_MS) {
+      this.#recordSound(this.#firstMs);
+    }
+  }
+
+  /** A silent upstream that doesn't answer a probe either may have been lost. */
+  onStall({ isAlive }: { isAlive: boolean }): void {
+    if (!isAlive) {
+      this.#recordLoss();
+    }
+  }
+
+  onEnd({ result, isCut }: SendOutcome): void {
+    if (isCut) {
+      this.#recordLoss();
+    } else if (result === SendResult.Delivered) {
+      this.#evidence.recordAnswer(this.#upstream, this.#sentMs);
+      // The end of an answer without framing may be that of its upstream.
+      if (this.#isFramed) {
+        this.#recordSound(this.#firstMs ?? this.#evidence.now());
+      }
+    }
+  }
+
+  #recordSound(begunMs: number): void {
+    if (!this.#isSound) {
+      this.#isSound = true;
+      this.#evidence.recordSound(this.#parts, begunMs);
+    }
+  }
+
+  #recordLoss(): void {
+    if (!this.#isSound) {
+      this.#evidence.recordLoss(this.#upstream, this.#parts);
+    }
+  }
+}
--- a/packages/forwarding/src/decisions.test.ts
+++ b/packages/forwarding/src/decisions.test.ts
@@ -7,7 +7,7 @@
 import { ManualClock } from "./testing/ManualClock.js";
 import { newConfig, newRoute } from "./testing/samples.js";
 import { UpstreamHealth } from "./UpstreamHealth.js";
-import { CrashTracker } from "./CrashTracker.js";
+import { CrashTracker } from "./crashes/CrashTracker.js";
 
 describe("RouteTable: short gap objectives", () => {
   const cases: readonly [gapsMs: (number | undefined)[], shortGapMs: number][] = [
--- a/packages/forwarding/src/forwardDependencies.ts
+++ b/packages/forwarding/src/forwardDependencies.ts
@@ -1,7 +1,8 @@
 import type { Clock, Random } from "@lycheepulley/core";
 import type { Logger } from "@lycheepulley/telemetry";
 
-import type { CrashTracker } from "./CrashTracker.js";
+import type { CrashTracker } from "./crashes/CrashTracker.js";
+import type { PartGuard } from "./crashes/PartGuard.js";
 import type { FleetView } from "./FleetView.js";
 import type { SendQuota } from "./limits/SendQuota.js";
 import type { UpstreamLimits } from "./limits/UpstreamLimits.js";
@@ -33,6 +34,7 @@
   readonly quota: SendQuota;
   readonly retryBudget: RetryBudget;
   readonly crashes: CrashTracker;
+  readonly guard: PartGuard;
   readonly reservations: ReservationManager;
   readonly control: UpstreamControl;
   readonly transport: UpstreamTransport;
--- a/packages/forwarding/src/limits/QuotaOwner.ts
+++ b/packages/forwarding/src/limits/QuotaOwner.ts
@@ -1,5 +1,6 @@
-import { rankMembers, TokenBucket, type Clock } from "@lycheepulley/core";
+import { TokenBucket, type Clock } from "@lycheepulley/core";
 
+import { pickOwner, type Members } from "../members.js";
 import type { KnownLimit, LimitReport, UpstreamLimits } from "./UpstreamLimits.js";
 
 /** Sends that an unused quota saves up. */
@@ -22,16 +23,6 @@
   readonly retryMs: number;
 }
 
-/** The processes that this one sees. */
-export interface QuotaMembers {
-  /** Host of this process. */
-  readonly self: string;
-  /** Hosts that may own quotas, with this process's unless it is leaving. */
-  readonly hosts: readonly string[];
-  /** Processes that were seen lately, alive or not, besides this one. */
-  readonly known: number;
-}
-
 interface Quota {
   readonly bucket: TokenBucket;
   /** Refused requests since the last granted one; each is told to come back one send later. */
@@ -40,15 +31,11 @@
 
 /** Members that this process saw until some time. */
 interface MembersView {
-  readonly members: QuotaMembers | undefined;
+  readonly members: Members | undefined;
   readonly key: string | undefined;
   untilMs: number;
 }
 
-/** The process that grants sends to an upstream with a limit, by rendezvous hashing. */
-export const pickQuotaOwner = (upstream: string, { self, hosts }: QuotaMembers): string =>
-  rankMembers(upstream, hosts)[0] ?? self;
-
 /**
  * Grants sends to upstreams with limits, for all processes. Each upstream has one owner. While
  * processes may disagree about it, each grants so little that two of them stay within the limit.
@@ -56,12 +43,12 @@
 export class QuotaOwner {
   readonly #clock: Clock;
   readonly #limits: UpstreamLimits;
-  readonly #getMembers: () => QuotaMembers;
+  readonly #getMembers: () => Members;
   readonly #quotas = new Map<string, Quota>();
   /** Members in the last `SETTLE_MS`, oldest first; undefined before this process saw any. */
   #views: MembersView[] = [];
 
-  constructor(options: { clock: Clock; limits: UpstreamLimits; getMembers: () => QuotaMembers }) {
+  constructor(options: { clock: Clock; limits: UpstreamLimits; getMembers: () => Members }) {
     this.#clock = options.clock;
     this.#limits = options.limits;
     this.#getMembers = options.getMembers;
@@ -73,13 +60,13 @@
     const members = this.#getMembers();
     this.#observeMembers(members);
     for (const limit of this.#limits.all) {
-      if (pickQuotaOwner(limit.upstream, members) === members.self) {
+      if (pickOwner(limit.upstream, members) === members.self) {
         this.#getQuota(limit.upstream, this.#getRate(limit, members));
       }
     }
   }
 
-  #observeMembers(members: QuotaMembers): void {
+  #observeMembers(members: Members): void {
     const now = this.#clock.now();
     const last = this.#views.at(-1);
     const key = getKey(members);
@@ -105,7 +92,7 @@
     }
     const members = this.#getMembers();
     this.#observeMembers(members);
-    if (pickQuotaOwner(upstream, members) !== members.self) {
+    if (pickOwner(upstream, members) !== members.self) {
       return { isGranted: false, retryMs: MAX_RETRY_MS };
     }
     const ratePerS = this.#getRate(limit, members);
@@ -133,7 +120,7 @@
     [...this.#quotas.keys()].filter((id) => !ids.has(id)).forEach((id) => this.#quotas.delete(id));
   }
 
-  #getRate({ upstream, perSecond }: KnownLimit, members: QuotaMembers): number {
+  #getRate({ upstream, perSecond }: KnownLimit, members: Members): number {
     const rate = Math.max(MIN_PER_SECOND, perSecond);
     const isAlone = members.hosts.every((host) => host === members.self);
     if (isAlone && members.known > 0) {
@@ -141,7 +128,7 @@
       return rate / (members.known + 1);
     }
     const isSettled = this.#views.every(
-      (view) => view.members && pickQuotaOwner(upstream, view.members) === members.self,
+      (view) => view.members && pickOwner(upstream, view.members) === members.self,
     );
     return rate * (isSettled ? GRANTED_SHARE : UNSETTLED_SHARE);
   }
@@ -160,4 +147,4 @@
   }
 }
 
-const getKey = ({ hosts }: QuotaMembers): string => [...hosts].sort().join();
+const getKey = ({ hosts }: Members): string => [...hosts].sort().join();
--- a/packages/forwarding/src/limits/SendQuota.ts
+++ b/packages/forwarding/src/limits/SendQuota.ts
@@ -1,12 +1,8 @@
 import { getMessage, type Clock } from "@lycheepulley/core";
 import type { Logger } from "@lycheepulley/telemetry";
 
-import {
-  pickQuotaOwner,
-  type QuotaAnswer,
-  type QuotaMembers,
-  type QuotaOwner,
-} from "./QuotaOwner.js";
+import { pickOwner, type Members } from "../members.js";
+import type { QuotaAnswer, QuotaOwner } from "./QuotaOwner.js";
 import type { KnownLimit, UpstreamLimits } from "./UpstreamLimits.js";
 
 /** Time after which an owner that didn't answer is asked again. */
@@ -30,7 +26,7 @@
   readonly #limits: UpstreamLimits;
   readonly #owner: QuotaOwner;
   readonly #peers: QuotaPeers;
-  readonly #getMembers: () => QuotaMembers;
+  readonly #getMembers: () => Members;
   readonly #logger: Logger;
   /** Times until which no sends to an upstream are to be had. */
   readonly #closedUntilMs = new Map<string, number>();
@@ -40,7 +36,7 @@
     limits: UpstreamLimits;
     owner: QuotaOwner;
     peers: QuotaPeers;
-    getMembers: () => QuotaMembers;
+    getMembers: () => Members;
     logger: Logger;
   }) {
     this.#clock = options.clock;
@@ -115,7 +111,7 @@
       return;
     }
     const members = this.#getMembers();
-    const owner = pickQuotaOwner(upstream, members);
+    const owner = pickOwner(upstream, members);
     if (owner === members.self) {
       this.#owner.charge(upstream);
     } else {
@@ -132,7 +128,7 @@
 
   async #ask(limit: KnownLimit): Promise<QuotaAnswer> {
     const members = this.#getMembers();
-    const owner = pickQuotaOwner(limit.upstream, members);
+    const owner = pickOwner(limit.upstream, members);
     if (owner === members.self) {
       return this.#owner.take(limit.upstream);
     }
--- a/packages/forwarding/src/limits/quotas.test.ts
+++ b/packages/forwarding/src/limits/quotas.test.ts
@@ -2,7 +2,8 @@
 import { newSilentLogger } from "@lycheepulley/telemetry";
 
 import { ManualClock } from "../testing/ManualClock.js";
-import { pickQuotaOwner, QuotaOwner, type QuotaMembers } from "./QuotaOwner.js";
+import { pickOwner, type Members } from "../members.js";
+import { QuotaOwner } from "./QuotaOwner.js";
 import { QuotaQueue } from "./QuotaQueue.js";
 import { SendQuota, type QuotaPeers } from "./SendQuota.js";
 import { UpstreamLimits } from "./UpstreamLimits.js";
@@ -15,7 +16,7 @@
   readonly limits: UpstreamLimits;
   readonly owner: QuotaOwner;
   readonly quota: SendQuota;
-  members: QuotaMembers;
+  members: Members;
   answer: QuotaPeers["ask"] = () => Promise.reject(new Error("no answer"));
   asked = 0;
 
@@ -23,7 +24,7 @@
     this.members = { self, hosts, known: hosts.length - 1 };
     const logger = newSilentLogger();
     const limits = new UpstreamLimits({ clock, logger, onOwnChange: () => undefined });
-    const getMembers = (): QuotaMembers => this.members;
+    const getMembers = (): Members => this.members;
     const owner = new QuotaOwner({ clock, limits, getMembers });
     const peers: QuotaPeers = {
       ask: (host, limit) => {
@@ -61,9 +62,9 @@
   return granted;
 };
 
-const OWNER = pickQuotaOwner("u", { self: "", hosts: HOSTS, known: 0 });
+const OWNER = pickOwner("u", { self: "", hosts: HOSTS, known: 0 });
 const OTHERS = HOSTS.filter((host) => host !== OWNER);
-const SUCCESSOR = pickQuotaOwner("u", { self: "", hosts: OTHERS, known: 0 });
+const SUCCESSOR = pickOwner("u", { self: "", hosts: OTHERS, known: 0 });
 const BYSTANDER = OTHERS.find((host) => host !== SUCCESSOR) ?? "";
 
 describe("QuotaOwner", () => {
--- a/packages/forwarding/src/load.ts
+++ b/packages/forwarding/src/load.ts
@@ -40,12 +40,17 @@
   value: z.number().nonnegative(),
   /** It was expected to miss its objective when it was sent, or an event has missed one. */
   isLate: z.boolean().default(false),
+  /** It may crash its upstream, which others should avoid meanwhile. */
+  isApart: z.boolean().optional(),
 });
 export type LoadItem = z.infer<typeof loadItemSchema>;
 
 const isAmount = (value: unknown): value is number =>
   Number.isFinite(value) && (value as number) >= 0;
 
+const FINITE = ["targetLeftMs", "deadlineLeftMs"] as const;
+const OPTIONAL_FLAGS: readonly unknown[] = [undefined, false, true];
+
 const AMOUNTS = ["readMs", "kvTokens", "value"] as const;
 
 const isArrayOf = (value: unknown, isEntry: (entry: unknown) => boolean): boolean =>
@@ -73,9 +78,9 @@
     AMOUNTS.every((field) => isAmount(item[field])) &&
     isAmount(item.maxGapMs) &&
     item.maxGapMs > 0 &&
-    Number.isFinite(item.targetLeftMs) &&
-    Number.isFinite(item.deadlineLeftMs) &&
-    typeof item.isLate === "boolean"
+    FINITE.every((field) => Number.isFinite(item[field])) &&
+    typeof item.isLate === "boolean" &&
+    OPTIONAL_FLAGS.includes(item.isApart)
   );
 };
 
@@ -95,6 +100,8 @@
 export interface UpstreamLoad {
   /** Requests whose answer this upstream decodes or will decode. */
   inFlight: number;
+  /** Requests among them that may crash the upstream. */
+  apart: number;
   /** Requests among them that wait behind others, because they were late when they were sent. */
   deferred: number;
   /** Prompts that this upstream prefills only as a helper. */
@@ -122,6 +129,7 @@
 /** Load of an upstream with nothing in flight. */
 export const newUpstreamLoad = (): UpstreamLoad => ({
   inFlight: 0,
+  apart: 0,
   deferred: 0,
   helping: 0,
   pendingReadMs: 0,
@@ -188,6 +196,7 @@
   for (const item of sorted) {
     const load = getOrAdd(loads, item.upstream);
     load.inFlight += 1;
+    load.apart += item.isApart ? 1 : 0;
     load.kvTokens += item.kvTokens;
     load.contextTokens += item.kvTokens;
     load.deferred += item.phase === LoadPhase.Reading && item.isLate ? 1 : 0;
--- a/packages/forwarding/src/outcomes.ts
+++ b/packages/forwarding/src/outcomes.ts
@@ -38,6 +38,8 @@
 export interface SendOutcome {
   readonly result: SendResult;
   readonly reason: string;
+  /** The connection ended in the middle of the answer, or before it. */
+  readonly isCut?: boolean;
   /** Complete answer of the upstream, buffered until the retry decision. */
   readonly answer?: BufferedAnswer;
   /** Address of the upstream at fault, when it isn't the one that the request was sent to. */
--- a/packages/forwarding/src/testing/ForwarderHarness.ts
+++ b/packages/forwarding/src/testing/ForwarderHarness.ts
@@ -1,6 +1,6 @@
 import { SeededRandom, sleep } from "@lycheepulley/core";
 import { newSilentLogger } from "@lycheepulley/telemetry";
-import { CrashTracker } from "../CrashTracker.js";
+import { CrashTracker } from "../crashes/CrashTracker.js";
 import type { Route } from "../fleetConfig.js";
 import { FleetView } from "../FleetView.js";
 import { Forwarder } from "../Forwarder.js";
@@ -9,6 +9,7 @@
 import { RetryBudget } from "../RetryBudget.js";
 import { FakeCaller, FakeDialect, FakeTransport } from "./FakeUpstreams.js";
 import { ManualClock } from "./ManualClock.js";
+import { newLoneGuard } from "./newLoneGuard.js";
 import { newLoneSendQuota } from "./newLoneSendQuota.js";
 import { newConfig, newItem, newRoute, newUpstream } from "./samples.js";
 import { ReservationManager } from "../ReservationManager.js";
@@ -37,6 +38,9 @@
     ...{ clock: this.clock, logger: newSilentLogger(), onOwnChange: () => undefined },
   });
   readonly quota = newLoneSendQuota(this.clock, this.limits);
+  readonly guard = newLoneGuard(this.clock);
+  /** Shared parts of the prompts that this harness sends. */
+  sharedParts: readonly string[] = [];
   readonly #abort = new AbortController();
   readonly #forwarder: Forwarder;
   readonly #retryBudget: RetryBudget;
@@ -72,6 +76,7 @@
       quota: this.quota,
       retryBudget: this.#retryBudget,
       crashes: this.#crashes,
+      guard: this.guard,
       reservations: new ReservationManager({ clock, control, logger }),
       onEnd: () => undefined,
     });
@@ -100,7 +105,7 @@
           ...{ attemptId: "a1", method: "POST", path: "/a/", host: "a.example", headers: [] },
           ...{ deadlineMs: 10_000, apiKey: undefined, promptTokens, outputTokens: 100 },
           lastEventId: undefined,
-          sharedParts: [],
+          sharedParts: this.sharedParts,
         },
         route: newRoute(route),
         ...{ body: Buffer.from("body"), customer: undefined, priority: 1, revision: 1 },
--- a/packages/forwarding/src/testing/newLoneSendQuota.ts
+++ b/packages/forwarding/src/testing/newLoneSendQuota.ts
@@ -1,13 +1,14 @@
 import type { Clock } from "@lycheepulley/core";
 import { newSilentLogger } from "@lycheepulley/telemetry";
 
-import { QuotaOwner, type QuotaMembers } from "../limits/QuotaOwner.js";
+import { QuotaOwner } from "../limits/QuotaOwner.js";
 import { SendQuota } from "../limits/SendQuota.js";
 import type { UpstreamLimits } from "../limits/UpstreamLimits.js";
+import type { Members } from "../members.js";
 
 /** The quotas of a process without peers. */
 export const newLoneSendQuota = (clock: Clock, limits: UpstreamLimits): SendQuota => {
-  const getMembers = (): QuotaMembers => ({ self: "n0", hosts: ["n0"], known: 0 });
+  const getMembers = (): Members => ({ self: "n0", hosts: ["n0"], known: 0 });
   return new SendQuota({
     ...{ clock, limits, getMembers, logger: newSilentLogger() },
     owner: new QuotaOwner({ clock, limits, getMembers }),
--- a/packages/simulation/src/GatewayNetwork.ts
+++ b/packages/simulation/src/GatewayNetwork.ts
@@ -1,11 +1,15 @@
 import { sleep, type Clock } from "@lycheepulley/core";
 import type {
+  CrashReport,
   KnownLimit,
   LimitReport,
   LoadChange,
   QuotaAnswer,
-  QuotaMembers,
+  Members,
   QuotaPeers,
+  TrialAnswer,
+  TrialPeers,
+  TrialRequest,
 } from "@lycheepulley/forwarding";
 
 import type { SimulatedGateway } from "./SimulatedGateway.js";
@@ -29,44 +33,67 @@
     this.#getGateways = getGateways;
   }
 
-  getMembers(self: string): QuotaMembers {
+  getMembers(self: string): Members {
     const hosts = this.#getGateways().map(({ name }) => name);
     return { self, hosts, known: this.#getGateways().length - 1 };
   }
 
   /** Asks the gateways of other processes for sends to upstreams with limits. */
   newQuotaPeers(from: string): QuotaPeers {
-    const ask = async (host: string, limit: KnownLimit): Promise<QuotaAnswer> => {
-      await sleep(this.#clock, NETWORK_MS);
-      const owner = this.#getGateways().find(({ name }) => name === host);
-      if (!owner) {
-        await sleep(this.#clock, ASK_TIMEOUT_MS);
-        throw new Error("no answer");
-      }
-      const answer = owner.takeForPeer(from, limit);
-      await sleep(this.#clock, NETWORK_MS);
-      return answer;
-    };
+    const ask = (host: string, limit: KnownLimit): Promise<QuotaAnswer> =>
+      this.#call(host, (owner) => owner.takeForPeer(from, limit));
     return { ask, charge: () => undefined };
   }
 
+  /** Asks the gateways of other processes for trials of suspect parts of prompts. */
+  newTrialPeers(from: string): TrialPeers {
+    return {
+      ask: (host: string, req: TrialRequest): Promise<TrialAnswer> =>
+        this.#call(host, (owner) => owner.takeTrialForPeer(from, req)),
+      end: (host, part) => {
+        void this.#call(host, (owner) => {
+          owner.endTrial(part);
+        }).catch(() => undefined);
+      },
+    };
+  }
+
+  /** Calls another process; rejects when it is gone. */
+  async #call<T>(host: string, fn: (gateway: SimulatedGateway) => T): Promise<T> {
+    await sleep(this.#clock, NETWORK_MS);
+    const gateway = this.#getGateways().find(({ name }) => name === host);
+    if (!gateway) {
+      await sleep(this.#clock, ASK_TIMEOUT_MS);
+      throw new Error("no answer");
+    }
+    const answer = fn(gateway);
+    await sleep(this.#clock, NETWORK_MS);
+    return answer;
+  }
+
+  sendEvidence(from: string, report: CrashReport): void {
+    this.#broadcast(from, (gateway) => {
+      gateway.applyEvidence(from, report);
+    });
+  }
+
   sendLimit(from: string, report: LimitReport): void {
-    this.#clock.setTimer(() => {
-      for (const gateway of this.#getGateways()) {
-        if (gateway.name !== from) {
-          gateway.applyPeerLimit(from, report);
-        }
-      }
-    }, NETWORK_MS);
+    this.#broadcast(from, (gateway) => {
+      gateway.applyPeerLimit(from, report);
+    });
   }
 
   sendLoadChange(from: string, seq: number, change: LoadChange): void {
+    this.#broadcast(from, (gateway) => {
+      gateway.applyPeerChange(from, seq, change);
+    });
+  }
+
+  #broadcast(from: string, fn: (gateway: SimulatedGateway) => void): void {
     this.#clock.setTimer(() => {
-      for (const gateway of this.#getGateways()) {
-        if (gateway.name !== from) {
-          gateway.applyPeerChange(from, seq, change);
-        }
-      }
+      this.#getGateways()
+        .filter(({ name }) => name !== from)
+        .forEach(fn);
     }, NETWORK_MS);
   }
 
--- a/packages/simulation/src/SimulatedCaller.ts
+++ b/packages/simulation/src/SimulatedCaller.ts
@@ -1,8 +1,11 @@
 import { nextExponential, type Clock, type Random } from "@lycheepulley/core";
 import type { AnswerWriter, ForwardRequest } from "@lycheepulley/forwarding";
 
-import type { Pattern, PromptClass } from "./pattern.js";
+import type { Incident, Pattern, PromptClass } from "./pattern.js";
 import { newRoute, type SimulatedFleet } from "./SimulatedFleet.js";
+import { CRASHING_PART } from "./SimulatedUpstream.js";
+
+type CrashingPart = Extract<Incident, { kind: "crashingPart" }>;
 
 /** Callers try an entry process that is down again after this time, milliseconds. */
 const RECONNECT_MS = 250;
@@ -20,11 +23,16 @@
   readonly promptTokens: number;
   readonly worth: number;
   readonly lateWorth: number;
+  /** Parts of the prompt that other prompts share. */
+  readonly parts: readonly string[];
+  attempts: number;
   firstMs: number | undefined;
   longestGapMs: number;
   result: "open" | "inTime" | "late" | "refused" | "failed";
 }
 
+const getFirstPart = ({ name }: PromptClass, index: number): string => `${name}-${String(index)}`;
+
 const nextLogNormal = (
   random: Random,
   { mean, spread, max }: { mean: number; spread: number; max: number },
@@ -53,6 +61,30 @@
     pattern.classes.forEach((prompt) => {
       this.#scheduleNext(prompt);
     });
+    pattern.incidents.forEach((incident) => {
+      if (incident.kind === "crashingPart") {
+        this.#sendCrashing(incident);
+      }
+    });
+  }
+
+  /** Sends prompts of the first class, with a part that crashes upstreams, for some time. */
+  #sendCrashing({ atMs, forMs, perSecond }: CrashingPart): void {
+    const [prompt] = this.#pattern.classes;
+    const intervalMs = 1_000 / perSecond;
+    for (let sinceMs = 0; prompt && sinceMs < forMs; sinceMs += intervalMs) {
+      this.#clock.setTimer(() => {
+        this.#ask(prompt, [getFirstPart(prompt, 0), CRASHING_PART]);
+      }, atMs + sinceMs);
+    }
+  }
+
+  /** Shared parts of a sound prompt. */
+  #pickParts(prompt: PromptClass): string[] {
+    const { firstParts } = this.#pattern;
+    return firstParts === undefined
+      ? []
+      : [getFirstPart(prompt, Math.floor(this.#random.next() * firstParts))];
   }
 
   /** Draws arrivals at the class's highest rate, and drops those above the rate of the moment. */
@@ -65,7 +97,7 @@
           return;
         }
         if (this.#random.next() * highest < this.#getRate(prompt)) {
-          this.#ask(prompt);
+          this.#ask(prompt, this.#pickParts(prompt));
         }
         this.#scheduleNext(prompt);
       },
@@ -79,7 +111,7 @@
     return prompt.perSecond * (surge?.factors[prompt.name] ?? 1);
   }
 
-  #ask(prompt: PromptClass): void {
+  #ask(prompt: PromptClass, parts: readonly string[]): void {
     const promptTokens = nextLogNormal(this.#random, prompt.promptTokens);
     const outputTokens = nextLogNormal(this.#random, prompt.outputTokens);
     const size = FIXED_WORTH + (1 - FIXED_WORTH) * (promptTokens / prompt.promptTokens.mean);
@@ -87,7 +119,7 @@
     const record: RequestRecord = {
       ...{ className: prompt.name, askedMs: this.#clock.now(), promptTokens },
       ...{ worth: prompt.worth * factor, lateWorth: prompt.lateWorth * factor },
-      ...{ firstMs: undefined, longestGapMs: 0, result: "open" },
+      ...{ firstMs: undefined, longestGapMs: 0, result: "open", parts, attempts: 0 },
     };
     this.records.push(record);
     void this.#try(prompt, record, { promptTokens, outputTokens, lastEventId: 0, attempt: 1 });
@@ -114,7 +146,9 @@
     }, leftMs);
     const answer = new CallerAnswer(this.#clock, record, state);
     const cancelWatch = this.#watchProcess(() => this.#fleet.isUp(gateway), abort);
-    await gateway.forward(this.#newRequest(prompt, state, leftMs, abort.signal), answer);
+    record.attempts = state.attempt;
+    const req = this.#newRequest(prompt, { ...state, parts: record.parts }, leftMs, abort.signal);
+    await gateway.forward(req, answer);
     cancelDeadline();
     cancelWatch();
     if (answer.isWhole) {
@@ -150,11 +184,16 @@
 
   #newRequest(
     prompt: PromptClass,
-    state: { promptTokens: number; outputTokens: number; lastEventId: number },
+    state: {
+      promptTokens: number;
+      outputTokens: number;
+      lastEventId: number;
+      parts: readonly string[];
+    },
     deadlineMs: number,
     signal: AbortSignal,
   ): ForwardRequest {
-    const { promptTokens, outputTokens, lastEventId } = state;
+    const { promptTokens, outputTokens, lastEventId, parts } = state;
     const attemptId = `a${String(this.#nextAttempt++)}`;
     const path = `/${prompt.name}/`;
     return {
@@ -162,7 +201,7 @@
         ...{ attemptId, method: "POST", path, host: "fleet.example", headers: [], deadlineMs },
         ...{ apiKey: undefined, promptTokens, outputTokens },
         lastEventId: lastEventId > 0 ? String(lastEventId) : undefined,
-        sharedParts: [],
+        sharedParts: parts,
       },
       route: newRoute(prompt),
       ...{ body: Buffer.alloc(0), customer: undefined, priority: 1, revision: 1 },
--- a/packages/simulation/src/SimulatedFleet.ts
+++ b/packages/simulation/src/SimulatedFleet.ts
@@ -65,6 +65,8 @@
   #gateways: SimulatedGateway[] = [];
   /** Times during which upstreams named limits. */
   readonly limitPeriods: LimitPeriod[] = [];
+  /** Times at which a part of prompts crashed upstreams. */
+  readonly partCrashes: number[] = [];
   #nextUpstream = 0;
   #incarnation = 0;
 
@@ -137,6 +139,9 @@
           this.#crash(incident.backMs);
         }
         return;
+      case "crashingPart":
+        // Callers send the prompts.
+        return;
       case "limit":
         for (let at = 0; at < incident.count; at++) {
           this.#limit(incident);
@@ -169,6 +174,10 @@
         ...{ control: this.#newControl(), processes: this.#pattern.processes },
         getMembers: () => this.#network.getMembers(name),
         quotaPeers: this.#network.newQuotaPeers(name),
+        trialPeers: this.#network.newTrialPeers(name),
+        onCrashNews: (report) => {
+          this.#network.sendEvidence(name, report);
+        },
         onLimitChange: (report) => {
           this.#network.sendLimit(name, report);
         },
@@ -209,6 +218,9 @@
         ...{ clock: this.#clock, upstream, delayMs: NETWORK_MS },
         spec: { ...engine, chunkTokens, queueSlots },
         find: (id) => this.#upstreams.get(id),
+        onCrash: () => {
+          this.#crashByPart(upstream.id);
+        },
       }),
     );
     this.#announceList();
@@ -249,6 +261,27 @@
     }, backMs);
   }
 
+  /** Ends an upstream with its connections; the list drops it later. */
+  #crashByPart(id: string): void {
+    const upstream = this.#upstreams.get(id);
+    if (upstream?.state !== UpstreamState.Serving) {
+      return;
+    }
+    this.partCrashes.push(this.#clock.now());
+    upstream.end(UpstreamState.Ended);
+    this.#announceList(CRASH_LIST_MS);
+    const incident = this.#pattern.incidents.find(({ kind }) => kind === "crashingPart");
+    const backMs = incident?.kind === "crashingPart" ? incident.backMs : CRASH_LIST_MS;
+    this.#clock.setTimer(() => {
+      this.#addUpstream();
+    }, backMs);
+  }
+
+  /** Times at which prompts with the crashing part arrived at upstreams. */
+  getCrashingArrivals(): number[] {
+    return [...this.#upstreams.values()].flatMap(({ crashingArrivals }) => crashingArrivals);
+  }
+
   /** Has an upstream without a limit name one for some time. */
   #limit({ perSecond, forMs }: Extract<Incident, { kind: "limit" }>): void {
     const upstream = this.#pickServing(({ limitPerSecond }) => limitPerSecond === undefined);
@@ -276,13 +309,13 @@
     return serving[Math.floor(this.#random.next() * serving.length)];
   }
 
-  #announceList(): void {
+  #announceList(lagMs = LIST_LAG_MS): void {
     this.#clock.setTimer(() => {
       const list = this.#list();
       this.#gateways.forEach((gateway) => {
         gateway.applyUpstreams(list);
       });
-    }, LIST_LAG_MS);
+    }, lagMs);
   }
 
   #list(): Upstream[] {
--- a/packages/simulation/src/SimulatedGateway.ts
+++ b/packages/simulation/src/SimulatedGateway.ts
@@ -1,23 +1,30 @@
 import type { Clock, Random } from "@lycheepulley/core";
 import {
+  CrashEvidence,
   CrashTracker,
   FleetView,
   Forwarder,
   LoadTracker,
+  PartGuard,
   QuotaOwner,
   ReservationManager,
   RetryBudget,
   SendQuota,
+  TrialOwner,
   UpstreamHealth,
   UpstreamLimits,
   type AnswerWriter,
+  type CrashReport,
   type FleetConfig,
   type ForwardRequest,
   type LimitReport,
   type LoadChange,
   type QuotaAnswer,
-  type QuotaMembers,
+  type Members,
   type QuotaPeers,
+  type TrialAnswer,
+  type TrialPeers,
+  type TrialRequest,
   type Upstream,
   type UpstreamControl,
   type UpstreamTransport,
@@ -38,6 +45,8 @@
   readonly #forwarder: Forwarder;
   readonly #limits: UpstreamLimits;
   readonly #quotaOwner: QuotaOwner;
+  readonly #evidence: CrashEvidence;
+  readonly #trialOwner: TrialOwner;
   #seq = 0;
   #listVersion = 0;
 
@@ -51,7 +60,9 @@
     processes: number;
     onLimitChange: (report: LimitReport) => void;
     quotaPeers: QuotaPeers;
-    getMembers: () => QuotaMembers;
+    onCrashNews: (report: CrashReport) => void;
+    trialPeers: TrialPeers;
+    getMembers: () => Members;
     onLoadChange: (seq: number, change: LoadChange) => void;
   }) {
     const { clock, random, transport, control } = options;
@@ -75,6 +86,13 @@
       ...{ clock, limits, owner: this.#quotaOwner, peers: options.quotaPeers },
       ...{ getMembers, logger },
     });
+    const evidence = new CrashEvidence({ clock, logger, onNews: options.onCrashNews });
+    this.#evidence = evidence;
+    this.#trialOwner = new TrialOwner({ clock, evidence });
+    const guard = new PartGuard({
+      ...{ clock, evidence, owner: this.#trialOwner, peers: options.trialPeers },
+      ...{ getMembers, logger },
+    });
     this.#forwarder = new Forwarder({
       ...{ clock, random, transport, control, logger, view: this.#view },
       ...{ health: this.#health, loadTracker: this.#loadTracker, dialect: new SimulatedDialect() },
@@ -83,7 +101,7 @@
         getProcessCount: () => options.processes,
       }),
       crashes: new CrashTracker({ clock, onCrash: () => undefined }),
-      ...{ limits, quota },
+      ...{ limits, quota, guard },
       reservations: new ReservationManager({ clock, control, logger }),
       onEnd: () => undefined,
     });
@@ -106,6 +124,20 @@
     return this.#quotaOwner.takeForPeer(peer, limit);
   }
 
+  applyEvidence(peer: string, report: CrashReport): void {
+    this.#evidence.recordPeer(peer, report);
+  }
+
+  /** Answers a peer that asks for the trial of a suspect part. */
+  takeTrialForPeer(peer: string, { part, parts, report }: TrialRequest): TrialAnswer {
+    this.#evidence.recordPeer(peer, report);
+    return this.#trialOwner.take(part, parts);
+  }
+
+  endTrial(part: string): void {
+    this.#trialOwner.end(part);
+  }
+
   observeQuotas(): void {
     this.#quotaOwner.observe();
   }
--- a/packages/simulation/src/SimulatedUpstream.ts
+++ b/packages/simulation/src/SimulatedUpstream.ts
@@ -8,6 +8,11 @@
 /** Time that work which depends on a dead upstream stalls before it is cut off, milliseconds. */
 const STALL_MS = 1_500;
 
+/** Part of prompts that crashes an upstream which begins to write an answer on it. */
+export const CRASHING_PART = "crashing";
+/** Time between the first event of such an answer and the crash, milliseconds. */
+const CRASH_DELAY_MS = 40;
+
 /** State of a simulated upstream. */
 export const UpstreamState = {
   Serving: "serving",
@@ -25,6 +30,7 @@
   readonly helpers: readonly SimulatedUpstream[];
   /** Events that the caller has from an earlier call. */
   readonly skipped: number;
+  readonly isCrashing: boolean;
   partsLeft: number;
   eventId: number;
   isEnded: boolean;
@@ -38,11 +44,14 @@
   readonly #delayMs: number;
   readonly #find: (id: string) => SimulatedUpstream | undefined;
   readonly #calls = new Set<RunningCall>();
+  readonly #onCrash: () => void;
   #state: UpstreamState = UpstreamState.Serving;
   /** Requests a second that the upstream names as its limit; undefined for no limit. */
   limitPerSecond: number | undefined;
   /** Times at which requests arrived. */
   readonly arrivals: number[] = [];
+  /** The same for those with the crashing part. */
+  readonly crashingArrivals: number[] = [];
   #nextCall = 1;
 
   constructor(options: {
@@ -52,7 +61,10 @@
     /** Delay of the network in one direction, milliseconds. */
     delayMs: number;
     find: (id: string) => SimulatedUpstream | undefined;
+    /** Called when a prompt crashes the upstream. */
+    onCrash: () => void;
   }) {
+    this.#onCrash = options.onCrash;
     this.#clock = options.clock;
     this.upstream = options.upstream;
     this.model = new WorkerModel(options.spec, options.clock);
@@ -110,9 +122,13 @@
       ...{ id: `${fields.attemptId}-${String(this.#nextCall++)}`, observer, helpers },
       ...{ skipped: fields.lastEventId, partsLeft: helpers.length + 1, isEnded: false },
       eventId: fields.lastEventId,
+      isCrashing: fields.parts.includes(CRASHING_PART),
     };
     this.#calls.add(call);
     this.arrivals.push(this.#clock.now());
+    if (call.isCrashing) {
+      this.crashingArrivals.push(this.#clock.now());
+    }
     if (this.#state === UpstreamState.Serving) {
       this.#run(call, fields);
     }
@@ -174,6 +190,9 @@
   #onTokens(call: RunningCall, isLast: boolean): void {
     call.eventId += 1;
     const id = call.eventId;
+    if (call.isCrashing && id === call.skipped + 1) {
+      this.#clock.setTimer(this.#onCrash, CRASH_DELAY_MS);
+    }
     this.#later(() => {
       if (call.isEnded) {
         return;
--- a/packages/simulation/src/experiment.ts
+++ b/packages/simulation/src/experiment.ts
@@ -46,6 +46,9 @@
   readonly records: readonly RequestRecord[];
   readonly samples: readonly UtilizationSample[];
   readonly limitPeriods: readonly LimitPeriod[];
+  /** Times at which a part of prompts crashed upstreams, and at which prompts with it arrived there. */
+  readonly partCrashes: readonly number[];
+  readonly crashingArrivals: readonly number[];
 }
 
 /** Plays one pattern on an injected clock, and returns what became of each request. */
@@ -61,7 +64,9 @@
     samples.push({ atMs, ...fleet.getUtilization() });
   }
   await clock.run(endMs);
-  return { records: caller.records, samples, limitPeriods: fleet.limitPeriods };
+  const { limitPeriods, partCrashes } = fleet;
+  const crashingArrivals = fleet.getCrashingArrivals();
+  return { records: caller.records, samples, limitPeriods, partCrashes, crashingArrivals };
 };
 
 /** Plays one pattern and sums up its credit; the same seed gives the same result. */
--- a/packages/simulation/src/pattern.ts
+++ b/packages/simulation/src/pattern.ts
@@ -53,6 +53,15 @@
     perSecond: z.number().nonnegative(),
     forMs: z.number().positive(),
   }),
+  z.object({
+    kind: z.literal("crashingPart"),
+    atMs: z.number(),
+    forMs: z.number().positive(),
+    /** Prompts a second with a part that crashes each upstream that begins to write an answer on it. */
+    perSecond: z.number().positive(),
+    /** Time until the successor of a crashed upstream starts. */
+    backMs: z.number().positive(),
+  }),
   z.object({ kind: z.literal("restart"), atMs: z.number(), downMs: z.number().positive() }),
 ]);
 export type Incident = z.infer<typeof incidentSchema>;
@@ -66,6 +75,8 @@
   engine: engineSpecSchema,
   chunkTokens: z.number().int().positive(),
   queueSlots: z.number().int().nonnegative(),
+  /** First parts that the prompts of a class share, if they share any. */
+  firstParts: z.number().int().positive().optional(),
   classes: z.array(promptClassSchema).min(1),
   surges: z.array(surgeSchema),
   incidents: z.array(incidentSchema),
--- a/packages/simulation/src/simulatedDialect.ts
+++ b/packages/simulation/src/simulatedDialect.ts
@@ -18,6 +18,7 @@
   urgency: z.number(),
   helpers: z.array(z.string()),
   heldTokens: z.number(),
+  parts: z.array(z.string()),
 });
 
 /** Fields of a simulated call, carried in one header. */
@@ -39,6 +40,7 @@
     const call: CallFields = {
       ...{ attemptId: head.attemptId, promptTokens: head.promptTokens },
       ...{ outputTokens: head.outputTokens, lastEventId: Number(fields.lastEventId ?? 0) },
+      parts: [...head.sharedParts],
       urgency: fields.urgency ?? DEFAULT_URGENCY,
       helpers: fields.helpers.map(({ upstream }) => upstream.id),
       // The simulation doesn't model where reserved memory lies, only that it is held elsewhere.
