Round and bound all time-outs in one place, and check what the demos promise

What callers saw: prompts divided over engines ended 500, 'may have run'. Not run: the demo with an engine stopped midway, and a prompt over several engines in a test of its own.

--- a/packages/callers/src/ResumableAnswer.ts
+++ b/packages/callers/src/ResumableAnswer.ts
@@ -1,10 +1,11 @@
 import type { ServerResponse } from "node:http";
 
 import {
-  PromptPath,
   type AnswerChunk,
   type PromptOutcome,
+  PromptPath,
   type PulleyError,
+  toTimerMs,
 } from "@lycheepulley/core";
 
 import { newErrorBody, sendError } from "./errorAnswer.js";
@@ -79,7 +80,7 @@
       onAbandoned();
       return;
     }
-    this.#abandonTimer = setTimeout(onAbandoned, reconnectMs);
+    this.#abandonTimer = setTimeout(onAbandoned, toTimerMs(reconnectMs));
     this.#abandonTimer.unref();
   }
 
--- a/packages/callers/src/forward/CallerConnections.ts
+++ b/packages/callers/src/forward/CallerConnections.ts
@@ -1,3 +1,4 @@
+import { toTimerMs } from "@lycheepulley/core";
 import type { Socket } from "node:net";
 
 /** Time for which a connection that ends on an error is read on, so that its caller gets the answer. */
@@ -82,7 +83,7 @@
     for (const [socket, state] of this.#states) {
       if (state.pending.size === 0 && state.idleMs > 0 && state.idleMs < idleMs) {
         state.idleMs = idleMs;
-        socket.setTimeout(idleMs);
+        socket.setTimeout(toTimerMs(idleMs));
       }
     }
   }
--- a/packages/cli/src/Command.ts
+++ b/packages/cli/src/Command.ts
@@ -28,6 +28,8 @@
   getBoolean(flag: string): boolean;
   /** Prints a line of text to standard output. */
   print(line: string): void;
+  /** Prints a line of text to standard error. */
+  printError(line: string): void;
   /** Prints a value as JSON to standard output. */
   printJson(value: unknown): void;
 }
--- a/packages/cli/src/commands/demo.ts
+++ b/packages/cli/src/commands/demo.ts
@@ -1,14 +1,18 @@
-import { runDemo } from "@lycheepulley/tools";
+import { isAsPromised, runDemo } from "@lycheepulley/tools";
 
-import { ExitCode, type Command } from "../Command.js";
+import { type Command } from "../Command.js";
 import { ENTRY_POINT, EXAMPLES_FOLDER, newRunFolder } from "../paths.js";
+import { reportFailedRows } from "../reportFailedRows.js";
 import { formatTable } from "../table.js";
 
 /** Starts a small deployment on stand-ins and sends it one request of each kind. */
 export const demoCommand: Command = {
   name: "demo",
   summary: "Start a small deployment on stand-ins and send it one request of each kind",
-  flags: { json: { type: "boolean", help: "Print JSON" } },
+  flags: {
+    json: { type: "boolean", help: "Print JSON" },
+    engines: { type: "number", help: "Engines; the longest prompt needs several", default: 4 },
+  },
   example: "lycheepulley demo",
   run: async (ctx) => {
     const isJson = ctx.getBoolean("json");
@@ -16,6 +20,7 @@
       examples: EXAMPLES_FOLDER,
       entryPoint: ENTRY_POINT,
       folder: newRunFolder("demo"),
+      engines: ctx.getNumber("engines"),
       onProgress: (line) => {
         if (!isJson) {
           ctx.print(line);
@@ -39,6 +44,9 @@
         ),
       );
     }
-    return ExitCode.Done;
+    return reportFailedRows(
+      rows.filter((row) => !isAsPromised(row)),
+      ctx,
+    );
   },
 };
--- a/packages/cli/src/commands/platformDemo.ts
+++ b/packages/cli/src/commands/platformDemo.ts
@@ -1,7 +1,8 @@
 import { runPlatformDemo } from "@lycheepulley/platform/standin";
 
-import { ExitCode, type Command } from "../Command.js";
+import { type Command } from "../Command.js";
 import { JSON_FLAG } from "../flags.js";
+import { reportFailedRows } from "../reportFailedRows.js";
 import { formatTable } from "../table.js";
 
 /** Sends one request of each kind to entry processes on stand-ins of the users' platform. */
@@ -22,6 +23,9 @@
         ),
       );
     }
-    return ExitCode.Done;
+    return reportFailedRows(
+      rows.filter(({ isAsPromised }) => !isAsPromised),
+      ctx,
+    );
   },
 };
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -77,6 +77,9 @@
   print: (line) => {
     process.stdout.write(`${line}\n`);
   },
+  printError: (line) => {
+    process.stderr.write(`${line}\n`);
+  },
   printJson: (value) => {
     process.stdout.write(`${JSON.stringify(value, undefined, 2)}\n`);
   },
--- a/packages/core/src/clock.ts
+++ b/packages/core/src/clock.ts
@@ -1,3 +1,13 @@
+/** Longest delay that timers of the runtime take; they fire at once after a longer one. */
+const MAX_TIMER_MS = 2 ** 31 - 1;
+
+/**
+ * A time-out as timers, signals and HTTP clients take it: whole milliseconds, at least one since
+ * some take zero for none.
+ */
+export const toTimerMs = (ms: number): number =>
+  ms > 1 ? Math.min(MAX_TIMER_MS, Math.ceil(ms)) : 1;
+
 /** Cancels a timer; does nothing if the timer has already fired. */
 export type Cancel = () => void;
 
@@ -22,7 +32,7 @@
   }
 
   setTimer(fn: () => void, delayMs: number): Cancel {
-    const timer = setTimeout(fn, delayMs);
+    const timer = setTimeout(fn, toTimerMs(delayMs));
     return () => {
       clearTimeout(timer);
     };
--- a/packages/daemon/src/gateway/PeerCalls.ts
+++ b/packages/daemon/src/gateway/PeerCalls.ts
@@ -1,3 +1,4 @@
+import { toTimerMs } from "@lycheepulley/core";
 import { NodeClient, type RpcMethod } from "@lycheepulley/nodes";
 import type { z } from "zod";
 
@@ -19,7 +20,7 @@
     params: z.input<P>,
   ): Promise<z.output<R>> {
     const timeoutMs = this.#timeoutMs;
-    const signal = AbortSignal.timeout(timeoutMs);
+    const signal = AbortSignal.timeout(toTimerMs(timeoutMs));
     try {
       return await this.#getClient(host).call(method, params, { timeoutMs, signal });
     } catch (err) {
--- a/packages/http/src/HttpPeer.test.ts
+++ b/packages/http/src/HttpPeer.test.ts
@@ -1,5 +1,7 @@
+import { createServer as createHttpServer } from "node:http";
 import { createServer, type AddressInfo, type Server } from "node:net";
 
+import { PeerError } from "@lycheepulley/core";
 import { expect } from "chai";
 
 import { HttpPeer } from "./HttpPeer.js";
@@ -129,3 +131,48 @@
     await peer.close();
   });
 });
+
+/** Listens for HTTP and answers `{}` to everything. */
+const listenForJson = async (): Promise<{ origin: string; close: () => void }> => {
+  const server = createHttpServer((_req, res) => res.end("{}"));
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  return { origin: `http://127.0.0.1:${String(port)}`, close: () => server.close() };
+};
+
+describe("HttpPeer: time-outs", () => {
+  // Guards against calls that fail, and count as sent, for the fraction in the time that is left.
+  for (const timeoutMs of [1_234.567, Infinity, 2 ** 33]) {
+    it(`answers a call with a time-out of ${String(timeoutMs)} ms`, async () => {
+      const { origin, close } = await listenForJson();
+      const peer = new HttpPeer({ name: "p", kind: "test", origin });
+      const called = await peer.call("/", { timeoutMs });
+      const opened = await peer.open("/", { timeoutMs });
+      let streamed = "";
+      await peer.stream("/", { timeoutMs }, (bytes) => {
+        streamed += bytes.toString();
+      });
+      expect([called.text, await opened.body.text(), streamed]).to.deep.equal(["{}", "{}", "{}"]);
+      await peer.close();
+      close();
+    });
+  }
+
+  for (const timeoutMs of [0, -1, NaN]) {
+    it(`ends a call with a time-out of ${String(timeoutMs)} ms`, async () => {
+      const peer = new HttpPeer({ name: "p", kind: "test", origin: "http://127.0.0.1:9" });
+      const err = await peer.call("/", { timeoutMs }).catch((reason: unknown) => reason);
+      expect(err).to.be.instanceOf(PeerError);
+      await peer.close();
+    });
+  }
+
+  it("says that a request which the client rejects wasn't sent", async () => {
+    const peer = new HttpPeer({ name: "p", kind: "test", origin: "http://127.0.0.1:9" });
+    const err: unknown = await peer
+      .call("/", { headers: { "bad header": "x" } })
+      .catch((reason: unknown) => reason);
+    expect((err as PeerError).sent).to.equal(false);
+    await peer.close();
+  });
+});
--- a/packages/http/src/HttpPeer.ts
+++ b/packages/http/src/HttpPeer.ts
@@ -1,4 +1,4 @@
-import { getMessage, PeerError, type TrafficMeter } from "@lycheepulley/core";
+import { getMessage, PeerError, toTimerMs, type TrafficMeter } from "@lycheepulley/core";
 import { Pool, type Dispatcher } from "undici";
 import type { z } from "zod";
 
@@ -12,8 +12,8 @@
 /** A response that is read as a whole, also one that goes on in small pieces, ends within this many time-outs. */
 const MAX_TIMEOUTS = 4;
 
-/** Code of undici's own time limit for connecting. */
-const CONNECT_TIMEOUT_CODE = "UND_ERR_CONNECT_TIMEOUT";
+/** Errors before a byte is sent: no connection in time, and a request that the client rejects. */
+const UNSENT_CODES = ["UND_ERR_CONNECT_TIMEOUT", "UND_ERR_INVALID_ARG"] as const;
 /** System calls that come before the first byte of a request. */
 const CONNECTING_SYSCALLS: readonly string[] = ["connect", "getaddrinfo"];
 
@@ -57,7 +57,7 @@
     err instanceof Error &&
     "syscall" in err &&
     CONNECTING_SYSCALLS.some((syscall) => syscall === err.syscall);
-  return isOfConnect || getErrorCode(err) === CONNECT_TIMEOUT_CODE;
+  return isOfConnect || UNSENT_CODES.some((code) => code === getErrorCode(err));
 };
 
 const readText = async (body: AsyncIterable<Buffer>): Promise<string> => {
@@ -99,7 +99,7 @@
 
   /** Sends a request and returns the response without reading its body. */
   async open(path: string, options: CallOptions = {}): Promise<Dispatcher.ResponseData> {
-    const timeoutMs = options.timeoutMs ?? this.#timeoutMs;
+    const timeoutMs = toTimerMs(options.timeoutMs ?? this.#timeoutMs);
     try {
       return await this.#pool.request({
         path,
@@ -121,7 +121,7 @@
    * arrives. Resolves at the end of the body; rejects on another status or a broken connection.
    */
   stream(path: string, options: CallOptions, onData: (bytes: Buffer) => void): Promise<void> {
-    const timeoutMs = options.timeoutMs ?? this.#timeoutMs;
+    const timeoutMs = toTimerMs(options.timeoutMs ?? this.#timeoutMs);
     return new Promise((resolve, reject) => {
       const handler = new StreamHandler(this, { onData, resolve, reject, signal: options.signal });
       this.#pool.dispatch(
@@ -142,7 +142,7 @@
   /** Sends a request and reads the whole response body as text. */
   async call(path: string, options: CallOptions = {}): Promise<{ status: number; text: string }> {
     const totalMs = MAX_TIMEOUTS * (options.timeoutMs ?? this.#timeoutMs);
-    const timeout = AbortSignal.timeout(totalMs);
+    const timeout = AbortSignal.timeout(toTimerMs(totalMs));
     const signal = options.signal ? AbortSignal.any([timeout, options.signal]) : timeout;
     const res = await this.open(path, { ...options, signal });
     try {
--- a/packages/serving/src/node/CoordinationNode.ts
+++ b/packages/serving/src/node/CoordinationNode.ts
@@ -125,7 +125,7 @@
       getServerTraffic: options.getServerTraffic,
     });
     const common = {
-      ...{ config, directory, clock, random, protections, holder },
+      ...{ config, directory, clock, random, protections, holder, logger },
       once: this.#newOnce(),
       retries: new RetryBudget(),
     };
--- a/packages/serving/src/requests/PromptRunner.ts
+++ b/packages/serving/src/requests/PromptRunner.ts
@@ -18,6 +18,8 @@
   type RetryBudget,
 } from "@lycheepulley/core";
 
+import type { Logger } from "@lycheepulley/telemetry";
+
 import type { ConfigTracker } from "../config/ConfigTracker.js";
 import type { RequestTrace } from "../fates/FateRecorder.js";
 import type { PoolRouter } from "../scheduler/PoolRouter.js";
@@ -50,6 +52,7 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly protections: Protections;
+  readonly logger: Logger;
   readonly metrics?: PromptMetrics;
 }
 
@@ -106,7 +109,8 @@
     const classified = classifyRequest(inForce.config, req);
     trace.setClass(classified.className, classified.promptTokens);
     const { patienceMs } = classified.cls;
-    const ctx = new RequestContext({ trace, clock: this.#options.clock, patienceMs });
+    const { clock, logger } = this.#options;
+    const ctx = new RequestContext({ trace, clock, patienceMs, logger });
     ctx.enter(Step.Classify);
     const answerTexts: string[] = [];
     const { attemptId: checkAttempt } = this.#options.protections;
--- a/packages/serving/src/requests/RequestContext.ts
+++ b/packages/serving/src/requests/RequestContext.ts
@@ -1,5 +1,7 @@
 import { FateState, isPeerError, PulleyError, Step, Verdict, type Clock } from "@lycheepulley/core";
 
+import type { Logger } from "@lycheepulley/telemetry";
+
 import type { RequestTrace } from "../fates/FateRecorder.js";
 
 /**
@@ -9,13 +11,15 @@
   readonly trace: RequestTrace;
   readonly deadlineMs: number;
   readonly #clock: Clock;
+  readonly #logger: Logger;
   #step: Step = Step.Accept;
   #peer = "self";
   #hasSent = false;
 
-  constructor(options: { trace: RequestTrace; clock: Clock; patienceMs: number }) {
+  constructor(options: { trace: RequestTrace; clock: Clock; patienceMs: number; logger: Logger }) {
     this.trace = options.trace;
     this.#clock = options.clock;
+    this.#logger = options.logger;
     this.deadlineMs = options.trace.startMs + options.patienceMs;
   }
 
@@ -61,14 +65,21 @@
     });
   }
 
-  /** Converts anything thrown to an error with step, peer and verdict. */
+  /** Converts anything thrown to an error with step, peer and verdict, and logs one of this process. */
   toError(err: unknown): PulleyError {
     if (err instanceof PulleyError) {
       return this.#hasSent ? toMayHaveRun(err) : err;
     }
     const message = err instanceof Error ? err.message : String(err);
-    const code = isPeerError(err) ? "upstream_failed" : "internal_error";
-    return this.newError(code, message, isPeerError(err) ? 502 : 500, err);
+    if (isPeerError(err)) {
+      return this.newError("upstream_failed", message, 502, err);
+    }
+    this.#logger.error("request failed with an internal error", {
+      ...{ requestId: this.trace.requestId, step: this.#step, peer: this.#peer },
+      hasSent: this.#hasSent,
+      err: err instanceof Error ? (err.stack ?? message) : message,
+    });
+    return this.newError("internal_error", message, 500, err);
   }
 }
 
--- a/packages/serving/src/requests/ServiceRunner.ts
+++ b/packages/serving/src/requests/ServiceRunner.ts
@@ -17,6 +17,7 @@
   type ServiceRequest,
 } from "@lycheepulley/core";
 import type { ServiceAnswer } from "@lycheepulley/services";
+import type { Logger } from "@lycheepulley/telemetry";
 
 import type { ConfigTracker } from "../config/ConfigTracker.js";
 import type { RequestTrace } from "../fates/FateRecorder.js";
@@ -38,6 +39,7 @@
   readonly #clock: Clock;
   readonly #random: Random;
   readonly #protections: Protections;
+  readonly #logger: Logger;
 
   constructor(options: {
     config: ConfigTracker;
@@ -47,7 +49,9 @@
     clock: Clock;
     random: Random;
     protections: Protections;
+    logger: Logger;
   }) {
+    this.#logger = options.logger;
     this.#config = options.config;
     this.#directory = options.directory;
     this.#once = options.once;
@@ -61,7 +65,7 @@
   async run(trace: RequestTrace, req: ServiceRequest): Promise<ServiceOutcome> {
     const service = this.#config.current?.config.services[req.service];
     const patienceMs = service?.timeoutMs ?? DEFAULT_PATIENCE_MS;
-    const ctx = new RequestContext({ trace, clock: this.#clock, patienceMs });
+    const ctx = new RequestContext({ trace, clock: this.#clock, patienceMs, logger: this.#logger });
     trace.setClass(`service:${req.service}`, 0);
     ctx.enter(Step.Classify);
     try {
--- a/packages/serving/src/requests/testing/observeRun.ts
+++ b/packages/serving/src/requests/testing/observeRun.ts
@@ -10,6 +10,7 @@
   type Clock,
   type PulleyError,
 } from "@lycheepulley/core";
+import { newSilentLogger } from "@lycheepulley/telemetry";
 import type { LogWriter } from "@lycheepulley/log";
 
 import type { ClaimRouter } from "../../claims/ClaimRouter.js";
@@ -116,6 +117,7 @@
   clock: CLOCK,
   random: new SeededRandom(1),
   protections: ALL_PROTECTIONS,
+  logger: newSilentLogger(),
 });
 
 /** Runs a request and tells what was said of it. */
--- a/packages/tools/src/demo/demo.ts
+++ b/packages/tools/src/demo/demo.ts
@@ -7,11 +7,12 @@
 import { getExampleKey, readDeployment } from "../fleet/deployment.js";
 import { getOrigin, LocalFleet } from "../fleet/LocalFleet.js";
 
-const ENGINE_COUNT = 4;
 const ENTRY_PROCESS_COUNT = 3;
 const BYTES_PER_TOKEN = 4;
 const REQUEST_TIMEOUT_MS = 300_000;
 const TIME_SCALE = 4;
+const HTTP_OK = 200;
+const HTTP_MULTIPLE_CHOICES = 300;
 
 /** One request of the demonstration. */
 interface DemoCase {
@@ -48,6 +49,10 @@
   readonly detail: string;
 }
 
+/** True when the request ended as the demonstration promises: answered, with a finished fate. */
+export const isAsPromised = ({ status, fate }: DemoRow): boolean =>
+  status >= HTTP_OK && status < HTTP_MULTIPLE_CHOICES && fate === "finished";
+
 const fateSchema = z.object({ state: z.string(), reason: z.string().optional() });
 const addressSchema = z.object({
   keepMs: z.number(),
@@ -62,19 +67,20 @@
   examples: string;
   entryPoint: string;
   folder: string;
+  engines: number;
   onProgress: (line: string) => void;
 }): Promise<DemoRow[]> => {
-  const { examples, entryPoint, folder, onProgress } = options;
+  const { examples, entryPoint, folder, engines, onProgress } = options;
   const loaded = await readDeployment(examples, "caixa-dobrada");
   const fleet = new LocalFleet({
     loaded,
     entryPoint,
     folder,
     timeScale: TIME_SCALE,
-    modelWorkers: ENGINE_COUNT,
+    modelWorkers: engines,
     entryProcesses: ENTRY_PROCESS_COUNT,
   });
-  onProgress(`starting platform stand-ins, ${String(ENGINE_COUNT)} engines, 3 services`);
+  onProgress(`starting platform stand-ins, ${String(engines)} engines, 3 services`);
   onProgress(`starting ${String(ENTRY_PROCESS_COUNT)} entry processes; logs in ${folder}`);
   try {
     await fleet.start();
--- a/packages/upstreams/src/HttpUpstreamTransport.ts
+++ b/packages/upstreams/src/HttpUpstreamTransport.ts
@@ -1,3 +1,4 @@
+import { toTimerMs } from "@lycheepulley/core";
 import { request, type ClientRequest, type IncomingMessage } from "node:http";
 
 import {
@@ -32,7 +33,7 @@
     this.#observer = observer;
     this.#connectTimer = setTimeout(() => {
       this.#fail(new Error(`no connection within ${String(options.connectTimeoutMs)} ms`));
-    }, options.connectTimeoutMs);
+    }, toTimerMs(options.connectTimeoutMs));
     this.#req = request({
       host: options.host,
       port: options.port,
