Let operators see and lift parts of prompts under suspicion

Cause: a part that is blocked by mistake, or mended since, could only be waited for, and no metric showed it. Change: GET /prompt-parts and DELETE /prompt-parts/PART beside the metrics, and the gauge lycheepulley_suspect_parts by status; a lift reaches the other processes as evidence.

--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -31,7 +31,7 @@
 import { CrashExchange } from "./CrashExchange.js";
 import { FleetStateSync } from "./FleetStateSync.js";
 import { LimitExchange } from "./LimitExchange.js";
-import { newMetricsServer } from "./metricsServer.js";
+import { countByStatus, newMetricsServer } from "./metricsServer.js";
 import { PeerCalls } from "./PeerCalls.js";
 import { PeerExchange } from "./PeerExchange.js";
 import { SourceFeed } from "./SourceFeed.js";
@@ -53,6 +53,7 @@
   readonly #logger: Logger;
   readonly #metrics = new ForwardMetrics({
     countLimited: () => this.#limitExchange.limits.all.length,
+    countParts: () => countByStatus(this.#crashExchange.guard.evidence.suspects),
   });
   readonly #view = new FleetView();
   readonly #listTracker: UpstreamListTracker;
@@ -188,7 +189,7 @@
       ...{ clock, view: this.#view, dialect, logger },
       forward: (req, writer) => this.#forwarder.forward(req, writer),
     });
-    this.#metricsServer = newMetricsServer(this.#metrics);
+    this.#metricsServer = newMetricsServer(this.#metrics, this.#crashExchange.guard.evidence);
   }
 
   /** True while this process has a configuration and an upstream list and isn't draining. */
--- a/packages/telemetry/src/ForwardMetrics.ts
+++ b/packages/telemetry/src/ForwardMetrics.ts
@@ -12,8 +12,17 @@
   readonly #sends: Counter;
   readonly #listEpoch: Gauge;
 
-  /** `countLimited` returns the number of upstreams that name a limit. */
-  constructor({ countLimited }: { countLimited: () => number }) {
+  /**
+   * `countLimited` returns the number of upstreams that name a limit, `countParts` that of the parts of
+   * prompts under suspicion by status.
+   */
+  constructor({
+    countLimited,
+    countParts,
+  }: {
+    countLimited: () => number;
+    countParts: () => Readonly<Record<string, number>>;
+  }) {
     const registers = [this.#registry];
     this.#requests = new Counter({
       name: "lycheepulley_forwarded_total",
@@ -40,6 +49,18 @@
         this.set(countLimited());
       },
     });
+    new Gauge({
+      name: "lycheepulley_suspect_parts",
+      help: "Parts of prompts that may crash upstreams, by status: suspected or blocked",
+      labelNames: ["status"],
+      registers,
+      collect() {
+        this.reset();
+        for (const [status, count] of Object.entries(countParts())) {
+          this.set({ status }, count);
+        }
+      },
+    });
     const latencies = this.#latencies;
     new Gauge({
       name: "lycheepulley_forward_ms",
