--- a/packages/cli/src/commands/faultSoak.ts
+++ b/packages/cli/src/commands/faultSoak.ts
@@ -17,6 +17,7 @@
       default: DEFAULT_LOAD_SECONDS,
       help: "Duration of the load, seconds",
     },
+    crashes: { type: "boolean", help: "Parts of prompts crash engines, too" },
     json: JSON_FLAG,
   },
   example: "lycheepulley fault-soak --seed 3 --seconds 20",
@@ -24,6 +25,7 @@
     const report = await runFaultSoak({
       seed: ctx.getNumber("seed"),
       seconds: ctx.getNumber("seconds"),
+      hasCrashes: ctx.getBoolean("crashes"),
     });
     if (ctx.getBoolean("json")) {
       ctx.printJson(report);
