Let another process have the next trial of a suspect part

What callers saw: while one process was cut off from all upstreams by resets, prompts with parts that it had asked for were refused at the others. Cause: the cut process accused the parts, took their trials for the resumption of its streams, reached no upstream, and took them again. Change: after a trial its process is refused the next one for two seconds.

--- a/packages/daemon/src/gateway/CrashExchange.ts
+++ b/packages/daemon/src/gateway/CrashExchange.ts
@@ -124,7 +124,7 @@
     });
     server.handle(trialMethod, ({ host, part, parts, report }) => {
       this.guard.evidence.recordPeer(host, this.#toReport(report));
-      return this.#owner.take(part, parts);
+      return this.#owner.take(host, { part, parts });
     });
     this.#gossip();
   }
--- a/packages/forwarding/src/crashes/PartGuard.test.ts
+++ b/packages/forwarding/src/crashes/PartGuard.test.ts
@@ -39,7 +39,7 @@
             return Promise.reject(new Error("no answer"));
           }
           peer.evidence.recordPeer(self, report);
-          return Promise.resolve(peer.owner.take(part, parts));
+          return Promise.resolve(peer.owner.take(self, { part, parts }));
         },
         end: (host, part) => {
           this.#owners.get(host)?.owner.end(part);
@@ -90,6 +90,20 @@
     expect(count(await admit("bad"), "trial")).to.equal(1);
   });
 
+  // Guards against a process without a way to upstreams that keeps the others from trying a sound part.
+  it("admits the next trial at another process for some time", async () => {
+    accuse("u1", "bad");
+    const first = await admit("bad");
+    const before = first.findIndex(({ kind }) => kind === "trial");
+    first.forEach(endTrial);
+    expect((await all[before]?.guard.admit(["bad"]))?.kind).to.equal("refused");
+    const second = await admit("bad");
+    expect(second.findIndex(({ kind }) => kind === "trial")).not.to.equal(before);
+    second.forEach(endTrial);
+    await processes.clock.advance(2_001);
+    expect((await all[before]?.guard.admit(["bad"]))?.kind).to.equal("trial");
+  });
+
   it("admits a trial when the end of the one before wasn't told", async () => {
     accuse("u1", "bad");
     await admit("bad");
--- a/packages/forwarding/src/crashes/PartGuard.ts
+++ b/packages/forwarding/src/crashes/PartGuard.ts
@@ -101,7 +101,7 @@
   async #ask(part: string, parts: readonly string[], members: Members): Promise<TrialAnswer> {
     const owner = pickOwner(part, members);
     if (owner === members.self) {
-      return this.#owner.take(part, parts);
+      return this.#owner.take(owner, { part, parts });
     }
     try {
       return await this.#peers.ask(owner, {
--- a/packages/forwarding/src/crashes/TrialOwner.ts
+++ b/packages/forwarding/src/crashes/TrialOwner.ts
@@ -1,12 +1,19 @@
 import type { Clock } from "@lycheepulley/core";
 
 import type { CrashEvidence } from "./CrashEvidence.js";
+import type { TrialRequest } from "./PartGuard.js";
 
 /** Time after which a trial whose end wasn't told counts as ended. */
 const TRIAL_TERM_MS = 10_000;
 /** Time after which to ask again while another trial is in progress. */
 const IN_PROGRESS_RETRY_MS = 1_000;
 
+/**
+ * Time for which the process that had the last trial is refused the next one, so that one which can't
+ * reach an upstream doesn't keep the others from it.
+ */
+const SAME_PROCESS_PAUSE_MS = 2_000;
+
 /** Answer to a process that asks for a trial. */
 export interface TrialAnswer {
   readonly isGranted: boolean;
@@ -18,38 +25,49 @@
 export class TrialOwner {
   readonly #clock: Clock;
   readonly #evidence: CrashEvidence;
-  /** Ends of the terms of the trials in progress. */
-  readonly #trials = new Map<string, number>();
+  /** Trials in progress, with the ends of their terms. */
+  readonly #trials = new Map<string, { readonly host: string; readonly untilMs: number }>();
+  /** Processes that had the last trials, with the ends of their pauses. */
+  readonly #paused = new Map<string, { readonly host: string; readonly untilMs: number }>();
 
   constructor(options: { clock: Clock; evidence: CrashEvidence }) {
     this.#clock = options.clock;
     this.#evidence = options.evidence;
   }
 
-  /** Grants a trial of `part` by a request with `parts`, unless one is in progress or the part is blocked. */
-  take(part: string, parts: readonly string[]): TrialAnswer {
+  /**
+   * Grants a trial of `part` to a process for a request with `parts`, unless one is in progress or
+   * the part is blocked.
+   */
+  take(host: string, { part, parts }: Pick<TrialRequest, "part" | "parts">): TrialAnswer {
     const now = this.#clock.now();
-    this.#forgetEnded(now);
+    forgetEnded(this.#trials, now);
+    forgetEnded(this.#paused, now);
     const { blocked } = this.#evidence.getStanding(parts);
     if (blocked) {
       return { isGranted: false, retryMs: blocked.untilMs - now };
     }
-    if (this.#trials.has(part)) {
+    if (this.#trials.has(part) || this.#paused.get(part)?.host === host) {
       return { isGranted: false, retryMs: IN_PROGRESS_RETRY_MS };
     }
-    this.#trials.set(part, now + TRIAL_TERM_MS);
+    this.#trials.set(part, { host, untilMs: now + TRIAL_TERM_MS });
     return { isGranted: true, retryMs: 0 };
   }
 
   end(part: string): void {
-    this.#trials.delete(part);
+    const trial = this.#trials.get(part);
+    if (trial) {
+      this.#trials.delete(part);
+      const untilMs = this.#clock.now() + SAME_PROCESS_PAUSE_MS;
+      this.#paused.set(part, { host: trial.host, untilMs });
+    }
   }
+}
 
-  #forgetEnded(now: number): void {
-    for (const [part, endMs] of this.#trials) {
-      if (endMs <= now) {
-        this.#trials.delete(part);
-      }
+const forgetEnded = (map: Map<string, { readonly untilMs: number }>, now: number): void => {
+  for (const [part, { untilMs }] of map) {
+    if (untilMs <= now) {
+      map.delete(part);
     }
   }
-}
+};
--- a/packages/simulation/src/SimulatedGateway.ts
+++ b/packages/simulation/src/SimulatedGateway.ts
@@ -129,9 +129,9 @@
   }
 
   /** Answers a peer that asks for the trial of a suspect part. */
-  takeTrialForPeer(peer: string, { part, parts, report }: TrialRequest): TrialAnswer {
-    this.#evidence.recordPeer(peer, report);
-    return this.#trialOwner.take(part, parts);
+  takeTrialForPeer(peer: string, req: TrialRequest): TrialAnswer {
+    this.#evidence.recordPeer(peer, req.report);
+    return this.#trialOwner.take(peer, req);
   }
 
   endTrial(part: string): void {
