Test a prompt larger than one engine, and a demo with an engine stopped

Cause: the repair of the time-outs had tests of the client, but none of a prompt that is divided over engines; the demo couldn't show a failure by itself.

--- a/packages/cli/src/commands/demo.ts
+++ b/packages/cli/src/commands/demo.ts
@@ -12,6 +12,7 @@
   flags: {
     json: { type: "boolean", help: "Print JSON" },
     engines: { type: "number", help: "Engines; the longest prompt needs several", default: 4 },
+    stopEngine: { type: "boolean", help: "End an engine before the requests are sent" },
   },
   example: "lycheepulley demo",
   run: async (ctx) => {
@@ -21,6 +22,7 @@
       entryPoint: ENTRY_POINT,
       folder: newRunFolder("demo"),
       engines: ctx.getNumber("engines"),
+      stopsEngine: ctx.getBoolean("stopEngine"),
       onProgress: (line) => {
         if (!isJson) {
           ctx.print(line);
--- a/packages/cli/src/integration/openaiClient.test.ts
+++ b/packages/cli/src/integration/openaiClient.test.ts
@@ -4,6 +4,11 @@
 
 import { SmallFleet } from "./SmallFleet.js";
 
+/** KV memory of an engine in the example's configuration. */
+const ENGINE_KV_TOKENS = 400_000;
+const BYTES_PER_TOKEN = 4;
+const LARGE_PROMPT_BYTES = 1.25 * ENGINE_KV_TOKENS * BYTES_PER_TOKEN;
+const LARGE_TIMEOUT_MS = 60_000;
 const PROMPT = "La línea de diálogo del capitán, por favor.";
 
 describe("the openai client against real entry processes", () => {
@@ -28,6 +33,18 @@
     expect(answer.usage?.completion_tokens).to.equal(12);
   });
 
+  // Guards against prompts divided over engines that fail for the fraction in the time that is left.
+  it("gets the answer to a prompt that is larger than one engine", async function () {
+    this.timeout(LARGE_TIMEOUT_MS);
+    const content = PROMPT.repeat(Math.ceil(LARGE_PROMPT_BYTES / PROMPT.length));
+    const answer = await client.chat.completions.create({
+      ...chat,
+      messages: [{ role: "user", content }],
+    });
+    expect(answer.usage?.prompt_tokens).to.be.above(ENGINE_KV_TOKENS);
+    expect(answer.choices[0]?.message.content).to.equal(getWholeAnswer(content, 12));
+  });
+
   it("streams a chat answer", async () => {
     const parts: string[] = [];
     for await (const event of await client.chat.completions.create({ ...chat, stream: true })) {
--- a/packages/tools/src/demo/demo.ts
+++ b/packages/tools/src/demo/demo.ts
@@ -11,6 +11,8 @@
 const BYTES_PER_TOKEN = 4;
 const REQUEST_TIMEOUT_MS = 300_000;
 const TIME_SCALE = 4;
+/** Longer than the demonstration lasts. */
+const STOPPED_MS = 600_000;
 const HTTP_OK = 200;
 const HTTP_MULTIPLE_CHOICES = 300;
 
@@ -68,9 +70,11 @@
   entryPoint: string;
   folder: string;
   engines: number;
+  /** An engine ends before the requests are sent. */
+  stopsEngine: boolean;
   onProgress: (line: string) => void;
 }): Promise<DemoRow[]> => {
-  const { examples, entryPoint, folder, engines, onProgress } = options;
+  const { examples, entryPoint, folder, engines, stopsEngine, onProgress } = options;
   const loaded = await readDeployment(examples, "caixa-dobrada");
   const fleet = new LocalFleet({
     loaded,
@@ -85,6 +89,11 @@
   try {
     await fleet.start();
     onProgress("configuration revision 1 is in force at every entry process");
+    const [engine] = fleet.engineVms;
+    if (stopsEngine && engine) {
+      await fleet.injectUpstreamFault(engine, { dieMs: STOPPED_MS });
+      onProgress(`stopped engine ${engine.id}`);
+    }
     const peer = await connectToFleet(fleet, onProgress);
     const rows: DemoRow[] = [];
     for (const demoCase of CASES) {
