Count an upstream that is lost after it lived on, and name losses in one order

What could happen: after a process had lost its connections (a reset, a freeze), the upstreams that it had reported were withdrawn, and their real crashes in the next minute counted for no part. Cause: a withdrawn report stayed withdrawn for as long as it was kept. Change: a report keeps when the upstream last answered a later request; only losses before that are void. Losses of one moment are ordered by upstream, since the property test found processes that named them in different orders.

--- a/packages/daemon/src/gateway/CrashExchange.ts
+++ b/packages/daemon/src/gateway/CrashExchange.ts
@@ -2,6 +2,7 @@
 import {
   Batcher,
   CrashEvidence,
+  isWithdrawn,
   PartGuard,
   sample,
   TrialOwner,
@@ -38,7 +39,7 @@
         upstream: z.string(),
         lostAgoMs: z.number(),
         parts: z.array(partSchema).max(MAX_PARTS),
-        isWithdrawn: z.boolean(),
+        answeredAgoMs: z.number().optional(),
       }),
     )
     .max(MAX_LOST),
@@ -150,7 +151,7 @@
 
   #sendNews(report: CrashReport): void {
     const hosts = this.#liveHosts;
-    const isAccusing = report.lost.some(({ isWithdrawn }) => !isWithdrawn);
+    const isAccusing = report.lost.some((loss) => !isWithdrawn(loss));
     this.#tell(report, isAccusing ? hosts : sample(hosts, MAX_DIRECT_PEERS, this.#random));
   }
 
@@ -168,8 +169,9 @@
   #toMessage({ lost, sound }: CrashReport): ReportMessage {
     const now = this.#clock.now();
     return {
-      lost: sample(lost, MAX_LOST, this.#random).map(({ upstream, atMs, parts, isWithdrawn }) => ({
-        ...{ upstream, lostAgoMs: now - atMs, parts: [...parts], isWithdrawn },
+      lost: sample(lost, MAX_LOST, this.#random).map(({ upstream, atMs, parts, answeredMs }) => ({
+        ...{ upstream, lostAgoMs: now - atMs, parts: [...parts] },
+        ...(answeredMs !== undefined && { answeredAgoMs: now - answeredMs }),
       })),
       sound: sample(sound, MAX_SOUND, this.#random).map(({ part, begunMs }) => ({
         ...{ part, begunAgoMs: now - begunMs },
@@ -180,8 +182,9 @@
   #toReport({ lost, sound }: ReportMessage): CrashReport {
     const now = this.#clock.now();
     return {
-      lost: lost.map(({ upstream, lostAgoMs, parts, isWithdrawn }) => ({
-        ...{ upstream, atMs: now - lostAgoMs, parts, isWithdrawn },
+      lost: lost.map(({ upstream, lostAgoMs, parts, answeredAgoMs }) => ({
+        ...{ upstream, atMs: now - lostAgoMs, parts },
+        answeredMs: answeredAgoMs === undefined ? undefined : now - answeredAgoMs,
       })),
       sound: sound.map(({ part, begunAgoMs }) => ({ part, begunMs: now - begunAgoMs })),
     };
--- a/packages/forwarding/src/crashes/CrashEvidence.test.ts
+++ b/packages/forwarding/src/crashes/CrashEvidence.test.ts
@@ -90,6 +90,16 @@
       [["answered", 5, "u1"], ["answered", 6, "u2"], ...[lost(6, "u1", "b"), lost(7, "u2", "b")]],
       { b: "trial of b" },
     ],
+    [
+      "counts an upstream that lived on after a reset and is lost later",
+      [...THREE, ["answered", 30, "u2"], lost(40, "u2", "bad")],
+      { bad: 30_040 },
+    ],
+    [
+      "accuses only the parts of the later loss then",
+      [lost(0, "u1", "a"), ["answered", 10, "u1"], lost(20, "u1", "bad")],
+      { a: "free", bad: "trial of bad" },
+    ],
     [
       "accuses nobody when all upstreams seem lost to this process alone",
       [...THREE, ...["u1", "u2", "u3"].map((id): Event => ["answered", 21, id])],
@@ -135,6 +145,17 @@
     });
   }
 
+  // Guards against processes that name the losses of one moment in different orders.
+  it("names losses of one moment in the same order, whichever was told first", async () => {
+    const upstreams = await Promise.all(
+      [
+        [lost(5, "u1", "bad"), lost(5, "u2", "bad")],
+        [lost(5, "u2", "bad"), lost(5, "u1", "bad")],
+      ].map(async (events) => (await play(events)).suspects.map((part) => part.upstreams)),
+    );
+    expect(upstreams[0]).to.deep.equal(upstreams[1]);
+  });
+
   it("is lifted by an operator, once there is a suspicion", async () => {
     const evidence = await play(THREE);
     expect([evidence.lift("other"), evidence.lift("bad")]).to.deep.equal([false, true]);
--- a/packages/forwarding/src/crashes/CrashEvidence.ts
+++ b/packages/forwarding/src/crashes/CrashEvidence.ts
@@ -4,6 +4,8 @@
 import {
   assessParts,
   findCompanions,
+  isWithdrawn,
+  joinLosses,
   type LostUpstream,
   type PartAssessment,
 } from "./assessParts.js";
@@ -86,20 +88,17 @@
     if (parts.length === 0) {
       return;
     }
-    const loss = { upstream, atMs: this.#clock.now(), parts, isWithdrawn: false };
-    this.#merge(loss, "own");
-    const own = this.#lost.get(upstream) ?? loss;
-    this.#onNews({ lost: [own], sound: this.#getSound(own.parts) });
+    const atMs = this.#clock.now();
+    const loss = this.#merge({ upstream, atMs, parts, answeredMs: undefined }, "own");
+    this.#onNews({ lost: [loss], sound: this.#getSound(loss.parts) });
   }
 
   /** Records that an upstream answered a request that was sent at `sentMs`, so that it wasn't lost before. */
   recordAnswer(upstream: string, sentMs: number): void {
     setNewest(this.#answered, upstream, sentMs, MAX_ANSWERED_UPSTREAMS);
     const loss = this.#lost.get(upstream);
-    if (loss && !loss.isWithdrawn && sentMs > loss.atMs) {
-      const withdrawn = { ...loss, isWithdrawn: true };
-      this.#merge(withdrawn, "own");
-      this.#onNews({ lost: [withdrawn], sound: [] });
+    if (loss && !isWithdrawn(loss) && sentMs > loss.atMs) {
+      this.#onNews({ lost: [this.#merge(loss, "own")], sound: [] });
     }
   }
 
@@ -120,7 +119,7 @@
     const lacking = new Set<string>();
     for (const report of lost) {
       const loss = this.#merge(report, peer);
-      if (loss.isWithdrawn && !report.isWithdrawn) {
+      if (isWithdrawn(loss) && !isWithdrawn(report)) {
         withdrawn.push(loss);
       }
       loss.parts
@@ -220,30 +219,27 @@
 
   /** Joins a report of a lost upstream with the earlier ones, and returns what is known then. */
   #merge(report: LostUpstream, from: string): LostUpstream {
-    const known = this.#lost.get(report.upstream);
-    const atMs = Math.min(report.atMs, known?.atMs ?? Infinity);
-    const parts = [...new Set([...(known?.parts ?? []), ...report.parts])];
-    const isAnswered = (this.#answered.get(report.upstream) ?? -Infinity) > atMs;
-    const isWithdrawn = report.isWithdrawn || isAnswered || known?.isWithdrawn === true;
-    const loss = {
-      ...{ upstream: report.upstream, atMs, isWithdrawn },
-      parts: parts.slice(0, MAX_PARTS_PER_UPSTREAM),
-    };
-    if (known?.parts.length === loss.parts.length && known.isWithdrawn === isWithdrawn) {
-      this.#lost.set(report.upstream, { ...known, atMs });
-      this.#assessments = undefined;
-      return known;
-    }
-    this.#lost.set(report.upstream, loss);
+    const { upstream } = report;
+    const known = this.#lost.get(upstream);
+    const answered = { ...report, answeredMs: this.#answered.get(upstream) };
+    const joined = [report, ...(known ? [known] : [])].reduce(joinLosses, answered);
+    const loss = { ...joined, parts: joined.parts.slice(0, MAX_PARTS_PER_UPSTREAM) };
+    this.#lost.set(upstream, loss);
+    this.#assessments = undefined;
     const [oldest] = this.#lost.keys();
     if (this.#lost.size > MAX_LOST_UPSTREAMS && oldest !== undefined) {
       this.#lost.delete(oldest);
     }
-    this.#logger.info(isWithdrawn ? "upstream crash withdrawn" : "upstream crash recorded", {
-      ...{ step: "send", peer: report.upstream, from, parts: loss.parts },
-      ageMs: Math.round(this.#clock.now() - atMs),
-    });
-    this.#update(from);
+    const hasChanged =
+      known?.parts.length !== loss.parts.length || isWithdrawn(known) !== isWithdrawn(loss);
+    if (hasChanged) {
+      const message = isWithdrawn(loss) ? "upstream crash withdrawn" : "upstream crash recorded";
+      this.#logger.info(message, {
+        ...{ step: "send", peer: upstream, from, parts: loss.parts },
+        ageMs: Math.round(this.#clock.now() - loss.atMs),
+      });
+      this.#update(from);
+    }
     return loss;
   }
 
--- a/packages/forwarding/src/crashes/assessParts.ts
+++ b/packages/forwarding/src/crashes/assessParts.ts
@@ -5,10 +5,30 @@
   /** Monotonic time at which the first process noticed. */
   readonly atMs: number;
   readonly parts: readonly string[];
-  /** The upstream answered a request that was sent later, so that only connections were lost. */
-  readonly isWithdrawn: boolean;
+  /** Newest sending time of a request that the upstream answered; if it is later, only connections were lost. */
+  readonly answeredMs: number | undefined;
 }
 
+/** True when the upstream answered a request that was sent after the loss. */
+export const isWithdrawn = ({ atMs, answeredMs = -Infinity }: LostUpstream): boolean =>
+  answeredMs > atMs;
+
+/** Joins two reports of one upstream; one that lived on may be lost later. */
+export const joinLosses = (one: LostUpstream, other: LostUpstream): LostUpstream => {
+  const answeredMs = getLatest(one.answeredMs, other.answeredMs);
+  const both = [one, other].map((loss) => ({ ...loss, answeredMs }));
+  const counted = both.filter((loss) => !isWithdrawn(loss));
+  const joined = counted.length > 0 ? counted : both;
+  return {
+    ...{ upstream: one.upstream, answeredMs },
+    atMs: Math.min(...joined.map(({ atMs }) => atMs)),
+    parts: [...new Set(joined.flatMap(({ parts }) => parts))],
+  };
+};
+
+const getLatest = (one: number | undefined, other: number | undefined): number | undefined =>
+  one === undefined || (other !== undefined && other > one) ? other : one;
+
 /** What the losses say about one part. */
 export interface PartAssessment {
   readonly part: string;
@@ -38,8 +58,8 @@
   sound: ReadonlyMap<string, number>,
 ): Map<string, PartAssessment> => {
   const accused = new Map<string, LostUpstream[]>();
-  const counted = losses.filter(({ isWithdrawn }) => !isWithdrawn);
-  for (const loss of counted.sort((a, b) => a.atMs - b.atMs)) {
+  const counted = losses.filter((loss) => !isWithdrawn(loss));
+  for (const loss of counted.sort(compareLosses)) {
     for (const part of findCauses(loss, sound)) {
       accused.set(part, [...(accused.get(part) ?? []), loss]);
     }
@@ -58,6 +78,9 @@
     .filter((other) => other.part !== part && lost.every((loss) => other.lost.includes(loss)))
     .map((other) => other.part);
 
+const compareLosses = (one: LostUpstream, other: LostUpstream): number =>
+  one.atMs - other.atMs || one.upstream.localeCompare(other.upstream);
+
 const findCauses = (loss: LostUpstream, sound: ReadonlyMap<string, number>): string[] => {
   const getSuspicion = (part: string): number => {
     const begunMs = sound.get(part);
