--- a/packages/forwarding/src/crashes/PartGuard.ts
+++ b/packages/forwarding/src/crashes/PartGuard.ts
@@ -2,21 +2,12 @@
 import type { Logger } from "@lycheepulley/telemetry";
 
 import { pickOwner, type Members } from "../members.js";
-import type { CrashEvidence, CrashReport } from "./CrashEvidence.js";
-import type { TrialAnswer, TrialOwner } from "./TrialOwner.js";
+import type { CrashEvidence } from "./CrashEvidence.js";
+import type { TrialAnswer, TrialOwner, TrialRequest } from "./TrialOwner.js";
 
 /** Time after which to ask an owner again that didn't answer. */
 const NO_ANSWER_RETRY_MS = 1_000;
 
-/** A request for the trial of a suspect part. */
-export interface TrialRequest {
-  readonly part: string;
-  /** All shared parts of the request. */
-  readonly parts: readonly string[];
-  /** What the asking process knows about these parts. */
-  readonly report: CrashReport;
-}
-
 /** Asks other processes for trials of suspect parts. */
 export interface TrialPeers {
   /** Asks the owner of a part; rejects when it doesn't answer in time. */
--- a/packages/forwarding/src/crashes/TrialOwner.ts
+++ b/packages/forwarding/src/crashes/TrialOwner.ts
@@ -1,7 +1,6 @@
 import type { Clock } from "@lycheepulley/core";
 
-import type { CrashEvidence } from "./CrashEvidence.js";
-import type { TrialRequest } from "./PartGuard.js";
+import type { CrashEvidence, CrashReport } from "./CrashEvidence.js";
 
 /** Time after which a trial whose end wasn't told counts as ended. */
 const TRIAL_TERM_MS = 10_000;
@@ -14,6 +13,15 @@
  */
 const SAME_PROCESS_PAUSE_MS = 2_000;
 
+/** A request for the trial of a suspect part. */
+export interface TrialRequest {
+  readonly part: string;
+  /** All shared parts of the request. */
+  readonly parts: readonly string[];
+  /** What the asking process knows about these parts. */
+  readonly report: CrashReport;
+}
+
 /** Answer to a process that asks for a trial. */
 export interface TrialAnswer {
   readonly isGranted: boolean;
