Connect to upstreams through peers while the own links are cut

Change: connections to upstreams come from a Connector, which sends, reservations, reports and relays share. A connection that fails or is slow starts a check of three upstreams (UplinkMonitor); when none accepts, connections go through peers (DetourPeers, RelayServer), still decided and counted by this process, until two checks in a row find the links restored. A relayed connection is one chunked HTTP exchange, so the end of the peer differs from the end of the upstream's bytes. The health records of upstreams are dropped at each change, since their failures were the process's own.

--- /dev/null
+++ b/packages/daemon/src/gateway/DetourConnector.ts
@@ -0,0 +1,137 @@
+import { getMessage, type Cancel, type Clock, type Random } from "@lycheepulley/core";
+import {
+  DetourPeers,
+  UplinkMonitor,
+  type Connector,
+  type Upstream,
+  type UpstreamAddress,
+} from "@lycheepulley/forwarding";
+import { openRelay, RelayError, RelayServer } from "@lycheepulley/nodes";
+import type { Logger } from "@lycheepulley/telemetry";
+import type { Duplex } from "node:stream";
+
+/** Time after which a connection that isn't accepted is slow. */
+const SLOW_CONNECT_MS = 150;
+const PROBE_TIMEOUT_MS = 250;
+/** Peers that one connection is tried through, one after the other. */
+const MAX_PEERS = 3;
+/** Time-out of a peer's own connection. */
+const RELAY_TIMEOUT_MS = 200;
+
+/** Connects to upstreams, through peers while this process has lost its own links. */
+export class DetourConnector implements Connector {
+  readonly server: RelayServer;
+  readonly #clock: Clock;
+  readonly #direct: Connector;
+  readonly #logger: Logger;
+  readonly #peerPort: number;
+  readonly #monitor: UplinkMonitor;
+  readonly #peers: DetourPeers;
+  #detours = 0;
+
+  constructor(options: {
+    clock: Clock;
+    random: Random;
+    logger: Logger;
+    direct: Connector;
+    peerPort: number;
+    getUpstreams: () => readonly Upstream[];
+    /** Hosts of the peers that serve callers. */
+    getPeerHosts: () => readonly string[];
+    /** False while this process is about to end. */
+    mayRelay: () => boolean;
+    onChange: (isLost: boolean) => void;
+  }) {
+    const { clock, random, logger, getUpstreams, onChange } = options;
+    this.#clock = clock;
+    this.#direct = options.direct;
+    this.#logger = logger;
+    this.#peerPort = options.peerPort;
+    this.#peers = new DetourPeers({ clock, random, getHosts: options.getPeerHosts });
+    this.#monitor = new UplinkMonitor({
+      ...{ clock, random, logger, getUpstreams, onChange },
+      probe: (upstream) => this.#probe(upstream),
+    });
+    this.server = new RelayServer({
+      mayRelay: ({ host, port }) =>
+        options.mayRelay() &&
+        !this.#monitor.isLost &&
+        getUpstreams().some((upstream) => upstream.host === host && upstream.port === port),
+      connect: (target) => this.#connectDirectly(target, target.timeoutMs),
+    });
+  }
+
+  /** True while this process reaches no upstream itself. */
+  get isLost(): boolean {
+    return this.#monitor.isLost;
+  }
+
+  /** Connections made through peers so far. */
+  get detours(): number {
+    return this.#detours;
+  }
+
+  stop(): void {
+    this.#monitor.stop();
+  }
+
+  connect(address: UpstreamAddress, timeoutMs: number): Promise<Duplex> {
+    return this.#monitor.isLost
+      ? this.#connectThroughPeers(address, timeoutMs)
+      : this.#connectDirectly(address, timeoutMs);
+  }
+
+  async #connectDirectly(address: UpstreamAddress, timeoutMs: number): Promise<Duplex> {
+    const cancelSuspicion: Cancel = this.#clock.setTimer(() => {
+      this.#monitor.suspect();
+    }, SLOW_CONNECT_MS);
+    try {
+      const socket = await this.#direct.connect(address, timeoutMs);
+      this.#monitor.recordConnected();
+      return socket;
+    } catch (err) {
+      this.#monitor.suspect();
+      throw err;
+    } finally {
+      cancelSuspicion();
+    }
+  }
+
+  async #connectThroughPeers(address: UpstreamAddress, timeoutMs: number): Promise<Duplex> {
+    const endMs = this.#clock.now() + timeoutMs;
+    let lastErr: unknown = new RelayError("no peer", false);
+    for (const peer of this.#peers.select(MAX_PEERS)) {
+      const leftMs = endMs - this.#clock.now();
+      if (leftMs <= 0) {
+        break;
+      }
+      try {
+        const socket = await openRelay(
+          { host: peer, port: this.#peerPort },
+          { ...address, timeoutMs: Math.min(RELAY_TIMEOUT_MS, leftMs) },
+        );
+        this.#detours += 1;
+        return socket;
+      } catch (err) {
+        lastErr = err;
+        this.#peers.recordFailed(peer);
+        this.#logger.info("connection through peer failed", {
+          ...{ step: "connect", peer, upstream: address.host, err: getMessage(err) },
+        });
+        if (err instanceof RelayError && err.hasTried) {
+          break;
+        }
+      }
+    }
+    throw lastErr;
+  }
+
+  async #probe(upstream: Upstream): Promise<boolean> {
+    try {
+      (await this.#direct.connect(upstream, PROBE_TIMEOUT_MS)).destroy();
+      return true;
+    } catch {
+      return false;
+    }
+  }
+}
--- a/packages/daemon/src/gateway/GatewayNode.test.ts
+++ b/packages/daemon/src/gateway/GatewayNode.test.ts
@@ -171,8 +171,11 @@
       },
       sources: { config: source, upstreams: source, peers: source },
       dialect: {} as Dialect,
-      transport: {} as UpstreamTransport,
-      control: {} as UpstreamControl,
+      links: {
+        connector: { connect: () => Promise.reject(new Error("no links")) },
+        newTransport: () => ({}) as UpstreamTransport,
+        newControl: () => ({}) as UpstreamControl,
+      },
       logger: newSilentLogger(),
     });
     await node.start();
--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -18,17 +18,16 @@
   UpstreamListTracker,
   type Dialect,
   type FleetConfig,
-  type Members,
-  type UpstreamControl,
   type PeerIdentity,
+  type UpstreamLinks,
   type UpstreamList,
-  type UpstreamTransport,
 } from "@lycheepulley/forwarding";
 import type { HttpServer } from "@lycheepulley/http";
 import { DatagramChannel, NodeServer } from "@lycheepulley/nodes";
 import { ForwardMetrics, type Logger } from "@lycheepulley/telemetry";
 
 import { CrashExchange } from "./CrashExchange.js";
+import { DetourConnector } from "./DetourConnector.js";
 import { FleetStateSync } from "./FleetStateSync.js";
 import { LimitExchange } from "./LimitExchange.js";
 import { countByStatus, newMetricsServer } from "./metricsServer.js";
@@ -54,10 +53,13 @@
   readonly #metrics = new ForwardMetrics({
     countLimited: () => this.#limitExchange.limits.all.length,
     countParts: () => countByStatus(this.#crashExchange.guard.evidence.suspects),
+    countDetours: () => this.#connector.detours,
+    hasLostLinks: () => this.#connector.isLost,
   });
   readonly #view = new FleetView();
   readonly #listTracker: UpstreamListTracker;
-  readonly #nodeServer = new NodeServer();
+  readonly #connector: DetourConnector;
+  readonly #nodeServer: NodeServer;
   readonly #stateSync: FleetStateSync;
   readonly #health: UpstreamHealth;
   readonly #peers: PeerTable;
@@ -78,11 +80,10 @@
     settings: GatewaySettings;
     sources: GatewaySources;
     dialect: Dialect;
-    transport: UpstreamTransport;
-    control: UpstreamControl;
+    links: UpstreamLinks;
     logger: Logger;
   }) {
-    const { settings, dialect, logger } = options;
+    const { settings, dialect, links, logger } = options;
     const clock = this.#clock;
     this.#settings = settings;
     this.#logger = logger;
@@ -160,15 +161,31 @@
         this.#crashExchange.inform(host);
       },
     });
+    this.#connector = new DetourConnector({
+      ...{ clock, random: this.#random, logger, direct: links.connector },
+      peerPort: settings.peerPort,
+      getUpstreams: () => [...this.#view.upstreams.values()],
+      getPeerHosts: () => this.#peers.getServing().map(({ host }) => host),
+      mayRelay: () => !this.#isDraining,
+      onChange: () => {
+        this.#health.reset();
+      },
+    });
+    this.#nodeServer = new NodeServer([this.#connector.server.route]);
     this.#peerCalls = new PeerCalls({ port: settings.peerPort, timeoutMs: OWNER_TIMEOUT_MS });
     const exchange = {
       ...{ clock, random: this.#random, channel: this.#channel, peers: this.#peers, logger },
-      ...{ host: settings.host, calls: this.#peerCalls, getMembers: () => this.#getMembers() },
+      ...{
+        host: settings.host,
+        calls: this.#peerCalls,
+        getMembers: () => this.#peers.getMembers(this.isReady),
+      },
     };
     this.#limitExchange = new LimitExchange(exchange);
     this.#crashExchange = new CrashExchange(exchange);
     const { limits, quota } = this.#limitExchange;
-    const control = new LimitedControl(options.control, quota);
+    const transport = links.newTransport(this.#connector);
+    const control = new LimitedControl(links.newControl(transport), quota);
     this.#forwarder = new Forwarder({
       ...{
         clock,
@@ -177,7 +194,7 @@
         loadTracker,
         health: this.#health,
       },
-      ...{ crashes: this.#crashTracker, transport: options.transport, dialect, logger },
+      ...{ crashes: this.#crashTracker, transport, dialect, logger },
       retryBudget: this.#newRetryBudget(),
       ...{ control, limits, quota, guard: this.#crashExchange.guard },
       reservations: new ReservationManager({ clock, control, logger }),
@@ -246,7 +263,7 @@
     const { drainMs } = this.#settings;
     await sleep(this.#clock, Math.min(LISTENER_CLOSE_DELAY_MS, drainMs));
     this.#listener.close();
-    while (this.#clock.now() - startMs < drainMs && this.#listener.requests > 0) {
+    while (this.#clock.now() - startMs < drainMs && this.#inFlight > 0) {
       await sleep(this.#clock, DRAIN_POLL_MS);
     }
     this.#logger.info("drain finished", {
@@ -255,6 +272,11 @@
     });
   }
 
+  /** Requests in progress, also those of peers whose connections this process relays. */
+  get #inFlight(): number {
+    return this.#listener.requests + this.#connector.server.open;
+  }
+
   /** Closes servers, sockets and sources without waiting for requests. */
   stop(): void {
     this.#listener.close();
@@ -262,6 +284,7 @@
     this.#limitExchange.stop();
     this.#crashExchange.stop();
     this.#peerCalls.close();
+    this.#connector.stop();
     this.#sourceFeed.stop();
     void this.#metricsServer.close();
     this.#channel.close();
@@ -301,17 +324,6 @@
     });
   }
 
-  #getMembers(): Members {
-    const serving = this.#peers.getLive().filter(({ state }) => state === PeerState.Live);
-    const hosts = serving.map(({ host }) => host);
-    const self = this.#settings.host;
-    return {
-      self,
-      hosts: this.isReady ? [...hosts, self] : hosts,
-      known: this.#peers.hosts.length,
-    };
-  }
-
   #getIdentity(): Omit<PeerIdentity, "beatMs"> {
     const { host, failureDomain, capacity, callerPort } = this.#settings;
     return {
--- a/packages/forwarding/src/PeerTable.ts
+++ b/packages/forwarding/src/PeerTable.ts
@@ -1,5 +1,7 @@
 import type { Clock } from "@lycheepulley/core";
 
+import type { Members } from "./members.js";
+
 /** Whether a process serves callers, as it states in its heartbeats. */
 export const PeerState = {
   Joining: "joining",
@@ -134,6 +136,15 @@
     );
   }
 
+  /** The processes that divide duties: live peers that serve callers, and this one while `isServing`. */
+  getMembers(isServing: boolean): Members {
+    const self = this.#self;
+    const hosts = this.getLive()
+      .filter(({ state }) => state === PeerState.Live)
+      .map(({ host }) => host);
+    return { self, hosts: isServing ? [...hosts, self] : hosts, known: this.#entries.size };
+  }
+
   /** Removes peers that were silent for long. */
   prune(): void {
     const now = this.#clock.now();
--- a/packages/forwarding/src/UpstreamHealth.ts
+++ b/packages/forwarding/src/UpstreamHealth.ts
@@ -83,6 +83,11 @@
     return active.length >= upstreams.length * (1 - MAX_EJECTED_SHARE) ? active : upstreams;
   }
 
+  /** Drops all records, after failures whose cause was not at the upstreams. */
+  reset(): void {
+    this.#records.clear();
+  }
+
   /** Drops the records of upstreams that are no longer listed. */
   retain(ids: ReadonlySet<string>): void {
     [...this.#records.keys()]
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -31,6 +31,8 @@
 export * from "./Send.js";
 export * from "./ReservationManager.js";
 export * from "./types.js";
+export * from "./uplink/DetourPeers.js";
+export * from "./uplink/UplinkMonitor.js";
 export * from "./UpstreamHealth.js";
 export * from "./UpstreamListTracker.js";
 export * from "./PeerTable.js";
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -1,3 +1,5 @@
+import type { Duplex } from "node:stream";
+
 import type { Route, Upstream } from "./fleetConfig.js";
 
 /** Headers as a flat list of names and values, in their order on the wire. */
@@ -136,6 +138,18 @@
   abort(): void;
 }
 
+/** Address of an upstream. */
+export interface UpstreamAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Opens connections to upstreams. */
+export interface Connector {
+  /** Rejects when there is no connection within `timeoutMs`; no byte has reached the upstream then. */
+  connect(address: UpstreamAddress, timeoutMs: number): Promise<Duplex>;
+}
+
 /** Sends requests to upstreams over the network. */
 export interface UpstreamTransport {
   open(
@@ -163,3 +177,11 @@
   ): Promise<boolean>;
   release(upstream: Upstream, reservationId: string): Promise<void>;
 }
+
+/** How a process reaches upstreams. */
+export interface UpstreamLinks {
+  /** Opens connections over this process's own network. */
+  readonly connector: Connector;
+  newTransport(connector: Connector): UpstreamTransport;
+  newControl(transport: UpstreamTransport): UpstreamControl;
+}
--- /dev/null
+++ b/packages/nodes/src/openRelay.ts
@@ -0,0 +1,116 @@
+import { request, type ClientRequest, type IncomingMessage } from "node:http";
+import { Duplex } from "node:stream";
+
+import { toTimerMs } from "@lycheepulley/core";
+
+import {
+  RELAY_HOST_HEADER,
+  RELAY_PATH,
+  RELAY_PORT_HEADER,
+  RELAY_TIMEOUT_HEADER,
+  type RelayTarget,
+} from "./RelayServer.js";
+
+/** Time for the way to the peer and back, besides its own connection. */
+const EXTRA_TIMEOUT_MS = 100;
+
+const OPENED_STATUS = 200;
+const NO_CONNECTION_STATUS = 502;
+
+/** A peer didn't relay a connection. */
+export class RelayError extends Error {
+  /** `hasTried` tells that the peer couldn't connect to the target itself. */
+  constructor(
+    message: string,
+    readonly hasTried: boolean,
+  ) {
+    super(message);
+    this.name = "RelayError";
+  }
+}
+
+/** A connection through a peer; errors when the peer ends before the target does. */
+class RelayedConnection extends Duplex {
+  readonly #req: ClientRequest;
+  readonly #res: IncomingMessage;
+
+  constructor(req: ClientRequest, res: IncomingMessage) {
+    super();
+    this.#req = req;
+    this.#res = res;
+    req.on("error", (err) => this.destroy(err));
+    res.on("error", (err) => this.destroy(err));
+    res.on("data", (chunk: Buffer) => {
+      if (!this.push(chunk)) {
+        res.pause();
+      }
+    });
+    res.on("end", () => {
+      this.push(null);
+    });
+    res.pause();
+  }
+
+  override _read(): void {
+    this.#res.resume();
+  }
+
+  override _write(
+    chunk: Buffer,
+    _encoding: BufferEncoding,
+    done: (err?: Error | null) => void,
+  ): void {
+    this.#req.write(chunk, done);
+  }
+
+  override _final(done: () => void): void {
+    this.#req.end(done);
+  }
+
+  override _destroy(err: Error | null, done: (err?: Error | null) => void): void {
+    this.#req.destroy();
+    done(err);
+  }
+}
+
+/** Opens a connection to `target` through a peer; rejects with a {@link RelayError}. */
+export const openRelay = (
+  peer: { readonly host: string; readonly port: number },
+  { host, port, timeoutMs }: RelayTarget,
+): Promise<Duplex> =>
+  new Promise((resolve, reject) => {
+    const req = request({
+      ...{ host: peer.host, port: peer.port, method: "POST", path: RELAY_PATH, agent: false },
+      headers: {
+        [RELAY_HOST_HEADER]: host,
+        [RELAY_PORT_HEADER]: String(port),
+        [RELAY_TIMEOUT_HEADER]: String(timeoutMs),
+        "transfer-encoding": "chunked",
+      },
+    });
+    const fail = (reason: string, hasTried = false): void => {
+      clearTimeout(timer);
+      req.destroy();
+      reject(new RelayError(`${reason} through ${peer.host}`, hasTried));
+    };
+    const timer = setTimeout(
+      () => {
+        fail("no connection in time");
+      },
+      toTimerMs(timeoutMs + EXTRA_TIMEOUT_MS),
+    );
+    req.setNoDelay(true);
+    req.on("error", (err) => {
+      fail(err.message);
+    });
+    req.on("response", (res) => {
+      if (res.statusCode === OPENED_STATUS) {
+        clearTimeout(timer);
+        resolve(new RelayedConnection(req, res));
+      } else {
+        const hasTried = res.statusCode === NO_CONNECTION_STATUS;
+        fail(hasTried ? "no connection" : "not relayed", hasTried);
+      }
+    });
+    req.flushHeaders();
+  });
--- a/packages/telemetry/src/ForwardMetrics.ts
+++ b/packages/telemetry/src/ForwardMetrics.ts
@@ -14,14 +14,18 @@
 
   /**
    * `countLimited` returns the number of upstreams that name a limit, `countParts` that of the parts of
-   * prompts under suspicion by status.
+   * prompts under suspicion by status, `countDetours` that of the connections made through peers.
    */
   constructor({
     countLimited,
     countParts,
+    countDetours,
+    hasLostLinks,
   }: {
     countLimited: () => number;
     countParts: () => Readonly<Record<string, number>>;
+    countDetours: () => number;
+    hasLostLinks: () => boolean;
   }) {
     const registers = [this.#registry];
     this.#requests = new Counter({
@@ -49,6 +53,22 @@
         this.set(countLimited());
       },
     });
+    new Gauge({
+      name: "lycheepulley_upstream_links_lost",
+      help: "1 while this process reaches no upstream itself and connects through peers",
+      registers,
+      collect() {
+        this.set(hasLostLinks() ? 1 : 0);
+      },
+    });
+    new Gauge({
+      name: "lycheepulley_detours",
+      help: "Connections to upstreams made through peers since the start",
+      registers,
+      collect() {
+        this.set(countDetours());
+      },
+    });
     new Gauge({
       name: "lycheepulley_suspect_parts",
       help: "Parts of prompts that may crash upstreams, by status: suspected or blocked",
--- a/packages/upstreams/src/HttpUpstreamTransport.ts
+++ b/packages/upstreams/src/HttpUpstreamTransport.ts
@@ -1,13 +1,16 @@
-import { toTimerMs } from "@lycheepulley/core";
-import { request, type ClientRequest, type IncomingMessage } from "node:http";
+import { Agent, request, type ClientRequest, type IncomingMessage } from "node:http";
+import type { Duplex } from "node:stream";
 
 import {
   SendState,
   type CallObserver,
+  type Connector,
   type UpstreamCall,
   type UpstreamTransport,
 } from "@lycheepulley/forwarding";
 
+import { TcpConnector } from "./TcpConnector.js";
+
 /**
  * Bytes of an answer that aren't its body: heads, interim answers, framing. The parser limits single
  * heads, but takes empty lines, interim answers and digits of a chunk's length without end.
@@ -21,42 +24,45 @@
 /** One request to an upstream, on its own connection. */
 class HttpUpstreamCall implements UpstreamCall {
   readonly #observer: CallObserver;
-  readonly #req: ClientRequest;
+  #socket: Duplex | undefined;
+  #req: ClientRequest | undefined;
   #res: IncomingMessage | undefined;
   #state: SendState = SendState.Unsent;
   #isClosed = false;
   #receivedBytes = 0;
   #bodyBytes = 0;
-  readonly #connectTimer: NodeJS.Timeout;
 
-  constructor(options: OpenRequest, observer: CallObserver) {
+  constructor(connector: Connector, options: OpenRequest, observer: CallObserver) {
     this.#observer = observer;
-    this.#connectTimer = setTimeout(() => {
-      this.#fail(new Error(`no connection within ${String(options.connectTimeoutMs)} ms`));
-    }, toTimerMs(options.connectTimeoutMs));
-    this.#req = request({
-      host: options.host,
-      port: options.port,
-      method: options.method,
-      path: options.path,
-      headers: options.headers,
-      agent: false,
-    });
-    this.#observe(this.#req);
-    // Nothing is written before the connection is open: an earlier error means that nothing was sent.
-    this.#req.on("socket", (socket) => {
-      socket.setNoDelay(true);
+    connector.connect(options, options.connectTimeoutMs).then(
+      (socket) => {
+        this.#send(socket, options);
+      },
+      (err: unknown) => {
+        this.#fail(err instanceof Error ? err : new Error(String(err)));
+      },
+    );
+  }
+
+  /** Sends the request on an open connection. */
+  #send(socket: Duplex, options: OpenRequest): void {
+    if (this.#isClosed) {
+      socket.destroy();
+      return;
+    }
+    this.#state = SendState.Sent;
+    this.#socket = socket;
+    const { host, port, method, path, headers } = options;
+    const agent = Object.assign(new Agent(), { createConnection: () => socket });
+    const req = request({ host, port, method, path, headers, agent });
+    this.#req = req;
+    this.#observe(req);
+    req.on("socket", () => {
       socket.on("data", (data: Buffer) => {
         this.#countReceived(data.length);
       });
-      socket.once("connect", () => {
-        clearTimeout(this.#connectTimer);
-        if (!this.#isClosed) {
-          this.#state = SendState.Sent;
-          this.#req.end(options.body);
-        }
-      });
     });
+    req.end(options.body);
   }
 
   pause(): void {
@@ -134,14 +140,21 @@
 
   #close(): void {
     this.#isClosed = true;
-    clearTimeout(this.#connectTimer);
-    this.#req.destroy();
+    this.#req?.destroy();
+    // A request that has ended leaves its connection half open.
+    this.#socket?.destroy();
   }
 }
 
 /** Sends each request to an upstream on a new connection, which is closed after the answer. */
 export class HttpUpstreamTransport implements UpstreamTransport {
+  readonly #connector: Connector;
+
+  constructor(connector: Connector = new TcpConnector()) {
+    this.#connector = connector;
+  }
+
   open(options: OpenRequest, observer: CallObserver): UpstreamCall {
-    return new HttpUpstreamCall(options, observer);
+    return new HttpUpstreamCall(this.#connector, options, observer);
   }
 }
