Spread small prompts over upstreams by what processes can't know of each other yet

Change: the load of an upstream carries the requests that peers are expected to have sent there unseen (their rate over 500 ms times the lag of the exchange). A prompt for one upstream compares the fewer upstreams the more of them there are in the pool, down to three (selectCandidates), and pays for the risk that the slots are taken. Relays send load changes each 30 ms in place of 60. With direct messages the lag is 5 ms and nothing changes.

--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -123,6 +123,7 @@
     });
     const loadTracker = new LoadTracker({
       clock,
+      getLagMs: () => this.#peerExchange.loadLagMs,
       onOwnChange: (change) => {
         this.#peerExchange.notifyLoad(change);
       },
--- a/packages/daemon/src/gateway/PeerExchange.ts
+++ b/packages/daemon/src/gateway/PeerExchange.ts
@@ -35,8 +35,11 @@
 /** Heartbeats take turns among this many relays of a failure domain, so that the end of one loses few. */
 const HEARTBEAT_RELAYS = 2;
 /** Times for which relays collect messages, milliseconds. */
-const LOAD_BATCH_MS = 60;
+const LOAD_BATCH_MS = 30;
 const HEARTBEAT_BATCH_MS = 400;
+/** Time after which a change of the load is known to a peer, directly and through the batches of a relay. */
+const DIRECT_LAG_MS = 5;
+const RELAYED_LAG_MS = 2 * LOAD_BATCH_MS;
 /** Batches have to fit into a datagram. */
 const MAX_LOAD_BATCH = 80;
 const MAX_HEARTBEAT_BATCH = 30;
@@ -167,6 +170,11 @@
     this.#channel.notify("load.relay", message, getHosts(relays.filter((peer) => peer !== self)));
   }
 
+  /** Time after which a change of a process's load is known to the others, milliseconds. */
+  get loadLagMs(): number {
+    return this.#isRelayed ? RELAYED_LAG_MS : DIRECT_LAG_MS;
+  }
+
   /** Live peers of this process's failure domain. */
   #getDomainHosts(): string[] {
     const { failureDomain } = this.#self;
--- a/packages/forwarding/src/LoadTracker.ts
+++ b/packages/forwarding/src/LoadTracker.ts
@@ -35,10 +35,17 @@
   readonly #own = new Map<string, TimedLoadItem>();
   readonly #peers = new Map<string, PeerLoads>();
   readonly #onOwnChange: (change: LoadChange) => void;
-
-  constructor(options: { clock: Clock; onOwnChange: (change: LoadChange) => void }) {
+  readonly #getLagMs: () => number;
+
+  constructor(options: {
+    clock: Clock;
+    onOwnChange: (change: LoadChange) => void;
+    /** Time after which a change at a peer is known here. */
+    getLagMs?: () => number;
+  }) {
     this.#clock = options.clock;
     this.#onOwnChange = options.onOwnChange;
+    this.#getLagMs = options.getLagMs ?? ((): number => 0);
   }
 
   get own(): readonly LoadItem[] {
@@ -120,7 +127,7 @@
 
   /** Load of each upstream, from the requests of all processes. */
   getLoads(): Map<string, UpstreamLoad> {
-    return sumLoads(this.#items(), this.#clock.now());
+    return sumLoads(this.#items(), this.#clock.now(), this.#getLagMs());
   }
 
   /** Load items of all processes except silent peers. */
@@ -156,6 +163,8 @@
   #setPeerItem(loads: PeerLoads, item: LoadItem): void {
     const known = loads.items.get(item.id);
     const isSame = known?.phase === item.phase && known.upstream === item.upstream;
-    loads.items.set(item.id, { ...item, sinceMs: isSame ? known.sinceMs : this.#clock.now() });
+    const now = this.#clock.now();
+    const sinceMs = isSame ? known.sinceMs : now;
+    loads.items.set(item.id, { ...item, sinceMs, reportedMs: known?.reportedMs ?? now });
   }
 }
--- a/packages/forwarding/src/Placer.ts
+++ b/packages/forwarding/src/Placer.ts
@@ -12,24 +12,20 @@
 import type { LoadTracker } from "./LoadTracker.js";
 import {
   isExpectedLate,
+  isForOneUpstream,
   pickServiceUpstream,
   planPlacement,
   type PlacementCandidate,
   type PlacementPlan,
   type PlacementRequest,
 } from "./placement.js";
-import { sample } from "./sample.js";
+import { selectCandidates } from "./selectCandidates.js";
 import { selectSeparate } from "./selectSeparate.js";
 import type { ForwardRequest } from "./types.js";
 import type { UpstreamHealth } from "./UpstreamHealth.js";
 
 /** Interval at which a prompt that waits for KV memory is planned again. */
 const REPLAN_INTERVAL_MS = 15;
-/**
- * Upstreams among which one request chooses, a random sample of a larger pool.
- * Otherwise many processes that choose at the same moment would take the same one.
- */
-const MAX_CANDIDATES = 24;
 /** Gap objective assumed for routes that state none. */
 const DEFAULT_GAP_MS = 1_000;
 
@@ -199,7 +195,8 @@
       if (failure) {
         return failure;
       }
-      const candidates = this.#getCandidates(query);
+      const isSmall = isForOneUpstream(query.req.head.promptTokens);
+      const candidates = this.#getCandidates({ ...query, isSmall });
       if (candidates.length === 0) {
         return this.#getLack(query.pool);
       }
@@ -259,14 +256,15 @@
     pool,
     excluded,
     isApart = false,
+    isSmall = false,
   }: Pick<PlacementQuery, "pool" | "excluded"> & {
     isApart?: boolean;
+    isSmall?: boolean;
   }): readonly PlacementCandidate[] {
     const open = this.#getUsable({ pool, excluded }).filter(({ id }) => this.#quota.isOpen(id));
     const active = this.#health.selectActive(open);
     const loads = this.#loadTracker.getLoads();
-    const considered =
-      active.length > MAX_CANDIDATES ? sample(active, MAX_CANDIDATES, this.#random) : active;
+    const considered = selectCandidates(active, loads, { isSmall, random: this.#random });
     const candidates = considered.map((upstream) => ({
       upstream,
       load: loads.get(upstream.id) ?? newUpstreamLoad(),
--- a/packages/forwarding/src/load.ts
+++ b/packages/forwarding/src/load.ts
@@ -119,11 +119,15 @@
   minGapMs: number;
   kvTokens: number;
   contextTokens: number;
+  /** Requests that peers are expected to have sent here since what this process knows of them. */
+  unseen: number;
 }
 
 /** A load item with the time at which its phase was recorded here. */
 export interface TimedLoadItem extends LoadItem {
   readonly sinceMs: number;
+  /** Time at which a peer's request was first recorded here; undefined for this process's own. */
+  readonly reportedMs?: number;
 }
 
 /** Load of an upstream with nothing in flight. */
@@ -140,8 +144,12 @@
   minGapMs: Infinity,
   kvTokens: 0,
   contextTokens: 0,
+  unseen: 0,
 });
 
+/** Time over which the rate of peers' requests at an upstream is measured. */
+const RATE_WINDOW_MS = 500;
+
 /** Prefill that should have ended already still counts this much. */
 const OVERDUE_READ_MS = 10;
 
@@ -185,10 +193,11 @@
 export const isPastObjective = (item: TimedLoadItem, nowMs: number): boolean =>
   item.isLate || (item.phase === LoadPhase.Reading && nowMs - item.sinceMs > item.targetLeftMs);
 
-/** Sums in-flight requests by upstream, at the monotonic time `nowMs`. */
+/** Sums in-flight requests by upstream, at the monotonic time `nowMs`; reports of peers are `lagMs` old. */
 export const sumLoads = (
   items: Iterable<TimedLoadItem>,
   nowMs: number,
+  lagMs = 0,
 ): Map<string, UpstreamLoad> => {
   const loads = new Map<string, UpstreamLoad>();
   const queuePrefill = newPrefillQueue(loads, nowMs);
@@ -201,6 +210,9 @@
     load.contextTokens += item.kvTokens;
     load.deferred += item.phase === LoadPhase.Reading && item.isLate ? 1 : 0;
     load.decoding += item.phase === LoadPhase.Writing ? 1 : 0;
+    if (item.reportedMs !== undefined && nowMs - item.reportedMs < RATE_WINDOW_MS) {
+      load.unseen += lagMs / RATE_WINDOW_MS;
+    }
     if (!isPastObjective(item, nowMs)) {
       load.minGapMs = Math.min(load.minGapMs, item.maxGapMs);
       if (item.phase === LoadPhase.Writing) {
--- a/packages/forwarding/src/placement.test.ts
+++ b/packages/forwarding/src/placement.test.ts
@@ -135,6 +135,12 @@
     expect(none).to.equal(undefined);
   });
 
+  it("leaves the last slots free where requests of peers are expected", () => {
+    const almostFull = { ...writing(10), decoding: 10 };
+    expect(plan({}, [almostFull, writing(6)]).upstream.id).to.equal("u0");
+    expect(plan({}, [{ ...almostFull, unseen: 0.6 }, writing(6)]).upstream.id).to.equal("u1");
+  });
+
   it("avoids an upstream that fails often", () => {
     const candidates = newCandidates([{}, {}]).map((candidate, index) => ({
       ...candidate,
--- a/packages/forwarding/src/placement.ts
+++ b/packages/forwarding/src/placement.ts
@@ -207,6 +207,24 @@
   return (QUEUE_RISK * waiting * answerMs) / upstream.slots;
 };
 
+/**
+ * Probability that requests of which this process doesn't know yet have taken all free slots of an
+ * upstream, when their number has a Poisson distribution.
+ */
+const getOverflowRisk = ({ load, upstream }: PlacementCandidate): number => {
+  const free = upstream.slots - load.inFlight;
+  if (load.unseen === 0 || free <= 0) {
+    return 0;
+  }
+  let term = Math.exp(-load.unseen);
+  let within = 0;
+  for (let count = 0; count < free; count++) {
+    within += term;
+    term *= load.unseen / (count + 1);
+  }
+  return Math.max(0, 1 - within);
+};
+
 /** Plans the prompt on exactly these members; undefined when they lack the KV memory. */
 const planMembers = (
   engine: EngineSpec,
@@ -233,6 +251,7 @@
   const spreadCost = isShort(req) ? getSpreadCost(decoder.candidate, req) : 0;
   const lateLoss = getLatenessLoss(req, firstEventMs);
   const delayCost = getOwnDelayCost(req, firstEventMs);
+  const overflowLoss = LATE_LOSS * req.value * getOverflowRisk(decoder.candidate);
   const memberCost = members.reduce((sum, { cost }) => sum + cost, 0);
   return {
     upstream: decoder.candidate.upstream,
@@ -240,7 +259,8 @@
     heldTokens,
     readMs,
     firstEventMs,
-    loss: memberCost + lateLoss + delayCost + spreadCost + (queueMs > 0 ? req.value : 0),
+    loss:
+      memberCost + lateLoss + delayCost + spreadCost + overflowLoss + (queueMs > 0 ? req.value : 0),
   };
 };
 
@@ -248,6 +268,9 @@
 const getMaxMembers = (tokens: number, candidates: number): number =>
   Math.max(1, Math.min(candidates, MAX_HELPERS + 1, Math.floor(tokens / MIN_PART_TOKENS)));
 
+/** True for a prompt that isn't worth a second upstream. */
+export const isForOneUpstream = (tokens: number): boolean => getMaxMembers(tokens, Infinity) === 1;
+
 /**
  * Chooses the upstreams that prefill a prompt together and the one among them
  * that decodes its answer, by the least expected loss to this request and to the
--- /dev/null
+++ b/packages/forwarding/src/selectCandidates.ts
@@ -0,0 +1,37 @@
+import type { Random } from "@lycheepulley/core";
+
+import type { Upstream } from "./fleetConfig.js";
+import type { UpstreamLoad } from "./load.js";
+import { sample } from "./sample.js";
+
+/**
+ * Upstreams among which one request chooses, a random sample of a larger pool.
+ * Otherwise many processes that choose at the same moment would take the same one.
+ */
+const MAX_CANDIDATES = 24;
+/** A small prompt chooses among at least this many. */
+const MIN_CANDIDATES = 3;
+/** Requests that all processes may send to one upstream before they hear of each other. */
+const UNSEEN_PER_UPSTREAM = 0.5;
+
+/**
+ * Upstreams among which a prompt for a single upstream chooses. All processes rank upstreams alike, so
+ * that the best of the whole pool gets all requests of the time in which a change reaches the peers.
+ * The more of them there are, the fewer upstreams each request compares.
+ */
+const getSmallSample = (upstreams: number, unseen: number): number =>
+  Math.max(MIN_CANDIDATES, Math.ceil((UNSEEN_PER_UPSTREAM * upstreams) / unseen));
+
+/** Picks the upstreams among which a request chooses. */
+export const selectCandidates = (
+  upstreams: readonly Upstream[],
+  loads: ReadonlyMap<string, UpstreamLoad>,
+  { isSmall, random }: { isSmall: boolean; random: Random },
+): readonly Upstream[] => {
+  const unseen = upstreams.reduce((sum, { id }) => sum + (loads.get(id)?.unseen ?? 0), 0);
+  const most =
+    isSmall && unseen > 0
+      ? Math.min(MAX_CANDIDATES, getSmallSample(upstreams.length, unseen))
+      : MAX_CANDIDATES;
+  return upstreams.length > most ? sample(upstreams, most, random) : upstreams;
+};
--- a/packages/forwarding/src/views.test.ts
+++ b/packages/forwarding/src/views.test.ts
@@ -190,6 +190,21 @@
     expect(tracker.getLoads().get("u0")?.inFlight).to.equal(2);
   });
 
+  it("estimates the requests of peers that it doesn't know of yet, while they send them", async () => {
+    const clock = new ManualClock();
+    const options = { clock, onOwnChange: () => undefined, getLagMs: () => 50 };
+    const tracker = new LoadTracker(options);
+    tracker.setOwn(newItem("own"));
+    tracker.applyPeerChange("n", 1, {
+      ...{ changed: [newItem("1"), newItem("2")], writing: [], ended: [] },
+    });
+    // Two requests in half a second make a fifth of one in 50 ms.
+    expect(tracker.getLoads().get("u0")?.unseen).to.equal(0.2);
+    tracker.replacePeer("n", 2, [newItem("1", { phase: "reading" }), newItem("2")]);
+    await clock.advance(600);
+    expect(tracker.getLoads().get("u0")?.unseen).to.equal(0);
+  });
+
   it("leaves out the requests of a silent peer", async () => {
     const { clock, tracker } = newTracker();
     tracker.setOwn(newItem("own"));
--- a/packages/simulation/src/GatewayNetwork.ts
+++ b/packages/simulation/src/GatewayNetwork.ts
@@ -27,10 +27,21 @@
 export class GatewayNetwork {
   readonly #clock: Clock;
   readonly #getGateways: () => readonly SimulatedGateway[];
+  readonly #loadBatchMs: number;
 
-  constructor(clock: Clock, getGateways: () => readonly SimulatedGateway[]) {
+  constructor(
+    clock: Clock,
+    getGateways: () => readonly SimulatedGateway[],
+    { loadBatchMs = 0 }: { loadBatchMs?: number | undefined } = {},
+  ) {
     this.#clock = clock;
     this.#getGateways = getGateways;
+    this.#loadBatchMs = loadBatchMs;
+  }
+
+  /** Time after which a change of one process's load is known at the others, at most. */
+  get loadLagMs(): number {
+    return 2 * (NETWORK_MS + this.#loadBatchMs);
   }
 
   getMembers(self: string): Members {
@@ -84,17 +95,23 @@
   }
 
   sendLoadChange(from: string, seq: number, change: LoadChange): void {
-    this.#broadcast(from, (gateway) => {
-      gateway.applyPeerChange(from, seq, change);
-    });
+    const batchMs = this.#loadBatchMs;
+    const heldMs = batchMs > 0 ? NETWORK_MS + batchMs - (this.#clock.now() % batchMs) : 0;
+    this.#broadcast(
+      from,
+      (gateway) => {
+        gateway.applyPeerChange(from, seq, change);
+      },
+      NETWORK_MS + heldMs,
+    );
   }
 
-  #broadcast(from: string, fn: (gateway: SimulatedGateway) => void): void {
+  #broadcast(from: string, fn: (gateway: SimulatedGateway) => void, delayMs = NETWORK_MS): void {
     this.#clock.setTimer(() => {
       this.#getGateways()
         .filter(({ name }) => name !== from)
         .forEach(fn);
-    }, NETWORK_MS);
+    }, delayMs);
   }
 
   /** Has each gateway note regularly which others there are. */
--- a/packages/simulation/src/SimulatedFleet.ts
+++ b/packages/simulation/src/SimulatedFleet.ts
@@ -74,7 +74,7 @@
     this.#pattern = pattern;
     this.#clock = clock;
     this.#random = random;
-    this.#network = new GatewayNetwork(clock, () => this.#gateways);
+    this.#network = new GatewayNetwork(clock, () => this.#gateways, pattern);
     this.#config = {
       revision: 1,
       routes: pattern.classes.map((prompt) => newRoute(prompt)),
@@ -173,6 +173,7 @@
         ...{ name, clock: this.#clock, random: this.#random, config: this.#config, transport },
         ...{ control: this.#newControl(), processes: this.#pattern.processes },
         getMembers: () => this.#network.getMembers(name),
+        getLoadLagMs: () => this.#network.loadLagMs,
         quotaPeers: this.#network.newQuotaPeers(name),
         trialPeers: this.#network.newTrialPeers(name),
         onCrashNews: (report) => {
--- a/packages/simulation/src/SimulatedGateway.ts
+++ b/packages/simulation/src/SimulatedGateway.ts
@@ -64,6 +64,7 @@
     trialPeers: TrialPeers;
     getMembers: () => Members;
     onLoadChange: (seq: number, change: LoadChange) => void;
+    getLoadLagMs: () => number;
   }) {
     const { clock, random, transport, control } = options;
     this.name = options.name;
@@ -71,6 +72,7 @@
     this.#health = new UpstreamHealth(clock);
     this.#loadTracker = new LoadTracker({
       clock,
+      getLagMs: options.getLoadLagMs,
       onOwnChange: (change) => {
         this.#seq += 1;
         options.onLoadChange(this.#seq, change);
--- a/packages/simulation/src/experiment.test.ts
+++ b/packages/simulation/src/experiment.test.ts
@@ -14,6 +14,9 @@
     ["restart-while-busy", 1, 0.82, 0.42],
     // Prefills that two lost upstreams had a part in start again.
     ["crash-in-long-surge", 2, 0.8, 0.46],
+    // Many processes that hear late of each other send to the same upstreams, beyond their slots.
+    ["large-fleet-surge-of-short", 1, 0.88, 0.88],
+    ["large-fleet-surge-of-long", 2, 0.9, 0.85],
     // Other engines, fewer of them, and other objectives.
     ["small-fleet-by-turns", 2, 0.85, 0.6],
   ];
--- a/packages/simulation/src/pattern.ts
+++ b/packages/simulation/src/pattern.ts
@@ -75,6 +75,8 @@
   engine: engineSpecSchema,
   chunkTokens: z.number().int().positive(),
   queueSlots: z.number().int().nonnegative(),
+  /** Load changes reach other processes in batches at this interval, as through relays. */
+  loadBatchMs: z.number().positive().optional(),
   /** First parts that the prompts of a class share, if they share any. */
   firstParts: z.number().int().positive().optional(),
   classes: z.array(promptClassSchema).min(1),
--- a/packages/simulation/src/patterns.ts
+++ b/packages/simulation/src/patterns.ts
@@ -47,6 +47,18 @@
   ],
 };
 
+/** Many processes that hear of each other's load through relays. */
+const LARGE_FLEET: typeof FLEET = {
+  ...{ ...FLEET, lengthMs: 10_000, processes: 30, upstreams: 54, loadBatchMs: 60 },
+  queueSlots: 16,
+  engine: { ...FLEET.engine, slots: 8, kvTokens: 382_500, stepsPerPass: 52 },
+  classes: [
+    { ...SHORT, perSecond: 64.5, targetMs: 309 },
+    { ...MEDIUM, perSecond: 5.9 },
+    { ...LONG, perSecond: 1.75, targetMs: 4_000, worth: 30, lateWorth: 7.5 },
+  ],
+};
+
 const SHORT_SURGE = { short: 2.4, medium: 0.5, long: 0.05 };
 const LONG_SURGE = { short: 0.35, medium: 1.3, long: 2.6 };
 
@@ -93,6 +105,8 @@
     [during(4_000, 20_000, SHORT_SURGE)],
     [{ kind: "restart", atMs: 14_000, downMs: 1_400 }],
   ),
+  newPattern("large-fleet-surge-of-short", [during(2_000, 8_000, SHORT_SURGE)], [], LARGE_FLEET),
+  newPattern("large-fleet-surge-of-long", [during(2_000, 8_000, LONG_SURGE)], [], LARGE_FLEET),
   newPattern("small-fleet-by-turns", BY_TURNS, [], SMALL_FLEET),
   newPattern("small-fleet-replaced", BY_TURNS, [{ ...REPLACED, count: 4 }], SMALL_FLEET),
 ];
