Heed upstreams that say that they leave or ask for rest

On sockets one node sent 35 requests to a resting upstream where two are allowed, and three nodes sent 26 to one that leaves, later than 2 s after it had said so.

FleetView keeps the ids of upstreams that leave beside the lists, which don't undo them; peers are told. UpstreamRests grants the times, with a random part for the return; SendQuota is the one place that tells whether a send may go there now, and if not, from when on, for placement, retries, replacements, reservations, probes and Retry-After.

The fault soak doesn't draw these kinds yet.

--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -1,11 +1,10 @@
 import { ForwardServer } from "@lycheepulley/callers";
-import { getMessage, sleep, SystemClock, SystemRandom, type Clock } from "@lycheepulley/core";
+import { getMessage, SystemClock, SystemRandom, type Clock } from "@lycheepulley/core";
 import {
   CrashTracker,
   FleetView,
   Forwarder,
   getEpoch,
-  LISTENER_CLOSE_DELAY_MS,
   LoadTracker,
   PeerState,
   PeerTable,
@@ -26,6 +25,7 @@
 import { DatagramChannel, NodeServer } from "@lycheepulley/nodes";
 import { ForwardMetrics, type Logger } from "@lycheepulley/telemetry";
 
+import { closeAndDrain } from "./closeAndDrain.js";
 import { CrashExchange } from "./CrashExchange.js";
 import { DetourConnector } from "./DetourConnector.js";
 import { FleetStateSync } from "./FleetStateSync.js";
@@ -36,7 +36,6 @@
 import { SourceFeed } from "./SourceFeed.js";
 import type { GatewaySettings, GatewaySources } from "./types.js";
 
-const DRAIN_POLL_MS = 50;
 /** Processes assumed besides the live peers when the retry budget is divided. */
 const ASSUMED_EXTRA_PROCESSES = 3;
 
@@ -52,6 +51,7 @@
   readonly #logger: Logger;
   readonly #metrics = new ForwardMetrics({
     countLimited: () => this.#limitExchange.limits.all.length,
+    countResting: () => this.#limitExchange.rests.count,
     countParts: () => countByStatus(this.#crashExchange.guard.evidence.suspects),
     countDetours: () => this.#connector.detours,
     hasLostLinks: () => this.#connector.isLost,
@@ -161,6 +161,9 @@
       onPeerReturned: (host) => {
         this.#crashExchange.inform(host);
       },
+      onUpstreamLeaving: (upstream) => {
+        this.#view.recordLeaving(upstream);
+      },
     });
     this.#connector = new DetourConnector({
       ...{ clock, random: this.#random, logger, direct: links.connector },
@@ -184,7 +187,7 @@
     };
     this.#limitExchange = new LimitExchange(exchange);
     this.#crashExchange = new CrashExchange(exchange);
-    const { limits, quota } = this.#limitExchange;
+    const { limits, rests, quota } = this.#limitExchange;
     const transport = links.newTransport(this.#connector);
     const control = new LimitedControl(links.newControl(transport), quota);
     this.#forwarder = new Forwarder({
@@ -197,8 +200,11 @@
       },
       ...{ crashes: this.#crashTracker, transport, dialect, logger },
       retryBudget: this.#newRetryBudget(),
-      ...{ control, limits, quota, guard: this.#crashExchange.guard },
+      ...{ control, limits, rests, quota, guard: this.#crashExchange.guard },
       reservations: new ReservationManager({ clock, control, logger }),
+      onLeaving: (upstream) => {
+        this.#peerExchange.notifyLeaving(upstream);
+      },
       onEnd: (end) => {
         this.#metrics.onEnd(end);
       },
@@ -262,22 +268,16 @@
     this.#listener.startDrain(this.#settings.drainMs);
     this.#logger.info("drain started", { step: "stop", reason });
     const { drainMs } = this.#settings;
-    await sleep(this.#clock, Math.min(LISTENER_CLOSE_DELAY_MS, drainMs));
-    this.#listener.close();
-    while (this.#clock.now() - startMs < drainMs && this.#inFlight > 0) {
-      await sleep(this.#clock, DRAIN_POLL_MS);
-    }
+    await closeAndDrain({
+      ...{ clock: this.#clock, drainMs, listener: this.#listener },
+      countInFlight: () => this.#listener.requests + this.#connector.server.open,
+    });
     this.#logger.info("drain finished", {
       ...{ step: "stop", inFlight: this.#listener.requests },
       ...{ connections: this.#listener.connections, ms: Math.round(this.#clock.now() - startMs) },
     });
   }
 
-  /** Requests in progress, also those of peers whose connections this process relays. */
-  get #inFlight(): number {
-    return this.#listener.requests + this.#connector.server.open;
-  }
-
   /** Closes servers, sockets and sources without waiting for requests. */
   stop(): void {
     this.#listener.close();
--- a/packages/daemon/src/gateway/LimitExchange.ts
+++ b/packages/daemon/src/gateway/LimitExchange.ts
@@ -9,6 +9,7 @@
   type PeerTable,
   type QuotaAnswer,
   type Members,
+  UpstreamRests,
   type QuotaPeers,
 } from "@lycheepulley/forwarding";
 import { newRpcMethod, type DatagramChannel, type NodeServer } from "@lycheepulley/nodes";
@@ -45,6 +46,7 @@
 /** Exchanges the limits of upstreams and the quotas for sending to them with peers. */
 export class LimitExchange {
   readonly limits: UpstreamLimits;
+  readonly rests: UpstreamRests;
   readonly quota: SendQuota;
   readonly #clock: Clock;
   readonly #random: Random;
@@ -86,8 +88,11 @@
       },
     });
     this.#owner = new QuotaOwner({ clock, limits: this.limits, getMembers });
-    const { limits } = this;
-    this.quota = new SendQuota({ clock, limits, owner: this.#owner, peers, getMembers, logger });
+    this.rests = new UpstreamRests({ clock, random: options.random, logger });
+    this.quota = new SendQuota({
+      ...{ clock, limits: this.limits, rests: this.rests, owner: this.#owner, peers },
+      ...{ getMembers, logger },
+    });
   }
 
   start(server: NodeServer): void {
@@ -113,6 +118,7 @@
   /** Forgets upstreams that are no longer listed. */
   retain(ids: ReadonlySet<string>): void {
     this.limits.retain(ids);
+    this.rests.retain(ids);
     this.quota.retain(ids);
     this.#owner.retain(ids);
   }
--- a/packages/daemon/src/gateway/PeerExchange.ts
+++ b/packages/daemon/src/gateway/PeerExchange.ts
@@ -19,6 +19,7 @@
   loadBatchParser,
   loadChangeParser,
   MAX_GOSSIP_HOSTS,
+  upstreamLeavingSchema,
   type Heartbeat,
 } from "./peerMessages.js";
 
@@ -57,6 +58,7 @@
   readonly #getLoadTracker: () => LoadTracker;
   readonly #onPeerHeartbeat: (peer: PeerIdentity) => void;
   readonly #onPeerReturned: (host: string) => void;
+  readonly #onUpstreamLeaving: (upstream: string) => void;
   readonly #loadRelay: Batcher<RelayedChange>;
   readonly #heartbeatRelay: Batcher<{ heartbeat: Heartbeat; receivedMs: number }>;
   #beat = 0;
@@ -77,6 +79,8 @@
     onPeerHeartbeat: (peer: PeerIdentity) => void;
     /** Called when a peer may lack what was told since: it started, or was silent before. */
     onPeerReturned: (host: string) => void;
+    /** Called when an upstream told a peer that it leaves. */
+    onUpstreamLeaving: (upstream: string) => void;
   }) {
     this.#clock = options.clock;
     this.#channel = options.channel;
@@ -87,6 +91,7 @@
     this.#getLoadTracker = options.getLoadTracker;
     this.#onPeerHeartbeat = options.onPeerHeartbeat;
     this.#onPeerReturned = options.onPeerReturned;
+    this.#onUpstreamLeaving = options.onUpstreamLeaving;
     const { clock } = options;
     this.#loadRelay = new Batcher({
       ...{ clock, delayMs: LOAD_BATCH_MS, maxItems: MAX_LOAD_BATCH },
@@ -140,6 +145,9 @@
     this.#channel.handle("crash.strike", crashStrikeSchema, ({ fingerprint, upstream }) => {
       crashes.recordPeerCrash(fingerprint, upstream);
     });
+    this.#channel.handle("upstream.leaving", upstreamLeavingSchema, ({ upstream }) => {
+      this.#onUpstreamLeaving(upstream);
+    });
     this.#runHeartbeat();
   }
 
@@ -200,6 +208,11 @@
     );
   }
 
+  /** Reports to the peers that `upstream` said that it leaves. */
+  notifyLeaving(upstream: string): void {
+    this.#channel.notify("upstream.leaving", { upstream }, getHosts(this.#peers.getLive()));
+  }
+
   #runHeartbeat(): void {
     this.#sendHeartbeat();
     this.#peers.prune();
--- a/packages/daemon/src/gateway/metricsServer.test.ts
+++ b/packages/daemon/src/gateway/metricsServer.test.ts
@@ -14,7 +14,7 @@
     const logger = newSilentLogger();
     evidence = new CrashEvidence({ clock: new SystemClock(), logger, onNews: () => undefined });
     const metrics = new ForwardMetrics({
-      ...{ countDetours: () => 0, hasLostLinks: () => false },
+      ...{ countDetours: () => 0, countResting: () => 0, hasLostLinks: () => false },
       countLimited: () => 0,
       countParts: () => countByStatus(evidence.suspects),
     });
--- a/packages/daemon/src/gateway/peerMessages.ts
+++ b/packages/daemon/src/gateway/peerMessages.ts
@@ -53,6 +53,9 @@
 /** An upstream that broke off while it ran a request with this fingerprint. */
 export const crashStrikeSchema = z.object({ fingerprint: z.string(), upstream: z.string() });
 
+/** An upstream that said in an answer that it leaves. */
+export const upstreamLeavingSchema = z.object({ upstream: z.string() });
+
 type Fields = Readonly<Record<string, unknown>>;
 
 const isFields = (value: unknown): value is Fields =>
--- a/packages/forwarding/src/FleetView.ts
+++ b/packages/forwarding/src/FleetView.ts
@@ -16,6 +16,9 @@
   readonly left: readonly string[];
 }
 
+/** Upstreams remembered that said themselves that they leave, which their ids outlast by far. */
+const MAX_LEAVING = 4_096;
+
 const NO_CORRECTIONS: ListCorrections = { heldBack: new Set(), leaving: new Set() };
 
 /** Configuration and upstreams in force at this process. */
@@ -27,6 +30,8 @@
   #listedMs = 0;
   #listDigest = "";
   #isProvisional = false;
+  /** Upstreams that said in answers that they leave; the newest last. An id is never used again. */
+  readonly #saidLeaving = new Set<string>();
 
   /** Route table of the configuration in force; undefined before one is known. */
   get table(): RouteTable | undefined {
@@ -107,6 +112,22 @@
     return change;
   }
 
+  /**
+   * Records that an upstream said in an answer that it leaves, whatever lists say of it; false when that
+   * is known.
+   */
+  recordLeaving(id: string): boolean {
+    if (this.#saidLeaving.has(id)) {
+      return false;
+    }
+    this.#saidLeaving.add(id);
+    const [oldest] = this.#saidLeaving;
+    if (this.#saidLeaving.size > MAX_LEAVING && oldest !== undefined) {
+      this.#saidLeaving.delete(oldest);
+    }
+    return !(this.#upstreams.get(id)?.isLeaving ?? false);
+  }
+
   /** Records that the list in force is still current at `position`. */
   confirmList({ epoch, version }: ListPosition, atMs: number): void {
     if (isListBefore(this.#list, { epoch, version })) {
@@ -117,7 +138,9 @@
 
   /** Upstreams of a pool that accept new requests. */
   getAvailable(pool: string): readonly Upstream[] {
-    return (this.#byPool.get(pool) ?? []).filter(({ isLeaving }) => !isLeaving);
+    return (this.#byPool.get(pool) ?? []).filter(
+      ({ id, isLeaving }) => !isLeaving && !this.#saidLeaving.has(id),
+    );
   }
 }
 
--- a/packages/forwarding/src/ForwardJob.ts
+++ b/packages/forwarding/src/ForwardJob.ts
@@ -11,11 +11,7 @@
 import { PlacementFailure, type Placement, type Placer } from "./Placer.js";
 import { getDeadlineAtMs, pickPool } from "./sendParameters.js";
 import { SendFeedback } from "./SendFeedback.js";
-import {
-  getRetryAfterMs,
-  NO_UPSTREAM_RETRY_AFTER_MS,
-  REJECTED_RETRY_AFTER_MS,
-} from "./retryAfter.js";
+import { getRetryAfterMs, NO_UPSTREAM_RETRY_AFTER_MS } from "./retryAfter.js";
 import type { FailedPlan, JobEvent, LiveSend } from "./liveSend.js";
 import type { SendPlanner } from "./SendPlanner.js";
 import { SendRunner, type SendObserver } from "./SendRunner.js";
@@ -299,7 +295,7 @@
         this.#final.deliver(outcome);
         return;
       case NextStep.Reject:
-        this.#final.reject(outcome.reason, REJECTED_RETRY_AFTER_MS);
+        this.#final.reject(outcome.reason, this.#placer.getReturnMs(this.#pool));
         return;
       case NextStep.Fail:
         this.#final.fail(outcome);
--- a/packages/forwarding/src/Placer.ts
+++ b/packages/forwarding/src/Placer.ts
@@ -8,10 +8,9 @@
 import { estimateValue } from "./lateness.js";
 import { QuotaQueue } from "./limits/QuotaQueue.js";
 import type { SendQuota } from "./limits/SendQuota.js";
-import { LoadPhase, newUpstreamLoad, type LoadItem } from "./load.js";
+import { newUpstreamLoad } from "./load.js";
 import type { LoadTracker } from "./LoadTracker.js";
 import {
-  isExpectedLate,
   isForOneUpstream,
   pickServiceUpstream,
   planPlacement,
@@ -19,6 +18,8 @@
   type PlacementPlan,
   type PlacementRequest,
 } from "./placement.js";
+import { CALL_LOAD, DEFAULT_GAP_MS, getKvTokens, getPromptLoad } from "./requestLoad.js";
+import { getRetryAfterMs, REJECTED_RETRY_AFTER_MS } from "./retryAfter.js";
 import { selectCandidates } from "./selectCandidates.js";
 import { selectSeparate } from "./selectSeparate.js";
 import type { ForwardRequest } from "./types.js";
@@ -26,8 +27,6 @@
 
 /** Interval at which a prompt that waits for KV memory is planned again. */
 const REPLAN_INTERVAL_MS = 15;
-/** Gap objective assumed for routes that state none. */
-const DEFAULT_GAP_MS = 1_000;
 
 /** Upstream that one request is sent to; `plan` and `request` are set for prompts only. */
 export interface Placement {
@@ -108,6 +107,12 @@
     }
   }
 
+  /** Time after which a request that its upstreams turned away should come back, milliseconds. */
+  getReturnMs(pool: string): number {
+    const openInMs = this.getRoomMs(pool, PlacementFailure.Limited) ?? 0;
+    return openInMs > 0 ? getRetryAfterMs(openInMs, this.#random) : REJECTED_RETRY_AFTER_MS;
+  }
+
   /** True while an upstream has prompts to prefill. */
   isPrefilling(upstreamId: string): boolean {
     return (this.#loadTracker.getLoads().get(upstreamId)?.pendingReadMs ?? 0) > 0;
@@ -300,31 +305,6 @@
   return now >= deadlineAtMs ? PlacementFailure.TimeOver : undefined;
 };
 
-type RequestLoad = Omit<LoadItem, "id" | "pool" | "upstream" | "kvTokens">;
-
-/** Load of a call to a plain service, which has no phases, parts or events. */
-const CALL_LOAD: RequestLoad = {
-  ...{ phase: LoadPhase.Writing, helpers: [], readMs: 0, heldTokens: [], value: 1 },
-  ...{ maxGapMs: DEFAULT_GAP_MS, targetLeftMs: 0, deadlineLeftMs: 0, isLate: false },
-};
-
-const getPromptLoad = (plan: PlacementPlan, request: PlacementRequest): RequestLoad => ({
-  phase: LoadPhase.Reading,
-  helpers: plan.helpers.map(({ id }) => id),
-  readMs: Math.ceil(plan.readMs),
-  heldTokens: [...plan.heldTokens],
-  maxGapMs: request.maxGapMs,
-  targetLeftMs: Math.round(request.targetLeftMs),
-  deadlineLeftMs: Math.round(request.deadlineLeftMs),
-  value: Number(request.value.toFixed(2)),
-  isLate: isExpectedLate(plan, request),
-});
-
-const getKvTokens = (req: ForwardRequest, plan: PlacementPlan | undefined): number => {
-  const held = plan?.heldTokens.reduce((sum, tokens) => sum + tokens, 0) ?? 0;
-  return Math.max(0, req.head.promptTokens + req.head.outputTokens - held);
-};
-
 /** True when the caller resumes a stream of which it has events, perhaps from another process. */
 const isResumed = ({ head, route }: ForwardRequest): boolean =>
   route.isResumable && head.lastEventId !== undefined;
--- a/packages/forwarding/src/RequestLog.ts
+++ b/packages/forwarding/src/RequestLog.ts
@@ -98,6 +98,12 @@
     });
   }
 
+  logLeaving(peer: string): void {
+    this.#logger.info("upstream leaves", {
+      ...{ requestId: this.#req.head.attemptId, step: "membership", peer, from: "answer" },
+    });
+  }
+
   logUnreadableLimit(peer: string, value: string): void {
     this.#logger.warn("upstream limit unreadable", {
       ...{ requestId: this.#req.head.attemptId, step: "limit", peer },
--- a/packages/forwarding/src/SendFeedback.ts
+++ b/packages/forwarding/src/SendFeedback.ts
@@ -41,9 +41,16 @@
     this.#recordFailure(id, UpstreamResult.Unreachable, reason);
   }
 
-  /** Records the limit that the head of an answer names, or its lack; the request went out at `sentMs`. */
+  /** Records what the head of an answer says of its upstream; the request went out at `sentMs`. */
   recordHead({ id }: Upstream, sentMs: number, facts: AnswerFacts): void {
-    const { limits, clock } = this.#deps;
+    const { limits, clock, rests, view, onLeaving } = this.#deps;
+    if (facts.isLeaving && view.recordLeaving(id)) {
+      this.#log.logLeaving(id);
+      onLeaving(id);
+    }
+    if (facts.restMs !== undefined) {
+      rests.record(id, facts.restMs);
+    }
     if (facts.unreadableLimit !== undefined) {
       this.#log.logUnreadableLimit(id, facts.unreadableLimit);
     }
--- a/packages/forwarding/src/forwardDependencies.ts
+++ b/packages/forwarding/src/forwardDependencies.ts
@@ -6,6 +6,7 @@
 import type { FleetView } from "./FleetView.js";
 import type { SendQuota } from "./limits/SendQuota.js";
 import type { UpstreamLimits } from "./limits/UpstreamLimits.js";
+import type { UpstreamRests } from "./limits/UpstreamRests.js";
 import type { LoadTracker } from "./LoadTracker.js";
 import type { RetryBudget } from "./RetryBudget.js";
 import type { ReservationManager } from "./ReservationManager.js";
@@ -31,6 +32,7 @@
   readonly loadTracker: LoadTracker;
   readonly health: UpstreamHealth;
   readonly limits: UpstreamLimits;
+  readonly rests: UpstreamRests;
   readonly quota: SendQuota;
   readonly retryBudget: RetryBudget;
   readonly crashes: CrashTracker;
@@ -40,5 +42,7 @@
   readonly transport: UpstreamTransport;
   readonly dialect: Dialect;
   readonly logger: Logger;
+  /** Called when an upstream says for the first time that it is about to end. */
+  readonly onLeaving: (upstream: string) => void;
   readonly onEnd: (end: ForwardSummary) => void;
 }
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -18,6 +18,7 @@
 export * from "./limits/QuotaOwner.js";
 export * from "./limits/SendQuota.js";
 export * from "./limits/UpstreamLimits.js";
+export * from "./limits/UpstreamRests.js";
 export * from "./load.js";
 export * from "./LoadTracker.js";
 export * from "./relays.js";
--- a/packages/forwarding/src/limits/LimitedControl.ts
+++ b/packages/forwarding/src/limits/LimitedControl.ts
@@ -2,7 +2,7 @@
 import type { UpstreamControl } from "../types.js";
 import type { SendQuota } from "./SendQuota.js";
 
-/** Counts the orders to upstreams with limits, and spares these upstreams the probes. */
+/** Counts the orders to upstreams with limits, and spares these and resting ones the probes. */
 export class LimitedControl implements UpstreamControl {
   readonly #control: UpstreamControl;
   readonly #quota: SendQuota;
@@ -14,7 +14,7 @@
 
   /** A limited upstream is taken to be alive; it is replaced after the longer time-out. */
   isAlive(upstream: Upstream): Promise<boolean> {
-    return this.#quota.isLimited(upstream.id)
+    return this.#quota.isLimited(upstream.id) || this.#quota.isResting(upstream.id)
       ? Promise.resolve(true)
       : this.#control.isAlive(upstream);
   }
@@ -23,10 +23,14 @@
     upstream: Upstream,
     reservation: Parameters<UpstreamControl["reserve"]>[1],
   ): Promise<boolean> {
+    if (this.#quota.isResting(upstream.id)) {
+      return Promise.resolve(false);
+    }
     this.#quota.charge(upstream.id);
     return this.#control.reserve(upstream, reservation);
   }
 
+  /** Goes to a resting upstream too, which has its memory back sooner. */
   release(upstream: Upstream, reservationId: string): Promise<void> {
     this.#quota.charge(upstream.id);
     return this.#control.release(upstream, reservationId);
--- a/packages/forwarding/src/limits/QuotaQueue.ts
+++ b/packages/forwarding/src/limits/QuotaQueue.ts
@@ -23,9 +23,11 @@
     this.#quota = quota;
   }
 
-  /** Time until one of the upstreams may take another send, milliseconds. */
+  /** Time until one of the upstreams may take another send, milliseconds; 0 without upstreams. */
   getOpenInMs(upstreams: readonly string[]): number {
-    return Math.min(...upstreams.map((id) => this.#quota.getOpenInMs(id)));
+    return upstreams.length === 0
+      ? 0
+      : Math.min(...upstreams.map((id) => this.#quota.getOpenInMs(id)));
   }
 
   /** Resolves with true when it's time to ask again, and with false at once when that would be too late. */
--- a/packages/forwarding/src/limits/SendQuota.ts
+++ b/packages/forwarding/src/limits/SendQuota.ts
@@ -4,6 +4,7 @@
 import { pickOwner, type Members } from "../members.js";
 import type { QuotaAnswer, QuotaOwner } from "./QuotaOwner.js";
 import type { KnownLimit, UpstreamLimits } from "./UpstreamLimits.js";
+import type { UpstreamRests } from "./UpstreamRests.js";
 
 /** Time after which an owner that didn't answer is asked again. */
 const NO_ANSWER_RETRY_MS = 500;
@@ -20,10 +21,14 @@
   charge(host: string, limit: KnownLimit): void;
 }
 
-/** Decides whether this process may send to an upstream, by the quotas that all processes share. */
+/**
+ * Decides whether this process may send to an upstream now, and if not, from when on: by the rests that
+ * it was asked for and by the quotas that all processes share.
+ */
 export class SendQuota {
   readonly #clock: Clock;
   readonly #limits: UpstreamLimits;
+  readonly #rests: UpstreamRests;
   readonly #owner: QuotaOwner;
   readonly #peers: QuotaPeers;
   readonly #getMembers: () => Members;
@@ -34,6 +39,7 @@
   constructor(options: {
     clock: Clock;
     limits: UpstreamLimits;
+    rests: UpstreamRests;
     owner: QuotaOwner;
     peers: QuotaPeers;
     getMembers: () => Members;
@@ -41,17 +47,22 @@
   }) {
     this.#clock = options.clock;
     this.#limits = options.limits;
+    this.#rests = options.rests;
     this.#owner = options.owner;
     this.#peers = options.peers;
     this.#getMembers = options.getMembers;
     this.#logger = options.logger;
   }
 
-  /** True unless the upstream's quota was used up when this process last asked. */
+  /** True unless the upstream rests, or its quota was used up when this process last asked. */
   isOpen(upstream: string): boolean {
     return this.getOpenInMs(upstream) <= 0;
   }
 
+  isResting(upstream: string): boolean {
+    return this.#rests.getLeftMs(upstream) > 0;
+  }
+
   isLimited(upstream: string): boolean {
     return this.#limits.get(upstream) !== undefined;
   }
@@ -59,7 +70,7 @@
   /** Time after which sends to the upstream may be had again, milliseconds. */
   getOpenInMs(upstream: string): number {
     const untilMs = this.isLimited(upstream) ? this.#closedUntilMs.get(upstream) : undefined;
-    return Math.max(0, (untilMs ?? 0) - this.#clock.now());
+    return Math.max(this.#rests.getLeftMs(upstream), (untilMs ?? 0) - this.#clock.now());
   }
 
   /** How far to avoid an upstream because of its limit, 0 to 1. */
--- a/packages/forwarding/src/limits/quotas.test.ts
+++ b/packages/forwarding/src/limits/quotas.test.ts
@@ -2,6 +2,7 @@
 import { newSilentLogger } from "@lycheepulley/telemetry";
 
 import { ManualClock } from "../testing/ManualClock.js";
+import { newRests } from "../testing/newLoneSendQuota.js";
 import { pickOwner, type Members } from "../members.js";
 import { QuotaOwner } from "./QuotaOwner.js";
 import { QuotaQueue } from "./QuotaQueue.js";
@@ -35,7 +36,8 @@
     };
     this.limits = limits;
     this.owner = owner;
-    this.quota = new SendQuota({ clock, limits, owner, peers, getMembers, logger });
+    const rests = newRests(clock);
+    this.quota = new SendQuota({ clock, limits, rests, owner, peers, getMembers, logger });
   }
 
   name(upstream: string, perSecond: number | undefined, sentMs: number): void {
--- a/packages/forwarding/src/testing/FakeUpstreams.ts
+++ b/packages/forwarding/src/testing/FakeUpstreams.ts
@@ -74,8 +74,11 @@
   readAnswer(_req: unknown, head: { headers: HeaderList }): ReturnType<Dialect["readAnswer"]> {
     const { headers } = head;
     const limitAt = headers.indexOf("limit");
+    const restAt = headers.indexOf("rest-ms");
     return {
       limitPerSecond: limitAt < 0 ? undefined : Number(headers[limitAt + 1]),
+      isLeaving: headers.includes("leaving"),
+      restMs: restAt < 0 ? undefined : Number(headers[restAt + 1]),
       isValid: !headers.includes("forged"),
       isNotRun: headers.includes("not-run"),
       faultAddress: undefined,
--- a/packages/forwarding/src/testing/ForwarderHarness.ts
+++ b/packages/forwarding/src/testing/ForwarderHarness.ts
@@ -10,7 +10,7 @@
 import { FakeCaller, FakeDialect, FakeTransport } from "./FakeUpstreams.js";
 import { ManualClock } from "./ManualClock.js";
 import { newLoneGuard } from "./newLoneGuard.js";
-import { newLoneSendQuota } from "./newLoneSendQuota.js";
+import { newLoneSendQuota, newRests } from "./newLoneSendQuota.js";
 import { newConfig, newItem, newRoute, newUpstream } from "./samples.js";
 import { ReservationManager } from "../ReservationManager.js";
 import type { Dialect } from "../types.js";
@@ -37,7 +37,10 @@
   readonly limits = new UpstreamLimits({
     ...{ clock: this.clock, logger: newSilentLogger(), onOwnChange: () => undefined },
   });
-  readonly quota = newLoneSendQuota(this.clock, this.limits);
+  readonly rests = newRests(this.clock);
+  readonly quota = newLoneSendQuota(this.clock, this.limits, this.rests);
+  /** Upstreams of which the peers are told that they leave. */
+  readonly toldLeaving: string[] = [];
   readonly guard = newLoneGuard(this.clock);
   /** Shared parts of the prompts that this harness sends. */
   sharedParts: readonly string[] = [];
@@ -73,7 +76,10 @@
       random: new SeededRandom(1),
       health: new UpstreamHealth(clock),
       limits: this.limits,
-      quota: this.quota,
+      ...{ rests: this.rests, quota: this.quota },
+      onLeaving: (upstream) => {
+        this.toldLeaving.push(upstream);
+      },
       retryBudget: this.#retryBudget,
       crashes: this.#crashes,
       guard: this.guard,
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -81,6 +81,10 @@
   readonly hasLength: boolean;
   /** Requests a second that the upstream takes from all processes; undefined when it names no limit. */
   readonly limitPerSecond: number | undefined;
+  /** The upstream is about to end, and takes no new requests after its drain time. */
+  readonly isLeaving?: boolean;
+  /** Time for which the upstream wants no requests from this process, milliseconds. */
+  readonly restMs?: number | undefined;
   /** A limit that can't be read, as it was sent. */
   readonly unreadableLimit?: string | undefined;
 }
--- a/packages/simulation/src/SimulatedGateway.ts
+++ b/packages/simulation/src/SimulatedGateway.ts
@@ -13,6 +13,7 @@
   TrialOwner,
   UpstreamHealth,
   UpstreamLimits,
+  UpstreamRests,
   type AnswerWriter,
   type CrashReport,
   type FleetConfig,
@@ -81,11 +82,12 @@
     this.#view.applyConfig(options.config);
     const logger = newSilentLogger();
     const limits = new UpstreamLimits({ clock, logger, onOwnChange: options.onLimitChange });
+    const rests = new UpstreamRests({ clock, random, logger });
     const { getMembers } = options;
     this.#limits = limits;
     this.#quotaOwner = new QuotaOwner({ clock, limits, getMembers });
     const quota = new SendQuota({
-      ...{ clock, limits, owner: this.#quotaOwner, peers: options.quotaPeers },
+      ...{ clock, limits, rests, owner: this.#quotaOwner, peers: options.quotaPeers },
       ...{ getMembers, logger },
     });
     const evidence = new CrashEvidence({ clock, logger, onNews: options.onCrashNews });
@@ -103,7 +105,8 @@
         getProcessCount: () => options.processes,
       }),
       crashes: new CrashTracker({ clock, onCrash: () => undefined }),
-      ...{ limits, quota, guard },
+      ...{ limits, rests, quota, guard },
+      onLeaving: () => undefined,
       reservations: new ReservationManager({ clock, control, logger }),
       onEnd: () => undefined,
     });
--- a/packages/telemetry/src/ForwardMetrics.ts
+++ b/packages/telemetry/src/ForwardMetrics.ts
@@ -18,11 +18,13 @@
    */
   constructor({
     countLimited,
+    countResting,
     countParts,
     countDetours,
     hasLostLinks,
   }: {
     countLimited: () => number;
+    countResting: () => number;
     countParts: () => Readonly<Record<string, number>>;
     countDetours: () => number;
     hasLostLinks: () => boolean;
@@ -53,6 +55,14 @@
         this.set(countLimited());
       },
     });
+    new Gauge({
+      name: "lycheepulley_resting_upstreams",
+      help: "Upstreams that want no requests from this process for some time",
+      registers,
+      collect() {
+        this.set(countResting());
+      },
+    });
     new Gauge({
       name: "lycheepulley_upstream_links_lost",
       help: "1 while this process reaches no upstream itself and connects through peers",
