--- a/packages/cli/src/commands/faultSoak.ts
+++ b/packages/cli/src/commands/faultSoak.ts
@@ -18,6 +18,7 @@
       help: "Duration of the load, seconds",
     },
     crashes: { type: "boolean", help: "Parts of prompts crash engines, too" },
+    notices: { type: "boolean", help: "Workers ask for rest and say that they leave, too" },
     json: JSON_FLAG,
   },
   example: "lycheepulley fault-soak --seed 3 --seconds 20",
@@ -26,6 +27,7 @@
       seed: ctx.getNumber("seed"),
       seconds: ctx.getNumber("seconds"),
       hasCrashes: ctx.getBoolean("crashes"),
+      hasNotices: ctx.getBoolean("notices"),
     });
     if (ctx.getBoolean("json")) {
       ctx.printJson(report);
