Probe upstreams that failed, and tell the peers of dead ones

Cause: each process learned by itself that an upstream was dead, and lost a request or two there: a dead one seems idle and is the first choice of all.

Change: UpstreamWatch connects to an upstream that couldn't be reached, was silent or is named as at fault, tells the peers once when it accepts no connection, and keeps it out until it does. A peer leaves a reported upstream out for 450 ms while it looks itself, so an accuser that is cut off does little harm. Silent streams are probed after 400 ms in place of 700.

--- a/packages/daemon/src/gateway/DetourConnector.ts
+++ b/packages/daemon/src/gateway/DetourConnector.ts
@@ -50,7 +50,7 @@
     this.#peers = new DetourPeers({ clock, random, getHosts: options.getPeerHosts });
     this.#monitor = new UplinkMonitor({
       ...{ clock, random, logger, getUpstreams, onChange },
-      probe: (upstream) => this.#probe(upstream),
+      probe: (upstream) => accepts(this.#direct, upstream),
     });
     this.server = new RelayServer({
       mayRelay: ({ host, port }) =>
@@ -126,12 +126,17 @@
     throw lastErr;
   }
 
-  async #probe(upstream: Upstream): Promise<boolean> {
-    try {
-      (await this.#direct.connect(upstream, PROBE_TIMEOUT_MS)).destroy();
-      return true;
-    } catch {
-      return false;
-    }
+  /** True when an upstream accepts a connection, through a peer while the own links are lost. */
+  accepts(upstream: UpstreamAddress): Promise<boolean> {
+    return accepts(this, upstream);
   }
 }
+
+const accepts = async (connector: Connector, upstream: UpstreamAddress): Promise<boolean> => {
+  try {
+    (await connector.connect(upstream, PROBE_TIMEOUT_MS)).destroy();
+    return true;
+  } catch {
+    return false;
+  }
+};
--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -5,16 +5,16 @@
   FleetView,
   Forwarder,
   getEpoch,
+  getPeerState,
   LoadTracker,
-  PeerState,
   PeerTable,
   ReaderSelection,
-  RetryBudget,
   sample,
   ReservationManager,
   UpstreamHealth,
   LimitedControl,
   UpstreamListTracker,
+  UpstreamWatch,
   type Dialect,
   type FleetConfig,
   type PeerIdentity,
@@ -32,13 +32,11 @@
 import { LimitExchange } from "./LimitExchange.js";
 import { countByStatus, newMetricsServer } from "./metricsServer.js";
 import { PeerCalls } from "./PeerCalls.js";
+import { newRetryBudget } from "./newRetryBudget.js";
 import { PeerExchange } from "./PeerExchange.js";
 import { SourceFeed } from "./SourceFeed.js";
 import type { GatewaySettings, GatewaySources } from "./types.js";
 
-/** Processes assumed besides the live peers when the retry budget is divided. */
-const ASSUMED_EXTRA_PROCESSES = 3;
-
 /** Time that a request waits for the answer of a process that owns a quota or a trial. */
 const OWNER_TIMEOUT_MS = 80;
 
@@ -70,6 +68,7 @@
   readonly #limitExchange: LimitExchange;
   readonly #crashExchange: CrashExchange;
   readonly #crashTracker: CrashTracker;
+  readonly #watch: UpstreamWatch;
   readonly #forwarder: Forwarder;
   readonly #listener: ForwardServer;
   readonly #metricsServer: HttpServer;
@@ -164,6 +163,9 @@
       onUpstreamLeaving: (upstream) => {
         this.#view.recordLeaving(upstream);
       },
+      onUpstreamDead: (upstream, host) => {
+        this.#watch.recordPeer(upstream, host);
+      },
     });
     this.#connector = new DetourConnector({
       ...{ clock, random: this.#random, logger, direct: links.connector },
@@ -190,6 +192,13 @@
     const { limits, rests, quota } = this.#limitExchange;
     const transport = links.newTransport(this.#connector);
     const control = new LimitedControl(links.newControl(transport), quota);
+    this.#watch = new UpstreamWatch({
+      ...{ clock, random: this.#random, view: this.#view, health: this.#health, logger },
+      probe: (upstream) => this.#connector.accepts(upstream),
+      tellPeers: (upstream) => {
+        this.#peerExchange.notifyUpstream("dead", upstream);
+      },
+    });
     this.#forwarder = new Forwarder({
       ...{
         clock,
@@ -197,13 +206,14 @@
         view: this.#view,
         loadTracker,
         health: this.#health,
+        watch: this.#watch,
       },
       ...{ crashes: this.#crashTracker, transport, dialect, logger },
-      retryBudget: this.#newRetryBudget(),
+      retryBudget: newRetryBudget(settings, clock, this.#peers),
       ...{ control, limits, rests, quota, guard: this.#crashExchange.guard },
       reservations: new ReservationManager({ clock, control, logger }),
       onLeaving: (upstream) => {
-        this.#peerExchange.notifyLeaving(upstream);
+        this.#peerExchange.notifyUpstream("leaving", upstream);
       },
       onEnd: (end) => {
         this.#metrics.onEnd(end);
@@ -316,32 +326,16 @@
     return hasChanged;
   }
 
-  #newRetryBudget(): RetryBudget {
-    const { retryRatio, retryWindowMs, retrySlack } = this.#settings;
-    return new RetryBudget({
-      clock: this.#clock,
-      limits: { ratio: retryRatio, windowMs: retryWindowMs, slack: retrySlack },
-      getProcessCount: () => this.#peers.getLive().length + ASSUMED_EXTRA_PROCESSES,
-    });
-  }
-
   #getIdentity(): Omit<PeerIdentity, "beatMs"> {
     const { host, failureDomain, capacity, callerPort } = this.#settings;
     return {
       ...{ host, failureDomain, capacity, incarnation: this.#incarnation },
       callerAddress: `${host}:${String(callerPort)}`,
-      state: this.#getState(),
+      state: getPeerState({ isReady: this.isReady, isDraining: this.#isDraining }),
       revision: this.#view.revision,
       ...{ listEpoch: this.#view.list.epoch, listVersion: this.#view.list.version },
       listDigest: this.#view.listDigest,
       reads: this.#readerSelection.getAges(),
     };
   }
-
-  #getState(): PeerState {
-    if (this.#isDraining) {
-      return PeerState.Leaving;
-    }
-    return this.isReady ? PeerState.Live : PeerState.Joining;
-  }
 }
--- a/packages/daemon/src/gateway/PeerExchange.ts
+++ b/packages/daemon/src/gateway/PeerExchange.ts
@@ -19,7 +19,7 @@
   loadBatchParser,
   loadChangeParser,
   MAX_GOSSIP_HOSTS,
-  upstreamLeavingSchema,
+  upstreamNewsSchema,
   type Heartbeat,
 } from "./peerMessages.js";
 
@@ -59,6 +59,7 @@
   readonly #onPeerHeartbeat: (peer: PeerIdentity) => void;
   readonly #onPeerReturned: (host: string) => void;
   readonly #onUpstreamLeaving: (upstream: string) => void;
+  readonly #onUpstreamDead: (upstream: string, host: string) => void;
   readonly #loadRelay: Batcher<RelayedChange>;
   readonly #heartbeatRelay: Batcher<{ heartbeat: Heartbeat; receivedMs: number }>;
   #beat = 0;
@@ -81,6 +82,8 @@
     onPeerReturned: (host: string) => void;
     /** Called when an upstream told a peer that it leaves. */
     onUpstreamLeaving: (upstream: string) => void;
+    /** Called when the peer `host` found an upstream dead. */
+    onUpstreamDead: (upstream: string, host: string) => void;
   }) {
     this.#clock = options.clock;
     this.#channel = options.channel;
@@ -92,6 +95,7 @@
     this.#onPeerHeartbeat = options.onPeerHeartbeat;
     this.#onPeerReturned = options.onPeerReturned;
     this.#onUpstreamLeaving = options.onUpstreamLeaving;
+    this.#onUpstreamDead = options.onUpstreamDead;
     const { clock } = options;
     this.#loadRelay = new Batcher({
       ...{ clock, delayMs: LOAD_BATCH_MS, maxItems: MAX_LOAD_BATCH },
@@ -145,9 +149,12 @@
     this.#channel.handle("crash.strike", crashStrikeSchema, ({ fingerprint, upstream }) => {
       crashes.recordPeerCrash(fingerprint, upstream);
     });
-    this.#channel.handle("upstream.leaving", upstreamLeavingSchema, ({ upstream }) => {
+    this.#channel.handle("upstream.leaving", upstreamNewsSchema, ({ upstream }) => {
       this.#onUpstreamLeaving(upstream);
     });
+    this.#channel.handle("upstream.dead", upstreamNewsSchema, ({ upstream }, host) => {
+      this.#onUpstreamDead(upstream, host);
+    });
     this.#runHeartbeat();
   }
 
@@ -208,9 +215,9 @@
     );
   }
 
-  /** Reports to the peers that `upstream` said that it leaves. */
-  notifyLeaving(upstream: string): void {
-    this.#channel.notify("upstream.leaving", { upstream }, getHosts(this.#peers.getLive()));
+  /** Tells the peers what this process found out about an upstream. */
+  notifyUpstream(news: "leaving" | "dead", upstream: string): void {
+    this.#channel.notify(`upstream.${news}`, { upstream }, getHosts(this.#peers.getLive()));
   }
 
   #runHeartbeat(): void {
--- a/packages/daemon/src/gateway/peerMessages.ts
+++ b/packages/daemon/src/gateway/peerMessages.ts
@@ -53,8 +53,8 @@
 /** An upstream that broke off while it ran a request with this fingerprint. */
 export const crashStrikeSchema = z.object({ fingerprint: z.string(), upstream: z.string() });
 
-/** An upstream that said in an answer that it leaves. */
-export const upstreamLeavingSchema = z.object({ upstream: z.string() });
+/** What a process found out about an upstream: it said that it leaves, or it is dead. */
+export const upstreamNewsSchema = z.object({ upstream: z.string() });
 
 type Fields = Readonly<Record<string, unknown>>;
 
--- a/packages/forwarding/src/PeerTable.ts
+++ b/packages/forwarding/src/PeerTable.ts
@@ -10,6 +10,14 @@
 } as const;
 export type PeerState = (typeof PeerState)[keyof typeof PeerState];
 
+/** State of a process that has what it needs to serve callers, or is about to end. */
+export const getPeerState = (own: { isReady: boolean; isDraining: boolean }): PeerState => {
+  if (own.isDraining) {
+    return PeerState.Leaving;
+  }
+  return own.isReady ? PeerState.Live : PeerState.Joining;
+};
+
 /** Age of a process's newest reads of its sources, milliseconds; absent before the first one. */
 export interface ReadAges {
   readonly configMs?: number | undefined;
--- a/packages/forwarding/src/SendFeedback.ts
+++ b/packages/forwarding/src/SendFeedback.ts
@@ -83,6 +83,10 @@
     const isLost = result === SendResult.Unsent || result === SendResult.Broken;
     const healthResult = isLost ? UpstreamResult.Unreachable : UpstreamResult.Failed;
     this.#recordFailure(faulty.id, healthResult, reason);
+    if (faulty !== upstream) {
+      // Its part of a prompt isn't prefilled: it is full, leaves or is dead, and no status tells which.
+      this.#deps.watch.suspect(faulty.id);
+    }
   }
 
   #recordCrash(id: string, reason: string): void {
@@ -104,5 +108,8 @@
     if (this.#deps.health.record(id, result)) {
       this.#log.logEjection(id, reason);
     }
+    if (result === UpstreamResult.Unreachable) {
+      this.#deps.watch.suspect(id);
+    }
   }
 }
--- a/packages/forwarding/src/UpstreamHealth.ts
+++ b/packages/forwarding/src/UpstreamHealth.ts
@@ -83,6 +83,22 @@
     return active.length >= upstreams.length * (1 - MAX_EJECTED_SHARE) ? active : upstreams;
   }
 
+  /** Ejects an upstream for at least `forMs` from now. */
+  eject(id: string, forMs: number): void {
+    const now = this.#clock.now();
+    const record = this.#getDecayed(id, now);
+    record.ejectedUntilMs = Math.max(record.ejectedUntilMs, now + forMs);
+  }
+
+  /** Ends the ejection of an upstream that proved to be alive. */
+  lift(id: string): void {
+    const record = this.#records.get(id);
+    if (record) {
+      record.ejectedUntilMs = 0;
+      record.ejectionMs = 0;
+    }
+  }
+
   /** Drops all records, after failures whose cause was not at the upstreams. */
   reset(): void {
     this.#records.clear();
--- a/packages/forwarding/src/forwardDependencies.ts
+++ b/packages/forwarding/src/forwardDependencies.ts
@@ -12,6 +12,7 @@
 import type { ReservationManager } from "./ReservationManager.js";
 import type { Dialect, UpstreamControl, UpstreamTransport } from "./types.js";
 import type { UpstreamHealth } from "./UpstreamHealth.js";
+import type { UpstreamWatch } from "./UpstreamWatch.js";
 
 /** How a forwarded request ended, for metrics. */
 export interface ForwardSummary {
@@ -31,6 +32,7 @@
   readonly view: FleetView;
   readonly loadTracker: LoadTracker;
   readonly health: UpstreamHealth;
+  readonly watch: UpstreamWatch;
   readonly limits: UpstreamLimits;
   readonly rests: UpstreamRests;
   readonly quota: SendQuota;
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -36,5 +36,6 @@
 export * from "./uplink/UplinkMonitor.js";
 export * from "./UpstreamHealth.js";
 export * from "./UpstreamListTracker.js";
+export * from "./UpstreamWatch.js";
 export * from "./PeerTable.js";
 export * from "./ReaderSelection.js";
--- a/packages/forwarding/src/sendParameters.ts
+++ b/packages/forwarding/src/sendParameters.ts
@@ -10,7 +10,7 @@
 
 /** Shortest stalls before the first event and between events after which an upstream is probed. */
 const MIN_FIRST_PROBE_MS = 700;
-const MIN_GAP_PROBE_MS = 700;
+const MIN_GAP_PROBE_MS = 400;
 /** Stall before the first event that is tolerated, as a multiple of the expected time. */
 const FIRST_EVENT_FACTOR = 2;
 /** A stalled call is sent to another upstream after a multiple of its latency objective, but not before the minimum. */
--- a/packages/forwarding/src/testing/ForwarderHarness.ts
+++ b/packages/forwarding/src/testing/ForwarderHarness.ts
@@ -15,6 +15,7 @@
 import { ReservationManager } from "../ReservationManager.js";
 import type { Dialect } from "../types.js";
 import { UpstreamHealth } from "../UpstreamHealth.js";
+import { UpstreamWatch } from "../UpstreamWatch.js";
 
 export const STREAM: Partial<Route> = { isStream: true, isResumable: true, maxGapMs: 250 };
 export const SAFE: Partial<Route> = { repeat: "idempotent", targetMs: 150, timeoutMs: 1_000 };
@@ -71,10 +72,11 @@
       limits: { ratio: 0.2, windowMs: 10_000, slack: 100 },
       getProcessCount: () => 6,
     });
+    const health = new UpstreamHealth(clock);
     this.#forwarder = new Forwarder({
       ...{ clock, transport, dialect, view, loadTracker, logger, control },
       random: new SeededRandom(1),
-      health: new UpstreamHealth(clock),
+      ...{ health, watch: this.#newWatch(health) },
       limits: this.limits,
       ...{ rests: this.rests, quota: this.quota },
       onLeaving: (upstream) => {
@@ -88,6 +90,14 @@
     });
   }
 
+  #newWatch(health: UpstreamHealth): UpstreamWatch {
+    return new UpstreamWatch({
+      ...{ clock: this.clock, random: new SeededRandom(1), view: this.view, health },
+      probe: () => Promise.resolve(this.isUpstreamAlive),
+      ...{ logger: newSilentLogger(), tellPeers: () => undefined },
+    });
+  }
+
   /** Has another request's prompt wait for its prefill at an upstream. */
   addPrefill(upstream: string): void {
     this.loadTracker.setOwn(newItem("other", { upstream, phase: "reading", readMs: 5_000 }));
--- a/packages/simulation/src/GatewayNetwork.ts
+++ b/packages/simulation/src/GatewayNetwork.ts
@@ -88,6 +88,12 @@
     });
   }
 
+  sendDead(from: string, upstream: string): void {
+    this.#broadcast(from, (gateway) => {
+      gateway.applyPeerDead(from, upstream);
+    });
+  }
+
   sendLimit(from: string, report: LimitReport): void {
     this.#broadcast(from, (gateway) => {
       gateway.applyPeerLimit(from, report);
--- a/packages/simulation/src/SimulatedFleet.ts
+++ b/packages/simulation/src/SimulatedFleet.ts
@@ -173,6 +173,9 @@
         ...{ name, clock: this.#clock, random: this.#random, config: this.#config, transport },
         ...{ control: this.#newControl(), processes: this.#pattern.processes },
         getMembers: () => this.#network.getMembers(name),
+        onUpstreamDead: (upstream) => {
+          this.#network.sendDead(name, upstream);
+        },
         getLoadLagMs: () => this.#network.loadLagMs,
         quotaPeers: this.#network.newQuotaPeers(name),
         trialPeers: this.#network.newTrialPeers(name),
--- a/packages/simulation/src/SimulatedGateway.ts
+++ b/packages/simulation/src/SimulatedGateway.ts
@@ -14,6 +14,7 @@
   UpstreamHealth,
   UpstreamLimits,
   UpstreamRests,
+  UpstreamWatch,
   type AnswerWriter,
   type CrashReport,
   type FleetConfig,
@@ -48,6 +49,7 @@
   readonly #quotaOwner: QuotaOwner;
   readonly #evidence: CrashEvidence;
   readonly #trialOwner: TrialOwner;
+  readonly #watch: UpstreamWatch;
   #seq = 0;
   #listVersion = 0;
 
@@ -66,6 +68,7 @@
     getMembers: () => Members;
     onLoadChange: (seq: number, change: LoadChange) => void;
     getLoadLagMs: () => number;
+    onUpstreamDead: (upstream: string) => void;
   }) {
     const { clock, random, transport, control } = options;
     this.name = options.name;
@@ -97,9 +100,19 @@
       ...{ clock, evidence, owner: this.#trialOwner, peers: options.trialPeers },
       ...{ getMembers, logger },
     });
+    this.#watch = new UpstreamWatch({
+      ...{ clock, random, view: this.#view, health: this.#health, logger },
+      probe: (upstream) => control.isAlive(upstream),
+      tellPeers: options.onUpstreamDead,
+    });
     this.#forwarder = new Forwarder({
       ...{ clock, random, transport, control, logger, view: this.#view },
-      ...{ health: this.#health, loadTracker: this.#loadTracker, dialect: new SimulatedDialect() },
+      ...{
+        health: this.#health,
+        watch: this.#watch,
+        loadTracker: this.#loadTracker,
+        dialect: new SimulatedDialect(),
+      },
       retryBudget: new RetryBudget({
         ...{ clock, limits: RETRY_LIMITS },
         getProcessCount: () => options.processes,
@@ -120,6 +133,10 @@
     this.#loadTracker.applyPeerChange(peer, seq, change);
   }
 
+  applyPeerDead(peer: string, upstream: string): void {
+    this.#watch.recordPeer(upstream, peer);
+  }
+
   applyPeerLimit(peer: string, report: LimitReport): void {
     this.#limits.recordPeer(peer, report);
   }
--- a/packages/simulation/src/patterns.ts
+++ b/packages/simulation/src/patterns.ts
@@ -107,6 +107,12 @@
   ),
   newPattern("large-fleet-surge-of-short", [during(2_000, 8_000, SHORT_SURGE)], [], LARGE_FLEET),
   newPattern("large-fleet-surge-of-long", [during(2_000, 8_000, LONG_SURGE)], [], LARGE_FLEET),
+  newPattern(
+    "large-fleet-crash-in-long-surge",
+    [during(2_000, 8_000, LONG_SURGE)],
+    [{ kind: "crash", atMs: 4_000, count: 2, backMs: 4_000 }],
+    LARGE_FLEET,
+  ),
   newPattern("small-fleet-by-turns", BY_TURNS, [], SMALL_FLEET),
   newPattern("small-fleet-replaced", BY_TURNS, [{ ...REPLACED, count: 4 }], SMALL_FLEET),
 ];
