Fetch state within the failure domain in large fleets

Cause: each process fetched each new list of upstreams from a random peer, four in five times in another failure domain: 117 entries are some 29 KB, 195 processes, and a release makes some 40 lists.

Change: with more than 24 live peers, two processes of each failure domain fetch at once from anywhere and tell their domain; the others wait up to 400 ms for a peer of their domain.

--- a/packages/daemon/src/gateway/FleetStateSync.test.ts
+++ b/packages/daemon/src/gateway/FleetStateSync.test.ts
@@ -11,7 +11,7 @@
 import { newSilentLogger } from "@lycheepulley/telemetry";
 import { expect } from "chai";
 
-import { FleetStateSync } from "./FleetStateSync.js";
+import { FetchRole, FleetStateSync } from "./FleetStateSync.js";
 
 const LOCALHOST = "127.0.0.1";
 /** Longer than the random delay of a fetch. */
@@ -44,9 +44,19 @@
   #fetches = 0;
   #sync: FleetStateSync | undefined;
 
-  constructor(own: FleetView, peer: FleetView) {
+  readonly #place: { readonly failureDomain: string; readonly role: FetchRole };
+
+  /** The peer's failure domain is "z". */
+  constructor(
+    own: FleetView,
+    peer: FleetView,
+    place: { failureDomain: string; role: FetchRole } = {
+      ...{ failureDomain: "z", role: FetchRole.Direct },
+    },
+  ) {
     this.#own = own;
     this.#peer = peer;
+    this.#place = place;
   }
 
   async start(): Promise<void> {
@@ -94,6 +104,8 @@
           this.#fetches += 1;
         },
       },
+      failureDomain: this.#place.failureDomain,
+      getRole: () => this.#place.role,
       onConfig: ({ revision }) => this.events.push(`config ${String(revision)}`),
       onList: ({ epoch, version }) =>
         this.events.push(
@@ -174,6 +186,32 @@
     expect(pair.fetches).to.equal(1);
   });
 
+  // Guards against lists that cross the links between failure domains once for each process.
+  const places: readonly [
+    name: string,
+    failureDomain: string,
+    role: FetchRole,
+    leastMs: number,
+    mostMs: number,
+  ][] = [
+    ["at once from a peer of another domain as its domain's relay", "y", FetchRole.Relay, 0, 350],
+    ["at once from a peer of its domain as a member", "z", FetchRole.Member, 0, 350],
+    ["after a time from another domain as a member", "y", FetchRole.Member, 400, 2_000],
+  ];
+  for (const [name, failureDomain, role, leastMs, mostMs] of places) {
+    it(`fetches ${name}`, async () => {
+      const views = [newView(1, 5, ["a"]), newView(2, 6, ["b"])] as const;
+      const pair = new SyncedPair(...views, { failureDomain, role });
+      await pair.start();
+      const startMs = performance.now();
+      pair.receiveHeartbeat();
+      await pair.waitForEvents(2);
+      const tookMs = performance.now() - startMs;
+      await pair.close();
+      expect(tookMs).to.be.within(leastMs, mostMs);
+    });
+  }
+
   it("reports a peer that doesn't answer", async () => {
     const pair = new SyncedPair(newView(1, 5, ["a"]), newView(2, 6, ["b"]));
     await pair.start();
--- a/packages/daemon/src/gateway/FleetStateSync.ts
+++ b/packages/daemon/src/gateway/FleetStateSync.ts
@@ -19,6 +19,20 @@
 const JITTER_MS_PER_PEER = 3;
 const MIN_JITTER_MS = 30;
 const FETCH_TIMEOUT_MS = 700;
+/** Time for which a process waits for newer state within its failure domain, and between two looks. */
+const DOMAIN_WAIT_MS = 400;
+const DOMAIN_LOOK_MS = 50;
+
+/** Part of a process in fetching state: in a large fleet, few of a failure domain fetch from other domains. */
+export const FetchRole = {
+  /** Fetches from any peer. */
+  Direct: "direct",
+  /** Fetches at once from any peer, for its failure domain. */
+  Relay: "relay",
+  /** Waits a little for a peer of its failure domain. */
+  Member: "member",
+} as const;
+export type FetchRole = (typeof FetchRole)[keyof typeof FetchRole];
 
 const fleetStateMethod = newRpcMethod(
   "fleet.state",
@@ -42,6 +56,8 @@
   readonly #onList: (list: UpstreamList, atMs: number) => void;
   readonly #onListConfirmed: (position: ListPosition, atMs: number) => void;
   readonly #onFetchFailed: () => void;
+  readonly #failureDomain: string;
+  readonly #getRole: () => FetchRole;
   #isFetching = false;
 
   constructor(options: {
@@ -58,6 +74,8 @@
     onListConfirmed: (position: ListPosition, atMs: number) => void;
     /** Called when a fetch from a peer with newer state failed. */
     onFetchFailed: () => void;
+    failureDomain: string;
+    getRole: () => FetchRole;
   }) {
     this.#clock = options.clock;
     this.#random = options.random;
@@ -69,6 +87,8 @@
     this.#onList = options.onList;
     this.#onListConfirmed = options.onListConfirmed;
     this.#onFetchFailed = options.onFetchFailed;
+    this.#failureDomain = options.failureDomain;
+    this.#getRole = options.getRole;
   }
 
   /** Serves this process's configuration and upstream list to peers that lack them. */
@@ -109,14 +129,46 @@
     return peer.listDigest !== listDigest && isListBefore(list, getListPosition(peer));
   }
 
+  #getJitterMs(): number {
+    const live = this.#peers.getLive();
+    switch (this.#getRole()) {
+      case FetchRole.Relay:
+        return MIN_JITTER_MS;
+      case FetchRole.Member: {
+        const near = live.filter(isInDomain(this.#failureDomain));
+        return Math.max(MIN_JITTER_MS, JITTER_MS_PER_PEER * near.length);
+      }
+      case FetchRole.Direct:
+        return Math.max(MIN_JITTER_MS, JITTER_MS_PER_PEER * live.length);
+    }
+  }
+
+  /** Peers with newer state: those of this failure domain, or all when it has none in time. */
+  async #findNewerPeers(): Promise<PeerIdentity[]> {
+    const endMs = this.#clock.now() + DOMAIN_WAIT_MS;
+    for (;;) {
+      const newer = this.#peers.getLive().filter((peer) => this.#isBehind(peer));
+      if (this.#getRole() !== FetchRole.Member) {
+        return newer;
+      }
+      const near = newer.filter(isInDomain(this.#failureDomain));
+      if (near.length > 0) {
+        return near;
+      }
+      if (newer.length === 0 || this.#clock.now() >= endMs) {
+        return newer;
+      }
+      await sleep(this.#clock, DOMAIN_LOOK_MS);
+    }
+  }
+
   /**
    * Fetches newer state from a random peer that has it. The delay spreads the
    * load: while it passes, the change reaches more peers, which can then serve it.
    */
   async #fetchFromPeer(): Promise<void> {
-    const jitterMs = Math.max(MIN_JITTER_MS, JITTER_MS_PER_PEER * this.#peers.getLive().length);
-    await sleep(this.#clock, this.#random.next() * jitterMs);
-    const newerPeers = this.#peers.getLive().filter((peer) => this.#isBehind(peer));
+    await sleep(this.#clock, this.#random.next() * this.#getJitterMs());
+    const newerPeers = await this.#findNewerPeers();
     const peer = newerPeers[Math.floor(this.#random.next() * newerPeers.length)];
     if (!peer) {
       return;
@@ -151,6 +203,11 @@
   }
 }
 
+const isInDomain =
+  (failureDomain: string) =>
+  (peer: PeerIdentity): boolean =>
+    peer.failureDomain === failureDomain;
+
 const getListPosition = ({ listEpoch, listVersion }: PeerIdentity): ListPosition => ({
   epoch: listEpoch,
   version: listVersion,
--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -28,7 +28,7 @@
 import { closeAndDrain } from "./closeAndDrain.js";
 import { CrashExchange } from "./CrashExchange.js";
 import { DetourConnector } from "./DetourConnector.js";
-import { FleetStateSync } from "./FleetStateSync.js";
+import { FetchRole, FleetStateSync } from "./FleetStateSync.js";
 import { LimitExchange } from "./LimitExchange.js";
 import { countByStatus, newMetricsServer } from "./metricsServer.js";
 import { PeerCalls } from "./PeerCalls.js";
@@ -136,11 +136,13 @@
     this.#stateSync = new FleetStateSync({
       ...{ clock, random: this.#random, view: this.#view, logger, port: settings.peerPort },
       peers: this.#peers,
+      failureDomain: settings.failureDomain,
+      getRole: () => this.#peerExchange.fetchRole,
       onConfig: (config) => {
-        this.#applyConfig(config);
+        this.#announceAsRelay(this.#applyConfig(config));
       },
       onList: (list, atMs) => {
-        this.#applyUpstreams(list, atMs);
+        this.#announceAsRelay(this.#applyUpstreams(list, atMs));
       },
       onListConfirmed: (position, atMs) => {
         this.#listTracker.confirm(position, atMs);
@@ -316,6 +318,13 @@
     return true;
   }
 
+  /** Tells the own failure domain of newer state, which its other processes wait for. */
+  #announceAsRelay(isNewer: boolean): void {
+    if (isNewer && this.#peerExchange.fetchRole === FetchRole.Relay) {
+      this.#peerExchange.announceInDomain();
+    }
+  }
+
   /** Applies an upstream list that was current at `atMs`; true when upstreams or the epoch changed. */
   #applyUpstreams(list: UpstreamList, atMs: number): boolean {
     const hasChanged = this.#listTracker.apply(list, atMs);
--- a/packages/daemon/src/gateway/PeerExchange.ts
+++ b/packages/daemon/src/gateway/PeerExchange.ts
@@ -12,6 +12,7 @@
 import type { DatagramChannel } from "@lycheepulley/nodes";
 import type { Logger } from "@lycheepulley/telemetry";
 
+import { FetchRole } from "./FleetStateSync.js";
 import {
   crashStrikeSchema,
   heartbeatBatchParser,
@@ -35,6 +36,8 @@
 const MAX_DIRECT_PEERS = 24;
 /** Heartbeats take turns among this many relays of a failure domain, so that the end of one loses few. */
 const HEARTBEAT_RELAYS = 2;
+/** Ranks of the processes that fetch state from other failure domains; one of them may end. */
+const FETCH_RELAY_RANKS = [0, 1] as const;
 /** Times for which relays collect messages, milliseconds. */
 const LOAD_BATCH_MS = 30;
 const HEARTBEAT_BATCH_MS = 400;
@@ -167,6 +170,23 @@
     this.#channel.notify("node.beat", this.#newHeartbeat(), this.#peers.hosts);
   }
 
+  /** Tells the peers of this failure domain at once what state this process has. */
+  announceInDomain(): void {
+    this.#channel.notify("node.beat", this.#newHeartbeat(), this.#getDomainHosts());
+  }
+
+  /** Part of this process in fetching state from peers. */
+  get fetchRole(): FetchRole {
+    if (!this.#isRelayed) {
+      return FetchRole.Direct;
+    }
+    const processes = [this.#identity, ...this.#peers.getLive()];
+    const isRelay = FETCH_RELAY_RANKS.some((rank) =>
+      pickRelays(processes, rank).some(({ host }) => host === this.#self.host),
+    );
+    return isRelay ? FetchRole.Relay : FetchRole.Member;
+  }
+
   /** Sends a change of this process's load to the peers, directly or through relays. */
   notifyLoad(change: LoadChange): void {
     this.#seq += 1;
