--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -183,11 +183,8 @@
     this.#peerCalls = new PeerCalls({ port: settings.peerPort, timeoutMs: OWNER_TIMEOUT_MS });
     const exchange = {
       ...{ clock, random: this.#random, channel: this.#channel, peers: this.#peers, logger },
-      ...{
-        host: settings.host,
-        calls: this.#peerCalls,
-        getMembers: () => this.#peers.getMembers(this.isReady),
-      },
+      ...{ host: settings.host, calls: this.#peerCalls },
+      getMembers: () => this.#peers.getMembers(this.isReady),
     };
     this.#limitExchange = new LimitExchange(exchange);
     this.#crashExchange = new CrashExchange(exchange);
@@ -298,6 +295,7 @@
     this.#crashExchange.stop();
     this.#peerCalls.close();
     this.#connector.stop();
+    this.#watch.stop();
     this.#sourceFeed.stop();
     void this.#metricsServer.close();
     this.#channel.close();
--- a/packages/forwarding/src/UpstreamWatch.test.ts
+++ b/packages/forwarding/src/UpstreamWatch.test.ts
@@ -132,6 +132,19 @@
     expect(harness.probes).to.equal(probes);
   });
 
+  // Guards against a stopped process that can't end, since it goes on with its probes.
+  it("makes no more probes once it is stopped", async () => {
+    const harness = new WatchHarness();
+    harness.dead.add("u0");
+    harness.watch.suspect("u0");
+    await harness.clock.advance(CHECKED_MS);
+    harness.watch.stop();
+    harness.watch.suspect("u1");
+    const { probes } = harness;
+    await harness.clock.advance(10_000);
+    expect(harness.probes).to.equal(probes);
+  });
+
   it("ignores one that it doesn't know", async () => {
     const harness = new WatchHarness();
     harness.watch.suspect("u9");
--- a/packages/forwarding/src/UpstreamWatch.ts
+++ b/packages/forwarding/src/UpstreamWatch.ts
@@ -28,6 +28,7 @@
   readonly #tellPeers: (upstream: string) => void;
   readonly #probed = new Set<string>();
   readonly #dead = new Set<string>();
+  readonly #stopped = new AbortController();
 
   constructor(options: {
     clock: Clock;
@@ -49,6 +50,11 @@
     this.#tellPeers = options.tellPeers;
   }
 
+  /** Ends all probes. */
+  stop(): void {
+    this.#stopped.abort();
+  }
+
   /** Probes an upstream that failed a request of this process, and tells the peers if it is dead. */
   suspect(id: string): void {
     void this.#check(id, undefined);
@@ -64,13 +70,14 @@
   }
 
   async #check(id: string, peer: string | undefined): Promise<void> {
+    const { signal } = this.#stopped;
     const upstream = this.#view.upstreams.get(id);
-    if (!upstream || this.#dead.has(id) || this.#probed.has(id)) {
+    if (signal.aborted || !upstream || this.#dead.has(id) || this.#probed.has(id)) {
       return;
     }
     this.#probed.add(id);
     if (peer !== undefined) {
-      await sleep(this.#clock, PROBE_SPREAD_MS * this.#random.next());
+      await sleep(this.#clock, PROBE_SPREAD_MS * this.#random.next(), signal);
     }
     const isAlive = await this.#probe(upstream);
     this.#probed.delete(id);
@@ -89,12 +96,13 @@
   /** Keeps an upstream ejected until it answers a probe or is no longer listed. */
   async #keepOut(upstream: Upstream): Promise<void> {
     const { id } = upstream;
+    const { signal } = this.#stopped;
     do {
       this.#health.eject(id, EJECTION_MS);
-      await sleep(this.#clock, PROBE_INTERVAL_MS);
-    } while (this.#view.upstreams.has(id) && !(await this.#probe(upstream)));
+      await sleep(this.#clock, PROBE_INTERVAL_MS, signal);
+    } while (!signal.aborted && this.#view.upstreams.has(id) && !(await this.#probe(upstream)));
     this.#dead.delete(id);
-    if (this.#view.upstreams.has(id)) {
+    if (!signal.aborted && this.#view.upstreams.has(id)) {
       this.#health.lift(id);
       this.#logger.info("upstream alive again", { step: "send", peer: id });
     }
