--- a/packages/forwarding/src/uplink/UplinkMonitor.ts
+++ b/packages/forwarding/src/uplink/UplinkMonitor.ts
@@ -23,6 +23,7 @@
   readonly #probe: (upstream: Upstream) => Promise<boolean>;
   readonly #onChange: (isLost: boolean) => void;
   #isLost = false;
+  #isStopped = false;
   #isChecking = false;
   #checkedMs = -Infinity;
   #connectedMs = -Infinity;
@@ -64,6 +65,7 @@
   }
 
   stop(): void {
+    this.#isStopped = true;
     this.#cancelTimer();
   }
 
@@ -113,7 +115,7 @@
   #scheduleCheck(): void {
     this.#cancelTimer = this.#clock.setTimer(() => {
       void this.#check().then(() => {
-        if (this.#isLost) {
+        if (this.#isLost && !this.#isStopped) {
           this.#scheduleCheck();
         }
       });
--- a/packages/forwarding/src/uplink/uplink.test.ts
+++ b/packages/forwarding/src/uplink/uplink.test.ts
@@ -104,6 +104,20 @@
     expect(harness.probes).to.be.below(harness.ids.length);
   });
 
+  it("makes no more checks once it is stopped, also in the middle of one", async () => {
+    const harness = new MonitorHarness();
+    harness.cutAll();
+    harness.monitor.suspect();
+    await harness.clock.advance(600);
+    expect(harness.monitor.isLost).to.equal(true);
+    await harness.clock.advance(200);
+    harness.monitor.stop();
+    await harness.clock.advance(PROBE_MS + 1);
+    const { probes } = harness;
+    await harness.clock.advance(5_000);
+    expect(harness.probes).to.equal(probes);
+  });
+
   // Guards against links that are used again at the first connection that gets through.
   it("uses the links again after two checks that most upstreams accept", async () => {
     const harness = new MonitorHarness();
