--- a/packages/daemon/src/gateway/PeerExchange.ts
+++ b/packages/daemon/src/gateway/PeerExchange.ts
@@ -172,7 +172,7 @@
 
   /** Tells the peers of this failure domain at once what state this process has. */
   announceInDomain(): void {
-    this.#channel.notify("node.beat", this.#newHeartbeat(), this.#getDomainHosts());
+    this.#channel.notify("node.beat", this.#newHeartbeat(false), this.#getDomainHosts());
   }
 
   /** Part of this process in fetching state from peers. */
@@ -275,10 +275,10 @@
     return this.#peers.getLive().length > MAX_DIRECT_PEERS;
   }
 
-  #newHeartbeat(): Heartbeat {
+  #newHeartbeat(mayHaveItems = true): Heartbeat {
     const now = this.#clock.now();
     const intervalMs = this.#isRelayed ? RELAYED_SNAPSHOT_INTERVAL_MS : SNAPSHOT_INTERVAL_MS;
-    const isSnapshotDue = now - this.#lastSnapshotMs >= intervalMs;
+    const isSnapshotDue = mayHaveItems && now - this.#lastSnapshotMs >= intervalMs;
     this.#beat += 1;
     this.#seq += isSnapshotDue ? 1 : 0;
     this.#lastSnapshotMs = isSnapshotDue ? now : this.#lastSnapshotMs;
