Relay for cut-off peers in the first half of a drain

A draining process neither counted as a way nor accepted relayed connections.

Peers that leave are asked after those that serve, and a draining process accepts relayed connections in the first half of its drain, which it already waits for. Later ones might outlast it.

--- a/packages/daemon/src/gateway/DetourConnector.ts
+++ b/packages/daemon/src/gateway/DetourConnector.ts
@@ -3,6 +3,7 @@
   DetourPeers,
   UplinkMonitor,
   type Connector,
+  type PeerTable,
   type Upstream,
   type UpstreamAddress,
 } from "@lycheepulley/forwarding";
@@ -17,6 +18,8 @@
 const MAX_PEERS = 3;
 /** Time-out of a peer's own connection. */
 const RELAY_TIMEOUT_MS = 200;
+/** Share of the drain time in which connections of peers are accepted; later ones might outlast this process. */
+const RELAY_SHARE = 0.5;
 
 /** Connects to upstreams, through peers while this process has lost its own links. */
 export class DetourConnector implements Connector {
@@ -28,6 +31,7 @@
   readonly #monitor: UplinkMonitor;
   readonly #peers: DetourPeers;
   #detours = 0;
+  #relaysUntilMs = Infinity;
 
   constructor(options: {
     clock: Clock;
@@ -36,10 +40,7 @@
     direct: Connector;
     peerPort: number;
     getUpstreams: () => readonly Upstream[];
-    /** Hosts of the peers that serve callers. */
-    getPeerHosts: () => readonly string[];
-    /** False while this process is about to end. */
-    mayRelay: () => boolean;
+    peers: Pick<PeerTable, "getServing" | "getLeaving">;
     onChange: (isLost: boolean) => void;
   }) {
     const { clock, random, logger, getUpstreams, onChange } = options;
@@ -47,14 +48,19 @@
     this.#direct = options.direct;
     this.#logger = logger;
     this.#peerPort = options.peerPort;
-    this.#peers = new DetourPeers({ clock, random, getHosts: options.getPeerHosts });
+    const { peers } = options;
+    this.#peers = new DetourPeers({
+      ...{ clock, random },
+      getHosts: () => peers.getServing().map(({ host }) => host),
+      getLeavingHosts: () => peers.getLeaving().map(({ host }) => host),
+    });
     this.#monitor = new UplinkMonitor({
       ...{ clock, random, logger, getUpstreams, onChange },
       probe: (upstream) => accepts(this.#direct, upstream),
     });
     this.server = new RelayServer({
       mayRelay: ({ host, port }) =>
-        options.mayRelay() &&
+        clock.now() < this.#relaysUntilMs &&
         !this.#monitor.isLost &&
         getUpstreams().some((upstream) => upstream.host === host && upstream.port === port),
       connect: (target) => this.#connectDirectly(target, target.timeoutMs),
@@ -71,6 +77,11 @@
     return this.#detours;
   }
 
+  /** Ends the relaying for peers some time before this process ends. */
+  startDrain(drainMs: number): void {
+    this.#relaysUntilMs = this.#clock.now() + RELAY_SHARE * drainMs;
+  }
+
   stop(): void {
     this.#monitor.stop();
   }
--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -171,10 +171,8 @@
     });
     this.#connector = new DetourConnector({
       ...{ clock, random: this.#random, logger, direct: links.connector },
-      peerPort: settings.peerPort,
+      ...{ peerPort: settings.peerPort, peers: this.#peers },
       getUpstreams: () => [...this.#view.upstreams.values()],
-      getPeerHosts: () => this.#peers.getServing().map(({ host }) => host),
-      mayRelay: () => !this.#isDraining,
       onChange: () => {
         this.#health.reset();
       },
@@ -272,11 +270,12 @@
       return;
     }
     const startMs = this.#clock.now();
+    const { drainMs } = this.#settings;
     this.#isDraining = true;
+    this.#connector.startDrain(drainMs);
     this.#peerExchange.announce();
-    this.#listener.startDrain(this.#settings.drainMs);
+    this.#listener.startDrain(drainMs);
     this.#logger.info("drain started", { step: "stop", reason });
-    const { drainMs } = this.#settings;
     await closeAndDrain({
       ...{ clock: this.#clock, drainMs, listener: this.#listener },
       countInFlight: () => this.#listener.requests + this.#connector.server.open,
--- a/packages/forwarding/src/PeerTable.ts
+++ b/packages/forwarding/src/PeerTable.ts
@@ -144,6 +144,11 @@
     );
   }
 
+  /** Peers that are about to end. */
+  getLeaving(): PeerIdentity[] {
+    return this.getLive().filter(({ state }) => state === PeerState.Leaving);
+  }
+
   /** The processes that divide duties: live peers that serve callers, and this one while `isServing`. */
   getMembers(isServing: boolean): Members {
     const self = this.#self;
--- a/packages/forwarding/src/uplink/DetourPeers.ts
+++ b/packages/forwarding/src/uplink/DetourPeers.ts
@@ -10,15 +10,24 @@
   readonly #clock: Clock;
   readonly #random: Random;
   readonly #getHosts: () => readonly string[];
+  readonly #getLeavingHosts: () => readonly string[];
   readonly #avoidedUntilMs = new Map<string, number>();
 
-  constructor(options: { clock: Clock; random: Random; getHosts: () => readonly string[] }) {
+  constructor(options: {
+    clock: Clock;
+    random: Random;
+    /** Peers that serve callers. */
+    getHosts: () => readonly string[];
+    /** Peers that are about to end, which relay for some time yet. */
+    getLeavingHosts: () => readonly string[];
+  }) {
     this.#clock = options.clock;
     this.#random = options.random;
     this.#getHosts = options.getHosts;
+    this.#getLeavingHosts = options.getLeavingHosts;
   }
 
-  /** At most `count` peers in the order in which to ask them; those that failed lately come last. */
+  /** At most `count` peers in the order in which to ask them: then those that leave, then those that failed lately. */
   select(count: number): string[] {
     const now = this.#clock.now();
     for (const [host, untilMs] of this.#avoidedUntilMs) {
@@ -26,15 +35,16 @@
         this.#avoidedUntilMs.delete(host);
       }
     }
-    const hosts = this.#getHosts();
-    const pick = (isAvoided: boolean, max: number): string[] =>
-      sample(
-        hosts.filter((host) => this.#avoidedUntilMs.has(host) === isAvoided),
-        max,
-        this.#random,
-      );
-    const fresh = pick(false, count);
-    return [...fresh, ...pick(true, count - fresh.length)];
+    const serving = this.#getHosts();
+    const leaving = this.#getLeavingHosts();
+    const isAvoided = (host: string): boolean => this.#avoidedUntilMs.has(host);
+    const isFresh = (host: string): boolean => !isAvoided(host);
+    const groups = [
+      serving.filter(isFresh),
+      leaving.filter(isFresh),
+      [...serving, ...leaving].filter(isAvoided),
+    ];
+    return groups.flatMap((hosts) => sample(hosts, hosts.length, this.#random)).slice(0, count);
   }
 
   /** Records that a peer didn't answer, or couldn't connect either. */
--- a/packages/forwarding/src/uplink/uplink.test.ts
+++ b/packages/forwarding/src/uplink/uplink.test.ts
@@ -134,8 +134,25 @@
 });
 
 describe("DetourPeers", () => {
-  const newPeers = (clock: ManualClock): DetourPeers =>
-    new DetourPeers({ clock, random: new SeededRandom(1), getHosts: () => ["a", "b", "c"] });
+  const newPeers = (
+    clock: ManualClock,
+    getHosts = (): string[] => ["a", "b", "c"],
+    getLeavingHosts = (): string[] => [],
+  ): DetourPeers =>
+    new DetourPeers({ clock, random: new SeededRandom(1), getHosts, getLeavingHosts });
+
+  // Guards against callers who are turned away because the only peers with links are about to end.
+  it("names peers that leave after those that serve, and before those that failed", () => {
+    const peers = newPeers(
+      new ManualClock(),
+      () => ["a", "b"],
+      () => ["x", "y"],
+    );
+    peers.recordFailed("b");
+    peers.recordFailed("y");
+    expect(peers.select(2)).to.deep.equal(["a", "x"]);
+    expect(peers.select(9).slice(2).sort()).to.deep.equal(["b", "y"]);
+  });
 
   it("names peers that failed lately after the others, until they are asked anew", async () => {
     const clock = new ManualClock();
