--- a/packages/cli/src/commands/faultSoak.ts
+++ b/packages/cli/src/commands/faultSoak.ts
@@ -1,9 +1,11 @@
-import { runFaultSoak } from "@lycheepulley/platform/soak";
+import { buildCommit, runFaultSoak } from "@lycheepulley/platform/soak";
 
-import { ExitCode, type Command } from "../Command.js";
+import { ExitCode, UsageError, type Command } from "../Command.js";
 import { JSON_FLAG } from "../flags.js";
 
 const DEFAULT_LOAD_SECONDS = 40;
+/** Each needs some 100 MB and a loopback address. */
+const MAX_PROCESSES = 64;
 
 /** Injects a seeded schedule of faults into real processes on stand-ins of the users' platform. */
 export const faultSoakCommand: Command = {
@@ -19,15 +21,29 @@
     },
     crashes: { type: "boolean", help: "Parts of prompts crash engines, too" },
     notices: { type: "boolean", help: "Workers ask for rest and say that they leave, too" },
+    cuts: { type: "boolean", help: "Processes lose their links to all workers, too" },
+    processes: { type: "number", default: 3, help: "Number of gateway processes" },
+    beside: {
+      type: "string",
+      help: "Earlier commit of this repository, whose build runs beside this one",
+    },
     json: JSON_FLAG,
   },
   example: "lycheepulley fault-soak --seed 3 --seconds 20",
   run: async (ctx) => {
+    const processes = ctx.getNumber("processes");
+    if (!Number.isInteger(processes) || processes < 2 || processes > MAX_PROCESSES) {
+      throw new UsageError(`--processes must be an integer from 2 to ${String(MAX_PROCESSES)}`);
+    }
+    const beside = ctx.getOptional("beside");
     const report = await runFaultSoak({
       seed: ctx.getNumber("seed"),
       seconds: ctx.getNumber("seconds"),
       hasCrashes: ctx.getBoolean("crashes"),
       hasNotices: ctx.getBoolean("notices"),
+      hasCuts: ctx.getBoolean("cuts"),
+      processes,
+      ...(beside !== undefined && { besideFile: await buildCommit(beside) }),
     });
     if (ctx.getBoolean("json")) {
       ctx.printJson(report);
