Bundle only the parts of libraries that the gateway uses

A quarter of a start loaded undici's fetch and web sockets, and a sixth prom-client's clusters and the number formats of hdr-histogram-js.

--- /dev/null
+++ b/deploy/parts/undici.cjs
@@ -0,0 +1,7 @@
+"use strict";
+// Leaves out fetch, web sockets and caches.
+const Dispatcher = require("undici/lib/dispatcher/dispatcher.js");
+
+Object.assign(Dispatcher.prototype, require("undici/lib/api/index.js"));
+
+exports.Pool = require("undici/lib/dispatcher/pool.js");
