--- a/packages/daemon/src/gateway/LoadExchange.ts
+++ b/packages/daemon/src/gateway/LoadExchange.ts
@@ -152,10 +152,10 @@
   }
 
   async fetch(upstreams: readonly string[]): Promise<Loads | undefined> {
-    const now = this.#clock.now();
+    this.#forgetAvoided();
     const relays = this.#topology
       .getOtherRelays()
-      .filter((peer) => asksForLoads(peer) && (this.#avoidedUntilMs.get(peer.host) ?? 0) <= now);
+      .filter((peer) => asksForLoads(peer) && !this.#avoidedUntilMs.has(peer.host));
     for (const { host } of relays) {
       const loads = await this.#ask(host, upstreams.slice(0, MAX_QUESTION_UPSTREAMS));
       if (loads) {
@@ -167,6 +167,15 @@
     return undefined;
   }
 
+  #forgetAvoided(): void {
+    const now = this.#clock.now();
+    for (const [host, untilMs] of this.#avoidedUntilMs) {
+      if (untilMs <= now) {
+        this.#avoidedUntilMs.delete(host);
+      }
+    }
+  }
+
   #ask(host: string, upstreams: readonly string[]): Promise<Loads | undefined> {
     const question = this.#nextQuestion++;
     return new Promise((resolve) => {
