--- a/packages/daemon/src/gateway/LoadExchange.test.ts
+++ b/packages/daemon/src/gateway/LoadExchange.test.ts
@@ -12,7 +12,7 @@
 import { expect } from "chai";
 
 import { LoadExchange } from "./LoadExchange.js";
-import { loadAnswerSchema, PROTOCOL, toLoadAnswer, toLoads } from "./peerMessages.js";
+import { loadAnswerParser, PROTOCOL, toLoadAnswer, toLoads } from "./peerMessages.js";
 import { RelayTopology } from "./RelayTopology.js";
 
 const PROCESSES = 30;
@@ -84,7 +84,9 @@
     identities.filter((peer) => peer !== identity).forEach((peer) => peers.recordHeartbeat(peer));
     const loads = new LoadExchange({
       ...{ clock, channel: network.newChannel(identity.host), logger: newSilentLogger() },
-      topology: new RelayTopology({ peers, getIdentity: () => identity }),
+      topology: new RelayTopology({
+        ...{ clock, peers, host: identity.host, getIdentity: () => identity },
+      }),
       ...{ host: identity.host, getIdentity: () => identity, getPeers: () => peers.getLive() },
       getLoadTracker: () => tracker,
     });
@@ -206,15 +208,23 @@
 describe("answers to questions for loads", () => {
   it("carry loads as they were, also without a gap objective", () => {
     const loads = new Map([
-      ["u1", { ...newUpstreamLoad(), inFlight: 2, decodes: [{ maxGapMs: 200, value: 1.5 }] }],
+      [
+        "u1",
+        {
+          ...{ ...newUpstreamLoad(), inFlight: 2, decodes: [{ maxGapMs: 200, value: 1.5 }] },
+          prefills: [
+            { targetLeftMs: -20.5, deadlineLeftMs: 900, value: 3, isDecoder: true },
+            { targetLeftMs: 20, deadlineLeftMs: 1_900, value: 2, isDecoder: false },
+          ],
+        },
+      ],
       ["u2", { ...newUpstreamLoad(), minGapMs: 250, pendingReadMs: 12.5, unseen: 0.25 }],
       ["u3", newUpstreamLoad()],
     ]);
     const asked = { question: 7, isWhole: true, upstreams: ["u1", "u2", "u4"] };
-    const read = loadAnswerSchema.parse(
-      JSON.parse(JSON.stringify(toLoadAnswer({ ...asked, loads }))),
-    );
+    const answer: unknown = JSON.parse(JSON.stringify(toLoadAnswer({ ...asked, loads })));
+    const read = loadAnswerParser.safeParse(answer);
     loads.delete("u3");
-    expect(toLoads(read)).to.deep.equal(loads);
+    expect(read.success && toLoads(read.data)).to.deep.equal(loads);
   });
 });
--- a/packages/daemon/src/gateway/LoadExchange.ts
+++ b/packages/daemon/src/gateway/LoadExchange.ts
@@ -12,7 +12,7 @@
 import type { Logger } from "@lycheepulley/telemetry";
 
 import {
-  loadAnswerSchema,
+  loadAnswerParser,
   loadBatchParser,
   loadChangeParser,
   loadQuestionSchema,
@@ -104,7 +104,7 @@
     this.#channel.handle("load.ask", loadQuestionSchema, ({ question, upstreams }, host) => {
       this.#answer(question, upstreams, host);
     });
-    this.#channel.handle("load.answer", loadAnswerSchema, (answer) => {
+    this.#channel.handle("load.answer", loadAnswerParser, (answer) => {
       this.#waiting.get(answer.question)?.(answer.isWhole ? toLoads(answer) : undefined);
     });
   }
--- a/packages/daemon/src/gateway/PeerExchange.ts
+++ b/packages/daemon/src/gateway/PeerExchange.ts
@@ -31,7 +31,7 @@
 /** The same when heartbeats go through relays, whose links carry them many times. */
 const RELAYED_SNAPSHOT_INTERVAL_MS = 2_000;
 /** Heartbeats take turns among this many relays of a failure domain, so that the end of one loses few. */
-const HEARTBEAT_RELAYS = 2;
+const HEARTBEAT_RANKS = [0, 1] as const;
 /** Time for which relays collect heartbeats, milliseconds. */
 const HEARTBEAT_BATCH_MS = 400;
 /** Batches have to fit into a datagram. */
@@ -90,7 +90,9 @@
     this.#onUpstreamLeaving = options.onUpstreamLeaving;
     this.#onUpstreamDead = options.onUpstreamDead;
     const { clock, channel, logger, peers, getLoadTracker } = options;
-    this.#topology = new RelayTopology({ peers, getIdentity: () => this.#identity });
+    this.#topology = new RelayTopology({
+      ...{ clock, peers, host: options.self.host, getIdentity: () => this.#identity },
+    });
     this.loads = new LoadExchange({
       ...{ clock, channel, logger, topology: this.#topology, getLoadTracker },
       ...{ host: options.self.host, getIdentity: () => this.#identity },
@@ -218,7 +220,9 @@
       return;
     }
     const { host } = heartbeat.identity;
-    const relays = getHosts(this.#topology.getRelays(this.#beat % HEARTBEAT_RELAYS));
+    const relays = getHosts(
+      this.#topology.getRelays(HEARTBEAT_RANKS[this.#beat % HEARTBEAT_RANKS.length]),
+    );
     if (relays.includes(host)) {
       this.#heartbeatRelay.add({ heartbeat, receivedMs: this.#clock.now() });
     }
--- a/packages/daemon/src/gateway/peerMessages.test.ts
+++ b/packages/daemon/src/gateway/peerMessages.test.ts
@@ -8,6 +8,8 @@
   heartbeatBatchSchema,
   heartbeatParser,
   heartbeatSchema,
+  loadAnswerParser,
+  loadAnswerSchema,
   loadBatchParser,
   loadBatchSchema,
   loadChangeParser,
@@ -59,6 +61,20 @@
   ...{ writing: fc.array(fc.string()), ended: fc.array(fc.string()) },
 });
 
+const codedLoad = fc.tuple(
+  fc.string(),
+  fc.array(amount, { minLength: 11, maxLength: 11 }),
+  fc.array(amount, { maxLength: 4 }),
+  fc.array(number, { maxLength: 4 }),
+);
+const answer = fc.record({
+  ...{
+    question: fc.integer(),
+    isWhole: fc.boolean(),
+    loads: fc.array(codedLoad, { maxLength: 2 }),
+  },
+});
+
 /** Values that fields may wrongly have. */
 const wrong = fc.constantFrom<unknown>(
   ...[undefined, null, NaN, Infinity, -1, 0, 0.5, 2 ** 60, "", "x".repeat(65), true],
@@ -95,6 +111,7 @@
     ...{ name: "heartbeat batch", parser: heartbeatBatchParser, schema: heartbeatBatchSchema },
     arbitrary: fc.record({ beats: fc.array(heartbeat, { maxLength: 2 }) }),
   },
+  { name: "load answer", arbitrary: answer, parser: loadAnswerParser, schema: loadAnswerSchema },
   { name: "load change", arbitrary: change, parser: loadChangeParser, schema: loadChangeSchema },
   {
     ...{ name: "load batch", parser: loadBatchParser, schema: loadBatchSchema },
--- a/packages/daemon/src/gateway/peerMessages.ts
+++ b/packages/daemon/src/gateway/peerMessages.ts
@@ -1,6 +1,7 @@
 import {
   isLoadItem,
   loadItemSchema,
+  newUpstreamLoad,
   PeerState,
   type LoadItem,
   type PeerIdentity,
@@ -74,21 +75,25 @@
 
 const amountSchema = z.number().nonnegative();
 
-const upstreamLoadSchema = z.object({
-  id: z.string(),
-  ...{ inFlight: amountSchema, apart: amountSchema, deferred: amountSchema, helping: amountSchema },
-  ...{ pendingReadMs: amountSchema, pendingHelpMs: amountSchema, decoding: amountSchema },
-  decodes: z.array(z.object({ maxGapMs: z.number().positive(), value: amountSchema })),
-  prefills: z.array(
-    z.object({
-      ...{ targetLeftMs: z.number(), deadlineLeftMs: z.number(), value: amountSchema },
-      isDecoder: z.boolean(),
-    }),
-  ),
-  /** Absent for no objective. */
-  minGapMs: z.number().positive().optional(),
-  ...{ kvTokens: amountSchema, contextTokens: amountSchema, unseen: amountSchema },
-});
+/** Order of the amounts of a load in an answer. */
+const LOAD_AMOUNTS = [
+  ...(["inFlight", "apart", "deferred", "helping", "pendingReadMs", "pendingHelpMs"] as const),
+  ...(["decoding", "kvTokens", "contextTokens", "unseen"] as const),
+] as const;
+/** Numbers that stand for one answer in the decode phase, and for one part of a prompt. */
+const DECODE_NUMBERS = 2;
+const PREFILL_NUMBERS = 4;
+
+const upstreamLoadSchema = z.tuple([
+  z.string(),
+  /** {@link LOAD_AMOUNTS}, and the smallest gap objective, 0 for none. */
+  z.array(amountSchema).length(LOAD_AMOUNTS.length + 1),
+  /** Gap objective and value of each answer. */
+  z.array(amountSchema),
+  /** Time to objective and deadline, value, and 1 at the decoder, of each part of a prompt. */
+  z.array(z.number()),
+]);
+type CodedLoad = z.output<typeof upstreamLoadSchema>;
 
 /** Loads of those of the upstreams that have any; none unless the relay knows of all requests. */
 export const loadAnswerSchema = z.object({
@@ -98,9 +103,44 @@
 });
 export type LoadAnswer = z.output<typeof loadAnswerSchema>;
 
-const MS_DIGITS = 10;
+const DIGITS = 100;
 
-const round = (value: number): number => Math.round(value * MS_DIGITS) / MS_DIGITS;
+const round = (value: number): number => Math.round(value * DIGITS) / DIGITS;
+
+const encodeLoad = (id: string, load: UpstreamLoad): CodedLoad => [
+  id,
+  [
+    ...LOAD_AMOUNTS.map((name) => round(load[name])),
+    Number.isFinite(load.minGapMs) ? load.minGapMs : 0,
+  ],
+  load.decodes.flatMap(({ maxGapMs, value }) => [maxGapMs, value]),
+  load.prefills.flatMap(({ targetLeftMs, deadlineLeftMs, value, isDecoder }) => [
+    ...[round(targetLeftMs), round(deadlineLeftMs), value, isDecoder ? 1 : 0],
+  ]),
+];
+
+/** Splits a row of numbers into groups of the same size. */
+const group = (numbers: readonly number[], size: number): number[][] =>
+  Array.from({ length: Math.floor(numbers.length / size) }, (_, index) =>
+    numbers.slice(index * size, (index + 1) * size),
+  );
+
+const decodeLoad = ([, amounts, decodes, prefills]: CodedLoad): UpstreamLoad => {
+  const load = newUpstreamLoad();
+  LOAD_AMOUNTS.forEach((name, index) => {
+    load[name] = amounts[index] ?? 0;
+  });
+  load.minGapMs = amounts[LOAD_AMOUNTS.length] || Infinity;
+  load.decodes = group(decodes, DECODE_NUMBERS).map(([maxGapMs = 0, value = 0]) => ({
+    ...{ maxGapMs, value },
+  }));
+  load.prefills = group(prefills, PREFILL_NUMBERS).map(
+    ([targetLeftMs = 0, deadlineLeftMs = 0, value = 0, isDecoder]) => ({
+      ...{ targetLeftMs, deadlineLeftMs, value, isDecoder: isDecoder === 1 },
+    }),
+  );
+  return load;
+};
 
 /** The answer to a question for `upstreams`. */
 export const toLoadAnswer = (options: {
@@ -113,25 +153,13 @@
   isWhole: options.isWhole,
   loads: options.upstreams.flatMap((id) => {
     const load = options.loads.get(id);
-    if (!load) {
-      return [];
-    }
-    const { minGapMs, ...rest } = load;
-    return {
-      ...{ ...rest, id, pendingReadMs: round(load.pendingReadMs) },
-      pendingHelpMs: round(load.pendingHelpMs),
-      prefills: load.prefills.map((prefill) => ({
-        ...{ ...prefill, targetLeftMs: round(prefill.targetLeftMs) },
-        deadlineLeftMs: round(prefill.deadlineLeftMs),
-      })),
-      ...(Number.isFinite(minGapMs) && { minGapMs }),
-    };
+    return load ? [encodeLoad(id, load)] : [];
   }),
 });
 
 /** The loads of an answer by upstream. */
 export const toLoads = ({ loads }: LoadAnswer): Map<string, UpstreamLoad> =>
-  new Map(loads.map(({ id, minGapMs = Infinity, ...load }) => [id, { ...load, minGapMs }]));
+  new Map(loads.map((coded) => [coded[0], decodeLoad(coded)]));
 
 type Fields = Readonly<Record<string, unknown>>;
 
@@ -206,3 +234,24 @@
   (value): value is { changes: LoadChangeMessage[] } =>
     isFields(value) && isArrayOf(value["changes"], isLoadChange),
 );
+
+const isAmount = (value: unknown): boolean => isNumber(value) && value >= 0;
+
+const isCodedLoad = (value: unknown): value is CodedLoad =>
+  Array.isArray(value) &&
+  value.length === 4 &&
+  isString(value[0]) &&
+  isArrayOf(value[1], isAmount) &&
+  (value[1] as unknown[]).length === LOAD_AMOUNTS.length + 1 &&
+  isArrayOf(value[2], isAmount) &&
+  isArrayOf(value[3], isNumber);
+
+export const loadAnswerParser = newParser(
+  loadAnswerSchema,
+  (value): value is LoadAnswer =>
+    isFields(value) &&
+    Number.isSafeInteger(value["question"]) &&
+    typeof value["isWhole"] === "boolean" &&
+    isArrayOf(value["loads"], isCodedLoad) &&
+    (value["loads"] as unknown[]).length <= MAX_QUESTION_UPSTREAMS,
+);
--- a/packages/forwarding/src/Placer.ts
+++ b/packages/forwarding/src/Placer.ts
@@ -290,8 +290,8 @@
   }): Promise<readonly PlacementCandidate[]> {
     const open = this.#getUsable({ pool, excluded }).filter(({ id }) => this.#quota.isOpen(id));
     const active = this.#health.selectActive(open);
-    const options = { isSmall, random: this.#random };
     const isAsked = this.#peerLoads?.isNeeded ?? false;
+    const options = { isSmall, isAsked, random: this.#random };
     const known = isAsked ? NO_LOADS : this.#loadTracker.getLoads();
     const considered = selectCandidates(active, known, options);
     const loads = isAsked ? await this.#fetchLoads(considered.map(({ id }) => id)) : known;
--- a/packages/forwarding/src/selectCandidates.test.ts
+++ b/packages/forwarding/src/selectCandidates.test.ts
@@ -12,6 +12,7 @@
     /** Requests that peers may have sent to the whole pool without this process knowing yet. */
     unseen: number;
     isSmall: boolean;
+    isAsked?: boolean;
     count: number;
   }[] = [
     { name: "a small pool", upstreams: 16, unseen: 0.2, isSmall: true, count: 16 },
@@ -34,9 +35,17 @@
       isSmall: true,
       count: 2,
     },
+    {
+      ...{ name: "a large pool whose loads are asked for", upstreams: 54, unseen: 0 },
+      ...{ isSmall: true, isAsked: true, count: 8 },
+    },
+    {
+      ...{ name: "a prompt for several whose loads are asked for", upstreams: 54, unseen: 0 },
+      ...{ isSmall: false, isAsked: true, count: 24 },
+    },
     { name: "a prompt for several upstreams", upstreams: 54, unseen: 9, isSmall: false, count: 24 },
   ];
-  for (const { name, upstreams, unseen, isSmall, count } of cases) {
+  for (const { name, upstreams, unseen, isSmall, isAsked = false, count } of cases) {
     it(`compares ${String(count)} upstreams: ${name}`, () => {
       const pool = Array.from({ length: upstreams }, (_, index) =>
         newUpstream(`u${String(index)}`),
@@ -45,7 +54,7 @@
         pool.map(({ id }) => [id, { ...newUpstreamLoad(), unseen: unseen / upstreams }]),
       );
       const random = new SeededRandom(1);
-      expect(selectCandidates(pool, loads, { isSmall, random })).to.have.length(count);
+      expect(selectCandidates(pool, loads, { isSmall, isAsked, random })).to.have.length(count);
     });
   }
 });
--- a/packages/forwarding/src/selectCandidates.ts
+++ b/packages/forwarding/src/selectCandidates.ts
@@ -9,6 +9,8 @@
  * Otherwise many processes that choose at the same moment would take the same one.
  */
 const MAX_CANDIDATES = 24;
+/** The same for a small prompt whose process asks a peer for their loads, at a cost for each. */
+const MAX_ASKED_CANDIDATES = 8;
 /** A small prompt chooses among at least this many. */
 const MIN_CANDIDATES = 3;
 /** Requests that all processes may send to one upstream before they hear of each other. */
@@ -26,12 +28,11 @@
 export const selectCandidates = (
   upstreams: readonly Upstream[],
   loads: ReadonlyMap<string, UpstreamLoad>,
-  { isSmall, random }: { isSmall: boolean; random: Random },
+  { isSmall, isAsked = false, random }: { isSmall: boolean; isAsked?: boolean; random: Random },
 ): readonly Upstream[] => {
   const unseen = upstreams.reduce((sum, { id }) => sum + (loads.get(id)?.unseen ?? 0), 0);
+  const max = isSmall && isAsked ? MAX_ASKED_CANDIDATES : MAX_CANDIDATES;
   const most =
-    isSmall && unseen > 0
-      ? Math.min(MAX_CANDIDATES, getSmallSample(upstreams.length, unseen))
-      : MAX_CANDIDATES;
+    isSmall && unseen > 0 ? Math.min(max, getSmallSample(upstreams.length, unseen)) : max;
   return upstreams.length > most ? sample(upstreams, most, random) : upstreams;
 };
