--- a/packages/daemon/src/gateway/PeerExchange.ts
+++ b/packages/daemon/src/gateway/PeerExchange.ts
@@ -19,8 +19,7 @@
   upstreamNewsSchema,
   type Heartbeat,
 } from "./peerMessages.js";
-import type { RelayRole } from "./RelayTopology.js";
-import { RelayTopology } from "./RelayTopology.js";
+import { RelayTopology, type RelayRole } from "./RelayTopology.js";
 
 const MIN_HEARTBEAT_MS = 250;
 /** The heartbeat interval of large fleets grows by this time for each peer. */
