Count prompts of a less urgent priority for less when upstreams are contended

Change: the worth halves with each rank below the most urgent priority of the pool's routes; a customer's priority takes precedence, as admission has it. With equal priorities nothing changes.

--- a/packages/forwarding/src/Placer.ts
+++ b/packages/forwarding/src/Placer.ts
@@ -5,7 +5,6 @@
 import type { EngineSpec, Route, Upstream } from "./fleetConfig.js";
 import type { FleetView } from "./FleetView.js";
 import { getReadMs } from "./engineModel.js";
-import { estimateValue } from "./lateness.js";
 import { QuotaQueue } from "./limits/QuotaQueue.js";
 import type { SendQuota } from "./limits/SendQuota.js";
 import { newUpstreamLoad, type UpstreamLoad } from "./load.js";
@@ -20,6 +19,7 @@
   type PlacementRequest,
 } from "./placement.js";
 import { CALL_LOAD, DEFAULT_GAP_MS, getKvTokens, getPromptLoad } from "./requestLoad.js";
+import { getRequestValue } from "./requestValue.js";
 import { getRetryAfterMs, REJECTED_RETRY_AFTER_MS } from "./retryAfter.js";
 import { selectCandidates } from "./selectCandidates.js";
 import { selectSeparate } from "./selectSeparate.js";
@@ -174,13 +174,13 @@
 
   /** Resolves with false at once when no limited upstream is expected to take the request in time. */
   #waitForQuota(query: PlacementQuery): Promise<boolean> {
-    const { req, timeline, deadlineAtMs, signal } = query;
+    const { timeline, deadlineAtMs, signal } = query;
     const now = this.#clock.now();
     const hasEvents = timeline.firstMs !== undefined;
     const untilMs = hasEvents ? deadlineAtMs : now + timeline.getTargetLeftMs(now);
     return this.#quotaQueue.wait({
       upstreams: this.#getUsable(query).map(({ id }) => id),
-      value: estimateValue(req.head.promptTokens),
+      value: getRequestValue(query, this.#view.table),
       ...{ untilMs, signal },
     });
   }
@@ -225,7 +225,8 @@
         return this.#getLack(query.pool);
       }
       const shortGapMs = this.#view.table?.getShortGapMs(query.pool) ?? 0;
-      const request = { ...newPlacementRequest(query, engine, now), shortGapMs };
+      const value = getRequestValue(query, this.#view.table);
+      const request = { ...newPlacementRequest(query, engine, now), shortGapMs, value };
       if (
         !this.#isAdmitted({
           query,
@@ -340,11 +341,10 @@
   { req, deadlineAtMs, timeline }: PlacementQuery,
   engine: EngineSpec,
   now: number,
-): Omit<PlacementRequest, "shortGapMs"> => ({
+): Omit<PlacementRequest, "shortGapMs" | "value"> => ({
   promptTokens: req.head.promptTokens,
   outputTokens: req.head.outputTokens,
   maxGapMs: getGapMs(req.route),
   targetLeftMs: timeline.getTargetLeftMs(now),
   deadlineLeftMs: deadlineAtMs - now - req.head.outputTokens * engine.stepMs,
-  value: estimateValue(req.head.promptTokens),
 });
--- a/packages/forwarding/src/RouteTable.ts
+++ b/packages/forwarding/src/RouteTable.ts
@@ -8,6 +8,8 @@
   readonly #pools = new Map<string, Pool>();
   /** Shortest and longest gap objective of the routes to each pool. */
   readonly #gapsByPool = new Map<string, { shortestMs: number; longestMs: number }>();
+  /** Most urgent priority of the routes to each pool. */
+  readonly #firstPriorities = new Map<string, number>();
 
   constructor(config: FleetConfig) {
     this.config = config;
@@ -17,6 +19,7 @@
       prefixes.set(route.pathPrefix, route);
       this.#byHost.set(host, prefixes);
       this.#addGap(route);
+      this.#addPriority(route);
     }
     for (const customer of config.customers ?? []) {
       for (const key of customer.apiKeys) {
@@ -62,6 +65,18 @@
       : 0;
   }
 
+  /** Distance of a priority from the most urgent one of the pool's routes, 0 for that one and above. */
+  getRank(pool: string, priority: number): number {
+    return Math.max(0, priority - (this.#firstPriorities.get(pool) ?? priority));
+  }
+
+  #addPriority({ priority, pools }: Route): void {
+    for (const { pool } of pools) {
+      const first = this.#firstPriorities.get(pool) ?? priority;
+      this.#firstPriorities.set(pool, Math.min(first, priority));
+    }
+  }
+
   #addGap({ maxGapMs, pools }: Route): void {
     if (maxGapMs === undefined) {
       return;
--- a/packages/forwarding/src/lateness.ts
+++ b/packages/forwarding/src/lateness.ts
@@ -15,8 +15,15 @@
   readonly value: number;
 }
 
-/** Estimated worth of a prompt; a short one is worth about 1. */
-export const estimateValue = (tokens: number): number => 1 + tokens / 10_000;
+/** Share of its worth that a request keeps for each rank by which others of its pool go before it. */
+const RANK_WEIGHT = 0.5;
+
+/**
+ * Estimated worth of a prompt; a short one of the most urgent priority in its pool is worth about 1.
+ * `rank` is the distance of its priority from that one.
+ */
+export const estimateValue = (tokens: number, rank = 0): number =>
+  (1 + tokens / 10_000) * RANK_WEIGHT ** rank;
 
 /** Risk of missing an objective: 0 while `ms` is well within `limitMs`, 1 at the limit and beyond. */
 export const getLateRisk = (ms: number, limitMs: number): number => {
