--- a/packages/simulation/src/SimulatedCaller.ts
+++ b/packages/simulation/src/SimulatedCaller.ts
@@ -1,4 +1,4 @@
-import { nextExponential, type Clock, type Random } from "@lycheepulley/core";
+import { nextExponential, type Cancel, type Clock, type Random } from "@lycheepulley/core";
 import type { AnswerWriter, ForwardRequest } from "@lycheepulley/forwarding";
 
 import type { Incident, Pattern, PromptClass } from "./pattern.js";
@@ -11,6 +11,13 @@
 const RECONNECT_MS = 250;
 /** Attempts of a caller for one request. */
 const MAX_ATTEMPTS = 2;
+/** A caller waits for a first or further event at least this long before it leaves, milliseconds. */
+const MIN_PATIENCE_MS = 2_000;
+/** The same in objectives for the first event, and in longest gaps in time; the longest of the three counts. */
+const TARGETS_OF_PATIENCE = 4;
+const GAPS_OF_PATIENCE = 8;
+/** Callers wait at most this share of the time that they have left when a refusal asks them to. */
+const MAX_RETRY_AFTER_SHARE = 1 / 3;
 /** Weight of the fixed part of a prompt's worth; the rest grows with its size. */
 const FIXED_WORTH = 0.3;
 /** Most that a prompt is worth, as a multiple of its class's worth. */
@@ -44,6 +51,10 @@
   );
 };
 
+/** Time without an event after which a caller leaves, milliseconds. */
+const getPatienceMs = ({ targetMs, maxGapMs }: PromptClass): number =>
+  Math.max(MIN_PATIENCE_MS, TARGETS_OF_PATIENCE * targetMs, GAPS_OF_PATIENCE * maxGapMs);
+
 /** Sends the prompts of a pattern to a fleet and records what callers get. */
 export class SimulatedCaller {
   readonly records: RequestRecord[] = [];
@@ -144,23 +155,31 @@
     const cancelDeadline = this.#clock.setTimer(() => {
       abort.abort();
     }, leftMs);
-    const answer = new CallerAnswer(this.#clock, record, state);
+    const answer = new CallerAnswer({
+      ...{ clock: this.#clock, record, lastEventId: state.lastEventId },
+      patienceMs: getPatienceMs(prompt),
+      leave: () => {
+        abort.abort();
+      },
+    });
     const cancelWatch = this.#watchProcess(() => this.#fleet.isUp(gateway), abort);
     record.attempts = state.attempt;
     const req = this.#newRequest(prompt, { ...state, parts: record.parts }, leftMs, abort.signal);
     await gateway.forward(req, answer);
     cancelDeadline();
     cancelWatch();
+    answer.close();
     if (answer.isWhole) {
       const isInTime =
         (record.firstMs ?? Infinity) <= prompt.targetMs && record.longestGapMs <= prompt.maxGapMs;
       record.result = isInTime ? "inTime" : "late";
-    } else if (
-      state.attempt < MAX_ATTEMPTS &&
-      this.#clock.now() < record.askedMs + prompt.deadlineMs
-    ) {
+      return;
+    }
+    const restMs = record.askedMs + prompt.deadlineMs - this.#clock.now();
+    if (state.attempt < MAX_ATTEMPTS && restMs > 0) {
       const next = { ...state, attempt: state.attempt + 1, lastEventId: answer.lastEventId };
-      this.#clock.setTimer(() => void this.#try(prompt, record, next), answer.retryAfterMs);
+      const waitMs = Math.min(answer.retryAfterMs, restMs * MAX_RETRY_AFTER_SHARE);
+      this.#clock.setTimer(() => void this.#try(prompt, record, next), waitMs);
     } else {
       record.result = answer.isRefused ? "refused" : "failed";
     }
@@ -210,10 +229,13 @@
   }
 }
 
-/** Times the events that a caller receives. */
+/** Times the events that a caller receives, and has it leave when none comes for too long. */
 class CallerAnswer implements AnswerWriter {
   readonly #clock: Clock;
   readonly #record: RequestRecord;
+  readonly #patienceMs: number;
+  readonly #leave: () => void;
+  #cancelWait: Cancel = () => undefined;
   #lastMs: number | undefined;
   #status: number | undefined;
   lastEventId: number;
@@ -221,10 +243,29 @@
   isRefused = false;
   retryAfterMs = 0;
 
-  constructor(clock: Clock, record: RequestRecord, { lastEventId }: { lastEventId: number }) {
-    this.#clock = clock;
-    this.#record = record;
-    this.lastEventId = lastEventId;
+  constructor(options: {
+    clock: Clock;
+    record: RequestRecord;
+    lastEventId: number;
+    patienceMs: number;
+    leave: () => void;
+  }) {
+    this.#clock = options.clock;
+    this.#record = options.record;
+    this.#patienceMs = options.patienceMs;
+    this.#leave = options.leave;
+    this.lastEventId = options.lastEventId;
+    this.#wait();
+  }
+
+  /** Ends the wait for events. */
+  close(): void {
+    this.#cancelWait();
+  }
+
+  #wait(): void {
+    this.#cancelWait();
+    this.#cancelWait = this.#clock.setTimer(this.#leave, this.#patienceMs);
   }
 
   get isHeadSent(): boolean {
@@ -236,6 +277,7 @@
   }
 
   write(chunk: Buffer): boolean {
+    this.#wait();
     const now = this.#clock.now();
     this.#record.firstMs ??= now - this.#record.askedMs;
     const lastMs = this.#lastMs ?? now;
