Plan prompts whose KV memory isn't a whole share of an engine's

Besides, each number of members was tried with the upstreams of the least cost alone, also when these had no memory and others did.

Change: the lacking tokens are rounded up before they are split. When the cheapest members lack the memory, the roomiest ones are tried.

--- a/packages/forwarding/src/placement.ts
+++ b/packages/forwarding/src/placement.ts
@@ -85,6 +85,13 @@
 export const isExpectedLate = (plan: PlacementPlan, { targetLeftMs }: Prospect): boolean =>
   plan.firstEventMs > targetLeftMs;
 
+interface PlanOptions {
+  /** Prefill time of each member's part, milliseconds. */
+  readonly readMs: number;
+  /** The best member unless given. */
+  readonly decoder?: ScoredMember | undefined;
+}
+
 /** A candidate with its times and cost as a member of a plan. */
 interface ScoredMember {
   readonly candidate: PlacementCandidate;
@@ -150,7 +157,8 @@
   helpers: readonly PlacementCandidate[],
   kvTokens: number,
 ): number[] | undefined => {
-  let lackingTokens = kvTokens - getFreeKv(engine, decoder.load);
+  // Reservations are whole tokens.
+  let lackingTokens = Math.ceil(kvTokens - getFreeKv(engine, decoder.load));
   const held = helpers.map(({ load }) => {
     const part = Math.floor(
       Math.max(0, Math.min(lackingTokens, getFreeKv(engine, load) * HELPER_MEMORY_SHARE)),
@@ -165,9 +173,9 @@
 const pickDecoder = (
   engine: EngineSpec,
   members: readonly ScoredMember[],
-  kvTokens: number,
   req: PlacementRequest,
 ): ScoredMember | undefined => {
+  const kvTokens = req.promptTokens + req.outputTokens;
   const getPenalty = ({ candidate, cost, decoderReadyMs }: ScoredMember): number => {
     const { load, upstream } = candidate;
     const crowding = load.inFlight >= upstream.slots ? FULL_COST : load.inFlight / upstream.slots;
@@ -230,10 +238,9 @@
   engine: EngineSpec,
   req: PlacementRequest,
   members: readonly ScoredMember[],
-  readMs: number,
+  { readMs, decoder = pickDecoder(engine, members, req) }: PlanOptions,
 ): PlacementPlan | undefined => {
   const kvTokens = req.promptTokens + req.outputTokens;
-  const decoder = pickDecoder(engine, members, kvTokens, req);
   if (!decoder) {
     return undefined;
   }
@@ -271,6 +278,19 @@
 /** True for a prompt that isn't worth a second upstream. */
 export const isForOneUpstream = (tokens: number): boolean => getMaxMembers(tokens, Infinity) === 1;
 
+/** Plans the prompt on the members with the most free memory, which hold it if any do. */
+const planRoomiest = (
+  engine: EngineSpec,
+  req: PlacementRequest,
+  scored: readonly ScoredMember[],
+  { count, readMs }: { count: number; readMs: number },
+): PlacementPlan | undefined => {
+  const members = [...scored]
+    .sort((a, b) => getFreeKv(engine, b.candidate.load) - getFreeKv(engine, a.candidate.load))
+    .slice(0, count);
+  return planMembers(engine, req, members, { readMs, decoder: members[0] });
+};
+
 /**
  * Chooses the upstreams that prefill a prompt together and the one among them
  * that decodes its answer, by the least expected loss to this request and to the
@@ -290,13 +310,14 @@
     const scored = (count === 1 ? candidates : unlimited)
       .map((candidate) => scoreMember(engine, candidate, readMs))
       .sort((a, b) => a.cost - b.cost);
-    if (count === 1) {
-      for (const member of scored) {
-        const plan = planMembers(engine, req, [member], readMs);
-        best = plan && (!best || plan.loss < best.loss) ? plan : best;
-      }
-    } else {
-      const plan = planMembers(engine, req, scored.slice(0, count), readMs);
+    const plans =
+      count === 1
+        ? scored.map((member) => planMembers(engine, req, [member], { readMs }))
+        : [
+            planMembers(engine, req, scored.slice(0, count), { readMs }) ??
+              planRoomiest(engine, req, scored, { count, readMs }),
+          ];
+    for (const plan of plans) {
       best = plan && (!best || plan.loss < best.loss) ? plan : best;
     }
   }
