--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -327,7 +327,7 @@
   /** Applies an upstream list that was current at `atMs`; true when upstreams or the epoch changed. */
   #applyUpstreams(list: UpstreamList, atMs: number): boolean {
     const hasChanged = this.#listTracker.apply(list, atMs);
-    const ids = new Set(this.#view.upstreams.keys());
+    const ids = this.#listTracker.lasting;
     this.#health.retain(ids);
     this.#limitExchange.retain(ids);
     this.#metrics.setListEpoch(getEpoch(this.#view.list));
--- a/packages/forwarding/src/DepartedUpstreams.ts
+++ b/packages/forwarding/src/DepartedUpstreams.ts
@@ -49,6 +49,11 @@
     return this.#departures.size;
   }
 
+  /** Forgets an upstream that started again under its id. */
+  forget(id: string): void {
+    this.#departures.delete(id);
+  }
+
   /** Corrections to a list that was current at `atMs` and isn't older than those recorded. */
   getCorrections(list: UpstreamList, atMs: number): ListCorrections {
     const epoch = getEpoch(list);
--- a/packages/forwarding/src/FleetView.ts
+++ b/packages/forwarding/src/FleetView.ts
@@ -1,6 +1,7 @@
 import { createHash } from "node:crypto";
 
 import {
+  getListedFields,
   isListBefore,
   type FleetConfig,
   type ListPosition,
@@ -128,6 +129,11 @@
     return !(this.#upstreams.get(id)?.isLeaving ?? false);
   }
 
+  /** Forgets what an upstream said of leaving before it started again under its id. */
+  forgetLeaving(id: string): void {
+    this.#saidLeaving.delete(id);
+  }
+
   /** Records that the list in force is still current at `position`. */
   confirmList({ epoch, version }: ListPosition, atMs: number): void {
     if (isListBefore(this.#list, { epoch, version })) {
@@ -146,7 +152,9 @@
 
 const getDigest = ({ upstreams }: UpstreamList): string => {
   const sorted = [...upstreams].sort((a, b) => (a.id < b.id ? -1 : 1));
-  return createHash("sha1").update(JSON.stringify(sorted)).digest("base64");
+  return createHash("sha1")
+    .update(JSON.stringify(sorted.map(getListedFields)))
+    .digest("base64");
 };
 
 const groupByPool = (upstreams: Iterable<Upstream>): Map<string, Upstream[]> => {
--- a/packages/forwarding/src/UpstreamListTracker.ts
+++ b/packages/forwarding/src/UpstreamListTracker.ts
@@ -5,6 +5,7 @@
 import { getEpoch, isListBefore, type ListPosition, type UpstreamList } from "./fleetConfig.js";
 import type { FleetView } from "./FleetView.js";
 import { ListOutageGuard } from "./ListOutageGuard.js";
+import { UpstreamStarts } from "./UpstreamStarts.js";
 
 /**
  * Applies lists of upstreams to the view, from the listing service or from peers.
@@ -16,7 +17,9 @@
   readonly #onRestored: () => void;
   readonly #outageGuard: ListOutageGuard;
   readonly #departed: DepartedUpstreams;
+  readonly #starts = new UpstreamStarts();
   #position: ListPosition = { version: -1 };
+  #restarted: ReadonlySet<string> = new Set();
 
   /** `onRestored` is called when the service came back from an older copy. */
   constructor(options: {
@@ -39,8 +42,14 @@
     return getEpoch(list) < getEpoch(this.#view.list);
   }
 
+  /** Upstreams in use without those that started again with the newest list, of which nothing is known. */
+  get lasting(): ReadonlySet<string> {
+    return new Set([...this.#view.upstreams.keys()].filter((id) => !this.#restarted.has(id)));
+  }
+
   /** Applies a list that was current at `atMs`; true when upstreams or the epoch changed. */
   apply(list: UpstreamList, atMs: number): boolean {
+    this.#restarted = new Set();
     if (this.isOfOlderEpoch(list)) {
       return false;
     }
@@ -48,13 +57,20 @@
     if (isListBefore(list, this.#view.list)) {
       return false;
     }
+    this.#restarted = this.#starts.observe(list.upstreams);
+    this.#restarted.forEach((id) => {
+      this.#departed.forget(id);
+      this.#view.forgetLeaving(id);
+    });
     const retained = this.#outageGuard.getRetained(this.#view.upstreams.keys());
     const corrections = this.#departed.getCorrections(list, atMs);
     const { joined, left } = this.#view.applyUpstreams(list, atMs, retained, corrections);
     this.#departed.record(list, corrections, this.#view.upstreams);
-    if (left.length > 0 || joined.length > 0) {
+    this.#starts.retain(this.#view.upstreams);
+    const restarted = [...this.#restarted];
+    if (left.length > 0 || joined.length > 0 || restarted.length > 0) {
       this.#logger.info("upstreams changed", {
-        ...{ step: "membership", left, joined, kept: retained.size },
+        ...{ step: "membership", left, joined, restarted, kept: retained.size },
         ...{ size: this.#view.upstreams.size, listVersion: list.version },
       });
     }
--- a/packages/forwarding/src/fleetConfig.ts
+++ b/packages/forwarding/src/fleetConfig.ts
@@ -51,10 +51,21 @@
 });
 export type EngineSpec = z.infer<typeof engineSpecSchema>;
 
+/** What upstreams of a pool bear while they are cold: after their start, and perhaps again later. */
+export const coldStartSchema = z.object({
+  /** Time that an upstream stays cold. */
+  durationMs: z.number().positive(),
+  /** Requests a second that a cold upstream takes from all processes together. */
+  perSecond: z.number().positive(),
+});
+export type ColdStart = z.infer<typeof coldStartSchema>;
+
 /** Group of identical upstreams; `engine` is absent for plain services. */
 export const poolSchema = z.object({
   name: z.string().min(1),
   engine: engineSpecSchema.optional(),
+  /** Absent for upstreams that take the full load from their start. */
+  coldStart: coldStartSchema.optional(),
 });
 export type Pool = z.infer<typeof poolSchema>;
 
@@ -97,7 +108,7 @@
 
 /** One upstream as the platform lists it. */
 export const upstreamSchema = z.object({
-  /** New at each start of the upstream. */
+  /** Mostly new at each start of the upstream. */
   id: z.string().min(1),
   pool: z.string(),
   host: z.string(),
@@ -105,9 +116,19 @@
   failureDomain: z.string(),
   slots: z.number().int().positive(),
   isLeaving: z.boolean(),
+  /** Start of the upstream, Unix milliseconds; a later one under the same id is another upstream. */
+  bornMs: z.number().optional(),
+  /** How long the upstream stays cold, as of the write of its entry. */
+  coldMs: z.number().nonnegative().optional(),
 });
 export type Upstream = z.infer<typeof upstreamSchema>;
 
+/** Fields by which two lists are told apart: those that last as long as the upstream does. */
+export const getListedFields = (upstream: Upstream): Omit<Upstream, "coldMs"> => {
+  const { id, pool, host, port, failureDomain, slots, isLeaving, bornMs } = upstream;
+  return { id, pool, host, port, failureDomain, slots, isLeaving, bornMs };
+};
+
 /** Upstreams at one time. Positions are compared with `isListBefore`. */
 export const upstreamListSchema = z.object({
   /**
