Send cold upstreams no more than they bear, summed over all processes

Cause: an upstream that had just started was idle and the first choice of every process; nothing read how long it stays cold. Change: SharedRates has the limits that upstreams name and the rates of cold ones; QuotaOwner grants both by the same quota, one call a send, only while an upstream is cold. Coldness comes from the list (own reads, and peers' lists for upstreams that are new), answers and peers; it doesn't change the digest. A new owner grants 0.4 of a rate for 5 s (0.5 for 15 s before); a process that sees less than half of those seen lately, or none, sends its own part in time slots of its own, so that parts saved up by many don't come at once. Owners of earlier builds don't count cold sends: the part then too. An upstream that names a limit is no longer avoided (0.01 instead of 1 to 0.5 a second): it got a tenth of its limit and its end became known late; changes are told to all again after 0.7 s, past the doubt about their order, and the owner tells what it knows with its grants.

--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -182,12 +182,12 @@
     this.#peerCalls = new PeerCalls({ port: settings.peerPort, timeoutMs: OWNER_TIMEOUT_MS });
     const exchange = {
       ...{ clock, random: this.#random, channel: this.#channel, peers: this.#peers, logger },
-      ...{ host: settings.host, calls: this.#peerCalls },
+      ...{ host: settings.host, calls: this.#peerCalls, view: this.#view },
       getMembers: () => this.#peers.getMembers(this.isReady),
     };
-    this.#limitExchange = new LimitExchange(exchange);
+    this.#limitExchange = new LimitExchange({ ...exchange, rateBounds: settings.rateBounds });
     this.#crashExchange = new CrashExchange(exchange);
-    const { limits, rests, quota } = this.#limitExchange;
+    const { limits, cold, rests, quota } = this.#limitExchange;
     const transport = links.newTransport(this.#connector);
     const control = new LimitedControl(links.newControl(transport), quota);
     this.#watch = new UpstreamWatch({
@@ -209,7 +209,7 @@
       },
       ...{ crashes: this.#crashTracker, transport, dialect, logger },
       retryBudget: newRetryBudget(settings, clock, this.#peers),
-      ...{ control, limits, rests, quota, guard: this.#crashExchange.guard },
+      ...{ control, limits, cold, rests, quota, guard: this.#crashExchange.guard },
       reservations: new ReservationManager({ clock, control, logger }),
       onLeaving: (upstream) => {
         this.#peerExchange.notifyUpstream("leaving", upstream);
--- a/packages/daemon/src/gateway/LimitExchange.ts
+++ b/packages/daemon/src/gateway/LimitExchange.ts
@@ -1,16 +1,19 @@
 import type { Cancel, Clock, Random } from "@lycheepulley/core";
 import {
+  ColdUpstreams,
   QuotaOwner,
   sample,
   SendQuota,
   UpstreamLimits,
-  type KnownLimit,
+  UpstreamRests,
+  type ColdReport,
+  type FleetView,
   type LimitReport,
+  type Members,
   type PeerTable,
   type QuotaAnswer,
-  type Members,
-  UpstreamRests,
   type QuotaPeers,
+  type RateBounds,
 } from "@lycheepulley/forwarding";
 import { newRpcMethod, type DatagramChannel, type NodeServer } from "@lycheepulley/nodes";
 import type { Logger } from "@lycheepulley/telemetry";
@@ -24,6 +27,8 @@
 const GOSSIP_PEERS = 4;
 /** Limits told in one message, which has to fit into a datagram. */
 const MAX_REPORTS = 100;
+/** Changes are told to all once more after this time, past the doubt about the order of two reports. */
+const RETELL_MS = 700;
 
 const limitSchema = z.object({
   upstream: z.string(),
@@ -36,16 +41,29 @@
 
 const limitsSchema = z.object({ limits: z.array(limitSchema).max(MAX_REPORTS) });
 
+const coldSchema = z.object({
+  upstream: z.string(),
+  leftMs: z.number().nonnegative(),
+  perSecond: z.number().positive(),
+});
+const coldReportSchema = z.object({ cold: z.array(coldSchema).max(MAX_REPORTS) });
+
 const askMethod = newRpcMethod(
   "limit.take",
-  z.object({ host: z.string(), limit: limitSchema }),
-  z.object({ isGranted: z.boolean(), retryMs: z.number().nonnegative() }),
+  z.object({ host: z.string(), limit: limitSchema, cold: coldSchema.optional() }),
+  z.object({
+    isGranted: z.boolean(),
+    retryMs: z.number().nonnegative(),
+    isCounted: z.boolean().optional(),
+    limit: limitSchema.optional(),
+  }),
 );
 const chargeSchema = z.object({ limit: limitSchema });
 
 /** Exchanges the limits of upstreams and the quotas for sending to them with peers. */
 export class LimitExchange {
   readonly limits: UpstreamLimits;
+  readonly cold: ColdUpstreams;
   readonly rests: UpstreamRests;
   readonly quota: SendQuota;
   readonly #clock: Clock;
@@ -55,7 +73,11 @@
   readonly #owner: QuotaOwner;
   readonly #host: string;
   readonly #calls: PeerCalls;
+  readonly #view: FleetView;
+  /** Upstreams whose limit changed lately by an answer that this process received. */
+  readonly #changed = new Set<string>();
   #cancelTimer: Cancel = () => undefined;
+  #cancelRetell: Cancel = () => undefined;
 
   constructor(options: {
     clock: Clock;
@@ -65,6 +87,8 @@
     logger: Logger;
     host: string;
     calls: PeerCalls;
+    view: FleetView;
+    rateBounds?: RateBounds | undefined;
     getMembers: () => Members;
   }) {
     const { clock, logger } = options;
@@ -74,9 +98,10 @@
     this.#peers = options.peers;
     this.#host = options.host;
     this.#calls = options.calls;
-    const { getMembers } = options;
+    this.#view = options.view;
+    const { getMembers, rateBounds: bounds } = options;
     const peers: QuotaPeers = {
-      ask: (host, limit) => this.#ask(host, limit),
+      ask: (host, limit, cold) => this.#ask(host, limit, cold),
       charge: (host, limit) => {
         this.#channel.notify("limit.charge", { limit: this.#toMessage(limit) }, [host]);
       },
@@ -85,12 +110,20 @@
       ...{ clock, logger },
       onOwnChange: (report) => {
         this.#tell([report], this.#liveHosts);
+        this.#retellLater(report.upstream);
       },
     });
-    this.#owner = new QuotaOwner({ clock, limits: this.limits, getMembers });
+    this.cold = new ColdUpstreams({
+      ...{ clock, logger },
+      onNews: (reports) => {
+        this.#tellCold(reports, this.#liveHosts);
+      },
+    });
+    const { limits, cold } = this;
+    this.#owner = new QuotaOwner({ clock, limits, cold, bounds, getMembers });
     this.rests = new UpstreamRests({ clock, random: options.random, logger });
     this.quota = new SendQuota({
-      ...{ clock, limits: this.limits, rests: this.rests, owner: this.#owner, peers },
+      ...{ clock, limits, cold, rests: this.rests, owner: this.#owner, peers },
       ...{ getMembers, logger },
     });
   }
@@ -105,18 +138,32 @@
       this.limits.recordPeer(host, this.#toReport(limit));
       this.#owner.charge(limit.upstream);
     });
-    server.handle(askMethod, ({ host, limit }) =>
-      this.#owner.takeForPeer(host, this.#toReport(limit)),
-    );
+    this.#channel.handle("limit.cold", coldReportSchema, ({ cold }, host) => {
+      cold.forEach((report) => {
+        this.cold.recordPeer(host, report);
+      });
+    });
+    server.handle(askMethod, ({ host, limit, cold }) => {
+      const answer = this.#owner.takeForPeer(host, this.#toReport(limit), cold);
+      const { report, ...rest } = answer;
+      return { ...rest, limit: report && this.#toMessage(report) };
+    });
     this.#gossip();
   }
 
   stop(): void {
     this.#cancelTimer();
+    this.#cancelRetell();
   }
 
-  /** Forgets upstreams that are no longer listed. */
+  /** Forgets upstreams that are no longer listed, and takes what the list says of the others. */
   retain(ids: ReadonlySet<string>): void {
+    const { list, upstreams, table } = this.#view;
+    this.cold.retain(ids);
+    this.cold.observe(upstreams.values(), {
+      isDirect: list.isDirect ?? false,
+      getColdStart: (pool) => table?.findPool(pool)?.coldStart,
+    });
     this.limits.retain(ids);
     this.rests.retain(ids);
     this.quota.retain(ids);
@@ -125,7 +172,9 @@
 
   #gossip(): void {
     this.#owner.observe();
-    this.#tell(this.limits.own, sample(this.#liveHosts, GOSSIP_PEERS, this.#random));
+    const hosts = sample(this.#liveHosts, GOSSIP_PEERS, this.#random);
+    this.#tell(this.limits.own, hosts);
+    this.#tellCold(this.cold.all, hosts);
     this.#cancelTimer = this.#clock.setTimer(() => {
       this.#gossip();
     }, GOSSIP_INTERVAL_MS);
@@ -138,12 +187,39 @@
     }
   }
 
+  #tellCold(reports: readonly ColdReport[], hosts: readonly string[]): void {
+    if (reports.length > 0) {
+      const cold = reports
+        .slice(0, MAX_REPORTS)
+        .map(({ upstream, leftMs, perSecond }) => ({ upstream, leftMs, perSecond }));
+      this.#channel.notify("limit.cold", { cold }, hosts);
+    }
+  }
+
+  /** Tells all peers once more what is then the newest report of an upstream whose limit changed. */
+  #retellLater(upstream: string): void {
+    if (this.#changed.size === 0) {
+      this.#cancelRetell = this.#clock.setTimer(() => {
+        const reports = this.limits.own.filter((report) => this.#changed.has(report.upstream));
+        this.#changed.clear();
+        this.#tell(reports, this.#liveHosts);
+      }, RETELL_MS);
+    }
+    this.#changed.add(upstream);
+  }
+
   get #liveHosts(): string[] {
     return this.#peers.getLive().map(({ host }) => host);
   }
 
-  #ask(host: string, limit: KnownLimit): Promise<QuotaAnswer> {
-    return this.#calls.call(host, askMethod, { host: this.#host, limit: this.#toMessage(limit) });
+  async #ask(host: string, limit: LimitReport, cold?: ColdReport): Promise<QuotaAnswer> {
+    const { limit: known, ...answer } = await this.#calls.call(host, askMethod, {
+      ...{ host: this.#host, limit: this.#toMessage(limit) },
+      ...(cold && {
+        cold: { upstream: cold.upstream, leftMs: cold.leftMs, perSecond: cold.perSecond },
+      }),
+    });
+    return { ...answer, report: known && this.#toReport(known) };
   }
 
   #toMessage({ upstream, perSecond, sentMs, receivedMs }: LimitReport): LimitMessage {
--- a/packages/daemon/src/gateway/types.ts
+++ b/packages/daemon/src/gateway/types.ts
@@ -1,4 +1,4 @@
-import type { FleetConfig, UpstreamList } from "@lycheepulley/forwarding";
+import type { FleetConfig, RateBounds, UpstreamList } from "@lycheepulley/forwarding";
 
 /** Watches a value that another system holds and reports its changes to one observer. */
 export interface Source<T> {
@@ -43,4 +43,6 @@
   readonly retrySlack: number;
   /** Time between the heartbeats by which upstreams stay on the upstream list, milliseconds. */
   readonly upstreamBeatMs: number;
+  /** How far the sends to a cold upstream may exceed its rate; the default's when absent. */
+  readonly rateBounds?: RateBounds | undefined;
 }
--- a/packages/forwarding/src/PeerTable.ts
+++ b/packages/forwarding/src/PeerTable.ts
@@ -73,6 +73,9 @@
  */
 const ISOLATION_GRACE_MS = 20_000;
 
+/** A peer that is silent for longer has ended; none is cut off or frozen for so long. */
+const RECENT_MS = 20_000;
+
 interface PeerEntry {
   identity: PeerIdentity | undefined;
   /** Time of its newest heartbeat, or of its addition before the first. */
@@ -154,10 +157,19 @@
   /** The processes that divide duties: live peers that serve callers, and this one while `isServing`. */
   getMembers(isServing: boolean): Members {
     const self = this.#self;
-    const hosts = this.getLive()
-      .filter(({ state }) => state === PeerState.Live)
-      .map(({ host }) => host);
-    return { self, hosts: isServing ? [...hosts, self] : hosts, known: this.#entries.size };
+    const live = this.getLive();
+    const hosts = live.filter(({ state }) => state === PeerState.Live).map(({ host }) => host);
+    return {
+      ...{ self, hosts: isServing ? [...hosts, self] : hosts, known: this.#entries.size },
+      isPartial: 2 * (live.length + 1) < this.#countRecent() + 1,
+    };
+  }
+
+  /** Other processes that may run unseen: seen lately, or known for a short time. */
+  #countRecent(): number {
+    const now = this.#clock.now();
+    return [...this.#entries.values()].filter(({ lastSeenMs }) => now - lastSeenMs <= RECENT_MS)
+      .length;
   }
 
   /** Removes peers that were silent for long. */
--- a/packages/forwarding/src/SendFeedback.ts
+++ b/packages/forwarding/src/SendFeedback.ts
@@ -43,7 +43,7 @@
 
   /** Records what the head of an answer says of its upstream; the request went out at `sentMs`. */
   recordHead({ id }: Upstream, sentMs: number, facts: AnswerFacts): void {
-    const { limits, clock, rests, view, onLeaving } = this.#deps;
+    const { limits, cold, clock, rests, view, onLeaving } = this.#deps;
     if (facts.isLeaving && view.recordLeaving(id)) {
       this.#log.logLeaving(id);
       onLeaving(id);
@@ -51,6 +51,9 @@
     if (facts.restMs !== undefined) {
       rests.record(id, facts.restMs);
     }
+    if (facts.coldMs !== undefined) {
+      cold?.record(id, facts.coldMs);
+    }
     if (facts.unreadableLimit !== undefined) {
       this.#log.logUnreadableLimit(id, facts.unreadableLimit);
     }
--- a/packages/forwarding/src/fleetConfig.ts
+++ b/packages/forwarding/src/fleetConfig.ts
@@ -139,7 +139,10 @@
   version: z.number(),
   upstreams: z.array(upstreamSchema),
 });
-export type UpstreamList = z.infer<typeof upstreamListSchema>;
+export type UpstreamList = z.infer<typeof upstreamListSchema> & {
+  /** This process read it from the listing service itself, so that its times are those of the entries. */
+  readonly isDirect?: boolean;
+};
 
 /** Position of a list: its epoch and its version within that. */
 export type ListPosition = Pick<UpstreamList, "epoch" | "version">;
--- a/packages/forwarding/src/forwardDependencies.ts
+++ b/packages/forwarding/src/forwardDependencies.ts
@@ -5,6 +5,7 @@
 import type { PartGuard } from "./crashes/PartGuard.js";
 import type { FleetView } from "./FleetView.js";
 import type { SendQuota } from "./limits/SendQuota.js";
+import type { ColdUpstreams } from "./limits/ColdUpstreams.js";
 import type { UpstreamLimits } from "./limits/UpstreamLimits.js";
 import type { UpstreamRests } from "./limits/UpstreamRests.js";
 import type { LoadTracker } from "./LoadTracker.js";
@@ -37,6 +38,8 @@
   readonly health: UpstreamHealth;
   readonly watch: UpstreamWatch;
   readonly limits: UpstreamLimits;
+  /** Undefined where no upstream is ever cold. */
+  readonly cold?: ColdUpstreams | undefined;
   readonly rests: UpstreamRests;
   readonly quota: SendQuota;
   readonly retryBudget: RetryBudget;
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -14,6 +14,7 @@
 export * from "./forwardDependencies.js";
 export * from "./ListOutageGuard.js";
 export * from "./draining.js";
+export * from "./limits/ColdUpstreams.js";
 export * from "./limits/LimitedControl.js";
 export * from "./limits/QuotaOwner.js";
 export * from "./limits/SendQuota.js";
--- a/packages/forwarding/src/limits/LimitedControl.ts
+++ b/packages/forwarding/src/limits/LimitedControl.ts
@@ -14,9 +14,12 @@
 
   /** A limited upstream is taken to be alive; it is replaced after the longer time-out. */
   isAlive(upstream: Upstream): Promise<boolean> {
-    return this.#quota.isLimited(upstream.id) || this.#quota.isResting(upstream.id)
-      ? Promise.resolve(true)
-      : this.#control.isAlive(upstream);
+    const { id } = upstream;
+    if (this.#quota.namesLimit(id) || this.#quota.isResting(id)) {
+      return Promise.resolve(true);
+    }
+    this.#quota.charge(id);
+    return this.#control.isAlive(upstream);
   }
 
   reserve(
--- a/packages/forwarding/src/limits/QuotaOwner.ts
+++ b/packages/forwarding/src/limits/QuotaOwner.ts
@@ -1,26 +1,42 @@
 import { TokenBucket, type Clock } from "@lycheepulley/core";
 
-import { pickOwner, type Members } from "../members.js";
-import type { KnownLimit, LimitReport, UpstreamLimits } from "./UpstreamLimits.js";
-
-/** Sends that an unused quota saves up. */
-const BURST_SENDS = 2;
-/** Share of a limit that is granted, since sends may arrive closer together than they left. */
+import { isUncertain, type Members } from "../members.js";
+import type { ColdReport, ColdUpstreams } from "./ColdUpstreams.js";
+import { MemberViews } from "./MemberViews.js";
+import { PartSlots } from "./PartSlots.js";
+import { SharedRates, type SharedRate } from "./SharedRates.js";
+import type { LimitReport, UpstreamLimits } from "./UpstreamLimits.js";
+
+/** Share of a rate that is granted, since sends may arrive closer together than they left. */
 const GRANTED_SHARE = 0.95;
-/** The same while another process may still take itself for the owner. */
-const UNSETTLED_SHARE = 0.5;
-/** Time without a change of owner after which no other process grants the same limit. */
-const SETTLE_MS = 15_000;
-/** Sends a second to an upstream whose limit is lower, so that its end gets known. */
-const MIN_PER_SECOND = 0.1;
+/** The same while another process may still take itself for the owner, at most. */
+const UNSETTLED_SHARE = 0.4;
+/** Share of a rate that processes that may be cut off send in all, while others grant it. */
+const PARTIAL_SHARE = 0.4;
+/** Time without a change of owner after which no other process grants the same rate. */
+const SETTLE_MS = 5_000;
+/** Sends that an unused quota saves up, at most. */
+const MAX_BURST_SENDS = 2;
 /** Longest time after which a process asks again. */
 const MAX_RETRY_MS = 2_000;
+const MS_PER_S = 1_000;
+
+/** How far the sum of all processes may exceed a rate in one second: `over` times the rate, and `slack` more. */
+export interface RateBounds {
+  readonly over: number;
+  readonly slack: number;
+}
+export const DEFAULT_RATE_BOUNDS: RateBounds = { over: 1.5, slack: 5 };
 
 /** Answer to a process that asks for one send. */
 export interface QuotaAnswer {
   readonly isGranted: boolean;
   /** Time after which to ask again, milliseconds. */
   readonly retryMs: number;
+  /** The send was taken out of a rate; absent in answers of processes that don't know cold upstreams. */
+  readonly isCounted?: boolean | undefined;
+  /** What the owner knows of the upstream's limit. */
+  readonly report?: LimitReport | undefined;
 }
 
 interface Quota {
@@ -29,122 +45,145 @@
   refused: number;
 }
 
-/** Members that this process saw until some time. */
-interface MembersView {
-  readonly members: Members | undefined;
-  readonly key: string | undefined;
-  untilMs: number;
-}
+const UNLIMITED: QuotaAnswer = { isGranted: true, retryMs: 0 };
+const REFUSED: QuotaAnswer = { isGranted: false, retryMs: MAX_RETRY_MS };
 
 /**
- * Grants sends to upstreams with limits, for all processes. Each upstream has one owner. While
- * processes may disagree about it, each grants so little that two of them stay within the limit.
+ * Grants sends to upstreams whose rate all processes share. Each upstream has one owner. While
+ * processes may disagree about it, each grants so little that two of them stay within the bounds.
  */
 export class QuotaOwner {
   readonly #clock: Clock;
   readonly #limits: UpstreamLimits;
-  readonly #getMembers: () => Members;
+  readonly #cold: ColdUpstreams | undefined;
+  readonly #rates: SharedRates;
+  readonly #views: MemberViews;
+  readonly #slots: PartSlots;
+  readonly #burst: number;
+  readonly #unsettledShare: number;
   readonly #quotas = new Map<string, Quota>();
-  /** Members in the last `SETTLE_MS`, oldest first; undefined before this process saw any. */
-  #views: MembersView[] = [];
-
-  constructor(options: { clock: Clock; limits: UpstreamLimits; getMembers: () => Members }) {
-    this.#clock = options.clock;
-    this.#limits = options.limits;
-    this.#getMembers = options.getMembers;
-    this.#views.push({ members: undefined, key: undefined, untilMs: this.#clock.now() });
+
+  constructor(options: {
+    clock: Clock;
+    limits: UpstreamLimits;
+    /** Undefined where no upstream is ever cold. */
+    cold?: ColdUpstreams | undefined;
+    bounds?: RateBounds | undefined;
+    getMembers: () => Members;
+  }) {
+    const { clock, limits, cold, getMembers } = options;
+    const { over, slack } = options.bounds ?? DEFAULT_RATE_BOUNDS;
+    this.#clock = clock;
+    this.#limits = limits;
+    this.#cold = cold;
+    this.#rates = new SharedRates(limits, cold);
+    this.#views = new MemberViews({ clock, settleMs: SETTLE_MS, getMembers });
+    this.#slots = new PartSlots(clock, getMembers().self);
+    // Two owners save up sends each, and one request may be late.
+    this.#burst = Math.min(MAX_BURST_SENDS, Math.max(1, (slack - 1) / 2));
+    this.#unsettledShare = Math.min(UNSETTLED_SHARE, Math.max(0, over - GRANTED_SHARE));
   }
 
   /** Starts the quotas that this process owns and notes changes of owners; to be called regularly. */
   observe(): void {
-    const members = this.#getMembers();
-    this.#observeMembers(members);
-    for (const limit of this.#limits.all) {
-      if (pickOwner(limit.upstream, members) === members.self) {
-        this.#getQuota(limit.upstream, this.#getRate(limit, members));
+    const { self } = this.#views.observe();
+    for (const rate of this.#rates.all) {
+      if (this.#views.getOwner(rate.upstream) === self) {
+        this.#getQuota(rate);
       }
     }
   }
 
-  #observeMembers(members: Members): void {
-    const now = this.#clock.now();
-    const last = this.#views.at(-1);
-    const key = getKey(members);
-    if (last?.key === key) {
-      last.untilMs = now;
-    } else {
-      this.#views.push({ members, key, untilMs: now });
-    }
-    this.#views = this.#views.filter(({ untilMs }) => now - untilMs < SETTLE_MS);
+  /** The process that grants sends to an upstream; this one while it may be cut off. */
+  getGranter(upstream: string): string {
+    const members = this.#views.observe();
+    return isUncertain(members) ? members.self : (this.#views.getOwner(upstream) ?? members.self);
   }
 
-  /** Takes one send out of an upstream's quota for a peer, which tells the limit that it knows. */
-  takeForPeer(peer: string, limit: LimitReport): QuotaAnswer {
+  /** Takes one send out of an upstream's quota for a peer, which tells what it knows of the rate. */
+  takeForPeer(peer: string, limit: LimitReport, cold?: ColdReport): QuotaAnswer {
     this.#limits.recordPeer(peer, limit);
-    return this.take(limit.upstream);
+    if (cold) {
+      this.#cold?.recordPeer(peer, cold);
+    }
+    const rate = this.#rates.get(limit.upstream);
+    const members = this.#views.observe();
+    const answer = rate && isUncertain(members) ? REFUSED : this.take(limit.upstream);
+    const report = this.#limits.getReport(limit.upstream);
+    return { ...answer, ...(report?.perSecond !== limit.perSecond && { report }) };
   }
 
   /** Takes one send out of an upstream's quota. */
   take(upstream: string): QuotaAnswer {
-    const limit = this.#limits.get(upstream);
-    if (!limit) {
-      return { isGranted: true, retryMs: 0 };
+    const rate = this.#rates.get(upstream);
+    if (!rate) {
+      return UNLIMITED;
     }
-    const members = this.#getMembers();
-    this.#observeMembers(members);
-    if (pickOwner(upstream, members) !== members.self) {
-      return { isGranted: false, retryMs: MAX_RETRY_MS };
+    const members = this.#views.observe();
+    if (isUncertain(members)) {
+      return this.#takePart(rate);
     }
-    const ratePerS = this.#getRate(limit, members);
-    const quota = this.#getQuota(upstream, ratePerS);
+    if (this.#views.getOwner(upstream) !== members.self) {
+      return REFUSED;
+    }
+    const quota = this.#getQuota(rate);
     if (quota.bucket.tryTake()) {
       quota.refused = 0;
-      return { isGranted: true, retryMs: 0 };
+      return { isGranted: true, retryMs: 0, isCounted: true };
     }
-    const retryMs = quota.bucket.getWaitMs() + (quota.refused * 1_000) / ratePerS;
+    const waitMs = (quota.refused * MS_PER_S) / this.#getPerSecond(rate);
     quota.refused += 1;
-    return { isGranted: false, retryMs: Math.min(MAX_RETRY_MS, retryMs) };
+    return {
+      isGranted: false,
+      retryMs: Math.min(MAX_RETRY_MS, quota.bucket.getWaitMs() + waitMs),
+    };
+  }
+
+  /** Takes one send out of this process's own part, which no other process counts. */
+  takePart(upstream: string): QuotaAnswer {
+    const rate = this.#rates.get(upstream);
+    return rate ? this.#takePart(rate) : UNLIMITED;
+  }
+
+  #takePart({ upstream, perSecond }: SharedRate): QuotaAnswer {
+    const { hosts, self, known } = this.#views.observe();
+    // A process that sees no other is more likely cut off than the last one.
+    const share = hosts.every((host) => host === self) ? GRANTED_SHARE : PARTIAL_SHARE;
+    const retryMs = this.#slots.take(upstream, (perSecond * share) / (known + 1));
+    return { isGranted: retryMs === 0, retryMs: Math.min(MAX_RETRY_MS, retryMs), isCounted: true };
   }
 
   /** Counts a call to an upstream that couldn't wait for a grant. */
   charge(upstream: string): void {
-    const limit = this.#limits.get(upstream);
-    if (limit) {
-      const ratePerS = this.#getRate(limit, this.#getMembers());
-      this.#getQuota(upstream, ratePerS).bucket.take();
+    const rate = this.#rates.get(upstream);
+    if (rate) {
+      this.#views.observe();
+      this.#getQuota(rate).bucket.take();
     }
   }
 
   /** Forgets upstreams that are no longer listed. */
   retain(ids: ReadonlySet<string>): void {
     [...this.#quotas.keys()].filter((id) => !ids.has(id)).forEach((id) => this.#quotas.delete(id));
+    this.#views.retain(ids);
+    this.#slots.retain(ids);
   }
 
-  #getRate({ upstream, perSecond }: KnownLimit, members: Members): number {
-    const rate = Math.max(MIN_PER_SECOND, perSecond);
-    const isAlone = members.hosts.every((host) => host === members.self);
-    if (isAlone && members.known > 0) {
-      // This process is more likely cut off than the last one; the others go on without it.
-      return rate / (members.known + 1);
-    }
-    const isSettled = this.#views.every(
-      (view) => view.members && pickOwner(upstream, view.members) === members.self,
-    );
-    return rate * (isSettled ? GRANTED_SHARE : UNSETTLED_SHARE);
+  #getPerSecond({ upstream, perSecond }: SharedRate): number {
+    return perSecond * (this.#views.isSettled(upstream) ? GRANTED_SHARE : this.#unsettledShare);
   }
 
-  #getQuota(upstream: string, ratePerS: number): Quota {
-    let quota = this.#quotas.get(upstream);
+  #getQuota(rate: SharedRate): Quota {
+    const ratePerS = this.#getPerSecond(rate);
+    let quota = this.#quotas.get(rate.upstream);
     if (!quota) {
       // The owner before, if any, has granted the sends of this moment.
-      const tokens = { burst: BURST_SENDS, initialTokens: 0 };
+      const tokens = { burst: this.#burst, initialTokens: 0 };
       const bucket = new TokenBucket({ clock: this.#clock, ratePerS, ...tokens });
       quota = { bucket, refused: 0 };
-      this.#quotas.set(upstream, quota);
+      this.#quotas.set(rate.upstream, quota);
     }
     quota.bucket.setRate(ratePerS);
     return quota;
   }
 }
-
-const getKey = ({ hosts }: Members): string => [...hosts].sort().join();
--- a/packages/forwarding/src/limits/SendQuota.ts
+++ b/packages/forwarding/src/limits/SendQuota.ts
@@ -1,24 +1,30 @@
 import { getMessage, type Clock } from "@lycheepulley/core";
 import type { Logger } from "@lycheepulley/telemetry";
 
-import { pickOwner, type Members } from "../members.js";
+import type { Members } from "../members.js";
+import type { ColdReport, ColdUpstreams } from "./ColdUpstreams.js";
 import type { QuotaAnswer, QuotaOwner } from "./QuotaOwner.js";
-import type { KnownLimit, UpstreamLimits } from "./UpstreamLimits.js";
+import { SharedRates, type SharedRate } from "./SharedRates.js";
+import type { LimitReport, UpstreamLimits } from "./UpstreamLimits.js";
 import type { UpstreamRests } from "./UpstreamRests.js";
 
 /** Time after which an owner that didn't answer is asked again. */
 const NO_ANSWER_RETRY_MS = 500;
-/** The older the knowledge of a limit, the less the limited upstream is avoided; half in this time. */
-const AVOIDANCE_HALF_LIFE_MS = 1_000;
 /** Time over which requests return to an upstream whose limit was lifted. */
-const RETURN_MS = 2_000;
-
-/** Asks other processes for sends to upstreams with limits. */
+const RETURN_MS = 1_500;
+/** How far to avoid an upstream that names a limit: it helps with no prompt, and is used up to its limit. */
+const LIMITED_AVOIDANCE = 0.01;
+/** How far to avoid an upstream that has just become cold, and is slow. */
+const COLD_AVOIDANCE = 0.02;
+/** Time since a report without content, which is older than any other. */
+const NO_REPORT_MS = 10_000_000;
+
+/** Asks other processes for sends to upstreams whose rate they share. */
 export interface QuotaPeers {
   /** Asks the owner for one send; rejects when it doesn't answer in time. */
-  ask(host: string, limit: KnownLimit): Promise<QuotaAnswer>;
+  ask(host: string, limit: LimitReport, cold?: ColdReport): Promise<QuotaAnswer>;
   /** Tells the owner of a call that couldn't wait for its grant. */
-  charge(host: string, limit: KnownLimit): void;
+  charge(host: string, limit: LimitReport): void;
 }
 
 /**
@@ -28,6 +34,8 @@
 export class SendQuota {
   readonly #clock: Clock;
   readonly #limits: UpstreamLimits;
+  readonly #cold: ColdUpstreams | undefined;
+  readonly #rates: SharedRates;
   readonly #rests: UpstreamRests;
   readonly #owner: QuotaOwner;
   readonly #peers: QuotaPeers;
@@ -39,6 +47,8 @@
   constructor(options: {
     clock: Clock;
     limits: UpstreamLimits;
+    /** Undefined where no upstream is ever cold. */
+    cold?: ColdUpstreams | undefined;
     rests: UpstreamRests;
     owner: QuotaOwner;
     peers: QuotaPeers;
@@ -47,6 +57,8 @@
   }) {
     this.#clock = options.clock;
     this.#limits = options.limits;
+    this.#cold = options.cold;
+    this.#rates = new SharedRates(options.limits, options.cold);
     this.#rests = options.rests;
     this.#owner = options.owner;
     this.#peers = options.peers;
@@ -63,7 +75,13 @@
     return this.#rests.getLeftMs(upstream) > 0;
   }
 
+  /** True for an upstream that takes only so many requests a second from all processes. */
   isLimited(upstream: string): boolean {
+    return this.#rates.get(upstream) !== undefined;
+  }
+
+  /** True for an upstream that names a limit itself. */
+  namesLimit(upstream: string): boolean {
     return this.#limits.get(upstream) !== undefined;
   }
 
@@ -73,60 +91,67 @@
     return Math.max(this.#rests.getLeftMs(upstream), (untilMs ?? 0) - this.#clock.now());
   }
 
-  /** How far to avoid an upstream because of its limit, 0 to 1. */
+  /** How far to avoid an upstream because of its limit or because it is cold, 0 to 1. */
   getAvoidance(upstream: string): number {
+    return Math.max(this.#getLimitAvoidance(upstream), this.#getColdAvoidance(upstream));
+  }
+
+  #getLimitAvoidance(upstream: string): number {
     const report = this.#limits.getReport(upstream);
     if (!report) {
       return 0;
     }
-    const ageMs = this.#clock.now() - report.receivedMs;
     return report.perSecond === undefined
-      ? Math.max(0, 1 - ageMs / RETURN_MS)
-      : 0.5 ** (ageMs / AVOIDANCE_HALF_LIFE_MS);
+      ? Math.max(0, 1 - (this.#clock.now() - report.receivedMs) / RETURN_MS)
+      : LIMITED_AVOIDANCE;
+  }
+
+  #getColdAvoidance(upstream: string): number {
+    const cold = this.#cold?.get(upstream);
+    return cold ? COLD_AVOIDANCE * Math.min(1, cold.leftMs / cold.durationMs) : 0;
   }
 
   /** This process's part of the sends a second that the limited ones of these upstreams take. */
   getOwnPerSecond(upstreams: readonly string[]): number {
-    const sum = upstreams.reduce((total, id) => total + (this.#limits.get(id)?.perSecond ?? 0), 0);
+    const sum = upstreams.reduce((total, id) => total + (this.#rates.get(id)?.perSecond ?? 0), 0);
     return sum / Math.max(1, this.#getMembers().hosts.length);
   }
 
-  /** Takes one send to an upstream; false when it has a limit and none is to be had now. */
+  /** Takes one send to an upstream; false when its rate is shared and none is to be had now. */
   async tryTake(upstream: string): Promise<boolean> {
-    const limit = this.#limits.get(upstream);
-    if (!limit) {
+    const rate = this.#rates.get(upstream);
+    if (!rate) {
       return true;
     }
     if (!this.isOpen(upstream)) {
       return false;
     }
-    const { isGranted, retryMs } = await this.#ask(limit);
+    const { isGranted, retryMs } = await this.#ask(rate);
     if (!isGranted) {
       this.#closedUntilMs.set(upstream, this.#clock.now() + retryMs);
-      this.#logRefusal(limit, retryMs);
+      this.#logRefusal(rate, retryMs);
     }
     return isGranted;
   }
 
-  #logRefusal({ upstream, perSecond, receivedMs }: KnownLimit, retryMs: number): void {
+  #logRefusal({ upstream, perSecond, isCold }: SharedRate, retryMs: number): void {
+    const report = this.#limits.getReport(upstream);
     this.#logger.info("upstream left out for its limit", {
-      ...{ step: "limit", peer: upstream, perSecond, retryMs: Math.round(retryMs) },
-      ageMs: Math.round(this.#clock.now() - receivedMs),
+      ...{ step: "limit", peer: upstream, perSecond, isCold, retryMs: Math.round(retryMs) },
+      ...(report && { ageMs: Math.round(this.#clock.now() - report.receivedMs) }),
     });
   }
 
   /** Counts a call that can't wait, such as an order that frees memory. */
   charge(upstream: string): void {
-    const limit = this.#limits.get(upstream);
-    if (!limit) {
+    if (!this.isLimited(upstream)) {
       return;
     }
-    const members = this.#getMembers();
-    const owner = pickOwner(upstream, members);
-    if (owner === members.self) {
+    const granter = this.#owner.getGranter(upstream);
+    if (granter === this.#getMembers().self) {
       this.#owner.charge(upstream);
     } else {
-      this.#peers.charge(owner, limit);
+      this.#peers.charge(granter, this.#getReport(upstream));
     }
   }
 
@@ -137,17 +162,33 @@
       .forEach((id) => this.#closedUntilMs.delete(id));
   }
 
-  async #ask(limit: KnownLimit): Promise<QuotaAnswer> {
-    const members = this.#getMembers();
-    const owner = pickOwner(limit.upstream, members);
-    if (owner === members.self) {
-      return this.#owner.take(limit.upstream);
+  /** What this process knows of an upstream's limit; a report that tells nothing without one. */
+  #getReport(upstream: string): LimitReport {
+    const atMs = this.#clock.now() - NO_REPORT_MS;
+    return (
+      this.#limits.getReport(upstream) ?? {
+        ...{ upstream, perSecond: undefined, sentMs: atMs, receivedMs: atMs },
+      }
+    );
+  }
+
+  async #ask({ upstream, isCold }: SharedRate): Promise<QuotaAnswer> {
+    const granter = this.#owner.getGranter(upstream);
+    if (granter === this.#getMembers().self) {
+      return this.#owner.take(upstream);
     }
     try {
-      return await this.#peers.ask(owner, limit);
+      const cold = this.#cold?.get(upstream);
+      const answer = await this.#peers.ask(granter, this.#getReport(upstream), cold);
+      if (answer.report) {
+        this.#limits.recordPeer(granter, answer.report);
+      }
+      // An owner of an earlier build doesn't know cold upstreams.
+      const isUncounted = isCold && answer.isGranted && answer.isCounted !== true;
+      return isUncounted ? this.#owner.takePart(upstream) : answer;
     } catch (err) {
       this.#logger.warn("quota not granted: no answer from its owner", {
-        ...{ step: "limit", peer: limit.upstream, owner, err: getMessage(err) },
+        ...{ step: "limit", peer: upstream, owner: granter, err: getMessage(err) },
       });
       return { isGranted: false, retryMs: NO_ANSWER_RETRY_MS };
     }
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -85,6 +85,8 @@
   readonly isLeaving?: boolean;
   /** Time for which the upstream wants no requests from this process, milliseconds. */
   readonly restMs?: number | undefined;
+  /** How long the upstream stays cold, milliseconds; undefined when it says nothing of it. */
+  readonly coldMs?: number | undefined;
   /** A limit that can't be read, as it was sent. */
   readonly unreadableLimit?: string | undefined;
 }
