Keep evacuated failure domains empty at every process

Cause: nothing in the product read the operators' requests that nothing more be sent to a failure domain; 65 requests reached one in 2.5 s.

Change: the operator's records beside the configuration, read in the same call, name evacuated domains. FleetView leaves the upstreams out, SendRunner looks again before memory and before the request, and a process isn't ready before it knows the evacuations. Work returns over 4 s.

--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -2,14 +2,13 @@
 import { getMessage, SystemClock, SystemRandom, type Clock } from "@lycheepulley/core";
 import {
   CrashTracker,
+  EvacuationTracker,
   FleetView,
   Forwarder,
   getEpoch,
-  getPeerState,
   LoadTracker,
   PeerTable,
   ReaderSelection,
-  sample,
   ReservationManager,
   UpstreamHealth,
   LimitedControl,
@@ -25,6 +24,7 @@
 import { DatagramChannel, NodeServer } from "@lycheepulley/nodes";
 import { ForwardMetrics, type Logger } from "@lycheepulley/telemetry";
 
+import { CallerAddresses } from "./CallerAddresses.js";
 import { closeAndDrain } from "./closeAndDrain.js";
 import { CrashExchange } from "./CrashExchange.js";
 import { DetourConnector } from "./DetourConnector.js";
@@ -32,6 +32,7 @@
 import { LimitExchange } from "./LimitExchange.js";
 import { countByStatus, newMetricsServer } from "./metricsServer.js";
 import { PeerCalls } from "./PeerCalls.js";
+import { newPeerIdentity } from "./newPeerIdentity.js";
 import { newRetryBudget } from "./newRetryBudget.js";
 import { PeerExchange } from "./PeerExchange.js";
 import { RelayRole } from "./RelayTopology.js";
@@ -54,14 +55,17 @@
     countParts: () => countByStatus(this.#crashExchange.guard.evidence.suspects),
     countDetours: () => this.#connector.detours,
     hasLostLinks: () => this.#connector.isLost,
+    countEvacuated: () => this.#evacuations.count,
   });
-  readonly #view = new FleetView();
+  readonly #view = new FleetView(this.#clock);
   readonly #listTracker: UpstreamListTracker;
+  readonly #evacuations: EvacuationTracker;
   readonly #connector: DetourConnector;
   readonly #nodeServer: NodeServer;
   readonly #stateSync: FleetStateSync;
   readonly #health: UpstreamHealth;
   readonly #peers: PeerTable;
+  readonly #addresses: CallerAddresses;
   readonly #readerSelection: ReaderSelection;
   readonly #channel: DatagramChannel;
   readonly #peerExchange: PeerExchange;
@@ -94,7 +98,15 @@
         this.#sourceFeed.rereadPeers();
       },
     });
+    this.#evacuations = new EvacuationTracker({
+      ...{ clock, view: this.#view, logger },
+      isSourced: options.sources.evacuations !== undefined,
+    });
     this.#peers = new PeerTable({ clock, self: settings.host });
+    this.#addresses = new CallerAddresses({
+      ...{ random: this.#random, peers: this.#peers },
+      getOwn: () => (this.isReady ? this.#getIdentity().callerAddress : undefined),
+    });
     this.#readerSelection = new ReaderSelection({
       ...{ clock, self: settings, peers: this.#peers },
       getListEpoch: () => getEpoch(this.#view.list),
@@ -102,16 +114,13 @@
     this.#sourceFeed = new SourceFeed({
       ...{ clock, random: this.#random, sources: options.sources, logger },
       ...{ readerSelection: this.#readerSelection, listTracker: this.#listTracker },
-      onConfig: (config) => {
-        if (this.#applyConfig(config)) {
-          this.#peerExchange.announce();
-        }
-      },
-      onUpstreams: (list) => {
-        if (this.#applyUpstreams(list, clock.now())) {
-          this.#peerExchange.announce();
-        }
+      evacuations: this.#evacuations,
+      onEvacuations: () => {
+        this.#peerExchange.announce();
       },
+      onConfig: (config) => this.#applyConfig(config) && this.#peerExchange.announce(),
+      onUpstreams: (list) =>
+        this.#applyUpstreams(list, clock.now()) && this.#peerExchange.announce(),
       onPeers: (hosts) => {
         this.#peers.addHosts(hosts);
       },
@@ -158,6 +167,7 @@
       getIdentity: () => this.#getIdentity(),
       getLoadTracker: () => loadTracker,
       onPeerHeartbeat: (peer) => {
+        this.#announceAsRelay(this.#evacuations.onPeer(peer));
         this.#stateSync.onPeerHeartbeat(peer);
       },
       onPeerReturned: (host) => {
@@ -225,17 +235,16 @@
     this.#metricsServer = newMetricsServer(this.#metrics, this.#crashExchange.guard.evidence);
   }
 
-  /** True while this process has a configuration and an upstream list and isn't draining. */
+  /** True while this process knows what to send where, and isn't draining. */
   get isReady(): boolean {
-    return this.#view.table !== undefined && this.#view.list.version >= 0 && !this.#isDraining;
+    const { table, list } = this.#view;
+    const isInformed = table !== undefined && list.version >= 0 && this.#evacuations.isKnown;
+    return isInformed && !this.#isDraining;
   }
 
   /** Addresses of at most `limit` processes that serve callers; this one may be among them. */
   getAddresses(limit: number): string[] {
-    const addresses = this.#peers.getServing().map(({ callerAddress }) => callerAddress);
-    const own = this.isReady ? [this.#getIdentity().callerAddress] : [];
-    // A random sample spreads callers over the whole fleet when it is larger than `limit`.
-    return sample([...own, ...addresses], limit, this.#random);
+    return this.#addresses.select(limit);
   }
 
   async start(): Promise<void> {
@@ -271,20 +280,14 @@
     if (this.#isDraining) {
       return;
     }
-    const startMs = this.#clock.now();
     const { drainMs } = this.#settings;
     this.#isDraining = true;
     this.#connector.startDrain(drainMs);
     this.#peerExchange.announce();
     this.#listener.startDrain(drainMs);
-    this.#logger.info("drain started", { step: "stop", reason });
     await closeAndDrain({
-      ...{ clock: this.#clock, drainMs, listener: this.#listener },
-      countInFlight: () => this.#listener.requests + this.#connector.server.open,
-    });
-    this.#logger.info("drain finished", {
-      ...{ step: "stop", inFlight: this.#listener.requests },
-      ...{ connections: this.#listener.connections, ms: Math.round(this.#clock.now() - startMs) },
+      ...{ clock: this.#clock, logger: this.#logger, drainMs, reason },
+      ...{ listener: this.#listener, relays: this.#connector.server },
     });
   }
 
@@ -335,15 +338,10 @@
   }
 
   #getIdentity(): Omit<PeerIdentity, "beatMs"> {
-    const { host, failureDomain, capacity, callerPort } = this.#settings;
-    return {
-      ...{ host, failureDomain, capacity, incarnation: this.#incarnation },
-      callerAddress: `${host}:${String(callerPort)}`,
-      state: getPeerState({ isReady: this.isReady, isDraining: this.#isDraining }),
-      revision: this.#view.revision,
-      ...{ listEpoch: this.#view.list.epoch, listVersion: this.#view.list.version },
-      listDigest: this.#view.listDigest,
-      reads: this.#readerSelection.getAges(),
-    };
+    return newPeerIdentity({
+      ...{ settings: this.#settings, incarnation: this.#incarnation, view: this.#view },
+      ...{ isReady: this.isReady, isDraining: this.#isDraining },
+      ...{ evacuations: this.#evacuations, readerSelection: this.#readerSelection },
+    });
   }
 }
--- a/packages/daemon/src/gateway/SourceFeed.ts
+++ b/packages/daemon/src/gateway/SourceFeed.ts
@@ -1,5 +1,6 @@
 import type { Clock, Random } from "@lycheepulley/core";
 import type {
+  EvacuationTracker,
   FleetConfig,
   ReaderSelection,
   UpstreamList,
@@ -20,6 +21,8 @@
   readonly #logger: Logger;
   readonly #readerSelection: ReaderSelection;
   readonly #listTracker: UpstreamListTracker;
+  readonly #evacuations: EvacuationTracker;
+  readonly #onEvacuations: () => void;
   readonly #onConfig: (config: FleetConfig) => void;
   readonly #onUpstreams: (list: UpstreamList) => void;
   readonly #onPeers: (hosts: readonly string[]) => void;
@@ -33,6 +36,9 @@
     logger: Logger;
     readerSelection: ReaderSelection;
     listTracker: UpstreamListTracker;
+    evacuations: EvacuationTracker;
+    /** Called when a read changed which failure domains are evacuated. */
+    onEvacuations: () => void;
     onConfig: (config: FleetConfig) => void;
     onUpstreams: (list: UpstreamList) => void;
     onPeers: (hosts: readonly string[]) => void;
@@ -43,6 +49,8 @@
     this.#logger = options.logger;
     this.#readerSelection = options.readerSelection;
     this.#listTracker = options.listTracker;
+    this.#evacuations = options.evacuations;
+    this.#onEvacuations = options.onEvacuations;
     this.#onConfig = options.onConfig;
     this.#onUpstreams = options.onUpstreams;
     this.#onPeers = options.onPeers;
@@ -50,8 +58,18 @@
 
   start(): void {
     const shouldRead = (): boolean => this.#readerSelection.isReader();
-    this.#sources.config.start({
+    this.#sources.evacuations?.start({
       shouldRead,
+      onRead: () => {
+        this.#tellIf(this.#evacuations.onUnchanged());
+      },
+      onValue: (list) => {
+        this.#tellIf(this.#evacuations.onRead(list));
+      },
+      onConnectionChange: () => undefined,
+    });
+    this.#sources.config.start({
+      shouldRead: () => shouldRead() || this.#evacuations.isUnconfirmed,
       onRead: () => {
         this.#readerSelection.onRead("config");
       },
@@ -88,11 +106,18 @@
   }
 
   stop(): void {
+    this.#sources.evacuations?.stop();
     this.#sources.config.stop();
     this.#sources.upstreams.stop();
     this.#sources.peers.stop();
   }
 
+  #tellIf(haveEvacuationsChanged: boolean): void {
+    if (haveEvacuationsChanged) {
+      this.#onEvacuations();
+    }
+  }
+
   #newConnectionLogger(dependency: string): (isConnected: boolean, reason: string) => void {
     return (isConnected, reason) => {
       const message = isConnected
--- a/packages/daemon/src/gateway/closeAndDrain.ts
+++ b/packages/daemon/src/gateway/closeAndDrain.ts
@@ -1,5 +1,6 @@
 import { sleep, type Clock } from "@lycheepulley/core";
 import { LISTENER_CLOSE_DELAY_MS } from "@lycheepulley/forwarding";
+import type { Logger } from "@lycheepulley/telemetry";
 
 const POLL_MS = 50;
 
@@ -9,15 +10,21 @@
  */
 export const closeAndDrain = async (options: {
   clock: Clock;
+  logger: Logger;
   drainMs: number;
-  listener: { close(): void };
-  countInFlight: () => number;
+  reason: string;
+  listener: { readonly requests: number; readonly connections: number; close(): void };
+  relays: { readonly open: number };
 }): Promise<void> => {
-  const { clock, drainMs, listener, countInFlight } = options;
-  const endMs = clock.now() + drainMs;
+  const { clock, logger, drainMs, reason, listener, relays } = options;
+  const startMs = clock.now();
+  logger.info("drain started", { step: "stop", reason });
   await sleep(clock, Math.min(LISTENER_CLOSE_DELAY_MS, drainMs));
   listener.close();
-  while (clock.now() < endMs && countInFlight() > 0) {
+  while (clock.now() < startMs + drainMs && listener.requests + relays.open > 0) {
     await sleep(clock, POLL_MS);
   }
+  const { requests, connections } = listener;
+  const ms = Math.round(clock.now() - startMs);
+  logger.info("drain finished", { step: "stop", inFlight: requests, connections, ms });
 };
--- a/packages/daemon/src/gateway/earlierBuilds.test.ts
+++ b/packages/daemon/src/gateway/earlierBuilds.test.ts
@@ -23,6 +23,7 @@
   ...{ listVersion: 41, listDigest: "d", reads: { configMs: 12, listMs: 3 }, beatMs: 300, beat: 7 },
 };
 const HEARTBEAT = { identity: IDENTITY, hosts: ["10.1.0.41"], seq: 12, items: [ITEM] };
+const EVACUATIONS = { epoch: 2, version: 41, domains: ["a"], held: ["b"] };
 const CHANGE = {
   ...{ host: "10.1.0.40", incarnation: 1_780_032_924_065, seq: 13, changed: [ITEM] },
   ...{ writing: ["r2"], ended: ["r3"] },
@@ -80,11 +81,19 @@
     expect(asksForLoads({ protocol: PROTOCOL })).to.equal(true);
   });
 
+  // Guards against peers that fall silent because of what they state beside.
+  it("reads a heartbeat without a statement of evacuations that isn't one", () => {
+    const identity = { ...IDENTITY, evacuations: { version: "x" } };
+    const read = heartbeatParser.safeParse({ ...HEARTBEAT, identity });
+    expect(read.success && read.data.identity.evacuations).to.equal(undefined);
+    expect(read.success).to.equal(true);
+  });
+
   const sent: readonly [string, z.ZodType, object, object][] = [
     [
       "heartbeats",
       earlierHeartbeat,
-      { ...HEARTBEAT, identity: { ...IDENTITY, protocol: PROTOCOL } },
+      { ...HEARTBEAT, identity: { ...IDENTITY, protocol: PROTOCOL, evacuations: EVACUATIONS } },
       HEARTBEAT,
     ],
     [
--- a/packages/daemon/src/gateway/metricsServer.test.ts
+++ b/packages/daemon/src/gateway/metricsServer.test.ts
@@ -15,7 +15,7 @@
     evidence = new CrashEvidence({ clock: new SystemClock(), logger, onNews: () => undefined });
     const metrics = new ForwardMetrics({
       ...{ countDetours: () => 0, countResting: () => 0, hasLostLinks: () => false },
-      countLimited: () => 0,
+      ...{ countLimited: () => 0, countEvacuated: () => 0 },
       countParts: () => countByStatus(evidence.suspects),
     });
     server = newMetricsServer(metrics, evidence);
--- a/packages/daemon/src/gateway/peerMessages.ts
+++ b/packages/daemon/src/gateway/peerMessages.ts
@@ -1,4 +1,5 @@
 import {
+  evacuationStatementSchema,
   isLoadItem,
   loadItemSchema,
   newUpstreamLoad,
@@ -35,6 +36,7 @@
   beatMs: z.number().nonnegative(),
   beat: z.number().int().optional(),
   protocol: z.number().int().optional(),
+  evacuations: evacuationStatementSchema.optional().catch(undefined),
 });
 /** Identity of a process, which hosts it knows, and at times all its in-flight requests. */
 export const heartbeatSchema = z.object({
@@ -178,6 +180,14 @@
 const isReads = (value: unknown): boolean =>
   isFields(value) && isOptionalNumber(value["configMs"]) && isOptionalNumber(value["listMs"]);
 
+const isEvacuations = (value: unknown): boolean =>
+  value === undefined ||
+  (isFields(value) &&
+    isOptionalNumber(value["epoch"]) &&
+    isNumber(value["version"]) &&
+    isArrayOf(value["domains"], isString) &&
+    (value["held"] === undefined || isArrayOf(value["held"], isString)));
+
 const IDENTITY_STRINGS = ["host", "failureDomain", "callerAddress", "listDigest"] as const;
 const IDENTITY_NUMBERS = ["incarnation", "capacity", "revision", "listVersion"] as const;
 
@@ -191,7 +201,8 @@
   isNumber(value["beatMs"]) &&
   value["beatMs"] >= 0 &&
   (value["beat"] === undefined || Number.isSafeInteger(value["beat"])) &&
-  (value["protocol"] === undefined || Number.isSafeInteger(value["protocol"]));
+  (value["protocol"] === undefined || Number.isSafeInteger(value["protocol"])) &&
+  isEvacuations(value["evacuations"]);
 
 const isItems = (value: unknown): value is LoadItem[] => isArrayOf(value, isLoadItem);
 
--- a/packages/daemon/src/gateway/types.ts
+++ b/packages/daemon/src/gateway/types.ts
@@ -1,4 +1,4 @@
-import type { FleetConfig, UpstreamList } from "@lycheepulley/forwarding";
+import type { EvacuationList, FleetConfig, UpstreamList } from "@lycheepulley/forwarding";
 
 /** Watches a value that another system holds and reports its changes to one observer. */
 export interface Source<T> {
@@ -22,6 +22,11 @@
   readonly upstreams: Source<UpstreamList>;
   /** Hosts of other entry processes. */
   readonly peers: Source<readonly string[]>;
+  /**
+   * Failure domains that operators evacuate, read by the source of the configuration, which `onRead`
+   * tells only of reads that found no change; absent where nobody requests that.
+   */
+  readonly evacuations?: Source<EvacuationList>;
 }
 
 /** Identity, addresses and limits of one gateway process. */
--- a/packages/forwarding/src/FleetView.ts
+++ b/packages/forwarding/src/FleetView.ts
@@ -1,5 +1,7 @@
 import { createHash } from "node:crypto";
 
+import { SystemClock, type Clock } from "@lycheepulley/core";
+
 import {
   isListBefore,
   type FleetConfig,
@@ -19,10 +21,14 @@
 /** Upstreams remembered that said themselves that they leave, which their ids outlast by far. */
 const MAX_LEAVING = 4_096;
 
+/** Time after an evacuation within which the work of a failure domain returns. */
+const RETURN_MS = 4_000;
+
 const NO_CORRECTIONS: ListCorrections = { heldBack: new Set(), leaving: new Set() };
 
 /** Configuration and upstreams in force at this process. */
 export class FleetView {
+  readonly #clock: Clock;
   #table: RouteTable | undefined;
   #upstreams = new Map<string, Upstream>();
   #byPool = new Map<string, readonly Upstream[]>();
@@ -30,9 +36,15 @@
   #listedMs = 0;
   #listDigest = "";
   #isProvisional = false;
+  #evacuated: ReadonlySet<string> = new Set();
+  readonly #takenBackMs = new Map<string, number>();
   /** Upstreams that said in answers that they leave; the newest last. An id is never used again. */
   readonly #saidLeaving = new Set<string>();
 
+  constructor(clock: Clock = new SystemClock()) {
+    this.#clock = clock;
+  }
+
   /** Route table of the configuration in force; undefined before one is known. */
   get table(): RouteTable | undefined {
     return this.#table;
@@ -136,10 +148,41 @@
     this.#listedMs = Math.max(this.#listedMs, atMs);
   }
 
+  /** Sets the failure domains to which nothing new is sent. */
+  setEvacuated(domains: ReadonlySet<string>): void {
+    const nowMs = this.#clock.now();
+    for (const domain of this.#evacuated) {
+      if (!domains.has(domain)) {
+        this.#takenBackMs.set(domain, nowMs);
+      }
+    }
+    for (const [domain, takenBackMs] of this.#takenBackMs) {
+      if (domains.has(domain) || nowMs - takenBackMs >= RETURN_MS) {
+        this.#takenBackMs.delete(domain);
+      }
+    }
+    this.#evacuated = domains;
+  }
+
+  /** True for an upstream in a failure domain that is evacuated. */
+  isEvacuated({ failureDomain }: Pick<Upstream, "failureDomain">): boolean {
+    return this.#evacuated.has(failureDomain);
+  }
+
+  /**
+   * How much to avoid an upstream whose domain was evacuated until shortly before, from 1 at once
+   * after it to 0: its work returns gradually.
+   */
+  getReturnAvoidance({ failureDomain }: Pick<Upstream, "failureDomain">): number {
+    const takenBackMs = this.#takenBackMs.get(failureDomain) ?? -Infinity;
+    return Math.max(0, 1 - (this.#clock.now() - takenBackMs) / RETURN_MS);
+  }
+
   /** Upstreams of a pool that accept new requests. */
   getAvailable(pool: string): readonly Upstream[] {
     return (this.#byPool.get(pool) ?? []).filter(
-      ({ id, isLeaving }) => !isLeaving && !this.#saidLeaving.has(id),
+      ({ id, isLeaving, failureDomain }) =>
+        !isLeaving && !this.#saidLeaving.has(id) && !this.#evacuated.has(failureDomain),
     );
   }
 }
--- a/packages/forwarding/src/PeerTable.ts
+++ b/packages/forwarding/src/PeerTable.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "@lycheepulley/core";
 
+import type { EvacuationStatement } from "./evacuations/evacuationList.js";
 import type { Members } from "./members.js";
 
 /** Whether a process serves callers, as it states in its heartbeats. */
@@ -52,6 +53,8 @@
   readonly beat?: number | undefined;
   /** Version of the messages that the process reads, 1 when absent. */
   readonly protocol?: number | undefined;
+  /** Failure domains that it knows to be evacuated; absent where nobody requests that, or in earlier builds. */
+  readonly evacuations?: EvacuationStatement | undefined;
 }
 
 /** A peer with a recent heartbeat. */
--- a/packages/forwarding/src/Placer.ts
+++ b/packages/forwarding/src/Placer.ts
@@ -299,7 +299,7 @@
       upstream,
       load: loads.get(upstream.id) ?? newUpstreamLoad(),
       failureRate: this.#health.getFailureRate(upstream.id),
-      avoidance: this.#quota.getAvoidance(upstream.id),
+      avoidance: this.#quota.getAvoidance(upstream.id) + this.#view.getReturnAvoidance(upstream),
     }));
     return selectSeparate(candidates, isApart);
   }
--- a/packages/forwarding/src/SendRunner.ts
+++ b/packages/forwarding/src/SendRunner.ts
@@ -21,6 +21,11 @@
   [SendResult.Superseded]: "another send took over",
 };
 
+/** Nothing was sent, and another upstream is chosen. */
+const EVACUATED: SendOutcome = {
+  ...{ result: SendResult.NoMemory, reason: "failure domain evacuated" },
+};
+
 /** Outcome of a send that is ended early; undefined unless `signal` is aborted. */
 const getStopOutcome = (signal: AbortSignal): SendOutcome | undefined => {
   if (!signal.aborted) {
@@ -65,20 +70,30 @@
     signal: AbortSignal,
     observer: SendObserver,
   ): Promise<SendOutcome> {
+    if (this.#isEvacuated(placement)) {
+      return EVACUATED;
+    }
     const reservations = await this.#reserveMemory(placement, signal);
     if (reservations === "missing") {
       await sleep(this.#deps.clock, NO_MEMORY_PAUSE_MS, signal);
       return getStopOutcome(signal) ?? { result: SendResult.NoMemory, reason: "memory not held" };
     }
     try {
-      return (
-        getStopOutcome(signal) ?? (await this.#send({ placement, reservations, signal, observer }))
-      );
+      const stopped = getStopOutcome(signal);
+      if (stopped || this.#isEvacuated(placement)) {
+        return stopped ?? EVACUATED;
+      }
+      return await this.#send({ placement, reservations, signal, observer });
     } finally {
       reservations?.release();
     }
   }
 
+  /** True when a failure domain was evacuated after the placement was found. */
+  #isEvacuated({ upstream, plan }: Placement): boolean {
+    return [upstream, ...(plan?.helpers ?? [])].some((one) => this.#deps.view.isEvacuated(one));
+  }
+
   async #reserveMemory(
     { plan }: Placement,
     signal: AbortSignal,
--- /dev/null
+++ b/packages/forwarding/src/evacuations/evacuationList.ts
@@ -0,0 +1,22 @@
+import { z } from "zod";
+
+import type { ListPosition } from "../fleetConfig.js";
+
+/** Failure domains that operators evacuate, as the service that holds the requests lists them. */
+export interface EvacuationList extends ListPosition {
+  readonly domains: readonly string[];
+}
+
+/** What a process knows of evacuations, as it states it in its heartbeats. */
+export const evacuationStatementSchema = z.object({
+  epoch: z.number().optional(),
+  version: z.number(),
+  domains: z.array(z.string()),
+  /** Domains that are evacuated though the list, restored from an older copy, lacks them for now. */
+  held: z.array(z.string()).optional(),
+});
+export type EvacuationStatement = z.output<typeof evacuationStatementSchema>;
+
+/** Most names, and characters of a name, in a statement; longer ones are in force where they were read. */
+export const MAX_STATED_DOMAINS = 64;
+export const MAX_STATED_LENGTH = 64;
--- a/packages/telemetry/src/ForwardMetrics.ts
+++ b/packages/telemetry/src/ForwardMetrics.ts
@@ -22,12 +22,14 @@
     countParts,
     countDetours,
     hasLostLinks,
+    countEvacuated,
   }: {
     countLimited: () => number;
     countResting: () => number;
     countParts: () => Readonly<Record<string, number>>;
     countDetours: () => number;
     hasLostLinks: () => boolean;
+    countEvacuated: () => number;
   }) {
     const registers = [this.#registry];
     this.#requests = new Counter({
@@ -71,6 +73,14 @@
         this.set(hasLostLinks() ? 1 : 0);
       },
     });
+    new Gauge({
+      name: "lycheepulley_evacuated_domains",
+      help: "Failure domains that operators evacuate, to which nothing new is sent",
+      registers,
+      collect() {
+        this.set(countEvacuated());
+      },
+    });
     new Gauge({
       name: "lycheepulley_detours",
       help: "Connections to upstreams made through peers since the start",
