--- a/packages/forwarding/src/limits/PartSlots.ts
+++ b/packages/forwarding/src/limits/PartSlots.ts
@@ -11,22 +11,20 @@
  */
 export class PartSlots {
   readonly #clock: Clock;
-  readonly #self: string;
   readonly #takenMs = new Map<string, number>();
   /** Shares of a period by which the slots of this process are shifted. */
   readonly #phases = new Map<string, number>();
 
-  constructor(clock: Clock, self: string) {
+  constructor(clock: Clock) {
     this.#clock = clock;
-    this.#self = self;
   }
 
   /** Takes the send of the current slot at `ratePerS`; returns the time until the next one, or 0 when taken. */
-  take(upstream: string, ratePerS: number): number {
+  take(self: string, upstream: string, ratePerS: number): number {
     const now = this.#clock.now();
     const periodMs = MS_PER_S / ratePerS;
     const openMs = Math.min(periodMs, OPEN_MS);
-    const sinceOpenMs = (now + this.#getPhase(upstream) * periodMs) % periodMs;
+    const sinceOpenMs = (now + this.#getPhase(self, upstream) * periodMs) % periodMs;
     const sinceTakenMs = now - (this.#takenMs.get(upstream) ?? -Infinity);
     if (sinceOpenMs < openMs && sinceTakenMs >= periodMs - openMs && sinceTakenMs > sinceOpenMs) {
       this.#takenMs.set(upstream, now);
@@ -42,8 +40,8 @@
     }
   }
 
-  #getPhase(upstream: string): number {
-    const phase = this.#phases.get(upstream) ?? rendezvousScore(upstream, this.#self) / MAX_SCORE;
+  #getPhase(self: string, upstream: string): number {
+    const phase = this.#phases.get(upstream) ?? rendezvousScore(upstream, self) / MAX_SCORE;
     this.#phases.set(upstream, phase);
     return phase;
   }
--- a/packages/forwarding/src/limits/QuotaOwner.ts
+++ b/packages/forwarding/src/limits/QuotaOwner.ts
@@ -78,7 +78,7 @@
     this.#cold = cold;
     this.#rates = new SharedRates(limits, cold);
     this.#views = new MemberViews({ clock, settleMs: SETTLE_MS, getMembers });
-    this.#slots = new PartSlots(clock, getMembers().self);
+    this.#slots = new PartSlots(clock);
     // Two owners save up sends each, and one request may be late.
     this.#burst = Math.min(MAX_BURST_SENDS, Math.max(1, (slack - 1) / 2));
     this.#unsettledShare = Math.min(UNSETTLED_SHARE, Math.max(0, over - GRANTED_SHARE));
@@ -149,7 +149,7 @@
     const { hosts, self, known } = this.#views.observe();
     // A process that sees no other is more likely cut off than the last one.
     const share = hosts.every((host) => host === self) ? GRANTED_SHARE : PARTIAL_SHARE;
-    const retryMs = this.#slots.take(upstream, (perSecond * share) / (known + 1));
+    const retryMs = this.#slots.take(self, upstream, (perSecond * share) / (known + 1));
     return { isGranted: retryMs === 0, retryMs: Math.min(MAX_RETRY_MS, retryMs), isCounted: true };
   }
 
--- /dev/null
+++ b/packages/forwarding/src/limits/sharedRates.test.ts
@@ -0,0 +1,96 @@
+import { expect } from "chai";
+
+import { RateFleet, type Outage } from "../testing/RateFleet.js";
+
+const TIMEOUT_MS = 30_000;
+const START_MS = 6_000;
+const LENGTH_MS = 14_000;
+const OUTAGE_MS = 4_000;
+
+const during = (host: string, how: Outage["how"], options: { fromMs?: number } = {}): Outage => {
+  const { fromMs = START_MS } = options;
+  return { host, how, fromMs, toMs: fromMs + OUTAGE_MS };
+};
+
+/** Demand is five times the rate, or 40 a second if that is more: all processes want one upstream. */
+const getTries = (perSecond: number): number => Math.max(40, 5 * perSecond);
+
+const SCHEDULES: readonly [
+  name: string,
+  getOutages: (owner: string, hosts: readonly string[]) => readonly Outage[],
+][] = [
+  ["nothing happens", () => []],
+  ["the owner is killed and back after 4 s", (owner) => [during(owner, "killed")]],
+  ["the owner is frozen for 4 s", (owner) => [during(owner, "frozen")]],
+  ["the owner is cut off for 4 s", (owner) => [during(owner, "cut")]],
+  [
+    "the owner and a sixth of the others are cut off",
+    (owner, hosts) =>
+      hosts
+        .filter((host, index) => host === owner || index % 6 === 0)
+        .map((host) => during(host, "cut")),
+  ],
+  [
+    "half of the processes are frozen and thaw at once",
+    (_, hosts) =>
+      hosts.filter((_host, index) => index % 2 === 0).map((host) => during(host, "frozen")),
+  ],
+  [
+    "all are restarted one after the other",
+    (_, hosts) =>
+      hosts.map((host, index) => ({
+        ...{ host, how: "killed" as const, fromMs: START_MS + (index * 5_000) / hosts.length },
+        toMs: START_MS + (index * 5_000) / hosts.length + 1_500,
+      })),
+  ],
+  [
+    "most are killed at the same moment",
+    (_, hosts) =>
+      hosts.filter((_host, index) => index % 9 < 5).map((host) => during(host, "killed")),
+  ],
+];
+
+describe("the rate of an upstream that all processes share", () => {
+  const sizes: readonly [processes: number, perSecond: number, seeds: number[], count: number][] = [
+    [6, 4, [1, 2, 3], SCHEDULES.length],
+    [63, 18, [1], SCHEDULES.length],
+    [24, 18, [1], 2],
+    [90, 18, [1], 2],
+  ];
+  for (const [processes, perSecond, seeds, count] of sizes) {
+    for (const [name, getOutages] of SCHEDULES.slice(0, count)) {
+      // Guards against the burst that crashes a cold upstream, whichever processes are in touch.
+      it(`is kept in each second by ${String(processes)} processes that all want a cold upstream of ${String(perSecond)} a second, while ${name}`, async function () {
+        this.timeout(TIMEOUT_MS);
+        for (const seed of seeds) {
+          const fleet = new RateFleet({ processes, perSecond, kind: "cold", seed, getOutages });
+          await fleet.run(LENGTH_MS, getTries(perSecond));
+          expect(fleet.getMost()).to.be.at.most(1.5 * perSecond + 5);
+        }
+      });
+    }
+
+    // A cold upstream that gets nothing stays useless, and a limit that isn't used up wastes one.
+    for (const kind of ["cold", "limited"] as const) {
+      it(`is used to nine tenths by ${String(processes)} processes when it is that of a ${kind} upstream`, async function () {
+        this.timeout(TIMEOUT_MS);
+        const fleet = new RateFleet({ processes, perSecond, kind, seed: 1 });
+        await fleet.run(START_MS, getTries(perSecond));
+        const before = fleet.sentMs.length;
+        await fleet.run(8_000, getTries(perSecond));
+        const sent = fleet.sentMs.length - before;
+        expect(sent).to.be.within(0.9 * perSecond * 8, perSecond * 8);
+      });
+    }
+
+    it(`costs no message without a cold upstream, and one a send that ${String(processes)} processes don't contend for`, async () => {
+      const fleet = new RateFleet({ processes, perSecond, kind: "cold", seed: 1 });
+      await fleet.run(START_MS, perSecond / 3);
+      expect(fleet.asks).to.be.within(1, fleet.tries);
+      const warm = new RateFleet({ processes, perSecond: 0, kind: "none", seed: 1 });
+      await warm.run(1_000, 100);
+      await warm.run(100, 0);
+      expect([warm.asks, warm.sentMs.length === warm.tries]).to.deep.equal([0, true]);
+    });
+  }
+});
