Learn answer lengths, call times and paces of upstreams, and place by what is left to do

Cause: placement took the most tokens that a caller allows for the length of its answer, counted calls as if they cost the same, and took all upstreams of a pool for equally fast. Change: CostBook keeps decaying quantile sketches by customer, route and pool, UpstreamPaces the paces of upstreams; load items carry the expected time of the rest of the answer (writeMs, optional), and placement uses the predicted end of requests for its queue times. Off without deps.costs.

--- a/packages/forwarding/src/Placer.ts
+++ b/packages/forwarding/src/Placer.ts
@@ -2,7 +2,9 @@
 
 import { AdmissionControl, getBusyShare, getRoomMs, getWorkMs } from "./AdmissionControl.js";
 import type { AnswerTimeline } from "./AnswerTimeline.js";
-import type { EngineSpec, Route, Upstream } from "./fleetConfig.js";
+import type { CostBook } from "./costs/CostBook.js";
+import { applyPace, estimateCallMs, getCost, type PlacementCost } from "./costs/placementCosts.js";
+import type { EngineSpec, Upstream } from "./fleetConfig.js";
 import type { FleetView } from "./FleetView.js";
 import { getReadMs } from "./engineModel.js";
 import { estimateValue } from "./lateness.js";
@@ -13,13 +15,14 @@
 import type { PeerLoads } from "./PeerLoads.js";
 import {
   isForOneUpstream,
-  pickServiceUpstream,
   planPlacement,
   type PlacementCandidate,
   type PlacementPlan,
   type PlacementRequest,
 } from "./placement.js";
-import { CALL_LOAD, DEFAULT_GAP_MS, getKvTokens, getPromptLoad } from "./requestLoad.js";
+import { pickServiceUpstream } from "./pickServiceUpstream.js";
+import { isResumed, newPlacementRequest } from "./placementRequest.js";
+import { getCallLoad, getKvTokens, getPromptLoad } from "./requestLoad.js";
 import { getRetryAfterMs, REJECTED_RETRY_AFTER_MS } from "./retryAfter.js";
 import { selectCandidates } from "./selectCandidates.js";
 import { selectSeparate } from "./selectSeparate.js";
@@ -36,6 +39,7 @@
   readonly plan: PlacementPlan | undefined;
   readonly request: PlacementRequest | undefined;
   readonly waitedMs: number;
+  readonly cost?: PlacementCost | undefined;
   /** Other requests avoid the upstream meanwhile. */
   readonly isApart: boolean;
 }
@@ -75,6 +79,7 @@
   readonly #view: FleetView;
   readonly #loadTracker: LoadTracker;
   readonly #peerLoads: PeerLoads | undefined;
+  readonly #costs: CostBook | undefined;
   readonly #health: UpstreamHealth;
   readonly #admission: AdmissionControl;
   readonly #quota: SendQuota;
@@ -89,6 +94,7 @@
     loadTracker: LoadTracker;
     /** Undefined where every process hears of all requests. */
     peerLoads?: PeerLoads | undefined;
+    costs?: CostBook | undefined;
     health: UpstreamHealth;
     quota: SendQuota;
   }) {
@@ -97,6 +103,7 @@
     this.#view = options.view;
     this.#loadTracker = options.loadTracker;
     this.#peerLoads = options.peerLoads;
+    this.#costs = options.costs;
     this.#health = options.health;
     this.#admission = new AdmissionControl(options.clock);
     this.#quota = options.quota;
@@ -194,11 +201,16 @@
     if (failure) {
       return failure;
     }
-    const upstream = pickServiceUpstream(await this.#getCandidates(query), this.#random);
-    const waitedMs = now - startMs;
-    return upstream
-      ? { upstream, plan: undefined, request: undefined, waitedMs, isApart: query.isApart }
-      : this.#getLack(query.pool);
+    const callMs = estimateCallMs(this.#costs, query.req, query.pool);
+    const candidates = await this.#getCandidates(query);
+    const upstream = pickServiceUpstream(candidates, this.#random, callMs);
+    if (!upstream) {
+      return this.#getLack(query.pool);
+    }
+    return {
+      ...{ upstream, plan: undefined, request: undefined, waitedMs: now - startMs },
+      ...{ cost: getCost(candidates, upstream, callMs), isApart: query.isApart },
+    };
   }
 
   /** Why there are no candidates. */
@@ -225,7 +237,10 @@
         return this.#getLack(query.pool);
       }
       const shortGapMs = this.#view.table?.getShortGapMs(query.pool) ?? 0;
-      const request = { ...newPlacementRequest(query, engine, now), shortGapMs };
+      const request = {
+        ...newPlacementRequest(query, { engine, now, costs: this.#costs }),
+        shortGapMs,
+      };
       if (
         !this.#isAdmitted({
           query,
@@ -240,7 +255,8 @@
       const plan = planPlacement(engine, request, candidates);
       if (plan) {
         const { isApart } = query;
-        return { upstream: plan.upstream, plan, request, waitedMs: now - startMs, isApart };
+        const cost = getCost(candidates, plan.upstream);
+        return { upstream: plan.upstream, plan, request, waitedMs: now - startMs, cost, isApart };
       }
       await sleep(this.#clock, REPLAN_INTERVAL_MS, query.signal);
     }
@@ -297,7 +313,7 @@
     const loads = isAsked ? await this.#fetchLoads(considered.map(({ id }) => id)) : known;
     const candidates = considered.map((upstream) => ({
       upstream,
-      load: loads.get(upstream.id) ?? newUpstreamLoad(),
+      ...applyPace(this.#costs, upstream, loads.get(upstream.id) ?? newUpstreamLoad()),
       failureRate: this.#health.getFailureRate(upstream.id),
       avoidance: this.#quota.getAvoidance(upstream.id),
     }));
@@ -307,14 +323,15 @@
   /** Counts a request as load of the upstream that it was sent to last, or that goes on with it. */
   recordLoad(
     { req, pool }: Pick<PlacementQuery, "req" | "pool">,
-    { upstream, plan, request, isApart }: Placement,
+    { upstream, plan, request, cost, isApart }: Placement,
   ): void {
     const { attemptId } = req.head;
     const isPrompt = plan !== undefined && request !== undefined;
     this.#loadTracker.setOwn({
-      ...{ id: attemptId, pool, upstream: upstream.id, kvTokens: getKvTokens(req, plan) },
+      ...{ id: attemptId, pool, upstream: upstream.id },
+      kvTokens: getKvTokens(req, plan, request),
       ...(isApart && { isApart }),
-      ...(isPrompt ? getPromptLoad(plan, request) : CALL_LOAD),
+      ...(isPrompt ? getPromptLoad(plan, request) : getCallLoad(cost)),
     });
   }
 }
@@ -329,22 +346,3 @@
   }
   return now >= deadlineAtMs ? PlacementFailure.TimeOver : undefined;
 };
-
-/** True when the caller resumes a stream of which it has events, perhaps from another process. */
-const isResumed = ({ head, route }: ForwardRequest): boolean =>
-  route.isResumable && head.lastEventId !== undefined;
-
-const getGapMs = (route: Route): number => route.maxGapMs ?? DEFAULT_GAP_MS;
-
-const newPlacementRequest = (
-  { req, deadlineAtMs, timeline }: PlacementQuery,
-  engine: EngineSpec,
-  now: number,
-): Omit<PlacementRequest, "shortGapMs"> => ({
-  promptTokens: req.head.promptTokens,
-  outputTokens: req.head.outputTokens,
-  maxGapMs: getGapMs(req.route),
-  targetLeftMs: timeline.getTargetLeftMs(now),
-  deadlineLeftMs: deadlineAtMs - now - req.head.outputTokens * engine.stepMs,
-  value: estimateValue(req.head.promptTokens),
-});
--- a/packages/forwarding/src/Send.ts
+++ b/packages/forwarding/src/Send.ts
@@ -127,7 +127,7 @@
       this.#finish({ result: SendResult.Broken, reason: "answer is not the request's" });
       return;
     }
-    this.#observer.onHead(this.#facts);
+    this.#observer.onHead(this.#facts, head.status);
   }
 
   #handleData(chunk: Buffer): void {
@@ -181,13 +181,14 @@
       this.#finish({ result: SendResult.Broken, reason: String(err) });
       return;
     }
-    if (!blocks.some(({ isEvent }) => isEvent)) {
+    const events = blocks.filter(({ isEvent }) => isEvent).length;
+    if (events === 0) {
       this.#forwardComments(blocks);
       return;
     }
     this.#hasEvents = true;
     this.#observer.onProgress();
-    this.#observer.onEvents();
+    this.#observer.onEvents(events);
     this.#sendHeadOnce();
     for (const { id } of blocks) {
       this.#progress.lastEventId = id ?? this.#progress.lastEventId;
--- a/packages/forwarding/src/SendRunner.ts
+++ b/packages/forwarding/src/SendRunner.ts
@@ -1,5 +1,6 @@
 import { sleep } from "@lycheepulley/core";
 
+import { CostLesson } from "./costs/CostLesson.js";
 import type { ForwardDependencies } from "./forwardDependencies.js";
 import { SendResult, type SendOutcome } from "./outcomes.js";
 import type { Placement } from "./Placer.js";
@@ -106,9 +107,12 @@
     signal: AbortSignal;
     observer: SendObserver;
   }): Promise<SendOutcome> {
-    const { placement, reservations, signal, observer } = options;
-    const { clock, transport, dialect } = this.#deps;
+    const { placement, reservations, signal } = options;
+    const { clock, transport, dialect, costs } = this.#deps;
     const req = this.#req;
+    const isResumed = this.#progress.lastEventId !== undefined;
+    const lesson = costs && new CostLesson({ costs, clock, req, placement, isResumed });
+    const observer = lesson?.follow(options.observer) ?? options.observer;
     const now = clock.now();
     const send = new Send({
       ...{ clock, dialect, req, writer: this.#writer, progress: this.#progress },
@@ -134,7 +138,9 @@
       send,
     );
     send.start(call);
-    return this.#awaitOutcome(send, signal);
+    const outcome = await this.#awaitOutcome(send, signal);
+    lesson?.end(outcome);
+    return outcome;
   }
 
   async #awaitOutcome(send: Send, signal: AbortSignal): Promise<SendOutcome> {
--- a/packages/forwarding/src/answerProgress.ts
+++ b/packages/forwarding/src/answerProgress.ts
@@ -16,7 +16,7 @@
   /** Called before anything of the answer goes to the caller. */
   onProgress(): void;
   /** Called with the head of each answer that is the request's. */
-  onHead(facts: AnswerFacts): void;
-  /** Called when one or more events of the answer arrived. */
-  onEvents(): void;
+  onHead(facts: AnswerFacts, status: number): void;
+  /** Called when `count` events of the answer arrived. */
+  onEvents(count: number): void;
 }
--- a/packages/forwarding/src/forwardDependencies.ts
+++ b/packages/forwarding/src/forwardDependencies.ts
@@ -1,6 +1,7 @@
 import type { Clock, Random } from "@lycheepulley/core";
 import type { Logger } from "@lycheepulley/telemetry";
 
+import type { CostBook } from "./costs/CostBook.js";
 import type { CrashTracker } from "./crashes/CrashTracker.js";
 import type { PartGuard } from "./crashes/PartGuard.js";
 import type { FleetView } from "./FleetView.js";
@@ -34,6 +35,8 @@
   readonly loadTracker: LoadTracker;
   /** Undefined where every process hears of all requests. */
   readonly peerLoads?: PeerLoads | undefined;
+  /** Undefined where placement goes by published constants alone. */
+  readonly costs?: CostBook | undefined;
   readonly health: UpstreamHealth;
   readonly watch: UpstreamWatch;
   readonly limits: UpstreamLimits;
--- a/packages/forwarding/src/load.ts
+++ b/packages/forwarding/src/load.ts
@@ -42,6 +42,8 @@
   isLate: z.boolean().default(false),
   /** It may crash its upstream, which others should avoid meanwhile. */
   isApart: z.boolean().optional(),
+  /** Expected time of the whole answer after its first event, or of a call, milliseconds. */
+  writeMs: z.number().nonnegative().optional(),
 });
 export type LoadItem = z.infer<typeof loadItemSchema>;
 
@@ -61,6 +63,9 @@
 const isPhase = (value: unknown): boolean =>
   value === LoadPhase.Reading || value === LoadPhase.Writing;
 
+const areOptionals = ({ isApart, writeMs }: { isApart?: unknown; writeMs?: unknown }): boolean =>
+  OPTIONAL_FLAGS.includes(isApart) && (writeMs === undefined || isAmount(writeMs));
+
 /** True for what {@link loadItemSchema} accepts unchanged, at a fraction of its cost. */
 export const isLoadItem = (value: unknown): value is LoadItem => {
   if (typeof value !== "object" || value === null) {
@@ -80,7 +85,7 @@
     item.maxGapMs > 0 &&
     FINITE.every((field) => Number.isFinite(item[field])) &&
     typeof item.isLate === "boolean" &&
-    OPTIONAL_FLAGS.includes(item.isApart)
+    areOptionals(item)
   );
 };
 
@@ -121,6 +126,8 @@
   contextTokens: number;
   /** Requests that peers are expected to have sent here since what this process knows of them. */
   unseen: number;
+  /** Expected time until each request ends, milliseconds, in no order; those of unknown cost are missing. */
+  endsMs: number[];
 }
 
 /** A load item with the time at which its phase was recorded here. */
@@ -145,6 +152,7 @@
   kvTokens: 0,
   contextTokens: 0,
   unseen: 0,
+  endsMs: [],
 });
 
 /** Time over which the rate of peers' requests at an upstream is measured. */
@@ -152,6 +160,42 @@
 
 /** Prefill that should have ended already still counts this much. */
 const OVERDUE_READ_MS = 10;
+/** An answer or call that takes longer than expected goes on for this share of its time so far. */
+const OVERDUE_WRITE_SHARE = 0.3;
+
+/** Work that a request still has at its decoder. */
+export interface RemainingWork {
+  /** Prefill of its own part, without what waits before it, milliseconds. */
+  readonly readMs: number;
+  /** Answer after its first event, or call, milliseconds; undefined when unknown. */
+  readonly writeMs: number | undefined;
+  /** The expected time is over. */
+  readonly isOverdue: boolean;
+}
+
+/** Work that a request is expected to have left at the monotonic time `nowMs`. */
+export const estimateRemaining = (
+  {
+    phase,
+    readMs,
+    writeMs,
+    sinceMs,
+  }: Pick<TimedLoadItem, "phase" | "readMs" | "sinceMs"> & {
+    readonly writeMs?: number | undefined;
+  },
+  nowMs: number,
+): RemainingWork => {
+  const spentMs = Math.max(0, nowMs - sinceMs);
+  if (phase === LoadPhase.Reading) {
+    const leftMs = Math.max(OVERDUE_READ_MS, readMs - spentMs);
+    return { readMs: leftMs, writeMs, isOverdue: spentMs > readMs };
+  }
+  if (writeMs === undefined) {
+    return { readMs: 0, writeMs, isOverdue: false };
+  }
+  const leftMs = Math.max(writeMs - spentMs, OVERDUE_WRITE_SHARE * Math.max(spentMs, writeMs));
+  return { readMs: 0, writeMs: leftMs, isOverdue: spentMs > writeMs };
+};
 
 const getOrAdd = (loads: Map<string, UpstreamLoad>, id: string): UpstreamLoad => {
   let load = loads.get(id);
@@ -230,6 +274,10 @@
         queuePrefill(id, item, false);
       });
     }
+    const { writeMs } = estimateRemaining(item, nowMs);
+    if (writeMs !== undefined) {
+      load.endsMs.push((item.phase === LoadPhase.Reading ? load.pendingReadMs : 0) + writeMs);
+    }
   }
   return loads;
 };
--- a/packages/forwarding/src/placement.ts
+++ b/packages/forwarding/src/placement.ts
@@ -1,3 +1,5 @@
+import { getEndMs } from "./costs/placementCosts.js";
+import { newDecodePlan, type DecodePlan } from "./decodePlan.js";
 import { getPassMs, getReadMs } from "./engineModel.js";
 import type { EngineSpec, Upstream } from "./fleetConfig.js";
 import {
@@ -22,10 +24,12 @@
 const KV_HEADROOM = 0.05;
 /** Slots become free at irregular times, so the expected wait is taken this many times. */
 const QUEUE_RISK = 2;
+/** The same for a slot whose request has a predicted end. */
+const END_RISK = 1.5;
 /** Cost of an upstream, multiplied by its failure rate. */
-const FAILURE_COST = 2;
+export const FAILURE_COST = 2;
 /** Cost of an upstream that names a limit, and the same for each second of prefill there. */
-const LIMITED_COST = 2;
+export const LIMITED_COST = 2;
 /** A full upstream costs this much to decode at; one with free slots their taken share. */
 const FULL_COST = 10;
 /** Cost of a decoder that lacks as much KV memory as an engine has; less in proportion. */
@@ -36,8 +40,6 @@
 const HELPER_MEMORY_SHARE = 0.8;
 /** Share of a running pass that is left on average when a prompt arrives. */
 const PASS_LEFT_SHARE = 0.5;
-/** Spreads calls to equally loaded instances of a service. */
-const CALL_COST_JITTER = 0.05;
 const MS_PER_S = 1_000;
 /** Another member isn't worth it when the parts get smaller than this. */
 const MIN_PART_TOKENS = 8_000;
@@ -50,12 +52,21 @@
   readonly failureRate: number;
   /** How far to avoid the upstream because it names a limit, 0 to 1. */
   readonly avoidance: number;
+  /** Time that work takes there, as a multiple of the usual; its load has the times that this makes. */
+  readonly pace?: number;
 }
 
 /** A prompt to place. */
 export interface PlacementRequest extends Prospect {
   readonly promptTokens: number;
+  /** Expected number of tokens of the answer. */
   readonly outputTokens: number;
+  /** Tokens to hold for the answer in memory; the expected ones by default. */
+  readonly memoryTokens?: number;
+  /** Factor by which the answer takes longer than its passes, as prompts are prefilled meanwhile. */
+  readonly stretch?: number;
+  /** Length and times come from what was seen, not from what callers state at most. */
+  readonly isLearned?: boolean;
   /** Objective for the longest gap between events, milliseconds. */
   readonly maxGapMs: number;
   /**
@@ -79,6 +90,7 @@
   readonly firstEventMs: number;
   /** Expected loss, in the unit of {@link PlacementRequest.value}. */
   readonly loss: number;
+  readonly decode: DecodePlan;
 }
 
 /** True when the plan's first event is expected after the objective. */
@@ -121,10 +133,11 @@
 const scoreMember = (
   engine: EngineSpec,
   candidate: PlacementCandidate,
-  readMs: number,
+  usualReadMs: number,
 ): ScoredMember => {
-  const { load } = candidate;
-  const passMs = getPassMs(engine, load.decoding, load.contextTokens);
+  const { load, pace = 1 } = candidate;
+  const readMs = pace * usualReadMs;
+  const passMs = pace * getPassMs(engine, load.decoding, load.contextTokens);
   const addedLoss = getAddedLoss(load, passMs, readMs);
   const passLeftMs = load.decoding > 0 ? passMs * PASS_LEFT_SHARE : 0;
   const helperReadyMs = passLeftMs + load.pendingHelpMs + readMs;
@@ -202,6 +215,10 @@
   if (waiting <= 0) {
     return 0;
   }
+  const endMs = req.isLearned ? getEndMs(load, waiting) : undefined;
+  if (endMs !== undefined) {
+    return END_RISK * endMs;
+  }
   const passMs = getPassMs(engine, upstream.slots, load.contextTokens);
   const answerMs = Math.ceil(req.outputTokens / engine.stepsPerPass) * passMs;
   return (QUEUE_RISK * waiting * answerMs) / upstream.slots;
@@ -232,7 +249,7 @@
   members: readonly ScoredMember[],
   readMs: number,
 ): PlacementPlan | undefined => {
-  const kvTokens = req.promptTokens + req.outputTokens;
+  const kvTokens = req.promptTokens + (req.memoryTokens ?? req.outputTokens);
   const decoder = pickDecoder(engine, members, kvTokens, req);
   if (!decoder) {
     return undefined;
@@ -246,7 +263,8 @@
     ...members.map((member) => (member === decoder ? member.decoderReadyMs : member.helperReadyMs)),
   );
   const queueMs = getQueueMs(engine, req, decoder.candidate);
-  const passMs = getPassMs(engine, decoder.candidate.load.decoding + 1, 0);
+  const { load, pace = 1 } = decoder.candidate;
+  const passMs = pace * getPassMs(engine, load.decoding + 1, 0);
   const firstEventMs = queueMs + waitMs + passMs;
   const spreadCost = isShort(req) ? getSpreadCost(decoder.candidate, req) : 0;
   const lateLoss = getLatenessLoss(req, firstEventMs);
@@ -261,6 +279,7 @@
     firstEventMs,
     loss:
       memberCost + lateLoss + delayCost + spreadCost + overflowLoss + (queueMs > 0 ? req.value : 0),
+    decode: newDecodePlan(engine, req, decoder.candidate),
   };
 };
 
@@ -302,22 +321,3 @@
   }
   return best;
 };
-
-/** Chooses an upstream for a call to a plain service; undefined from an empty list. */
-export const pickServiceUpstream = (
-  candidates: readonly PlacementCandidate[],
-  random: { next(): number },
-): Upstream | undefined => {
-  let best: { upstream: Upstream; cost: number } | undefined;
-  for (const { upstream, load, failureRate, avoidance } of candidates) {
-    const cost =
-      load.inFlight / upstream.slots +
-      FAILURE_COST * failureRate +
-      LIMITED_COST * avoidance +
-      random.next() * CALL_COST_JITTER;
-    if (!best || cost < best.cost) {
-      best = { upstream, cost };
-    }
-  }
-  return best?.upstream;
-};
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -18,7 +18,10 @@
   readonly deadlineMs: number | undefined;
   readonly apiKey: string | undefined;
   readonly promptTokens: number;
+  /** Most tokens that the answer may have. */
   readonly outputTokens: number;
+  /** The caller's own estimate of the number of tokens of the answer. */
+  readonly outputHint?: number | undefined;
   readonly lastEventId: string | undefined;
   /** Ids of the parts of the prompt that other requests may share, in their order. */
   readonly sharedParts: readonly string[];
