Share learned costs between processes, and compare cost policies in the simulation

Cause: a process of a large fleet sees each upstream once a minute, and a restarted one knew nothing. The simulation can state lengths as real callers do, and has engines of unequal pace.

--- a/packages/cli/src/commands/experiment.ts
+++ b/packages/cli/src/commands/experiment.ts
@@ -1,4 +1,5 @@
 import {
+  CostPolicy,
   PATTERNS,
   runExperiment,
   type ExperimentResult,
@@ -31,6 +32,18 @@
     return Number(seed);
   });
 
+const COST_POLICIES = Object.values(CostPolicy);
+
+const parseCosts = (text: string): CostPolicy => {
+  const policy = COST_POLICIES.find((known) => known === text);
+  if (!policy) {
+    throw new UsageError(
+      `--costs: unknown policy "${text}"; known are ${COST_POLICIES.join(", ")}`,
+    );
+  }
+  return policy;
+};
+
 /** Plays load patterns on the decision modules, without a network and on an injected clock. */
 export const experimentCommand: Command = {
   name: "experiment",
@@ -38,15 +51,21 @@
   flags: {
     patterns: { type: "string", help: "Patterns, separated by commas, or all", default: "all" },
     seeds: { type: "string", help: "Random seeds, separated by commas", default: "1,2,3" },
+    costs: {
+      type: "string",
+      help: `What is known of costs: ${COST_POLICIES.join(", ")}`,
+      default: CostPolicy.Quantiles,
+    },
     json: JSON_FLAG,
   },
   example: "lycheepulley experiment --patterns surges-while-replaced --seeds 1,2,3",
   run: async (ctx) => {
     const seeds = parseSeeds(ctx.getString("seeds"));
+    const costs = parseCosts(ctx.getString("costs"));
     const results: ExperimentResult[] = [];
     for (const pattern of parsePatterns(ctx.getString("patterns"))) {
       for (const seed of seeds) {
-        results.push(await runExperiment(pattern, seed));
+        results.push(await runExperiment(pattern, seed, costs));
       }
     }
     if (ctx.getBoolean("json")) {
--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -26,10 +26,9 @@
 import { ForwardMetrics, type Logger } from "@lycheepulley/telemetry";
 
 import { closeAndDrain } from "./closeAndDrain.js";
-import { CrashExchange } from "./CrashExchange.js";
 import { DetourConnector } from "./DetourConnector.js";
+import { EvidenceExchange } from "./EvidenceExchange.js";
 import { FleetStateSync } from "./FleetStateSync.js";
-import { LimitExchange } from "./LimitExchange.js";
 import { countByStatus, newMetricsServer } from "./metricsServer.js";
 import { PeerCalls } from "./PeerCalls.js";
 import { newRetryBudget } from "./newRetryBudget.js";
@@ -49,9 +48,9 @@
   readonly #sourceFeed: SourceFeed;
   readonly #logger: Logger;
   readonly #metrics = new ForwardMetrics({
-    countLimited: () => this.#limitExchange.limits.all.length,
-    countResting: () => this.#limitExchange.rests.count,
-    countParts: () => countByStatus(this.#crashExchange.guard.evidence.suspects),
+    countLimited: () => this.#evidence.limits.limits.all.length,
+    countResting: () => this.#evidence.limits.rests.count,
+    countParts: () => countByStatus(this.#evidence.crashes.guard.evidence.suspects),
     countDetours: () => this.#connector.detours,
     hasLostLinks: () => this.#connector.isLost,
   });
@@ -66,8 +65,7 @@
   readonly #channel: DatagramChannel;
   readonly #peerExchange: PeerExchange;
   readonly #peerCalls: PeerCalls;
-  readonly #limitExchange: LimitExchange;
-  readonly #crashExchange: CrashExchange;
+  readonly #evidence: EvidenceExchange;
   readonly #crashTracker: CrashTracker;
   readonly #watch: UpstreamWatch;
   readonly #forwarder: Forwarder;
@@ -161,7 +159,7 @@
         this.#stateSync.onPeerHeartbeat(peer);
       },
       onPeerReturned: (host) => {
-        this.#crashExchange.inform(host);
+        this.#evidence.inform(host);
       },
       onUpstreamLeaving: (upstream) => {
         this.#view.recordLeaving(upstream);
@@ -185,9 +183,9 @@
       ...{ host: settings.host, calls: this.#peerCalls },
       getMembers: () => this.#peers.getMembers(this.isReady),
     };
-    this.#limitExchange = new LimitExchange(exchange);
-    this.#crashExchange = new CrashExchange(exchange);
-    const { limits, rests, quota } = this.#limitExchange;
+    const { failureDomain, learnsCosts = true } = settings;
+    this.#evidence = new EvidenceExchange({ ...exchange, failureDomain, learnsCosts });
+    const { limits, rests, quota } = this.#evidence.limits;
     const transport = links.newTransport(this.#connector);
     const control = new LimitedControl(links.newControl(transport), quota);
     this.#watch = new UpstreamWatch({
@@ -209,7 +207,8 @@
       },
       ...{ crashes: this.#crashTracker, transport, dialect, logger },
       retryBudget: newRetryBudget(settings, clock, this.#peers),
-      ...{ control, limits, rests, quota, guard: this.#crashExchange.guard },
+      ...{ control, limits, rests, quota, guard: this.#evidence.crashes.guard },
+      costs: this.#evidence.costs.book,
       reservations: new ReservationManager({ clock, control, logger }),
       onLeaving: (upstream) => {
         this.#peerExchange.notifyUpstream("leaving", upstream);
@@ -222,7 +221,7 @@
       ...{ clock, view: this.#view, dialect, logger },
       forward: (req, writer) => this.#forwarder.forward(req, writer),
     });
-    this.#metricsServer = newMetricsServer(this.#metrics, this.#crashExchange.guard.evidence);
+    this.#metricsServer = newMetricsServer(this.#metrics, this.#evidence.crashes.guard.evidence);
   }
 
   /** True while this process has a configuration and an upstream list and isn't draining. */
@@ -245,8 +244,7 @@
     this.#stateSync.serve(this.#nodeServer);
     await this.#nodeServer.listen(host, peerPort);
     this.#peerExchange.start(this.#crashTracker);
-    this.#limitExchange.start(this.#nodeServer);
-    this.#crashExchange.start(this.#nodeServer);
+    this.#evidence.start(this.#nodeServer);
     this.#sourceFeed.start();
     await this.#listener.listen(host, callerPort);
     this.#metricsServer.listen(host, metricsPort).catch((err: unknown) => {
@@ -292,8 +290,7 @@
   stop(): void {
     this.#listener.close();
     this.#peerExchange.stop();
-    this.#limitExchange.stop();
-    this.#crashExchange.stop();
+    this.#evidence.stop();
     this.#peerCalls.close();
     this.#connector.stop();
     this.#watch.stop();
@@ -329,7 +326,7 @@
     const hasChanged = this.#listTracker.apply(list, atMs);
     const ids = new Set(this.#view.upstreams.keys());
     this.#health.retain(ids);
-    this.#limitExchange.retain(ids);
+    this.#evidence.retain(ids);
     this.#metrics.setListEpoch(getEpoch(this.#view.list));
     return hasChanged;
   }
--- a/packages/daemon/src/gateway/LoadExchange.test.ts
+++ b/packages/daemon/src/gateway/LoadExchange.test.ts
@@ -212,6 +212,7 @@
         "u1",
         {
           ...{ ...newUpstreamLoad(), inFlight: 2, decodes: [{ maxGapMs: 200, value: 1.5 }] },
+          endsMs: [120, 900],
           prefills: [
             { targetLeftMs: -20.5, deadlineLeftMs: 900, value: 3, isDecoder: true },
             { targetLeftMs: 20, deadlineLeftMs: 1_900, value: 2, isDecoder: false },
--- a/packages/daemon/src/gateway/earlierBuilds.test.ts
+++ b/packages/daemon/src/gateway/earlierBuilds.test.ts
@@ -94,6 +94,12 @@
       { identity: IDENTITY, hosts: [], seq: 12 },
     ],
     ["load changes", earlierChange, CHANGE, CHANGE],
+    [
+      "load changes with expected costs",
+      earlierChange,
+      { ...CHANGE, changed: [{ ...ITEM, writeMs: 1_200 }] },
+      CHANGE,
+    ],
   ];
   for (const [name, schema, message, read] of sent) {
     it(`sends ${name} that the earlier build reads`, () => {
--- a/packages/daemon/src/gateway/peerMessages.ts
+++ b/packages/daemon/src/gateway/peerMessages.ts
@@ -100,6 +100,8 @@
   question: z.number().int(),
   isWhole: z.boolean(),
   loads: z.array(upstreamLoadSchema).max(MAX_QUESTION_UPSTREAMS),
+  /** Expected ends of the requests at each of these upstreams, milliseconds from now. */
+  ends: z.array(z.array(amountSchema)).max(MAX_QUESTION_UPSTREAMS).optional(),
 });
 export type LoadAnswer = z.output<typeof loadAnswerSchema>;
 
@@ -125,8 +127,12 @@
     numbers.slice(index * size, (index + 1) * size),
   );
 
-const decodeLoad = ([, amounts, decodes, prefills]: CodedLoad): UpstreamLoad => {
+const decodeLoad = (
+  [, amounts, decodes, prefills]: CodedLoad,
+  endsMs: readonly number[],
+): UpstreamLoad => {
   const load = newUpstreamLoad();
+  load.endsMs = [...endsMs];
   LOAD_AMOUNTS.forEach((name, index) => {
     load[name] = amounts[index] ?? 0;
   });
@@ -148,18 +154,23 @@
   isWhole: boolean;
   upstreams: readonly string[];
   loads: ReadonlyMap<string, UpstreamLoad>;
-}): LoadAnswer => ({
-  question: options.question,
-  isWhole: options.isWhole,
-  loads: options.upstreams.flatMap((id) => {
+}): LoadAnswer => {
+  const loads = options.upstreams.flatMap((id) => {
     const load = options.loads.get(id);
-    return load ? [encodeLoad(id, load)] : [];
-  }),
-});
+    return load ? [{ id, load }] : [];
+  });
+  const ends = loads.map(({ load }) => load.endsMs.map(Math.round));
+  return {
+    question: options.question,
+    isWhole: options.isWhole,
+    loads: loads.map(({ id, load }) => encodeLoad(id, load)),
+    ...(ends.some(({ length }) => length > 0) && { ends }),
+  };
+};
 
 /** The loads of an answer by upstream. */
-export const toLoads = ({ loads }: LoadAnswer): Map<string, UpstreamLoad> =>
-  new Map(loads.map((coded) => [coded[0], decodeLoad(coded)]));
+export const toLoads = ({ loads, ends = [] }: LoadAnswer): Map<string, UpstreamLoad> =>
+  new Map(loads.map((coded, at) => [coded[0], decodeLoad(coded, ends[at] ?? [])]));
 
 type Fields = Readonly<Record<string, unknown>>;
 
@@ -253,5 +264,6 @@
     Number.isSafeInteger(value["question"]) &&
     typeof value["isWhole"] === "boolean" &&
     isArrayOf(value["loads"], isCodedLoad) &&
-    (value["loads"] as unknown[]).length <= MAX_QUESTION_UPSTREAMS,
+    (value["loads"] as unknown[]).length <= MAX_QUESTION_UPSTREAMS &&
+    (value["ends"] === undefined || isArrayOf(value["ends"], (ends) => isArrayOf(ends, isAmount))),
 );
--- a/packages/daemon/src/gateway/types.ts
+++ b/packages/daemon/src/gateway/types.ts
@@ -43,4 +43,6 @@
   readonly retrySlack: number;
   /** Time between the heartbeats by which upstreams stay on the upstream list, milliseconds. */
   readonly upstreamBeatMs: number;
+  /** Requests are placed by what such requests have cost so far; true by default. */
+  readonly learnsCosts?: boolean;
 }
--- a/packages/forwarding/src/costs/CostBook.ts
+++ b/packages/forwarding/src/costs/CostBook.ts
@@ -29,6 +29,8 @@
   Hint: "hint",
   /** Time of a call, milliseconds. */
   Call: "call",
+  /** Shorter gaps between events, as a multiple of the published time of a pass. */
+  Pass: "pass",
   /** Time between the first and the last event, as a multiple of the expected time. */
   Stretch: "stretch",
 } as const;
--- a/packages/forwarding/src/costs/CostLesson.ts
+++ b/packages/forwarding/src/costs/CostLesson.ts
@@ -11,7 +11,7 @@
 /** Most gaps of one answer that are looked at. */
 const MAX_GAPS = 64;
 /** Prompts that are prefilled meanwhile lengthen most gaps; the shorter ones are passes without them. */
-const PASS_QUANTILE = 0.25;
+const PASS_QUANTILE = 0.1;
 const FIRST_ERROR_STATUS = 300;
 
 /** What one ended send may teach. */
@@ -34,6 +34,8 @@
   readonly gaps: number;
   /** The upstream had a free slot when it was chosen. */
   readonly hadSlot: boolean;
+  /** Other upstreams hold parts of the prompt, on which each pass waits. */
+  readonly hasHelpers: boolean;
 }
 
 const NONE: Lessons = { length: false, pace: false, call: false };
@@ -45,7 +47,7 @@
  * was seen, and one that broke off, failed or was overtaken by another send nothing.
  */
 export const getLessons = (send: EndedSend): Lessons => {
-  const { result, status = 0, isResumed, isStream, gaps, hadSlot } = send;
+  const { result, status = 0, isResumed, isStream, gaps, hadSlot, hasHelpers } = send;
   const isSuccess = status >= 200 && status < FIRST_ERROR_STATUS;
   const isWhole = result === SendResult.Delivered;
   if (!isSuccess || (!isWhole && !STOPPED.has(result))) {
@@ -53,7 +55,7 @@
   }
   return {
     length: isWhole && isStream && !isResumed,
-    pace: isStream && gaps >= MIN_GAPS,
+    pace: isStream && gaps >= MIN_GAPS && !hasHelpers,
     call: isWhole && !isStream && hadSlot,
   };
 };
@@ -119,6 +121,7 @@
     const lessons = getLessons({
       ...{ result, status: this.#status, isResumed: this.#isResumed, isStream: this.#events > 0 },
       ...{ gaps: this.#gaps.length, hadSlot: (cost?.takenShare ?? 0) < 1 },
+      hasHelpers: (plan?.helpers.length ?? 0) > 0,
     });
     const key: CostKey = {
       ...{ pool: upstream.pool, route: this.#req.route.name, customer: this.#req.customer },
@@ -150,8 +153,13 @@
   #recordPace(key: CostKey, { passMs, pace }: { passMs: number; pace: number }): void {
     const { upstream, cost } = this.#placement;
     const sorted = [...this.#gaps].sort((a, b) => a - b);
-    const seenMs = sorted[Math.floor(sorted.length * PASS_QUANTILE)] ?? 0;
-    this.#costs.paces.record(upstream.id, (seenMs * pace) / passMs, cost?.takenShare ?? 0);
+    // The shortest gap may be one between events that arrived together.
+    const seenMs = sorted[Math.max(1, Math.floor(sorted.length * PASS_QUANTILE))] ?? 0;
+    const ratio = (seenMs * pace) / passMs;
+    // Prompts are prefilled at all upstreams of a pool, so that an upstream is slow only beside others.
+    const usual = this.#costs.estimate(CostKind.Pass, key) ?? ratio;
+    this.#costs.paces.record(upstream.id, ratio / usual, cost?.takenShare ?? 0);
+    this.#costs.record(CostKind.Pass, key, ratio);
     const meanMs = (this.#lastMs - (this.#firstMs ?? 0)) / Math.max(1, this.#events - 1);
     this.#costs.record(CostKind.Stretch, key, meanMs / passMs);
   }
--- a/packages/forwarding/src/costs/UpstreamPaces.ts
+++ b/packages/forwarding/src/costs/UpstreamPaces.ts
@@ -5,7 +5,9 @@
 /** An upstream's pace changes within seconds: after its start, or while its VM is busy. */
 const HALF_LIFE_MS = 20_000;
 /** Weight of the assumption that an upstream is as fast as others, in observations. */
-const PRIOR_WEIGHT = 1;
+const PRIOR_WEIGHT = 0.5;
+/** Smaller differences are taken for chance, so that processes don't all choose one upstream for them. */
+const CHANCE = Math.log(1.15);
 /** Upstreams have more paces than one: this one from here on, as some slow down when nearly full. */
 const FULL_SHARE = 0.75;
 const FULL_SUFFIX = "|full";
@@ -56,7 +58,9 @@
     const open = this.#blend(upstream, 0);
     const logPace =
       takenShare >= FULL_SHARE ? this.#blend(`${upstream}${FULL_SUFFIX}`, open) : open;
-    return Math.min(MAX_PACE, Math.max(MIN_PACE, Math.exp(logPace)));
+    return Math.abs(logPace) < CHANCE
+      ? 1
+      : Math.min(MAX_PACE, Math.max(MIN_PACE, Math.exp(logPace)));
   }
 
   /** Paces that differ from the usual, the best known first. */
--- a/packages/simulation/src/GatewayNetwork.ts
+++ b/packages/simulation/src/GatewayNetwork.ts
@@ -23,6 +23,9 @@
 const ASK_TIMEOUT_MS = 80;
 /** Interval of the peers' signs of life. */
 const HEARTBEAT_MS = 250;
+/** Interval at which gateways tell some others of costs, and how many. */
+const COSTS_MS = 1_000;
+const COSTS_PEERS = 2;
 /** Interval at which gateways note who owns quotas. */
 const OBSERVE_MS = 1_000;
 
@@ -158,6 +161,23 @@
     }, OBSERVE_MS);
   }
 
+  /** Has each gateway regularly tell others, by turns, what it has learned of costs. */
+  sendCosts(round = 0): void {
+    const gateways = this.#getGateways();
+    gateways.forEach((gateway, index) => {
+      const summary = gateway.getCosts();
+      for (let at = 1; summary && at <= COSTS_PEERS; at++) {
+        const to = gateways[(index + COSTS_PEERS * round + at) % gateways.length];
+        if (to !== gateway) {
+          to?.applyCosts(summary);
+        }
+      }
+    });
+    this.#clock.setTimer(() => {
+      this.sendCosts(round + 1);
+    }, COSTS_MS);
+  }
+
   sendHeartbeats(): void {
     for (const to of this.#getGateways()) {
       for (const from of this.#getGateways()) {
--- a/packages/simulation/src/SimulatedCaller.ts
+++ b/packages/simulation/src/SimulatedCaller.ts
@@ -4,11 +4,15 @@
 import type { Incident, Pattern, PromptClass } from "./pattern.js";
 import { newRoute, type SimulatedFleet } from "./SimulatedFleet.js";
 import { CRASHING_PART } from "./SimulatedUpstream.js";
+import { ANSWER_HEADER } from "./simulatedDialect.js";
 
+type StatedLength = Pick<ForwardRequest["head"], "outputTokens" | "outputHint">;
 type CrashingPart = Extract<Incident, { kind: "crashingPart" }>;
 
 /** Callers try an entry process that is down again after this time, milliseconds. */
 const RECONNECT_MS = 250;
+/** Share of callers who estimate the length of their answer. */
+const HINT_SHARE = 0.5;
 /** Attempts of a caller for one request. */
 const MAX_ATTEMPTS = 2;
 /** Weight of the fixed part of a prompt's worth; the rest grows with its size. */
@@ -182,6 +186,19 @@
     };
   }
 
+  /** What a caller states of the length of an answer: all of it where the class says no more. */
+  #stateLength({ stated }: PromptClass, outputTokens: number): StatedLength {
+    if (!stated) {
+      return { outputTokens, outputHint: undefined };
+    }
+    const { limitTokens: max, hintSpread: spread } = stated;
+    const hasHint = this.#random.next() < HINT_SHARE;
+    // The estimates are right at the median.
+    const mean = outputTokens * Math.exp((spread * spread) / 2);
+    const outputHint = hasHint ? nextLogNormal(this.#random, { mean, spread, max }) : undefined;
+    return { outputTokens: max, outputHint };
+  }
+
   #newRequest(
     prompt: PromptClass,
     state: {
@@ -198,8 +215,9 @@
     const path = `/${prompt.name}/`;
     return {
       head: {
-        ...{ attemptId, method: "POST", path, host: "fleet.example", headers: [], deadlineMs },
-        ...{ apiKey: undefined, promptTokens, outputTokens },
+        ...{ attemptId, method: "POST", path, host: "fleet.example", deadlineMs },
+        headers: [ANSWER_HEADER, String(outputTokens)],
+        ...{ apiKey: undefined, promptTokens, ...this.#stateLength(prompt, outputTokens) },
         lastEventId: lastEventId > 0 ? String(lastEventId) : undefined,
         sharedParts: parts,
       },
--- a/packages/simulation/src/SimulatedFleet.ts
+++ b/packages/simulation/src/SimulatedFleet.ts
@@ -8,6 +8,8 @@
   type UpstreamTransport,
 } from "@lycheepulley/forwarding";
 
+import { CostPolicy, newCosts } from "./costPolicies.js";
+import { getPace, withPace } from "./enginePaces.js";
 import { GatewayNetwork, NETWORK_MS } from "./GatewayNetwork.js";
 import type { Incident, Pattern, PromptClass } from "./pattern.js";
 import { SimulatedGateway } from "./SimulatedGateway.js";
@@ -58,6 +60,7 @@
   readonly #clock: Clock;
   readonly #random: Random;
   readonly #pattern: Pattern;
+  readonly #costPolicy: CostPolicy;
   readonly #config: FleetConfig;
   readonly #upstreams = new Map<string, SimulatedUpstream>();
   readonly #leaving = new Set<string>();
@@ -70,8 +73,14 @@
   #nextUpstream = 0;
   #incarnation = 0;
 
-  constructor(pattern: Pattern, clock: Clock, random: Random) {
+  constructor(
+    pattern: Pattern,
+    clock: Clock,
+    random: Random,
+    costPolicy: CostPolicy = CostPolicy.Quantiles,
+  ) {
     this.#pattern = pattern;
+    this.#costPolicy = costPolicy;
     this.#clock = clock;
     this.#random = random;
     this.#network = new GatewayNetwork(clock, () => this.#gateways, pattern);
@@ -86,6 +95,7 @@
     }
     this.#startGateways();
     this.#network.sendHeartbeats();
+    this.#network.sendCosts();
     this.#network.observeQuotas();
     pattern.incidents.forEach((incident) => {
       clock.setTimer(() => {
@@ -170,6 +180,7 @@
     this.#gateways = Array.from({ length: this.#pattern.processes }, (_, index) => {
       const name = `g${String(index)}-${String(incarnation)}`;
       const gateway = new SimulatedGateway({
+        costs: newCosts(this.#costPolicy, this.#clock, (id) => getPace(this.#pattern, id)),
         ...{ name, clock: this.#clock, random: this.#random, config: this.#config, transport },
         ...{ control: this.#newControl(), processes: this.#pattern.processes },
         getMembers: () => this.#network.getMembers(name),
@@ -221,7 +232,7 @@
       upstream.id,
       new SimulatedUpstream({
         ...{ clock: this.#clock, upstream, delayMs: NETWORK_MS },
-        spec: { ...engine, chunkTokens, queueSlots },
+        spec: { ...withPace(engine, getPace(this.#pattern, upstream.id)), chunkTokens, queueSlots },
         find: (id) => this.#upstreams.get(id),
         onCrash: () => {
           this.#crashByPart(upstream.id);
--- a/packages/simulation/src/SimulatedGateway.ts
+++ b/packages/simulation/src/SimulatedGateway.ts
@@ -1,6 +1,8 @@
 import type { Clock, Random } from "@lycheepulley/core";
 import {
   CrashEvidence,
+  type CostBook,
+  type CostSummary,
   CrashTracker,
   FleetView,
   Forwarder,
@@ -51,6 +53,7 @@
   readonly #evidence: CrashEvidence;
   readonly #trialOwner: TrialOwner;
   readonly #watch: UpstreamWatch;
+  readonly #costs: CostBook | undefined;
   #seq = 0;
   #listVersion = 0;
 
@@ -71,9 +74,11 @@
     getLoadLagMs: () => number;
     peerLoads: PeerLoads;
     onUpstreamDead: (upstream: string) => void;
+    costs: CostBook | undefined;
   }) {
     const { clock, random, transport, control } = options;
     this.name = options.name;
+    this.#costs = options.costs;
     this.#clock = clock;
     this.#health = new UpstreamHealth(clock);
     this.#loadTracker = new LoadTracker({
@@ -121,7 +126,7 @@
         getProcessCount: () => options.processes,
       }),
       crashes: new CrashTracker({ clock, onCrash: () => undefined }),
-      ...{ limits, rests, quota, guard },
+      ...{ limits, rests, quota, guard, costs: options.costs },
       onLeaving: () => undefined,
       reservations: new ReservationManager({ clock, control, logger }),
       onEnd: () => undefined,
@@ -174,6 +179,16 @@
     const ids = new Set(this.#view.upstreams.keys());
     this.#health.retain(ids);
     this.#limits.retain(ids);
+    this.#costs?.paces.retain(ids);
+  }
+
+  /** What this process has learned of costs; undefined without costs. */
+  getCosts(): CostSummary | undefined {
+    return this.#costs?.getSummary();
+  }
+
+  applyCosts(summary: CostSummary): void {
+    this.#costs?.recordPeer(summary);
   }
 
   /** Keeps peers from taking this process for silent. */
--- a/packages/simulation/src/experiment.ts
+++ b/packages/simulation/src/experiment.ts
@@ -1,5 +1,6 @@
 import { SeededRandom } from "@lycheepulley/core";
 
+import type { CostPolicy } from "./costPolicies.js";
 import type { Pattern } from "./pattern.js";
 import { SimulatedCaller, type RequestRecord } from "./SimulatedCaller.js";
 import { SimulatedClock } from "./SimulatedClock.js";
@@ -52,9 +53,13 @@
 }
 
 /** Plays one pattern on an injected clock, and returns what became of each request. */
-export const playPattern = async (pattern: Pattern, seed: number): Promise<PatternPlay> => {
+export const playPattern = async (
+  pattern: Pattern,
+  seed: number,
+  costPolicy?: CostPolicy,
+): Promise<PatternPlay> => {
   const clock = new SimulatedClock();
-  const fleet = new SimulatedFleet(pattern, clock, new SeededRandom(seed));
+  const fleet = new SimulatedFleet(pattern, clock, new SeededRandom(seed), costPolicy);
   const caller = new SimulatedCaller(pattern, fleet, clock, new SeededRandom(seed + 1_000));
   const longestMs = Math.max(...pattern.classes.map(({ deadlineMs }) => deadlineMs));
   const samples: UtilizationSample[] = [];
@@ -70,8 +75,12 @@
 };
 
 /** Plays one pattern and sums up its credit; the same seed gives the same result. */
-export const runExperiment = async (pattern: Pattern, seed: number): Promise<ExperimentResult> => {
-  const { records, samples } = await playPattern(pattern, seed);
+export const runExperiment = async (
+  pattern: Pattern,
+  seed: number,
+  costPolicy?: CostPolicy,
+): Promise<ExperimentResult> => {
+  const { records, samples } = await playPattern(pattern, seed, costPolicy);
   return { ...summarize(pattern, seed, records), samples };
 };
 
--- a/packages/simulation/src/index.ts
+++ b/packages/simulation/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./costPolicies.js";
 export * from "./experiment.js";
 export * from "./pattern.js";
 export * from "./patterns.js";
--- a/packages/simulation/src/pattern.ts
+++ b/packages/simulation/src/pattern.ts
@@ -7,6 +7,8 @@
   perSecond: z.number().nonnegative(),
   promptTokens: z.object({ mean: z.number().positive(), spread: z.number(), max: z.number() }),
   outputTokens: z.object({ mean: z.number().positive(), spread: z.number(), max: z.number() }),
+  /** Most tokens that callers allow, and the spread of the estimates that half of them give. */
+  stated: z.object({ limitTokens: z.number().positive(), hintSpread: z.number() }).optional(),
   targetMs: z.number().positive(),
   maxGapMs: z.number().positive(),
   deadlineMs: z.number().positive(),
@@ -75,6 +77,8 @@
   engine: engineSpecSchema,
   chunkTokens: z.number().int().positive(),
   queueSlots: z.number().int().nonnegative(),
+  /** Times of the upstreams by turns, as multiples of those that the engine's constants give. */
+  paces: z.array(z.number().positive()).optional(),
   /** Load changes reach other processes in batches at this interval, as through relays. */
   loadBatchMs: z.number().positive().optional(),
   /** Processes ask one of their failure domain for loads, and only these hear of all requests. */
--- a/packages/simulation/src/patterns.ts
+++ b/packages/simulation/src/patterns.ts
@@ -63,6 +63,15 @@
 
 const ASKING_FLEET: typeof FLEET = { ...LARGE_FLEET, loadBatchMs: undefined, failureDomains: 3 };
 
+/** Callers who state far more than the usual length, on engines of unequal pace. */
+const UNEQUAL_FLEET: typeof FLEET = {
+  ...{ ...FLEET, paces: [1, 0.8, 1.25, 1, 2] },
+  classes: FLEET.classes.map((prompt) => ({
+    ...prompt,
+    stated: { limitTokens: 2 * prompt.outputTokens.max, hintSpread: 0.8 },
+  })),
+};
+
 const SHORT_SURGE = { short: 2.4, medium: 0.5, long: 0.05 };
 const LONG_SURGE = { short: 0.35, medium: 1.3, long: 2.6 };
 
@@ -119,6 +128,8 @@
   ),
   newPattern("asking-fleet-surge-of-short", [during(2_000, 8_000, SHORT_SURGE)], [], ASKING_FLEET),
   newPattern("asking-fleet-surge-of-long", [during(2_000, 8_000, LONG_SURGE)], [], ASKING_FLEET),
+  newPattern("unequal-fleet-by-turns", BY_TURNS, [], UNEQUAL_FLEET),
+  newPattern("unequal-fleet-steady", [], [], UNEQUAL_FLEET),
   newPattern("small-fleet-by-turns", BY_TURNS, [], SMALL_FLEET),
   newPattern("small-fleet-replaced", BY_TURNS, [{ ...REPLACED, count: 4 }], SMALL_FLEET),
 ];
--- a/packages/simulation/src/simulatedDialect.ts
+++ b/packages/simulation/src/simulatedDialect.ts
@@ -9,6 +9,8 @@
 import { z } from "zod";
 
 const FIELDS_HEADER = "fields";
+/** Header of a simulated request with the length of its answer, which only the upstream looks at. */
+export const ANSWER_HEADER = "answer";
 
 const callFieldsSchema = z.object({
   attemptId: z.string(),
@@ -39,7 +41,7 @@
   newUpstreamHeaders({ head }: ForwardRequest, fields: UpstreamFields): HeaderList {
     const call: CallFields = {
       ...{ attemptId: head.attemptId, promptTokens: head.promptTokens },
-      ...{ outputTokens: head.outputTokens, lastEventId: Number(fields.lastEventId ?? 0) },
+      ...{ outputTokens: Number(head.headers[1]), lastEventId: Number(fields.lastEventId ?? 0) },
       parts: [...head.sharedParts],
       urgency: fields.urgency ?? DEFAULT_URGENCY,
       helpers: fields.helpers.map(({ upstream }) => upstream.id),
