--- a/packages/daemon/src/gateway/types.ts
+++ b/packages/daemon/src/gateway/types.ts
@@ -55,4 +55,6 @@
   readonly upstreamBeatMs: number;
   /** How far the sends to a cold upstream may exceed its rate; the default's when absent. */
   readonly rateBounds?: RateBounds | undefined;
+  /** Requests are placed by what such requests have cost so far; true by default. */
+  readonly learnsCosts?: boolean;
 }
