--- a/packages/forwarding/src/ForwardJob.ts
+++ b/packages/forwarding/src/ForwardJob.ts
@@ -320,9 +320,12 @@
       this.#final.fail({ result, reason });
     } else {
       const { random } = this.#deps;
-      const roomMs =
-        failed.kind === "held" ? failed.retryMs : this.#placer.getRoomMs(this.#pool, failed.reason);
-      this.#final.reject(reason, getRetryAfterMs(roomMs, random));
+      const query = { req: this.#req, pool: this.#pool };
+      const retryMs =
+        failed.kind === "held"
+          ? getRetryAfterMs(failed.retryMs, random)
+          : this.#placer.getRetryMs(query, failed.reason);
+      this.#final.reject(reason, retryMs);
     }
   }
 
--- a/packages/forwarding/src/Forwarder.ts
+++ b/packages/forwarding/src/Forwarder.ts
@@ -1,6 +1,7 @@
 import type { ForwardDependencies } from "./forwardDependencies.js";
 import { ForwardJob } from "./ForwardJob.js";
 import { Placer } from "./Placer.js";
+import type { RoomCounts } from "./room/RoomStats.js";
 import { SendPlanner } from "./SendPlanner.js";
 import type { AnswerWriter, ForwardRequest } from "./types.js";
 
@@ -22,6 +23,11 @@
     return this.#inFlight;
   }
 
+  /** What this process knows of prompts that wait for KV memory. */
+  get room(): RoomCounts {
+    return this.#placer.room.counts;
+  }
+
   /** Resolves when the caller has its final answer or disconnected. */
   async forward(req: ForwardRequest, writer: AnswerWriter): Promise<void> {
     this.#inFlight += 1;
--- a/packages/forwarding/src/LoadTracker.ts
+++ b/packages/forwarding/src/LoadTracker.ts
@@ -130,6 +130,11 @@
     return sumLoads(this.#items(), this.#clock.now(), this.#getLagMs());
   }
 
+  /** In-flight requests of all processes except silent peers. */
+  get items(): readonly TimedLoadItem[] {
+    return [...this.#items()];
+  }
+
   /** Load items of all processes except silent peers. */
   *#items(): Generator<TimedLoadItem> {
     yield* this.#own.values();
@@ -162,7 +167,10 @@
 
   #setPeerItem(loads: PeerLoads, item: LoadItem): void {
     const known = loads.items.get(item.id);
-    const isSame = known?.phase === item.phase && known.upstream === item.upstream;
+    const isSame =
+      known?.phase === item.phase &&
+      known.upstream === item.upstream &&
+      known.promise?.renewal === item.promise?.renewal;
     const now = this.#clock.now();
     const sinceMs = isSame ? known.sinceMs : now;
     loads.items.set(item.id, { ...item, sinceMs, reportedMs: known?.reportedMs ?? now });
--- a/packages/forwarding/src/Placer.test.ts
+++ b/packages/forwarding/src/Placer.test.ts
@@ -70,6 +70,7 @@
       loadTracker: tracker,
       health,
       quota: newQuota(clock),
+      logger: newSilentLogger(),
     });
     const route = newRoute({ isStream: true, maxGapMs: 250 });
     const placement = await placer.find(
@@ -106,6 +107,7 @@
     loadTracker: tracker,
     health,
     quota: newQuota(clock),
+    logger: newSilentLogger(),
   });
   await placer.find(newQuery("short", route, { promptTokens: 1_000, lastEventId: undefined }));
   return placer.find(newQuery("long", route, { promptTokens: 200_000, lastEventId }));
--- a/packages/forwarding/src/Placer.ts
+++ b/packages/forwarding/src/Placer.ts
@@ -1,7 +1,7 @@
 import { sleep, type Clock, type Random } from "@lycheepulley/core";
+import type { Logger } from "@lycheepulley/telemetry";
 
 import { AdmissionControl, getBusyShare, getRoomMs, getWorkMs } from "./AdmissionControl.js";
-import type { AnswerTimeline } from "./AnswerTimeline.js";
 import type { EngineSpec, Route, Upstream } from "./fleetConfig.js";
 import type { FleetView } from "./FleetView.js";
 import { getReadMs } from "./engineModel.js";
@@ -16,57 +16,32 @@
   pickServiceUpstream,
   planPlacement,
   type PlacementCandidate,
-  type PlacementPlan,
   type PlacementRequest,
 } from "./placement.js";
+import {
+  getEnd,
+  getLatestFirstMs,
+  isResumed,
+  PlacementFailure,
+  type Placement,
+  type PlacementQuery,
+} from "./placementQuery.js";
 import { CALL_LOAD, DEFAULT_GAP_MS, getKvTokens, getPromptLoad } from "./requestLoad.js";
-import { getRetryAfterMs, REJECTED_RETRY_AFTER_MS } from "./retryAfter.js";
+import {
+  getRetryAfterMs,
+  NO_UPSTREAM_RETRY_AFTER_MS,
+  REJECTED_RETRY_AFTER_MS,
+} from "./retryAfter.js";
+import { RoomBook } from "./room/RoomBook.js";
 import { selectCandidates } from "./selectCandidates.js";
 import { selectSeparate } from "./selectSeparate.js";
-import type { ForwardRequest } from "./types.js";
 import type { UpstreamHealth } from "./UpstreamHealth.js";
 
 /** Interval at which a prompt that waits for KV memory is planned again. */
 const REPLAN_INTERVAL_MS = 15;
 const NO_LOADS: ReadonlyMap<string, UpstreamLoad> = new Map();
 
-/** Upstream that one request is sent to; `plan` and `request` are set for prompts only. */
-export interface Placement {
-  readonly upstream: Upstream;
-  readonly plan: PlacementPlan | undefined;
-  readonly request: PlacementRequest | undefined;
-  readonly waitedMs: number;
-  /** Other requests avoid the upstream meanwhile. */
-  readonly isApart: boolean;
-}
-
-/** Why a request has no placement. */
-export const PlacementFailure = {
-  NoUpstream: "no_upstream",
-  TimeOver: "time_over",
-  /** The fleet is busy, and other requests are worth more for the same work. */
-  Overloaded: "overloaded",
-  /** The upstreams name limits, and take no more requests in time. */
-  Limited: "limited",
-  Cancelled: "cancelled",
-} as const;
-export type PlacementFailure = (typeof PlacementFailure)[keyof typeof PlacementFailure];
-
-/** A request to place, with the limits on the choice. */
-export interface PlacementQuery {
-  readonly req: ForwardRequest;
-  readonly pool: string;
-  /** Ids of upstreams that already failed this request. */
-  readonly excluded: ReadonlySet<string>;
-  /** Monotonic time of the request's deadline. */
-  readonly deadlineAtMs: number;
-  /** Events that the caller received from earlier sends. */
-  readonly timeline: AnswerTimeline;
-  /** Ends the search. */
-  readonly signal: AbortSignal;
-  /** The request may crash its upstream, so that it should share it with few others. */
-  readonly isApart: boolean;
-}
+export * from "./placementQuery.js";
 
 /** Chooses upstreams for requests; a prompt waits only while no upstreams have the KV memory. */
 export class Placer {
@@ -79,6 +54,8 @@
   readonly #admission: AdmissionControl;
   readonly #quota: SendQuota;
   readonly #quotaQueue: QuotaQueue;
+  /** Prompts that wait for KV memory. */
+  readonly room: RoomBook;
   /** Time after which a pool that shed a prompt was expected to have room. */
   readonly #roomMs = new Map<string, number>();
 
@@ -91,6 +68,7 @@
     peerLoads?: PeerLoads | undefined;
     health: UpstreamHealth;
     quota: SendQuota;
+    logger: Logger;
   }) {
     this.#clock = options.clock;
     this.#random = options.random;
@@ -101,26 +79,35 @@
     this.#admission = new AdmissionControl(options.clock);
     this.#quota = options.quota;
     this.#quotaQueue = new QuotaQueue(options.clock, options.quota);
+    this.room = new RoomBook(options);
   }
 
-  /** Time after which a rejected request should find room in a pool, milliseconds; undefined when unknown. */
-  getRoomMs(pool: string, reason: PlacementFailure): number | undefined {
+  /** Time after which a request without a placement should come back, milliseconds. */
+  getRetryMs({ req, pool }: Pick<PlacementQuery, "req" | "pool">, reason: string): number {
     switch (reason) {
       case PlacementFailure.Overloaded:
-        return this.#roomMs.get(pool);
+      case PlacementFailure.TooLate:
+        return getRetryAfterMs(this.#roomMs.get(pool), this.#random);
       case PlacementFailure.Limited:
-        return this.#quotaQueue.getOpenInMs(this.#view.getAvailable(pool).map(({ id }) => id));
+        return getRetryAfterMs(this.#getOpenInMs(pool), this.#random);
+      case PlacementFailure.NoRoom:
+        // The room is promised from then on, so that this caller's time is its own.
+        return this.room.getReturnMs(req) ?? NO_UPSTREAM_RETRY_AFTER_MS;
       default:
-        return undefined;
+        return getRetryAfterMs(undefined, this.#random);
     }
   }
 
   /** Time after which a request that its upstreams turned away should come back, milliseconds. */
   getReturnMs(pool: string): number {
-    const openInMs = this.getRoomMs(pool, PlacementFailure.Limited) ?? 0;
+    const openInMs = this.#getOpenInMs(pool);
     return openInMs > 0 ? getRetryAfterMs(openInMs, this.#random) : REJECTED_RETRY_AFTER_MS;
   }
 
+  #getOpenInMs(pool: string): number {
+    return this.#quotaQueue.getOpenInMs(this.#view.getAvailable(pool).map(({ id }) => id)) ?? 0;
+  }
+
   /** True while an upstream has prompts to prefill. */
   async isPrefilling(upstreamId: string): Promise<boolean> {
     const loads = await this.#fetchLoads([upstreamId]);
@@ -143,6 +130,12 @@
 
   /** Resolves with a placement once there is an acceptable one, or with the reason for none. */
   async find(query: PlacementQuery): Promise<Placement | PlacementFailure> {
+    const placement = await this.#search(query);
+    this.room.end(query.req, typeof placement !== "string");
+    return placement;
+  }
+
+  async #search(query: PlacementQuery): Promise<Placement | PlacementFailure> {
     const engine = this.#view.table?.findPool(query.pool)?.engine;
     const startMs = this.#clock.now();
     // The load of an earlier send of this request must not count against its next placement.
@@ -213,54 +206,59 @@
     engine: EngineSpec,
     { startMs, isFirst }: { startMs: number; isFirst: boolean },
   ): Promise<Placement | PlacementFailure> {
-    for (;;) {
+    const mayReject = query.timeline.firstMs === undefined && !isResumed(query.req);
+    const isSmall = isForOneUpstream(query.req.head.promptTokens);
+    let isNew = isFirst && mayReject;
+    // All upstreams are looked at before a prompt waits.
+    for (let isWhole = !isFirst; ; isWhole = true) {
       const now = this.#clock.now();
       const failure = getEnd(query, now);
       if (failure) {
         return failure;
       }
-      const isSmall = isForOneUpstream(query.req.head.promptTokens);
-      const candidates = await this.#getCandidates({ ...query, isSmall });
+      const candidates = await this.#getCandidates({ ...query, isSmall, isWhole, engine });
       if (candidates.length === 0) {
         return this.#getLack(query.pool);
       }
       const shortGapMs = this.#view.table?.getShortGapMs(query.pool) ?? 0;
       const request = { ...newPlacementRequest(query, engine, now), shortGapMs };
-      if (
-        !this.#isAdmitted({
-          query,
-          engine,
-          request,
-          candidates,
-          isFirst: isFirst && now === startMs,
-        })
-      ) {
+      const { req, pool, isApart } = query;
+      const deadlineLeftMs = query.deadlineAtMs - now;
+      if (isNew && !this.#isAdmitted({ query, engine, request, candidates })) {
         return PlacementFailure.Overloaded;
       }
       const plan = planPlacement(engine, request, candidates);
       if (plan) {
-        const { isApart } = query;
+        if (isNew && plan.firstEventMs > getLatestFirstMs(request, deadlineLeftMs)) {
+          this.#roomMs.set(pool, getRoomMs(candidates));
+          return PlacementFailure.TooLate;
+        }
         return { upstream: plan.upstream, plan, request, waitedMs: now - startMs, isApart };
       }
-      await sleep(this.#clock, REPLAN_INTERVAL_MS, query.signal);
+      isNew = false;
+      if (isWhole) {
+        const upstreams = this.#view.getAvailable(pool).length;
+        const asked = { req, pool, engine, request, candidates };
+        const cause = this.room.decide({ ...asked, upstreams, deadlineLeftMs, mayReject });
+        if (cause) {
+          return cause;
+        }
+        await sleep(this.#clock, REPLAN_INTERVAL_MS, query.signal);
+      }
     }
   }
 
   /**
    * Decides once, when the prompt arrives or has to be sent again. A caller that has events of the
-   * answer is let in: shedding the rest would waste what it has.
+   * answer isn't asked about: shedding the rest would waste what it has.
    */
   #isAdmitted(options: {
     query: PlacementQuery;
     engine: EngineSpec;
     request: PlacementRequest;
     candidates: readonly PlacementCandidate[];
-    isFirst: boolean;
   }): boolean {
-    const { query, engine, request, candidates, isFirst } = options;
-    if (!isFirst || query.timeline.firstMs !== undefined || isResumed(query.req)) {
-      return true;
-    }
+    const { query, engine, request, candidates } = options;
     const workMs = getWorkMs(engine, request);
     const busyShare = getBusyShare(candidates, query.req.route.targetMs);
     const prefillMs = getReadMs(engine, request.promptTokens);
@@ -280,20 +278,25 @@
   }
 
   async #getCandidates({
+    req,
     pool,
     excluded,
-    isApart = false,
+    isApart,
     isSmall = false,
-  }: Pick<PlacementQuery, "pool" | "excluded"> & {
-    isApart?: boolean;
+    isWhole = false,
+    engine,
+  }: Pick<PlacementQuery, "req" | "pool" | "excluded" | "isApart"> & {
     isSmall?: boolean;
+    /** All upstreams are candidates, as far as their loads are known here. */
+    isWhole?: boolean;
+    engine?: EngineSpec;
   }): Promise<readonly PlacementCandidate[]> {
     const open = this.#getUsable({ pool, excluded }).filter(({ id }) => this.#quota.isOpen(id));
     const active = this.#health.selectActive(open);
     const isAsked = this.#peerLoads?.isNeeded ?? false;
     const options = { isSmall, isAsked, random: this.#random };
     const known = isAsked ? NO_LOADS : this.#loadTracker.getLoads();
-    const considered = selectCandidates(active, known, options);
+    const considered = isWhole && !isAsked ? active : selectCandidates(active, known, options);
     const loads = isAsked ? await this.#fetchLoads(considered.map(({ id }) => id)) : known;
     const candidates = considered.map((upstream) => ({
       upstream,
@@ -301,7 +304,10 @@
       failureRate: this.#health.getFailureRate(upstream.id),
       avoidance: this.#quota.getAvoidance(upstream.id),
     }));
-    return selectSeparate(candidates, isApart);
+    const separate = selectSeparate(candidates, isApart);
+    return engine
+      ? this.room.addClaims(separate, { req, engine, isAsked, isWaiting: isWhole })
+      : separate;
   }
 
   /** Counts a request as load of the upstream that it was sent to last, or that goes on with it. */
@@ -319,21 +325,6 @@
   }
 }
 
-/** Why a search ends without a look at the upstreams; undefined while it goes on. */
-const getEnd = (
-  { deadlineAtMs, signal }: PlacementQuery,
-  now: number,
-): PlacementFailure | undefined => {
-  if (signal.aborted) {
-    return PlacementFailure.Cancelled;
-  }
-  return now >= deadlineAtMs ? PlacementFailure.TimeOver : undefined;
-};
-
-/** True when the caller resumes a stream of which it has events, perhaps from another process. */
-const isResumed = ({ head, route }: ForwardRequest): boolean =>
-  route.isResumable && head.lastEventId !== undefined;
-
 const getGapMs = (route: Route): number => route.maxGapMs ?? DEFAULT_GAP_MS;
 
 const newPlacementRequest = (
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -30,6 +30,8 @@
 export * from "./RetryBudget.js";
 export * from "./RouteTable.js";
 export * from "./sample.js";
+export * from "./room/promise.js";
+export * from "./room/RoomStats.js";
 export * from "./Send.js";
 export * from "./ReservationManager.js";
 export * from "./types.js";
--- a/packages/forwarding/src/load.ts
+++ b/packages/forwarding/src/load.ts
@@ -1,6 +1,12 @@
 import { z } from "zod";
 
 import type { Prospect } from "./lateness.js";
+import {
+  isOptionalPromise,
+  listClaims,
+  roomPromiseSchema,
+  type RoomClaim,
+} from "./room/promise.js";
 
 /** What a request is doing at its upstreams. */
 export const LoadPhase = {
@@ -42,6 +48,10 @@
   isLate: z.boolean().default(false),
   /** It may crash its upstream, which others should avoid meanwhile. */
   isApart: z.boolean().optional(),
+  /** Expected tokens of the answer, of long prompts. */
+  outputTokens: z.number().nonnegative().optional(),
+  /** The request isn't sent yet, and is promised room. */
+  promise: roomPromiseSchema.optional(),
 });
 export type LoadItem = z.infer<typeof loadItemSchema>;
 
@@ -51,6 +61,11 @@
 const FINITE = ["targetLeftMs", "deadlineLeftMs"] as const;
 const OPTIONAL_FLAGS: readonly unknown[] = [undefined, false, true];
 
+const hasOptionalFields = (item: Partial<Record<keyof LoadItem, unknown>>): boolean =>
+  OPTIONAL_FLAGS.includes(item.isApart) &&
+  (item.outputTokens === undefined || isAmount(item.outputTokens)) &&
+  isOptionalPromise(item.promise);
+
 const AMOUNTS = ["readMs", "kvTokens", "value"] as const;
 
 const isArrayOf = (value: unknown, isEntry: (entry: unknown) => boolean): boolean =>
@@ -80,7 +95,7 @@
     item.maxGapMs > 0 &&
     FINITE.every((field) => Number.isFinite(item[field])) &&
     typeof item.isLate === "boolean" &&
-    OPTIONAL_FLAGS.includes(item.isApart)
+    hasOptionalFields(item)
   );
 };
 
@@ -121,6 +136,8 @@
   contextTokens: number;
   /** Requests that peers are expected to have sent here since what this process knows of them. */
   unseen: number;
+  /** Claims of prompts that are promised memory here; undefined for none. */
+  claims?: readonly RoomClaim[];
 }
 
 /** A load item with the time at which its phase was recorded here. */
@@ -203,6 +220,13 @@
   const queuePrefill = newPrefillQueue(loads, nowMs);
   const sorted = [...items].sort((a, b) => a.sinceMs - b.sinceMs);
   for (const item of sorted) {
+    if (item.promise) {
+      for (const [id, claim] of listClaims(item, nowMs)) {
+        const claimed = getOrAdd(loads, id);
+        claimed.claims = [...(claimed.claims ?? []), claim];
+      }
+      continue;
+    }
     const load = getOrAdd(loads, item.upstream);
     load.inFlight += 1;
     load.apart += item.isApart ? 1 : 0;
--- a/packages/forwarding/src/placement.ts
+++ b/packages/forwarding/src/placement.ts
@@ -9,6 +9,8 @@
   type Prospect,
 } from "./lateness.js";
 import type { UpstreamLoad } from "./load.js";
+import { getAnswerMs } from "./room/forecast.js";
+import { getFreeTokens, splitTokens, type Release } from "./room/memory.js";
 
 /** Most upstreams that prefill a prompt besides the one that decodes the answer. */
 export const MAX_HELPERS = 16;
@@ -18,8 +20,6 @@
 const SPREAD_COST = 1;
 /** Weight of the delay of a prompt when another prefill goes before its decoder's part. */
 const OVERTAKEN_WEIGHT = 0.8;
-/** Share of an engine's KV memory that placement leaves free. */
-const KV_HEADROOM = 0.05;
 /** Slots become free at irregular times, so the expected wait is taken this many times. */
 const QUEUE_RISK = 2;
 /** Cost of an upstream, multiplied by its failure rate. */
@@ -32,8 +32,6 @@
 const LACKING_MEMORY_COST = 20;
 /** Cost of an answer without a short gap objective on an upstream that has answers with one. */
 const MIXED_GAPS_COST = 1;
-/** Share of a helper's free KV memory that one prompt may take. */
-const HELPER_MEMORY_SHARE = 0.8;
 /** Share of a running pass that is left on average when a prompt arrives. */
 const PASS_LEFT_SHARE = 0.5;
 /** Spreads calls to equally loaded instances of a service. */
@@ -50,6 +48,8 @@
   readonly failureRate: number;
   /** How far to avoid the upstream because it names a limit, 0 to 1. */
   readonly avoidance: number;
+  /** When memory becomes free there; needed only where the load has claims. */
+  readonly releases?: readonly Release[] | undefined;
 }
 
 /** A prompt to place. */
@@ -100,6 +100,8 @@
   /** Time until its part is prefilled when it also decodes the answer. */
   readonly decoderReadyMs: number;
   readonly cost: number;
+  /** KV memory that the prompt may use there, in tokens. */
+  readonly freeTokens: number;
 }
 
 const isShort = (req: PlacementRequest): boolean => req.maxGapMs < req.shortGapMs;
@@ -128,17 +130,20 @@
 const scoreMember = (
   engine: EngineSpec,
   candidate: PlacementCandidate,
-  readMs: number,
+  { readMs, outputTokens }: { readMs: number; outputTokens: number },
 ): ScoredMember => {
   const { load } = candidate;
   const passMs = getPassMs(engine, load.decoding, load.contextTokens);
   const addedLoss = getAddedLoss(load, passMs, readMs);
   const passLeftMs = load.decoding > 0 ? passMs * PASS_LEFT_SHARE : 0;
   const helperReadyMs = passLeftMs + load.pendingHelpMs + readMs;
+  const decoderReadyMs = passLeftMs + load.pendingReadMs + readMs;
+  const endMs = load.claims ? decoderReadyMs + getAnswerMs(engine, outputTokens, load) : Infinity;
   return {
     candidate,
     helperReadyMs,
-    decoderReadyMs: passLeftMs + load.pendingReadMs + readMs,
+    decoderReadyMs,
+    freeTokens: getFreeTokens(engine, candidate, endMs),
     cost:
       addedLoss +
       FAILURE_COST * candidate.failureRate +
@@ -147,28 +152,6 @@
   };
 };
 
-const getFreeKv = (engine: EngineSpec, load: UpstreamLoad): number =>
-  engine.kvTokens * (1 - KV_HEADROOM) - load.kvTokens;
-
-/** Splits the KV memory that the decoder lacks among the helpers; undefined when they lack it too. */
-const splitMemory = (
-  engine: EngineSpec,
-  decoder: PlacementCandidate,
-  helpers: readonly PlacementCandidate[],
-  kvTokens: number,
-): number[] | undefined => {
-  // Reservations are whole tokens.
-  let lackingTokens = Math.ceil(kvTokens - getFreeKv(engine, decoder.load));
-  const held = helpers.map(({ load }) => {
-    const part = Math.floor(
-      Math.max(0, Math.min(lackingTokens, getFreeKv(engine, load) * HELPER_MEMORY_SHARE)),
-    );
-    lackingTokens -= part;
-    return part;
-  });
-  return lackingTokens > 0 ? undefined : held;
-};
-
 /** Picks the member with the most free memory and the fewest answers to decode. */
 const pickDecoder = (
   engine: EngineSpec,
@@ -176,10 +159,10 @@
   req: PlacementRequest,
 ): ScoredMember | undefined => {
   const kvTokens = req.promptTokens + req.outputTokens;
-  const getPenalty = ({ candidate, cost, decoderReadyMs }: ScoredMember): number => {
+  const getPenalty = ({ candidate, cost, decoderReadyMs, freeTokens }: ScoredMember): number => {
     const { load, upstream } = candidate;
     const crowding = load.inFlight >= upstream.slots ? FULL_COST : load.inFlight / upstream.slots;
-    const lackingShare = Math.max(0, kvTokens - getFreeKv(engine, load)) / engine.kvTokens;
+    const lackingShare = Math.max(0, kvTokens - freeTokens) / engine.kvTokens;
     return (
       cost +
       decoderReadyMs / MS_PER_S +
@@ -244,8 +227,12 @@
   if (!decoder) {
     return undefined;
   }
-  const helpers = members.filter((member) => member !== decoder).map(({ candidate }) => candidate);
-  const heldTokens = splitMemory(engine, decoder.candidate, helpers, kvTokens);
+  const helpers = members.filter((member) => member !== decoder);
+  const heldTokens = splitTokens(
+    kvTokens,
+    decoder.freeTokens,
+    helpers.map(({ freeTokens }) => freeTokens),
+  );
   if (!heldTokens) {
     return undefined;
   }
@@ -262,7 +249,7 @@
   const memberCost = members.reduce((sum, { cost }) => sum + cost, 0);
   return {
     upstream: decoder.candidate.upstream,
-    helpers: helpers.map(({ upstream }) => upstream),
+    helpers: helpers.map(({ candidate }) => candidate.upstream),
     heldTokens,
     readMs,
     firstEventMs,
@@ -272,7 +259,7 @@
 };
 
 /** Largest number of members that is worth it for a prompt, at least one. */
-const getMaxMembers = (tokens: number, candidates: number): number =>
+export const getMaxMembers = (tokens: number, candidates: number): number =>
   Math.max(1, Math.min(candidates, MAX_HELPERS + 1, Math.floor(tokens / MIN_PART_TOKENS)));
 
 /** True for a prompt that isn't worth a second upstream. */
@@ -285,9 +272,7 @@
   scored: readonly ScoredMember[],
   { count, readMs }: { count: number; readMs: number },
 ): PlacementPlan | undefined => {
-  const members = [...scored]
-    .sort((a, b) => getFreeKv(engine, b.candidate.load) - getFreeKv(engine, a.candidate.load))
-    .slice(0, count);
+  const members = [...scored].sort((a, b) => b.freeTokens - a.freeTokens).slice(0, count);
   return planMembers(engine, req, members, { readMs, decoder: members[0] });
 };
 
@@ -308,7 +293,9 @@
   for (let count = 1; count <= maxMembers; count++) {
     const readMs = getReadMs(engine, req.promptTokens, count);
     const scored = (count === 1 ? candidates : unlimited)
-      .map((candidate) => scoreMember(engine, candidate, readMs))
+      .map((candidate) =>
+        scoreMember(engine, candidate, { readMs, outputTokens: req.outputTokens }),
+      )
       .sort((a, b) => a.cost - b.cost);
     const plans =
       count === 1
--- /dev/null
+++ b/packages/forwarding/src/placementQuery.ts
@@ -0,0 +1,71 @@
+import type { AnswerTimeline } from "./AnswerTimeline.js";
+import type { Upstream } from "./fleetConfig.js";
+import type { PlacementPlan, PlacementRequest } from "./placement.js";
+import { RoomCause } from "./room/RoomCause.js";
+import type { ForwardRequest } from "./types.js";
+
+/** Upstream that one request is sent to; `plan` and `request` are set for prompts only. */
+export interface Placement {
+  readonly upstream: Upstream;
+  readonly plan: PlacementPlan | undefined;
+  readonly request: PlacementRequest | undefined;
+  readonly waitedMs: number;
+  /** Other requests avoid the upstream meanwhile. */
+  readonly isApart: boolean;
+}
+
+/** Why a request has no placement. */
+export const PlacementFailure = {
+  NoUpstream: "no_upstream",
+  TimeOver: "time_over",
+  /** The fleet is busy, and other requests are worth more for the same work. */
+  Overloaded: "overloaded",
+  /** The upstreams would send the first event too late for the caller. */
+  TooLate: "too_late",
+  ...RoomCause,
+  /** The upstreams name limits, and take no more requests in time. */
+  Limited: "limited",
+  Cancelled: "cancelled",
+} as const;
+export type PlacementFailure = (typeof PlacementFailure)[keyof typeof PlacementFailure];
+
+/** A request to place, with the limits on the choice. */
+export interface PlacementQuery {
+  readonly req: ForwardRequest;
+  readonly pool: string;
+  /** Ids of upstreams that already failed this request. */
+  readonly excluded: ReadonlySet<string>;
+  /** Monotonic time of the request's deadline. */
+  readonly deadlineAtMs: number;
+  /** Events that the caller received from earlier sends. */
+  readonly timeline: AnswerTimeline;
+  /** Ends the search. */
+  readonly signal: AbortSignal;
+  /** The request may crash its upstream, so that it should share it with few others. */
+  readonly isApart: boolean;
+}
+
+/** Why a search ends without a look at the upstreams; undefined while it goes on. */
+export const getEnd = (
+  { deadlineAtMs, signal }: PlacementQuery,
+  now: number,
+): PlacementFailure | undefined => {
+  if (signal.aborted) {
+    return PlacementFailure.Cancelled;
+  }
+  return now >= deadlineAtMs ? PlacementFailure.TimeOver : undefined;
+};
+
+/** True when the caller resumes a stream of which it has events, perhaps from another process. */
+export const isResumed = ({ head, route }: ForwardRequest): boolean =>
+  route.isResumable && head.lastEventId !== undefined;
+
+/** Share of the time left in which the first event has to come, however long an answer is expected. */
+const MIN_FIRST_SHARE = 0.75;
+
+/**
+ * Time until the first event would come too late for the whole answer, milliseconds. Callers' estimates of
+ * the answer's length are often far off.
+ */
+export const getLatestFirstMs = (request: PlacementRequest, deadlineLeftMs: number): number =>
+  Math.max(request.deadlineLeftMs, MIN_FIRST_SHARE * deadlineLeftMs);
--- a/packages/forwarding/src/requestLoad.ts
+++ b/packages/forwarding/src/requestLoad.ts
@@ -1,5 +1,10 @@
 import { LoadPhase, type LoadItem } from "./load.js";
-import { isExpectedLate, type PlacementPlan, type PlacementRequest } from "./placement.js";
+import {
+  isExpectedLate,
+  isForOneUpstream,
+  type PlacementPlan,
+  type PlacementRequest,
+} from "./placement.js";
 import type { ForwardRequest } from "./types.js";
 
 /** Gap objective assumed for routes that state none. */
@@ -24,6 +29,8 @@
   deadlineLeftMs: Math.round(request.deadlineLeftMs),
   value: Number(request.value.toFixed(2)),
   isLate: isExpectedLate(plan, request),
+  // The memory of short prompts is too small to be told apart in messages for each of them.
+  ...(!isForOneUpstream(request.promptTokens) && { outputTokens: request.outputTokens }),
 });
 
 /** Tokens that a request occupies in the KV memory of its decoder. */
--- /dev/null
+++ b/packages/forwarding/src/room/RoomBook.ts
@@ -0,0 +1,333 @@
+import type { Clock } from "@lycheepulley/core";
+import type { Logger } from "@lycheepulley/telemetry";
+
+import type { EngineSpec } from "../fleetConfig.js";
+import type { TimedLoadItem, UpstreamLoad } from "../load.js";
+import type { LoadTracker } from "../LoadTracker.js";
+import { getLatestFirstMs } from "../placementQuery.js";
+import { getMaxMembers, type PlacementCandidate, type PlacementRequest } from "../placement.js";
+import { getKvTokens, getPromptLoad } from "../requestLoad.js";
+import type { ForwardRequest } from "../types.js";
+import { findRoom, type FoundRoom } from "./findRoom.js";
+import { estimateReleases, forecastReleases, getAnswerMs } from "./forecast.js";
+import { fitsIdle, type Release } from "./memory.js";
+import { goesBefore, isInForce, RETURN_GRACE_MS, type RoomPromise } from "./promise.js";
+import { RoomCause } from "./RoomCause.js";
+import { RoomStats, type RoomCounts } from "./RoomStats.js";
+
+/** A promise is renewed at this interval, or sooner when it moved by the second time. */
+const RENEWAL_MS = 500;
+const MOVED_MS = 100;
+/** Interval at which room is looked for again, for each so many prompts that wait here. */
+const LOOK_MS = 60;
+const WAITING_PER_LOOK = 8;
+/** Most prompts of one process that are promised room; others wait behind them. */
+const MAX_PROMISES = 32;
+/** Room may become free later than expected by this share of the time until then. */
+const UNCERTAINTY = 0.5;
+/** Share of the time left after which callers come back at the latest. */
+const RETURN_SHARE = 1 / 3;
+/** A caller may come back this much earlier than it was told. */
+const EARLY_RETURN_MS = 100;
+/** Share of the objective for which a prompt waits while it isn't known when there is room. */
+const UNKNOWN_WAIT_SHARE = 1 / 8;
+const KEY_LENGTH = 32;
+
+/** A prompt without a plan, and the upstreams that it may use. */
+export interface RoomRequest {
+  readonly req: ForwardRequest;
+  readonly pool: string;
+  readonly engine: EngineSpec;
+  readonly request: PlacementRequest;
+  /** All usable upstreams, as {@link RoomBook.addClaims} returns them. */
+  readonly candidates: readonly PlacementCandidate[];
+  /** Number of the pool's upstreams, usable now or not. */
+  readonly upstreams: number;
+  readonly deadlineLeftMs: number;
+  /** False for a caller that has a part of the answer. */
+  readonly mayReject: boolean;
+}
+
+interface WaitingPrompt {
+  readonly route: string;
+  readonly sinceMs: number;
+  readonly place: number;
+  lookedMs: number;
+  renewedMs: number;
+  renewal: number;
+  /** Expected time of the room when it was first known, and as of now. */
+  firstRoomAtMs: number | undefined;
+  roomAtMs: number | undefined;
+  tokens: number;
+}
+
+const getReturnKey = (req: ForwardRequest): string => req.fingerprint.slice(0, KEY_LENGTH);
+
+const getReturnId = (req: ForwardRequest): string => `return-${getReturnKey(req)}`;
+
+/**
+ * Prompts of this process that wait for KV memory, and the memory that they are promised. Promises are
+ * load items, so that all processes know them; a total order by place and id settles conflicts.
+ */
+export class RoomBook {
+  readonly #clock: Clock;
+  readonly #loadTracker: LoadTracker;
+  readonly #logger: Logger;
+  readonly #waiting = new Map<string, WaitingPrompt>();
+  readonly #returnMs = new WeakMap<ForwardRequest, number>();
+  readonly #stats = new RoomStats();
+
+  constructor(options: { clock: Clock; loadTracker: LoadTracker; logger: Logger }) {
+    this.#clock = options.clock;
+    this.#loadTracker = options.loadTracker;
+    this.#logger = options.logger;
+  }
+
+  get counts(): RoomCounts {
+    const waiting: Record<string, number> = {};
+    let promisedTokens = 0;
+    for (const { route, tokens } of this.#waiting.values()) {
+      waiting[route] = (waiting[route] ?? 0) + 1;
+      promisedTokens += tokens;
+    }
+    return this.#stats.getCounts({ waiting, promisedTokens });
+  }
+
+  /** Time after which a rejected request should come back; undefined when it isn't known. */
+  getReturnMs(req: ForwardRequest): number | undefined {
+    return this.#returnMs.get(req);
+  }
+
+  /**
+   * Leaves to each candidate's load only the claims that go before the request, and adds when memory
+   * becomes free there. `isAsked`: the loads are sums of a peer, and this process doesn't know the requests.
+   */
+  addClaims(
+    candidates: readonly PlacementCandidate[],
+    options: { req: ForwardRequest; engine: EngineSpec; isAsked: boolean; isWaiting: boolean },
+  ): readonly PlacementCandidate[] {
+    const { req, engine, isAsked, isWaiting } = options;
+    if (!isWaiting && candidates.every(({ load }) => load.claims === undefined)) {
+      return candidates;
+    }
+    const place = this.#getPlace(req);
+    const { attemptId: id } = req.head;
+    const returnId = place === undefined ? undefined : getReturnId(req);
+    const isBefore = (claim: { id: string; place: number }): boolean =>
+      claim.id !== id &&
+      claim.id !== returnId &&
+      (place === undefined || goesBefore(claim, { id, place }));
+    const getReleases = isAsked
+      ? ({ load }: PlacementCandidate): readonly Release[] => estimateReleases(engine, load)
+      : this.#newForecast(engine, candidates);
+    return candidates.map((candidate) => {
+      const { claims, ...rest } = candidate.load;
+      const before = (claims ?? []).filter(isBefore);
+      const load: UpstreamLoad = before.length > 0 ? { ...rest, claims: before } : rest;
+      return { ...candidate, load, releases: getReleases(candidate) };
+    });
+  }
+
+  #newForecast(
+    engine: EngineSpec,
+    candidates: readonly PlacementCandidate[],
+  ): (candidate: PlacementCandidate) => readonly Release[] {
+    const loads = new Map(candidates.map(({ upstream, load }) => [upstream.id, load]));
+    const nowMs = this.#clock.now();
+    const releases = forecastReleases(engine, this.#loadTracker.items, { loads, nowMs });
+    return ({ upstream }) => releases.get(upstream.id) ?? [];
+  }
+
+  /** Place of a request that waits, or that came back when it was told to. */
+  #getPlace(req: ForwardRequest): number | undefined {
+    const waiting = this.#waiting.get(req.head.attemptId);
+    if (waiting) {
+      return waiting.place;
+    }
+    const item = this.#findReturn(req);
+    const leftMs = item ? this.#getReturnLeftMs(item) : Infinity;
+    return leftMs <= EARLY_RETURN_MS ? item?.promise?.place : undefined;
+  }
+
+  /** The promise to a request that was rejected before. */
+  #findReturn(req: ForwardRequest): TimedLoadItem | undefined {
+    const id = getReturnId(req);
+    const now = this.#clock.now();
+    return this.#loadTracker.items.find((item) => item.id === id && isInForce(item, now));
+  }
+
+  #getReturnLeftMs({ promise, sinceMs }: TimedLoadItem): number {
+    return (promise?.inMs ?? 0) - (this.#clock.now() - sinceMs);
+  }
+
+  /** Has a prompt without a plan wait, promised room where there is any; returns why it shouldn't. */
+  decide(room: RoomRequest): RoomCause | undefined {
+    const { req, engine, request, upstreams, mayReject } = room;
+    const known = this.#waiting.get(req.head.attemptId);
+    const now = this.#clock.now();
+    const lookMs = LOOK_MS * Math.max(1, this.#waiting.size / WAITING_PER_LOOK);
+    if (known && now < known.lookedMs + lookMs) {
+      return undefined;
+    }
+    const kvTokens = request.promptTokens + request.outputTokens;
+    const maxMembers = getMaxMembers(request.promptTokens, upstreams);
+    if (mayReject && !fitsIdle(engine, kvTokens, { upstreams, maxMembers })) {
+      return this.#reject(room, RoomCause.TooLarge, undefined);
+    }
+    const found = findRoom(engine, request, room.candidates);
+    const waiting = known ?? this.#add(room, now);
+    waiting.lookedMs = now;
+    if (mayReject && this.#isTooLate(room, found, waiting.sinceMs)) {
+      return this.#reject(room, RoomCause.NoRoom, found?.inMs);
+    }
+    if (found && mayReject && !known && this.#isUncertain(room, found)) {
+      this.#promiseReturn(room, found, waiting.place);
+      return this.#reject(room, RoomCause.NoRoom, this.#returnMs.get(req) ?? found.inMs);
+    }
+    this.#promise(room, waiting, found);
+    return undefined;
+  }
+
+  #isTooLate(
+    { request, req, deadlineLeftMs }: RoomRequest,
+    found: FoundRoom | undefined,
+    sinceMs: number,
+  ): boolean {
+    if (found) {
+      const latestMs = getLatestFirstMs(request, deadlineLeftMs);
+      return found.inMs + found.plan.firstEventMs > latestMs;
+    }
+    return this.#clock.now() - sinceMs >= UNKNOWN_WAIT_SHARE * req.route.targetMs;
+  }
+
+  /** True for a prompt that may get room too late, and whose caller can come back when it is due. */
+  #isUncertain({ request, deadlineLeftMs, req }: RoomRequest, { inMs, plan }: FoundRoom): boolean {
+    const latestMs = (1 + UNCERTAINTY) * inMs + plan.firstEventMs;
+    const isBack = this.#findReturn(req) !== undefined;
+    return (
+      !isBack &&
+      latestMs > getLatestFirstMs(request, deadlineLeftMs) &&
+      inMs <= RETURN_SHARE * deadlineLeftMs
+    );
+  }
+
+  #add({ req, candidates }: RoomRequest, now: number): WaitingPrompt {
+    const waiting: WaitingPrompt = {
+      ...{ route: req.route.name, sinceMs: now, lookedMs: now, renewedMs: -Infinity, renewal: 0 },
+      ...{ place: this.#getPlace(req) ?? this.#getNextPlace(candidates), tokens: 0 },
+      ...{ firstRoomAtMs: undefined, roomAtMs: undefined },
+    };
+    if (this.#findReturn(req)) {
+      this.#stats.countPromise("returned");
+    }
+    this.#waiting.set(req.head.attemptId, waiting);
+    return waiting;
+  }
+
+  #getNextPlace(candidates: readonly PlacementCandidate[]): number {
+    const claimed = candidates.flatMap(({ load }) => load.claims ?? []);
+    const places = [...claimed, ...this.#waiting.values()].map(({ place }) => place);
+    return 1 + Math.max(0, ...places);
+  }
+
+  #promise(room: RoomRequest, waiting: WaitingPrompt, found: FoundRoom | undefined): void {
+    const now = this.#clock.now();
+    const { attemptId } = room.req.head;
+    if (!found) {
+      this.#loadTracker.removeOwn(attemptId);
+      waiting.tokens = 0;
+      return;
+    }
+    const roomAtMs = now + found.inMs;
+    const movedMs = Math.abs(roomAtMs - (waiting.roomAtMs ?? Infinity));
+    if (now < waiting.renewedMs + RENEWAL_MS && movedMs < MOVED_MS) {
+      return;
+    }
+    const isFirst = waiting.firstRoomAtMs === undefined;
+    waiting.firstRoomAtMs ??= roomAtMs;
+    waiting.roomAtMs = roomAtMs;
+    waiting.renewedMs = now;
+    if (this.#waiting.size <= MAX_PROMISES || waiting.tokens > 0) {
+      waiting.renewal += 1;
+      waiting.tokens = room.request.promptTokens + room.request.outputTokens;
+      const { place, renewal } = waiting;
+      this.#setItem(room, attemptId, found, { place, renewal });
+    }
+    if (isFirst || movedMs >= RENEWAL_MS) {
+      this.#logger.info("prompt waits for room", {
+        ...{ requestId: attemptId, step: "placement", place: waiting.place },
+        ...{ tokens: room.request.promptTokens, roomMs: Math.round(found.inMs) },
+        expectedMs: Math.round(found.inMs + found.plan.firstEventMs),
+        upstreams: [found.plan.upstream, ...found.plan.helpers].map(({ id }) => id),
+        waiting: this.#waiting.size,
+      });
+    }
+  }
+
+  /** Keeps room for a caller that is told to come back for it. */
+  #promiseReturn(room: RoomRequest, found: FoundRoom, place: number): void {
+    const id = getReturnId(room.req);
+    this.#returnMs.set(room.req, found.inMs);
+    this.#setItem(room, id, found, { place, renewal: 0, returnKey: getReturnKey(room.req) });
+    this.#clock.setTimer(() => {
+      this.#loadTracker.removeOwn(id);
+    }, found.inMs + RETURN_GRACE_MS);
+  }
+
+  #setItem(
+    { req, pool, engine, request }: RoomRequest,
+    id: string,
+    { plan, inMs }: FoundRoom,
+    fields: Pick<RoomPromise, "place" | "renewal" | "returnKey">,
+  ): void {
+    const crowded = { decoding: engine.slots, contextTokens: 0 };
+    const answerMs = getAnswerMs(engine, request.outputTokens, crowded);
+    const forMs = Math.ceil(plan.firstEventMs + answerMs);
+    this.#loadTracker.setOwn({
+      ...getPromptLoad(plan, request),
+      ...{ id, pool, upstream: plan.upstream.id, kvTokens: getKvTokens(req, plan) },
+      promise: { inMs: Math.ceil(inMs), forMs, ...fields },
+    });
+  }
+
+  #reject({ req, request }: RoomRequest, cause: RoomCause, roomMs: number | undefined): RoomCause {
+    const waiting = this.#waiting.get(req.head.attemptId);
+    if (roomMs !== undefined) {
+      this.#returnMs.set(req, roomMs);
+    }
+    this.#stats.countRejected(cause);
+    this.#logger.info("prompt rejected for lack of room", {
+      ...{ requestId: req.head.attemptId, step: "placement", cause, place: waiting?.place },
+      ...{ tokens: request.promptTokens, roomMs: roomMs === undefined ? null : Math.round(roomMs) },
+      leftMs: Math.round(request.deadlineLeftMs),
+      waitedMs: waiting ? Math.round(this.#clock.now() - waiting.sinceMs) : 0,
+    });
+    return cause;
+  }
+
+  /** Ends the wait of a request, which was placed or not. */
+  end(req: ForwardRequest, isPlaced: boolean): void {
+    const { attemptId } = req.head;
+    const waiting = this.#waiting.get(attemptId);
+    if (!waiting) {
+      return;
+    }
+    this.#waiting.delete(attemptId);
+    const now = this.#clock.now();
+    const { sinceMs, place, firstRoomAtMs, tokens } = waiting;
+    if (tokens > 0) {
+      this.#stats.countPromise(isPlaced ? "used" : "lapsed");
+    }
+    if (isPlaced && firstRoomAtMs !== undefined) {
+      this.#stats.recordError(now - firstRoomAtMs);
+    }
+    if (!isPlaced) {
+      this.#loadTracker.removeOwn(attemptId);
+    }
+    this.#logger.info("prompt no longer waits for room", {
+      ...{ requestId: attemptId, step: "placement", place, isPlaced },
+      waitedMs: Math.round(now - sinceMs),
+      promisedMs: firstRoomAtMs === undefined ? null : Math.round(firstRoomAtMs - sinceMs),
+    });
+  }
+}
--- /dev/null
+++ b/packages/forwarding/src/room/findRoom.ts
@@ -0,0 +1,85 @@
+import type { EngineSpec } from "../fleetConfig.js";
+import { getReadMs } from "../engineModel.js";
+import {
+  getMaxMembers,
+  planPlacement,
+  type PlacementCandidate,
+  type PlacementPlan,
+  type PlacementRequest,
+} from "../placement.js";
+import { getAnswerMs } from "./forecast.js";
+import { canHold, getFreeTokens, sumReleased } from "./memory.js";
+import type { RoomClaim } from "./promise.js";
+
+/** Times at which room becomes free that are closer together count as one. */
+const STEP_MS = 10;
+
+/** Upstreams that are expected to have the memory for a prompt, and when. */
+export interface FoundRoom {
+  readonly inMs: number;
+  /** The plan from then on. */
+  readonly plan: PlacementPlan;
+}
+
+const advanceClaim = (claim: RoomClaim, ms: number): RoomClaim => ({
+  ...claim,
+  inMs: Math.max(0, claim.inMs - ms),
+  forMs: Math.max(0, claim.forMs - Math.max(0, ms - claim.inMs)),
+});
+
+/** A candidate as it is expected to be in `ms`, unless it gets more work. */
+const advance = (candidate: PlacementCandidate, ms: number): PlacementCandidate => {
+  const { load, releases = [] } = candidate;
+  const later = releases.filter(({ inMs }) => inMs > ms);
+  return {
+    ...candidate,
+    load: {
+      ...load,
+      kvTokens: load.kvTokens - sumReleased(releases, ms),
+      inFlight: Math.max(0, load.inFlight - (releases.length - later.length)),
+      pendingReadMs: Math.max(0, load.pendingReadMs - ms),
+      pendingHelpMs: Math.max(0, load.pendingHelpMs - ms),
+      ...(load.claims && { claims: load.claims.map((claim) => advanceClaim(claim, ms)) }),
+    },
+    releases: later.map(({ inMs, tokens }) => ({ inMs: inMs - ms, tokens })),
+  };
+};
+
+/** Times at which the free memory of these upstreams grows. */
+const listTimes = (candidates: readonly PlacementCandidate[]): number[] => {
+  const times = candidates.flatMap(({ load, releases = [] }) => [
+    ...releases.map(({ inMs }) => inMs),
+    ...(load.claims ?? []).map(({ inMs, forMs }) => inMs + forMs),
+  ]);
+  const steps = new Set(times.map((ms) => Math.ceil(ms / STEP_MS) * STEP_MS));
+  return [0, ...steps].sort((a, b) => a - b);
+};
+
+/**
+ * Finds when upstreams are first expected to have the memory for a prompt beside what others were
+ * promised; undefined when the claims of others leave none.
+ */
+export const findRoom = (
+  engine: EngineSpec,
+  req: PlacementRequest,
+  candidates: readonly PlacementCandidate[],
+): FoundRoom | undefined => {
+  const kvTokens = req.promptTokens + req.outputTokens;
+  const unlimited = candidates.filter(({ avoidance }) => avoidance === 0);
+  const maxMembers = Math.max(1, getMaxMembers(req.promptTokens, unlimited.length));
+  const usable = maxMembers > 1 ? unlimited : candidates;
+  const shortestMs =
+    getReadMs(engine, req.promptTokens, maxMembers) +
+    getAnswerMs(engine, req.outputTokens, { decoding: 0, contextTokens: 0 });
+  for (const inMs of listTimes(usable)) {
+    const later = usable.map((candidate) => advance(candidate, inMs));
+    const free = later.map((candidate) => getFreeTokens(engine, candidate, shortestMs));
+    const plan = canHold(kvTokens, free, maxMembers)
+      ? planPlacement(engine, req, later)
+      : undefined;
+    if (plan) {
+      return { inMs, plan };
+    }
+  }
+  return undefined;
+};
