Promise KV memory to waiting prompts, and say early what gets none

Cause: a prompt without a plan was planned again every 15 ms until its deadline, without a word. Memory that became free went to whoever looked next, mostly a later and smaller prompt, and a prompt that could never be placed was held to its deadline.

Promises are load items with an optional field, so that no process sends a message more. They are settled by place and id, the same at each process.

--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -54,6 +54,7 @@
     countParts: () => countByStatus(this.#crashExchange.guard.evidence.suspects),
     countDetours: () => this.#connector.detours,
     hasLostLinks: () => this.#connector.isLost,
+    getRoom: () => this.#forwarder.room,
   });
   readonly #view = new FleetView();
   readonly #listTracker: UpstreamListTracker;
--- a/packages/daemon/src/gateway/LoadExchange.test.ts
+++ b/packages/daemon/src/gateway/LoadExchange.test.ts
@@ -206,7 +206,8 @@
 });
 
 describe("answers to questions for loads", () => {
-  it("carry loads as they were, also without a gap objective", () => {
+  it("carry loads as they were, also without a gap objective, and what is promised", () => {
+    const claims = [{ id: "a1", place: 3, inMs: 40, forMs: 900, tokens: 30_000 }];
     const loads = new Map([
       [
         "u1",
@@ -218,7 +219,7 @@
           ],
         },
       ],
-      ["u2", { ...newUpstreamLoad(), minGapMs: 250, pendingReadMs: 12.5, unseen: 0.25 }],
+      ["u2", { ...newUpstreamLoad(), minGapMs: 250, pendingReadMs: 12.5, unseen: 0.25, claims }],
       ["u3", newUpstreamLoad()],
     ]);
     const asked = { question: 7, isWhole: true, upstreams: ["u1", "u2", "u4"] };
--- a/packages/daemon/src/gateway/earlierBuilds.test.ts
+++ b/packages/daemon/src/gateway/earlierBuilds.test.ts
@@ -94,6 +94,20 @@
       { identity: IDENTITY, hosts: [], seq: 12 },
     ],
     ["load changes", earlierChange, CHANGE, CHANGE],
+    [
+      "prompts that wait for room",
+      earlierChange,
+      {
+        ...CHANGE,
+        changed: [
+          {
+            ...{ ...ITEM, outputTokens: 800 },
+            promise: { inMs: 700, forMs: 3_000, place: 2, renewal: 1 },
+          },
+        ],
+      },
+      CHANGE,
+    ],
   ];
   for (const [name, schema, message, read] of sent) {
     it(`sends ${name} that the earlier build reads`, () => {
--- a/packages/daemon/src/gateway/peerMessages.test.ts
+++ b/packages/daemon/src/gateway/peerMessages.test.ts
@@ -18,6 +18,14 @@
 
 const amount = fc.oneof(fc.nat(), fc.double({ min: 0, noNaN: true, noDefaultInfinity: true }));
 const number = fc.oneof(fc.integer(), fc.double({ noNaN: true, noDefaultInfinity: true }));
+const place = fc.integer({ min: 1 });
+const promise = fc.record(
+  {
+    ...{ inMs: amount, forMs: amount, place, renewal: fc.nat() },
+    returnKey: fc.string({ maxLength: 64 }),
+  },
+  { requiredKeys: ["inMs", "forMs", "place", "renewal"] },
+);
 const item = fc.record(
   {
     ...{ id: fc.string({ maxLength: 64 }), pool: fc.string(), upstream: fc.string() },
@@ -26,9 +34,10 @@
     heldTokens: fc.array(amount, { maxLength: 2 }),
     ...{ readMs: amount, kvTokens: amount, maxGapMs: fc.integer({ min: 1 }), value: amount },
     ...{ targetLeftMs: number, deadlineLeftMs: number, isLate: fc.boolean() },
+    ...{ outputTokens: amount, promise },
   },
   {
-    // Older builds don't send the last two.
+    // Older builds don't send the last four.
     requiredKeys: [
       ...(["id", "pool", "upstream", "phase", "helpers", "heldTokens", "readMs"] as const),
       ...(["kvTokens", "maxGapMs", "value", "targetLeftMs"] as const),
@@ -67,13 +76,20 @@
   fc.array(amount, { maxLength: 4 }),
   fc.array(number, { maxLength: 4 }),
 );
-const answer = fc.record({
-  ...{
+const codedClaim = fc.tuple(
+  fc.string(),
+  fc.string(),
+  fc.array(amount, { minLength: 4, maxLength: 4 }),
+);
+const answer = fc.record(
+  {
     question: fc.integer(),
     isWhole: fc.boolean(),
     loads: fc.array(codedLoad, { maxLength: 2 }),
+    claims: fc.array(codedClaim, { maxLength: 2 }),
   },
-});
+  { requiredKeys: ["question", "isWhole", "loads"] },
+);
 
 /** Values that fields may wrongly have. */
 const wrong = fc.constantFrom<unknown>(
--- a/packages/daemon/src/gateway/peerMessages.ts
+++ b/packages/daemon/src/gateway/peerMessages.ts
@@ -95,11 +95,23 @@
 ]);
 type CodedLoad = z.output<typeof upstreamLoadSchema>;
 
+/** Most claims on memory of one answer. */
+const MAX_CLAIMS = 64;
+const claimSchema = z.tuple([
+  z.string(),
+  z.string(),
+  /** Place, time until the memory is needed and time for which it is, and tokens. */
+  z.array(amountSchema).length(4),
+]);
+type CodedClaim = z.output<typeof claimSchema>;
+
 /** Loads of those of the upstreams that have any; none unless the relay knows of all requests. */
 export const loadAnswerSchema = z.object({
   question: z.number().int(),
   isWhole: z.boolean(),
   loads: z.array(upstreamLoadSchema).max(MAX_QUESTION_UPSTREAMS),
+  /** Claims of prompts that are promised memory, by upstream and id; unknown to earlier builds. */
+  claims: z.array(claimSchema).max(MAX_CLAIMS).optional(),
 });
 export type LoadAnswer = z.output<typeof loadAnswerSchema>;
 
@@ -155,11 +167,34 @@
     const load = options.loads.get(id);
     return load ? [encodeLoad(id, load)] : [];
   }),
+  ...encodeClaims(options),
 });
 
+const encodeClaims = (options: {
+  upstreams: readonly string[];
+  loads: ReadonlyMap<string, UpstreamLoad>;
+}): { claims?: CodedClaim[] } => {
+  const claims = options.upstreams.flatMap((upstream) =>
+    (options.loads.get(upstream)?.claims ?? []).map(
+      ({ id, place, inMs, forMs, tokens }): CodedClaim => [
+        ...([upstream, id] as const),
+        [place, round(inMs), round(forMs), tokens],
+      ],
+    ),
+  );
+  return claims.length > 0 ? { claims: claims.slice(0, MAX_CLAIMS) } : {};
+};
+
 /** The loads of an answer by upstream. */
-export const toLoads = ({ loads }: LoadAnswer): Map<string, UpstreamLoad> =>
-  new Map(loads.map((coded) => [coded[0], decodeLoad(coded)]));
+export const toLoads = ({ loads, claims = [] }: LoadAnswer): Map<string, UpstreamLoad> => {
+  const decoded = new Map(loads.map((coded) => [coded[0], decodeLoad(coded)]));
+  for (const [upstream, id, [place = 0, inMs = 0, forMs = 0, tokens = 0]] of claims) {
+    const load = decoded.get(upstream) ?? newUpstreamLoad();
+    load.claims = [...(load.claims ?? []), { id, place, inMs, forMs, tokens }];
+    decoded.set(upstream, load);
+  }
+  return decoded;
+};
 
 type Fields = Readonly<Record<string, unknown>>;
 
@@ -246,6 +281,18 @@
   isArrayOf(value[2], isAmount) &&
   isArrayOf(value[3], isNumber);
 
+const isCodedClaim = (value: unknown): value is CodedClaim =>
+  Array.isArray(value) &&
+  value.length === 3 &&
+  isString(value[0]) &&
+  isString(value[1]) &&
+  isArrayOf(value[2], isAmount) &&
+  (value[2] as unknown[]).length === 4;
+
+const isOptionalClaims = (value: unknown): boolean =>
+  value === undefined ||
+  (isArrayOf(value, isCodedClaim) && (value as unknown[]).length <= MAX_CLAIMS);
+
 export const loadAnswerParser = newParser(
   loadAnswerSchema,
   (value): value is LoadAnswer =>
@@ -253,5 +300,6 @@
     Number.isSafeInteger(value["question"]) &&
     typeof value["isWhole"] === "boolean" &&
     isArrayOf(value["loads"], isCodedLoad) &&
-    (value["loads"] as unknown[]).length <= MAX_QUESTION_UPSTREAMS,
+    (value["loads"] as unknown[]).length <= MAX_QUESTION_UPSTREAMS &&
+    isOptionalClaims(value["claims"]),
 );
--- a/packages/telemetry/src/ForwardMetrics.ts
+++ b/packages/telemetry/src/ForwardMetrics.ts
@@ -4,6 +4,15 @@
 const QUANTILES = [50, 95, 99] as const;
 const MAX_LATENCY_MS = 3_600_000;
 
+/** What a process knows of prompts that wait for KV memory, for {@link ForwardMetrics}. */
+export interface RoomMetrics {
+  readonly waiting: Readonly<Record<string, number>>;
+  readonly promisedTokens: number;
+  readonly promises: Readonly<Record<string, number>>;
+  readonly rejected: Readonly<Record<string, number>>;
+  readonly errorsMs: readonly number[];
+}
+
 /** Metrics of a forwarding process, in the Prometheus text format. */
 export class ForwardMetrics {
   readonly #registry = new Registry();
@@ -22,12 +31,15 @@
     countParts,
     countDetours,
     hasLostLinks,
+    getRoom,
   }: {
     countLimited: () => number;
     countResting: () => number;
     countParts: () => Readonly<Record<string, number>>;
     countDetours: () => number;
     hasLostLinks: () => boolean;
+    /** Undefined for a process whose prompts never wait. */
+    getRoom?: () => RoomMetrics;
   }) {
     const registers = [this.#registry];
     this.#requests = new Counter({
@@ -91,6 +103,9 @@
         }
       },
     });
+    if (getRoom) {
+      addRoomMetrics(this.#registry, getRoom);
+    }
     const latencies = this.#latencies;
     new Gauge({
       name: "lycheepulley_forward_ms",
@@ -149,3 +164,63 @@
     histogram.recordValue(Math.min(MAX_LATENCY_MS, Math.max(1, Math.round(ms))));
   }
 }
+
+const addRoomMetrics = (registry: Registry, getRoom: () => RoomMetrics): void => {
+  const registers = [registry];
+  const addCounts = (
+    [name, help, label]: readonly [string, string, string],
+    getCounts: () => Readonly<Record<string, number>>,
+  ): void => {
+    new Gauge({
+      ...{ name, help, registers, labelNames: [label] },
+      collect() {
+        this.reset();
+        for (const [value, count] of Object.entries(getCounts())) {
+          this.set({ [label]: value }, count);
+        }
+      },
+    });
+  };
+  addCounts(
+    ["lycheepulley_room_waiting", "Prompts that wait for KV memory, by route", "route"],
+    () => getRoom().waiting,
+  );
+  addCounts(
+    [
+      "lycheepulley_room_promises",
+      "Promises of KV memory since the start: used, lapsed or returned",
+      "outcome",
+    ],
+    () => getRoom().promises,
+  );
+  addCounts(
+    [
+      "lycheepulley_room_rejected",
+      "Prompts rejected for lack of KV memory since the start",
+      "cause",
+    ],
+    () => getRoom().rejected,
+  );
+  new Gauge({
+    name: "lycheepulley_room_promised_tokens",
+    help: "KV memory that prompts of this process wait for and are promised",
+    registers,
+    collect() {
+      this.set(getRoom().promisedTokens);
+    },
+  });
+  new Gauge({
+    name: "lycheepulley_room_error_ms",
+    help: "Difference between the promised and the actual time at which room was free",
+    labelNames: ["quantile"],
+    registers,
+    collect() {
+      this.reset();
+      const { errorsMs } = getRoom();
+      for (const quantile of errorsMs.length > 0 ? QUANTILES : []) {
+        const index = Math.min(errorsMs.length - 1, Math.floor((quantile / 100) * errorsMs.length));
+        this.set({ quantile: String(quantile / 100) }, errorsMs[index] ?? 0);
+      }
+    },
+  });
+};
