--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -55,6 +55,7 @@
     countDetours: () => this.#connector.detours,
     hasLostLinks: () => this.#connector.isLost,
     countEvacuated: () => this.#evacuations.count,
+    getRoom: () => this.#forwarder.room,
   });
   readonly #view = new FleetView(this.#clock);
   readonly #listTracker: UpstreamListTracker;
--- a/packages/forwarding/src/load.ts
+++ b/packages/forwarding/src/load.ts
@@ -1,6 +1,12 @@
 import { z } from "zod";
 
 import type { Prospect } from "./lateness.js";
+import {
+  isOptionalPromise,
+  listClaims,
+  roomPromiseSchema,
+  type RoomClaim,
+} from "./room/promise.js";
 
 /** What a request is doing at its upstreams. */
 export const LoadPhase = {
@@ -44,6 +50,10 @@
   isApart: z.boolean().optional(),
   /** Expected time of the whole answer after its first event, or of a call, milliseconds. */
   writeMs: z.number().nonnegative().optional(),
+  /** Expected tokens of the answer, of long prompts. */
+  outputTokens: z.number().nonnegative().optional(),
+  /** The request isn't sent yet, and is promised room. */
+  promise: roomPromiseSchema.optional(),
 });
 export type LoadItem = z.infer<typeof loadItemSchema>;
 
@@ -53,6 +63,12 @@
 const FINITE = ["targetLeftMs", "deadlineLeftMs"] as const;
 const OPTIONAL_FLAGS: readonly unknown[] = [undefined, false, true];
 
+const hasOptionalFields = (item: Partial<Record<keyof LoadItem, unknown>>): boolean =>
+  OPTIONAL_FLAGS.includes(item.isApart) &&
+  (item.outputTokens === undefined || isAmount(item.outputTokens)) &&
+  (item.writeMs === undefined || isAmount(item.writeMs)) &&
+  isOptionalPromise(item.promise);
+
 const AMOUNTS = ["readMs", "kvTokens", "value"] as const;
 
 const isArrayOf = (value: unknown, isEntry: (entry: unknown) => boolean): boolean =>
@@ -63,9 +79,6 @@
 const isPhase = (value: unknown): boolean =>
   value === LoadPhase.Reading || value === LoadPhase.Writing;
 
-const areOptionals = ({ isApart, writeMs }: { isApart?: unknown; writeMs?: unknown }): boolean =>
-  OPTIONAL_FLAGS.includes(isApart) && (writeMs === undefined || isAmount(writeMs));
-
 /** True for what {@link loadItemSchema} accepts unchanged, at a fraction of its cost. */
 export const isLoadItem = (value: unknown): value is LoadItem => {
   if (typeof value !== "object" || value === null) {
@@ -85,7 +98,7 @@
     item.maxGapMs > 0 &&
     FINITE.every((field) => Number.isFinite(item[field])) &&
     typeof item.isLate === "boolean" &&
-    areOptionals(item)
+    hasOptionalFields(item)
   );
 };
 
@@ -128,6 +141,8 @@
   unseen: number;
   /** Expected time until each request ends, milliseconds, in no order; those of unknown cost are missing. */
   endsMs: number[];
+  /** Claims of prompts that are promised memory here; undefined for none. */
+  claims?: readonly RoomClaim[];
 }
 
 /** A load item with the time at which its phase was recorded here. */
@@ -237,6 +252,14 @@
 export const isPastObjective = (item: TimedLoadItem, nowMs: number): boolean =>
   item.isLate || (item.phase === LoadPhase.Reading && nowMs - item.sinceMs > item.targetLeftMs);
 
+/** Adds what a prompt that isn't sent yet is promised. */
+const addClaims = (loads: Map<string, UpstreamLoad>, item: TimedLoadItem, nowMs: number): void => {
+  for (const [id, claim] of listClaims(item, nowMs)) {
+    const load = getOrAdd(loads, id);
+    load.claims = [...(load.claims ?? []), claim];
+  }
+};
+
 /** Sums in-flight requests by upstream, at the monotonic time `nowMs`; reports of peers are `lagMs` old. */
 export const sumLoads = (
   items: Iterable<TimedLoadItem>,
@@ -247,6 +270,10 @@
   const queuePrefill = newPrefillQueue(loads, nowMs);
   const sorted = [...items].sort((a, b) => a.sinceMs - b.sinceMs);
   for (const item of sorted) {
+    if (item.promise) {
+      addClaims(loads, item, nowMs);
+      continue;
+    }
     const load = getOrAdd(loads, item.upstream);
     load.inFlight += 1;
     load.apart += item.isApart ? 1 : 0;
--- a/packages/forwarding/src/placementRequest.ts
+++ b/packages/forwarding/src/placementRequest.ts
@@ -2,13 +2,8 @@
 import { estimateAnswer, estimateStretch } from "./costs/placementCosts.js";
 import type { EngineSpec } from "./fleetConfig.js";
 import type { PlacementRequest } from "./placement.js";
-import type { PlacementQuery } from "./Placer.js";
+import type { PlacementQuery } from "./placementQuery.js";
 import { DEFAULT_GAP_MS } from "./requestLoad.js";
-import type { ForwardRequest } from "./types.js";
-
-/** True when the caller resumes a stream of which it has events, perhaps from another process. */
-export const isResumed = ({ head, route }: ForwardRequest): boolean =>
-  route.isResumable && head.lastEventId !== undefined;
 
 /** The prompt of a query as placement sees it at the monotonic time `now`. */
 export const newPlacementRequest = (
