Keep three readers in a fleet whose relays are late

Cause: in a fleet with relays a reader's heartbeat is sent each second and held for up to 400 ms, so that its reads seem up to 2 s old without any fault, over the bound of 1.6 s; late or lost heartbeats add a second. Then the next in rank read too, and while no reader seems fresh, as in an outage, all processes did within 2.4 s.

--- a/packages/daemon/src/gateway/PeerExchange.ts
+++ b/packages/daemon/src/gateway/PeerExchange.ts
@@ -33,15 +33,22 @@
 const HEARTBEAT_RANKS = [0, 1] as const;
 /** Time for which relays collect heartbeats, milliseconds. */
 const HEARTBEAT_BATCH_MS = 400;
+/** Interval at which a process of a large fleet looks whether it has begun to read the sources. */
+const READS_LOOK_MS = 100;
+/** A process whose own reads are older doesn't read the sources any more. */
+const MAX_OWN_READ_MS = 2_600;
 /** Batches have to fit into a datagram. */
 const MAX_HEARTBEAT_BATCH = 30;
 
+/** What the exchange uses of the channel for datagrams. */
+export type PeerChannel = Pick<DatagramChannel, "handle" | "notify">;
+
 type ProcessName = Pick<PeerIdentity, "host" | "failureDomain">;
 
 /** Exchanges heartbeats, crash strikes and news of upstreams with peers by datagram. */
 export class PeerExchange {
   readonly #clock: Clock;
-  readonly #channel: DatagramChannel;
+  readonly #channel: PeerChannel;
   readonly #peers: PeerTable;
   readonly #logger: Logger;
   readonly #self: ProcessName;
@@ -60,10 +67,13 @@
   #gossipIndex = 0;
   #liveHosts = new Set<string>();
   #cancelTimer: Cancel = () => undefined;
+  #cancelLook: Cancel = () => undefined;
+  /** Every process reads when it starts. */
+  #wasReading = true;
 
   constructor(options: {
     clock: Clock;
-    channel: DatagramChannel;
+    channel: PeerChannel;
     peers: PeerTable;
     logger: Logger;
     self: ProcessName;
@@ -140,10 +150,12 @@
       this.#onUpstreamDead(upstream, host);
     });
     this.#runHeartbeat();
+    this.#watchReads();
   }
 
   stop(): void {
     this.#cancelTimer();
+    this.#cancelLook();
   }
 
   /** Sends a heartbeat at once, so that a change of this process's state reaches the peers. */
@@ -197,6 +209,19 @@
     this.#channel.notify(`upstream.${news}`, { upstream }, getHosts(this.#peers.getLive()));
   }
 
+  /** Tells all peers of a large fleet at once when this process begins to read, so that no others do too. */
+  #watchReads(): void {
+    const { configMs = Infinity, listMs = Infinity } = this.#getIdentity().reads;
+    const isReading = Math.max(configMs, listMs) < MAX_OWN_READ_MS;
+    if (isReading && !this.#wasReading && this.#topology.isRelayed) {
+      this.announce();
+    }
+    this.#wasReading = isReading;
+    this.#cancelLook = this.#clock.setTimer(() => {
+      this.#watchReads();
+    }, READS_LOOK_MS);
+  }
+
   #runHeartbeat(): void {
     this.#sendHeartbeat();
     this.#peers.prune();
--- a/packages/forwarding/src/ReaderSelection.ts
+++ b/packages/forwarding/src/ReaderSelection.ts
@@ -3,7 +3,13 @@
 import type { Clock } from "@lycheepulley/core";
 
 import { getEpoch } from "./fleetConfig.js";
-import { PeerState, type PeerIdentity, type PeerTable, type ReadAges } from "./PeerTable.js";
+import {
+  PeerState,
+  type PeerIdentity,
+  type LivePeer,
+  type PeerTable,
+  type ReadAges,
+} from "./PeerTable.js";
 
 /** Number of processes that read the sources for all. */
 const READER_COUNT = 3;
@@ -17,11 +23,34 @@
 /** The same for the configuration, whose reads are long polls that wait for a change. */
 const MAX_CONFIG_AGE_MS = 2_600;
 
+/** Peers with a longer heartbeat interval hear of each other through relays, late and at times not at all. */
+const MAX_DIRECT_BEAT_MS = 300;
+/**
+ * As long as the reads of one reader are certainly recent, those of the others may be older by this
+ * many heartbeat intervals in a large fleet: one that is lost, and one that a relay passes on late.
+ */
+const LATE_BEATS = 2;
+/** Processes of the next ranks that read at once while no reader is left, and in each turn after that. */
+const TURN_PROCESSES = 3;
+/** Time between two turns, in which other processes try whether they reach the sources. */
+const TURN_MS = 500;
+/** Time for which a process that has started in a large fleet learns its rank before it reads on. */
+const LEARNING_MS = 2_000;
+/** Known hosts from which on a fleet is large. */
+const MIN_LARGE_HOSTS = 25;
+
 /** Time for which a process reads the sources itself after a peer failed to share what it read. */
 const SELF_READ_MS = 1_500;
 
 type RankedProcess = Pick<PeerIdentity, "host" | "capacity">;
 
+/** What a process of a large fleet knows of the others. */
+interface LargeFleetView {
+  readonly others: readonly LivePeer[];
+  /** Those of the others that rank before it. */
+  readonly ahead: readonly LivePeer[];
+}
+
 /** A source that is read: the configuration or the list of upstreams. */
 export type ReadSource = "config" | "list";
 
@@ -29,13 +58,15 @@
  * Decides whether this process reads the sources itself or gets their content
  * from its peers. The readers are the few processes with the most capacity among
  * those whose reads are recent. When they fall silent or their reads become
- * stale, the next ones in rank take over; all do when no reader is left.
+ * stale, the next ones in rank take over; all do when no reader is left, in a large
+ * fleet by turns: their reads would be a burst, and in an outage all in vain.
  */
 export class ReaderSelection {
   readonly #clock: Clock;
   readonly #self: RankedProcess;
   readonly #peers: PeerTable;
   readonly #getListEpoch: () => number;
+  readonly #startedMs: number;
   readonly #hostDigests = new Map<string, string>();
   #selfReadUntilMs = -Infinity;
   /** Time since which there were too few readers ahead of this process. */
@@ -50,6 +81,7 @@
     getListEpoch?: () => number;
   }) {
     this.#clock = options.clock;
+    this.#startedMs = options.clock.now();
     this.#self = options.self;
     this.#peers = options.peers;
     this.#getListEpoch = options.getListEpoch ?? (() => 0);
@@ -81,15 +113,33 @@
       return true;
     }
     const epoch = this.#getListEpoch();
-    const ahead = this.#peers
+    const others = this.#peers
       .getLiveWithSilence()
       .filter(
         ({ peer }) =>
-          peer.state !== PeerState.Leaving &&
-          getEpoch({ epoch: peer.listEpoch }) >= epoch &&
-          this.#ranksBefore(peer, this.#self),
+          peer.state !== PeerState.Leaving && getEpoch({ epoch: peer.listEpoch }) >= epoch,
       );
-    const readers = ahead.filter(({ peer, silentMs }) => isFresh(peer.reads, silentMs)).length;
+    if (this.#isLearning(others.length)) {
+      return false;
+    }
+    const ahead = others.filter(({ peer }) => this.#ranksBefore(peer, this.#self));
+    return others.some(({ peer }) => peer.beatMs > MAX_DIRECT_BEAT_MS)
+      ? this.#isReaderOfLarge({ others, ahead })
+      : this.#isReaderOfSmall(ahead);
+  }
+
+  /** True while a process that has started hasn't heard of half of a large fleet yet. */
+  #isLearning(heard: number): boolean {
+    const known = this.#peers.hosts.length;
+    return (
+      known >= MIN_LARGE_HOSTS &&
+      heard < known / 2 &&
+      this.#clock.now() - this.#startedMs < LEARNING_MS
+    );
+  }
+
+  #isReaderOfSmall(ahead: readonly LivePeer[]): boolean {
+    const readers = ahead.filter((peer) => isFresh(peer)).length;
     if (readers >= READER_COUNT) {
       this.#lackingSinceMs = undefined;
       return false;
@@ -102,6 +152,31 @@
     return this.#clock.now() - this.#lackingSinceMs >= steps * TAKEOVER_STEP_MS;
   }
 
+  #isReaderOfLarge({ others, ahead }: LargeFleetView): boolean {
+    if (ahead.length < READER_COUNT) {
+      return true;
+    }
+    const hasEnough = (peers: readonly LivePeer[]): boolean =>
+      peers.filter((peer) => isFresh(peer, LATE_BEATS)).length >= READER_COUNT;
+    const hasReader = others.some((peer) => isFresh(peer));
+    if (hasReader && hasEnough(ahead)) {
+      this.#lackingSinceMs = undefined;
+      return false;
+    }
+    if (isRecent(this.getAges())) {
+      return true;
+    }
+    if (hasReader && hasEnough(others)) {
+      this.#lackingSinceMs = undefined;
+      return false;
+    }
+    this.#lackingSinceMs ??= this.#clock.now();
+    return isTurn({
+      ...{ rank: ahead.length, processes: others.length + 1 },
+      lackingMs: this.#clock.now() - this.#lackingSinceMs,
+    });
+  }
+
   /** Ranks by capacity, then by a hash of the host, which isn't correlated with failure domains. */
   #ranksBefore(one: RankedProcess, other: RankedProcess): boolean {
     return one.capacity === other.capacity
@@ -124,8 +199,24 @@
   }
 }
 
-const isFresh = ({ configMs, listMs }: ReadAges, silentMs: number): boolean =>
+const isRecent = ({ configMs, listMs }: ReadAges, allowedMs = 0): boolean =>
   configMs !== undefined &&
   listMs !== undefined &&
-  configMs + silentMs < MAX_CONFIG_AGE_MS &&
-  listMs + silentMs < MAX_LIST_AGE_MS;
+  configMs < MAX_CONFIG_AGE_MS + allowedMs &&
+  listMs < MAX_LIST_AGE_MS + allowedMs;
+
+/** True while a peer's reads are recent, also when this many of its heartbeats are late or lost. */
+const isFresh = ({ peer, silentMs }: LivePeer, lateBeats = 0): boolean =>
+  isRecent(peer.reads, lateBeats * peer.beatMs - silentMs);
+
+/** Those next in rank read all the time, the others in groups one after the other. */
+const isTurn = (options: { rank: number; processes: number; lackingMs: number }): boolean => {
+  const { rank, processes, lackingMs } = options;
+  const first = READER_COUNT + TURN_PROCESSES;
+  if (rank < first) {
+    return true;
+  }
+  const turn = Math.floor(lackingMs / TURN_MS) - 1;
+  const groups = Math.ceil((processes - first) / TURN_PROCESSES);
+  return turn >= 0 && Math.floor((rank - first) / TURN_PROCESSES) === turn % groups;
+};
