Bound what a process holds for slow readers

Cause: bodies were bounded only while they arrived (64 MB on any VM), collected answers and bytes that callers hadn't taken only one by one, and bodies that upstreams left not at all.

Change: HeldMemory counts all of these against half of what the VM has above 190 MB (16 to 128 MB). At the bound the requests whose reader took nothing for longest are ended first, with a log line; upstreams are paused once their caller leaves 256 KB, and answers are passed on rather than collected while there is no room. lycheepulley_held_bytes shows the sum.

--- a/packages/callers/src/forward/ForwardServer.ts
+++ b/packages/callers/src/forward/ForwardServer.ts
@@ -17,6 +17,7 @@
 import type { Logger } from "@lycheepulley/telemetry";
 
 import { CallerConnections } from "./CallerConnections.js";
+import { getHeldLimitBytes, HeldMemory } from "./HeldMemory.js";
 import { allowHalfClosed, probeHalfClosed } from "./halfClosed.js";
 import { ResponseWriter } from "./ResponseWriter.js";
 
@@ -24,8 +25,6 @@
 const TIMEOUT_GRACE_MS = 2_000;
 /** Limit for the headers of any request; that of the configuration is applied to complete headers. */
 const MAX_HEADER_BYTES = 131_072;
-/** Limit for the bytes of request bodies being received, over all connections. */
-const MAX_BUFFERED_BYTES = 64_000_000;
 const BUFFERS_FULL_RETRY_MS = 500;
 /** Outages of the configuration source last seconds; an earlier retry would fail as well. */
 const UNCONFIGURED_RETRY_MS = 3_000;
@@ -47,19 +46,21 @@
 export class ForwardServer {
   readonly #server: Server;
   readonly #connections = new CallerConnections();
+  readonly #memory: HeldMemory;
   readonly #clock: Clock;
   readonly #view: FleetView;
   readonly #dialect: Dialect;
   readonly #logger: Logger;
   readonly #forward: (req: ForwardRequest, writer: AnswerWriter) => Promise<void>;
   #drain: { readonly startMs: number; readonly endMs: number } | undefined;
-  #bufferedBytes = 0;
 
   constructor(options: {
     clock: Clock;
     view: FleetView;
     dialect: Dialect;
     logger: Logger;
+    /** Memory of the VM, megabytes. */
+    memoryMb?: number | undefined;
     forward: (req: ForwardRequest, writer: AnswerWriter) => Promise<void>;
   }) {
     this.#clock = options.clock;
@@ -67,6 +68,10 @@
     this.#dialect = options.dialect;
     this.#logger = options.logger;
     this.#forward = options.forward;
+    const { clock, logger } = options;
+    this.#memory = new HeldMemory({
+      ...{ clock, logger, limitBytes: getHeldLimitBytes(options.memoryMb) },
+    });
     this.#server = createServer(
       { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0 },
       (req, res) => {
@@ -96,6 +101,11 @@
     return this.#connections.size;
   }
 
+  /** Bytes held for callers and upstreams. */
+  get heldBytes(): number {
+    return this.#memory.bytes;
+  }
+
   listen(host: string, port: number): Promise<void> {
     return new Promise((resolve, reject) => {
       this.#server.once("error", reject);
@@ -153,13 +163,17 @@
       turn.end(this.#server.keepAliveTimeout);
     });
     probeHalfClosed(req, res, this.#clock);
-    const writer = new ResponseWriter(res, { isClosing: () => this.#drain !== undefined });
+    const progress: AdmissionProgress = { head: undefined, isForwarded: false };
+    const writer = new ResponseWriter(res, {
+      getRequestId: () => progress.head?.attemptId ?? "",
+      memory: this.#memory,
+      isClosing: () => this.#drain !== undefined,
+    });
     await turn.earlier;
     if (!socket.writable) {
       // The answer before ended the connection; the caller knows that this request wasn't read.
       return;
     }
-    const progress: AdmissionProgress = { head: undefined, isForwarded: false };
     try {
       progress.head = this.#dialect.readHead({
         method: req.method ?? "GET",
@@ -198,7 +212,7 @@
       return;
     }
     const { route, customer, priority, revision } = admission;
-    const body = await this.#readBody(req);
+    const body = await this.#readBody(req, writer);
     if (signal.aborted) {
       return;
     }
@@ -276,20 +290,13 @@
     await sleep(this.#clock, MAX_DISCARD_MS, end.signal);
   }
 
-  async #readBody(req: IncomingMessage): Promise<Buffer> {
+  #readBody(req: IncomingMessage, writer: ResponseWriter): Promise<Buffer> {
     const { maxBodyBytes } = this.#view.table?.config.limits ?? DEFAULT_CALLER_LIMITS;
-    let size = 0;
-    try {
-      return await readBody(req, maxBodyBytes, (chunk) => {
-        size += chunk.length;
-        this.#bufferedBytes += chunk.length;
-        if (this.#bufferedBytes > MAX_BUFFERED_BYTES) {
-          throw new BuffersFullError();
-        }
-      });
-    } finally {
-      this.#bufferedBytes -= size;
-    }
+    return readBody(req, maxBodyBytes, (chunk) => {
+      if (!writer.addBody(chunk.length)) {
+        throw new BuffersFullError();
+      }
+    });
   }
 
   #handleFailure(
--- a/packages/callers/src/forward/ResponseWriter.ts
+++ b/packages/callers/src/forward/ResponseWriter.ts
@@ -1,6 +1,8 @@
 import type { ServerResponse } from "node:http";
 
-import type { AnswerWriter, HeaderList } from "@lycheepulley/forwarding";
+import type { AnswerWriter, HeaderList, UpstreamCall } from "@lycheepulley/forwarding";
+
+import type { HeldMemory, HeldRequest } from "./HeldMemory.js";
 
 const MS_PER_S = 1_000;
 
@@ -8,13 +10,57 @@
 export class ResponseWriter implements AnswerWriter {
   readonly #res: ServerResponse;
   readonly #isClosing: () => boolean;
+  readonly #memory: HeldMemory;
+  readonly #held: HeldRequest;
   #isLastAnswer = false;
   /** Only a reset tells a caller that such an answer isn't complete. */
   #isUnframed = false;
 
-  constructor(res: ServerResponse, options: { isClosing: () => boolean }) {
+  constructor(
+    res: ServerResponse,
+    options: { getRequestId: () => string; memory: HeldMemory; isClosing: () => boolean },
+  ) {
     this.#res = res;
     this.#isClosing = options.isClosing;
+    this.#memory = options.memory;
+    this.#held = options.memory.start({
+      get requestId() {
+        return options.getRequestId();
+      },
+      get unreadBytes() {
+        return res.writableLength;
+      },
+      end: (isUpstream) => {
+        this.#endSlow(isUpstream);
+      },
+    });
+    res.once("close", () => {
+      this.#memory.end(this.#held);
+    });
+  }
+
+  #endSlow(isUpstream: boolean): void {
+    if (isUpstream && !this.isHeadSent) {
+      this.closeAfterAnswer();
+      this.sendOwn(502, "may have run: its upstream reads too slowly");
+    } else {
+      this.abort();
+    }
+  }
+
+  /** Counts a part of the request's body; false when there is no memory for it. */
+  addBody(bytes: number): boolean {
+    this.#held.addBody(bytes);
+    return this.#memory.makeRoom();
+  }
+
+  onSend(call: UpstreamCall): void {
+    this.#held.setCall(call);
+  }
+
+  collect(bytes: number): boolean {
+    this.#held.collect(bytes);
+    return bytes <= 0 || this.#memory.makeRoom();
   }
 
   get isHeadSent(): boolean {
@@ -47,11 +93,18 @@
     if (this.isClosed || chunk.length === 0) {
       return true;
     }
-    return this.#res.write(chunk);
+    const isTaken = this.#res.write(chunk);
+    const mayGoOn = this.#held.write();
+    // An upstream cuts an answer that it can't write for some seconds, so it is paused late.
+    return this.#memory.makeRoom() && (isTaken || mayGoOn);
   }
 
   onDrain(fn: () => void): void {
-    this.#res.once("drain", fn);
+    if (this.#res.writableNeedDrain) {
+      this.#res.once("drain", fn);
+    } else {
+      setImmediate(fn);
+    }
   }
 
   end(): void {
--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -54,6 +54,7 @@
     countParts: () => countByStatus(this.#crashExchange.guard.evidence.suspects),
     countDetours: () => this.#connector.detours,
     hasLostLinks: () => this.#connector.isLost,
+    getHeldBytes: () => this.#listener.heldBytes,
   });
   readonly #view = new FleetView();
   readonly #listTracker: UpstreamListTracker;
@@ -219,7 +220,7 @@
       },
     });
     this.#listener = new ForwardServer({
-      ...{ clock, view: this.#view, dialect, logger },
+      ...{ clock, view: this.#view, dialect, logger, memoryMb: settings.memoryMb },
       forward: (req, writer) => this.#forwarder.forward(req, writer),
     });
     this.#metricsServer = newMetricsServer(this.#metrics, this.#crashExchange.guard.evidence);
--- a/packages/daemon/src/gateway/types.ts
+++ b/packages/daemon/src/gateway/types.ts
@@ -31,6 +31,8 @@
   readonly failureDomain: string;
   /** Size of the VM, in cores. */
   readonly capacity: number;
+  /** Memory of the VM, megabytes; undefined when it isn't known. */
+  readonly memoryMb?: number | undefined;
   readonly callerPort: number;
   readonly peerPort: number;
   readonly metricsPort: number;
--- a/packages/forwarding/src/Send.ts
+++ b/packages/forwarding/src/Send.ts
@@ -79,6 +79,7 @@
       call.abort();
       return;
     }
+    this.#writer.onSend?.(call);
     this.#watchForStall("firstMs");
   }
 
@@ -203,8 +204,7 @@
         this.#write(bytes);
       } else {
         // Another send may go on with the answer until this one has an event.
-        this.#buffered.push(bytes);
-        this.#bufferedBytes += bytes.length;
+        this.#collect(bytes);
       }
     }
     if (this.#bufferedBytes > MAX_BUFFERED_BYTES) {
@@ -212,7 +212,15 @@
     }
   }
 
+  /** False when there is no memory for more. */
+  #collect(bytes: Buffer): boolean {
+    this.#buffered.push(bytes);
+    this.#bufferedBytes += bytes.length;
+    return this.#writer.collect?.(bytes.length) ?? true;
+  }
+
   #takeBuffered(): Buffer[] {
+    this.#writer.collect?.(-this.#bufferedBytes);
     this.#bufferedBytes = 0;
     return this.#buffered.splice(0);
   }
@@ -237,7 +245,7 @@
   }
 
   #endBuffered(head: AnswerHead, facts: AnswerFacts): void {
-    const answer = { head, body: Buffer.concat(this.#buffered), isFramed: facts.isFramed };
+    const answer = { head, body: Buffer.concat(this.#takeBuffered()), isFramed: facts.isFramed };
     const failure = getFailure(answer, facts);
     if (failure) {
       this.#finish(failure);
@@ -259,12 +267,11 @@
     this.#writer.end();
   }
 
-  /** Buffers the answer, and passes it through once it exceeds the limit. */
+  /** Buffers the answer, and passes it through once it exceeds the limit or memory is short. */
   #buffer(chunk: Buffer): void {
-    this.#buffered.push(chunk);
-    this.#bufferedBytes += chunk.length;
+    const hasMemory = this.#collect(chunk);
     this.#watchForStall("gapMs");
-    if (this.#bufferedBytes <= MAX_BUFFERED_BYTES || !this.#head) {
+    if ((hasMemory && this.#bufferedBytes <= MAX_BUFFERED_BYTES) || !this.#head) {
       return;
     }
     if (this.#head.status >= FIRST_FAILURE_STATUS || this.#progress.isHeadSent) {
@@ -326,6 +333,7 @@
     }
     this.#isSettled = true;
     this.#stallWatch.stop();
+    this.#takeBuffered();
     this.#call?.abort();
     this.#resolveOutcome(outcome);
   }
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -53,6 +53,13 @@
   /** Returns false when the caller reads more slowly than the answer is written. */
   write(chunk: Buffer): boolean;
   onDrain(fn: () => void): void;
+  /** Tells which call the body of the request goes to. */
+  onSend?(call: UpstreamCall): void;
+  /**
+   * Counts bytes that are kept until the answer is known to be whole; negative once they aren't.
+   * Returns false when there is no memory for more.
+   */
+  collect?(bytes: number): boolean;
   end(): void;
   /** Breaks the connection, so that the caller can't take the answer for complete. */
   abort(): void;
@@ -136,6 +143,8 @@
 
 /** A call in progress. */
 export interface UpstreamCall {
+  /** Bytes of the request that the upstream hasn't taken; undefined when that isn't known. */
+  readonly unsentBytes?: number;
   pause(): void;
   resume(): void;
   /** Closes the connection; the observer gets no more events. */
--- a/packages/telemetry/src/ForwardMetrics.ts
+++ b/packages/telemetry/src/ForwardMetrics.ts
@@ -22,12 +22,15 @@
     countParts,
     countDetours,
     hasLostLinks,
+    getHeldBytes = () => 0,
   }: {
     countLimited: () => number;
     countResting: () => number;
     countParts: () => Readonly<Record<string, number>>;
     countDetours: () => number;
     hasLostLinks: () => boolean;
+    /** Bytes held for callers and upstreams. */
+    getHeldBytes?: () => number;
   }) {
     const registers = [this.#registry];
     this.#requests = new Counter({
@@ -71,6 +74,14 @@
         this.set(hasLostLinks() ? 1 : 0);
       },
     });
+    new Gauge({
+      name: "lycheepulley_held_bytes",
+      help: "Bytes held for callers and upstreams: bodies, collected answers, unread answers",
+      registers,
+      collect() {
+        this.set(getHeldBytes());
+      },
+    });
     new Gauge({
       name: "lycheepulley_detours",
       help: "Connections to upstreams made through peers since the start",
--- a/packages/upstreams/src/HttpUpstreamTransport.test.ts
+++ b/packages/upstreams/src/HttpUpstreamTransport.test.ts
@@ -165,4 +165,26 @@
     const observed = await send(port);
     expect(observed).to.include({ end: "error", state: "unsent" });
   });
+
+  it("tells how much of a request its upstream hasn't taken", async () => {
+    const server = createServer((socket) => {
+      socket.on("error", () => undefined);
+      socket.pause();
+    });
+    await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+    const { port } = server.address() as AddressInfo;
+    const body = Buffer.alloc(64 * 1_048_576);
+    const ignore = (): void => undefined;
+    const call = new HttpUpstreamTransport().open(
+      {
+        ...{ host: "127.0.0.1", port, method: "POST", path: "/", body, connectTimeoutMs: 5_000 },
+        headers: ["Host", "a.example", "Content-Length", String(body.length)],
+      },
+      { onHead: ignore, onData: ignore, onEnd: ignore, onError: ignore },
+    );
+    await new Promise((resolve) => setTimeout(resolve, 200));
+    expect(call.unsentBytes).to.be.above(body.length / 2);
+    call.abort();
+    server.close();
+  });
 });
--- a/packages/upstreams/src/HttpUpstreamTransport.ts
+++ b/packages/upstreams/src/HttpUpstreamTransport.ts
@@ -65,6 +65,11 @@
     req.end(options.body);
   }
 
+  get unsentBytes(): number {
+    // Before it has its socket, the request keeps what is written to it.
+    return Math.max(this.#socket?.writableLength ?? 0, this.#req?.writableLength ?? 0);
+  }
+
   pause(): void {
     this.#res?.pause();
   }
