--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -56,6 +56,7 @@
     hasLostLinks: () => this.#connector.isLost,
     countEvacuated: () => this.#evacuations.count,
     getRoom: () => this.#forwarder.room,
+    getHeldBytes: () => this.#listener.heldBytes,
   });
   readonly #view = new FleetView(this.#clock);
   readonly #listTracker: UpstreamListTracker;
@@ -231,7 +232,7 @@
       },
     });
     this.#listener = new ForwardServer({
-      ...{ clock, view: this.#view, dialect, logger },
+      ...{ clock, view: this.#view, dialect, logger, memoryMb: settings.memoryMb },
       forward: (req, writer) => this.#forwarder.forward(req, writer),
     });
     this.#metricsServer = newMetricsServer(this.#metrics, this.#evidence.crashes.guard.evidence);
--- a/packages/telemetry/src/ForwardMetrics.ts
+++ b/packages/telemetry/src/ForwardMetrics.ts
@@ -33,6 +33,7 @@
     hasLostLinks,
     countEvacuated,
     getRoom,
+    getHeldBytes = () => 0,
   }: {
     countLimited: () => number;
     countResting: () => number;
@@ -42,6 +43,8 @@
     countEvacuated: () => number;
     /** Undefined for a process whose prompts never wait. */
     getRoom?: () => RoomMetrics;
+    /** Bytes held for callers and upstreams. */
+    getHeldBytes?: () => number;
   }) {
     const registers = [this.#registry];
     this.#requests = new Counter({
@@ -93,6 +96,14 @@
         this.set(countEvacuated());
       },
     });
+    new Gauge({
+      name: "lycheepulley_held_bytes",
+      help: "Bytes held for callers and upstreams: bodies, collected answers, unread answers",
+      registers,
+      collect() {
+        this.set(getHeldBytes());
+      },
+    });
     new Gauge({
       name: "lycheepulley_detours",
       help: "Connections to upstreams made through peers since the start",
