--- a/packages/cli/src/registry.ts
+++ b/packages/cli/src/registry.ts
@@ -8,6 +8,7 @@
 import { configStatusCommand } from "./commands/configStatus.js";
 import { demoCommand } from "./commands/demo.js";
 import { entryCommand } from "./commands/entry.js";
+import { evacuateCommand, evacuationsCommand } from "./commands/evacuate.js";
 import { experimentCommand } from "./commands/experiment.js";
 import { explainCommand } from "./commands/explain.js";
 import { fateCommand } from "./commands/fate.js";
@@ -31,6 +32,8 @@
   nodesCommand,
   upstreamsCommand,
   drainCommand,
+  evacuateCommand,
+  evacuationsCommand,
   blockListCommand,
   blockLiftCommand,
   benchCommand,
--- a/packages/core/src/folds/records.ts
+++ b/packages/core/src/folds/records.ts
@@ -38,6 +38,8 @@
   Lease: "lease",
   Claim: "claim",
   Poison: "poison",
+  /** Failure domain that an operator evacuates. */
+  Evacuation: "evacuation",
   /** Audit record without a register. */
   Note: "note",
   Snapshot: "snapshot",
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -5,6 +5,7 @@
 export * from "./config/schema.js";
 export * from "./errors.js";
 export * from "./folds/claims.js";
+export * from "./folds/evacuation.js";
 export * from "./folds/fates.js";
 export * from "./folds/leases.js";
 export * from "./folds/poison.js";
--- a/packages/serving/src/node/CoordinationNode.ts
+++ b/packages/serving/src/node/CoordinationNode.ts
@@ -29,6 +29,7 @@
 import { PoolRouter } from "../scheduler/PoolRouter.js";
 import { StrikeTracker } from "../scheduler/StrikeTracker.js";
 import { getFateStream } from "../streams.js";
+import { followEvacuations } from "../upstreams/followEvacuations.js";
 import type { UpstreamDirectory } from "../upstreams/UpstreamDirectory.js";
 import { bootstrapFromPeers } from "./bootstrap.js";
 import { Drainer } from "./Drainer.js";
@@ -78,6 +79,7 @@
   readonly holder: string;
   readonly #options: CoordinationNodeOptions;
   readonly #pauses: PauseDetector;
+  readonly #refreshEvacuations: () => void;
   #onDrained: () => void = () => undefined;
 
   constructor(options: CoordinationNodeOptions) {
@@ -136,6 +138,8 @@
       ...(metrics ? { metrics } : {}),
     });
     this.services = new ServiceRunner(common);
+    const { reader } = log.control;
+    this.#refreshEvacuations = followEvacuations({ reader, directory, logger });
     this.#serve();
     this.#subscribe();
   }
@@ -185,6 +189,7 @@
       getClients: () => this.membership.getContactClients(),
     });
     this.config.adopt(reader.fold.getRegister(RecordKind.Config, CONFIG_KEY));
+    this.#refreshEvacuations();
     this.membership.update({ state: NodeState.Live });
   }
 
--- a/packages/serving/src/scheduler/PoolHost.ts
+++ b/packages/serving/src/scheduler/PoolHost.ts
@@ -122,11 +122,12 @@
   }
 
   #setEngines(pool: string, scheduler: PoolScheduler): void {
+    const { directory } = this.#options;
     scheduler.setEngines(
-      this.#options.directory.getEngines(pool).map(({ vm, client }) => ({
+      directory.getEngines(pool).map(({ vm, client }) => ({
         client,
         failureDomain: vm.failureDomain,
-        isLeaving: vm.state === VmState.Leaving,
+        isLeaving: vm.state === VmState.Leaving || directory.isEvacuated(vm.failureDomain),
       })),
     );
   }
--- a/packages/serving/src/upstreams/UpstreamDirectory.ts
+++ b/packages/serving/src/upstreams/UpstreamDirectory.ts
@@ -26,32 +26,45 @@
   readonly #engines = new Map<string, Engine>();
   readonly #services = new Map<string, ServiceInstance>();
   readonly #changes = new Publisher<VmList>();
-  #version = -1;
+  #list: VmList | undefined;
+  #evacuated: ReadonlySet<string> = new Set();
 
   constructor(options: UpstreamDirectoryOptions) {
     this.#options = options;
   }
 
   get version(): number {
-    return this.#version;
+    return this.#list?.version ?? -1;
   }
 
-  /** Calls `fn` after each change of the list. */
+  /** Calls `fn` after each change of the list, or of the evacuated failure domains. */
   subscribe(fn: (list: VmList) => void): () => void {
     return this.#changes.subscribe(fn);
   }
 
   /** Applies an answer of the VM list, unless its version is not newer. */
   applyList(list: VmList): void {
-    if (list.version <= this.#version) {
+    if (list.version <= this.version) {
       return;
     }
-    this.#version = list.version;
+    this.#list = list;
     this.#applyKind(this.#engines, list, VmRole.Engine, this.#options.newEngineClient);
     this.#applyKind(this.#services, list, VmRole.Service, this.#options.newServiceClient);
     this.#changes.publish(list);
   }
 
+  /** Sets the failure domains to which nothing new is sent. */
+  setEvacuated(domains: readonly string[]): void {
+    this.#evacuated = new Set(domains);
+    if (this.#list) {
+      this.#changes.publish(this.#list);
+    }
+  }
+
+  isEvacuated(failureDomain: string): boolean {
+    return this.#evacuated.has(failureDomain);
+  }
+
   getEngine(name: string): Engine | undefined {
     return this.#engines.get(name);
   }
@@ -64,10 +77,11 @@
     return [...new Set([...this.#engines.values()].map((engine) => engine.vm.pool))];
   }
 
-  /** Instances of a plain service that aren't leaving. */
+  /** Instances of a plain service that take new requests. */
   getServices(pool: string): ServiceInstance[] {
     return [...this.#services.values()].filter(
-      ({ vm }) => vm.pool === pool && vm.state === VmState.Live,
+      ({ vm }) =>
+        vm.pool === pool && vm.state === VmState.Live && !this.isEvacuated(vm.failureDomain),
     );
   }
 
