Name no machine to callers that was killed 7 s before, also by the last process

Cause: a process all of whose peers are silent named them for 20 s, also when it reached the store and the peers were gone.

Change: while its own reads are fresh it names them for 3 s from the first look at which all were silent; a process that was frozen hears them within that.

Result: views.test: with heartbeats of 1 s named until 6 s after the last one, not at 7 s (before: 20 s).

--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -105,6 +105,7 @@
     this.#peers = new PeerTable({ clock, self: settings.host });
     this.#addresses = new CallerAddresses({
       ...{ random: this.#random, peers: this.#peers },
+      getReadAgeMs: () => this.#readerSelection.getAges().listMs,
       getOwn: () => (this.isReady ? this.#getIdentity().callerAddress : undefined),
     });
     this.#readerSelection = new ReaderSelection({
--- a/packages/forwarding/src/PeerTable.ts
+++ b/packages/forwarding/src/PeerTable.ts
@@ -75,6 +75,11 @@
  * goes on naming the peers whose last heartbeat is at most this old.
  */
 const ISOLATION_GRACE_MS = 20_000;
+/**
+ * The same time, from the first look at which all were silent, for a process that reaches its other
+ * sources: then the peers are more likely gone. A process that was frozen hears from them within it.
+ */
+const CONNECTED_GRACE_MS = 3_000;
 
 interface PeerEntry {
   identity: PeerIdentity | undefined;
@@ -93,6 +98,8 @@
   readonly #clock: Clock;
   readonly #self: string;
   readonly #entries = new Map<string, PeerEntry>();
+  /** Time of the first look since which all peers are silent. */
+  #aloneSinceMs: number | undefined;
 
   constructor(options: { clock: Clock; self: string }) {
     this.#clock = options.clock;
@@ -140,13 +147,15 @@
     }));
   }
 
-  /** Peers that serve callers. */
-  getServing(): PeerIdentity[] {
+  /** Peers that serve callers; `isConnected` while this process reaches its other sources. */
+  getServing({ isConnected }: { isConnected: boolean } = { isConnected: false }): PeerIdentity[] {
     const isServing = ({ state }: PeerIdentity): boolean => state === PeerState.Live;
     const live = this.getLive();
-    return (live.length > 0 ? live : this.#getWithMaxSilence(() => ISOLATION_GRACE_MS)).filter(
-      isServing,
-    );
+    const aloneMs = this.#trackAlone(live.length);
+    if (live.length > 0 || (isConnected && aloneMs > CONNECTED_GRACE_MS)) {
+      return live.filter(isServing);
+    }
+    return this.#getWithMaxSilence(() => ISOLATION_GRACE_MS).filter(isServing);
   }
 
   /** Peers that are about to end. */
@@ -165,6 +174,7 @@
 
   /** Removes peers that were silent for long. */
   prune(): void {
+    this.#trackAlone(this.getLive().length);
     const now = this.#clock.now();
     for (const [host, { lastSeenMs }] of this.#entries) {
       if (now - lastSeenMs > FORGET_MS) {
@@ -173,6 +183,13 @@
     }
   }
 
+  /** Time since the first look at which all peers were silent. */
+  #trackAlone(live: number): number {
+    const now = this.#clock.now();
+    this.#aloneSinceMs = live > 0 ? undefined : (this.#aloneSinceMs ?? now);
+    return now - (this.#aloneSinceMs ?? now);
+  }
+
   #getWithMaxSilence(getMaxSilenceMs: (peer: PeerIdentity) => number): PeerIdentity[] {
     const now = this.#clock.now();
     return [...this.#entries.values()].flatMap(({ identity, lastSeenMs }) =>
--- a/packages/forwarding/src/views.test.ts
+++ b/packages/forwarding/src/views.test.ts
@@ -303,6 +303,33 @@
     expect(getHosts(table.getServing())).to.deep.equal([]);
   });
 
+  // Guards against answers that name machines killed 7 s before, by one that alone goes on.
+  it("names none of them for long while this process reaches its other sources", async () => {
+    const clock = new ManualClock();
+    const table = new PeerTable({ clock, self: "self" });
+    ["a", "b"].forEach((host) => table.recordHeartbeat(newPeer(host, "live", 1, 1_000)));
+    const names = async (): Promise<string[]> => {
+      await clock.advance(1_000);
+      table.prune();
+      return getHosts(table.getServing({ isConnected: true }));
+    };
+    const named = [await names(), await names(), await names(), await names(), await names()];
+    expect(named).to.deep.equal(named.map(() => ["a", "b"]));
+    await names();
+    expect(await names()).to.deep.equal([]);
+  });
+
+  it("names them after a freeze until they had time to be heard", async () => {
+    const clock = new ManualClock();
+    const table = new PeerTable({ clock, self: "self" });
+    ["a", "b"].forEach((host) => table.recordHeartbeat(newPeer(host)));
+    await clock.advance(9_000);
+    expect(getHosts(table.getServing({ isConnected: true }))).to.deep.equal(["a", "b"]);
+    await clock.advance(1_000);
+    table.recordHeartbeat(newPeer("b"));
+    expect(getHosts(table.getServing({ isConnected: true }))).to.deep.equal(["b"]);
+  });
+
   it("doesn't go back to an older heartbeat that was relayed late", () => {
     const table = new PeerTable({ clock: new ManualClock(), self: "self" });
     table.recordHeartbeat({ ...newPeer("a", "leaving"), beat: 8 });
