Weigh the work left at full upstreams only, keep the errors of estimates, and play calls by policy

Cause: calls went to upstreams with more calls in flight when these were expected to end sooner, which costs slots and gains nothing while slots are free. Change: getBusyness counts taken slots with some of the work left, and all of it once no slot is free. EstimateErrors keeps estimates against what was seen; callExperiment plays calls on a plain service.

--- a/packages/forwarding/src/costs/CostBook.ts
+++ b/packages/forwarding/src/costs/CostBook.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "@lycheepulley/core";
 
 import { CostSketch } from "./CostSketch.js";
+import { EstimateErrors } from "./EstimateErrors.js";
 import { UpstreamPaces, type PaceReport } from "./UpstreamPaces.js";
 
 /** Requests of a route change over a day, not within seconds. */
@@ -76,12 +77,14 @@
 /** Costs of requests, learned from those that ended, with the paces of upstreams. */
 export class CostBook {
   readonly paces: UpstreamPaces;
+  readonly errors: EstimateErrors;
   readonly #clock: Clock;
   readonly #sketches = new Map<string, CostSketch>();
 
   constructor(clock: Clock) {
     this.#clock = clock;
     this.paces = new UpstreamPaces(clock);
+    this.errors = new EstimateErrors(clock);
   }
 
   /** Number of distributions that are kept. */
--- a/packages/forwarding/src/costs/CostLesson.ts
+++ b/packages/forwarding/src/costs/CostLesson.ts
@@ -5,6 +5,7 @@
 import type { SendObserver } from "../SendRunner.js";
 import type { ForwardRequest } from "../types.js";
 import { CostKind, type CostBook, type CostKey } from "./CostBook.js";
+import { EstimateKind } from "./EstimateErrors.js";
 
 /** Gaps from which an answer tells the pace of its upstream. */
 const MIN_GAPS = 4;
@@ -130,6 +131,7 @@
     if (lessons.length && plan) {
       const tokens = this.#events * plan.decode.tokensPerPass;
       this.#costs.recordLength(key, { limitTokens, hintTokens }, tokens);
+      this.#recordErrors(this.#placement, tokens);
     }
     if (lessons.pace && plan) {
       this.#recordPace(key, plan.decode);
@@ -150,6 +152,14 @@
     this.#lastMs = now;
   }
 
+  #recordErrors({ plan, request }: Placement, tokens: number): void {
+    const { errors } = this.#costs;
+    const firstMs = this.#firstMs ?? 0;
+    errors.record(EstimateKind.Length, request?.outputTokens ?? 0, tokens);
+    errors.record(EstimateKind.First, plan?.firstEventMs ?? 0, firstMs - this.#openedMs);
+    errors.record(EstimateKind.Answer, plan?.decode.writeMs ?? 0, this.#lastMs - firstMs);
+  }
+
   #recordPace(key: CostKey, { passMs, pace }: { passMs: number; pace: number }): void {
     const { upstream, cost } = this.#placement;
     const sorted = [...this.#gaps].sort((a, b) => a - b);
@@ -171,5 +181,6 @@
       this.#costs.paces.record(upstream.id, seenMs / cost.callMs, cost.takenShare);
     }
     this.#costs.record(CostKind.Call, key, seenMs);
+    this.#costs.errors.record(EstimateKind.Call, cost?.writeMs ?? 0, seenMs);
   }
 }
--- a/packages/forwarding/src/costs/placementCosts.ts
+++ b/packages/forwarding/src/costs/placementCosts.ts
@@ -53,6 +53,9 @@
     return { load };
   }
   const pace = costs.paces.get(upstream.id, load.inFlight / upstream.slots);
+  if (pace === 1) {
+    return { load, pace };
+  }
   const { pendingReadMs, pendingHelpMs } = load;
   return {
     pace,
@@ -66,10 +69,20 @@
     ? undefined
     : [...endsMs].sort((a, b) => a - b)[Math.min(count, endsMs.length) - 1];
 
-/** Work at an upstream in calls that take `callMs`, where those of unknown cost count as one. */
-export const countCalls = (load: UpstreamLoad, callMs: number): number => {
-  const knownMs = load.endsMs.reduce((sum, ms) => sum + ms, 0);
-  return knownMs / callMs + Math.max(0, load.inFlight - load.endsMs.length);
+/** Weight of the work that an upstream has left beside the number of its calls, while it has free slots. */
+const WORK_WEIGHT = 0.25;
+
+/**
+ * How busy an upstream is for a call that takes `callMs`: its share of taken slots and some of the work
+ * that it has left, as slots become free by that; all of the work once no slot is free.
+ */
+export const getBusyness = (load: UpstreamLoad, slots: number, callMs: number): number => {
+  const { inFlight, endsMs } = load;
+  const leftMs = endsMs.reduce((sum, ms) => sum + ms, 0) + (inFlight - endsMs.length) * callMs;
+  const leftShare = leftMs / (slots * callMs);
+  return inFlight < slots
+    ? inFlight / slots + (WORK_WEIGHT * leftShare) / (1 + leftShare)
+    : 1 + WORK_WEIGHT + leftShare;
 };
 
 /** What was assumed of a request's cost when it was placed. */
--- a/packages/forwarding/src/pickServiceUpstream.ts
+++ b/packages/forwarding/src/pickServiceUpstream.ts
@@ -1,4 +1,4 @@
-import { countCalls } from "./costs/placementCosts.js";
+import { getBusyness } from "./costs/placementCosts.js";
 import type { Upstream } from "./fleetConfig.js";
 import { FAILURE_COST, LIMITED_COST, type PlacementCandidate } from "./placement.js";
 
@@ -16,9 +16,9 @@
 ): Upstream | undefined => {
   let best: { upstream: Upstream; cost: number } | undefined;
   for (const { upstream, load, failureRate, avoidance, pace = 1 } of candidates) {
-    const calls = callMs === undefined ? load.inFlight : countCalls(load, callMs);
+    const { slots } = upstream;
     const cost =
-      calls / upstream.slots +
+      (callMs === undefined ? load.inFlight / slots : getBusyness(load, slots, callMs)) +
       (pace - 1) +
       FAILURE_COST * failureRate +
       LIMITED_COST * avoidance +
--- a/packages/simulation/src/SimulatedFleet.ts
+++ b/packages/simulation/src/SimulatedFleet.ts
@@ -65,7 +65,8 @@
   readonly #upstreams = new Map<string, SimulatedUpstream>();
   readonly #leaving = new Set<string>();
   readonly #network: GatewayNetwork;
-  #gateways: SimulatedGateway[] = [];
+  /** Entry processes that are up. */
+  gateways: readonly SimulatedGateway[] = [];
   /** Times during which upstreams named limits. */
   readonly limitPeriods: LimitPeriod[] = [];
   /** Times at which a part of prompts crashed upstreams. */
@@ -83,7 +84,7 @@
     this.#costPolicy = costPolicy;
     this.#clock = clock;
     this.#random = random;
-    this.#network = new GatewayNetwork(clock, () => this.#gateways, pattern);
+    this.#network = new GatewayNetwork(clock, () => this.gateways, pattern);
     this.#config = {
       revision: 1,
       routes: pattern.classes.map((prompt) => newRoute(prompt)),
@@ -106,12 +107,12 @@
 
   /** A random gateway that accepts callers; undefined while all are down. */
   pickGateway(): SimulatedGateway | undefined {
-    return this.#gateways[Math.floor(this.#random.next() * this.#gateways.length)];
+    return this.gateways[Math.floor(this.#random.next() * this.gateways.length)];
   }
 
   /** False once the gateway's process has ended. */
   isUp(gateway: SimulatedGateway): boolean {
-    return this.#gateways.includes(gateway);
+    return this.gateways.includes(gateway);
   }
 
   /** Work at the serving upstreams now. */
@@ -158,7 +159,7 @@
         }
         return;
       case "restart":
-        this.#gateways = [];
+        this.gateways = [];
         this.#clock.setTimer(() => {
           this.#startGateways();
         }, incident.downMs);
@@ -177,7 +178,7 @@
         return upstream.open(req.headers, observer);
       },
     };
-    this.#gateways = Array.from({ length: this.#pattern.processes }, (_, index) => {
+    this.gateways = Array.from({ length: this.#pattern.processes }, (_, index) => {
       const name = `g${String(index)}-${String(incarnation)}`;
       const gateway = new SimulatedGateway({
         costs: newCosts(this.#costPolicy, this.#clock, (id) => getPace(this.#pattern, id)),
@@ -328,7 +329,7 @@
   #announceList(lagMs = LIST_LAG_MS): void {
     this.#clock.setTimer(() => {
       const list = this.#list();
-      this.#gateways.forEach((gateway) => {
+      this.gateways.forEach((gateway) => {
         gateway.applyUpstreams(list);
       });
     }, lagMs);
--- a/packages/simulation/src/SimulatedGateway.ts
+++ b/packages/simulation/src/SimulatedGateway.ts
@@ -3,6 +3,7 @@
   CrashEvidence,
   type CostBook,
   type CostSummary,
+  type EstimateError,
   CrashTracker,
   FleetView,
   Forwarder,
@@ -187,6 +188,11 @@
     return this.#costs?.getSummary();
   }
 
+  /** Errors of this process's estimates. */
+  getErrors(): readonly EstimateError[] {
+    return this.#costs?.errors.all ?? [];
+  }
+
   applyCosts(summary: CostSummary): void {
     this.#costs?.recordPeer(summary);
   }
--- a/packages/simulation/src/costPolicies.ts
+++ b/packages/simulation/src/costPolicies.ts
@@ -10,7 +10,9 @@
 
 /** What the entry processes of a simulated fleet know of costs. */
 export const CostPolicy = {
-  /** Published constants, and the length that callers state at most. */
+  /** Nothing: prompts by published constants and the length that callers state at most, calls by their number. */
+  Off: "off",
+  /** The same for the work that requests have left. */
   Published: "published",
   /** Means of what was seen. */
   Means: "means",
@@ -35,7 +37,7 @@
   }
 }
 
-/** Costs in hindsight: callers state the true lengths, and paces are known. */
+/** Lengths as callers state them, and known paces. */
 class KnownCosts extends CostBook {
   override readonly paces: UpstreamPaces;
 
@@ -49,6 +51,13 @@
   }
 }
 
+/** Costs as they are published. */
+class PublishedCosts extends KnownCosts {
+  override estimate(): undefined {
+    return undefined;
+  }
+}
+
 const MEAN_WEIGHT = 0.05;
 
 /** Exponentially weighted means by route, in place of quantiles. */
@@ -78,8 +87,10 @@
   getPace: (upstream: string) => number,
 ): CostBook | undefined => {
   switch (policy) {
-    case CostPolicy.Published:
+    case CostPolicy.Off:
       return undefined;
+    case CostPolicy.Published:
+      return new PublishedCosts(clock, () => 1);
     case CostPolicy.Means:
       return new MeanCosts(clock);
     case CostPolicy.Quantiles:
--- a/packages/simulation/src/index.ts
+++ b/packages/simulation/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./callExperiment.js";
 export * from "./costPolicies.js";
 export * from "./experiment.js";
 export * from "./pattern.js";
