Break import cycles between placement and learned costs

Cause: importCycles.test failed with four cycles of types. Change: getEndMs moves to load.ts, SendObserver to answerProgress.ts; plans take the fields that they need.

--- a/packages/forwarding/src/SendRunner.ts
+++ b/packages/forwarding/src/SendRunner.ts
@@ -6,7 +6,7 @@
 import type { Placement } from "./Placer.js";
 import { raceDeadline, NOT_SETTLED } from "./raceDeadline.js";
 import type { Reservations } from "./ReservationManager.js";
-import type { AnswerObserver, AnswerProgress } from "./answerProgress.js";
+import type { AnswerProgress, SendObserver } from "./answerProgress.js";
 import { Send } from "./Send.js";
 import { getStallTimeouts, getUrgency, orderHelpers } from "./sendParameters.js";
 import type { AnswerWriter, ForwardRequest } from "./types.js";
@@ -31,11 +31,7 @@
   return { result, reason: STOP_REASONS[result] ?? result };
 };
 
-/** Follows one send. */
-export interface SendObserver extends AnswerObserver {
-  /** Called right before the request goes to the upstream. */
-  onOpen(): void;
-}
+export type { SendObserver };
 
 /** Runs the sends of one request: reserves KV memory, sends, and ends each at the deadline. */
 export class SendRunner {
--- a/packages/forwarding/src/answerProgress.ts
+++ b/packages/forwarding/src/answerProgress.ts
@@ -20,3 +20,9 @@
   /** Called when `count` events of the answer arrived. */
   onEvents(count: number): void;
 }
+
+/** Follows one send. */
+export interface SendObserver extends AnswerObserver {
+  /** Called right before the request goes to the upstream. */
+  onOpen(): void;
+}
--- a/packages/forwarding/src/costs/CostLesson.ts
+++ b/packages/forwarding/src/costs/CostLesson.ts
@@ -2,7 +2,7 @@
 
 import { SendResult, type SendOutcome } from "../outcomes.js";
 import type { Placement } from "../Placer.js";
-import type { SendObserver } from "../SendRunner.js";
+import type { SendObserver } from "../answerProgress.js";
 import type { ForwardRequest } from "../types.js";
 import { CostKind, type CostBook, type CostKey } from "./CostBook.js";
 import { EstimateKind } from "./EstimateErrors.js";
--- a/packages/forwarding/src/costs/placementCosts.test.ts
+++ b/packages/forwarding/src/costs/placementCosts.test.ts
@@ -1,11 +1,16 @@
 import { SeededRandom } from "@lycheepulley/core";
 import { expect } from "chai";
 
-import { estimateRemaining, newUpstreamLoad, sumLoads, type TimedLoadItem } from "../load.js";
+import {
+  estimateRemaining,
+  getEndMs,
+  newUpstreamLoad,
+  sumLoads,
+  type TimedLoadItem,
+} from "../load.js";
 import { pickServiceUpstream } from "../pickServiceUpstream.js";
 import { planPlacement, type PlacementCandidate } from "../placement.js";
 import { ENGINE, newCandidates, newItem, newPrompt } from "../testing/samples.js";
-import { getEndMs } from "./placementCosts.js";
 
 const newTimed = (id: string, fields: Partial<TimedLoadItem>): TimedLoadItem => ({
   ...newItem(id),
--- a/packages/forwarding/src/costs/placementCosts.ts
+++ b/packages/forwarding/src/costs/placementCosts.ts
@@ -63,12 +63,6 @@
   };
 };
 
-/** Expected time until the `count`th request at an upstream ends, milliseconds; undefined when unknown. */
-export const getEndMs = ({ endsMs, inFlight }: UpstreamLoad, count: number): number | undefined =>
-  inFlight === 0 || endsMs.length < inFlight
-    ? undefined
-    : [...endsMs].sort((a, b) => a - b)[Math.min(count, endsMs.length) - 1];
-
 /** Weight of the work that an upstream has left beside the number of its calls, while it has free slots. */
 const WORK_WEIGHT = 0.25;
 
--- a/packages/forwarding/src/decodePlan.ts
+++ b/packages/forwarding/src/decodePlan.ts
@@ -1,6 +1,6 @@
 import { getPassMs } from "./engineModel.js";
 import type { EngineSpec } from "./fleetConfig.js";
-import type { PlacementCandidate, PlacementRequest } from "./placement.js";
+import type { UpstreamLoad } from "./load.js";
 
 /** How the answer is expected to be decoded. */
 export interface DecodePlan {
@@ -15,8 +15,12 @@
 /** How a candidate is expected to decode the answer of a prompt. */
 export const newDecodePlan = (
   engine: EngineSpec,
-  { promptTokens, outputTokens, stretch = 1 }: PlacementRequest,
-  { load, pace = 1 }: PlacementCandidate,
+  {
+    promptTokens,
+    outputTokens,
+    stretch = 1,
+  }: { readonly promptTokens: number; readonly outputTokens: number; readonly stretch?: number },
+  { load, pace = 1 }: { readonly load: UpstreamLoad; readonly pace?: number },
 ): DecodePlan => {
   const { stepsPerPass } = engine;
   const passMs =
--- a/packages/forwarding/src/load.ts
+++ b/packages/forwarding/src/load.ts
@@ -281,3 +281,9 @@
   }
   return loads;
 };
+
+/** Expected time until the `count`th request at an upstream ends, milliseconds; undefined when unknown. */
+export const getEndMs = ({ endsMs, inFlight }: UpstreamLoad, count: number): number | undefined =>
+  inFlight === 0 || endsMs.length < inFlight
+    ? undefined
+    : [...endsMs].sort((a, b) => a - b)[Math.min(count, endsMs.length) - 1];
--- a/packages/forwarding/src/placement.ts
+++ b/packages/forwarding/src/placement.ts
@@ -1,4 +1,3 @@
-import { getEndMs } from "./costs/placementCosts.js";
 import { newDecodePlan, type DecodePlan } from "./decodePlan.js";
 import { getPassMs, getReadMs } from "./engineModel.js";
 import type { EngineSpec, Upstream } from "./fleetConfig.js";
@@ -10,7 +9,7 @@
   LATE_LOSS,
   type Prospect,
 } from "./lateness.js";
-import type { UpstreamLoad } from "./load.js";
+import { getEndMs, type UpstreamLoad } from "./load.js";
 
 /** Most upstreams that prefill a prompt besides the one that decodes the answer. */
 export const MAX_HELPERS = 16;
--- a/packages/forwarding/src/placementRequest.ts
+++ b/packages/forwarding/src/placementRequest.ts
@@ -3,7 +3,7 @@
 import type { EngineSpec } from "./fleetConfig.js";
 import { estimateValue } from "./lateness.js";
 import type { PlacementRequest } from "./placement.js";
-import type { PlacementQuery } from "./Placer.js";
+import type { AnswerTimeline } from "./AnswerTimeline.js";
 import { DEFAULT_GAP_MS } from "./requestLoad.js";
 import type { ForwardRequest } from "./types.js";
 
@@ -13,7 +13,17 @@
 
 /** The prompt of a query as placement sees it at the monotonic time `now`. */
 export const newPlacementRequest = (
-  { req, pool, deadlineAtMs, timeline }: PlacementQuery,
+  {
+    req,
+    pool,
+    deadlineAtMs,
+    timeline,
+  }: {
+    readonly req: ForwardRequest;
+    readonly pool: string;
+    readonly deadlineAtMs: number;
+    readonly timeline: AnswerTimeline;
+  },
   { engine, now, costs }: { engine: EngineSpec; now: number; costs: CostBook | undefined },
 ): Omit<PlacementRequest, "shortGapMs"> => {
   const { tokens, memoryTokens } = estimateAnswer(costs, req, pool);
