--- a/packages/forwarding/src/costs/placementCosts.ts
+++ b/packages/forwarding/src/costs/placementCosts.ts
@@ -53,6 +53,9 @@
     return { load };
   }
   const pace = costs.paces.get(upstream.id, load.inFlight / upstream.slots);
+  if (pace === 1) {
+    return { load, pace };
+  }
   const { pendingReadMs, pendingHelpMs } = load;
   return {
     pace,
@@ -60,16 +63,20 @@
   };
 };
 
-/** Expected time until the `count`th request at an upstream ends, milliseconds; undefined when unknown. */
-export const getEndMs = ({ endsMs, inFlight }: UpstreamLoad, count: number): number | undefined =>
-  inFlight === 0 || endsMs.length < inFlight
-    ? undefined
-    : [...endsMs].sort((a, b) => a - b)[Math.min(count, endsMs.length) - 1];
+/** Weight of the work that an upstream has left beside the number of its calls, while it has free slots. */
+const WORK_WEIGHT = 0.25;
 
-/** Work at an upstream in calls that take `callMs`, where those of unknown cost count as one. */
-export const countCalls = (load: UpstreamLoad, callMs: number): number => {
-  const knownMs = load.endsMs.reduce((sum, ms) => sum + ms, 0);
-  return knownMs / callMs + Math.max(0, load.inFlight - load.endsMs.length);
+/**
+ * How busy an upstream is for a call that takes `callMs`: its share of taken slots and some of the work
+ * that it has left, as slots become free by that; all of the work once no slot is free.
+ */
+export const getBusyness = (load: UpstreamLoad, slots: number, callMs: number): number => {
+  const { inFlight, endsMs } = load;
+  const leftMs = endsMs.reduce((sum, ms) => sum + ms, 0) + (inFlight - endsMs.length) * callMs;
+  const leftShare = leftMs / (slots * callMs);
+  return inFlight < slots
+    ? inFlight / slots + (WORK_WEIGHT * leftShare) / (1 + leftShare)
+    : 1 + WORK_WEIGHT + leftShare;
 };
 
 /** What was assumed of a request's cost when it was placed. */
--- a/packages/forwarding/src/placement.ts
+++ b/packages/forwarding/src/placement.ts
@@ -1,4 +1,3 @@
-import { getEndMs } from "./costs/placementCosts.js";
 import { newDecodePlan, type DecodePlan } from "./decodePlan.js";
 import { getPassMs, getReadMs } from "./engineModel.js";
 import type { EngineSpec, Upstream } from "./fleetConfig.js";
@@ -10,7 +9,7 @@
   LATE_LOSS,
   type Prospect,
 } from "./lateness.js";
-import type { UpstreamLoad } from "./load.js";
+import { getEndMs, type UpstreamLoad } from "./load.js";
 import { getAnswerMs } from "./room/forecast.js";
 import { getFreeTokens, splitTokens, type Release } from "./room/memory.js";
 
