Bind requests to the home regions of routes and customers, and name entry processes by domain and strength

Cause: allowed_regions of routes and tenants were not read; the directory named a random sample of all processes.

Change: homeRegions of routes and customers, regions of the failure domains from the settings; where both bind, both hold.

--- a/packages/callers/src/forward/ForwardServer.ts
+++ b/packages/callers/src/forward/ForwardServer.ts
@@ -6,6 +6,7 @@
 import {
   canFinishWhileDraining,
   DEFAULT_CALLER_LIMITS,
+  intersectHomes,
   type AnswerWriter,
   type Dialect,
   type FleetView,
@@ -197,7 +198,7 @@
       this.#reject(head, writer, admission);
       return;
     }
-    const { route, customer, priority, revision } = admission;
+    const { route, customer, priority, revision, homes } = admission;
     const body = await this.#readBody(req);
     if (signal.aborted) {
       return;
@@ -205,7 +206,7 @@
     progress.isForwarded = true;
     await this.#forward(
       {
-        ...{ head, route, body, customer, priority, revision, receivedMs, signal },
+        ...{ head, route, body, customer, priority, revision, receivedMs, signal, homes },
         fingerprint: getFingerprint(head, customer, body),
       },
       writer,
@@ -216,7 +217,7 @@
   #findRoute(
     head: RequestHead,
   ):
-    | { route: Route; customer: string | undefined; priority: number; revision: number }
+    | Pick<ForwardRequest, "route" | "customer" | "priority" | "revision" | "homes">
     | { status: number; message: string } {
     const { table } = this.#view;
     if (!table) {
@@ -231,14 +232,16 @@
     }
     const { revision } = table.config;
     if (!table.config.customers || route.isPublic) {
-      return { route, customer: undefined, priority: route.priority, revision };
+      const homes = intersectHomes([route.homeRegions]);
+      return { route, customer: undefined, priority: route.priority, revision, homes };
     }
     const customer = head.apiKey === undefined ? undefined : table.findCustomer(head.apiKey);
     if (!customer) {
       return { status: 401, message: "no customer holds this API key" };
     }
     const priority = customer.priority ?? route.priority;
-    return { route, customer: customer.name, priority, revision };
+    const homes = intersectHomes([route.homeRegions, customer.homeRegions]);
+    return { route, customer: customer.name, priority, revision, homes };
   }
 
   #canFinish(route: Route, head: RequestHead): boolean {
--- a/packages/daemon/src/gateway/DetourConnector.ts
+++ b/packages/daemon/src/gateway/DetourConnector.ts
@@ -3,6 +3,7 @@
   DetourPeers,
   UplinkMonitor,
   type Connector,
+  type Homes,
   type PeerTable,
   type Upstream,
   type UpstreamAddress,
@@ -30,6 +31,7 @@
   readonly #peerPort: number;
   readonly #monitor: UplinkMonitor;
   readonly #peers: DetourPeers;
+  readonly #isHome: (homes: Homes, peer: string) => boolean;
   #detours = 0;
   #relaysUntilMs = Infinity;
 
@@ -41,6 +43,8 @@
     peerPort: number;
     getUpstreams: () => readonly Upstream[];
     peers: Pick<PeerTable, "getServing" | "getLeaving">;
+    /** True when a peer's host is in one of these regions. */
+    isHome: (homes: Homes, peer: string) => boolean;
     onChange: (isLost: boolean) => void;
   }) {
     const { clock, random, logger, getUpstreams, onChange } = options;
@@ -48,6 +52,7 @@
     this.#direct = options.direct;
     this.#logger = logger;
     this.#peerPort = options.peerPort;
+    this.#isHome = options.isHome;
     const { peers } = options;
     this.#peers = new DetourPeers({
       ...{ clock, random },
@@ -108,10 +113,13 @@
     }
   }
 
-  async #connectThroughPeers(address: UpstreamAddress, timeoutMs: number): Promise<Duplex> {
+  async #connectThroughPeers(
+    { host, port, homes }: UpstreamAddress,
+    timeoutMs: number,
+  ): Promise<Duplex> {
     const endMs = this.#clock.now() + timeoutMs;
     let lastErr: unknown = new RelayError("no peer", false);
-    for (const peer of this.#peers.select(MAX_PEERS)) {
+    for (const peer of this.#peers.select(MAX_PEERS, (one) => this.#isHome(homes, one))) {
       const leftMs = endMs - this.#clock.now();
       if (leftMs <= 0) {
         break;
@@ -119,7 +127,7 @@
       try {
         const socket = await openRelay(
           { host: peer, port: this.#peerPort },
-          { ...address, timeoutMs: Math.min(RELAY_TIMEOUT_MS, leftMs) },
+          { host, port, timeoutMs: Math.min(RELAY_TIMEOUT_MS, leftMs) },
         );
         this.#detours += 1;
         return socket;
@@ -127,7 +135,7 @@
         lastErr = err;
         this.#peers.recordFailed(peer);
         this.#logger.info("connection through peer failed", {
-          ...{ step: "connect", peer, upstream: address.host, err: getMessage(err) },
+          ...{ step: "connect", peer, upstream: host, err: getMessage(err) },
         });
         if (err instanceof RelayError && err.hasTried) {
           break;
--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -24,7 +24,7 @@
 import { DatagramChannel, NodeServer } from "@lycheepulley/nodes";
 import { ForwardMetrics, type Logger } from "@lycheepulley/telemetry";
 
-import { CallerAddresses } from "./CallerAddresses.js";
+import { CallerAddresses, type AskingCaller } from "./CallerAddresses.js";
 import { closeAndDrain } from "./closeAndDrain.js";
 import { CrashExchange } from "./CrashExchange.js";
 import { DetourConnector } from "./DetourConnector.js";
@@ -53,11 +53,10 @@
     countLimited: () => this.#limitExchange.limits.all.length,
     countResting: () => this.#limitExchange.rests.count,
     countParts: () => countByStatus(this.#crashExchange.guard.evidence.suspects),
-    countDetours: () => this.#connector.detours,
-    hasLostLinks: () => this.#connector.isLost,
+    ...{ countDetours: () => this.#connector.detours, hasLostLinks: () => this.#connector.isLost },
     countEvacuated: () => this.#evacuations.count,
   });
-  readonly #view = new FleetView(this.#clock);
+  readonly #view: FleetView;
   readonly #listTracker: UpstreamListTracker;
   readonly #evacuations: EvacuationTracker;
   readonly #connector: DetourConnector;
@@ -91,6 +90,7 @@
     const clock = this.#clock;
     this.#settings = settings;
     this.#logger = logger;
+    this.#view = new FleetView(clock, settings.regions);
     this.#health = new UpstreamHealth(clock);
     this.#listTracker = new UpstreamListTracker({
       ...{ clock, view: this.#view, logger, upstreamBeatMs: settings.upstreamBeatMs },
@@ -104,9 +104,10 @@
     });
     this.#peers = new PeerTable({ clock, self: settings.host });
     this.#addresses = new CallerAddresses({
-      ...{ random: this.#random, peers: this.#peers },
+      ...{ self: settings.host, regions: settings.regions, peers: this.#peers },
+      random: this.#random,
       getReadAgeMs: () => this.#readerSelection.getAges().listMs,
-      getOwn: () => (this.isReady ? this.#getIdentity().callerAddress : undefined),
+      getOwn: () => (this.isReady ? this.#getIdentity() : undefined),
     });
     this.#readerSelection = new ReaderSelection({
       ...{ clock, self: settings, peers: this.#peers },
@@ -185,6 +186,7 @@
       ...{ clock, random: this.#random, logger, direct: links.connector },
       ...{ peerPort: settings.peerPort, peers: this.#peers },
       getUpstreams: () => [...this.#view.upstreams.values()],
+      isHome: (homes, peer) => this.#view.isHome(homes, this.#peers.getFailureDomain(peer)),
       onChange: () => {
         this.#health.reset();
       },
@@ -243,9 +245,9 @@
     return isInformed && !this.#isDraining;
   }
 
-  /** Addresses of at most `limit` processes that serve callers; this one may be among them. */
-  getAddresses(limit: number): string[] {
-    return this.#addresses.select(limit);
+  /** Addresses of at most `limit` processes for a caller that wants to call `host`. */
+  getAddresses(limit: number, host: string, caller: AskingCaller): string[] {
+    return this.#addresses.select(limit, { ...caller, homes: this.#view.getHostHomes(host) });
   }
 
   async start(): Promise<void> {
--- a/packages/daemon/src/gateway/types.ts
+++ b/packages/daemon/src/gateway/types.ts
@@ -1,4 +1,4 @@
-import type { EvacuationList, FleetConfig, UpstreamList } from "@lycheepulley/forwarding";
+import type { EvacuationList, FleetConfig, Regions, UpstreamList } from "@lycheepulley/forwarding";
 
 /** Watches a value that another system holds and reports its changes to one observer. */
 export interface Source<T> {
@@ -34,6 +34,8 @@
   readonly name: string;
   readonly host: string;
   readonly failureDomain: string;
+  /** Regions of the failure domains, which homes of routes and customers name. */
+  readonly regions?: Regions;
   /** Size of the VM, in cores. */
   readonly capacity: number;
   readonly callerPort: number;
--- a/packages/forwarding/src/FleetView.ts
+++ b/packages/forwarding/src/FleetView.ts
@@ -10,6 +10,7 @@
   type UpstreamList,
 } from "./fleetConfig.js";
 import type { ListCorrections } from "./DepartedUpstreams.js";
+import { isHome, type Homes, type Regions } from "./regions.js";
 import { RouteTable } from "./RouteTable.js";
 
 /** Ids of upstreams that a list added, and of those that it removed or that began to drain. */
@@ -29,6 +30,7 @@
 /** Configuration and upstreams in force at this process. */
 export class FleetView {
   readonly #clock: Clock;
+  readonly #regions: Regions;
   #table: RouteTable | undefined;
   #upstreams = new Map<string, Upstream>();
   #byPool = new Map<string, readonly Upstream[]>();
@@ -41,8 +43,9 @@
   /** Upstreams that said in answers that they leave; the newest last. An id is never used again. */
   readonly #saidLeaving = new Set<string>();
 
-  constructor(clock: Clock = new SystemClock()) {
+  constructor(clock: Clock = new SystemClock(), regions: Regions = new Map()) {
     this.#clock = clock;
+    this.#regions = regions;
   }
 
   /** Route table of the configuration in force; undefined before one is known. */
@@ -178,11 +181,24 @@
     return Math.max(0, 1 - (this.#clock.now() - takenBackMs) / RETURN_MS);
   }
 
-  /** Upstreams of a pool that accept new requests. */
-  getAvailable(pool: string): readonly Upstream[] {
+  /** Regions in which any request to a host is handled; undefined when it may be anywhere. */
+  getHostHomes(host: string): Homes {
+    return this.#table?.getHostHomes(host);
+  }
+
+  /** True when a failure domain is in one of these regions. */
+  isHome(homes: Homes, failureDomain: string): boolean {
+    return isHome(homes, this.#regions, failureDomain);
+  }
+
+  /** Upstreams of a pool that accept new requests with these homes. */
+  getAvailable(pool: string, homes?: Homes): readonly Upstream[] {
     return (this.#byPool.get(pool) ?? []).filter(
       ({ id, isLeaving, failureDomain }) =>
-        !isLeaving && !this.#saidLeaving.has(id) && !this.#evacuated.has(failureDomain),
+        !isLeaving &&
+        !this.#saidLeaving.has(id) &&
+        !this.#evacuated.has(failureDomain) &&
+        this.isHome(homes, failureDomain),
     );
   }
 }
--- a/packages/forwarding/src/ForwardJob.ts
+++ b/packages/forwarding/src/ForwardJob.ts
@@ -103,7 +103,8 @@
     this.#live.add(live);
     this.#loaded = undefined;
     const planned = await this.#planner.plan({
-      ...{ req: this.#req, pool: this.#pool, excluded: this.#feedback.excluded },
+      ...{ req: this.#req, pool: this.#pool, homes: this.#req.homes },
+      excluded: this.#feedback.excluded,
       ...{ timeline: this.#timeline, deadlineAtMs: this.#deadlineAtMs, signal: abort.signal },
     });
     if (planned.kind !== "planned") {
@@ -234,7 +235,7 @@
     return (
       this.#live.size === 1 &&
       canReplaceStalled(this.#req.route, history) &&
-      this.#placer.hasAlternative({ pool: this.#pool, excluded })
+      this.#placer.hasAlternative({ pool: this.#pool, homes: this.#req.homes, excluded })
     );
   }
 
--- a/packages/forwarding/src/PeerTable.ts
+++ b/packages/forwarding/src/PeerTable.ts
@@ -158,6 +158,11 @@
     return this.#getWithMaxSilence(() => ISOLATION_GRACE_MS).filter(isServing);
   }
 
+  /** Failure domain of a peer, as its newest heartbeat states it. */
+  getFailureDomain(host: string): string {
+    return this.#entries.get(host)?.identity?.failureDomain ?? "";
+  }
+
   /** Peers that are about to end. */
   getLeaving(): PeerIdentity[] {
     return this.getLive().filter(({ state }) => state === PeerState.Leaving);
--- a/packages/forwarding/src/Placer.ts
+++ b/packages/forwarding/src/Placer.ts
@@ -20,6 +20,7 @@
   type PlacementRequest,
 } from "./placement.js";
 import { CALL_LOAD, DEFAULT_GAP_MS, getKvTokens, getPromptLoad } from "./requestLoad.js";
+import type { Homes } from "./regions.js";
 import { getRetryAfterMs, REJECTED_RETRY_AFTER_MS } from "./retryAfter.js";
 import { selectCandidates } from "./selectCandidates.js";
 import { selectSeparate } from "./selectSeparate.js";
@@ -56,6 +57,7 @@
 export interface PlacementQuery {
   readonly req: ForwardRequest;
   readonly pool: string;
+  readonly homes?: Homes;
   /** Ids of upstreams that already failed this request. */
   readonly excluded: ReadonlySet<string>;
   /** Monotonic time of the request's deadline. */
@@ -68,6 +70,8 @@
   readonly isApart: boolean;
 }
 
+type Choice = Pick<PlacementQuery, "pool" | "homes" | "excluded">;
+
 /** Chooses upstreams for requests; a prompt waits only while no upstreams have the KV memory. */
 export class Placer {
   readonly #clock: Clock;
@@ -135,9 +139,9 @@
   }
 
   /** True when a pool has an active upstream besides the excluded ones. */
-  hasAlternative({ pool, excluded }: Pick<PlacementQuery, "pool" | "excluded">): boolean {
+  hasAlternative({ pool, homes, excluded }: Choice): boolean {
     return this.#view
-      .getAvailable(pool)
+      .getAvailable(pool, homes)
       .some(({ id }) => !excluded.has(id) && !this.#health.isEjected(id) && this.#quota.isOpen(id));
   }
 
@@ -198,12 +202,12 @@
     const waitedMs = now - startMs;
     return upstream
       ? { upstream, plan: undefined, request: undefined, waitedMs, isApart: query.isApart }
-      : this.#getLack(query.pool);
+      : this.#getLack(query);
   }
 
   /** Why there are no candidates. */
-  #getLack(pool: string): PlacementFailure {
-    return this.#view.getAvailable(pool).length > 0
+  #getLack({ pool, homes }: Choice): PlacementFailure {
+    return this.#view.getAvailable(pool, homes).length > 0
       ? PlacementFailure.Limited
       : PlacementFailure.NoUpstream;
   }
@@ -222,7 +226,7 @@
       const isSmall = isForOneUpstream(query.req.head.promptTokens);
       const candidates = await this.#getCandidates({ ...query, isSmall });
       if (candidates.length === 0) {
-        return this.#getLack(query.pool);
+        return this.#getLack(query);
       }
       const shortGapMs = this.#view.table?.getShortGapMs(query.pool) ?? 0;
       const request = { ...newPlacementRequest(query, engine, now), shortGapMs };
@@ -273,22 +277,18 @@
   }
 
   /** Upstreams that haven't failed the request, or all when they have. */
-  #getUsable({ pool, excluded }: Pick<PlacementQuery, "pool" | "excluded">): readonly Upstream[] {
-    const available = this.#view.getAvailable(pool);
+  #getUsable({ pool, homes, excluded }: Choice): readonly Upstream[] {
+    const available = this.#view.getAvailable(pool, homes);
     const untried = available.filter(({ id }) => !excluded.has(id));
     return untried.length > 0 ? untried : available;
   }
 
   async #getCandidates({
-    pool,
-    excluded,
     isApart = false,
     isSmall = false,
-  }: Pick<PlacementQuery, "pool" | "excluded"> & {
-    isApart?: boolean;
-    isSmall?: boolean;
-  }): Promise<readonly PlacementCandidate[]> {
-    const open = this.#getUsable({ pool, excluded }).filter(({ id }) => this.#quota.isOpen(id));
+    ...choice
+  }: Choice & { isApart?: boolean; isSmall?: boolean }): Promise<readonly PlacementCandidate[]> {
+    const open = this.#getUsable(choice).filter(({ id }) => this.#quota.isOpen(id));
     const active = this.#health.selectActive(open);
     const isAsked = this.#peerLoads?.isNeeded ?? false;
     const options = { isSmall, isAsked, random: this.#random };
--- a/packages/forwarding/src/RouteTable.ts
+++ b/packages/forwarding/src/RouteTable.ts
@@ -1,4 +1,5 @@
 import type { FleetConfig, ForwardCustomer, Pool, Route } from "./fleetConfig.js";
+import { intersectHomes, type Homes } from "./regions.js";
 
 /** Index of one configuration: routes by host and path prefix, customers by API key, pools by name. */
 export class RouteTable {
@@ -46,6 +47,12 @@
     return undefined;
   }
 
+  /** Regions in which any request to a host is handled; undefined when it may be anywhere. */
+  getHostHomes(host: string): Homes {
+    const routes = [...(this.#byHost.get(host.toLowerCase())?.values() ?? [])];
+    return intersectHomes(routes.map(({ homeRegions }) => homeRegions));
+  }
+
   /** Customer that holds an API key. */
   findCustomer(key: string): ForwardCustomer | undefined {
     return this.#byApiKey.get(key);
--- a/packages/forwarding/src/SendRunner.ts
+++ b/packages/forwarding/src/SendRunner.ts
@@ -144,6 +144,7 @@
       {
         ...{ host: placement.upstream.host, port: placement.upstream.port },
         ...{ method: req.head.method, path: req.head.path, headers, body: req.body },
+        homes: req.homes,
         connectTimeoutMs: Math.min(CONNECT_TIMEOUT_MS, this.#deadlineAtMs - now),
       },
       send,
--- a/packages/forwarding/src/fleetConfig.ts
+++ b/packages/forwarding/src/fleetConfig.ts
@@ -33,6 +33,8 @@
   maxAttempts: z.number().int().positive(),
   /** Callers need no API key. */
   isPublic: z.boolean(),
+  /** Regions in which its requests are handled; absent for any. */
+  homeRegions: z.array(z.string()).optional(),
 });
 export type Route = z.infer<typeof routeSchema>;
 
@@ -64,6 +66,8 @@
   apiKeys: z.array(z.string()),
   /** Takes precedence over the route's priority. */
   priority: z.number().int().nonnegative().optional(),
+  /** Regions in which its requests are handled, besides those of the route; absent for any. */
+  homeRegions: z.array(z.string()).optional(),
 });
 export type ForwardCustomer = z.infer<typeof customerSchema>;
 
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -25,6 +25,7 @@
 export * from "./load.js";
 export * from "./LoadTracker.js";
 export * from "./PeerLoads.js";
+export * from "./regions.js";
 export * from "./relays.js";
 export * from "./members.js";
 export * from "./outcomes.js";
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -1,6 +1,7 @@
 import type { Duplex } from "node:stream";
 
 import type { Route, Upstream } from "./fleetConfig.js";
+import type { Homes } from "./regions.js";
 
 /** Headers as a flat list of names and values, in their order on the wire. */
 export type HeaderList = readonly string[];
@@ -31,6 +32,8 @@
   readonly body: Buffer;
   /** Name of the customer whose API key the request carries. */
   readonly customer: string | undefined;
+  /** Regions of the upstreams and the peers that may have it. */
+  readonly homes?: Homes;
   readonly priority: number;
   /** Revision of the configuration that admitted it. */
   readonly revision: number;
@@ -146,6 +149,8 @@
 export interface UpstreamAddress {
   readonly host: string;
   readonly port: number;
+  /** Regions of the peers through which a connection may go. */
+  readonly homes?: Homes;
 }
 
 /** Opens connections to upstreams. */
@@ -165,6 +170,7 @@
       readonly headers: HeaderList;
       readonly body: Buffer;
       readonly connectTimeoutMs: number;
+      readonly homes?: Homes;
     },
     observer: CallObserver,
   ): UpstreamCall;
--- a/packages/forwarding/src/uplink/DetourPeers.ts
+++ b/packages/forwarding/src/uplink/DetourPeers.ts
@@ -27,16 +27,16 @@
     this.#getLeavingHosts = options.getLeavingHosts;
   }
 
-  /** At most `count` peers in the order in which to ask them: then those that leave, then those that failed lately. */
-  select(count: number): string[] {
+  /** At most `count` allowed peers in the order in which to ask them: then those that leave, then those that failed lately. */
+  select(count: number, isAllowed: (host: string) => boolean = () => true): string[] {
     const now = this.#clock.now();
     for (const [host, untilMs] of this.#avoidedUntilMs) {
       if (untilMs <= now) {
         this.#avoidedUntilMs.delete(host);
       }
     }
-    const serving = this.#getHosts();
-    const leaving = this.#getLeavingHosts();
+    const serving = this.#getHosts().filter(isAllowed);
+    const leaving = this.#getLeavingHosts().filter(isAllowed);
     const isAvoided = (host: string): boolean => this.#avoidedUntilMs.has(host);
     const isFresh = (host: string): boolean => !isAvoided(host);
     const groups = [
