--- a/packages/callers/src/forward/ForwardServer.ts
+++ b/packages/callers/src/forward/ForwardServer.ts
@@ -16,6 +16,7 @@
 import { readBody, BodyTooLargeError } from "@lycheepulley/http";
 import type { Logger } from "@lycheepulley/telemetry";
 
+import { newAdmission, type Admission } from "./admission.js";
 import { CallerConnections } from "./CallerConnections.js";
 import { getHeldLimitBytes, HeldMemory } from "./HeldMemory.js";
 import { allowHalfClosed, probeHalfClosed } from "./halfClosed.js";
@@ -211,7 +212,6 @@
       this.#reject(head, writer, admission);
       return;
     }
-    const { route, customer, priority, revision } = admission;
     const body = await this.#readBody(req, writer);
     if (signal.aborted) {
       return;
@@ -219,19 +219,15 @@
     progress.isForwarded = true;
     await this.#forward(
       {
-        ...{ head, route, body, customer, priority, revision, receivedMs, signal },
-        fingerprint: getFingerprint(head, customer, body),
+        ...{ ...admission, head, body, receivedMs, signal },
+        fingerprint: getFingerprint(head, admission.customer, body),
       },
       writer,
     );
   }
 
   /** Finds the request's route, customer and priority, or the answer that rejects it. */
-  #findRoute(
-    head: RequestHead,
-  ):
-    | { route: Route; customer: string | undefined; priority: number; revision: number }
-    | { status: number; message: string } {
+  #findRoute(head: RequestHead): Admission | { status: number; message: string } {
     const { table } = this.#view;
     if (!table) {
       return { status: 503, message: "not run: no configuration is known yet" };
@@ -245,14 +241,13 @@
     }
     const { revision } = table.config;
     if (!table.config.customers || route.isPublic) {
-      return { route, customer: undefined, priority: route.priority, revision };
+      return newAdmission(route, undefined, revision);
     }
     const customer = head.apiKey === undefined ? undefined : table.findCustomer(head.apiKey);
     if (!customer) {
       return { status: 401, message: "no customer holds this API key" };
     }
-    const priority = customer.priority ?? route.priority;
-    return { route, customer: customer.name, priority, revision };
+    return newAdmission(route, customer, revision);
   }
 
   #canFinish(route: Route, head: RequestHead): boolean {
--- a/packages/daemon/src/gateway/types.ts
+++ b/packages/daemon/src/gateway/types.ts
@@ -2,6 +2,7 @@
   EvacuationList,
   FleetConfig,
   RateBounds,
+  Regions,
   UpstreamList,
 } from "@lycheepulley/forwarding";
 
@@ -39,6 +40,8 @@
   readonly name: string;
   readonly host: string;
   readonly failureDomain: string;
+  /** Regions of the failure domains, which homes of routes and customers name. */
+  readonly regions?: Regions;
   /** Size of the VM, in cores. */
   readonly capacity: number;
   /** Memory of the VM, megabytes; undefined when it isn't known. */
--- a/packages/forwarding/src/Placer.ts
+++ b/packages/forwarding/src/Placer.ts
@@ -46,6 +46,8 @@
 
 export * from "./placementQuery.js";
 
+type Choice = Pick<PlacementQuery, "pool" | "homes" | "excluded">;
+
 /** Chooses upstreams for requests; a prompt waits only while no upstreams have the KV memory. */
 export class Placer {
   readonly #clock: Clock;
@@ -128,9 +130,9 @@
   }
 
   /** True when a pool has an active upstream besides the excluded ones. */
-  hasAlternative({ pool, excluded }: Pick<PlacementQuery, "pool" | "excluded">): boolean {
+  hasAlternative({ pool, homes, excluded }: Choice): boolean {
     return this.#view
-      .getAvailable(pool)
+      .getAvailable(pool, homes)
       .some(({ id }) => !excluded.has(id) && !this.#health.isEjected(id) && this.#quota.isOpen(id));
   }
 
@@ -197,7 +199,7 @@
     const candidates = await this.#getCandidates(query);
     const upstream = pickServiceUpstream(candidates, this.#random, callMs);
     if (!upstream) {
-      return this.#getLack(query.pool);
+      return this.#getLack(query);
     }
     return {
       ...{ upstream, plan: undefined, request: undefined, waitedMs: now - startMs },
@@ -206,8 +208,8 @@
   }
 
   /** Why there are no candidates. */
-  #getLack(pool: string): PlacementFailure {
-    return this.#view.getAvailable(pool).length > 0
+  #getLack({ pool, homes }: Choice): PlacementFailure {
+    return this.#view.getAvailable(pool, homes).length > 0
       ? PlacementFailure.Limited
       : PlacementFailure.NoUpstream;
   }
@@ -229,7 +231,7 @@
       }
       const candidates = await this.#getCandidates({ ...query, isSmall, isWhole, engine });
       if (candidates.length === 0) {
-        return this.#getLack(query.pool);
+        return this.#getLack(query);
       }
       const shortGapMs = this.#view.table?.getShortGapMs(query.pool) ?? 0;
       const request = {
@@ -252,7 +254,7 @@
       }
       isNew = false;
       if (isWhole) {
-        const upstreams = this.#view.getAvailable(pool).length;
+        const upstreams = this.#view.getAvailable(pool, query.homes).length;
         const asked = { req, pool, engine, request, candidates };
         const cause = this.room.decide({ ...asked, upstreams, deadlineLeftMs, mayReject });
         if (cause) {
@@ -286,27 +288,27 @@
   }
 
   /** Upstreams that haven't failed the request, or all when they have. */
-  #getUsable({ pool, excluded }: Pick<PlacementQuery, "pool" | "excluded">): readonly Upstream[] {
-    const available = this.#view.getAvailable(pool);
+  #getUsable({ pool, homes, excluded }: Choice): readonly Upstream[] {
+    const available = this.#view.getAvailable(pool, homes);
     const untried = available.filter(({ id }) => !excluded.has(id));
     return untried.length > 0 ? untried : available;
   }
 
   async #getCandidates({
     req,
-    pool,
-    excluded,
     isApart,
     isSmall = false,
     isWhole = false,
     engine,
-  }: Pick<PlacementQuery, "req" | "pool" | "excluded" | "isApart"> & {
-    isSmall?: boolean;
-    /** All upstreams are candidates, as far as their loads are known here. */
-    isWhole?: boolean;
-    engine?: EngineSpec;
-  }): Promise<readonly PlacementCandidate[]> {
-    const open = this.#getUsable({ pool, excluded }).filter(({ id }) => this.#quota.isOpen(id));
+    ...choice
+  }: Choice &
+    Pick<PlacementQuery, "req" | "isApart"> & {
+      isSmall?: boolean;
+      /** All upstreams are candidates, as far as their loads are known here. */
+      isWhole?: boolean;
+      engine?: EngineSpec;
+    }): Promise<readonly PlacementCandidate[]> {
+    const open = this.#getUsable(choice).filter(({ id }) => this.#quota.isOpen(id));
     const active = this.#health.selectActive(open);
     const isAsked = this.#peerLoads?.isNeeded ?? false;
     const options = { isSmall, isAsked, random: this.#random };
--- a/packages/forwarding/src/placementQuery.ts
+++ b/packages/forwarding/src/placementQuery.ts
@@ -2,6 +2,7 @@
 import type { AnswerTimeline } from "./AnswerTimeline.js";
 import type { Upstream } from "./fleetConfig.js";
 import type { PlacementPlan, PlacementRequest } from "./placement.js";
+import type { Homes } from "./regions.js";
 import { RoomCause } from "./room/RoomCause.js";
 import type { ForwardRequest } from "./types.js";
 
@@ -35,6 +36,7 @@
 export interface PlacementQuery {
   readonly req: ForwardRequest;
   readonly pool: string;
+  readonly homes?: Homes;
   /** Ids of upstreams that already failed this request. */
   readonly excluded: ReadonlySet<string>;
   /** Monotonic time of the request's deadline. */
