--- a/packages/forwarding/src/limits/QuotaOwner.ts
+++ b/packages/forwarding/src/limits/QuotaOwner.ts
@@ -17,6 +17,9 @@
 const SETTLE_MS = 5_000;
 /** Sends that an unused quota saves up, at most. */
 const MAX_BURST_SENDS = 2;
+/** The same for a limit, which holds over some seconds: those of this time, between two bounds. */
+const LIMIT_BURST_S = 0.5;
+const MAX_LIMIT_BURST_SENDS = 4;
 /** Longest time after which a process asks again. */
 const MAX_RETRY_MS = 2_000;
 const MS_PER_S = 1_000;
@@ -40,6 +43,7 @@
 }
 
 interface Quota {
+  readonly burst: number;
   readonly bucket: TokenBucket;
   /** Refused requests since the last granted one; each is told to come back one send later. */
   refused: number;
@@ -173,14 +177,21 @@
     return perSecond * (this.#views.isSettled(upstream) ? GRANTED_SHARE : this.#unsettledShare);
   }
 
+  #getBurst({ perSecond, isCold }: SharedRate): number {
+    return isCold
+      ? this.#burst
+      : Math.min(MAX_LIMIT_BURST_SENDS, Math.max(this.#burst, perSecond * LIMIT_BURST_S));
+  }
+
   #getQuota(rate: SharedRate): Quota {
     const ratePerS = this.#getPerSecond(rate);
+    const burst = this.#getBurst(rate);
     let quota = this.#quotas.get(rate.upstream);
-    if (!quota) {
+    if (quota?.burst !== burst) {
       // The owner before, if any, has granted the sends of this moment.
-      const tokens = { burst: this.#burst, initialTokens: 0 };
+      const tokens = { burst, initialTokens: 0 };
       const bucket = new TokenBucket({ clock: this.#clock, ratePerS, ...tokens });
-      quota = { bucket, refused: 0 };
+      quota = { burst, bucket, refused: 0 };
       this.#quotas.set(rate.upstream, quota);
     }
     quota.bucket.setRate(ratePerS);
--- a/packages/forwarding/src/limits/SendQuota.ts
+++ b/packages/forwarding/src/limits/SendQuota.ts
@@ -13,7 +13,7 @@
 /** Time over which requests return to an upstream whose limit was lifted. */
 const RETURN_MS = 1_500;
 /** How far to avoid an upstream that names a limit: it helps with no prompt, and is used up to its limit. */
-const LIMITED_AVOIDANCE = 0.01;
+const LIMITED_AVOIDANCE = 0.0001;
 /** How far to avoid an upstream that has just become cold, and is slow. */
 const COLD_AVOIDANCE = 0.02;
 /** Time since a report without content, which is older than any other. */
@@ -97,13 +97,11 @@
   }
 
   #getLimitAvoidance(upstream: string): number {
-    const report = this.#limits.getReport(upstream);
-    if (!report) {
-      return 0;
+    if (this.namesLimit(upstream)) {
+      return LIMITED_AVOIDANCE;
     }
-    return report.perSecond === undefined
-      ? Math.max(0, 1 - (this.#clock.now() - report.receivedMs) / RETURN_MS)
-      : LIMITED_AVOIDANCE;
+    const liftedForMs = this.#limits.getLiftedForMs(upstream) ?? Infinity;
+    return Math.max(0, 1 - liftedForMs / RETURN_MS);
   }
 
   #getColdAvoidance(upstream: string): number {
--- a/packages/forwarding/src/limits/UpstreamLimits.ts
+++ b/packages/forwarding/src/limits/UpstreamLimits.ts
@@ -39,6 +39,7 @@
   readonly #logger: Logger;
   readonly #onOwnChange: (report: LimitReport) => void;
   readonly #reports = new Map<string, KnownReport>();
+  readonly #liftedMs = new Map<string, number>();
 
   constructor(options: {
     clock: Clock;
@@ -72,6 +73,12 @@
     return this.#reports.get(upstream);
   }
 
+  /** Time since an upstream's limit was lifted, milliseconds; undefined while it has one or never had. */
+  getLiftedForMs(upstream: string): number | undefined {
+    const liftedMs = this.#liftedMs.get(upstream);
+    return liftedMs === undefined ? undefined : this.#clock.now() - liftedMs;
+  }
+
   /** Records an answer that this process received. */
   record(report: LimitReport): void {
     if (this.#apply({ ...report, peer: undefined })) {
@@ -86,9 +93,9 @@
 
   /** Forgets upstreams that are no longer listed. */
   retain(ids: ReadonlySet<string>): void {
-    [...this.#reports.keys()]
-      .filter((id) => !ids.has(id))
-      .forEach((id) => this.#reports.delete(id));
+    for (const map of [this.#reports, this.#liftedMs]) {
+      [...map.keys()].filter((id) => !ids.has(id)).forEach((id) => map.delete(id));
+    }
   }
 
   /** Applies a report unless an older or doubtful one; true when the limit changed. */
@@ -104,6 +111,11 @@
     if (known?.perSecond === report.perSecond) {
       return false;
     }
+    if (report.perSecond === undefined) {
+      this.#liftedMs.set(report.upstream, this.#clock.now());
+    } else {
+      this.#liftedMs.delete(report.upstream);
+    }
     this.#log(report, known?.perSecond);
     return true;
   }
--- a/packages/forwarding/src/limits/sharedRates.test.ts
+++ b/packages/forwarding/src/limits/sharedRates.test.ts
@@ -83,6 +83,21 @@
       });
     }
 
+    for (const limit of [perSecond, 1.3]) {
+      // Processes that hadn't heard of the end kept an upstream nearly idle for up to 8 s.
+      it(`is no longer shared 2 s after a limit of ${String(limit)} a second ended, by ${String(processes)} processes`, async function () {
+        this.timeout(TIMEOUT_MS);
+        const fleet = new RateFleet({ processes, perSecond: limit, kind: "limited", seed: 1 });
+        const tries = 15;
+        await fleet.run(START_MS, tries);
+        fleet.limitUntilMs = START_MS;
+        await fleet.run(2_000, tries);
+        const before = fleet.refused;
+        await fleet.run(4_000, tries);
+        expect(fleet.refused).to.equal(before);
+      });
+    }
+
     it(`costs no message without a cold upstream, and one a send that ${String(processes)} processes don't contend for`, async () => {
       const fleet = new RateFleet({ processes, perSecond, kind: "cold", seed: 1 });
       await fleet.run(START_MS, perSecond / 3);
--- a/packages/forwarding/src/testing/RateFleet.ts
+++ b/packages/forwarding/src/testing/RateFleet.ts
@@ -19,6 +19,8 @@
 /** Longest time until the first heartbeat of another arrives after a start, a thaw or a cut. */
 const BEAT_MS = 300;
 const COLD_MS = 60_000;
+const ANSWER_MS = 50;
+const RETELL_MS = 700;
 
 /** A process that can't be reached: killed and frozen ones do nothing meanwhile, cut ones go on. */
 export interface Outage {
@@ -47,6 +49,9 @@
   readonly sentMs: number[] = [];
   asks = 0;
   tries = 0;
+  refused = 0;
+  /** Time at which the upstream stops naming its limit. */
+  limitUntilMs = Infinity;
   readonly #random: SeededRandom;
   readonly #outages: readonly Outage[];
   readonly #hosts: readonly string[];
@@ -101,15 +106,38 @@
     );
   }
 
-  async #try({ host, quota }: Process): Promise<void> {
+  async #try(process: Process): Promise<void> {
+    const { host, quota } = process;
     this.tries += 1;
-    if (await quota.tryTake("u")) {
+    if (!(await quota.tryTake("u"))) {
+      this.refused += 1;
+    } else {
       // A frozen process sends what it was granted when it thaws.
       await sleep(this.clock, 20 * this.#random.next());
       while (!this.#runs(host, this.clock.now())) {
         await sleep(this.clock, STEP_MS);
       }
-      this.sentMs.push(this.clock.now());
+      const sentMs = this.clock.now();
+      this.sentMs.push(sentMs);
+      await sleep(this.clock, ANSWER_MS);
+      const isNamed = this.#kind === "limited" && sentMs < this.limitUntilMs;
+      const perSecond = isNamed ? this.#perSecond : undefined;
+      process.limits.record({ upstream: "u", perSecond, sentMs, receivedMs: this.clock.now() });
+    }
+  }
+
+  /** Tells all others the newest report of a process, as they are told of a change. */
+  async #tell(host: string, delayMs: number): Promise<void> {
+    await sleep(this.clock, delayMs);
+    const from = this.#processes.find((process) => process.host === host);
+    const [report] = from?.limits.own ?? [];
+    await sleep(this.clock, HOP_MS);
+    if (report) {
+      this.#processes
+        .filter((process) => process !== from)
+        .forEach(({ limits }) => {
+          limits.recordPeer(host, report);
+        });
     }
   }
 
@@ -127,7 +155,13 @@
     const { clock } = this;
     const [perSecond, kind] = [this.#perSecond, this.#kind];
     const logger = newSilentLogger();
-    const limits = new UpstreamLimits({ clock, logger, onOwnChange: () => undefined });
+    const limits = new UpstreamLimits({
+      ...{ clock, logger },
+      onOwnChange: () => {
+        void this.#tell(host, 0);
+        void this.#tell(host, RETELL_MS);
+      },
+    });
     const cold = new ColdUpstreams({ clock, logger, onNews: () => undefined });
     if (kind === "cold") {
       cold.observe([newUpstream("u", { coldMs: COLD_MS })], {
