Take coldness from reports, and forget rests of an upstream that started again

A probe of an upstream (/v1/report) tells how long it stays cold. What an earlier start asked for as a rest held on: rests outlive the list. A limit of 10 a second and more is above what placement sends to one engine and no longer keeps it out of the parts of long prompts.

--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -189,7 +189,7 @@
     this.#crashExchange = new CrashExchange(exchange);
     const { limits, cold, rests, quota } = this.#limitExchange;
     const transport = links.newTransport(this.#connector);
-    const control = new LimitedControl(links.newControl(transport), quota);
+    const control = new LimitedControl(links.newControl(transport, cold), quota);
     this.#watch = new UpstreamWatch({
       ...{ clock, random: this.#random, view: this.#view, health: this.#health, logger },
       probe: (upstream) => this.#connector.accepts(upstream),
--- a/packages/daemon/src/gateway/LimitExchange.ts
+++ b/packages/daemon/src/gateway/LimitExchange.ts
@@ -156,9 +156,17 @@
     this.#cancelRetell();
   }
 
-  /** Forgets upstreams that are no longer listed, and takes what the list says of the others. */
+  /**
+   * Forgets upstreams that are no longer listed or started again, which `ids` lacks, and takes what the
+   * list says of the others.
+   */
   retain(ids: ReadonlySet<string>): void {
     const { list, upstreams, table } = this.#view;
+    [...upstreams.keys()]
+      .filter((id) => !ids.has(id))
+      .forEach((id) => {
+        this.rests.forget(id);
+      });
     this.cold.retain(ids);
     this.cold.observe(upstreams.values(), {
       isDirect: list.isDirect ?? false,
--- a/packages/forwarding/src/limits/SendQuota.ts
+++ b/packages/forwarding/src/limits/SendQuota.ts
@@ -14,6 +14,8 @@
 const RETURN_MS = 1_500;
 /** How far to avoid an upstream that names a limit: it helps with no prompt, and is used up to its limit. */
 const LIMITED_AVOIDANCE = 0.0001;
+/** A limit from here on is above what placement sends to one engine, and changes nothing. */
+const HIGH_LIMIT_PER_SECOND = 10;
 /** How far to avoid an upstream that has just become cold, and is slow. */
 const COLD_AVOIDANCE = 0.02;
 /** Time since a report without content, which is older than any other. */
@@ -97,8 +99,9 @@
   }
 
   #getLimitAvoidance(upstream: string): number {
-    if (this.namesLimit(upstream)) {
-      return LIMITED_AVOIDANCE;
+    const limit = this.#limits.get(upstream);
+    if (limit) {
+      return limit.perSecond < HIGH_LIMIT_PER_SECOND ? LIMITED_AVOIDANCE : 0;
     }
     const liftedForMs = this.#limits.getLiftedForMs(upstream) ?? Infinity;
     return Math.max(0, 1 - liftedForMs / RETURN_MS);
--- a/packages/forwarding/src/limits/UpstreamRests.ts
+++ b/packages/forwarding/src/limits/UpstreamRests.ts
@@ -48,6 +48,11 @@
     return Math.max(0, (this.#untilMs.get(upstream) ?? 0) - this.#clock.now());
   }
 
+  /** Forgets an upstream that started again under its id. */
+  forget(upstream: string): void {
+    this.#untilMs.delete(upstream);
+  }
+
   /** Forgets upstreams that are no longer listed and don't rest. */
   retain(ids: ReadonlySet<string>): void {
     [...this.#untilMs.keys()]
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -184,10 +184,16 @@
   release(upstream: Upstream, reservationId: string): Promise<void>;
 }
 
+/** Takes what upstreams say of themselves besides their answers to requests. */
+export interface ReportObserver {
+  /** The upstream stays cold for `leftMs`; 0 when it is warm. */
+  record(upstream: string, leftMs: number): void;
+}
+
 /** How a process reaches upstreams. */
 export interface UpstreamLinks {
   /** Opens connections over this process's own network. */
   readonly connector: Connector;
   newTransport(connector: Connector): UpstreamTransport;
-  newControl(transport: UpstreamTransport): UpstreamControl;
+  newControl(transport: UpstreamTransport, observer: ReportObserver): UpstreamControl;
 }
--- a/packages/upstreams/src/fetchStatus.ts
+++ b/packages/upstreams/src/fetchAnswer.ts
@@ -2,7 +2,7 @@
 import type { UpstreamAddress, UpstreamTransport } from "@lycheepulley/forwarding";
 
 /** A short call to an upstream's own interface. */
-export interface StatusQuery extends UpstreamAddress {
+export interface InterfaceQuery extends UpstreamAddress {
   readonly method: string;
   readonly path: string;
   readonly headers: readonly string[];
@@ -10,24 +10,41 @@
   readonly timeoutMs: number;
 }
 
-/** Resolves with the status of a whole answer; undefined when there is none in time. */
-export const fetchStatus = (
+/** Longest body that is read of an answer; a longer one counts as empty. */
+const MAX_BODY_BYTES = 262_144;
+
+/** A whole answer of an upstream's own interface. */
+export interface InterfaceAnswer {
+  readonly status: number;
+  readonly body: Buffer;
+}
+
+/** Resolves with a whole answer; undefined when there is none in time. */
+export const fetchAnswer = (
   transport: UpstreamTransport,
   clock: Clock,
-  { timeoutMs, ...req }: StatusQuery,
-): Promise<number | undefined> =>
+  { timeoutMs, ...req }: InterfaceQuery,
+): Promise<InterfaceAnswer | undefined> =>
   new Promise((resolve) => {
     let status: number | undefined;
+    const chunks: Buffer[] = [];
+    let size = 0;
     const call = transport.open(
       { ...req, connectTimeoutMs: timeoutMs },
       {
         onHead: (head) => {
           ({ status } = head);
         },
-        onData: () => undefined,
+        onData: (chunk) => {
+          size += chunk.length;
+          if (size <= MAX_BODY_BYTES) {
+            chunks.push(chunk);
+          }
+        },
         onEnd: () => {
           cancelTimeout();
-          resolve(status);
+          const body = Buffer.concat(size <= MAX_BODY_BYTES ? chunks : []);
+          resolve(status === undefined ? undefined : { status, body });
         },
         onError: () => {
           cancelTimeout();
--- a/packages/upstreams/src/index.ts
+++ b/packages/upstreams/src/index.ts
@@ -1,3 +1,3 @@
-export * from "./fetchStatus.js";
+export * from "./fetchAnswer.js";
 export * from "./HttpUpstreamTransport.js";
 export * from "./TcpConnector.js";
