--- a/packages/forwarding/src/limits/quotas.test.ts
+++ b/packages/forwarding/src/limits/quotas.test.ts
@@ -4,6 +4,7 @@
 import { ManualClock } from "../testing/ManualClock.js";
 import { newRests } from "../testing/newLoneSendQuota.js";
 import { pickOwner, type Members } from "../members.js";
+import { ColdUpstreams } from "./ColdUpstreams.js";
 import { QuotaOwner } from "./QuotaOwner.js";
 import { QuotaQueue } from "./QuotaQueue.js";
 import { SendQuota, type QuotaPeers } from "./SendQuota.js";
@@ -15,6 +16,7 @@
 /** One process with quotas, whose peers answer as a test says. */
 class QuotaProcess {
   readonly limits: UpstreamLimits;
+  readonly cold: ColdUpstreams;
   readonly owner: QuotaOwner;
   readonly quota: SendQuota;
   members: Members;
@@ -26,7 +28,8 @@
     const logger = newSilentLogger();
     const limits = new UpstreamLimits({ clock, logger, onOwnChange: () => undefined });
     const getMembers = (): Members => this.members;
-    const owner = new QuotaOwner({ clock, limits, getMembers });
+    const cold = new ColdUpstreams({ clock, logger, onNews: () => undefined });
+    const owner = new QuotaOwner({ clock, limits, cold, getMembers });
     const peers: QuotaPeers = {
       ask: (host, limit) => {
         this.asked += 1;
@@ -35,9 +38,12 @@
       charge: () => undefined,
     };
     this.limits = limits;
+    this.cold = cold;
     this.owner = owner;
     const rests = newRests(clock);
-    this.quota = new SendQuota({ clock, limits, rests, owner, peers, getMembers, logger });
+    this.quota = new SendQuota({
+      ...{ clock, limits, cold, rests, owner, peers, getMembers, logger },
+    });
   }
 
   name(upstream: string, perSecond: number | undefined, sentMs: number): void {
@@ -156,6 +162,20 @@
     expect(await process.quota.tryTake("u")).to.equal(true);
   });
 
+  // Such an owner grants every send: all processes together would send a cold upstream their bursts.
+  it("sends no more than its part to a cold upstream whose owner is of an earlier build", async () => {
+    const clock = new ManualClock();
+    const process = new QuotaProcess(clock, BYSTANDER);
+    process.answer = () => Promise.resolve({ isGranted: true, retryMs: 0 });
+    process.cold.recordPeer("n9", { upstream: "u", leftMs: 10_000, perSecond: 6 });
+    let sent = 0;
+    for (let passedMs = 0; passedMs < 10_000; passedMs += 20) {
+      sent += (await process.quota.tryTake("u")) ? 1 : 0;
+      await clock.advance(20);
+    }
+    expect(sent).to.be.within(1, (10 * 6) / HOSTS.length / 2);
+  });
+
   it("asks nobody for an upstream without a limit", async () => {
     const process = new QuotaProcess(new ManualClock(), BYSTANDER);
     expect(await process.quota.tryTake("u")).to.equal(true);
