--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -204,7 +204,7 @@
     });
     const { limits, cold, rests, quota } = this.#evidence.limits;
     const transport = links.newTransport(this.#connector);
-    const control = new LimitedControl(links.newControl(transport), quota);
+    const control = new LimitedControl(links.newControl(transport, cold), quota);
     this.#watch = new UpstreamWatch({
       ...{ clock, random: this.#random, view: this.#view, health: this.#health, logger },
       probe: (upstream) => this.#connector.accepts(upstream),
