Soak evacuations and cold workers

Faults, in series and overlapping: evacuations, workers of a zone that return cold together, workers that become cold.

--- a/packages/cli/src/commands/faultSoak.ts
+++ b/packages/cli/src/commands/faultSoak.ts
@@ -22,6 +22,10 @@
     crashes: { type: "boolean", help: "Parts of prompts crash engines, too" },
     notices: { type: "boolean", help: "Workers ask for rest and say that they leave, too" },
     cuts: { type: "boolean", help: "Processes lose their links to all workers, too" },
+    warmups: {
+      type: "boolean",
+      help: "Pools have a warm-up: zones are emptied and workers become cold, too",
+    },
     processes: { type: "number", default: 3, help: "Number of gateway processes" },
     beside: {
       type: "string",
@@ -42,6 +46,7 @@
       hasCrashes: ctx.getBoolean("crashes"),
       hasNotices: ctx.getBoolean("notices"),
       hasCuts: ctx.getBoolean("cuts"),
+      hasWarmUp: ctx.getBoolean("warmups"),
       processes,
       ...(beside !== undefined && { besideFile: await buildCommit(beside) }),
     });
