--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -2,14 +2,13 @@
 import { getMessage, SystemClock, SystemRandom, type Clock } from "@lycheepulley/core";
 import {
   CrashTracker,
+  EvacuationTracker,
   FleetView,
   Forwarder,
   getEpoch,
-  getPeerState,
   LoadTracker,
   PeerTable,
   ReaderSelection,
-  sample,
   ReservationManager,
   UpstreamHealth,
   LimitedControl,
@@ -25,13 +24,14 @@
 import { DatagramChannel, NodeServer } from "@lycheepulley/nodes";
 import { ForwardMetrics, type Logger } from "@lycheepulley/telemetry";
 
+import { CallerAddresses } from "./CallerAddresses.js";
 import { closeAndDrain } from "./closeAndDrain.js";
-import { CrashExchange } from "./CrashExchange.js";
 import { DetourConnector } from "./DetourConnector.js";
+import { EvidenceExchange } from "./EvidenceExchange.js";
 import { FleetStateSync } from "./FleetStateSync.js";
-import { LimitExchange } from "./LimitExchange.js";
 import { countByStatus, newMetricsServer } from "./metricsServer.js";
 import { PeerCalls } from "./PeerCalls.js";
+import { newPeerIdentity } from "./newPeerIdentity.js";
 import { newRetryBudget } from "./newRetryBudget.js";
 import { PeerExchange } from "./PeerExchange.js";
 import { RelayRole } from "./RelayTopology.js";
@@ -49,26 +49,29 @@
   readonly #sourceFeed: SourceFeed;
   readonly #logger: Logger;
   readonly #metrics = new ForwardMetrics({
-    countLimited: () => this.#limitExchange.limits.all.length,
-    countResting: () => this.#limitExchange.rests.count,
-    countParts: () => countByStatus(this.#crashExchange.guard.evidence.suspects),
+    countLimited: () => this.#evidence.limits.limits.all.length,
+    countResting: () => this.#evidence.limits.rests.count,
+    countParts: () => countByStatus(this.#evidence.crashes.guard.evidence.suspects),
     countDetours: () => this.#connector.detours,
     hasLostLinks: () => this.#connector.isLost,
+    countEvacuated: () => this.#evacuations.count,
+    getRoom: () => this.#forwarder.room,
     getHeldBytes: () => this.#listener.heldBytes,
   });
-  readonly #view = new FleetView();
+  readonly #view = new FleetView(this.#clock);
   readonly #listTracker: UpstreamListTracker;
+  readonly #evacuations: EvacuationTracker;
   readonly #connector: DetourConnector;
   readonly #nodeServer: NodeServer;
   readonly #stateSync: FleetStateSync;
   readonly #health: UpstreamHealth;
   readonly #peers: PeerTable;
+  readonly #addresses: CallerAddresses;
   readonly #readerSelection: ReaderSelection;
   readonly #channel: DatagramChannel;
   readonly #peerExchange: PeerExchange;
   readonly #peerCalls: PeerCalls;
-  readonly #limitExchange: LimitExchange;
-  readonly #crashExchange: CrashExchange;
+  readonly #evidence: EvidenceExchange;
   readonly #crashTracker: CrashTracker;
   readonly #watch: UpstreamWatch;
   readonly #forwarder: Forwarder;
@@ -95,7 +98,16 @@
         this.#sourceFeed.rereadPeers();
       },
     });
+    this.#evacuations = new EvacuationTracker({
+      ...{ clock, view: this.#view, logger },
+      isSourced: options.sources.evacuations !== undefined,
+    });
     this.#peers = new PeerTable({ clock, self: settings.host });
+    this.#addresses = new CallerAddresses({
+      ...{ random: this.#random, peers: this.#peers },
+      getReadAgeMs: () => this.#readerSelection.getAges().listMs,
+      getOwn: () => (this.isReady ? this.#getIdentity().callerAddress : undefined),
+    });
     this.#readerSelection = new ReaderSelection({
       ...{ clock, self: settings, peers: this.#peers },
       getListEpoch: () => getEpoch(this.#view.list),
@@ -103,16 +115,13 @@
     this.#sourceFeed = new SourceFeed({
       ...{ clock, random: this.#random, sources: options.sources, logger },
       ...{ readerSelection: this.#readerSelection, listTracker: this.#listTracker },
-      onConfig: (config) => {
-        if (this.#applyConfig(config)) {
-          this.#peerExchange.announce();
-        }
-      },
-      onUpstreams: (list) => {
-        if (this.#applyUpstreams(list, clock.now())) {
-          this.#peerExchange.announce();
-        }
+      evacuations: this.#evacuations,
+      onEvacuations: () => {
+        this.#peerExchange.announce();
       },
+      onConfig: (config) => this.#applyConfig(config) && this.#peerExchange.announce(),
+      onUpstreams: (list) =>
+        this.#applyUpstreams(list, clock.now()) && this.#peerExchange.announce(),
       onPeers: (hosts) => {
         this.#peers.addHosts(hosts);
       },
@@ -159,10 +168,11 @@
       getIdentity: () => this.#getIdentity(),
       getLoadTracker: () => loadTracker,
       onPeerHeartbeat: (peer) => {
+        this.#announceAsRelay(this.#evacuations.onPeer(peer));
         this.#stateSync.onPeerHeartbeat(peer);
       },
       onPeerReturned: (host) => {
-        this.#crashExchange.inform(host);
+        this.#evidence.inform(host);
       },
       onUpstreamLeaving: (upstream) => {
         this.#view.recordLeaving(upstream);
@@ -183,12 +193,14 @@
     this.#peerCalls = new PeerCalls({ port: settings.peerPort, timeoutMs: OWNER_TIMEOUT_MS });
     const exchange = {
       ...{ clock, random: this.#random, channel: this.#channel, peers: this.#peers, logger },
-      ...{ host: settings.host, calls: this.#peerCalls },
+      ...{ host: settings.host, calls: this.#peerCalls, view: this.#view },
       getMembers: () => this.#peers.getMembers(this.isReady),
     };
-    this.#limitExchange = new LimitExchange(exchange);
-    this.#crashExchange = new CrashExchange(exchange);
-    const { limits, rests, quota } = this.#limitExchange;
+    const { failureDomain, learnsCosts = true, rateBounds } = settings;
+    this.#evidence = new EvidenceExchange({
+      ...{ ...exchange, failureDomain, learnsCosts, rateBounds },
+    });
+    const { limits, cold, rests, quota } = this.#evidence.limits;
     const transport = links.newTransport(this.#connector);
     const control = new LimitedControl(links.newControl(transport), quota);
     this.#watch = new UpstreamWatch({
@@ -210,7 +222,8 @@
       },
       ...{ crashes: this.#crashTracker, transport, dialect, logger },
       retryBudget: newRetryBudget(settings, clock, this.#peers),
-      ...{ control, limits, rests, quota, guard: this.#crashExchange.guard },
+      ...{ control, limits, cold, rests, quota, guard: this.#evidence.crashes.guard },
+      costs: this.#evidence.costs.book,
       reservations: new ReservationManager({ clock, control, logger }),
       onLeaving: (upstream) => {
         this.#peerExchange.notifyUpstream("leaving", upstream);
@@ -223,20 +236,19 @@
       ...{ clock, view: this.#view, dialect, logger, memoryMb: settings.memoryMb },
       forward: (req, writer) => this.#forwarder.forward(req, writer),
     });
-    this.#metricsServer = newMetricsServer(this.#metrics, this.#crashExchange.guard.evidence);
+    this.#metricsServer = newMetricsServer(this.#metrics, this.#evidence.crashes.guard.evidence);
   }
 
-  /** True while this process has a configuration and an upstream list and isn't draining. */
+  /** True while this process knows what to send where, and isn't draining. */
   get isReady(): boolean {
-    return this.#view.table !== undefined && this.#view.list.version >= 0 && !this.#isDraining;
+    const { table, list } = this.#view;
+    const isInformed = table !== undefined && list.version >= 0 && this.#evacuations.isKnown;
+    return isInformed && !this.#isDraining;
   }
 
   /** Addresses of at most `limit` processes that serve callers; this one may be among them. */
   getAddresses(limit: number): string[] {
-    const addresses = this.#peers.getServing().map(({ callerAddress }) => callerAddress);
-    const own = this.isReady ? [this.#getIdentity().callerAddress] : [];
-    // A random sample spreads callers over the whole fleet when it is larger than `limit`.
-    return sample([...own, ...addresses], limit, this.#random);
+    return this.#addresses.select(limit);
   }
 
   async start(): Promise<void> {
@@ -246,8 +258,7 @@
     this.#stateSync.serve(this.#nodeServer);
     await this.#nodeServer.listen(host, peerPort);
     this.#peerExchange.start(this.#crashTracker);
-    this.#limitExchange.start(this.#nodeServer);
-    this.#crashExchange.start(this.#nodeServer);
+    this.#evidence.start(this.#nodeServer);
     this.#sourceFeed.start();
     await this.#listener.listen(host, callerPort);
     this.#metricsServer.listen(host, metricsPort).catch((err: unknown) => {
@@ -272,20 +283,14 @@
     if (this.#isDraining) {
       return;
     }
-    const startMs = this.#clock.now();
     const { drainMs } = this.#settings;
     this.#isDraining = true;
     this.#connector.startDrain(drainMs);
     this.#peerExchange.announce();
     this.#listener.startDrain(drainMs);
-    this.#logger.info("drain started", { step: "stop", reason });
     await closeAndDrain({
-      ...{ clock: this.#clock, drainMs, listener: this.#listener },
-      countInFlight: () => this.#listener.requests + this.#connector.server.open,
-    });
-    this.#logger.info("drain finished", {
-      ...{ step: "stop", inFlight: this.#listener.requests },
-      ...{ connections: this.#listener.connections, ms: Math.round(this.#clock.now() - startMs) },
+      ...{ clock: this.#clock, logger: this.#logger, drainMs, reason },
+      ...{ listener: this.#listener, relays: this.#connector.server },
     });
   }
 
@@ -293,8 +298,7 @@
   stop(): void {
     this.#listener.close();
     this.#peerExchange.stop();
-    this.#limitExchange.stop();
-    this.#crashExchange.stop();
+    this.#evidence.stop();
     this.#peerCalls.close();
     this.#connector.stop();
     this.#watch.stop();
@@ -328,23 +332,18 @@
   /** Applies an upstream list that was current at `atMs`; true when upstreams or the epoch changed. */
   #applyUpstreams(list: UpstreamList, atMs: number): boolean {
     const hasChanged = this.#listTracker.apply(list, atMs);
-    const ids = new Set(this.#view.upstreams.keys());
+    const ids = this.#listTracker.lasting;
     this.#health.retain(ids);
-    this.#limitExchange.retain(ids);
+    this.#evidence.retain(ids);
     this.#metrics.setListEpoch(getEpoch(this.#view.list));
     return hasChanged;
   }
 
   #getIdentity(): Omit<PeerIdentity, "beatMs"> {
-    const { host, failureDomain, capacity, callerPort } = this.#settings;
-    return {
-      ...{ host, failureDomain, capacity, incarnation: this.#incarnation },
-      callerAddress: `${host}:${String(callerPort)}`,
-      state: getPeerState({ isReady: this.isReady, isDraining: this.#isDraining }),
-      revision: this.#view.revision,
-      ...{ listEpoch: this.#view.list.epoch, listVersion: this.#view.list.version },
-      listDigest: this.#view.listDigest,
-      reads: this.#readerSelection.getAges(),
-    };
+    return newPeerIdentity({
+      ...{ settings: this.#settings, incarnation: this.#incarnation, view: this.#view },
+      ...{ isReady: this.isReady, isDraining: this.#isDraining },
+      ...{ evacuations: this.#evacuations, readerSelection: this.#readerSelection },
+    });
   }
 }
--- a/packages/daemon/src/gateway/peerMessages.ts
+++ b/packages/daemon/src/gateway/peerMessages.ts
@@ -1,4 +1,5 @@
 import {
+  evacuationStatementSchema,
   isLoadItem,
   loadItemSchema,
   newUpstreamLoad,
@@ -35,6 +36,7 @@
   beatMs: z.number().nonnegative(),
   beat: z.number().int().optional(),
   protocol: z.number().int().optional(),
+  evacuations: evacuationStatementSchema.optional().catch(undefined),
 });
 /** Identity of a process, which hosts it knows, and at times all its in-flight requests. */
 export const heartbeatSchema = z.object({
@@ -95,11 +97,25 @@
 ]);
 type CodedLoad = z.output<typeof upstreamLoadSchema>;
 
+/** Most claims on memory of one answer. */
+const MAX_CLAIMS = 64;
+const claimSchema = z.tuple([
+  z.string(),
+  z.string(),
+  /** Place, time until the memory is needed and time for which it is, and tokens. */
+  z.array(amountSchema).length(4),
+]);
+type CodedClaim = z.output<typeof claimSchema>;
+
 /** Loads of those of the upstreams that have any; none unless the relay knows of all requests. */
 export const loadAnswerSchema = z.object({
   question: z.number().int(),
   isWhole: z.boolean(),
   loads: z.array(upstreamLoadSchema).max(MAX_QUESTION_UPSTREAMS),
+  /** Expected ends of the requests at each of these upstreams, milliseconds from now. */
+  ends: z.array(z.array(amountSchema)).max(MAX_QUESTION_UPSTREAMS).optional(),
+  /** Claims of prompts that are promised memory, by upstream and id; unknown to earlier builds. */
+  claims: z.array(claimSchema).max(MAX_CLAIMS).optional(),
 });
 export type LoadAnswer = z.output<typeof loadAnswerSchema>;
 
@@ -125,8 +141,12 @@
     numbers.slice(index * size, (index + 1) * size),
   );
 
-const decodeLoad = ([, amounts, decodes, prefills]: CodedLoad): UpstreamLoad => {
+const decodeLoad = (
+  [, amounts, decodes, prefills]: CodedLoad,
+  endsMs: readonly number[],
+): UpstreamLoad => {
   const load = newUpstreamLoad();
+  load.endsMs = [...endsMs];
   LOAD_AMOUNTS.forEach((name, index) => {
     load[name] = amounts[index] ?? 0;
   });
@@ -148,18 +168,52 @@
   isWhole: boolean;
   upstreams: readonly string[];
   loads: ReadonlyMap<string, UpstreamLoad>;
-}): LoadAnswer => ({
-  question: options.question,
-  isWhole: options.isWhole,
-  loads: options.upstreams.flatMap((id) => {
+}): LoadAnswer => {
+  const loads = options.upstreams.flatMap((id) => {
     const load = options.loads.get(id);
-    return load ? [encodeLoad(id, load)] : [];
-  }),
-});
+    return load ? [{ id, load }] : [];
+  });
+  const ends = loads.map(({ load }) => load.endsMs.map(Math.round));
+  return {
+    question: options.question,
+    isWhole: options.isWhole,
+    loads: loads.map(({ id, load }) => encodeLoad(id, load)),
+    ...(ends.some(({ length }) => length > 0) && { ends }),
+    ...encodeClaims(options),
+  };
+};
+
+const encodeClaims = (options: {
+  upstreams: readonly string[];
+  loads: ReadonlyMap<string, UpstreamLoad>;
+}): { claims?: CodedClaim[] } => {
+  const claims = options.upstreams.flatMap((upstream) =>
+    (options.loads.get(upstream)?.claims ?? []).map(
+      ({ id, place, inMs, forMs, tokens }): CodedClaim => [
+        ...([upstream, id] as const),
+        [place, round(inMs), round(forMs), tokens],
+      ],
+    ),
+  );
+  return claims.length > 0 ? { claims: claims.slice(0, MAX_CLAIMS) } : {};
+};
 
 /** The loads of an answer by upstream. */
-export const toLoads = ({ loads }: LoadAnswer): Map<string, UpstreamLoad> =>
-  new Map(loads.map((coded) => [coded[0], decodeLoad(coded)]));
+export const toLoads = ({
+  loads,
+  ends = [],
+  claims = [],
+}: LoadAnswer): Map<string, UpstreamLoad> => {
+  const decoded = new Map(
+    loads.map((coded, at) => [coded[0], decodeLoad(coded, ends[at] ?? [])] as const),
+  );
+  for (const [upstream, id, [place = 0, inMs = 0, forMs = 0, tokens = 0]] of claims) {
+    const load = decoded.get(upstream) ?? newUpstreamLoad();
+    load.claims = [...(load.claims ?? []), { id, place, inMs, forMs, tokens }];
+    decoded.set(upstream, load);
+  }
+  return decoded;
+};
 
 type Fields = Readonly<Record<string, unknown>>;
 
@@ -178,6 +232,14 @@
 const isReads = (value: unknown): boolean =>
   isFields(value) && isOptionalNumber(value["configMs"]) && isOptionalNumber(value["listMs"]);
 
+const isEvacuations = (value: unknown): boolean =>
+  value === undefined ||
+  (isFields(value) &&
+    isOptionalNumber(value["epoch"]) &&
+    isNumber(value["version"]) &&
+    isArrayOf(value["domains"], isString) &&
+    (value["held"] === undefined || isArrayOf(value["held"], isString)));
+
 const IDENTITY_STRINGS = ["host", "failureDomain", "callerAddress", "listDigest"] as const;
 const IDENTITY_NUMBERS = ["incarnation", "capacity", "revision", "listVersion"] as const;
 
@@ -191,7 +253,8 @@
   isNumber(value["beatMs"]) &&
   value["beatMs"] >= 0 &&
   (value["beat"] === undefined || Number.isSafeInteger(value["beat"])) &&
-  (value["protocol"] === undefined || Number.isSafeInteger(value["protocol"]));
+  (value["protocol"] === undefined || Number.isSafeInteger(value["protocol"])) &&
+  isEvacuations(value["evacuations"]);
 
 const isItems = (value: unknown): value is LoadItem[] => isArrayOf(value, isLoadItem);
 
@@ -246,6 +309,18 @@
   isArrayOf(value[2], isAmount) &&
   isArrayOf(value[3], isNumber);
 
+const isCodedClaim = (value: unknown): value is CodedClaim =>
+  Array.isArray(value) &&
+  value.length === 3 &&
+  isString(value[0]) &&
+  isString(value[1]) &&
+  isArrayOf(value[2], isAmount) &&
+  (value[2] as unknown[]).length === 4;
+
+const isOptionalClaims = (value: unknown): boolean =>
+  value === undefined ||
+  (isArrayOf(value, isCodedClaim) && (value as unknown[]).length <= MAX_CLAIMS);
+
 export const loadAnswerParser = newParser(
   loadAnswerSchema,
   (value): value is LoadAnswer =>
@@ -253,5 +328,8 @@
     Number.isSafeInteger(value["question"]) &&
     typeof value["isWhole"] === "boolean" &&
     isArrayOf(value["loads"], isCodedLoad) &&
-    (value["loads"] as unknown[]).length <= MAX_QUESTION_UPSTREAMS,
+    (value["loads"] as unknown[]).length <= MAX_QUESTION_UPSTREAMS &&
+    (value["ends"] === undefined ||
+      isArrayOf(value["ends"], (ends) => isArrayOf(ends, isAmount))) &&
+    isOptionalClaims(value["claims"]),
 );
--- a/packages/forwarding/src/PeerTable.ts
+++ b/packages/forwarding/src/PeerTable.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "@lycheepulley/core";
 
+import type { EvacuationStatement } from "./evacuations/evacuationList.js";
 import type { Members } from "./members.js";
 
 /** Whether a process serves callers, as it states in its heartbeats. */
@@ -52,6 +53,8 @@
   readonly beat?: number | undefined;
   /** Version of the messages that the process reads, 1 when absent. */
   readonly protocol?: number | undefined;
+  /** Failure domains that it knows to be evacuated; absent where nobody requests that, or in earlier builds. */
+  readonly evacuations?: EvacuationStatement | undefined;
 }
 
 /** A peer with a recent heartbeat. */
@@ -72,6 +75,14 @@
  * goes on naming the peers whose last heartbeat is at most this old.
  */
 const ISOLATION_GRACE_MS = 20_000;
+/**
+ * The same time, from the first look at which all were silent, for a process that reaches its other
+ * sources: then the peers are more likely gone. A process that was frozen hears from them within it.
+ */
+const CONNECTED_GRACE_MS = 3_000;
+
+/** A peer that is silent for longer has ended; none is cut off or frozen for so long. */
+const RECENT_MS = 20_000;
 
 interface PeerEntry {
   identity: PeerIdentity | undefined;
@@ -90,6 +101,8 @@
   readonly #clock: Clock;
   readonly #self: string;
   readonly #entries = new Map<string, PeerEntry>();
+  /** Time of the first look since which all peers are silent. */
+  #aloneSinceMs: number | undefined;
 
   constructor(options: { clock: Clock; self: string }) {
     this.#clock = options.clock;
@@ -137,13 +150,15 @@
     }));
   }
 
-  /** Peers that serve callers. */
-  getServing(): PeerIdentity[] {
+  /** Peers that serve callers; `isConnected` while this process reaches its other sources. */
+  getServing({ isConnected }: { isConnected: boolean } = { isConnected: false }): PeerIdentity[] {
     const isServing = ({ state }: PeerIdentity): boolean => state === PeerState.Live;
     const live = this.getLive();
-    return (live.length > 0 ? live : this.#getWithMaxSilence(() => ISOLATION_GRACE_MS)).filter(
-      isServing,
-    );
+    const aloneMs = this.#trackAlone(live.length);
+    if (live.length > 0 || (isConnected && aloneMs > CONNECTED_GRACE_MS)) {
+      return live.filter(isServing);
+    }
+    return this.#getWithMaxSilence(() => ISOLATION_GRACE_MS).filter(isServing);
   }
 
   /** Peers that are about to end. */
@@ -154,14 +169,24 @@
   /** The processes that divide duties: live peers that serve callers, and this one while `isServing`. */
   getMembers(isServing: boolean): Members {
     const self = this.#self;
-    const hosts = this.getLive()
-      .filter(({ state }) => state === PeerState.Live)
-      .map(({ host }) => host);
-    return { self, hosts: isServing ? [...hosts, self] : hosts, known: this.#entries.size };
+    const live = this.getLive();
+    const hosts = live.filter(({ state }) => state === PeerState.Live).map(({ host }) => host);
+    return {
+      ...{ self, hosts: isServing ? [...hosts, self] : hosts, known: this.#entries.size },
+      isPartial: 2 * (live.length + 1) < this.#countRecent() + 1,
+    };
+  }
+
+  /** Other processes that may run unseen: seen lately, or known for a short time. */
+  #countRecent(): number {
+    const now = this.#clock.now();
+    return [...this.#entries.values()].filter(({ lastSeenMs }) => now - lastSeenMs <= RECENT_MS)
+      .length;
   }
 
   /** Removes peers that were silent for long. */
   prune(): void {
+    this.#trackAlone(this.getLive().length);
     const now = this.#clock.now();
     for (const [host, { lastSeenMs }] of this.#entries) {
       if (now - lastSeenMs > FORGET_MS) {
@@ -170,6 +195,13 @@
     }
   }
 
+  /** Time since the first look at which all peers were silent. */
+  #trackAlone(live: number): number {
+    const now = this.#clock.now();
+    this.#aloneSinceMs = live > 0 ? undefined : (this.#aloneSinceMs ?? now);
+    return now - (this.#aloneSinceMs ?? now);
+  }
+
   #getWithMaxSilence(getMaxSilenceMs: (peer: PeerIdentity) => number): PeerIdentity[] {
     const now = this.#clock.now();
     return [...this.#entries.values()].flatMap(({ identity, lastSeenMs }) =>
--- a/packages/forwarding/src/SendRunner.ts
+++ b/packages/forwarding/src/SendRunner.ts
@@ -1,11 +1,12 @@
 import { sleep } from "@lycheepulley/core";
 
+import { CostLesson } from "./costs/CostLesson.js";
 import type { ForwardDependencies } from "./forwardDependencies.js";
 import { SendResult, type SendOutcome } from "./outcomes.js";
 import type { Placement } from "./Placer.js";
 import { raceDeadline, NOT_SETTLED } from "./raceDeadline.js";
 import type { Reservations } from "./ReservationManager.js";
-import type { AnswerObserver, AnswerProgress } from "./answerProgress.js";
+import type { AnswerProgress, SendObserver } from "./answerProgress.js";
 import { Send } from "./Send.js";
 import { getStallTimeouts, getUrgency, orderHelpers } from "./sendParameters.js";
 import type { AnswerWriter, ForwardRequest } from "./types.js";
@@ -21,6 +22,11 @@
   [SendResult.Superseded]: "another send took over",
 };
 
+/** Nothing was sent, and another upstream is chosen. */
+const EVACUATED: SendOutcome = {
+  ...{ result: SendResult.NoMemory, reason: "failure domain evacuated" },
+};
+
 /** Outcome of a send that is ended early; undefined unless `signal` is aborted. */
 const getStopOutcome = (signal: AbortSignal): SendOutcome | undefined => {
   if (!signal.aborted) {
@@ -30,11 +36,7 @@
   return { result, reason: STOP_REASONS[result] ?? result };
 };
 
-/** Follows one send. */
-export interface SendObserver extends AnswerObserver {
-  /** Called right before the request goes to the upstream. */
-  onOpen(): void;
-}
+export type { SendObserver };
 
 /** Runs the sends of one request: reserves KV memory, sends, and ends each at the deadline. */
 export class SendRunner {
@@ -65,20 +67,30 @@
     signal: AbortSignal,
     observer: SendObserver,
   ): Promise<SendOutcome> {
+    if (this.#isEvacuated(placement)) {
+      return EVACUATED;
+    }
     const reservations = await this.#reserveMemory(placement, signal);
     if (reservations === "missing") {
       await sleep(this.#deps.clock, NO_MEMORY_PAUSE_MS, signal);
       return getStopOutcome(signal) ?? { result: SendResult.NoMemory, reason: "memory not held" };
     }
     try {
-      return (
-        getStopOutcome(signal) ?? (await this.#send({ placement, reservations, signal, observer }))
-      );
+      const stopped = getStopOutcome(signal);
+      if (stopped || this.#isEvacuated(placement)) {
+        return stopped ?? EVACUATED;
+      }
+      return await this.#send({ placement, reservations, signal, observer });
     } finally {
       reservations?.release();
     }
   }
 
+  /** True when a failure domain was evacuated after the placement was found. */
+  #isEvacuated({ upstream, plan }: Placement): boolean {
+    return [upstream, ...(plan?.helpers ?? [])].some((one) => this.#deps.view.isEvacuated(one));
+  }
+
   async #reserveMemory(
     { plan }: Placement,
     signal: AbortSignal,
@@ -106,9 +118,12 @@
     signal: AbortSignal;
     observer: SendObserver;
   }): Promise<SendOutcome> {
-    const { placement, reservations, signal, observer } = options;
-    const { clock, transport, dialect } = this.#deps;
+    const { placement, reservations, signal } = options;
+    const { clock, transport, dialect, costs } = this.#deps;
     const req = this.#req;
+    const isResumed = this.#progress.lastEventId !== undefined;
+    const lesson = costs && new CostLesson({ costs, clock, req, placement, isResumed });
+    const observer = lesson?.follow(options.observer) ?? options.observer;
     const now = clock.now();
     const send = new Send({
       ...{ clock, dialect, req, writer: this.#writer, progress: this.#progress },
@@ -134,7 +149,9 @@
       send,
     );
     send.start(call);
-    return this.#awaitOutcome(send, signal);
+    const outcome = await this.#awaitOutcome(send, signal);
+    lesson?.end(outcome);
+    return outcome;
   }
 
   async #awaitOutcome(send: Send, signal: AbortSignal): Promise<SendOutcome> {
--- a/packages/forwarding/src/forwardDependencies.ts
+++ b/packages/forwarding/src/forwardDependencies.ts
@@ -1,10 +1,12 @@
 import type { Clock, Random } from "@lycheepulley/core";
 import type { Logger } from "@lycheepulley/telemetry";
 
+import type { CostBook } from "./costs/CostBook.js";
 import type { CrashTracker } from "./crashes/CrashTracker.js";
 import type { PartGuard } from "./crashes/PartGuard.js";
 import type { FleetView } from "./FleetView.js";
 import type { SendQuota } from "./limits/SendQuota.js";
+import type { ColdUpstreams } from "./limits/ColdUpstreams.js";
 import type { UpstreamLimits } from "./limits/UpstreamLimits.js";
 import type { UpstreamRests } from "./limits/UpstreamRests.js";
 import type { LoadTracker } from "./LoadTracker.js";
@@ -34,9 +36,13 @@
   readonly loadTracker: LoadTracker;
   /** Undefined where every process hears of all requests. */
   readonly peerLoads?: PeerLoads | undefined;
+  /** Undefined where placement goes by published constants alone. */
+  readonly costs?: CostBook | undefined;
   readonly health: UpstreamHealth;
   readonly watch: UpstreamWatch;
   readonly limits: UpstreamLimits;
+  /** Undefined where no upstream is ever cold. */
+  readonly cold?: ColdUpstreams | undefined;
   readonly rests: UpstreamRests;
   readonly quota: SendQuota;
   readonly retryBudget: RetryBudget;
--- a/packages/forwarding/src/load.ts
+++ b/packages/forwarding/src/load.ts
@@ -1,6 +1,12 @@
 import { z } from "zod";
 
 import type { Prospect } from "./lateness.js";
+import {
+  isOptionalPromise,
+  listClaims,
+  roomPromiseSchema,
+  type RoomClaim,
+} from "./room/promise.js";
 
 /** What a request is doing at its upstreams. */
 export const LoadPhase = {
@@ -42,6 +48,12 @@
   isLate: z.boolean().default(false),
   /** It may crash its upstream, which others should avoid meanwhile. */
   isApart: z.boolean().optional(),
+  /** Expected time of the whole answer after its first event, or of a call, milliseconds. */
+  writeMs: z.number().nonnegative().optional(),
+  /** Expected tokens of the answer, of long prompts. */
+  outputTokens: z.number().nonnegative().optional(),
+  /** The request isn't sent yet, and is promised room. */
+  promise: roomPromiseSchema.optional(),
 });
 export type LoadItem = z.infer<typeof loadItemSchema>;
 
@@ -51,6 +63,12 @@
 const FINITE = ["targetLeftMs", "deadlineLeftMs"] as const;
 const OPTIONAL_FLAGS: readonly unknown[] = [undefined, false, true];
 
+const hasOptionalFields = (item: Partial<Record<keyof LoadItem, unknown>>): boolean =>
+  OPTIONAL_FLAGS.includes(item.isApart) &&
+  (item.outputTokens === undefined || isAmount(item.outputTokens)) &&
+  (item.writeMs === undefined || isAmount(item.writeMs)) &&
+  isOptionalPromise(item.promise);
+
 const AMOUNTS = ["readMs", "kvTokens", "value"] as const;
 
 const isArrayOf = (value: unknown, isEntry: (entry: unknown) => boolean): boolean =>
@@ -80,7 +98,7 @@
     item.maxGapMs > 0 &&
     FINITE.every((field) => Number.isFinite(item[field])) &&
     typeof item.isLate === "boolean" &&
-    OPTIONAL_FLAGS.includes(item.isApart)
+    hasOptionalFields(item)
   );
 };
 
@@ -121,6 +139,10 @@
   contextTokens: number;
   /** Requests that peers are expected to have sent here since what this process knows of them. */
   unseen: number;
+  /** Expected time until each request ends, milliseconds, in no order; those of unknown cost are missing. */
+  endsMs: number[];
+  /** Claims of prompts that are promised memory here; undefined for none. */
+  claims?: readonly RoomClaim[];
 }
 
 /** A load item with the time at which its phase was recorded here. */
@@ -145,6 +167,7 @@
   kvTokens: 0,
   contextTokens: 0,
   unseen: 0,
+  endsMs: [],
 });
 
 /** Time over which the rate of peers' requests at an upstream is measured. */
@@ -152,6 +175,42 @@
 
 /** Prefill that should have ended already still counts this much. */
 const OVERDUE_READ_MS = 10;
+/** An answer or call that takes longer than expected goes on for this share of its time so far. */
+const OVERDUE_WRITE_SHARE = 0.3;
+
+/** Work that a request still has at its decoder. */
+export interface RemainingWork {
+  /** Prefill of its own part, without what waits before it, milliseconds. */
+  readonly readMs: number;
+  /** Answer after its first event, or call, milliseconds; undefined when unknown. */
+  readonly writeMs: number | undefined;
+  /** The expected time is over. */
+  readonly isOverdue: boolean;
+}
+
+/** Work that a request is expected to have left at the monotonic time `nowMs`. */
+export const estimateRemaining = (
+  {
+    phase,
+    readMs,
+    writeMs,
+    sinceMs,
+  }: Pick<TimedLoadItem, "phase" | "readMs" | "sinceMs"> & {
+    readonly writeMs?: number | undefined;
+  },
+  nowMs: number,
+): RemainingWork => {
+  const spentMs = Math.max(0, nowMs - sinceMs);
+  if (phase === LoadPhase.Reading) {
+    const leftMs = Math.max(OVERDUE_READ_MS, readMs - spentMs);
+    return { readMs: leftMs, writeMs, isOverdue: spentMs > readMs };
+  }
+  if (writeMs === undefined) {
+    return { readMs: 0, writeMs, isOverdue: false };
+  }
+  const leftMs = Math.max(writeMs - spentMs, OVERDUE_WRITE_SHARE * Math.max(spentMs, writeMs));
+  return { readMs: 0, writeMs: leftMs, isOverdue: spentMs > writeMs };
+};
 
 const getOrAdd = (loads: Map<string, UpstreamLoad>, id: string): UpstreamLoad => {
   let load = loads.get(id);
@@ -193,6 +252,14 @@
 export const isPastObjective = (item: TimedLoadItem, nowMs: number): boolean =>
   item.isLate || (item.phase === LoadPhase.Reading && nowMs - item.sinceMs > item.targetLeftMs);
 
+/** Adds what a prompt that isn't sent yet is promised. */
+const addClaims = (loads: Map<string, UpstreamLoad>, item: TimedLoadItem, nowMs: number): void => {
+  for (const [id, claim] of listClaims(item, nowMs)) {
+    const load = getOrAdd(loads, id);
+    load.claims = [...(load.claims ?? []), claim];
+  }
+};
+
 /** Sums in-flight requests by upstream, at the monotonic time `nowMs`; reports of peers are `lagMs` old. */
 export const sumLoads = (
   items: Iterable<TimedLoadItem>,
@@ -203,6 +270,10 @@
   const queuePrefill = newPrefillQueue(loads, nowMs);
   const sorted = [...items].sort((a, b) => a.sinceMs - b.sinceMs);
   for (const item of sorted) {
+    if (item.promise) {
+      addClaims(loads, item, nowMs);
+      continue;
+    }
     const load = getOrAdd(loads, item.upstream);
     load.inFlight += 1;
     load.apart += item.isApart ? 1 : 0;
@@ -230,6 +301,16 @@
         queuePrefill(id, item, false);
       });
     }
+    const { writeMs } = estimateRemaining(item, nowMs);
+    if (writeMs !== undefined) {
+      load.endsMs.push((item.phase === LoadPhase.Reading ? load.pendingReadMs : 0) + writeMs);
+    }
   }
   return loads;
 };
+
+/** Expected time until the `count`th request at an upstream ends, milliseconds; undefined when unknown. */
+export const getEndMs = ({ endsMs, inFlight }: UpstreamLoad, count: number): number | undefined =>
+  inFlight === 0 || endsMs.length < inFlight
+    ? undefined
+    : [...endsMs].sort((a, b) => a - b)[Math.min(count, endsMs.length) - 1];
--- a/packages/forwarding/src/placement.ts
+++ b/packages/forwarding/src/placement.ts
@@ -1,3 +1,4 @@
+import { newDecodePlan, type DecodePlan } from "./decodePlan.js";
 import { getPassMs, getReadMs } from "./engineModel.js";
 import type { EngineSpec, Upstream } from "./fleetConfig.js";
 import {
@@ -8,7 +9,9 @@
   LATE_LOSS,
   type Prospect,
 } from "./lateness.js";
-import type { UpstreamLoad } from "./load.js";
+import { getEndMs, type UpstreamLoad } from "./load.js";
+import { getAnswerMs } from "./room/forecast.js";
+import { getFreeTokens, splitTokens, type Release } from "./room/memory.js";
 
 /** Most upstreams that prefill a prompt besides the one that decodes the answer. */
 export const MAX_HELPERS = 16;
@@ -18,26 +21,22 @@
 const SPREAD_COST = 1;
 /** Weight of the delay of a prompt when another prefill goes before its decoder's part. */
 const OVERTAKEN_WEIGHT = 0.8;
-/** Share of an engine's KV memory that placement leaves free. */
-const KV_HEADROOM = 0.05;
 /** Slots become free at irregular times, so the expected wait is taken this many times. */
 const QUEUE_RISK = 2;
+/** The same for a slot whose request has a predicted end. */
+const END_RISK = 1.5;
 /** Cost of an upstream, multiplied by its failure rate. */
-const FAILURE_COST = 2;
+export const FAILURE_COST = 2;
 /** Cost of an upstream that names a limit, and the same for each second of prefill there. */
-const LIMITED_COST = 2;
+export const LIMITED_COST = 2;
 /** A full upstream costs this much to decode at; one with free slots their taken share. */
 const FULL_COST = 10;
 /** Cost of a decoder that lacks as much KV memory as an engine has; less in proportion. */
 const LACKING_MEMORY_COST = 20;
 /** Cost of an answer without a short gap objective on an upstream that has answers with one. */
 const MIXED_GAPS_COST = 1;
-/** Share of a helper's free KV memory that one prompt may take. */
-const HELPER_MEMORY_SHARE = 0.8;
 /** Share of a running pass that is left on average when a prompt arrives. */
 const PASS_LEFT_SHARE = 0.5;
-/** Spreads calls to equally loaded instances of a service. */
-const CALL_COST_JITTER = 0.05;
 const MS_PER_S = 1_000;
 /** Another member isn't worth it when the parts get smaller than this. */
 const MIN_PART_TOKENS = 8_000;
@@ -50,12 +49,23 @@
   readonly failureRate: number;
   /** How far to avoid the upstream because it names a limit, 0 to 1. */
   readonly avoidance: number;
+  /** Time that work takes there, as a multiple of the usual; its load has the times that this makes. */
+  readonly pace?: number;
+  /** When memory becomes free there; needed only where the load has claims. */
+  readonly releases?: readonly Release[] | undefined;
 }
 
 /** A prompt to place. */
 export interface PlacementRequest extends Prospect {
   readonly promptTokens: number;
+  /** Expected number of tokens of the answer. */
   readonly outputTokens: number;
+  /** Tokens to hold for the answer in memory; the expected ones by default. */
+  readonly memoryTokens?: number;
+  /** Factor by which the answer takes longer than its passes, as prompts are prefilled meanwhile. */
+  readonly stretch?: number;
+  /** Length and times come from what was seen, not from what callers state at most. */
+  readonly isLearned?: boolean;
   /** Objective for the longest gap between events, milliseconds. */
   readonly maxGapMs: number;
   /**
@@ -79,12 +89,20 @@
   readonly firstEventMs: number;
   /** Expected loss, in the unit of {@link PlacementRequest.value}. */
   readonly loss: number;
+  readonly decode: DecodePlan;
 }
 
 /** True when the plan's first event is expected after the objective. */
 export const isExpectedLate = (plan: PlacementPlan, { targetLeftMs }: Prospect): boolean =>
   plan.firstEventMs > targetLeftMs;
 
+interface PlanOptions {
+  /** Prefill time of each member's part, milliseconds. */
+  readonly readMs: number;
+  /** The best member unless given. */
+  readonly decoder?: ScoredMember | undefined;
+}
+
 /** A candidate with its times and cost as a member of a plan. */
 interface ScoredMember {
   readonly candidate: PlacementCandidate;
@@ -93,6 +111,8 @@
   /** Time until its part is prefilled when it also decodes the answer. */
   readonly decoderReadyMs: number;
   readonly cost: number;
+  /** KV memory that the prompt may use there, in tokens. */
+  readonly freeTokens: number;
 }
 
 const isShort = (req: PlacementRequest): boolean => req.maxGapMs < req.shortGapMs;
@@ -121,17 +141,21 @@
 const scoreMember = (
   engine: EngineSpec,
   candidate: PlacementCandidate,
-  readMs: number,
+  { readMs: usualReadMs, outputTokens }: { readMs: number; outputTokens: number },
 ): ScoredMember => {
-  const { load } = candidate;
-  const passMs = getPassMs(engine, load.decoding, load.contextTokens);
+  const { load, pace = 1 } = candidate;
+  const readMs = pace * usualReadMs;
+  const passMs = pace * getPassMs(engine, load.decoding, load.contextTokens);
   const addedLoss = getAddedLoss(load, passMs, readMs);
   const passLeftMs = load.decoding > 0 ? passMs * PASS_LEFT_SHARE : 0;
   const helperReadyMs = passLeftMs + load.pendingHelpMs + readMs;
+  const decoderReadyMs = passLeftMs + load.pendingReadMs + readMs;
+  const endMs = load.claims ? decoderReadyMs + getAnswerMs(engine, outputTokens, load) : Infinity;
   return {
     candidate,
     helperReadyMs,
-    decoderReadyMs: passLeftMs + load.pendingReadMs + readMs,
+    decoderReadyMs,
+    freeTokens: getFreeTokens(engine, candidate, endMs),
     cost:
       addedLoss +
       FAILURE_COST * candidate.failureRate +
@@ -140,38 +164,25 @@
   };
 };
 
-const getFreeKv = (engine: EngineSpec, load: UpstreamLoad): number =>
-  engine.kvTokens * (1 - KV_HEADROOM) - load.kvTokens;
-
-/** Splits the KV memory that the decoder lacks among the helpers; undefined when they lack it too. */
-const splitMemory = (
-  engine: EngineSpec,
-  decoder: PlacementCandidate,
-  helpers: readonly PlacementCandidate[],
-  kvTokens: number,
-): number[] | undefined => {
-  let lackingTokens = kvTokens - getFreeKv(engine, decoder.load);
-  const held = helpers.map(({ load }) => {
-    const part = Math.floor(
-      Math.max(0, Math.min(lackingTokens, getFreeKv(engine, load) * HELPER_MEMORY_SHARE)),
-    );
-    lackingTokens -= part;
-    return part;
-  });
-  return lackingTokens > 0 ? undefined : held;
-};
+/** KV memory that the prompt and its answer are likely to need, tokens. */
+export const getNeededKv = ({
+  promptTokens,
+  memoryTokens,
+  outputTokens,
+}: Pick<PlacementRequest, "promptTokens" | "memoryTokens" | "outputTokens">): number =>
+  promptTokens + (memoryTokens ?? outputTokens);
 
 /** Picks the member with the most free memory and the fewest answers to decode. */
 const pickDecoder = (
   engine: EngineSpec,
   members: readonly ScoredMember[],
-  kvTokens: number,
   req: PlacementRequest,
 ): ScoredMember | undefined => {
-  const getPenalty = ({ candidate, cost, decoderReadyMs }: ScoredMember): number => {
+  const kvTokens = getNeededKv(req);
+  const getPenalty = ({ candidate, cost, decoderReadyMs, freeTokens }: ScoredMember): number => {
     const { load, upstream } = candidate;
     const crowding = load.inFlight >= upstream.slots ? FULL_COST : load.inFlight / upstream.slots;
-    const lackingShare = Math.max(0, kvTokens - getFreeKv(engine, load)) / engine.kvTokens;
+    const lackingShare = Math.max(0, kvTokens - freeTokens) / engine.kvTokens;
     return (
       cost +
       decoderReadyMs / MS_PER_S +
@@ -202,6 +213,10 @@
   if (waiting <= 0) {
     return 0;
   }
+  const endMs = req.isLearned ? getEndMs(load, waiting) : undefined;
+  if (endMs !== undefined) {
+    return END_RISK * endMs;
+  }
   const passMs = getPassMs(engine, upstream.slots, load.contextTokens);
   const answerMs = Math.ceil(req.outputTokens / engine.stepsPerPass) * passMs;
   return (QUEUE_RISK * waiting * answerMs) / upstream.slots;
@@ -230,15 +245,18 @@
   engine: EngineSpec,
   req: PlacementRequest,
   members: readonly ScoredMember[],
-  readMs: number,
+  { readMs, decoder = pickDecoder(engine, members, req) }: PlanOptions,
 ): PlacementPlan | undefined => {
-  const kvTokens = req.promptTokens + req.outputTokens;
-  const decoder = pickDecoder(engine, members, kvTokens, req);
+  const kvTokens = getNeededKv(req);
   if (!decoder) {
     return undefined;
   }
-  const helpers = members.filter((member) => member !== decoder).map(({ candidate }) => candidate);
-  const heldTokens = splitMemory(engine, decoder.candidate, helpers, kvTokens);
+  const helpers = members.filter((member) => member !== decoder);
+  const heldTokens = splitTokens(
+    kvTokens,
+    decoder.freeTokens,
+    helpers.map(({ freeTokens }) => freeTokens),
+  );
   if (!heldTokens) {
     return undefined;
   }
@@ -246,7 +264,8 @@
     ...members.map((member) => (member === decoder ? member.decoderReadyMs : member.helperReadyMs)),
   );
   const queueMs = getQueueMs(engine, req, decoder.candidate);
-  const passMs = getPassMs(engine, decoder.candidate.load.decoding + 1, 0);
+  const { load, pace = 1 } = decoder.candidate;
+  const passMs = pace * getPassMs(engine, load.decoding + 1, 0);
   const firstEventMs = queueMs + waitMs + passMs;
   const spreadCost = isShort(req) ? getSpreadCost(decoder.candidate, req) : 0;
   const lateLoss = getLatenessLoss(req, firstEventMs);
@@ -255,22 +274,34 @@
   const memberCost = members.reduce((sum, { cost }) => sum + cost, 0);
   return {
     upstream: decoder.candidate.upstream,
-    helpers: helpers.map(({ upstream }) => upstream),
+    helpers: helpers.map(({ candidate }) => candidate.upstream),
     heldTokens,
     readMs,
     firstEventMs,
     loss:
       memberCost + lateLoss + delayCost + spreadCost + overflowLoss + (queueMs > 0 ? req.value : 0),
+    decode: newDecodePlan(engine, req, decoder.candidate),
   };
 };
 
 /** Largest number of members that is worth it for a prompt, at least one. */
-const getMaxMembers = (tokens: number, candidates: number): number =>
+export const getMaxMembers = (tokens: number, candidates: number): number =>
   Math.max(1, Math.min(candidates, MAX_HELPERS + 1, Math.floor(tokens / MIN_PART_TOKENS)));
 
 /** True for a prompt that isn't worth a second upstream. */
 export const isForOneUpstream = (tokens: number): boolean => getMaxMembers(tokens, Infinity) === 1;
 
+/** Plans the prompt on the members with the most free memory, which hold it if any do. */
+const planRoomiest = (
+  engine: EngineSpec,
+  req: PlacementRequest,
+  scored: readonly ScoredMember[],
+  { count, readMs }: { count: number; readMs: number },
+): PlacementPlan | undefined => {
+  const members = [...scored].sort((a, b) => b.freeTokens - a.freeTokens).slice(0, count);
+  return planMembers(engine, req, members, { readMs, decoder: members[0] });
+};
+
 /**
  * Chooses the upstreams that prefill a prompt together and the one among them
  * that decodes its answer, by the least expected loss to this request and to the
@@ -288,36 +319,20 @@
   for (let count = 1; count <= maxMembers; count++) {
     const readMs = getReadMs(engine, req.promptTokens, count);
     const scored = (count === 1 ? candidates : unlimited)
-      .map((candidate) => scoreMember(engine, candidate, readMs))
+      .map((candidate) =>
+        scoreMember(engine, candidate, { readMs, outputTokens: req.outputTokens }),
+      )
       .sort((a, b) => a.cost - b.cost);
-    if (count === 1) {
-      for (const member of scored) {
-        const plan = planMembers(engine, req, [member], readMs);
-        best = plan && (!best || plan.loss < best.loss) ? plan : best;
-      }
-    } else {
-      const plan = planMembers(engine, req, scored.slice(0, count), readMs);
+    const plans =
+      count === 1
+        ? scored.map((member) => planMembers(engine, req, [member], { readMs }))
+        : [
+            planMembers(engine, req, scored.slice(0, count), { readMs }) ??
+              planRoomiest(engine, req, scored, { count, readMs }),
+          ];
+    for (const plan of plans) {
       best = plan && (!best || plan.loss < best.loss) ? plan : best;
     }
   }
   return best;
 };
-
-/** Chooses an upstream for a call to a plain service; undefined from an empty list. */
-export const pickServiceUpstream = (
-  candidates: readonly PlacementCandidate[],
-  random: { next(): number },
-): Upstream | undefined => {
-  let best: { upstream: Upstream; cost: number } | undefined;
-  for (const { upstream, load, failureRate, avoidance } of candidates) {
-    const cost =
-      load.inFlight / upstream.slots +
-      FAILURE_COST * failureRate +
-      LIMITED_COST * avoidance +
-      random.next() * CALL_COST_JITTER;
-    if (!best || cost < best.cost) {
-      best = { upstream, cost };
-    }
-  }
-  return best?.upstream;
-};
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -18,7 +18,10 @@
   readonly deadlineMs: number | undefined;
   readonly apiKey: string | undefined;
   readonly promptTokens: number;
+  /** Most tokens that the answer may have. */
   readonly outputTokens: number;
+  /** The caller's own estimate of the number of tokens of the answer. */
+  readonly outputHint?: number | undefined;
   readonly lastEventId: string | undefined;
   /** Ids of the parts of the prompt that other requests may share, in their order. */
   readonly sharedParts: readonly string[];
@@ -92,6 +95,8 @@
   readonly isLeaving?: boolean;
   /** Time for which the upstream wants no requests from this process, milliseconds. */
   readonly restMs?: number | undefined;
+  /** How long the upstream stays cold, milliseconds; undefined when it says nothing of it. */
+  readonly coldMs?: number | undefined;
   /** A limit that can't be read, as it was sent. */
   readonly unreadableLimit?: string | undefined;
 }
--- a/packages/simulation/src/SimulatedFleet.ts
+++ b/packages/simulation/src/SimulatedFleet.ts
@@ -8,6 +8,8 @@
   type UpstreamTransport,
 } from "@lycheepulley/forwarding";
 
+import { CostPolicy, newCosts } from "./costPolicies.js";
+import { getPace, withPace } from "./enginePaces.js";
 import { GatewayNetwork, NETWORK_MS } from "./GatewayNetwork.js";
 import type { Incident, Pattern, PromptClass } from "./pattern.js";
 import { SimulatedGateway } from "./SimulatedGateway.js";
@@ -58,11 +60,13 @@
   readonly #clock: Clock;
   readonly #random: Random;
   readonly #pattern: Pattern;
+  readonly #costPolicy: CostPolicy;
   readonly #config: FleetConfig;
   readonly #upstreams = new Map<string, SimulatedUpstream>();
   readonly #leaving = new Set<string>();
   readonly #network: GatewayNetwork;
-  #gateways: SimulatedGateway[] = [];
+  /** Entry processes that are up. */
+  gateways: readonly SimulatedGateway[] = [];
   /** Times during which upstreams named limits. */
   readonly limitPeriods: LimitPeriod[] = [];
   /** Times at which a part of prompts crashed upstreams. */
@@ -70,11 +74,17 @@
   #nextUpstream = 0;
   #incarnation = 0;
 
-  constructor(pattern: Pattern, clock: Clock, random: Random) {
+  constructor(
+    pattern: Pattern,
+    clock: Clock,
+    random: Random,
+    costPolicy: CostPolicy = CostPolicy.Quantiles,
+  ) {
     this.#pattern = pattern;
+    this.#costPolicy = costPolicy;
     this.#clock = clock;
     this.#random = random;
-    this.#network = new GatewayNetwork(clock, () => this.#gateways, pattern);
+    this.#network = new GatewayNetwork(clock, () => this.gateways, pattern);
     this.#config = {
       revision: 1,
       routes: pattern.classes.map((prompt) => newRoute(prompt)),
@@ -86,6 +96,7 @@
     }
     this.#startGateways();
     this.#network.sendHeartbeats();
+    this.#network.sendCosts();
     this.#network.observeQuotas();
     pattern.incidents.forEach((incident) => {
       clock.setTimer(() => {
@@ -96,12 +107,12 @@
 
   /** A random gateway that accepts callers; undefined while all are down. */
   pickGateway(): SimulatedGateway | undefined {
-    return this.#gateways[Math.floor(this.#random.next() * this.#gateways.length)];
+    return this.gateways[Math.floor(this.#random.next() * this.gateways.length)];
   }
 
   /** False once the gateway's process has ended. */
   isUp(gateway: SimulatedGateway): boolean {
-    return this.#gateways.includes(gateway);
+    return this.gateways.includes(gateway);
   }
 
   /** Work at the serving upstreams now. */
@@ -148,7 +159,7 @@
         }
         return;
       case "restart":
-        this.#gateways = [];
+        this.gateways = [];
         this.#clock.setTimer(() => {
           this.#startGateways();
         }, incident.downMs);
@@ -167,9 +178,10 @@
         return upstream.open(req.headers, observer);
       },
     };
-    this.#gateways = Array.from({ length: this.#pattern.processes }, (_, index) => {
+    this.gateways = Array.from({ length: this.#pattern.processes }, (_, index) => {
       const name = `g${String(index)}-${String(incarnation)}`;
       const gateway = new SimulatedGateway({
+        costs: newCosts(this.#costPolicy, this.#clock, (id) => getPace(this.#pattern, id)),
         ...{ name, clock: this.#clock, random: this.#random, config: this.#config, transport },
         ...{ control: this.#newControl(), processes: this.#pattern.processes },
         getMembers: () => this.#network.getMembers(name),
@@ -221,7 +233,7 @@
       upstream.id,
       new SimulatedUpstream({
         ...{ clock: this.#clock, upstream, delayMs: NETWORK_MS },
-        spec: { ...engine, chunkTokens, queueSlots },
+        spec: { ...withPace(engine, getPace(this.#pattern, upstream.id)), chunkTokens, queueSlots },
         find: (id) => this.#upstreams.get(id),
         onCrash: () => {
           this.#crashByPart(upstream.id);
@@ -317,7 +329,7 @@
   #announceList(lagMs = LIST_LAG_MS): void {
     this.#clock.setTimer(() => {
       const list = this.#list();
-      this.#gateways.forEach((gateway) => {
+      this.gateways.forEach((gateway) => {
         gateway.applyUpstreams(list);
       });
     }, lagMs);
--- a/packages/simulation/src/index.ts
+++ b/packages/simulation/src/index.ts
@@ -1,3 +1,5 @@
+export * from "./callExperiment.js";
+export * from "./costPolicies.js";
 export * from "./experiment.js";
 export * from "./pattern.js";
 export * from "./patterns.js";
