Tell the starts of an upstream apart in what is known of crashes

Cause: an answer of an upstream that started again under its id withdrew the loss of its earlier start, so that a part of prompts that crashes upstreams was never found there; two crashes of one id counted as one. Change: losses, answers and crashes name the id with the start (id@born) where the list names starts. Measured: the new case of crashingParts.test.ts fails with the id alone; forwarding and daemon/gateway pass.

--- a/packages/forwarding/src/SendFeedback.ts
+++ b/packages/forwarding/src/SendFeedback.ts
@@ -1,4 +1,4 @@
-import type { Upstream } from "./fleetConfig.js";
+import { getStartId, type Upstream } from "./fleetConfig.js";
 import type { ForwardDependencies } from "./forwardDependencies.js";
 import { SendResult, type SendOutcome } from "./outcomes.js";
 import type { RequestLog } from "./RequestLog.js";
@@ -93,9 +93,9 @@
   }
 
   #recordCrash(id: string, reason: string): void {
-    const { crashes } = this.#deps;
+    const { crashes, view } = this.#deps;
     const { fingerprint } = this.#req;
-    crashes.recordCrash(fingerprint, id);
+    crashes.recordCrash(fingerprint, getStartId(view.upstreams.get(id) ?? { id }));
     this.#log.logBreak(id, { reason, crashes: crashes.count(fingerprint) });
   }
 
--- a/packages/forwarding/src/crashes/SendEvidence.ts
+++ b/packages/forwarding/src/crashes/SendEvidence.ts
@@ -1,4 +1,4 @@
-import type { Upstream } from "../fleetConfig.js";
+import { getStartId, type Upstream } from "../fleetConfig.js";
 import { SendResult, type SendOutcome } from "../outcomes.js";
 import type { AnswerFacts, ForwardRequest } from "../types.js";
 import type { CrashEvidence } from "./CrashEvidence.js";
@@ -19,7 +19,7 @@
   constructor(evidence: CrashEvidence, { head }: ForwardRequest, upstream: Upstream) {
     this.#evidence = evidence;
     this.#parts = head.sharedParts;
-    this.#upstream = upstream.id;
+    this.#upstream = getStartId(upstream);
     this.#sentMs = evidence.now();
   }
 
--- a/packages/forwarding/src/crashingParts.test.ts
+++ b/packages/forwarding/src/crashingParts.test.ts
@@ -2,6 +2,7 @@
 
 import { SendState } from "./types.js";
 import { ForwarderHarness, SAFE, STREAM } from "./testing/ForwarderHarness.js";
+import { newUpstream } from "./testing/samples.js";
 
 const TOKENS = 5_000;
 /** Longer than an answer has to go on to show that its parts are sound. */
@@ -111,6 +112,27 @@
     expect(getSuspects(harness)).to.deep.equal(["a"]);
   });
 
+  // An answer of the next start showed the earlier one never lost, so that no part was ever suspect.
+  it("keeps to the loss of an upstream that started again under its id and answers", async () => {
+    const harness = newHarness("a");
+    const start = (version: number, bornMs: number): void => {
+      const upstreams = [newUpstream("u0", { bornMs })];
+      harness.view.applyUpstreams({ version, upstreams }, 0, new Set());
+    };
+    start(2, 1_000);
+    await harness.request(STREAM, TOKENS);
+    await cut(harness);
+    expect(getSuspects(harness)).to.deep.equal(["a"]);
+    await harness.clock.advance(10);
+    start(3, 2_000);
+    harness.sharedParts = [];
+    await harness.request(STREAM, TOKENS);
+    harness.transport.startStream();
+    harness.transport.sendEvents(1);
+    expect(new Set(harness.sentTo)).to.deep.equal(new Set(["u0"]));
+    expect(getSuspects(harness)).to.deep.equal(["a"]);
+  });
+
   it("clears a suspect part once an answer on it has gone on", async () => {
     const harness = newHarness("a");
     harness.guard.evidence.recordLoss("u9", ["a"]);
--- a/packages/forwarding/src/fleetConfig.ts
+++ b/packages/forwarding/src/fleetConfig.ts
@@ -123,6 +123,10 @@
 });
 export type Upstream = z.infer<typeof upstreamSchema>;
 
+/** Tells the starts of upstreams apart, also of those that start again under their id. */
+export const getStartId = ({ id, bornMs }: Pick<Upstream, "id" | "bornMs">): string =>
+  bornMs === undefined ? id : `${id}@${String(bornMs)}`;
+
 /** Fields by which two lists are told apart: those that last as long as the upstream does. */
 export const getListedFields = (upstream: Upstream): Omit<Upstream, "coldMs"> => {
   const { id, pool, host, port, failureDomain, slots, isLeaving, bornMs } = upstream;
