--- a/packages/daemon/src/gateway/LimitExchange.ts
+++ b/packages/daemon/src/gateway/LimitExchange.ts
@@ -15,51 +15,25 @@
   type QuotaPeers,
   type RateBounds,
 } from "@lycheepulley/forwarding";
-import { newRpcMethod, type DatagramChannel, type NodeServer } from "@lycheepulley/nodes";
+import type { DatagramChannel, NodeServer } from "@lycheepulley/nodes";
 import type { Logger } from "@lycheepulley/telemetry";
-import { z } from "zod";
-
+import {
+  askMethod,
+  chargeSchema,
+  coldReportSchema,
+  limitsSchema,
+  MAX_REPORTS,
+  type LimitMessage,
+} from "./limitMessages.js";
 import type { PeerCalls } from "./PeerCalls.js";
 
 /** Interval at which limits are told again, to peers that missed a message or started since. */
 const GOSSIP_INTERVAL_MS = 1_000;
 /** Peers that limits are told to each time, so that the cost doesn't grow with the fleet. */
 const GOSSIP_PEERS = 4;
-/** Limits told in one message, which has to fit into a datagram. */
-const MAX_REPORTS = 100;
 /** Changes are told to all once more after this time, past the doubt about the order of two reports. */
 const RETELL_MS = 700;
 
-const limitSchema = z.object({
-  upstream: z.string(),
-  perSecond: z.number().nonnegative().optional(),
-  /** Time since the request went out and the head of its answer arrived. */
-  sentAgoMs: z.number(),
-  receivedAgoMs: z.number(),
-});
-type LimitMessage = z.output<typeof limitSchema>;
-
-const limitsSchema = z.object({ limits: z.array(limitSchema).max(MAX_REPORTS) });
-
-const coldSchema = z.object({
-  upstream: z.string(),
-  leftMs: z.number().nonnegative(),
-  perSecond: z.number().positive(),
-});
-const coldReportSchema = z.object({ cold: z.array(coldSchema).max(MAX_REPORTS) });
-
-const askMethod = newRpcMethod(
-  "limit.take",
-  z.object({ host: z.string(), limit: limitSchema, cold: coldSchema.optional() }),
-  z.object({
-    isGranted: z.boolean(),
-    retryMs: z.number().nonnegative(),
-    isCounted: z.boolean().optional(),
-    limit: limitSchema.optional(),
-  }),
-);
-const chargeSchema = z.object({ limit: limitSchema });
-
 /** Exchanges the limits of upstreams and the quotas for sending to them with peers. */
 export class LimitExchange {
   readonly limits: UpstreamLimits;
