Bind promised room only from the time at which it is needed

Cause: promised memory was kept from the expected time on, also for prompts with time to spare, and prompts that waited went strictly one after the other. With little memory short prompts became late for it.

Change: a promise binds others from its prompt's latest start (0.8 of the time to the objective; the deadline once it is late) or when it is about to be placed. A prompt that waits leaves memory that has become free to those before it for 25 ms each.

--- a/packages/daemon/src/gateway/LoadExchange.test.ts
+++ b/packages/daemon/src/gateway/LoadExchange.test.ts
@@ -207,7 +207,7 @@
 
 describe("answers to questions for loads", () => {
   it("carry loads as they were, also without a gap objective, and what is promised", () => {
-    const claims = [{ id: "a1", place: 3, inMs: 40, forMs: 900, tokens: 30_000 }];
+    const claims = [{ id: "a1", place: 3, inMs: 40, roomMs: 30, forMs: 900, tokens: 30_000 }];
     const loads = new Map([
       [
         "u1",
--- a/packages/daemon/src/gateway/earlierBuilds.test.ts
+++ b/packages/daemon/src/gateway/earlierBuilds.test.ts
@@ -102,7 +102,7 @@
         changed: [
           {
             ...{ ...ITEM, outputTokens: 800 },
-            promise: { inMs: 700, forMs: 3_000, place: 2, renewal: 1 },
+            promise: { inMs: 700, neededInMs: 900, forMs: 3_000, place: 2, renewal: 1 },
           },
         ],
       },
--- a/packages/daemon/src/gateway/peerMessages.test.ts
+++ b/packages/daemon/src/gateway/peerMessages.test.ts
@@ -21,10 +21,10 @@
 const place = fc.integer({ min: 1 });
 const promise = fc.record(
   {
-    ...{ inMs: amount, forMs: amount, place, renewal: fc.nat() },
+    ...{ inMs: amount, neededInMs: amount, forMs: amount, place, renewal: fc.nat() },
     returnKey: fc.string({ maxLength: 64 }),
   },
-  { requiredKeys: ["inMs", "forMs", "place", "renewal"] },
+  { requiredKeys: ["inMs", "neededInMs", "forMs", "place", "renewal"] },
 );
 const item = fc.record(
   {
@@ -79,7 +79,7 @@
 const codedClaim = fc.tuple(
   fc.string(),
   fc.string(),
-  fc.array(amount, { minLength: 4, maxLength: 4 }),
+  fc.array(amount, { minLength: 5, maxLength: 5 }),
 );
 const answer = fc.record(
   {
--- a/packages/daemon/src/gateway/peerMessages.ts
+++ b/packages/daemon/src/gateway/peerMessages.ts
@@ -97,11 +97,12 @@
 
 /** Most claims on memory of one answer. */
 const MAX_CLAIMS = 64;
+const CLAIM_NUMBERS = 5;
 const claimSchema = z.tuple([
   z.string(),
   z.string(),
-  /** Place, time until the memory is needed and time for which it is, and tokens. */
-  z.array(amountSchema).length(4),
+  /** Place, times until the memory is needed and until there is room, time for which it is needed, and tokens. */
+  z.array(amountSchema).length(CLAIM_NUMBERS),
 ]);
 type CodedClaim = z.output<typeof claimSchema>;
 
@@ -176,9 +177,9 @@
 }): { claims?: CodedClaim[] } => {
   const claims = options.upstreams.flatMap((upstream) =>
     (options.loads.get(upstream)?.claims ?? []).map(
-      ({ id, place, inMs, forMs, tokens }): CodedClaim => [
+      ({ id, place, inMs, roomMs, forMs, tokens }): CodedClaim => [
         ...([upstream, id] as const),
-        [place, round(inMs), round(forMs), tokens],
+        [place, round(inMs), round(roomMs), round(forMs), tokens],
       ],
     ),
   );
@@ -188,9 +189,9 @@
 /** The loads of an answer by upstream. */
 export const toLoads = ({ loads, claims = [] }: LoadAnswer): Map<string, UpstreamLoad> => {
   const decoded = new Map(loads.map((coded) => [coded[0], decodeLoad(coded)]));
-  for (const [upstream, id, [place = 0, inMs = 0, forMs = 0, tokens = 0]] of claims) {
+  for (const [upstream, id, [place = 0, inMs = 0, roomMs = 0, forMs = 0, tokens = 0]] of claims) {
     const load = decoded.get(upstream) ?? newUpstreamLoad();
-    load.claims = [...(load.claims ?? []), { id, place, inMs, forMs, tokens }];
+    load.claims = [...(load.claims ?? []), { id, place, inMs, roomMs, forMs, tokens }];
     decoded.set(upstream, load);
   }
   return decoded;
@@ -287,7 +288,7 @@
   isString(value[0]) &&
   isString(value[1]) &&
   isArrayOf(value[2], isAmount) &&
-  (value[2] as unknown[]).length === 4;
+  (value[2] as unknown[]).length === CLAIM_NUMBERS;
 
 const isOptionalClaims = (value: unknown): boolean =>
   value === undefined ||
--- a/packages/forwarding/src/Placer.ts
+++ b/packages/forwarding/src/Placer.ts
@@ -21,7 +21,7 @@
 import {
   getEnd,
   getLatestFirstMs,
-  isResumed,
+  isRejectable,
   PlacementFailure,
   type Placement,
   type PlacementQuery,
@@ -206,39 +206,37 @@
     engine: EngineSpec,
     { startMs, isFirst }: { startMs: number; isFirst: boolean },
   ): Promise<Placement | PlacementFailure> {
-    const mayReject = query.timeline.firstMs === undefined && !isResumed(query.req);
+    const mayReject = isRejectable(query);
     const isSmall = isForOneUpstream(query.req.head.promptTokens);
     let isNew = isFirst && mayReject;
     // All upstreams are looked at before a prompt waits.
     for (let isWhole = !isFirst; ; isWhole = true) {
       const now = this.#clock.now();
       const failure = getEnd(query, now);
-      if (failure) {
-        return failure;
-      }
-      const candidates = await this.#getCandidates({ ...query, isSmall, isWhole, engine });
+      const candidates = failure
+        ? []
+        : await this.#getCandidates({ ...query, isSmall, isWhole, engine });
       if (candidates.length === 0) {
-        return this.#getLack(query.pool);
+        return failure ?? this.#getLack(query.pool);
       }
-      const shortGapMs = this.#view.table?.getShortGapMs(query.pool) ?? 0;
+      const shortGapMs = this.#getShortGapMs(query.pool);
       const request = { ...newPlacementRequest(query, engine, now), shortGapMs };
       const { req, pool, isApart } = query;
       const deadlineLeftMs = query.deadlineAtMs - now;
       if (isNew && !this.#isAdmitted({ query, engine, request, candidates })) {
-        return PlacementFailure.Overloaded;
+        return this.#shed(pool, PlacementFailure.Overloaded, candidates);
       }
-      const plan = planPlacement(engine, request, candidates);
+      const asked = { req, pool, engine, request, candidates };
+      const plan = this.room.awaitTurn(asked, planPlacement(engine, request, candidates));
       if (plan) {
-        if (isNew && plan.firstEventMs > getLatestFirstMs(request, deadlineLeftMs)) {
-          this.#roomMs.set(pool, getRoomMs(candidates));
-          return PlacementFailure.TooLate;
-        }
-        return { upstream: plan.upstream, plan, request, waitedMs: now - startMs, isApart };
+        const isSent = !isNew || plan.firstEventMs <= getLatestFirstMs(request, deadlineLeftMs);
+        return isSent
+          ? { upstream: plan.upstream, plan, request, waitedMs: now - startMs, isApart }
+          : this.#shed(pool, PlacementFailure.TooLate, candidates);
       }
       isNew = false;
       if (isWhole) {
         const upstreams = this.#view.getAvailable(pool).length;
-        const asked = { req, pool, engine, request, candidates };
         const cause = this.room.decide({ ...asked, upstreams, deadlineLeftMs, mayReject });
         if (cause) {
           return cause;
@@ -248,6 +246,10 @@
     }
   }
 
+  #getShortGapMs(pool: string): number {
+    return this.#view.table?.getShortGapMs(pool) ?? 0;
+  }
+
   /**
    * Decides once, when the prompt arrives or has to be sent again. A caller that has events of the
    * answer isn't asked about: shedding the rest would waste what it has.
@@ -264,12 +266,18 @@
     const prefillMs = getReadMs(engine, request.promptTokens);
     const isAdmitted = this.#admission.admits(query.pool, request.value, prefillMs, busyShare);
     this.#admission.record(query.pool, request.value, workMs);
-    if (!isAdmitted) {
-      this.#roomMs.set(query.pool, getRoomMs(candidates));
-    }
     return isAdmitted;
   }
 
+  #shed(
+    pool: string,
+    reason: PlacementFailure,
+    candidates: readonly PlacementCandidate[],
+  ): PlacementFailure {
+    this.#roomMs.set(pool, getRoomMs(candidates));
+    return reason;
+  }
+
   /** Upstreams that haven't failed the request, or all when they have. */
   #getUsable({ pool, excluded }: Pick<PlacementQuery, "pool" | "excluded">): readonly Upstream[] {
     const available = this.#view.getAvailable(pool);
--- a/packages/forwarding/src/placement.ts
+++ b/packages/forwarding/src/placement.ts
@@ -130,7 +130,7 @@
 const scoreMember = (
   engine: EngineSpec,
   candidate: PlacementCandidate,
-  { readMs, outputTokens }: { readMs: number; outputTokens: number },
+  { req, readMs }: { req: PlacementRequest; readMs: number },
 ): ScoredMember => {
   const { load } = candidate;
   const passMs = getPassMs(engine, load.decoding, load.contextTokens);
@@ -138,7 +138,13 @@
   const passLeftMs = load.decoding > 0 ? passMs * PASS_LEFT_SHARE : 0;
   const helperReadyMs = passLeftMs + load.pendingHelpMs + readMs;
   const decoderReadyMs = passLeftMs + load.pendingReadMs + readMs;
-  const endMs = load.claims ? decoderReadyMs + getAnswerMs(engine, outputTokens, load) : Infinity;
+  const crowded = {
+    decoding: load.decoding + 1,
+    contextTokens: load.contextTokens + req.promptTokens,
+  };
+  const endMs = load.claims
+    ? decoderReadyMs + getAnswerMs(engine, req.outputTokens, crowded)
+    : Infinity;
   return {
     candidate,
     helperReadyMs,
@@ -293,9 +299,7 @@
   for (let count = 1; count <= maxMembers; count++) {
     const readMs = getReadMs(engine, req.promptTokens, count);
     const scored = (count === 1 ? candidates : unlimited)
-      .map((candidate) =>
-        scoreMember(engine, candidate, { readMs, outputTokens: req.outputTokens }),
-      )
+      .map((candidate) => scoreMember(engine, candidate, { req, readMs }))
       .sort((a, b) => a.cost - b.cost);
     const plans =
       count === 1
--- a/packages/forwarding/src/placementQuery.ts
+++ b/packages/forwarding/src/placementQuery.ts
@@ -56,9 +56,9 @@
   return now >= deadlineAtMs ? PlacementFailure.TimeOver : undefined;
 };
 
-/** True when the caller resumes a stream of which it has events, perhaps from another process. */
-export const isResumed = ({ head, route }: ForwardRequest): boolean =>
-  route.isResumable && head.lastEventId !== undefined;
+/** False for a caller that has events of the answer, or resumes a stream, perhaps from another process. */
+export const isRejectable = ({ req, timeline }: PlacementQuery): boolean =>
+  timeline.firstMs === undefined && !(req.route.isResumable && req.head.lastEventId !== undefined);
 
 /** Share of the time left in which the first event has to come, however long an answer is expected. */
 const MIN_FIRST_SHARE = 0.75;
--- a/packages/forwarding/src/room/RoomBook.ts
+++ b/packages/forwarding/src/room/RoomBook.ts
@@ -4,13 +4,27 @@
 import type { EngineSpec } from "../fleetConfig.js";
 import type { TimedLoadItem, UpstreamLoad } from "../load.js";
 import type { LoadTracker } from "../LoadTracker.js";
-import { getLatestFirstMs } from "../placementQuery.js";
-import { getMaxMembers, type PlacementCandidate, type PlacementRequest } from "../placement.js";
+import {
+  isForOneUpstream,
+  planPlacement,
+  type PlacementCandidate,
+  type PlacementPlan,
+} from "../placement.js";
 import { getKvTokens, getPromptLoad } from "../requestLoad.js";
 import type { ForwardRequest } from "../types.js";
-import { findRoom, type FoundRoom } from "./findRoom.js";
+import {
+  findRoomAgain,
+  getNeededInMs,
+  getReturnId,
+  getReturnKey,
+  isHeldByIdle,
+  isTooLate,
+  isUncertain,
+  type RoomRequest,
+} from "./decisions.js";
+import type { FoundRoom } from "./findRoom.js";
 import { estimateReleases, forecastReleases, getAnswerMs } from "./forecast.js";
-import { fitsIdle, type Release } from "./memory.js";
+import { withClaimsNow, type Release } from "./memory.js";
 import { goesBefore, isInForce, RETURN_GRACE_MS, type RoomPromise } from "./promise.js";
 import { RoomCause } from "./RoomCause.js";
 import { RoomStats, type RoomCounts } from "./RoomStats.js";
@@ -21,32 +35,15 @@
 /** Interval at which room is looked for again, for each so many prompts that wait here. */
 const LOOK_MS = 60;
 const WAITING_PER_LOOK = 8;
+/** Time for which each prompt before may take memory that has become free, and most of them. */
+const YIELD_MS = 25;
+const MAX_YIELDS = 4;
+/** Short prompts leave memory only to those that expect theirs this soon. */
+const SOON_MS = 500;
 /** Most prompts of one process that are promised room; others wait behind them. */
 const MAX_PROMISES = 32;
-/** Room may become free later than expected by this share of the time until then. */
-const UNCERTAINTY = 0.5;
-/** Share of the time left after which callers come back at the latest. */
-const RETURN_SHARE = 1 / 3;
 /** A caller may come back this much earlier than it was told. */
 const EARLY_RETURN_MS = 100;
-/** Share of the objective for which a prompt waits while it isn't known when there is room. */
-const UNKNOWN_WAIT_SHARE = 1 / 8;
-const KEY_LENGTH = 32;
-
-/** A prompt without a plan, and the upstreams that it may use. */
-export interface RoomRequest {
-  readonly req: ForwardRequest;
-  readonly pool: string;
-  readonly engine: EngineSpec;
-  readonly request: PlacementRequest;
-  /** All usable upstreams, as {@link RoomBook.addClaims} returns them. */
-  readonly candidates: readonly PlacementCandidate[];
-  /** Number of the pool's upstreams, usable now or not. */
-  readonly upstreams: number;
-  readonly deadlineLeftMs: number;
-  /** False for a caller that has a part of the answer. */
-  readonly mayReject: boolean;
-}
 
 interface WaitingPrompt {
   readonly route: string;
@@ -58,13 +55,15 @@
   /** Expected time of the room when it was first known, and as of now. */
   firstRoomAtMs: number | undefined;
   roomAtMs: number | undefined;
+  /** Latest time of the room, as of the first promise. */
+  neededAtMs: number | undefined;
   tokens: number;
+  /** Upstreams with promised memory. */
+  upstreams: readonly string[];
+  /** Since when there is memory that prompts before it may be about to take. */
+  yieldsSinceMs: number | undefined;
 }
 
-const getReturnKey = (req: ForwardRequest): string => req.fingerprint.slice(0, KEY_LENGTH);
-
-const getReturnId = (req: ForwardRequest): string => `return-${getReturnKey(req)}`;
-
 /**
  * Prompts of this process that wait for KV memory, and the memory that they are promised. Promises are
  * load items, so that all processes know them; a total order by place and id settles conflicts.
@@ -160,27 +159,54 @@
     return (promise?.inMs ?? 0) - (this.#clock.now() - sinceMs);
   }
 
+  /**
+   * Undefined while a prompt that waits leaves memory which has become free to those before it, which look
+   * at about the same time. Each gets some time to take it.
+   */
+  awaitTurn(
+    {
+      req,
+      engine,
+      request,
+      candidates,
+    }: Pick<RoomRequest, "req" | "engine" | "request" | "candidates">,
+    plan: PlacementPlan | undefined,
+  ): PlacementPlan | undefined {
+    const waiting = this.#waiting.get(req.head.attemptId);
+    const isShort = isForOneUpstream(request.promptTokens);
+    const claims = candidates
+      .flatMap(({ load }) => load.claims ?? [])
+      .filter(({ roomMs }) => !isShort || roomMs <= SOON_MS);
+    if (!waiting || claims.length === 0) {
+      return plan;
+    }
+    const now = this.#clock.now();
+    const isFree = !plan || planPlacement(engine, request, candidates.map(withClaimsNow));
+    waiting.yieldsSinceMs = isFree ? undefined : (waiting.yieldsSinceMs ?? now);
+    const before = new Set(claims.map(({ id }) => id)).size;
+    const untilMs = (waiting.yieldsSinceMs ?? -Infinity) + YIELD_MS * Math.min(before, MAX_YIELDS);
+    return now < untilMs ? undefined : plan;
+  }
+
   /** Has a prompt without a plan wait, promised room where there is any; returns why it shouldn't. */
   decide(room: RoomRequest): RoomCause | undefined {
-    const { req, engine, request, upstreams, mayReject } = room;
+    const { req, mayReject } = room;
     const known = this.#waiting.get(req.head.attemptId);
     const now = this.#clock.now();
     const lookMs = LOOK_MS * Math.max(1, this.#waiting.size / WAITING_PER_LOOK);
     if (known && now < known.lookedMs + lookMs) {
       return undefined;
     }
-    const kvTokens = request.promptTokens + request.outputTokens;
-    const maxMembers = getMaxMembers(request.promptTokens, upstreams);
-    if (mayReject && !fitsIdle(engine, kvTokens, { upstreams, maxMembers })) {
+    if (mayReject && !isHeldByIdle(room)) {
       return this.#reject(room, RoomCause.TooLarge, undefined);
     }
-    const found = findRoom(engine, request, room.candidates);
+    const found = findRoomAgain(room, known?.upstreams ?? []);
     const waiting = known ?? this.#add(room, now);
     waiting.lookedMs = now;
-    if (mayReject && this.#isTooLate(room, found, waiting.sinceMs)) {
+    if (mayReject && isTooLate(room, found, now - waiting.sinceMs)) {
       return this.#reject(room, RoomCause.NoRoom, found?.inMs);
     }
-    if (found && mayReject && !known && this.#isUncertain(room, found)) {
+    if (found && !known && this.#shouldReturn(room, found)) {
       this.#promiseReturn(room, found, waiting.place);
       return this.#reject(room, RoomCause.NoRoom, this.#returnMs.get(req) ?? found.inMs);
     }
@@ -188,34 +214,16 @@
     return undefined;
   }
 
-  #isTooLate(
-    { request, req, deadlineLeftMs }: RoomRequest,
-    found: FoundRoom | undefined,
-    sinceMs: number,
-  ): boolean {
-    if (found) {
-      const latestMs = getLatestFirstMs(request, deadlineLeftMs);
-      return found.inMs + found.plan.firstEventMs > latestMs;
-    }
-    return this.#clock.now() - sinceMs >= UNKNOWN_WAIT_SHARE * req.route.targetMs;
-  }
-
-  /** True for a prompt that may get room too late, and whose caller can come back when it is due. */
-  #isUncertain({ request, deadlineLeftMs, req }: RoomRequest, { inMs, plan }: FoundRoom): boolean {
-    const latestMs = (1 + UNCERTAINTY) * inMs + plan.firstEventMs;
-    const isBack = this.#findReturn(req) !== undefined;
-    return (
-      !isBack &&
-      latestMs > getLatestFirstMs(request, deadlineLeftMs) &&
-      inMs <= RETURN_SHARE * deadlineLeftMs
-    );
+  #shouldReturn(room: RoomRequest, found: FoundRoom): boolean {
+    return room.mayReject && this.#findReturn(room.req) === undefined && isUncertain(room, found);
   }
 
   #add({ req, candidates }: RoomRequest, now: number): WaitingPrompt {
     const waiting: WaitingPrompt = {
       ...{ route: req.route.name, sinceMs: now, lookedMs: now, renewedMs: -Infinity, renewal: 0 },
       ...{ place: this.#getPlace(req) ?? this.#getNextPlace(candidates), tokens: 0 },
-      ...{ firstRoomAtMs: undefined, roomAtMs: undefined },
+      ...{ firstRoomAtMs: undefined, roomAtMs: undefined, neededAtMs: undefined },
+      ...{ upstreams: [], yieldsSinceMs: undefined },
     };
     if (this.#findReturn(req)) {
       this.#stats.countPromise("returned");
@@ -236,6 +244,7 @@
     if (!found) {
       this.#loadTracker.removeOwn(attemptId);
       waiting.tokens = 0;
+      waiting.upstreams = [];
       return;
     }
     const roomAtMs = now + found.inMs;
@@ -243,7 +252,9 @@
     if (now < waiting.renewedMs + RENEWAL_MS && movedMs < MOVED_MS) {
       return;
     }
+    const upstreams = [found.plan.upstream, ...found.plan.helpers].map(({ id }) => id);
     const isFirst = waiting.firstRoomAtMs === undefined;
+    waiting.upstreams = upstreams;
     waiting.firstRoomAtMs ??= roomAtMs;
     waiting.roomAtMs = roomAtMs;
     waiting.renewedMs = now;
@@ -251,14 +262,19 @@
       waiting.renewal += 1;
       waiting.tokens = room.request.promptTokens + room.request.outputTokens;
       const { place, renewal } = waiting;
-      this.#setItem(room, attemptId, found, { place, renewal });
+      // It isn't put off while the prompt may still meet its objective.
+      if (waiting.neededAtMs === undefined || now > waiting.neededAtMs) {
+        waiting.neededAtMs = now + getNeededInMs(room, found);
+      }
+      const neededInMs = Math.max(found.inMs, waiting.neededAtMs - now);
+      this.#setItem(room, { ...found, id: attemptId, neededInMs }, { place, renewal });
     }
     if (isFirst || movedMs >= RENEWAL_MS) {
       this.#logger.info("prompt waits for room", {
         ...{ requestId: attemptId, step: "placement", place: waiting.place },
         ...{ tokens: room.request.promptTokens, roomMs: Math.round(found.inMs) },
         expectedMs: Math.round(found.inMs + found.plan.firstEventMs),
-        upstreams: [found.plan.upstream, ...found.plan.helpers].map(({ id }) => id),
+        upstreams,
         waiting: this.#waiting.size,
       });
     }
@@ -268,7 +284,8 @@
   #promiseReturn(room: RoomRequest, found: FoundRoom, place: number): void {
     const id = getReturnId(room.req);
     this.#returnMs.set(room.req, found.inMs);
-    this.#setItem(room, id, found, { place, renewal: 0, returnKey: getReturnKey(room.req) });
+    const fields = { place, renewal: 0, returnKey: getReturnKey(room.req) };
+    this.#setItem(room, { ...found, id, neededInMs: found.inMs }, fields);
     this.#clock.setTimer(() => {
       this.#loadTracker.removeOwn(id);
     }, found.inMs + RETURN_GRACE_MS);
@@ -276,8 +293,7 @@
 
   #setItem(
     { req, pool, engine, request }: RoomRequest,
-    id: string,
-    { plan, inMs }: FoundRoom,
+    { id, plan, inMs, neededInMs }: FoundRoom & { id: string; neededInMs: number },
     fields: Pick<RoomPromise, "place" | "renewal" | "returnKey">,
   ): void {
     const crowded = { decoding: engine.slots, contextTokens: 0 };
@@ -286,7 +302,7 @@
     this.#loadTracker.setOwn({
       ...getPromptLoad(plan, request),
       ...{ id, pool, upstream: plan.upstream.id, kvTokens: getKvTokens(req, plan) },
-      promise: { inMs: Math.ceil(inMs), forMs, ...fields },
+      promise: { inMs: Math.ceil(inMs), neededInMs: Math.ceil(neededInMs), forMs, ...fields },
     });
   }
 
--- a/packages/forwarding/src/room/findRoom.ts
+++ b/packages/forwarding/src/room/findRoom.ts
@@ -24,6 +24,7 @@
 const advanceClaim = (claim: RoomClaim, ms: number): RoomClaim => ({
   ...claim,
   inMs: Math.max(0, claim.inMs - ms),
+  roomMs: Math.max(0, claim.roomMs - ms),
   forMs: Math.max(0, claim.forMs - Math.max(0, ms - claim.inMs)),
 });
 
--- a/packages/forwarding/src/room/memory.ts
+++ b/packages/forwarding/src/room/memory.ts
@@ -86,3 +86,9 @@
   const idle = Array.from({ length: options.upstreams }, () => free);
   return canHold(kvTokens, idle, options.maxMembers);
 };
+
+/** The same upstream while all claims on its memory hold at once and none becomes free. */
+export const withClaimsNow = <T extends { load: UpstreamLoad }>(candidate: T): T => {
+  const claims = candidate.load.claims?.map((claim) => ({ ...claim, inMs: 0 }));
+  return { ...candidate, load: { ...candidate.load, ...(claims && { claims }) }, releases: [] };
+};
--- a/packages/forwarding/src/room/promise.ts
+++ b/packages/forwarding/src/room/promise.ts
@@ -4,12 +4,16 @@
 export const PROMISE_TERM_MS = 1_500;
 /** A promise to a caller that was told to return ends this long after the named time. */
 export const RETURN_GRACE_MS = 400;
+/** A prompt that expects its room this soon is about to take it. */
+const IMMINENT_MS = 100;
 const MAX_KEY_LENGTH = 64;
 
 /** Room that a prompt is promised which isn't sent yet: on the upstreams of its load item. */
 export const roomPromiseSchema = z.object({
-  /** Time until the room is needed, milliseconds from this renewal. */
+  /** Time until there is room, milliseconds from this renewal. */
   inMs: z.number().nonnegative(),
+  /** Time until the prompt needs it at the latest; others may use it before. */
+  neededInMs: z.number().nonnegative(),
   /** Time for which it is needed. */
   forMs: z.number().nonnegative(),
   /** Place in the queue. The lowest goes first; between equal places the id decides. */
@@ -31,12 +35,11 @@
   if (typeof value !== "object" || value === null) {
     return false;
   }
-  const { inMs, forMs, place, renewal, returnKey } = value as Partial<
+  const { inMs, neededInMs, forMs, place, renewal, returnKey } = value as Partial<
     Record<keyof RoomPromise, unknown>
   >;
   return (
-    isAmount(inMs) &&
-    isAmount(forMs) &&
+    [inMs, neededInMs, forMs].every(isAmount) &&
     Number.isSafeInteger(place) &&
     (place as number) > 0 &&
     Number.isSafeInteger(renewal) &&
@@ -51,8 +54,10 @@
   /** Id of the prompt's load item. */
   readonly id: string;
   readonly place: number;
-  /** Time until the memory is needed, milliseconds. */
+  /** Time until others have to leave the memory, milliseconds. */
   readonly inMs: number;
+  /** Expected time until there is room for the whole prompt. */
+  readonly roomMs: number;
   readonly forMs: number;
   readonly tokens: number;
 }
@@ -87,12 +92,14 @@
     return [];
   }
   const { place, forMs } = promise;
-  const inMs = Math.max(0, promise.inMs - (nowMs - item.sinceMs));
+  const elapsedMs = nowMs - item.sinceMs;
+  const roomMs = Math.max(0, promise.inMs - elapsedMs);
+  const inMs = roomMs <= IMMINENT_MS ? roomMs : Math.max(roomMs, promise.neededInMs - elapsedMs);
   const members = [item.upstream, ...item.helpers];
   const tokens = [item.kvTokens, ...item.heldTokens];
   return members.flatMap((upstream, index) =>
     (tokens[index] ?? 0) > 0
-      ? [[upstream, { id, place, inMs, forMs, tokens: tokens[index] ?? 0 }] as const]
+      ? [[upstream, { id, place, inMs, roomMs, forMs, tokens: tokens[index] ?? 0 }] as const]
       : [],
   );
 };
--- a/packages/forwarding/src/room/room.test.ts
+++ b/packages/forwarding/src/room/room.test.ts
@@ -87,7 +87,9 @@
     const fleet = newFleet({ processes: 2, upstreams: 1 });
     fleet.ask({ tokens: 250_000, outputTokens: 4_000 });
     await fleet.clock.advance(10);
-    const long = fleet.ask({ tokens: 300_000, process: 1, timeoutMs: 30_000 });
+    const long = fleet.ask({
+      ...{ tokens: 300_000, process: 1, timeoutMs: 30_000, targetMs: 14_000 },
+    });
     await fleet.clock.advance(100);
     const quick = fleet.ask({ tokens: 5_000, outputTokens: 100 });
     const slow = fleet.ask({ tokens: 60_000, outputTokens: 6_000, timeoutMs: 30_000 });
