--- a/packages/forwarding/src/room/RoomBook.ts
+++ b/packages/forwarding/src/room/RoomBook.ts
@@ -23,8 +23,8 @@
   type RoomRequest,
 } from "./decisions.js";
 import type { FoundRoom } from "./findRoom.js";
-import { estimateReleases, forecastReleases, getAnswerMs } from "./forecast.js";
-import { withClaimsNow, type Release } from "./memory.js";
+import { estimateReleases, getAnswerMs, ReleaseForecast } from "./forecast.js";
+import { withClaimsNow } from "./memory.js";
 import { goesBefore, isInForce, RETURN_GRACE_MS, type RoomPromise } from "./promise.js";
 import { RoomCause } from "./RoomCause.js";
 import { RoomStats, type RoomCounts } from "./RoomStats.js";
@@ -74,12 +74,14 @@
   readonly #logger: Logger;
   readonly #waiting = new Map<string, WaitingPrompt>();
   readonly #returnMs = new WeakMap<ForwardRequest, number>();
+  readonly #forecast: ReleaseForecast;
   readonly #stats = new RoomStats();
 
   constructor(options: { clock: Clock; loadTracker: LoadTracker; logger: Logger }) {
     this.#clock = options.clock;
     this.#loadTracker = options.loadTracker;
     this.#logger = options.logger;
+    this.#forecast = new ReleaseForecast(options);
   }
 
   get counts(): RoomCounts {
@@ -116,27 +118,21 @@
       claim.id !== id &&
       claim.id !== returnId &&
       (place === undefined || goesBefore(claim, { id, place }));
-    const getReleases = isAsked
-      ? ({ load }: PlacementCandidate): readonly Release[] => estimateReleases(engine, load)
-      : this.#newForecast(engine, candidates);
+    const forecast = isAsked ? undefined : this.#forecast.get(engine);
     return candidates.map((candidate) => {
       const { claims, ...rest } = candidate.load;
       const before = (claims ?? []).filter(isBefore);
       const load: UpstreamLoad = before.length > 0 ? { ...rest, claims: before } : rest;
-      return { ...candidate, load, releases: getReleases(candidate) };
+      return {
+        ...candidate,
+        load,
+        releases: forecast
+          ? (forecast.get(candidate.upstream.id) ?? [])
+          : estimateReleases(engine, load),
+      };
     });
   }
 
-  #newForecast(
-    engine: EngineSpec,
-    candidates: readonly PlacementCandidate[],
-  ): (candidate: PlacementCandidate) => readonly Release[] {
-    const loads = new Map(candidates.map(({ upstream, load }) => [upstream.id, load]));
-    const nowMs = this.#clock.now();
-    const releases = forecastReleases(engine, this.#loadTracker.items, { loads, nowMs });
-    return ({ upstream }) => releases.get(upstream.id) ?? [];
-  }
-
   /** Place of a request that waits, or that came back when it was told to. */
   #getPlace(req: ForwardRequest): number | undefined {
     const waiting = this.#waiting.get(req.head.attemptId);
--- a/packages/forwarding/src/room/forecast.ts
+++ b/packages/forwarding/src/room/forecast.ts
@@ -1,8 +1,19 @@
+import type { Clock } from "@lycheepulley/core";
+
 import { getPassMs } from "../engineModel.js";
 import type { EngineSpec } from "../fleetConfig.js";
-import { LoadPhase, newUpstreamLoad, type TimedLoadItem, type UpstreamLoad } from "../load.js";
+import {
+  LoadPhase,
+  newUpstreamLoad,
+  sumLoads,
+  type TimedLoadItem,
+  type UpstreamLoad,
+} from "../load.js";
+import type { LoadTracker } from "../LoadTracker.js";
 import type { Release } from "./memory.js";
 
+/** Time for which a forecast is used. */
+const FORECAST_MS = 10;
 /** Length of an answer whose process, of an older build, doesn't report it. */
 const USUAL_OUTPUT_TOKENS = 1_000;
 /** An answer that is longer than expected goes on for this share of its time so far. */
@@ -82,3 +93,29 @@
     tokens: load.kvTokens / parts,
   }));
 };
+
+/** Forecasts when memory becomes free; one forecast serves the looks of some milliseconds. */
+export class ReleaseForecast {
+  readonly #clock: Clock;
+  readonly #loadTracker: LoadTracker;
+  #engine: EngineSpec | undefined;
+  #releases: ReadonlyMap<string, readonly Release[]> = new Map();
+  #untilMs = -Infinity;
+
+  constructor(options: { clock: Clock; loadTracker: LoadTracker }) {
+    this.#clock = options.clock;
+    this.#loadTracker = options.loadTracker;
+  }
+
+  /** Releases by upstream. */
+  get(engine: EngineSpec): ReadonlyMap<string, readonly Release[]> {
+    const nowMs = this.#clock.now();
+    if (this.#engine !== engine || nowMs >= this.#untilMs) {
+      const { items } = this.#loadTracker;
+      this.#releases = forecastReleases(engine, items, { loads: sumLoads(items, nowMs), nowMs });
+      this.#engine = engine;
+      this.#untilMs = nowMs + FORECAST_MS;
+    }
+    return this.#releases;
+  }
+}
