--- a/packages/forwarding/src/Placer.ts
+++ b/packages/forwarding/src/Placer.ts
@@ -22,7 +22,7 @@
 import {
   getEnd,
   getLatestFirstMs,
-  isResumed,
+  isRejectable,
   PlacementFailure,
   type Placement,
   type PlacementQuery,
@@ -219,43 +219,41 @@
     engine: EngineSpec,
     { startMs, isFirst }: { startMs: number; isFirst: boolean },
   ): Promise<Placement | PlacementFailure> {
-    const mayReject = query.timeline.firstMs === undefined && !isResumed(query.req);
+    const mayReject = isRejectable(query);
     const isSmall = isForOneUpstream(query.req.head.promptTokens);
     let isNew = isFirst && mayReject;
     // All upstreams are looked at before a prompt waits.
     for (let isWhole = !isFirst; ; isWhole = true) {
       const now = this.#clock.now();
       const failure = getEnd(query, now);
-      if (failure) {
-        return failure;
-      }
-      const candidates = await this.#getCandidates({ ...query, isSmall, isWhole, engine });
+      const candidates = failure
+        ? []
+        : await this.#getCandidates({ ...query, isSmall, isWhole, engine });
       if (candidates.length === 0) {
-        return this.#getLack(query);
+        return failure ?? this.#getLack(query);
       }
-      const shortGapMs = this.#view.table?.getShortGapMs(query.pool) ?? 0;
       const request = {
         ...newPlacementRequest(query, { engine, now, costs: this.#costs }),
-        ...{ shortGapMs, value: getRequestValue(query, this.#view.table) },
+        shortGapMs: this.#view.table?.getShortGapMs(query.pool) ?? 0,
+        value: getRequestValue(query, this.#view.table),
       };
       const { req, pool, isApart } = query;
       const deadlineLeftMs = query.deadlineAtMs - now;
       if (isNew && !this.#isAdmitted({ query, engine, request, candidates })) {
-        return PlacementFailure.Overloaded;
+        return this.#shed(pool, PlacementFailure.Overloaded, candidates);
       }
-      const plan = planPlacement(engine, request, candidates);
+      const asked = { req, pool, engine, request, candidates };
+      const plan = this.room.awaitTurn(asked, planPlacement(engine, request, candidates));
       if (plan) {
-        if (isNew && plan.firstEventMs > getLatestFirstMs(request, deadlineLeftMs)) {
-          this.#roomMs.set(pool, getRoomMs(candidates));
-          return PlacementFailure.TooLate;
-        }
         const cost = getCost(candidates, plan.upstream);
-        return { upstream: plan.upstream, plan, request, waitedMs: now - startMs, cost, isApart };
+        const isSent = !isNew || plan.firstEventMs <= getLatestFirstMs(request, deadlineLeftMs);
+        return isSent
+          ? { upstream: plan.upstream, plan, request, waitedMs: now - startMs, cost, isApart }
+          : this.#shed(pool, PlacementFailure.TooLate, candidates);
       }
       isNew = false;
       if (isWhole) {
         const upstreams = this.#view.getAvailable(pool, query.homes).length;
-        const asked = { req, pool, engine, request, candidates };
         const cause = this.room.decide({ ...asked, upstreams, deadlineLeftMs, mayReject });
         if (cause) {
           return cause;
@@ -281,12 +279,18 @@
     const prefillMs = getReadMs(engine, request.promptTokens);
     const isAdmitted = this.#admission.admits(query.pool, request.value, prefillMs, busyShare);
     this.#admission.record(query.pool, request.value, workMs);
-    if (!isAdmitted) {
-      this.#roomMs.set(query.pool, getRoomMs(candidates));
-    }
     return isAdmitted;
   }
 
+  #shed(
+    pool: string,
+    reason: PlacementFailure,
+    candidates: readonly PlacementCandidate[],
+  ): PlacementFailure {
+    this.#roomMs.set(pool, getRoomMs(candidates));
+    return reason;
+  }
+
   /** Upstreams that haven't failed the request, or all when they have. */
   #getUsable({ pool, homes, excluded }: Choice): readonly Upstream[] {
     const available = this.#view.getAvailable(pool, homes);
