--- a/packages/forwarding/src/Placer.ts
+++ b/packages/forwarding/src/Placer.ts
@@ -27,11 +27,7 @@
   type PlacementQuery,
 } from "./placementQuery.js";
 import { CALL_LOAD, DEFAULT_GAP_MS, getKvTokens, getPromptLoad } from "./requestLoad.js";
-import {
-  getRetryAfterMs,
-  NO_UPSTREAM_RETRY_AFTER_MS,
-  REJECTED_RETRY_AFTER_MS,
-} from "./retryAfter.js";
+import { getRetryAfterMs, REJECTED_RETRY_AFTER_MS } from "./retryAfter.js";
 import { RoomBook } from "./room/RoomBook.js";
 import { selectCandidates } from "./selectCandidates.js";
 import { selectSeparate } from "./selectSeparate.js";
@@ -91,8 +87,7 @@
       case PlacementFailure.Limited:
         return getRetryAfterMs(this.#getOpenInMs(pool), this.#random);
       case PlacementFailure.NoRoom:
-        // The room is promised from then on, so that this caller's time is its own.
-        return this.room.getReturnMs(req) ?? NO_UPSTREAM_RETRY_AFTER_MS;
+        return this.room.getRetryMs(req, this.#random);
       default:
         return getRetryAfterMs(undefined, this.#random);
     }
--- a/packages/forwarding/src/room/RoomBook.ts
+++ b/packages/forwarding/src/room/RoomBook.ts
@@ -1,4 +1,4 @@
-import type { Clock } from "@lycheepulley/core";
+import type { Clock, Random } from "@lycheepulley/core";
 import type { Logger } from "@lycheepulley/telemetry";
 
 import type { EngineSpec } from "../fleetConfig.js";
@@ -11,6 +11,7 @@
   type PlacementPlan,
 } from "../placement.js";
 import { getKvTokens, getPromptLoad } from "../requestLoad.js";
+import { getRetryAfterMs } from "../retryAfter.js";
 import type { ForwardRequest } from "../types.js";
 import {
   findRoomAgain,
@@ -74,6 +75,7 @@
   readonly #logger: Logger;
   readonly #waiting = new Map<string, WaitingPrompt>();
   readonly #returnMs = new WeakMap<ForwardRequest, number>();
+  readonly #roomMs = new WeakMap<ForwardRequest, number>();
   readonly #forecast: ReleaseForecast;
   readonly #stats = new RoomStats();
 
@@ -94,9 +96,9 @@
     return this.#stats.getCounts({ waiting, promisedTokens });
   }
 
-  /** Time after which a rejected request should come back; undefined when it isn't known. */
-  getReturnMs(req: ForwardRequest): number | undefined {
-    return this.#returnMs.get(req);
+  /** Time after which a rejected request should come back, milliseconds; a promised time is its own. */
+  getRetryMs(req: ForwardRequest, random: Random): number {
+    return this.#returnMs.get(req) ?? getRetryAfterMs(this.#roomMs.get(req), random);
   }
 
   /**
@@ -204,7 +206,7 @@
     }
     if (found && !known && this.#shouldReturn(room, found)) {
       this.#promiseReturn(room, found, waiting.place);
-      return this.#reject(room, RoomCause.NoRoom, this.#returnMs.get(req) ?? found.inMs);
+      return this.#reject(room, RoomCause.NoRoom, found.inMs);
     }
     this.#promise(room, waiting, found);
     return undefined;
@@ -305,7 +307,7 @@
   #reject({ req, request }: RoomRequest, cause: RoomCause, roomMs: number | undefined): RoomCause {
     const waiting = this.#waiting.get(req.head.attemptId);
     if (roomMs !== undefined) {
-      this.#returnMs.set(req, roomMs);
+      this.#roomMs.set(req, roomMs);
     }
     this.#stats.countRejected(cause);
     this.#logger.info("prompt rejected for lack of room", {
