--- a/packages/forwarding/src/limits/quotas.test.ts
+++ b/packages/forwarding/src/limits/quotas.test.ts
@@ -182,6 +182,23 @@
     expect(process.asked).to.equal(0);
   });
 
+  it("keeps an upstream out of the parts of prompts only by a limit that binds, or while it is cold", async () => {
+    const clock = new ManualClock();
+    const { quota, limits, cold } = new QuotaProcess(clock, OWNER);
+    [0, 3, 9.9, 10, 100].forEach((perSecond, index) => {
+      limits.record({ upstream: `u${String(index)}`, perSecond, sentMs: 0, receivedMs: 0 });
+    });
+    const avoidances = [0, 1, 2, 3, 4].map((index) => quota.getAvoidance(`u${String(index)}`));
+    expect(avoidances.map((avoidance) => avoidance > 0)).to.deep.equal([
+      ...[true, true, true],
+      ...[false, false],
+    ]);
+    cold.recordPeer("n9", { upstream: "u4", leftMs: 2_000, perSecond: 18 });
+    expect(quota.getAvoidance("u4")).to.be.within(0.0001, 0.02);
+    await clock.advance(2_000);
+    expect(quota.getAvoidance("u4")).to.equal(0);
+  });
+
   // One that was avoided got a tenth of its limit, and its end became known seconds late.
   it("uses a limited upstream up to its limit, and lets requests return slowly when it is lifted", async () => {
     const clock = new ManualClock();
