--- a/packages/forwarding/src/Placer.ts
+++ b/packages/forwarding/src/Placer.ts
@@ -22,7 +22,7 @@
 import {
   getEnd,
   getLatestFirstMs,
-  isResumed,
+  isRejectable,
   PlacementFailure,
   type Placement,
   type PlacementQuery,
@@ -46,6 +46,8 @@
 
 export * from "./placementQuery.js";
 
+type Choice = Pick<PlacementQuery, "pool" | "homes" | "excluded">;
+
 /** Chooses upstreams for requests; a prompt waits only while no upstreams have the KV memory. */
 export class Placer {
   readonly #clock: Clock;
@@ -128,9 +130,9 @@
   }
 
   /** True when a pool has an active upstream besides the excluded ones. */
-  hasAlternative({ pool, excluded }: Pick<PlacementQuery, "pool" | "excluded">): boolean {
+  hasAlternative({ pool, homes, excluded }: Choice): boolean {
     return this.#view
-      .getAvailable(pool)
+      .getAvailable(pool, homes)
       .some(({ id }) => !excluded.has(id) && !this.#health.isEjected(id) && this.#quota.isOpen(id));
   }
 
@@ -197,7 +199,7 @@
     const candidates = await this.#getCandidates(query);
     const upstream = pickServiceUpstream(candidates, this.#random, callMs);
     if (!upstream) {
-      return this.#getLack(query.pool);
+      return this.#getLack(query);
     }
     return {
       ...{ upstream, plan: undefined, request: undefined, waitedMs: now - startMs },
@@ -206,8 +208,8 @@
   }
 
   /** Why there are no candidates. */
-  #getLack(pool: string): PlacementFailure {
-    return this.#view.getAvailable(pool).length > 0
+  #getLack({ pool, homes }: Choice): PlacementFailure {
+    return this.#view.getAvailable(pool, homes).length > 0
       ? PlacementFailure.Limited
       : PlacementFailure.NoUpstream;
   }
@@ -217,43 +219,41 @@
     engine: EngineSpec,
     { startMs, isFirst }: { startMs: number; isFirst: boolean },
   ): Promise<Placement | PlacementFailure> {
-    const mayReject = query.timeline.firstMs === undefined && !isResumed(query.req);
+    const mayReject = isRejectable(query);
     const isSmall = isForOneUpstream(query.req.head.promptTokens);
     let isNew = isFirst && mayReject;
     // All upstreams are looked at before a prompt waits.
     for (let isWhole = !isFirst; ; isWhole = true) {
       const now = this.#clock.now();
       const failure = getEnd(query, now);
-      if (failure) {
-        return failure;
-      }
-      const candidates = await this.#getCandidates({ ...query, isSmall, isWhole, engine });
+      const candidates = failure
+        ? []
+        : await this.#getCandidates({ ...query, isSmall, isWhole, engine });
       if (candidates.length === 0) {
-        return this.#getLack(query.pool);
+        return failure ?? this.#getLack(query);
       }
-      const shortGapMs = this.#view.table?.getShortGapMs(query.pool) ?? 0;
       const request = {
         ...newPlacementRequest(query, { engine, now, costs: this.#costs }),
-        ...{ shortGapMs, value: getRequestValue(query, this.#view.table) },
+        shortGapMs: this.#view.table?.getShortGapMs(query.pool) ?? 0,
+        value: getRequestValue(query, this.#view.table),
       };
       const { req, pool, isApart } = query;
       const deadlineLeftMs = query.deadlineAtMs - now;
       if (isNew && !this.#isAdmitted({ query, engine, request, candidates })) {
-        return PlacementFailure.Overloaded;
+        return this.#shed(pool, PlacementFailure.Overloaded, candidates);
       }
-      const plan = planPlacement(engine, request, candidates);
+      const asked = { req, pool, engine, request, candidates };
+      const plan = this.room.awaitTurn(asked, planPlacement(engine, request, candidates));
       if (plan) {
-        if (isNew && plan.firstEventMs > getLatestFirstMs(request, deadlineLeftMs)) {
-          this.#roomMs.set(pool, getRoomMs(candidates));
-          return PlacementFailure.TooLate;
-        }
         const cost = getCost(candidates, plan.upstream);
-        return { upstream: plan.upstream, plan, request, waitedMs: now - startMs, cost, isApart };
+        const isSent = !isNew || plan.firstEventMs <= getLatestFirstMs(request, deadlineLeftMs);
+        return isSent
+          ? { upstream: plan.upstream, plan, request, waitedMs: now - startMs, cost, isApart }
+          : this.#shed(pool, PlacementFailure.TooLate, candidates);
       }
       isNew = false;
       if (isWhole) {
-        const upstreams = this.#view.getAvailable(pool).length;
-        const asked = { req, pool, engine, request, candidates };
+        const upstreams = this.#view.getAvailable(pool, query.homes).length;
         const cause = this.room.decide({ ...asked, upstreams, deadlineLeftMs, mayReject });
         if (cause) {
           return cause;
@@ -279,34 +279,40 @@
     const prefillMs = getReadMs(engine, request.promptTokens);
     const isAdmitted = this.#admission.admits(query.pool, request.value, prefillMs, busyShare);
     this.#admission.record(query.pool, request.value, workMs);
-    if (!isAdmitted) {
-      this.#roomMs.set(query.pool, getRoomMs(candidates));
-    }
     return isAdmitted;
   }
 
+  #shed(
+    pool: string,
+    reason: PlacementFailure,
+    candidates: readonly PlacementCandidate[],
+  ): PlacementFailure {
+    this.#roomMs.set(pool, getRoomMs(candidates));
+    return reason;
+  }
+
   /** Upstreams that haven't failed the request, or all when they have. */
-  #getUsable({ pool, excluded }: Pick<PlacementQuery, "pool" | "excluded">): readonly Upstream[] {
-    const available = this.#view.getAvailable(pool);
+  #getUsable({ pool, homes, excluded }: Choice): readonly Upstream[] {
+    const available = this.#view.getAvailable(pool, homes);
     const untried = available.filter(({ id }) => !excluded.has(id));
     return untried.length > 0 ? untried : available;
   }
 
   async #getCandidates({
     req,
-    pool,
-    excluded,
     isApart,
     isSmall = false,
     isWhole = false,
     engine,
-  }: Pick<PlacementQuery, "req" | "pool" | "excluded" | "isApart"> & {
-    isSmall?: boolean;
-    /** All upstreams are candidates, as far as their loads are known here. */
-    isWhole?: boolean;
-    engine?: EngineSpec;
-  }): Promise<readonly PlacementCandidate[]> {
-    const open = this.#getUsable({ pool, excluded }).filter(({ id }) => this.#quota.isOpen(id));
+    ...choice
+  }: Choice &
+    Pick<PlacementQuery, "req" | "isApart"> & {
+      isSmall?: boolean;
+      /** All upstreams are candidates, as far as their loads are known here. */
+      isWhole?: boolean;
+      engine?: EngineSpec;
+    }): Promise<readonly PlacementCandidate[]> {
+    const open = this.#getUsable(choice).filter(({ id }) => this.#quota.isOpen(id));
     const active = this.#health.selectActive(open);
     const isAsked = this.#peerLoads?.isNeeded ?? false;
     const options = { isSmall, isAsked, random: this.#random };
--- a/packages/forwarding/src/fleetConfig.ts
+++ b/packages/forwarding/src/fleetConfig.ts
@@ -33,6 +33,8 @@
   maxAttempts: z.number().int().positive(),
   /** Callers need no API key. */
   isPublic: z.boolean(),
+  /** Regions in which its requests are handled; absent for any. */
+  homeRegions: z.array(z.string()).optional(),
 });
 export type Route = z.infer<typeof routeSchema>;
 
@@ -75,6 +77,8 @@
   apiKeys: z.array(z.string()),
   /** Takes precedence over the route's priority. */
   priority: z.number().int().nonnegative().optional(),
+  /** Regions in which its requests are handled, besides those of the route; absent for any. */
+  homeRegions: z.array(z.string()).optional(),
 });
 export type ForwardCustomer = z.infer<typeof customerSchema>;
 
@@ -123,6 +127,10 @@
 });
 export type Upstream = z.infer<typeof upstreamSchema>;
 
+/** Tells the starts of upstreams apart, also of those that start again under their id. */
+export const getStartId = ({ id, bornMs }: Pick<Upstream, "id" | "bornMs">): string =>
+  bornMs === undefined ? id : `${id}@${String(bornMs)}`;
+
 /** Fields by which two lists are told apart: those that last as long as the upstream does. */
 export const getListedFields = (upstream: Upstream): Omit<Upstream, "coldMs"> => {
   const { id, pool, host, port, failureDomain, slots, isLeaving, bornMs } = upstream;
--- a/packages/forwarding/src/placementQuery.ts
+++ b/packages/forwarding/src/placementQuery.ts
@@ -2,6 +2,7 @@
 import type { AnswerTimeline } from "./AnswerTimeline.js";
 import type { Upstream } from "./fleetConfig.js";
 import type { PlacementPlan, PlacementRequest } from "./placement.js";
+import type { Homes } from "./regions.js";
 import { RoomCause } from "./room/RoomCause.js";
 import type { ForwardRequest } from "./types.js";
 
@@ -35,6 +36,7 @@
 export interface PlacementQuery {
   readonly req: ForwardRequest;
   readonly pool: string;
+  readonly homes?: Homes;
   /** Ids of upstreams that already failed this request. */
   readonly excluded: ReadonlySet<string>;
   /** Monotonic time of the request's deadline. */
@@ -58,9 +60,9 @@
   return now >= deadlineAtMs ? PlacementFailure.TimeOver : undefined;
 };
 
-/** True when the caller resumes a stream of which it has events, perhaps from another process. */
-export const isResumed = ({ head, route }: ForwardRequest): boolean =>
-  route.isResumable && head.lastEventId !== undefined;
+/** False for a caller that has events of the answer, or resumes a stream, perhaps from another process. */
+export const isRejectable = ({ req, timeline }: PlacementQuery): boolean =>
+  timeline.firstMs === undefined && !(req.route.isResumable && req.head.lastEventId !== undefined);
 
 /** Share of the time left in which the first event has to come, however long an answer is expected. */
 const MIN_FIRST_SHARE = 0.75;
