Count upstreams of a failure domain that has just returned as cold until the list would say so

Change: for 2.5 s after an evacuation is taken back, upstreams of pools with a cold start are sent no more than the cold rate of all processes; news of real coldness is told as before.

--- a/packages/daemon/src/gateway/LimitExchange.ts
+++ b/packages/daemon/src/gateway/LimitExchange.ts
@@ -92,6 +92,7 @@
       onNews: (reports) => {
         this.#tellCold(reports, this.#liveHosts);
       },
+      getReturnedMs: (upstream) => this.#view.getReturnedMs(upstream),
     });
     const { limits, cold } = this;
     this.#owner = new QuotaOwner({ clock, limits, cold, bounds, getMembers });
--- a/packages/forwarding/src/FleetView.ts
+++ b/packages/forwarding/src/FleetView.ts
@@ -192,6 +192,12 @@
     return Math.max(0, 1 - (this.#clock.now() - takenBackMs) / RETURN_MS);
   }
 
+  /** Time since an evacuation of the upstream's failure domain was taken back; Infinity for none. */
+  getReturnedMs(id: string): number {
+    const takenBackMs = this.#takenBackMs.get(this.#upstreams.get(id)?.failureDomain ?? "");
+    return takenBackMs === undefined ? Infinity : this.#clock.now() - takenBackMs;
+  }
+
   /** Regions in which any request to a host is handled; undefined when it may be anywhere. */
   getHostHomes(host: string): Homes {
     return this.#table?.getHostHomes(host);
--- a/packages/forwarding/src/limits/ColdUpstreams.test.ts
+++ b/packages/forwarding/src/limits/ColdUpstreams.test.ts
@@ -16,12 +16,16 @@
   list(coldMs: number | undefined, isDirect?: boolean): void;
 }
 
-const newHarness = (coldStart: ColdStart | undefined): Harness => {
+const newHarness = (
+  coldStart: ColdStart | undefined,
+  getReturnedMs?: (nowMs: number) => number,
+): Harness => {
   const clock = new ManualClock();
   const news: ColdReport[] = [];
   const cold = new ColdUpstreams({
     ...{ clock, logger: newSilentLogger() },
     onNews: (reports) => news.push(...reports),
+    ...(getReturnedMs && { getReturnedMs: () => getReturnedMs(clock.now()) }),
   });
   return {
     ...{ clock, cold, news },
@@ -103,6 +107,26 @@
     });
   }
 
+  // The list that says so may be read after the evacuation was taken back.
+  it("takes an upstream whose domain has just returned for cold, until the list would say so", async () => {
+    const { clock, cold, list, news } = newHarness(COLD_START, (nowMs) => nowMs);
+    list(0);
+    expect(cold.get("u")?.perSecond).to.equal(COLD_START.perSecond);
+    expect(news).to.deep.equal([]);
+    await clock.advance(1_000);
+    list(3_000);
+    expect(news.length).to.equal(1);
+    await clock.advance(2_500);
+    expect(cold.get("u")?.leftMs).to.equal(500);
+  });
+
+  it("takes one that returned long ago, or to a pool without a cold start, for warm", () => {
+    const [late, without] = [newHarness(COLD_START, () => 2_600), newHarness(undefined, () => 0)];
+    late.list(0);
+    without.list(0);
+    expect([...late.cold.all, ...without.cold.all]).to.deep.equal([]);
+  });
+
   it("knows no cold upstream in a pool without a cold start", () => {
     const { cold, list } = newHarness(undefined);
     list(2_000);
--- a/packages/forwarding/src/limits/ColdUpstreams.ts
+++ b/packages/forwarding/src/limits/ColdUpstreams.ts
@@ -5,6 +5,11 @@
 
 /** Longest time for which a peer's word makes an upstream cold. */
 const MAX_COLD_MS = 60_000;
+/**
+ * Upstreams whose failure domain was evacuated may have become cold before its return. Until the list
+ * would say so, they count as cold: the time between two writes of an entry and two reads, with a margin.
+ */
+const RETURN_MS = 2_500;
 
 /** What a process knows of an upstream that is cold. */
 export interface ColdReport {
@@ -32,6 +37,7 @@
   readonly #clock: Clock;
   readonly #logger: Logger;
   readonly #onNews: (reports: readonly ColdReport[]) => void;
+  readonly #getReturnedMs: (upstream: string) => number;
   readonly #states = new Map<string, ColdState>();
 
   constructor(options: {
@@ -39,10 +45,13 @@
     logger: Logger;
     /** Called when this process finds upstreams cold that the list had shown warm. */
     onNews: (reports: readonly ColdReport[]) => void;
+    /** Time since an evacuation of the upstream's failure domain was taken back; Infinity for none. */
+    getReturnedMs?: (upstream: string) => number;
   }) {
     this.#clock = options.clock;
     this.#logger = options.logger;
     this.#onNews = options.onNews;
+    this.#getReturnedMs = options.getReturnedMs ?? ((): number => Infinity);
   }
 
   /** Upstreams that are cold. */
@@ -53,10 +62,15 @@
   /** The state of an upstream; undefined while it isn't cold. */
   get(upstream: string): ColdUpstream | undefined {
     const state = this.#states.get(upstream);
-    const leftMs = (state?.untilMs ?? -Infinity) - this.#clock.now();
+    const leftMs = Math.max(this.#getToldMs(upstream), RETURN_MS - this.#getReturnedMs(upstream));
     return state && leftMs > 0 ? { upstream, leftMs, ...state.coldStart } : undefined;
   }
 
+  /** Time for which an upstream stays cold as it, the list or a peer says; negative for none. */
+  #getToldMs(upstream: string): number {
+    return (this.#states.get(upstream)?.untilMs ?? -Infinity) - this.#clock.now();
+  }
+
   /**
    * Takes what a list says of upstreams. A list from a peer counts only for those that aren't known:
    * its times may be as old as its entries.
@@ -72,7 +86,7 @@
       if (!coldStart) {
         this.#states.delete(id);
       } else if (!known || (options.isDirect && known.listedMs !== coldMs)) {
-        const wasCold = this.get(id) !== undefined;
+        const wasCold = this.#getToldMs(id) > 0;
         const untilMs = this.#clock.now() + Math.min(coldMs, coldStart.durationMs);
         this.#states.set(id, { coldStart, listedMs: coldMs, untilMs });
         const now = this.get(id);
@@ -93,7 +107,7 @@
     if (!known) {
       return;
     }
-    const wasCold = this.get(upstream) !== undefined;
+    const wasCold = this.#getToldMs(upstream) > 0;
     const untilMs = this.#clock.now() + Math.min(leftMs, known.coldStart.durationMs);
     this.#states.set(upstream, { ...known, untilMs });
     const now = this.get(upstream);
@@ -106,7 +120,7 @@
   /** Takes what a peer knows; it may make an upstream cold for longer, and never warm. */
   recordPeer(peer: string, { upstream, leftMs, perSecond }: ColdReport): void {
     const known = this.#states.get(upstream);
-    const wasCold = this.get(upstream) !== undefined;
+    const wasCold = this.#getToldMs(upstream) > 0;
     const coldStart = known?.coldStart ?? { perSecond, durationMs: MAX_COLD_MS };
     const untilMs = this.#clock.now() + Math.min(leftMs, coldStart.durationMs);
     this.#states.set(upstream, {
