--- /dev/null
+++ b/packages/forwarding/src/CandidateFinder.ts
@@ -0,0 +1,118 @@
+import type { Random } from "@lycheepulley/core";
+
+import type { CostBook } from "./costs/CostBook.js";
+import { applyPace } from "./costs/placementCosts.js";
+import type { Upstream } from "./fleetConfig.js";
+import { RuledOutReason, type RuledOut } from "./explain/PlacementSnapshot.js";
+import type { FleetView } from "./FleetView.js";
+import type { SendQuota } from "./limits/SendQuota.js";
+import { newUpstreamLoad, type UpstreamLoad } from "./load.js";
+import type { LoadTracker } from "./LoadTracker.js";
+import type { PeerLoads } from "./PeerLoads.js";
+import type { PlacementCandidate } from "./placement.js";
+import { selectCandidates } from "./selectCandidates.js";
+import { selectSeparate } from "./selectSeparate.js";
+import type { UpstreamHealth } from "./UpstreamHealth.js";
+
+const NO_LOADS: ReadonlyMap<string, UpstreamLoad> = new Map();
+
+/** Which upstreams a request may go to. */
+export interface CandidateQuery {
+  readonly pool: string;
+  /** Ids of upstreams that already failed the request. */
+  readonly excluded: ReadonlySet<string>;
+  /** The request may crash its upstream. */
+  readonly isApart?: boolean;
+  /** The prompt isn't worth a second upstream. */
+  readonly isSmall?: boolean;
+}
+
+/** Finds the upstreams that may take a request, with what is known of their load and pace. */
+export class CandidateFinder {
+  readonly #random: Random;
+  readonly #view: FleetView;
+  readonly #loadTracker: LoadTracker;
+  readonly #peerLoads: PeerLoads | undefined;
+  readonly #costs: CostBook | undefined;
+  readonly #health: UpstreamHealth;
+  readonly #quota: SendQuota;
+
+  constructor(options: {
+    random: Random;
+    view: FleetView;
+    loadTracker: LoadTracker;
+    /** Undefined where every process hears of all requests. */
+    peerLoads?: PeerLoads | undefined;
+    costs?: CostBook | undefined;
+    health: UpstreamHealth;
+    quota: SendQuota;
+  }) {
+    this.#random = options.random;
+    this.#view = options.view;
+    this.#loadTracker = options.loadTracker;
+    this.#peerLoads = options.peerLoads;
+    this.#costs = options.costs;
+    this.#health = options.health;
+    this.#quota = options.quota;
+  }
+
+  /** Loads of these upstreams, or of all, as far as this process and its peers know them. */
+  async fetchLoads(upstreams: readonly string[]): Promise<ReadonlyMap<string, UpstreamLoad>> {
+    const peers = this.#peerLoads;
+    const fetched = peers?.isNeeded ? await peers.fetch(upstreams) : undefined;
+    return fetched ?? this.#loadTracker.getLoads();
+  }
+
+  /** Upstreams that haven't failed the request, or all when they have. */
+  getUsable({ pool, excluded }: Pick<CandidateQuery, "pool" | "excluded">): readonly Upstream[] {
+    const available = this.#view.getAvailable(pool);
+    const untried = available.filter(({ id }) => !excluded.has(id));
+    return untried.length > 0 ? untried : available;
+  }
+
+  async find({
+    pool,
+    excluded,
+    isApart = false,
+    isSmall = false,
+  }: CandidateQuery): Promise<readonly PlacementCandidate[]> {
+    const open = this.getUsable({ pool, excluded }).filter(({ id }) => this.#quota.isOpen(id));
+    const active = this.#health.selectActive(open);
+    const isAsked = this.#peerLoads?.isNeeded ?? false;
+    const options = { isSmall, isAsked, random: this.#random };
+    const known = isAsked ? NO_LOADS : this.#loadTracker.getLoads();
+    const considered = selectCandidates(active, known, options);
+    const loads = isAsked ? await this.fetchLoads(considered.map(({ id }) => id)) : known;
+    const candidates = considered.map((upstream) => ({
+      upstream,
+      ...applyPace(this.#costs, upstream, loads.get(upstream.id) ?? newUpstreamLoad()),
+      failureRate: this.#health.getFailureRate(upstream.id),
+      avoidance: this.#quota.getAvoidance(upstream.id),
+    }));
+    return selectSeparate(candidates, isApart);
+  }
+
+  /** Why the other upstreams of the pool are no candidates. */
+  explain(
+    { pool, excluded }: CandidateQuery,
+    candidates: readonly PlacementCandidate[],
+  ): RuledOut[] {
+    const chosen = new Set(candidates.map(({ upstream }) => upstream.id));
+    const available = new Set(this.#view.getAvailable(pool).map(({ id }) => id));
+    const getReason = (id: string): RuledOutReason => {
+      if (!available.has(id)) {
+        return RuledOutReason.Unavailable;
+      }
+      if (excluded.has(id)) {
+        return RuledOutReason.Failed;
+      }
+      if (!this.#quota.isOpen(id)) {
+        return this.#quota.isResting(id) ? RuledOutReason.Resting : RuledOutReason.Limited;
+      }
+      return this.#health.isEjected(id) ? RuledOutReason.Ejected : RuledOutReason.NotCompared;
+    };
+    return [...this.#view.upstreams.values()]
+      .filter((upstream) => upstream.pool === pool && !chosen.has(upstream.id))
+      .map(({ id }) => ({ upstream: id, reason: getReason(id) }));
+  }
+}
--- a/packages/forwarding/src/Placer.ts
+++ b/packages/forwarding/src/Placer.ts
@@ -2,15 +2,16 @@
 
 import { AdmissionControl, getBusyShare, getRoomMs, getWorkMs } from "./AdmissionControl.js";
 import type { AnswerTimeline } from "./AnswerTimeline.js";
+import { CandidateFinder } from "./CandidateFinder.js";
 import type { CostBook } from "./costs/CostBook.js";
-import { applyPace, estimateCallMs, getCost, type PlacementCost } from "./costs/placementCosts.js";
+import { estimateCallMs, getCost, type PlacementCost } from "./costs/placementCosts.js";
+import type { PlacementSnapshot } from "./explain/PlacementSnapshot.js";
 import type { EngineSpec, Upstream } from "./fleetConfig.js";
 import type { FleetView } from "./FleetView.js";
 import { getReadMs } from "./engineModel.js";
 import { estimateValue } from "./lateness.js";
 import { QuotaQueue } from "./limits/QuotaQueue.js";
 import type { SendQuota } from "./limits/SendQuota.js";
-import { newUpstreamLoad, type UpstreamLoad } from "./load.js";
 import type { LoadTracker } from "./LoadTracker.js";
 import type { PeerLoads } from "./PeerLoads.js";
 import {
@@ -24,14 +25,11 @@
 import { isResumed, newPlacementRequest } from "./placementRequest.js";
 import { getCallLoad, getKvTokens, getPromptLoad } from "./requestLoad.js";
 import { getRetryAfterMs, REJECTED_RETRY_AFTER_MS } from "./retryAfter.js";
-import { selectCandidates } from "./selectCandidates.js";
-import { selectSeparate } from "./selectSeparate.js";
 import type { ForwardRequest } from "./types.js";
 import type { UpstreamHealth } from "./UpstreamHealth.js";
 
 /** Interval at which a prompt that waits for KV memory is planned again. */
 const REPLAN_INTERVAL_MS = 15;
-const NO_LOADS: ReadonlyMap<string, UpstreamLoad> = new Map();
 
 /** Upstream that one request is sent to; `plan` and `request` are set for prompts only. */
 export interface Placement {
@@ -78,7 +76,7 @@
   readonly #random: Random;
   readonly #view: FleetView;
   readonly #loadTracker: LoadTracker;
-  readonly #peerLoads: PeerLoads | undefined;
+  readonly #finder: CandidateFinder;
   readonly #costs: CostBook | undefined;
   readonly #health: UpstreamHealth;
   readonly #admission: AdmissionControl;
@@ -102,7 +100,7 @@
     this.#random = options.random;
     this.#view = options.view;
     this.#loadTracker = options.loadTracker;
-    this.#peerLoads = options.peerLoads;
+    this.#finder = new CandidateFinder(options);
     this.#costs = options.costs;
     this.#health = options.health;
     this.#admission = new AdmissionControl(options.clock);
@@ -130,17 +128,10 @@
 
   /** True while an upstream has prompts to prefill. */
   async isPrefilling(upstreamId: string): Promise<boolean> {
-    const loads = await this.#fetchLoads([upstreamId]);
+    const loads = await this.#finder.fetchLoads([upstreamId]);
     return (loads.get(upstreamId)?.pendingReadMs ?? 0) > 0;
   }
 
-  /** Loads of these upstreams, or of all, as far as this process and its peers know them. */
-  async #fetchLoads(upstreams: readonly string[]): Promise<ReadonlyMap<string, UpstreamLoad>> {
-    const peers = this.#peerLoads;
-    const fetched = peers?.isNeeded ? await peers.fetch(upstreams) : undefined;
-    return fetched ?? this.#loadTracker.getLoads();
-  }
-
   /** True when a pool has an active upstream besides the excluded ones. */
   hasAlternative({ pool, excluded }: Pick<PlacementQuery, "pool" | "excluded">): boolean {
     return this.#view
@@ -186,7 +177,7 @@
     const hasEvents = timeline.firstMs !== undefined;
     const untilMs = hasEvents ? deadlineAtMs : now + timeline.getTargetLeftMs(now);
     return this.#quotaQueue.wait({
-      upstreams: this.#getUsable(query).map(({ id }) => id),
+      upstreams: this.#finder.getUsable(query).map(({ id }) => id),
       value: estimateValue(req.head.promptTokens),
       ...{ untilMs, signal },
     });
@@ -202,7 +193,7 @@
       return failure;
     }
     const callMs = estimateCallMs(this.#costs, query.req, query.pool);
-    const candidates = await this.#getCandidates(query);
+    const candidates = await this.#finder.find(query);
     const upstream = pickServiceUpstream(candidates, this.#random, callMs);
     if (!upstream) {
       return this.#getLack(query.pool);
@@ -232,7 +223,7 @@
         return failure;
       }
       const isSmall = isForOneUpstream(query.req.head.promptTokens);
-      const candidates = await this.#getCandidates({ ...query, isSmall });
+      const candidates = await this.#finder.find({ ...query, isSmall });
       if (candidates.length === 0) {
         return this.#getLack(query.pool);
       }
@@ -278,9 +269,7 @@
       return true;
     }
     const workMs = getWorkMs(engine, request);
-    const busyShare = getBusyShare(candidates, query.req.route.targetMs);
-    const prefillMs = getReadMs(engine, request.promptTokens);
-    const isAdmitted = this.#admission.admits(query.pool, request.value, prefillMs, busyShare);
+    const isAdmitted = this.#isWorth({ query, engine, request, candidates });
     this.#admission.record(query.pool, request.value, workMs);
     if (!isAdmitted) {
       this.#roomMs.set(query.pool, getRoomMs(candidates));
@@ -288,36 +277,42 @@
     return isAdmitted;
   }
 
-  /** Upstreams that haven't failed the request, or all when they have. */
-  #getUsable({ pool, excluded }: Pick<PlacementQuery, "pool" | "excluded">): readonly Upstream[] {
-    const available = this.#view.getAvailable(pool);
-    const untried = available.filter(({ id }) => !excluded.has(id));
-    return untried.length > 0 ? untried : available;
+  /** True when a new prompt is admitted now. */
+  #isWorth(options: {
+    query: PlacementQuery;
+    engine: EngineSpec;
+    request: PlacementRequest;
+    candidates: readonly PlacementCandidate[];
+  }): boolean {
+    const { query, engine, request, candidates } = options;
+    const busyShare = getBusyShare(candidates, query.req.route.targetMs);
+    const prefillMs = getReadMs(engine, request.promptTokens);
+    return this.#admission.admits(query.pool, request.value, prefillMs, busyShare);
   }
 
-  async #getCandidates({
-    pool,
-    excluded,
-    isApart = false,
-    isSmall = false,
-  }: Pick<PlacementQuery, "pool" | "excluded"> & {
-    isApart?: boolean;
-    isSmall?: boolean;
-  }): Promise<readonly PlacementCandidate[]> {
-    const open = this.#getUsable({ pool, excluded }).filter(({ id }) => this.#quota.isOpen(id));
-    const active = this.#health.selectActive(open);
-    const isAsked = this.#peerLoads?.isNeeded ?? false;
-    const options = { isSmall, isAsked, random: this.#random };
-    const known = isAsked ? NO_LOADS : this.#loadTracker.getLoads();
-    const considered = selectCandidates(active, known, options);
-    const loads = isAsked ? await this.#fetchLoads(considered.map(({ id }) => id)) : known;
-    const candidates = considered.map((upstream) => ({
-      upstream,
-      ...applyPace(this.#costs, upstream, loads.get(upstream.id) ?? newUpstreamLoad()),
-      failureRate: this.#health.getFailureRate(upstream.id),
-      avoidance: this.#quota.getAvoidance(upstream.id),
-    }));
-    return selectSeparate(candidates, isApart);
+  /** Where a request would go now, and why; sends and books nothing. */
+  async explain(query: PlacementQuery): Promise<PlacementSnapshot> {
+    const { pool, req } = query;
+    const engine = this.#view.table?.findPool(pool)?.engine;
+    const now = this.#clock.now();
+    const isPrompt = engine !== undefined && req.head.promptTokens > 0;
+    const isSmall = isPrompt && isForOneUpstream(req.head.promptTokens);
+    const candidates = [...(await this.#finder.find({ ...query, isSmall }))];
+    const usable = getIds(this.#finder.getUsable(query));
+    const base = {
+      ...{ atMs: now, pool, candidates, ruledOut: this.#finder.explain(query, candidates) },
+      limitedInMs: usable.length > 0 ? this.#quotaQueue.getOpenInMs(usable) : undefined,
+    };
+    if (!isPrompt) {
+      return { ...base, callMs: estimateCallMs(this.#costs, req, pool) };
+    }
+    const shortGapMs = this.#view.table?.getShortGapMs(pool) ?? 0;
+    const known = newPlacementRequest(query, { engine, now, costs: this.#costs });
+    const request = { ...known, shortGapMs };
+    return {
+      ...{ ...base, engine, request },
+      isAdmitted: candidates.length === 0 || this.#isWorth({ query, engine, request, candidates }),
+    };
   }
 
   /** Counts a request as load of the upstream that it was sent to last, or that goes on with it. */
@@ -346,3 +341,5 @@
   }
   return now >= deadlineAtMs ? PlacementFailure.TimeOver : undefined;
 };
+
+const getIds = (upstreams: readonly Upstream[]): string[] => upstreams.map(({ id }) => id);
--- /dev/null
+++ b/packages/forwarding/src/explain/PlacementSnapshot.ts
@@ -0,0 +1,70 @@
+import { z } from "zod";
+
+import { engineSpecSchema, upstreamSchema } from "../fleetConfig.js";
+
+/** Why an upstream of the pool isn't considered. */
+export const RuledOutReason = {
+  /** It leaves, or nothing may be sent to it for now, as to one of an evacuated failure domain. */
+  Unavailable: "unavailable",
+  /** It failed this request before. */
+  Failed: "failed",
+  /** It asked for rest. */
+  Resting: "resting",
+  /** The sends that it takes are used up. */
+  Limited: "limited",
+  /** It was out of reach. */
+  Ejected: "ejected",
+  /** It isn't in this request's random sample, or has a request that may crash it. */
+  NotCompared: "not_compared",
+} as const;
+export type RuledOutReason = (typeof RuledOutReason)[keyof typeof RuledOutReason];
+
+const ruledOutSchema = z.object({
+  upstream: z.string(),
+  reason: z.enum(Object.values(RuledOutReason)),
+});
+export type RuledOut = z.infer<typeof ruledOutSchema>;
+
+const amount = z.number().nonnegative();
+const prospect = { targetLeftMs: z.number(), deadlineLeftMs: z.number(), value: amount };
+
+const loadSchema = z.object({
+  ...{ inFlight: amount, apart: amount, deferred: amount, helping: amount, pendingReadMs: amount },
+  ...{ pendingHelpMs: amount, decoding: amount, kvTokens: amount, contextTokens: amount },
+  unseen: amount,
+  decodes: z.array(z.object({ maxGapMs: amount, value: amount })),
+  prefills: z.array(z.object({ ...prospect, isDecoder: z.boolean() })),
+  /** JSON has no infinity: null without an answer that could miss a gap. */
+  minGapMs: amount.nullable().transform((ms) => ms ?? Infinity),
+  endsMs: z.array(amount),
+});
+
+const requestSchema = z.object({
+  ...prospect,
+  ...{ promptTokens: amount, outputTokens: amount, maxGapMs: amount, shortGapMs: amount },
+  ...{ memoryTokens: amount.optional(), stretch: amount.optional() },
+  isLearned: z.boolean().optional(),
+});
+
+/** All that decides where a request goes at one moment. */
+export const placementSnapshotSchema = z.object({
+  /** Monotonic time of the process that took it. */
+  atMs: z.number(),
+  pool: z.string(),
+  candidates: z.array(
+    z.object({
+      ...{ upstream: upstreamSchema, load: loadSchema, failureRate: amount, avoidance: amount },
+      pace: amount.optional(),
+    }),
+  ),
+  ruledOut: z.array(ruledOutSchema),
+  /** Time after which an upstream with a limit or a rest takes a request again. */
+  limitedInMs: z.number().optional(),
+  /** Usual time of a call; absent when unknown, and for prompts. */
+  callMs: amount.optional(),
+  /** Set for prompts. */
+  engine: engineSpecSchema.optional(),
+  request: requestSchema.optional(),
+  isAdmitted: z.boolean().optional(),
+});
+export type PlacementSnapshot = z.infer<typeof placementSnapshotSchema>;
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -14,6 +14,8 @@
 export * from "./DepartedUpstreams.js";
 export * from "./engineModel.js";
 export * from "./EventSplitter.js";
+export * from "./explain/explainPlacement.js";
+export * from "./explain/PlacementSnapshot.js";
 export * from "./fleetConfig.js";
 export * from "./FleetView.js";
 export * from "./Forwarder.js";
