--- a/packages/cli/src/registry.ts
+++ b/packages/cli/src/registry.ts
@@ -16,6 +16,7 @@
 import { faultSoakCommand } from "./commands/faultSoak.js";
 import { platformDemoCommand } from "./commands/platformDemo.js";
 import { standinCommand } from "./commands/standin.js";
+import { whereCommand } from "./commands/where.js";
 
 /** All commands, in the order in which the help lists them. */
 export const COMMANDS: readonly Command[] = [
@@ -27,6 +28,7 @@
   configHistoryCommand,
   fateCommand,
   explainCommand,
+  whereCommand,
   auditCommand,
   nodesCommand,
   upstreamsCommand,
--- a/packages/daemon/src/gateway/GatewayNode.test.ts
+++ b/packages/daemon/src/gateway/GatewayNode.test.ts
@@ -120,6 +120,10 @@
   { upstream: text, perSecond: fc.double(), sentAgoMs: fc.double(), receivedAgoMs: fc.double() },
   { requiredKeys: ["upstream", "sentAgoMs", "receivedAgoMs"] },
 );
+const cost = fc.record({
+  kind: fc.constantFrom("length", "call", "other"),
+  ...{ pool: text, route: text, weight: fc.double(), values: fc.array(fc.double()) },
+});
 const paramsByMethod: Readonly<Record<string, fc.Arbitrary<unknown>>> = {
   "node.beat": heartbeat,
   "node.beat.relay": heartbeat,
@@ -129,6 +133,10 @@
   "load.batch": fc.record({ changes: fc.array(change, { maxLength: 3 }) }),
   "crash.strike": fc.record({ fingerprint: text, upstream: text }),
   "limit.report": fc.record({ limits: fc.array(limit, { maxLength: 3 }) }),
+  "cost.summary": fc.record({
+    costs: fc.array(cost, { maxLength: 3 }),
+    paces: fc.array(fc.record({ upstream: text, pace: fc.double(), weight: fc.double() })),
+  }),
   "limit.charge": fc.record({ limit }),
   toString: fc.jsonValue(),
   constructor: fc.jsonValue(),
--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -36,6 +36,7 @@
 import { RelayRole } from "./RelayTopology.js";
 import { SourceFeed } from "./SourceFeed.js";
 import type { GatewaySettings, GatewaySources } from "./types.js";
+import { answerWhere, whereMethod } from "./whereMethod.js";
 
 /** Time that a request waits for the answer of a process that owns a quota or a trial. */
 const OWNER_TIMEOUT_MS = 80;
@@ -245,6 +246,8 @@
     await this.#nodeServer.listen(host, peerPort);
     this.#peerExchange.start(this.#crashTracker);
     this.#evidence.start(this.#nodeServer);
+    const where = { clock: this.#clock, view: this.#view, forwarder: this.#forwarder, host };
+    this.#nodeServer.handle(whereMethod, (request) => answerWhere(request, where));
     this.#sourceFeed.start();
     await this.#listener.listen(host, callerPort);
     this.#metricsServer.listen(host, metricsPort).catch((err: unknown) => {
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -2,3 +2,4 @@
 export * from "./settings.js";
 export * from "./gateway/GatewayNode.js";
 export * from "./gateway/types.js";
+export * from "./gateway/whereMethod.js";
--- a/packages/forwarding/src/Forwarder.ts
+++ b/packages/forwarding/src/Forwarder.ts
@@ -1,6 +1,10 @@
+import { AnswerTimeline } from "./AnswerTimeline.js";
+import type { EstimateError } from "./costs/EstimateErrors.js";
+import type { PlacementSnapshot } from "./explain/PlacementSnapshot.js";
 import type { ForwardDependencies } from "./forwardDependencies.js";
 import { ForwardJob } from "./ForwardJob.js";
 import { Placer } from "./Placer.js";
+import { getDeadlineAtMs, pickPool } from "./sendParameters.js";
 import { SendPlanner } from "./SendPlanner.js";
 import type { AnswerWriter, ForwardRequest } from "./types.js";
 
@@ -22,6 +26,20 @@
     return this.#inFlight;
   }
 
+  /** Errors of this process's estimates; none where it learns nothing. */
+  get estimateErrors(): EstimateError[] {
+    return this.#deps.costs?.errors.all ?? [];
+  }
+
+  /** What decides where a request would go now; sends and books nothing. */
+  explain(req: ForwardRequest): Promise<PlacementSnapshot> {
+    return this.#placer.explain({
+      ...{ req, pool: pickPool(req.route, this.#deps.random), isApart: false },
+      ...{ excluded: new Set(), deadlineAtMs: getDeadlineAtMs(req), signal: req.signal },
+      timeline: new AnswerTimeline(req.receivedMs, req.route),
+    });
+  }
+
   /** Resolves when the caller has its final answer or disconnected. */
   async forward(req: ForwardRequest, writer: AnswerWriter): Promise<void> {
     this.#inFlight += 1;
--- a/packages/forwarding/src/costs/UpstreamPaces.ts
+++ b/packages/forwarding/src/costs/UpstreamPaces.ts
@@ -16,6 +16,9 @@
 /** Paces nearer to 1 aren't worth telling. */
 const TOLD_DEVIATION = Math.log(1.2);
 const MIN_TOLD_WEIGHT = 0.5;
+/** Most observations that a peer's report stands for, and most upstreams that peers may name. */
+const MAX_PEER_WEIGHT = 30;
+const MAX_PEER_PACES = 1_000;
 /** Most paces in one report, which has to fit into a datagram. */
 export const MAX_PACE_REPORTS = 40;
 
@@ -80,11 +83,15 @@
   /** Merges what a peer knows. Its weight doesn't add up, as the peer may have heard it from this process. */
   recordPeer(reports: readonly PaceReport[]): void {
     const now = this.#clock.now();
-    for (const { upstream, pace, weight } of reports.slice(0, MAX_PACE_REPORTS)) {
+    for (const { upstream, pace, weight: toldWeight } of reports.slice(0, MAX_PACE_REPORTS)) {
       const known = this.#peers.get(upstream);
+      if (!known && this.#peers.size >= MAX_PEER_PACES) {
+        return;
+      }
+      const weight = Math.min(MAX_PEER_WEIGHT, toldWeight);
       const knownWeight = known ? getPeerWeight(known, now) : 0;
       const sum = knownWeight + weight;
-      if (sum > 0 && pace > 0) {
+      if (sum > 0 && pace > 0 && Number.isFinite(pace)) {
         const logPace = ((known?.logPace ?? 0) * knownWeight + Math.log(pace) * weight) / sum;
         this.#peers.set(upstream, { logPace, weight: Math.max(knownWeight, weight), atMs: now });
       }
