--- a/packages/forwarding/src/RequestLog.ts
+++ b/packages/forwarding/src/RequestLog.ts
@@ -22,6 +22,17 @@
 /** Characters of a value from outside that go into a log line. */
 const MAX_VALUE_LENGTH = 40;
 
+/** What was believed of the request's cost, where costs are learned. */
+const getLearned = ({ plan, request, cost }: Placement): object =>
+  request?.isLearned || cost?.callMs !== undefined
+    ? {
+        ...(plan && { answerTokens: request?.outputTokens, pace: round(plan.decode.pace) }),
+        ...(cost?.callMs !== undefined && { callMs: Math.round(cost.callMs) }),
+      }
+    : {};
+
+const round = (value: number): number => Number(value.toFixed(2));
+
 /** Writes the log lines of one request's decisions. */
 export class RequestLog {
   readonly #logger: Logger;
@@ -47,6 +58,7 @@
       held: placed.plan?.heldTokens.filter((tokens) => tokens > 0).length ?? 0,
       expectedMs: Math.round(placed.plan?.firstEventMs ?? 0),
       loss: Number((placed.plan?.loss ?? 0).toFixed(2)),
+      ...getLearned(placed),
       listAgeMs: Math.round(nowMs - listedMs),
       waitedMs: Math.round(nowMs - receivedMs),
       ...(limit && { limit: limit.perSecond, limitAgeMs: Math.round(nowMs - limit.receivedMs) }),
