--- a/packages/forwarding/src/costs/CostBook.ts
+++ b/packages/forwarding/src/costs/CostBook.ts
@@ -7,7 +7,7 @@
 /** Requests of a route change over a day, not within seconds. */
 const HALF_LIFE_MS = 60_000;
 /** Observations from which a key is believed rather than its parent. */
-const MIN_WEIGHT = 8;
+const MIN_WEIGHT = 3;
 /** Quantile of the answer length for the planning of memory, and the observations that it takes. */
 const MEMORY_QUANTILE = 0.98;
 const MIN_MEMORY_WEIGHT = 50;
