--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -37,6 +37,7 @@
 import { RelayRole } from "./RelayTopology.js";
 import { SourceFeed } from "./SourceFeed.js";
 import type { GatewaySettings, GatewaySources } from "./types.js";
+import { answerWhere, whereMethod } from "./whereMethod.js";
 
 /** Time that a request waits for the answer of a process that owns a quota or a trial. */
 const OWNER_TIMEOUT_MS = 80;
@@ -252,21 +253,21 @@
   }
 
   async start(): Promise<void> {
-    const { host, callerPort, peerPort, metricsPort, seedHosts } = this.#settings;
+    const { name, host, callerPort, peerPort, metricsPort, seedHosts } = this.#settings;
     this.#peers.addHosts(seedHosts);
     await this.#channel.listen(host, peerPort);
     this.#stateSync.serve(this.#nodeServer);
     await this.#nodeServer.listen(host, peerPort);
     this.#peerExchange.start(this.#crashTracker);
     this.#evidence.start(this.#nodeServer);
+    const where = { clock: this.#clock, view: this.#view, forwarder: this.#forwarder, host };
+    this.#nodeServer.handle(whereMethod, (request) => answerWhere(request, where));
     this.#sourceFeed.start();
     await this.#listener.listen(host, callerPort);
     this.#metricsServer.listen(host, metricsPort).catch((err: unknown) => {
       this.#logger.error("metrics server failed", { step: "start", err: getMessage(err) });
     });
-    this.#logger.info("process started", {
-      ...{ step: "start", name: this.#settings.name, incarnation: this.#incarnation },
-    });
+    this.#logger.info("process started", { step: "start", name, incarnation: this.#incarnation });
   }
 
   /** Applies the settings that may change while the process runs: the seed hosts. */
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -4,3 +4,4 @@
 export * from "./gateway/PeerExchange.js";
 export * from "./gateway/SourceFeed.js";
 export * from "./gateway/types.js";
+export * from "./gateway/whereMethod.js";
--- a/packages/forwarding/src/Placer.ts
+++ b/packages/forwarding/src/Placer.ts
@@ -2,14 +2,15 @@
 import type { Logger } from "@lycheepulley/telemetry";
 
 import { AdmissionControl, getBusyShare, getRoomMs, getWorkMs } from "./AdmissionControl.js";
+import { CandidateFinder } from "./CandidateFinder.js";
 import type { CostBook } from "./costs/CostBook.js";
-import { applyPace, estimateCallMs, getCost } from "./costs/placementCosts.js";
+import { estimateCallMs, getCost } from "./costs/placementCosts.js";
+import type { PlacementSnapshot } from "./explain/PlacementSnapshot.js";
 import type { EngineSpec, Upstream } from "./fleetConfig.js";
 import type { FleetView } from "./FleetView.js";
 import { getReadMs } from "./engineModel.js";
 import { QuotaQueue } from "./limits/QuotaQueue.js";
 import type { SendQuota } from "./limits/SendQuota.js";
-import { newUpstreamLoad, type UpstreamLoad } from "./load.js";
 import type { LoadTracker } from "./LoadTracker.js";
 import type { PeerLoads } from "./PeerLoads.js";
 import {
@@ -32,13 +33,10 @@
 import { getRequestValue } from "./requestValue.js";
 import { getRetryAfterMs, REJECTED_RETRY_AFTER_MS } from "./retryAfter.js";
 import { RoomBook } from "./room/RoomBook.js";
-import { selectCandidates } from "./selectCandidates.js";
-import { selectSeparate } from "./selectSeparate.js";
 import type { UpstreamHealth } from "./UpstreamHealth.js";
 
 /** Interval at which a prompt that waits for KV memory is planned again. */
 const REPLAN_INTERVAL_MS = 15;
-const NO_LOADS: ReadonlyMap<string, UpstreamLoad> = new Map();
 
 export * from "./placementQuery.js";
 
@@ -50,7 +48,7 @@
   readonly #random: Random;
   readonly #view: FleetView;
   readonly #loadTracker: LoadTracker;
-  readonly #peerLoads: PeerLoads | undefined;
+  readonly #finder: CandidateFinder;
   readonly #costs: CostBook | undefined;
   readonly #health: UpstreamHealth;
   readonly #admission: AdmissionControl;
@@ -77,7 +75,7 @@
     this.#random = options.random;
     this.#view = options.view;
     this.#loadTracker = options.loadTracker;
-    this.#peerLoads = options.peerLoads;
+    this.#finder = new CandidateFinder(options);
     this.#costs = options.costs;
     this.#health = options.health;
     this.#admission = new AdmissionControl(options.clock);
@@ -113,17 +111,10 @@
 
   /** True while an upstream has prompts to prefill. */
   async isPrefilling(upstreamId: string): Promise<boolean> {
-    const loads = await this.#fetchLoads([upstreamId]);
+    const loads = await this.#finder.fetchLoads([upstreamId]);
     return (loads.get(upstreamId)?.pendingReadMs ?? 0) > 0;
   }
 
-  /** Loads of these upstreams, or of all, as far as this process and its peers know them. */
-  async #fetchLoads(upstreams: readonly string[]): Promise<ReadonlyMap<string, UpstreamLoad>> {
-    const peers = this.#peerLoads;
-    const fetched = peers?.isNeeded ? await peers.fetch(upstreams) : undefined;
-    return fetched ?? this.#loadTracker.getLoads();
-  }
-
   /** True when a pool has an active upstream besides the excluded ones. */
   hasAlternative({ pool, homes, excluded }: Choice): boolean {
     return this.#view
@@ -175,7 +166,7 @@
     const hasEvents = timeline.firstMs !== undefined;
     const untilMs = hasEvents ? deadlineAtMs : now + timeline.getTargetLeftMs(now);
     return this.#quotaQueue.wait({
-      upstreams: this.#getUsable(query).map(({ id }) => id),
+      upstreams: this.#finder.getUsable(query).map(({ id }) => id),
       value: getRequestValue(query, this.#view.table),
       ...{ untilMs, signal },
     });
@@ -191,7 +182,7 @@
       return failure;
     }
     const callMs = estimateCallMs(this.#costs, query.req, query.pool);
-    const candidates = await this.#getCandidates(query);
+    const candidates = await this.#finder.find(query);
     const upstream = pickServiceUpstream(candidates, this.#random, callMs);
     if (!upstream) {
       return this.#getLack(query);
@@ -223,7 +214,7 @@
       const failure = getEnd(query, now);
       const candidates = failure
         ? []
-        : await this.#getCandidates({ ...query, isSmall, isWhole, engine });
+        : await this.#findCandidates(query, { engine, isSmall, isWhole });
       if (candidates.length === 0) {
         return failure ?? this.#getLack(query);
       }
@@ -270,9 +261,7 @@
   }): boolean {
     const { query, engine, request, candidates } = options;
     const workMs = getWorkMs(engine, request);
-    const busyShare = getBusyShare(candidates, query.req.route.targetMs);
-    const prefillMs = getReadMs(engine, request.promptTokens);
-    const isAdmitted = this.#admission.admits(query.pool, request.value, prefillMs, busyShare);
+    const isAdmitted = this.#isWorth({ query, engine, request, candidates });
     this.#admission.record(query.pool, request.value, workMs);
     return isAdmitted;
   }
@@ -286,44 +275,56 @@
     return reason;
   }
 
-  /** Upstreams that haven't failed the request, or all when they have. */
-  #getUsable({ pool, homes, excluded }: Choice): readonly Upstream[] {
-    const available = this.#view.getAvailable(pool, homes);
-    const untried = available.filter(({ id }) => !excluded.has(id));
-    return untried.length > 0 ? untried : available;
+  async #findCandidates(
+    query: PlacementQuery,
+    { engine, ...options }: { engine: EngineSpec; isSmall: boolean; isWhole: boolean },
+  ): Promise<readonly PlacementCandidate[]> {
+    const { isAsked } = this.#finder;
+    const candidates = await this.#finder.find({ ...query, ...options });
+    const { req } = query;
+    return this.room.addClaims(candidates, { req, engine, isAsked, isWaiting: options.isWhole });
   }
 
-  async #getCandidates({
-    req,
-    isApart,
-    isSmall = false,
-    isWhole = false,
-    engine,
-    ...choice
-  }: Choice &
-    Pick<PlacementQuery, "req" | "isApart"> & {
-      isSmall?: boolean;
-      /** All upstreams are candidates, as far as their loads are known here. */
-      isWhole?: boolean;
-      engine?: EngineSpec;
-    }): Promise<readonly PlacementCandidate[]> {
-    const open = this.#getUsable(choice).filter(({ id }) => this.#quota.isOpen(id));
-    const active = this.#health.selectActive(open);
-    const isAsked = this.#peerLoads?.isNeeded ?? false;
-    const options = { isSmall, isAsked, random: this.#random };
-    const known = isAsked ? NO_LOADS : this.#loadTracker.getLoads();
-    const considered = isWhole && !isAsked ? active : selectCandidates(active, known, options);
-    const loads = isAsked ? await this.#fetchLoads(considered.map(({ id }) => id)) : known;
-    const candidates = considered.map((upstream) => ({
-      upstream,
-      ...applyPace(this.#costs, upstream, loads.get(upstream.id) ?? newUpstreamLoad()),
-      failureRate: this.#health.getFailureRate(upstream.id),
-      avoidance: this.#quota.getAvoidance(upstream.id) + this.#view.getReturnAvoidance(upstream),
-    }));
-    const separate = selectSeparate(candidates, isApart);
-    return engine
-      ? this.room.addClaims(separate, { req, engine, isAsked, isWaiting: isWhole })
-      : separate;
+  /** True when a new prompt is admitted now. */
+  #isWorth(options: {
+    query: PlacementQuery;
+    engine: EngineSpec;
+    request: PlacementRequest;
+    candidates: readonly PlacementCandidate[];
+  }): boolean {
+    const { query, engine, request, candidates } = options;
+    const busyShare = getBusyShare(candidates, query.req.route.targetMs);
+    const prefillMs = getReadMs(engine, request.promptTokens);
+    return this.#admission.admits(query.pool, request.value, prefillMs, busyShare);
+  }
+
+  /** Where a request would go now, and why; sends and books nothing. */
+  async explain(query: PlacementQuery): Promise<PlacementSnapshot> {
+    const { pool, req } = query;
+    const engine = this.#view.table?.findPool(pool)?.engine;
+    const now = this.#clock.now();
+    const isPrompt = engine !== undefined && req.head.promptTokens > 0;
+    const isSmall = isPrompt && isForOneUpstream(req.head.promptTokens);
+    const found = isPrompt
+      ? await this.#findCandidates(query, { engine, isSmall, isWhole: false })
+      : await this.#finder.find(query);
+    const candidates = [...found];
+    const usable = getIds(this.#finder.getUsable(query));
+    const base = {
+      ...{ atMs: now, pool, candidates, ruledOut: this.#finder.explain(query, candidates) },
+      limitedInMs: usable.length > 0 ? this.#quotaQueue.getOpenInMs(usable) : undefined,
+    };
+    if (!isPrompt) {
+      return { ...base, callMs: estimateCallMs(this.#costs, req, pool) };
+    }
+    const shortGapMs = this.#view.table?.getShortGapMs(pool) ?? 0;
+    const known = newPlacementRequest(query, { engine, now, costs: this.#costs });
+    const request = { ...known, shortGapMs, value: getRequestValue(query, this.#view.table) };
+    return {
+      ...{ ...base, engine, request },
+      latestFirstMs: getLatestFirstMs(request, query.deadlineAtMs - now),
+      isAdmitted: candidates.length === 0 || this.#isWorth({ query, engine, request, candidates }),
+    };
   }
 
   /** Counts a request as load of the upstream that it was sent to last, or that goes on with it. */
@@ -341,3 +342,5 @@
     });
   }
 }
+
+const getIds = (upstreams: readonly Upstream[]): string[] => upstreams.map(({ id }) => id);
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -17,6 +17,8 @@
 export * from "./evacuations/Evacuations.js";
 export * from "./evacuations/EvacuationTracker.js";
 export * from "./EventSplitter.js";
+export * from "./explain/explainPlacement.js";
+export * from "./explain/PlacementSnapshot.js";
 export * from "./fleetConfig.js";
 export * from "./FleetView.js";
 export * from "./Forwarder.js";
