End an operator's command once its record is on the log

Cause: a command whose record was read back before the append's own answer left the writer repeating the append on a closed client; the process printed its result and never ended. evacuate.test timed out after 120 s for this.

Change: the operator's session closes its writer.

--- a/packages/operators/src/OperatorSession.ts
+++ b/packages/operators/src/OperatorSession.ts
@@ -72,7 +72,7 @@
   }
 
   async close(): Promise<void> {
-    await this.proposer.reader.stop();
+    await Promise.all([this.proposer.reader.stop(), this.proposer.writer.close()]);
     await this.log.close();
   }
 }
