Weigh the pace of a plain service by what it means for the objective

Cause: fleetReturn 'row missing upstreams' was red (1 and 2 workers seen of 3): calls of 2 ms all went to the one that chance made look fastest. Measured: that test passes again, forwarding 431 passing.

--- a/packages/forwarding/src/Placer.ts
+++ b/packages/forwarding/src/Placer.ts
@@ -194,7 +194,9 @@
     }
     const callMs = estimateCallMs(this.#costs, query.req, query.pool);
     const candidates = await this.#finder.find(query);
-    const upstream = pickServiceUpstream(candidates, this.#random, callMs);
+    const upstream = pickServiceUpstream(candidates, this.#random, {
+      ...{ callMs, targetMs: query.req.route.targetMs },
+    });
     if (!upstream) {
       return this.#getLack(query.pool);
     }
@@ -304,7 +306,8 @@
       limitedInMs: usable.length > 0 ? this.#quotaQueue.getOpenInMs(usable) : undefined,
     };
     if (!isPrompt) {
-      return { ...base, callMs: estimateCallMs(this.#costs, req, pool) };
+      const callMs = estimateCallMs(this.#costs, req, pool);
+      return { ...base, callMs, targetMs: req.route.targetMs };
     }
     const shortGapMs = this.#view.table?.getShortGapMs(pool) ?? 0;
     const known = newPlacementRequest(query, { engine, now, costs: this.#costs });
--- a/packages/forwarding/src/costs/placementCosts.test.ts
+++ b/packages/forwarding/src/costs/placementCosts.test.ts
@@ -29,7 +29,7 @@
 };
 
 const pick = (candidates: readonly PlacementCandidate[], callMs?: number): string | undefined =>
-  pickServiceUpstream(candidates, new SeededRandom(1), callMs)?.id;
+  pickServiceUpstream(candidates, new SeededRandom(1), { callMs, targetMs: 300 })?.id;
 
 describe("the upstream of a call", () => {
   const full = (writeMs: number): number[] => Array<number>(ENGINE.slots).fill(writeMs);
--- a/packages/forwarding/src/explain/PlacementSnapshot.ts
+++ b/packages/forwarding/src/explain/PlacementSnapshot.ts
@@ -62,6 +62,8 @@
   limitedInMs: z.number().optional(),
   /** Usual time of a call; absent when unknown, and for prompts. */
   callMs: amount.optional(),
+  /** Latency objective of a call. */
+  targetMs: z.number().positive().optional(),
   /** Set for prompts. */
   engine: engineSpecSchema.optional(),
   request: requestSchema.optional(),
--- a/packages/forwarding/src/explain/explainPlacement.ts
+++ b/packages/forwarding/src/explain/explainPlacement.ts
@@ -80,14 +80,14 @@
 }
 
 const choose = (
-  { candidates, engine, request, callMs }: PlacementSnapshot,
+  { candidates, engine, request, callMs, targetMs = Infinity }: PlacementSnapshot,
   random: { next(): number },
 ): Choice | undefined => {
   if (engine && request) {
     const plan = planPlacement(engine, request, candidates);
     return plan && { upstream: plan.upstream, plan };
   }
-  const upstream = pickServiceUpstream(candidates, random, callMs);
+  const upstream = pickServiceUpstream(candidates, random, { callMs, targetMs });
   return upstream && { upstream };
 };
 
@@ -122,7 +122,7 @@
 };
 
 const explainCandidate = (
-  { engine, request, callMs }: PlacementSnapshot,
+  { engine, request, callMs, targetMs = Infinity }: PlacementSnapshot,
   candidate: PlacementCandidate,
 ): ExplainedCandidate => {
   const { upstream, load, pace = 1 } = candidate;
@@ -134,6 +134,6 @@
     remainingMs: load.endsMs.reduce((sum, ms) => sum + ms, 0),
     unknown: load.inFlight - load.endsMs.length,
     firstEventMs: plan?.firstEventMs,
-    cost: request ? plan?.loss : getCallCost(candidate, callMs),
+    cost: request ? plan?.loss : getCallCost(candidate, { callMs, targetMs }),
   };
 };
--- a/packages/simulation/src/callExperiment.ts
+++ b/packages/simulation/src/callExperiment.ts
@@ -165,7 +165,9 @@
       ...{ upstream, failureRate: 0, avoidance: 0 },
       ...applyPace(book, upstream, loads.get(upstream.id) ?? newUpstreamLoad()),
     }));
-    const picked = pickServiceUpstream(candidates, this.#random, callMs);
+    const picked = pickServiceUpstream(candidates, this.#random, {
+      ...{ callMs, targetMs: this.#pattern.targetMs },
+    });
     const at = candidates.findIndex(({ upstream }) => upstream.id === picked?.id);
     const [service, candidate] = [this.#services[at], candidates[at]];
     if (!service || !candidate) {
