--- /dev/null
+++ b/packages/callers/src/forward/slowReaders.test.ts
@@ -0,0 +1,70 @@
+import { expect } from "chai";
+
+import { FIRST_ANSWER_MS, getStatus, newRequest, useListener } from "./testing/ListenerHarness.js";
+
+/** An answer far above what sockets take at once and what the listener may hold. */
+const UNREAD_BYTES = 96 * 1_048_576;
+const CHUNK_BYTES = 65_536;
+const HELD_LIMIT_BYTES = 64_000_000;
+/** Time after which a caller that takes nothing counts as slow, with a margin. */
+const SLOW_MS = 700;
+
+describe("ForwardServer: callers that read slowly", () => {
+  const fixture = useListener();
+
+  // Guards against a process that is killed for the memory that unread answers take.
+  it("load: ends one that leaves more than the process may hold, for a request that comes", async function () {
+    this.timeout(FIRST_ANSWER_MS);
+    const { harness } = fixture;
+    harness.forward = (req, writer) => {
+      if (req.body.length === 0) {
+        writer.sendHead(200, ["Content-Length", String(UNREAD_BYTES)], true);
+        writer.write(Buffer.alloc(UNREAD_BYTES));
+      } else {
+        writer.sendOwn(200, "answered");
+      }
+      return Promise.resolve();
+    };
+    const slow = await harness.connect();
+    slow.pause();
+    slow.write(newRequest());
+    await new Promise((resolve) => setTimeout(resolve, SLOW_MS));
+    expect(harness.server.heldBytes).to.be.above(HELD_LIMIT_BYTES);
+    expect(getStatus(await harness.exchange(newRequest([], "body")))).to.equal(200);
+    expect(harness.server.heldBytes).to.equal(0);
+    slow.destroy();
+  });
+
+  it("pauses an upstream once its caller leaves some of the answer, and goes on when it reads", async function () {
+    this.timeout(FIRST_ANSWER_MS);
+    const { harness } = fixture;
+    let written = 0;
+    harness.forward = (_req, writer) => {
+      writer.sendHead(200, ["Content-Length", String(UNREAD_BYTES)], true);
+      const chunk = Buffer.alloc(CHUNK_BYTES);
+      const write = (): void => {
+        while (written < UNREAD_BYTES) {
+          written += chunk.length;
+          if (!writer.write(chunk)) {
+            writer.onDrain(write);
+            return;
+          }
+        }
+        writer.end();
+      };
+      write();
+      return Promise.resolve();
+    };
+    const slow = await harness.connect();
+    slow.pause();
+    slow.write(newRequest());
+    await new Promise((resolve) => setTimeout(resolve, SLOW_MS));
+    expect(written).to.be.below(UNREAD_BYTES);
+    expect(harness.server.heldBytes).to.be.below(1_000_000);
+    slow.resume();
+    while (written < UNREAD_BYTES || harness.server.heldBytes > 0) {
+      await new Promise((resolve) => setTimeout(resolve, 10));
+    }
+    slow.destroy();
+  });
+});
