--- a/packages/daemon/src/gateway/CostExchange.ts
+++ b/packages/daemon/src/gateway/CostExchange.ts
@@ -62,14 +62,14 @@
     peers: Peers;
     failureDomain: string;
     /** Requests are placed by what such requests have cost so far. */
-    learnsCosts: boolean;
+    learnsCosts?: boolean | undefined;
   }) {
     this.#clock = options.clock;
     this.#random = options.random;
     this.#channel = options.channel;
     this.#peers = options.peers;
     this.#failureDomain = options.failureDomain;
-    this.book = options.learnsCosts ? new CostBook(options.clock) : undefined;
+    this.book = options.learnsCosts === true ? new CostBook(options.clock) : undefined;
   }
 
   start(): void {
--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -199,9 +199,9 @@
       ...{ host: settings.host, calls: this.#peerCalls, view: this.#view },
       getMembers: () => this.#peers.getMembers(this.isReady),
     };
-    const { failureDomain, learnsCosts = true, rateBounds } = settings;
+    const { failureDomain, rateBounds, decisions } = settings;
     this.#evidence = new EvidenceExchange({
-      ...{ ...exchange, failureDomain, learnsCosts, rateBounds },
+      ...{ ...exchange, ...decisions, failureDomain, rateBounds },
     });
     const { limits, cold, rests, quota } = this.#evidence.limits;
     const transport = links.newTransport(this.#connector);
--- a/packages/daemon/src/gateway/types.ts
+++ b/packages/daemon/src/gateway/types.ts
@@ -6,6 +6,8 @@
   UpstreamList,
 } from "@lycheepulley/forwarding";
 
+import type { LoadDecisions } from "./loadDecisions.js";
+
 /** Watches a value that another system holds and reports its changes to one observer. */
 export interface Source<T> {
   /**
@@ -60,6 +62,6 @@
   readonly upstreamBeatMs: number;
   /** How far the sends to a cold upstream may exceed its rate; the default's when absent. */
   readonly rateBounds?: RateBounds | undefined;
-  /** Requests are placed by what such requests have cost so far; true by default. */
-  readonly learnsCosts?: boolean;
+  /** Load decisions that the deployment switched on. */
+  readonly decisions?: LoadDecisions;
 }
