--- a/packages/forwarding/src/Placer.ts
+++ b/packages/forwarding/src/Placer.ts
@@ -223,7 +223,6 @@
       const request = {
         ...newPlacementRequest(query, { engine, now, costs: this.#costs }),
         shortGapMs: this.#view.table?.getShortGapMs(query.pool) ?? 0,
-        value: getRequestValue(query, this.#view.table),
       };
       const { req, pool, isApart } = query;
       const deadlineLeftMs = query.deadlineAtMs - now;
@@ -264,7 +263,7 @@
     const { query, engine, request, candidates } = options;
     const workMs = getWorkMs(engine, request);
     const isAdmitted = this.#isWorth({ query, engine, request, candidates });
-    this.#admission.record(query.pool, request.value, workMs);
+    this.#admission.record(query.pool, getRequestValue(query, this.#view.table), workMs);
     return isAdmitted;
   }
 
@@ -297,7 +296,8 @@
     const { query, engine, request, candidates } = options;
     const busyShare = getBusyShare(candidates, query.req.route.targetMs);
     const prefillMs = getReadMs(engine, request.promptTokens);
-    return this.#admission.admits(query.pool, request.value, prefillMs, busyShare);
+    const value = getRequestValue(query, this.#view.table);
+    return this.#admission.admits(query.pool, value, prefillMs, busyShare);
   }
 
   /** Where a request would go now, and why; sends and books nothing. */
@@ -322,7 +322,7 @@
     }
     const shortGapMs = this.#view.table?.getShortGapMs(pool) ?? 0;
     const known = newPlacementRequest(query, { engine, now, costs: this.#costs });
-    const request = { ...known, shortGapMs, value: getRequestValue(query, this.#view.table) };
+    const request = { ...known, shortGapMs };
     return {
       ...{ ...base, engine, request },
       latestFirstMs: getLatestFirstMs(request, query.deadlineAtMs - now),
--- a/packages/forwarding/src/placementRequest.ts
+++ b/packages/forwarding/src/placementRequest.ts
@@ -1,6 +1,7 @@
 import type { CostBook } from "./costs/CostBook.js";
 import { estimateAnswer, estimateStretch } from "./costs/placementCosts.js";
 import type { EngineSpec } from "./fleetConfig.js";
+import { estimateValue } from "./lateness.js";
 import type { PlacementRequest } from "./placement.js";
 import type { PlacementQuery } from "./placementQuery.js";
 import { DEFAULT_GAP_MS } from "./requestLoad.js";
@@ -9,10 +10,12 @@
 export const newPlacementRequest = (
   { req, pool, deadlineAtMs, timeline }: PlacementQuery,
   { engine, now, costs }: { engine: EngineSpec; now: number; costs: CostBook | undefined },
-): Omit<PlacementRequest, "shortGapMs" | "value"> => {
+): Omit<PlacementRequest, "shortGapMs"> => {
   const { tokens, memoryTokens } = estimateAnswer(costs, req, pool);
   return {
     ...{ promptTokens: req.head.promptTokens, outputTokens: tokens, memoryTokens },
+    // Not by rank: a prompt that counts for less is split less, and holds up the short ones behind it.
+    value: estimateValue(req.head.promptTokens),
     ...(costs && { isLearned: true, stretch: estimateStretch(costs, req, pool) }),
     maxGapMs: req.route.maxGapMs ?? DEFAULT_GAP_MS,
     targetLeftMs: timeline.getTargetLeftMs(now),
--- a/packages/forwarding/src/priorities.test.ts
+++ b/packages/forwarding/src/priorities.test.ts
@@ -2,7 +2,8 @@
 
 import { estimateValue } from "./lateness.js";
 import { RouteTable } from "./RouteTable.js";
-import { newConfig, newRoute } from "./testing/samples.js";
+import { newQuery, PlacerHarness } from "./testing/PlacerHarness.js";
+import { newConfig, newItem, newRoute } from "./testing/samples.js";
 
 /** Priorities of the routes to one pool, and the rank of a request of some priority among them. */
 const RANK_CASES = [
@@ -14,6 +15,23 @@
   { name: "a customer's, below all routes", priorities: [1, 2], priority: 4, rank: 3 },
 ];
 
+/** Plan of a prompt in a fleet of which half decodes short answers. */
+const planBesideShort = async (priority: number, promptTokens: number): Promise<unknown> => {
+  const routes = [0, 1, 2].map((each) =>
+    newRoute({ pathPrefix: `/${String(each)}/`, priority: each, isStream: true }),
+  );
+  const fleet = new PlacerHarness({ upstreams: 16, config: newConfig({ routes }) });
+  const busy = fleet.upstreams.filter((_, index) => index % 2 === 0);
+  fleet.setPeerItems(
+    busy.flatMap((upstream) =>
+      Array.from({ length: 4 }, (_, at) => newItem(`w-${upstream}-${String(at)}`, { upstream })),
+    ),
+  );
+  const [route = newRoute()] = routes;
+  const placement = await fleet.placer.find(newQuery("a", route, { promptTokens, priority }));
+  return typeof placement === "string" ? placement : placement.plan;
+};
+
 describe("priorities under load", () => {
   for (const { name, priorities, priority, rank } of RANK_CASES) {
     it(`ranks ${name}: ${String(priority)} among ${priorities.join(", ")} at ${String(rank)}`, () => {
@@ -32,4 +50,15 @@
     expect(values[1]).to.be.below(values[0] ?? 0);
     expect(values[2]).to.be.below(values[1] ?? 0);
   });
+
+  // A prompt that counts for less was split over fewer upstreams, and short ones behind it were late.
+  for (const promptTokens of [20_000, 45_000, 110_000, 300_000]) {
+    it(`load: short answers on half of the fleet, splits ${String(promptTokens)} tokens of any rank alike`, async () => {
+      const [first, last] = await Promise.all(
+        [0, 2].map((priority) => planBesideShort(priority, promptTokens)),
+      );
+      expect(first).not.to.be.a("string");
+      expect(last).to.deep.equal(first);
+    });
+  }
 });
