Promise room only where a deployment switches it on

Cause: promises of KV memory and early rejections were in force at every deployment. Change: RoomPolicy has two classes, RoomBook and FreeForAll.

--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -226,7 +226,7 @@
       ...{ crashes: this.#crashTracker, transport, dialect, logger },
       retryBudget: newRetryBudget(settings, clock, this.#peers),
       ...{ control, limits, cold, rests, quota, guard: this.#evidence.crashes.guard },
-      costs: this.#evidence.costs.book,
+      ...{ costs: this.#evidence.costs.book, promisesRoom: decisions?.promisesRoom },
       reservations: new ReservationManager({ clock, control, logger }),
       onLeaving: (upstream) => {
         this.#peerExchange.notifyUpstream("leaving", upstream);
--- a/packages/forwarding/src/AdmissionControl.ts
+++ b/packages/forwarding/src/AdmissionControl.ts
@@ -62,6 +62,21 @@
     });
   }
 
+  /** True when a new prompt is admitted beside the load of its candidates. */
+  isWorth(
+    pool: string,
+    options: {
+      engine: EngineSpec;
+      request: PlacementRequest;
+      candidates: readonly PlacementCandidate[];
+      targetMs: number;
+    },
+  ): boolean {
+    const { engine, request, candidates, targetMs } = options;
+    const prefillMs = getReadMs(engine, request.promptTokens);
+    return this.admits(pool, request.value, prefillMs, getBusyShare(candidates, targetMs));
+  }
+
   /** False when the work would serve other requests better. */
   admits(pool: string, value: number, prefillMs: number, busyShare: number): boolean {
     const offered = this.#offered.get(pool);
--- a/packages/forwarding/src/Placer.ts
+++ b/packages/forwarding/src/Placer.ts
@@ -1,14 +1,14 @@
 import { sleep, type Clock, type Random } from "@lycheepulley/core";
 import type { Logger } from "@lycheepulley/telemetry";
 
-import { AdmissionControl, getBusyShare, getRoomMs, getWorkMs } from "./AdmissionControl.js";
+import { AdmissionControl, getRoomMs, getWorkMs } from "./AdmissionControl.js";
 import { CandidateFinder } from "./CandidateFinder.js";
 import type { CostBook } from "./costs/CostBook.js";
 import { estimateCallMs, getCost } from "./costs/placementCosts.js";
+import { PlacementExplainer } from "./explain/PlacementExplainer.js";
 import type { PlacementSnapshot } from "./explain/PlacementSnapshot.js";
-import type { EngineSpec, Upstream } from "./fleetConfig.js";
+import type { EngineSpec } from "./fleetConfig.js";
 import type { FleetView } from "./FleetView.js";
-import { getReadMs } from "./engineModel.js";
 import { QuotaQueue } from "./limits/QuotaQueue.js";
 import type { SendQuota } from "./limits/SendQuota.js";
 import type { LoadTracker } from "./LoadTracker.js";
@@ -22,7 +22,6 @@
 import { pickServiceUpstream } from "./pickServiceUpstream.js";
 import {
   getEnd,
-  getLatestFirstMs,
   isRejectable,
   PlacementFailure,
   type Placement,
@@ -33,6 +32,7 @@
 import { getRequestValue } from "./requestValue.js";
 import { getRetryAfterMs, REJECTED_RETRY_AFTER_MS } from "./retryAfter.js";
 import { RoomBook } from "./room/RoomBook.js";
+import { FreeForAll, type RoomPolicy } from "./room/RoomPolicy.js";
 import type { UpstreamHealth } from "./UpstreamHealth.js";
 
 /** Interval at which a prompt that waits for KV memory is planned again. */
@@ -54,8 +54,9 @@
   readonly #admission: AdmissionControl;
   readonly #quota: SendQuota;
   readonly #quotaQueue: QuotaQueue;
+  readonly #explainer: PlacementExplainer;
   /** Prompts that wait for KV memory. */
-  readonly room: RoomBook;
+  readonly room: RoomPolicy;
   /** Time after which a pool that shed a prompt was expected to have room. */
   readonly #roomMs = new Map<string, number>();
 
@@ -70,6 +71,8 @@
     health: UpstreamHealth;
     quota: SendQuota;
     logger: Logger;
+    /** Prompts that wait for KV memory are promised it; false by default. */
+    promisesRoom?: boolean | undefined;
   }) {
     this.#clock = options.clock;
     this.#random = options.random;
@@ -81,7 +84,11 @@
     this.#admission = new AdmissionControl(options.clock);
     this.#quota = options.quota;
     this.#quotaQueue = new QuotaQueue(options.clock, options.quota);
-    this.room = new RoomBook(options);
+    this.room = options.promisesRoom ? new RoomBook(options) : new FreeForAll();
+    this.#explainer = new PlacementExplainer({
+      ...{ ...options, finder: this.#finder, admission: this.#admission },
+      ...{ quotaQueue: this.#quotaQueue, room: this.room },
+    });
   }
 
   /** Time after which a request without a placement should come back, milliseconds. */
@@ -208,10 +215,11 @@
     { startMs, isFirst }: { startMs: number; isFirst: boolean },
   ): Promise<Placement | PlacementFailure> {
     const mayReject = isRejectable(query);
+    const { isPromised } = this.room;
     const isSmall = isForOneUpstream(query.req.head.promptTokens);
     let isNew = isFirst && mayReject;
-    // All upstreams are looked at before a prompt waits.
-    for (let isWhole = !isFirst; ; isWhole = true) {
+    // All upstreams are looked at before a prompt is promised room.
+    for (let isWhole = isPromised && !isFirst; ; isWhole = isPromised) {
       const now = this.#clock.now();
       const failure = getEnd(query, now);
       const candidates = failure
@@ -220,11 +228,8 @@
       if (candidates.length === 0) {
         return failure ?? this.#getLack(query);
       }
-      const request = {
-        ...newPlacementRequest(query, { engine, now, costs: this.#costs }),
-        shortGapMs: this.#view.table?.getShortGapMs(query.pool) ?? 0,
-        value: getRequestValue(query, this.#view.table),
-      };
+      const { table } = this.#view;
+      const request = newPlacementRequest(query, { engine, now, costs: this.#costs, table });
       const { req, pool, isApart } = query;
       const deadlineLeftMs = query.deadlineAtMs - now;
       if (isNew && !this.#isAdmitted({ query, engine, request, candidates })) {
@@ -234,13 +239,12 @@
       const plan = this.room.awaitTurn(asked, planPlacement(engine, request, candidates));
       if (plan) {
         const cost = getCost(candidates, plan.upstream);
-        const isSent = !isNew || plan.firstEventMs <= getLatestFirstMs(request, deadlineLeftMs);
-        return isSent
+        return !isNew || this.room.accepts(plan, request, deadlineLeftMs)
           ? { upstream: plan.upstream, plan, request, waitedMs: now - startMs, cost, isApart }
           : this.#shed(pool, PlacementFailure.TooLate, candidates);
       }
       isNew = false;
-      if (isWhole) {
+      if (isWhole || !isPromised) {
         const upstreams = this.#view.getAvailable(pool, query.homes).length;
         const cause = this.room.decide({ ...asked, upstreams, deadlineLeftMs, mayReject });
         if (cause) {
@@ -263,7 +267,9 @@
   }): boolean {
     const { query, engine, request, candidates } = options;
     const workMs = getWorkMs(engine, request);
-    const isAdmitted = this.#isWorth({ query, engine, request, candidates });
+    const { targetMs } = query.req.route;
+    const asked = { engine, request, candidates, targetMs };
+    const isAdmitted = this.#admission.isWorth(query.pool, asked);
     this.#admission.record(query.pool, request.value, workMs);
     return isAdmitted;
   }
@@ -287,47 +293,9 @@
     return this.room.addClaims(candidates, { req, engine, isAsked, isWaiting: options.isWhole });
   }
 
-  /** True when a new prompt is admitted now. */
-  #isWorth(options: {
-    query: PlacementQuery;
-    engine: EngineSpec;
-    request: PlacementRequest;
-    candidates: readonly PlacementCandidate[];
-  }): boolean {
-    const { query, engine, request, candidates } = options;
-    const busyShare = getBusyShare(candidates, query.req.route.targetMs);
-    const prefillMs = getReadMs(engine, request.promptTokens);
-    return this.#admission.admits(query.pool, request.value, prefillMs, busyShare);
-  }
-
   /** Where a request would go now, and why; sends and books nothing. */
-  async explain(query: PlacementQuery): Promise<PlacementSnapshot> {
-    const { pool, req } = query;
-    const engine = this.#view.table?.findPool(pool)?.engine;
-    const now = this.#clock.now();
-    const isPrompt = engine !== undefined && req.head.promptTokens > 0;
-    const isSmall = isPrompt && isForOneUpstream(req.head.promptTokens);
-    const found = isPrompt
-      ? await this.#findCandidates(query, { engine, isSmall, isWhole: false })
-      : await this.#finder.find(query);
-    const candidates = [...found];
-    const usable = getIds(this.#finder.getUsable(query));
-    const base = {
-      ...{ atMs: now, pool, candidates, ruledOut: this.#finder.explain(query, candidates) },
-      limitedInMs: usable.length > 0 ? this.#quotaQueue.getOpenInMs(usable) : undefined,
-    };
-    if (!isPrompt) {
-      const callMs = estimateCallMs(this.#costs, req, pool);
-      return { ...base, callMs, targetMs: req.route.targetMs };
-    }
-    const shortGapMs = this.#view.table?.getShortGapMs(pool) ?? 0;
-    const known = newPlacementRequest(query, { engine, now, costs: this.#costs });
-    const request = { ...known, shortGapMs, value: getRequestValue(query, this.#view.table) };
-    return {
-      ...{ ...base, engine, request },
-      latestFirstMs: getLatestFirstMs(request, query.deadlineAtMs - now),
-      isAdmitted: candidates.length === 0 || this.#isWorth({ query, engine, request, candidates }),
-    };
+  explain(query: PlacementQuery): Promise<PlacementSnapshot> {
+    return this.#explainer.explain(query);
   }
 
   /** Counts a request as load of the upstream that it was sent to last, or that goes on with it. */
@@ -345,5 +313,3 @@
     });
   }
 }
-
-const getIds = (upstreams: readonly Upstream[]): string[] => upstreams.map(({ id }) => id);
--- a/packages/forwarding/src/explain/explainPlacement.test.ts
+++ b/packages/forwarding/src/explain/explainPlacement.test.ts
@@ -87,6 +87,7 @@
   const quota = newLoneSendQuota(clock, limits, rests);
   const placer = new Placer({
     ...{ clock, random: NO_RANDOM, view, loadTracker: tracker, health, quota, costs, logger },
+    promisesRoom: true,
   });
   const { promptTokens, outputTokens } = fleet;
   const query: PlacementQuery = {
--- a/packages/forwarding/src/forwardDependencies.ts
+++ b/packages/forwarding/src/forwardDependencies.ts
@@ -38,6 +38,8 @@
   readonly peerLoads?: PeerLoads | undefined;
   /** Undefined where placement goes by published constants alone. */
   readonly costs?: CostBook | undefined;
+  /** Prompts that wait for KV memory are promised it; false by default. */
+  readonly promisesRoom?: boolean | undefined;
   readonly health: UpstreamHealth;
   readonly watch: UpstreamWatch;
   readonly limits: UpstreamLimits;
--- a/packages/forwarding/src/placementRequest.ts
+++ b/packages/forwarding/src/placementRequest.ts
@@ -4,12 +4,21 @@
 import type { PlacementRequest } from "./placement.js";
 import type { PlacementQuery } from "./placementQuery.js";
 import { DEFAULT_GAP_MS } from "./requestLoad.js";
+import { getRequestValue } from "./requestValue.js";
+import type { RouteTable } from "./RouteTable.js";
 
 /** The prompt of a query as placement sees it at the monotonic time `now`. */
 export const newPlacementRequest = (
-  { req, pool, deadlineAtMs, timeline }: PlacementQuery,
-  { engine, now, costs }: { engine: EngineSpec; now: number; costs: CostBook | undefined },
-): Omit<PlacementRequest, "shortGapMs" | "value"> => {
+  query: PlacementQuery,
+  options: {
+    engine: EngineSpec;
+    now: number;
+    costs: CostBook | undefined;
+    table: RouteTable | undefined;
+  },
+): PlacementRequest => {
+  const { req, pool, deadlineAtMs, timeline } = query;
+  const { engine, now, costs, table } = options;
   const { tokens, memoryTokens } = estimateAnswer(costs, req, pool);
   return {
     ...{ promptTokens: req.head.promptTokens, outputTokens: tokens, memoryTokens },
@@ -17,5 +26,7 @@
     maxGapMs: req.route.maxGapMs ?? DEFAULT_GAP_MS,
     targetLeftMs: timeline.getTargetLeftMs(now),
     deadlineLeftMs: deadlineAtMs - now - tokens * engine.stepMs,
+    shortGapMs: table?.getShortGapMs(pool) ?? 0,
+    value: getRequestValue(query, table),
   };
 };
--- a/packages/forwarding/src/room/RoomBook.ts
+++ b/packages/forwarding/src/room/RoomBook.ts
@@ -1,7 +1,6 @@
 import type { Clock, Random } from "@lycheepulley/core";
 import type { Logger } from "@lycheepulley/telemetry";
 
-import type { EngineSpec } from "../fleetConfig.js";
 import type { TimedLoadItem, UpstreamLoad } from "../load.js";
 import type { LoadTracker } from "../LoadTracker.js";
 import {
@@ -10,7 +9,9 @@
   planPlacement,
   type PlacementCandidate,
   type PlacementPlan,
+  type PlacementRequest,
 } from "../placement.js";
+import { getLatestFirstMs } from "../placementQuery.js";
 import { getKvTokens, getPromptLoad } from "../requestLoad.js";
 import { getRetryAfterMs } from "../retryAfter.js";
 import type { ForwardRequest } from "../types.js";
@@ -29,7 +30,9 @@
 import { withClaimsNow } from "./memory.js";
 import { goesBefore, isInForce, RETURN_GRACE_MS, type RoomPromise } from "./promise.js";
 import { RoomCause } from "./RoomCause.js";
+import type { RoomPolicy, RoomView } from "./RoomPolicy.js";
 import { RoomStats, type RoomCounts } from "./RoomStats.js";
+import type { WaitingPrompt } from "./WaitingPrompt.js";
 
 /** A promise is renewed at this interval, or sooner when it moved by the second time. */
 const RENEWAL_MS = 500;
@@ -47,30 +50,12 @@
 /** A caller may come back this much earlier than it was told. */
 const EARLY_RETURN_MS = 100;
 
-interface WaitingPrompt {
-  readonly route: string;
-  readonly sinceMs: number;
-  readonly place: number;
-  lookedMs: number;
-  renewedMs: number;
-  renewal: number;
-  /** Expected time of the room when it was first known, and as of now. */
-  firstRoomAtMs: number | undefined;
-  roomAtMs: number | undefined;
-  /** Latest time of the room, as of the first promise. */
-  neededAtMs: number | undefined;
-  tokens: number;
-  /** Upstreams with promised memory. */
-  upstreams: readonly string[];
-  /** Since when there is memory that prompts before it may be about to take. */
-  yieldsSinceMs: number | undefined;
-}
-
 /**
  * Prompts of this process that wait for KV memory, and the memory that they are promised. Promises are
  * load items, so that all processes know them; a total order by place and id settles conflicts.
  */
-export class RoomBook {
+export class RoomBook implements RoomPolicy {
+  readonly isPromised = true;
   readonly #clock: Clock;
   readonly #loadTracker: LoadTracker;
   readonly #logger: Logger;
@@ -108,9 +93,8 @@
    */
   addClaims(
     candidates: readonly PlacementCandidate[],
-    options: { req: ForwardRequest; engine: EngineSpec; isAsked: boolean; isWaiting: boolean },
+    { req, engine, isAsked, isWaiting }: RoomView,
   ): readonly PlacementCandidate[] {
-    const { req, engine, isAsked, isWaiting } = options;
     if (!isWaiting && candidates.every(({ load }) => load.claims === undefined)) {
       return candidates;
     }
@@ -187,6 +171,10 @@
     return now < untilMs ? undefined : plan;
   }
 
+  accepts(plan: PlacementPlan, request: PlacementRequest, deadlineLeftMs: number): boolean {
+    return plan.firstEventMs <= getLatestFirstMs(request, deadlineLeftMs);
+  }
+
   /** Has a prompt without a plan wait, promised room where there is any; returns why it shouldn't. */
   decide(room: RoomRequest): RoomCause | undefined {
     const { req, mayReject } = room;
--- a/packages/forwarding/src/testing/RoomFleet.ts
+++ b/packages/forwarding/src/testing/RoomFleet.ts
@@ -54,6 +54,7 @@
 export class RoomFleet {
   readonly clock = new ManualClock();
   readonly #engine: EngineSpec;
+  readonly #promisesRoom: boolean;
   readonly #processes: Process[] = [];
   #upstreams: Upstream[] = [];
   #version = 0;
@@ -65,7 +66,13 @@
   /** Reads messages as another build does; undefined for an item that it doesn't know. */
   readItem: (item: LoadItem) => LoadItem = (item) => item;
 
-  constructor(options: { processes: number; upstreams: number; engine?: Partial<EngineSpec> }) {
+  constructor(options: {
+    processes: number;
+    upstreams: number;
+    engine?: Partial<EngineSpec>;
+    promisesRoom?: boolean;
+  }) {
+    this.#promisesRoom = options.promisesRoom ?? true;
     this.#engine = { ...ENGINE, ...options.engine };
     for (let index = 0; index < options.processes; index++) {
       this.#processes.push(this.#newProcess(`g${String(index)}`));
@@ -89,6 +96,7 @@
     const placer = new Placer({
       ...{ clock, random: new SeededRandom(1), view, loadTracker: loads, logger },
       ...{ health: new UpstreamHealth(clock), quota: newLoneSendQuota(clock, limits) },
+      promisesRoom: this.#promisesRoom,
     });
     const process: Process = { name, view, loads, placer, seq: 0, state: "up" };
     return process;
--- a/packages/simulation/src/SimulatedGateway.ts
+++ b/packages/simulation/src/SimulatedGateway.ts
@@ -127,7 +127,7 @@
         getProcessCount: () => options.processes,
       }),
       crashes: new CrashTracker({ clock, onCrash: () => undefined }),
-      ...{ limits, rests, quota, guard, costs: options.costs },
+      ...{ limits, rests, quota, guard, costs: options.costs, promisesRoom: true },
       onLeaving: () => undefined,
       reservations: new ReservationManager({ clock, control, logger }),
       onEnd: () => undefined,
