Let placement weigh the crossing of failure domains, and count bytes by cause

Cause: all upstreams ranked alike wherever they are, so two thirds of prompts crossed three domains. Change: with weighsDistance, a plan on near upstreams is taken unless another one saves what callers lose; half of a sample is near; calls stay near while half of the slots are free. Gauges lycheepulley_crossed_bytes by cause, cold_upstreams and cold_sends; log fields coldUsed and coldRefused.

--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -2,6 +2,7 @@
 import { getMessage, SystemClock, SystemRandom, type Clock } from "@lycheepulley/core";
 import {
   CrashTracker,
+  CrossedBytes,
   EvacuationTracker,
   FleetView,
   Forwarder,
@@ -11,7 +12,6 @@
   ReaderSelection,
   ReservationManager,
   UpstreamHealth,
-  LimitedControl,
   UpstreamListTracker,
   UpstreamWatch,
   type Dialect,
@@ -26,6 +26,7 @@
 
 import { CallerAddresses, type AskingCaller } from "./CallerAddresses.js";
 import { closeAndDrain } from "./closeAndDrain.js";
+import { newCountedLinks } from "./countedLinks.js";
 import { DetourConnector } from "./DetourConnector.js";
 import { EvidenceExchange } from "./EvidenceExchange.js";
 import { FleetStateSync } from "./FleetStateSync.js";
@@ -55,9 +56,11 @@
     countParts: () => countByStatus(this.#evidence.crashes.guard.evidence.suspects),
     ...{ countDetours: () => this.#connector.detours, hasLostLinks: () => this.#connector.isLost },
     countEvacuated: () => this.#evacuations.count,
-    getRoom: () => this.#forwarder.room,
-    getHeldBytes: () => this.#listener.heldBytes,
+    ...{ getRoom: () => this.#forwarder.room, getHeldBytes: () => this.#listener.heldBytes },
+    getCrossedBytes: () => this.#crossed.counts,
+    getCold: () => this.#evidence.limits.coldCounts,
   });
+  readonly #crossed: CrossedBytes;
   readonly #view: FleetView;
   readonly #listTracker: UpstreamListTracker;
   readonly #evacuations: EvacuationTracker;
@@ -91,6 +94,7 @@
     const clock = this.#clock;
     this.#settings = settings;
     this.#logger = logger;
+    this.#crossed = new CrossedBytes(settings.failureDomain);
     this.#view = new FleetView(clock, settings.regions);
     this.#health = new UpstreamHealth(clock);
     this.#listTracker = new UpstreamListTracker({
@@ -132,6 +136,9 @@
       onError: (peer, reason) => {
         logger.warn("datagram error", { step: "membership", peer, reason });
       },
+      onSent: (peer, bytes) => {
+        this.#crossed.add("peers", this.#peers.getFailureDomain(peer), bytes);
+      },
     });
     const loadTracker = new LoadTracker({
       clock,
@@ -176,9 +183,7 @@
       onPeerReturned: (host) => {
         this.#evidence.inform(host);
       },
-      onUpstreamLeaving: (upstream) => {
-        this.#view.recordLeaving(upstream);
-      },
+      onUpstreamLeaving: (upstream) => this.#view.recordLeaving(upstream),
       onUpstreamDead: (upstream, host) => {
         this.#watch.recordPeer(upstream, host);
       },
@@ -204,8 +209,9 @@
       ...{ ...exchange, ...decisions, failureDomain, rateBounds },
     });
     const { limits, cold, rests, quota } = this.#evidence.limits;
-    const transport = links.newTransport(this.#connector);
-    const control = new LimitedControl(links.newControl(transport, cold), quota);
+    const { transport, control } = newCountedLinks(links, {
+      ...{ connector: this.#connector, crossed: this.#crossed, view: this.#view, cold, quota },
+    });
     this.#watch = new UpstreamWatch({
       ...{ clock, random: this.#random, view: this.#view, health: this.#health, logger },
       probe: (upstream) => this.#connector.accepts(upstream),
@@ -214,15 +220,9 @@
       },
     });
     this.#forwarder = new Forwarder({
-      ...{
-        clock,
-        random: this.#random,
-        view: this.#view,
-        loadTracker,
-        peerLoads: this.#peerExchange.loads,
-        health: this.#health,
-        watch: this.#watch,
-      },
+      ...{ clock, random: this.#random, view: this.#view, loadTracker },
+      ...{ peerLoads: this.#peerExchange.loads, health: this.#health, watch: this.#watch },
+      ...(decisions?.weighsDistance && { nearDomain: failureDomain }),
       ...{ crashes: this.#crashTracker, transport, dialect, logger },
       retryBudget: newRetryBudget(settings, clock, this.#peers),
       ...{ control, limits, cold, rests, quota, guard: this.#evidence.crashes.guard },
--- a/packages/daemon/src/gateway/LimitExchange.ts
+++ b/packages/daemon/src/gateway/LimitExchange.ts
@@ -103,6 +103,11 @@
     });
   }
 
+  /** Cold upstreams, and what this process got of their shared rates since the start. */
+  get coldCounts(): { count: number; sends: Readonly<Record<string, number>> } {
+    return { count: this.cold.all.length, sends: this.quota.coldSends };
+  }
+
   start(server: NodeServer): void {
     this.#channel.handle("limit.report", limitsSchema, ({ limits }, host) => {
       limits.forEach((limit) => {
--- a/packages/forwarding/src/CandidateFinder.ts
+++ b/packages/forwarding/src/CandidateFinder.ts
@@ -2,6 +2,7 @@
 
 import type { CostBook } from "./costs/CostBook.js";
 import { applyPace } from "./costs/placementCosts.js";
+import { addCrossingCost, getCrossingCost, type CrossingRequest } from "./distance/crossing.js";
 import type { Upstream } from "./fleetConfig.js";
 import { RuledOutReason, type RuledOut } from "./explain/PlacementSnapshot.js";
 import type { FleetView } from "./FleetView.js";
@@ -23,6 +24,8 @@
   readonly homes?: Homes;
   /** Ids of upstreams that already failed the request. */
   readonly excluded: ReadonlySet<string>;
+  /** The request itself, to weigh its crossing of failure domains. */
+  readonly req?: CrossingRequest;
   /** The request may crash its upstream. */
   readonly isApart?: boolean;
   /** The prompt isn't worth a second upstream. */
@@ -38,6 +41,7 @@
   readonly #loadTracker: LoadTracker;
   readonly #peerLoads: PeerLoads | undefined;
   readonly #costs: CostBook | undefined;
+  readonly #nearDomain: string | undefined;
   readonly #health: UpstreamHealth;
   readonly #quota: SendQuota;
 
@@ -48,6 +52,8 @@
     /** Undefined where every process hears of all requests. */
     peerLoads?: PeerLoads | undefined;
     costs?: CostBook | undefined;
+    /** Failure domain whose upstreams are near; undefined where distance doesn't count. */
+    nearDomain?: string | undefined;
     health: UpstreamHealth;
     quota: SendQuota;
   }) {
@@ -56,6 +62,7 @@
     this.#loadTracker = options.loadTracker;
     this.#peerLoads = options.peerLoads;
     this.#costs = options.costs;
+    this.#nearDomain = options.nearDomain;
     this.#health = options.health;
     this.#quota = options.quota;
   }
@@ -88,7 +95,7 @@
     const open = this.getUsable(query).filter(({ id }) => this.#quota.isOpen(id));
     const active = this.#health.selectActive(open);
     const { isAsked } = this;
-    const options = { isSmall, isAsked, random: this.#random };
+    const options = { isSmall, isAsked, random: this.#random, nearDomain: this.#nearDomain };
     const known = isAsked ? NO_LOADS : this.#loadTracker.getLoads();
     const considered = isWhole && !isAsked ? active : selectCandidates(active, known, options);
     const loads = isAsked ? await this.fetchLoads(considered.map(({ id }) => id)) : known;
@@ -98,7 +105,18 @@
       failureRate: this.#health.getFailureRate(upstream.id),
       avoidance: this.#quota.getAvoidance(upstream.id) + this.#view.getReturnAvoidance(upstream),
     }));
-    return selectSeparate(candidates, isApart);
+    return selectSeparate(this.#weighCrossing(candidates, query), isApart);
+  }
+
+  #weighCrossing(
+    candidates: readonly PlacementCandidate[],
+    { pool, req }: CandidateQuery,
+  ): readonly PlacementCandidate[] {
+    if (this.#nearDomain === undefined || !req) {
+      return candidates;
+    }
+    const cost = getCrossingCost(req, this.#view.table?.findPool(pool)?.engine);
+    return addCrossingCost(candidates, this.#nearDomain, cost);
   }
 
   /** Why the other upstreams of the pool are no candidates. */
--- a/packages/forwarding/src/Placer.ts
+++ b/packages/forwarding/src/Placer.ts
@@ -5,6 +5,7 @@
 import { CandidateFinder } from "./CandidateFinder.js";
 import type { CostBook } from "./costs/CostBook.js";
 import { estimateCallMs, getCost } from "./costs/placementCosts.js";
+import { pickNear, planNear } from "./distance/preferNear.js";
 import type { PlacementSnapshot } from "./explain/PlacementSnapshot.js";
 import type { EngineSpec, Upstream } from "./fleetConfig.js";
 import type { FleetView } from "./FleetView.js";
@@ -13,13 +14,7 @@
 import type { SendQuota } from "./limits/SendQuota.js";
 import type { LoadTracker } from "./LoadTracker.js";
 import type { PeerLoads } from "./PeerLoads.js";
-import {
-  isForOneUpstream,
-  planPlacement,
-  type PlacementCandidate,
-  type PlacementRequest,
-} from "./placement.js";
-import { pickServiceUpstream } from "./pickServiceUpstream.js";
+import { isForOneUpstream, type PlacementCandidate, type PlacementRequest } from "./placement.js";
 import {
   getEnd,
   getLatestFirstMs,
@@ -67,6 +62,8 @@
     /** Undefined where every process hears of all requests. */
     peerLoads?: PeerLoads | undefined;
     costs?: CostBook | undefined;
+    /** Failure domain whose upstreams are near; undefined where distance doesn't count. */
+    nearDomain?: string | undefined;
     health: UpstreamHealth;
     quota: SendQuota;
     logger: Logger;
@@ -183,7 +180,7 @@
     }
     const callMs = estimateCallMs(this.#costs, query.req, query.pool);
     const candidates = await this.#finder.find(query);
-    const upstream = pickServiceUpstream(candidates, this.#random, {
+    const upstream = pickNear(candidates, this.#random, {
       ...{ callMs, targetMs: query.req.route.targetMs },
     });
     if (!upstream) {
@@ -231,7 +228,7 @@
         return this.#shed(pool, PlacementFailure.Overloaded, candidates);
       }
       const asked = { req, pool, engine, request, candidates };
-      const plan = this.room.awaitTurn(asked, planPlacement(engine, request, candidates));
+      const plan = this.room.awaitTurn(asked, planNear(engine, request, candidates));
       if (plan) {
         const cost = getCost(candidates, plan.upstream);
         const isSent = !isNew || plan.firstEventMs <= getLatestFirstMs(request, deadlineLeftMs);
--- a/packages/forwarding/src/explain/explainPlacement.ts
+++ b/packages/forwarding/src/explain/explainPlacement.ts
@@ -1,6 +1,7 @@
 import { getRoomMs } from "../AdmissionControl.js";
 import type { Upstream } from "../fleetConfig.js";
-import { getCallCost, pickServiceUpstream } from "../pickServiceUpstream.js";
+import { pickNear, planNear } from "../distance/preferNear.js";
+import { getCallCost } from "../pickServiceUpstream.js";
 import { planPlacement, type PlacementCandidate, type PlacementPlan } from "../placement.js";
 import { NO_UPSTREAM_RETRY_AFTER_MS } from "../retryAfter.js";
 import type { PlacementSnapshot } from "./PlacementSnapshot.js";
@@ -86,10 +87,10 @@
   random: { next(): number },
 ): Choice | undefined => {
   if (engine && request) {
-    const plan = planPlacement(engine, request, candidates);
+    const plan = planNear(engine, request, candidates);
     return plan && { upstream: plan.upstream, plan };
   }
-  const upstream = pickServiceUpstream(candidates, random, { callMs, targetMs });
+  const upstream = pickNear(candidates, random, { callMs, targetMs });
   return upstream && { upstream };
 };
 
--- a/packages/forwarding/src/forwardDependencies.ts
+++ b/packages/forwarding/src/forwardDependencies.ts
@@ -38,6 +38,8 @@
   readonly peerLoads?: PeerLoads | undefined;
   /** Undefined where placement goes by published constants alone. */
   readonly costs?: CostBook | undefined;
+  /** Failure domain whose upstreams are near; undefined where distance doesn't count. */
+  readonly nearDomain?: string | undefined;
   readonly health: UpstreamHealth;
   readonly watch: UpstreamWatch;
   readonly limits: UpstreamLimits;
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -12,6 +12,7 @@
 export * from "./crashes/TrialOwner.js";
 export * from "./crashes/assessParts.js";
 export * from "./DepartedUpstreams.js";
+export * from "./distance/CrossedBytes.js";
 export * from "./engineModel.js";
 export * from "./evacuations/evacuationList.js";
 export * from "./evacuations/Evacuations.js";
--- a/packages/forwarding/src/limits/SendQuota.ts
+++ b/packages/forwarding/src/limits/SendQuota.ts
@@ -43,6 +43,8 @@
   readonly #peers: QuotaPeers;
   readonly #getMembers: () => Members;
   readonly #logger: Logger;
+  /** Sends that this process asked for at cold upstreams since the start. */
+  readonly #coldSends = { used: 0, refused: 0 };
   /** Times until which no sends to an upstream are to be had. */
   readonly #closedUntilMs = new Map<string, number>();
 
@@ -68,6 +70,11 @@
     this.#logger = options.logger;
   }
 
+  /** Sends at cold upstreams since the start: those that their shared rate let pass, and the others. */
+  get coldSends(): Readonly<Record<"used" | "refused", number>> {
+    return this.#coldSends;
+  }
+
   /** True unless the upstream rests, or its quota was used up when this process last asked. */
   isOpen(upstream: string): boolean {
     return this.getOpenInMs(upstream) <= 0;
@@ -128,6 +135,9 @@
       return false;
     }
     const { isGranted, retryMs } = await this.#ask(rate);
+    if (rate.isCold) {
+      this.#coldSends[isGranted ? "used" : "refused"] += 1;
+    }
     if (!isGranted) {
       this.#closedUntilMs.set(upstream, this.#clock.now() + retryMs);
       this.#logRefusal(rate, retryMs);
@@ -139,6 +149,7 @@
     const report = this.#limits.getReport(upstream);
     this.#logger.info("upstream left out for its limit", {
       ...{ step: "limit", peer: upstream, perSecond, isCold, retryMs: Math.round(retryMs) },
+      ...(isCold && { coldUsed: this.#coldSends.used, coldRefused: this.#coldSends.refused }),
       ...(report && { ageMs: Math.round(this.#clock.now() - report.receivedMs) }),
     });
   }
--- a/packages/forwarding/src/placement.ts
+++ b/packages/forwarding/src/placement.ts
@@ -49,6 +49,8 @@
   readonly failureRate: number;
   /** How far to avoid the upstream because it names a limit, 0 to 1. */
   readonly avoidance: number;
+  /** Cost of the bytes and the time that a crossing of failure domains takes; only where distance counts. */
+  readonly crossingCost?: number;
   /** Time that work takes there, as a multiple of the usual; its load has the times that this makes. */
   readonly pace?: number;
   /** When memory becomes free there; needed only where the load has claims. */
@@ -89,6 +91,8 @@
   readonly firstEventMs: number;
   /** Expected loss, in the unit of {@link PlacementRequest.value}. */
   readonly loss: number;
+  /** The part of it that callers feel: objectives missed, failures and queues. */
+  readonly stake: number;
   readonly decode: DecodePlan;
 }
 
@@ -111,6 +115,8 @@
   /** Time until its part is prefilled when it also decodes the answer. */
   readonly decoderReadyMs: number;
   readonly cost: number;
+  /** The part of it that callers feel. */
+  readonly stake: number;
   /** KV memory that the prompt may use there, in tokens. */
   readonly freeTokens: number;
 }
@@ -157,16 +163,14 @@
   const endMs = load.claims
     ? decoderReadyMs + getAnswerMs(engine, req.outputTokens, crowded)
     : Infinity;
+  const stake =
+    addedLoss +
+    FAILURE_COST * candidate.failureRate +
+    LIMITED_COST * candidate.avoidance * (1 + readMs / MS_PER_S);
   return {
-    candidate,
-    helperReadyMs,
-    decoderReadyMs,
+    ...{ candidate, helperReadyMs, decoderReadyMs, stake },
     freeTokens: getFreeTokens(engine, candidate, endMs),
-    cost:
-      addedLoss +
-      FAILURE_COST * candidate.failureRate +
-      LIMITED_COST * candidate.avoidance * (1 + readMs / MS_PER_S) +
-      helperReadyMs / MS_PER_S,
+    cost: stake + helperReadyMs / MS_PER_S + (candidate.crossingCost ?? 0),
   };
 };
 
@@ -278,14 +282,15 @@
   const delayCost = getOwnDelayCost(req, firstEventMs);
   const overflowLoss = LATE_LOSS * req.value * getOverflowRisk(decoder.candidate);
   const memberCost = members.reduce((sum, { cost }) => sum + cost, 0);
+  const queueLoss = queueMs > 0 ? req.value : 0;
   return {
     upstream: decoder.candidate.upstream,
     helpers: helpers.map(({ candidate }) => candidate.upstream),
     heldTokens,
     readMs,
     firstEventMs,
-    loss:
-      memberCost + lateLoss + delayCost + spreadCost + overflowLoss + (queueMs > 0 ? req.value : 0),
+    loss: memberCost + lateLoss + delayCost + spreadCost + overflowLoss + queueLoss,
+    stake: members.reduce((sum, { stake }) => sum + stake, lateLoss + overflowLoss + queueLoss),
     decode: newDecodePlan(engine, req, decoder.candidate),
   };
 };
--- a/packages/nodes/src/DatagramChannel.ts
+++ b/packages/nodes/src/DatagramChannel.ts
@@ -46,6 +46,7 @@
 export class DatagramChannel {
   readonly #handlers = new Map<string, Handler>();
   readonly #onError: (host: string, reason: string) => void;
+  readonly #onSent: (host: string, bytes: number) => void;
   readonly #unknown = new Set<string>();
   #socket: Socket | undefined;
   #port = 0;
@@ -53,10 +54,14 @@
 
   /**
    * `onError` is called for received messages that are dropped, with the sender's host, and with
-   * the host `self` for socket errors and messages too large to send.
+   * the host `self` for socket errors and messages too large to send; `onSent` for each message to a host.
    */
-  constructor(options: { onError: (host: string, reason: string) => void }) {
+  constructor(options: {
+    onError: (host: string, reason: string) => void;
+    onSent?: (host: string, bytes: number) => void;
+  }) {
     this.#onError = options.onError;
+    this.#onSent = options.onSent ?? ((): void => undefined);
   }
 
   get sentBytes(): number {
@@ -104,6 +109,7 @@
     }
     for (const host of hosts) {
       this.#sentBytes += data.length;
+      this.#onSent(host, data.length);
       this.#socket?.send(data, this.#port, host, () => undefined);
     }
   }
--- a/packages/telemetry/src/ForwardMetrics.ts
+++ b/packages/telemetry/src/ForwardMetrics.ts
@@ -13,6 +13,14 @@
   readonly errorsMs: readonly number[];
 }
 
+/** What a process knows of cold upstreams, for {@link ForwardMetrics}. */
+export interface ColdMetrics {
+  /** Cold upstreams now. */
+  readonly count: number;
+  /** Sends that this process asked for at cold upstreams since the start, by outcome: used or refused. */
+  readonly sends: Readonly<Record<string, number>>;
+}
+
 /** Metrics of a forwarding process, in the Prometheus text format. */
 export class ForwardMetrics {
   readonly #registry = new Registry();
@@ -34,6 +42,8 @@
     countEvacuated,
     getRoom,
     getHeldBytes = () => 0,
+    getCrossedBytes = () => ({}),
+    getCold = () => ({ count: 0, sends: {} }),
   }: {
     countLimited: () => number;
     countResting: () => number;
@@ -45,6 +55,9 @@
     getRoom?: () => RoomMetrics;
     /** Bytes held for callers and upstreams. */
     getHeldBytes?: () => number;
+    /** Bytes between failure domains since the start, by cause. */
+    getCrossedBytes?: () => Readonly<Record<string, number>>;
+    getCold?: () => ColdMetrics;
   }) {
     const registers = [this.#registry];
     this.#requests = new Counter({
@@ -124,6 +137,24 @@
         }
       },
     });
+    addCounts(
+      this.#registry,
+      ["lycheepulley_crossed_bytes", "Bytes between failure domains since the start", "cause"],
+      getCrossedBytes,
+    );
+    addCounts(
+      this.#registry,
+      ["lycheepulley_cold_sends", "Sends asked for at cold upstreams since the start", "outcome"],
+      () => getCold().sends,
+    );
+    new Gauge({
+      name: "lycheepulley_cold_upstreams",
+      help: "Upstreams that are cold and share a rate among all processes",
+      registers,
+      collect() {
+        this.set(getCold().count);
+      },
+    });
     if (getRoom) {
       addRoomMetrics(this.#registry, getRoom);
     }
@@ -186,27 +217,31 @@
   }
 }
 
+const addCounts = (
+  registry: Registry,
+  [name, help, label]: readonly [string, string, string],
+  getCounts: () => Readonly<Record<string, number>>,
+): void => {
+  new Gauge({
+    ...{ name, help, registers: [registry], labelNames: [label] },
+    collect() {
+      this.reset();
+      for (const [value, count] of Object.entries(getCounts())) {
+        this.set({ [label]: value }, count);
+      }
+    },
+  });
+};
+
 const addRoomMetrics = (registry: Registry, getRoom: () => RoomMetrics): void => {
   const registers = [registry];
-  const addCounts = (
-    [name, help, label]: readonly [string, string, string],
-    getCounts: () => Readonly<Record<string, number>>,
-  ): void => {
-    new Gauge({
-      ...{ name, help, registers, labelNames: [label] },
-      collect() {
-        this.reset();
-        for (const [value, count] of Object.entries(getCounts())) {
-          this.set({ [label]: value }, count);
-        }
-      },
-    });
-  };
   addCounts(
+    registry,
     ["lycheepulley_room_waiting", "Prompts that wait for KV memory, by route", "route"],
     () => getRoom().waiting,
   );
   addCounts(
+    registry,
     [
       "lycheepulley_room_promises",
       "Promises of KV memory since the start: used, lapsed or returned",
@@ -215,6 +250,7 @@
     () => getRoom().promises,
   );
   addCounts(
+    registry,
     [
       "lycheepulley_room_rejected",
       "Prompts rejected for lack of KV memory since the start",
