Count nothing for pipelined requests whose connection is gone

Cause: each request began to be counted before its turn on the connection, and node closes only the response that has the connection; a caller that sent requests ahead and left without taking the first answer left an entry, with its request and response, for each of the others for as long as the process ran. Change: the count begins at the request's turn; an unused getter is gone.

--- a/packages/callers/src/forward/ForwardServer.ts
+++ b/packages/callers/src/forward/ForwardServer.ts
@@ -102,9 +102,9 @@
     return this.#connections.size;
   }
 
-  /** Bytes held for callers and upstreams. */
-  get heldBytes(): number {
-    return this.#memory.bytes;
+  /** What is held for callers and upstreams. */
+  get held(): Pick<HeldMemory, "bytes" | "requests"> {
+    return this.#memory;
   }
 
   listen(host: string, port: number): Promise<void> {
@@ -164,17 +164,18 @@
       turn.end(this.#server.keepAliveTimeout);
     });
     probeHalfClosed(req, res, this.#clock);
+    await turn.earlier;
+    if (!socket.writable) {
+      // The answer before ended the connection; the caller knows that this request wasn't read.
+      return;
+    }
+    // Before its turn, a response isn't closed with its connection.
     const progress: AdmissionProgress = { head: undefined, isForwarded: false };
     const writer = new ResponseWriter(res, {
       getRequestId: () => progress.head?.attemptId ?? "",
       memory: this.#memory,
       isClosing: () => this.#drain !== undefined,
     });
-    await turn.earlier;
-    if (!socket.writable) {
-      // The answer before ended the connection; the caller knows that this request wasn't read.
-      return;
-    }
     try {
       progress.head = this.#dialect.readHead({
         method: req.method ?? "GET",
--- a/packages/callers/src/forward/HeldMemory.ts
+++ b/packages/callers/src/forward/HeldMemory.ts
@@ -61,8 +61,9 @@
     return this.#bytes;
   }
 
-  get hasRoom(): boolean {
-    return this.#bytes < this.limitBytes;
+  /** Requests for which bytes are counted. */
+  get requests(): number {
+    return this.#requests.size;
   }
 
   /** Begins to count what is held for a request. */
--- a/packages/callers/src/forward/slowReaders.test.ts
+++ b/packages/callers/src/forward/slowReaders.test.ts
@@ -9,6 +9,12 @@
 /** Time after which a caller that takes nothing counts as slow, with a margin. */
 const SLOW_MS = 700;
 
+const waitFor = async (isDone: () => boolean): Promise<void> => {
+  while (!isDone()) {
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+};
+
 describe("ForwardServer: callers that read slowly", () => {
   const fixture = useListener();
 
@@ -29,12 +35,23 @@
     slow.pause();
     slow.write(newRequest());
     await new Promise((resolve) => setTimeout(resolve, SLOW_MS));
-    expect(harness.server.heldBytes).to.be.above(HELD_LIMIT_BYTES);
+    expect(harness.server.held.bytes).to.be.above(HELD_LIMIT_BYTES);
     expect(getStatus(await harness.exchange(newRequest([], "body")))).to.equal(200);
-    expect(harness.server.heldBytes).to.equal(0);
+    expect(harness.server.held.bytes).to.equal(0);
     slow.destroy();
   });
 
+  it("counts nothing for requests behind an unanswered one once their connection is gone", async () => {
+    const { harness } = fixture;
+    harness.forward = () => new Promise(() => undefined);
+    const socket = await harness.connect();
+    socket.write(newRequest().repeat(20));
+    await waitFor(() => harness.server.requests === 20);
+    socket.destroy();
+    await waitFor(() => harness.server.requests === 0);
+    expect(harness.server.held.requests).to.equal(0);
+  });
+
   it("pauses an upstream once its caller leaves some of the answer, and goes on when it reads", async function () {
     this.timeout(FIRST_ANSWER_MS);
     const { harness } = fixture;
@@ -60,9 +77,9 @@
     slow.write(newRequest());
     await new Promise((resolve) => setTimeout(resolve, SLOW_MS));
     expect(written).to.be.below(UNREAD_BYTES);
-    expect(harness.server.heldBytes).to.be.below(1_000_000);
+    expect(harness.server.held.bytes).to.be.below(1_000_000);
     slow.resume();
-    while (written < UNREAD_BYTES || harness.server.heldBytes > 0) {
+    while (written < UNREAD_BYTES || harness.server.held.bytes > 0) {
       await new Promise((resolve) => setTimeout(resolve, 10));
     }
     slow.destroy();
--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -56,7 +56,7 @@
     ...{ countDetours: () => this.#connector.detours, hasLostLinks: () => this.#connector.isLost },
     countEvacuated: () => this.#evacuations.count,
     getRoom: () => this.#forwarder.room,
-    getHeldBytes: () => this.#listener.heldBytes,
+    getHeldBytes: () => this.#listener.held.bytes,
   });
   readonly #view: FleetView;
   readonly #listTracker: UpstreamListTracker;
