Look at a grant again before a prompt is sent, and return work gradually

Cause: in the product's own interface a prompt went to a failure domain that was evacuated after its grant, and an engine got all of its work at once when its domain was taken back. Change: a grant is void when its process was paused or a domain of its engines is evacuated, looked at before the memory is reserved and before the first part; another one is asked for, without a retry. For 4 s after the return engines get a growing share, and what the others have no room for. The stub of promptEnds.test.ts names the domain of its engine, as the directory does.

--- a/packages/serving/src/requests/EngineGroup.ts
+++ b/packages/serving/src/requests/EngineGroup.ts
@@ -21,6 +21,8 @@
   readonly priority: number;
   readonly timeoutMs: number;
   readonly signal: AbortSignal;
+  /** Called when all memory is reserved and nothing is sent yet; the call ends when it throws. */
+  readonly onReserved?: () => void;
   /** Called when an engine has, or may have, started to prefill a part. */
   readonly onReach: () => void;
 }
@@ -59,6 +61,7 @@
    */
   async prepare(): Promise<string[]> {
     await this.#reserveAll();
+    this.#call.onReserved?.();
     this.#scheduleRenewal();
     const { promptTokens } = this.#call;
     const partTokens = Math.ceil(promptTokens / this.#members.length);
--- a/packages/serving/src/requests/PromptRunner.ts
+++ b/packages/serving/src/requests/PromptRunner.ts
@@ -27,7 +27,7 @@
 import type { UpstreamDirectory } from "../upstreams/UpstreamDirectory.js";
 import type { AtMostOnce } from "./AtMostOnce.js";
 import { RESERVATION_LOST_CODE } from "./EngineGroup.js";
-import { runAttempt } from "./promptAttempt.js";
+import { GRANT_VOID_CODE, runAttempt } from "./promptAttempt.js";
 import type { PromptJob } from "./PromptJob.js";
 import { isRejection } from "./reach.js";
 import { getFateState, RequestContext } from "./RequestContext.js";
@@ -38,6 +38,9 @@
  * rest.
  */
 const GROUP_MEMORY_SHARE = 0.9;
+/** Pause before another grant is asked for: its owner may learn of an evacuation later than this process. */
+const VOID_PAUSE_MS = 50;
+const MAX_VOID_PAUSE_MS = 1_000;
 const HTTP_BAD_REQUEST = 400;
 const HTTP_NOT_READY = 503;
 
@@ -174,7 +177,25 @@
     }
   }
 
+  /** Runs one attempt; a grant that is void before anything is sent doesn't count as one. */
   async #runAttempt(job: PromptJob, attempt: number): Promise<void> {
+    const { ctx, req } = job;
+    for (let pauseMs = VOID_PAUSE_MS; ; pauseMs = Math.min(MAX_VOID_PAUSE_MS, 2 * pauseMs)) {
+      try {
+        await this.#runGranted(job, attempt);
+        return;
+      } catch (err) {
+        if (req.signal.aborted || !isVoid(err)) {
+          throw err;
+        }
+        ctx.trace.mark("void");
+        await sleep(this.#options.clock, pauseMs, req.signal);
+        ctx.checkDeadline();
+      }
+    }
+  }
+
+  async #runGranted(job: PromptJob, attempt: number): Promise<void> {
     const { ctx, req } = job;
     ctx.enter(Step.Admit);
     ctx.enter(Step.Queue);
@@ -239,10 +260,12 @@
 const isRetryable = (err: unknown): err is Error & { peer: string } =>
   isPeerError(err) && (err.status === undefined || err.status >= 500 || isRejection(err));
 
+const isVoid = (err: unknown): boolean => isPeerError(err) && err.options.code === GRANT_VOID_CODE;
+
 const getGrantEnd = (err: unknown, signal: AbortSignal): GrantEnd => {
   // A lapsed reservation doesn't show that the engine died of this prompt.
   const isLapse = isPeerError(err) && err.options.code === RESERVATION_LOST_CODE;
-  if (signal.aborted || !isPeerError(err) || isLapse) {
+  if (signal.aborted || !isPeerError(err) || isLapse || isVoid(err)) {
     return GrantEnd.Unused;
   }
   if (isRejection(err)) {
--- a/packages/serving/src/requests/promptAttempt.ts
+++ b/packages/serving/src/requests/promptAttempt.ts
@@ -13,6 +13,9 @@
 const FIRST_TOKEN_FACTOR = 4;
 const FIRST_TOKEN_SLACK_MS = 5_000;
 
+/** Error code of a grant that was void before anything was sent, so that another one is asked for. */
+export const GRANT_VOID_CODE = "grant_void";
+
 interface AttemptOptions {
   readonly job: PromptJob;
   readonly grant: Grant;
@@ -27,16 +30,14 @@
 
 /**
  * Runs one attempt of a prompt on the engines of its grant. Throws without sending when the
- * deadline has passed or the grant is stale.
+ * deadline has passed or the grant is void.
  */
 export const runAttempt = async (options: AttemptOptions): Promise<void> => {
   const { job, grant, clock, protections } = options;
   const { req, ctx } = job;
   const members = getEngineClients(options);
   ctx.checkDeadline(protections.deadlineCheck);
-  if (grant.isStale) {
-    throw new PeerError(grant.engine, "the process was paused after the grant", { sent: false });
-  }
+  checkGrant(options);
   const abort = new AbortController();
   const onCancel = (): void => {
     abort.abort();
@@ -59,6 +60,19 @@
   }
 };
 
+/** Throws when the process was paused after the grant, or a failure domain of its engines is evacuated. */
+const checkGrant = ({ grant, directory }: AttemptOptions): void => {
+  const isEvacuated = grant.members.some((name) => {
+    const failureDomain = directory.getEngine(name)?.vm.failureDomain;
+    return failureDomain !== undefined && directory.isEvacuated(failureDomain);
+  });
+  if (grant.isStale || isEvacuated) {
+    const reason = isEvacuated ? "failure domain evacuated" : "the process was paused";
+    const options = { sent: false, code: GRANT_VOID_CODE };
+    throw new PeerError(grant.engine, `${reason} after the grant`, options);
+  }
+};
+
 const getEngineClients = ({ job, grant, directory }: AttemptOptions): EngineClient[] => {
   job.ctx.enter(Step.Connect, grant.engine);
   return grant.members.map((name) => {
@@ -90,6 +104,9 @@
       priority: classified.cls.priority,
       timeoutMs: Math.max(1, ctx.remainingMs),
       signal,
+      onReserved: () => {
+        checkGrant(options);
+      },
       onReach: () => {
         ctx.noteSent();
       },
--- a/packages/serving/src/requests/promptEnds.test.ts
+++ b/packages/serving/src/requests/promptEnds.test.ts
@@ -78,7 +78,10 @@
         }),
       ),
   } as unknown as PoolRouter;
-  const directory = { getEngine: () => ({ client }) } as unknown as UpstreamDirectory;
+  const directory = {
+    getEngine: () => ({ client, vm: { failureDomain: "a" } }),
+    isEvacuated: () => false,
+  } as unknown as UpstreamDirectory;
   const runner = new PromptRunner({ ...getCommon(ends), directory, pools, holder: "p/1" });
   const trace = newTrace();
   const req: PromptRequest = {
--- a/packages/serving/src/scheduler/EngineTable.ts
+++ b/packages/serving/src/scheduler/EngineTable.ts
@@ -11,6 +11,8 @@
   readonly client: EngineClient;
   readonly failureDomain: string;
   readonly isLeaving: boolean;
+  /** Nothing new is sent to its failure domain. */
+  readonly isEvacuated: boolean;
 }
 
 /** The engines of one pool and the grants on them. */
@@ -36,7 +38,7 @@
   }
 
   /** Replaces the set of engines; the state of an engine that stays is kept. */
-  setEngines(engines: readonly PoolEngine[]): void {
+  setEngines(engines: readonly PoolEngine[], nowMs: number): void {
     const names = new Set(engines.map(({ client }) => client.name));
     for (const name of [...this.#engines.keys()]) {
       if (!names.has(name)) {
@@ -44,10 +46,11 @@
         this.#clients.delete(name);
       }
     }
-    for (const { client, failureDomain, isLeaving } of engines) {
+    for (const { client, failureDomain, isLeaving, isEvacuated } of engines) {
       const { name } = client;
       const engine = this.#engines.get(name) ?? new TrackedEngine({ name, failureDomain });
       engine.isListedLeaving = isLeaving;
+      engine.setEvacuated(isEvacuated, nowMs);
       this.#engines.set(name, engine);
       this.#clients.set(name, client);
     }
--- a/packages/serving/src/scheduler/PoolHost.ts
+++ b/packages/serving/src/scheduler/PoolHost.ts
@@ -127,7 +127,8 @@
       directory.getEngines(pool).map(({ vm, client }) => ({
         client,
         failureDomain: vm.failureDomain,
-        isLeaving: vm.state === VmState.Leaving || directory.isEvacuated(vm.failureDomain),
+        isLeaving: vm.state === VmState.Leaving,
+        isEvacuated: directory.isEvacuated(vm.failureDomain),
       })),
     );
   }
--- a/packages/serving/src/scheduler/PoolScheduler.ts
+++ b/packages/serving/src/scheduler/PoolScheduler.ts
@@ -9,7 +9,7 @@
 import type { EngineLoad } from "@lycheepulley/engines";
 
 import { chooseGroup, findRejection, getRetryAfterMs, newBlockedAnswer } from "./admission.js";
-import type { TrackedEngine, TrackedGrant } from "./TrackedEngine.js";
+import { preferReturned, type TrackedEngine, type TrackedGrant } from "./TrackedEngine.js";
 import { EngineMonitor } from "./EngineMonitor.js";
 import { EngineTable, type PoolEngine } from "./EngineTable.js";
 import type { StrikeTracker } from "./StrikeTracker.js";
@@ -94,7 +94,7 @@
 
   /** Sets the pool's engines, as the directory lists them. */
   setEngines(engines: readonly PoolEngine[]): void {
-    this.#engines.setEngines(engines);
+    this.#engines.setEngines(engines, this.#options.clock.now());
     this.#dispatch();
   }
 
@@ -251,32 +251,32 @@
   }
 
   /** Chooses engines for a request, the generating one last; none leaves it queued. */
-  #choose({ req, entry }: Waiting, now: number): TrackedEngine[] {
-    const longPromptTokens = this.#options.getLongPromptTokens();
+  #choose(waiting: Waiting, now: number): TrackedEngine[] {
+    const { req } = waiting;
     const available = this.#engines.getAll().filter((engine) => this.#keepIfAvailable(engine, req));
     const untried = available.filter((engine) => !req.excluded.includes(engine.name));
     const candidates = untried.length > 0 ? untried : available;
-    if (req.parts > 1) {
-      const views = candidates.map((engine) => engine.getView(now, longPromptTokens));
-      const group = chooseGroup(req, views);
-      return group.flatMap(({ name }) => this.#engines.get(name) ?? []);
-    }
-    const chosen = this.#options.policy.choose(
-      {
-        id: req.id,
-        promptTokens: req.promptTokens,
-        outputTokens: req.outputTokens,
-        cachedTokens: this.#options.getCachedTokens(req.prefixBlocks),
-        remainingMs: Math.max(0, req.remainingMs - (now - entry.arrivedMs)),
-        waitedMs: now - entry.arrivedMs,
-      },
-      {
-        engines: candidates.map((engine) => engine.getView(now, longPromptTokens)),
-        longPromptTokens,
-      },
-    );
-    const engine = chosen ? this.#engines.get(chosen.name) : undefined;
-    return engine ? [engine] : [];
+    return preferReturned(candidates, now, (engines) => this.#chooseAmong(engines, waiting, now));
+  }
+
+  #chooseAmong(
+    candidates: readonly TrackedEngine[],
+    { req, entry }: Waiting,
+    now: number,
+  ): TrackedEngine[] {
+    const longPromptTokens = this.#options.getLongPromptTokens();
+    const engines = candidates.map((engine) => engine.getView(now, longPromptTokens));
+    const { id, promptTokens, outputTokens } = req;
+    const prompt = {
+      ...{ id, promptTokens, outputTokens, waitedMs: now - entry.arrivedMs },
+      cachedTokens: this.#options.getCachedTokens(req.prefixBlocks),
+      remainingMs: Math.max(0, req.remainingMs - (now - entry.arrivedMs)),
+    };
+    const chosen =
+      req.parts > 1
+        ? chooseGroup(req, engines)
+        : [this.#options.policy.choose(prompt, { engines, longPromptTokens })];
+    return chosen.flatMap((view) => this.#engines.get(view?.name ?? "") ?? []);
   }
 
   /** Empties an engine for a suspect request, then runs it there in isolation. */
--- a/packages/serving/src/scheduler/TrackedEngine.ts
+++ b/packages/serving/src/scheduler/TrackedEngine.ts
@@ -31,6 +31,8 @@
 }
 
 const MS_PER_S = 1_000;
+/** Time after an evacuation within which the work of an engine returns. */
+const RETURN_MS = 4_000;
 
 /** State and grants of one engine, as the owner of its pool tracks them. */
 export class TrackedEngine {
@@ -40,6 +42,10 @@
   health: EngineHealth = EngineHealth.Live;
   /** The VM list marks the engine as leaving. */
   isListedLeaving = false;
+  /** Its failure domain is evacuated. */
+  isEvacuated = false;
+  /** Time at which the newest evacuation was taken back. */
+  #returnedMs = -Infinity;
   /** The engine reported that it is leaving, or answered a request that it takes no new work. */
   isRejectingWork = false;
   /** Incarnation in the last load report; empty before the first one. */
@@ -61,7 +67,22 @@
   isOpen(model: string, isLeavingChecked = true): boolean {
     const isLeaving = isLeavingChecked && (this.isListedLeaving || this.isRejectingWork);
     const loadedModel = this.load?.model ?? model;
-    return this.health === EngineHealth.Live && !isLeaving && loadedModel === model;
+    const isUsable = this.health === EngineHealth.Live && !this.isEvacuated;
+    return isUsable && !isLeaving && loadedModel === model;
+  }
+
+  /** Notes whether the engine's failure domain is evacuated. */
+  setEvacuated(isEvacuated: boolean, nowMs: number): void {
+    if (this.isEvacuated && !isEvacuated) {
+      this.#returnedMs = nowMs;
+    }
+    this.isEvacuated = isEvacuated;
+  }
+
+  /** False while it has as much of the work as may be back since an evacuation. */
+  hasReturned(nowMs: number): boolean {
+    const share = Math.min(1, (nowMs - this.#returnedMs) / RETURN_MS);
+    return share === 1 || this.grants.size < Math.floor(share * (this.#capacity?.maxStreams ?? 0));
   }
 
   /** Tells whether a prompt with this fingerprint runs on the engine. */
@@ -120,5 +141,19 @@
   }
 }
 
+/**
+ * Chooses among the engines whose share of the work is back after an evacuation, and among all when that
+ * gives none: the others get what those have no room for.
+ */
+export const preferReturned = (
+  engines: readonly TrackedEngine[],
+  nowMs: number,
+  choose: (engines: readonly TrackedEngine[]) => TrackedEngine[],
+): TrackedEngine[] => {
+  const returned = engines.filter((engine) => engine.hasReturned(nowMs));
+  const chosen = choose(returned);
+  return chosen.length > 0 || returned.length === engines.length ? chosen : choose(engines);
+};
+
 const sum = <T>(items: readonly T[], getValue: (item: T) => number): number =>
   items.reduce((total, item) => total + getValue(item), 0);
