Say in where what serving would do with a prompt without memory

Cause: where said waits for all prompts without a plan, though serving promises room or rejects them. Waits for quotas likewise, and it says when the owner of a quota wasn't asked. Seen red before: a resumed stream was told too_late.

--- a/packages/cli/src/commands/where.ts
+++ b/packages/cli/src/commands/where.ts
@@ -77,20 +77,42 @@
 const formatMs = (ms: number | undefined): string =>
   ms === undefined ? UNKNOWN : `${String(Math.round(ms))} ms`;
 
-const describe = ({ verdict, upstream, helpers, ...found }: PlacementExplanation): string => {
-  const helped = helpers.length > 0 ? ` with the helpers ${helpers.join(", ")}` : "";
+const describe = (found: PlacementExplanation): string => {
+  const { verdict, upstream = UNKNOWN, helpers, retryAfterMs, isRoomKept, wait } = found;
+  const kept = isRoomKept ? ", until when its room is kept" : "";
   switch (verdict) {
-    case "sent":
-      return found.callMs === undefined && found.firstEventMs === undefined
-        ? `goes to ${upstream ?? UNKNOWN}`
-        : `goes to ${upstream ?? UNKNOWN}${helped}; expected after ${formatMs(found.firstEventMs ?? found.callMs)}`;
+    case "sent": {
+      const expectedMs = found.firstEventMs ?? found.callMs;
+      const helped = helpers.length > 0 ? ` with the helpers ${helpers.join(", ")}` : "";
+      const expected = expectedMs === undefined ? "" : `; expected after ${formatMs(expectedMs)}`;
+      return `goes to ${upstream}${helped}${expected}`;
+    }
     case "waits":
-      return "waits: no upstream has the memory now";
+      return wait
+        ? `waits for memory, ${describeWait(wait)}`
+        : "waits until upstreams have the memory or its time is over; room isn't promised here";
+    case "waits_for_quota":
+      return `waits ${formatMs(found.quotaInMs)} until an upstream takes another request`;
     default:
-      return `is rejected (${verdict}); Retry-After from ${formatMs(found.retryAfterMs)}`;
+      return `is rejected (${verdict}); Retry-After ${isRoomKept ? "" : "from "}${formatMs(retryAfterMs)}${kept}`;
   }
 };
 
+const describeWait = (wait: NonNullable<PlacementExplanation["wait"]>): string => {
+  const { place, behind, roomMs, firstEventMs, upstreams, isPromised, unknownForMs } = wait;
+  const before = behind.map((other) => `${other.id} (place ${String(other.place)})`).join(", ");
+  const queue = `at place ${String(place)}${before === "" ? "" : ` behind ${before}`}`;
+  if (roomMs === undefined) {
+    const until =
+      unknownForMs === undefined
+        ? ""
+        : `, and is rejected (no_room) if it isn't after ${formatMs(unknownForMs)}`;
+    return `${queue}; it isn't known when there is room${until}`;
+  }
+  const on = `${formatMs(roomMs)} on ${upstreams.join(", ")}`;
+  return `${queue}; ${isPromised ? "promised" : "expects"} room in ${on}, first event after ${formatMs(firstEventMs)}`;
+};
+
 const formatCandidates = (
   candidates: PlacementExplanation["candidates"],
   domain: string | undefined,
@@ -114,6 +136,9 @@
 ): void => {
   const { candidates, ruledOut, answerTokens } = explanation;
   ctx.print(`The request ${describe(explanation)}.`);
+  if (explanation.isOwnerUnasked) {
+    ctx.print("A limit applies there: the owner of the quota wasn't asked, and may refuse.");
+  }
   ctx.print(
     `Asked ${process}; configuration ${String(revision)}, upstream list ${formatMs(listAgeMs)} old` +
       (answerTokens === undefined ? "" : `, ${String(answerTokens)} tokens of answer expected`),
--- a/packages/forwarding/src/Placer.ts
+++ b/packages/forwarding/src/Placer.ts
@@ -10,6 +10,7 @@
 import type { EngineSpec } from "./fleetConfig.js";
 import type { FleetView } from "./FleetView.js";
 import { QuotaQueue } from "./limits/QuotaQueue.js";
+import { newQuotaWait } from "./limits/quotaWait.js";
 import type { SendQuota } from "./limits/SendQuota.js";
 import type { LoadTracker } from "./LoadTracker.js";
 import type { PeerLoads } from "./PeerLoads.js";
@@ -29,7 +30,6 @@
 } from "./placementQuery.js";
 import { newPlacementRequest } from "./placementRequest.js";
 import { getCallLoad, getKvTokens, getPromptLoad } from "./requestLoad.js";
-import { getRequestValue } from "./requestValue.js";
 import { getRetryAfterMs, REJECTED_RETRY_AFTER_MS } from "./retryAfter.js";
 import { RoomBook } from "./room/RoomBook.js";
 import { FreeForAll, type RoomPolicy } from "./room/RoomPolicy.js";
@@ -168,15 +168,10 @@
 
   /** Resolves with false at once when no limited upstream is expected to take the request in time. */
   #waitForQuota(query: PlacementQuery): Promise<boolean> {
-    const { timeline, deadlineAtMs, signal } = query;
     const now = this.#clock.now();
-    const hasEvents = timeline.firstMs !== undefined;
-    const untilMs = hasEvents ? deadlineAtMs : now + timeline.getTargetLeftMs(now);
-    return this.#quotaQueue.wait({
-      upstreams: this.#finder.getUsable(query).map(({ id }) => id),
-      value: getRequestValue(query, this.#view.table),
-      ...{ untilMs, signal },
-    });
+    const { table } = this.#view;
+    const usable = this.#finder.getUsable(query);
+    return this.#quotaQueue.wait(newQuotaWait(query, usable, { now, table }));
   }
 
   async #findForCall(
@@ -246,7 +241,9 @@
       isNew = false;
       if (isWhole || !isPromised) {
         const upstreams = this.#view.getAvailable(pool, query.homes).length;
-        const cause = this.room.decide({ ...asked, upstreams, deadlineLeftMs, mayReject });
+        const { targetMs } = req.route;
+        const bounds = { upstreams, deadlineLeftMs, mayReject, targetMs };
+        const cause = this.room.decide({ ...asked, ...bounds });
         if (cause) {
           return cause;
         }
--- a/packages/forwarding/src/explain/PlacementExplainer.ts
+++ b/packages/forwarding/src/explain/PlacementExplainer.ts
@@ -4,11 +4,13 @@
 import type { CandidateFinder } from "../CandidateFinder.js";
 import type { CostBook } from "../costs/CostBook.js";
 import { estimateCallMs } from "../costs/placementCosts.js";
-import type { EngineSpec, Upstream } from "../fleetConfig.js";
+import type { EngineSpec } from "../fleetConfig.js";
 import type { FleetView } from "../FleetView.js";
 import type { QuotaQueue } from "../limits/QuotaQueue.js";
-import { isForOneUpstream, type PlacementCandidate } from "../placement.js";
-import { getLatestFirstMs, type PlacementQuery } from "../placementQuery.js";
+import { newQuotaWait } from "../limits/quotaWait.js";
+import type { SendQuota } from "../limits/SendQuota.js";
+import { isForOneUpstream, planPlacement, type PlacementCandidate } from "../placement.js";
+import { getLatestFirstMs, isRejectable, type PlacementQuery } from "../placementQuery.js";
 import { newPlacementRequest } from "../placementRequest.js";
 import type { RoomPolicy } from "../room/RoomPolicy.js";
 import type { PlacementSnapshot } from "./PlacementSnapshot.js";
@@ -20,6 +22,7 @@
   readonly #finder: CandidateFinder;
   readonly #costs: CostBook | undefined;
   readonly #admission: AdmissionControl;
+  readonly #quota: SendQuota;
   readonly #quotaQueue: QuotaQueue;
   readonly #room: RoomPolicy;
 
@@ -29,6 +32,7 @@
     finder: CandidateFinder;
     costs?: CostBook | undefined;
     admission: AdmissionControl;
+    quota: SendQuota;
     quotaQueue: QuotaQueue;
     room: RoomPolicy;
   }) {
@@ -37,6 +41,7 @@
     this.#finder = options.finder;
     this.#costs = options.costs;
     this.#admission = options.admission;
+    this.#quota = options.quota;
     this.#quotaQueue = options.quotaQueue;
     this.#room = options.room;
   }
@@ -46,15 +51,13 @@
     const engine = this.#view.table?.findPool(pool)?.engine;
     const now = this.#clock.now();
     const isPrompt = engine !== undefined && req.head.promptTokens > 0;
-    const isSmall = isPrompt && isForOneUpstream(req.head.promptTokens);
     const found = isPrompt
-      ? await this.#findCandidates(query, { engine, isSmall, isWhole: false })
+      ? await this.#findCandidates(query, engine, { isWhole: false })
       : await this.#finder.find(query);
     const candidates = [...found];
-    const usable = getIds(this.#finder.getUsable(query));
     const base = {
       ...{ atMs: now, pool, candidates, ruledOut: this.#finder.explain(query, candidates) },
-      limitedInMs: usable.length > 0 ? this.#quotaQueue.getOpenInMs(usable) : undefined,
+      limits: this.#getLimits(query, now),
     };
     const { targetMs } = req.route;
     if (!isPrompt) {
@@ -63,24 +66,61 @@
     const { table } = this.#view;
     const request = newPlacementRequest(query, { engine, now, costs: this.#costs, table });
     const isWorth = this.#admission.isWorth(pool, { engine, request, candidates, targetMs });
+    const deadlineLeftMs = query.deadlineAtMs - now;
+    const mayReject = isRejectable(query);
+    const hasPlan = planPlacement(engine, request, candidates) !== undefined;
+    const needsRoom = this.#room.isPromised && candidates.length > 0 && !hasPlan;
     return {
       ...{ ...base, engine, request },
-      ...(this.#room.isPromised && {
-        latestFirstMs: getLatestFirstMs(request, query.deadlineAtMs - now),
-      }),
-      isAdmitted: candidates.length === 0 || isWorth,
+      ...(this.#room.isPromised &&
+        mayReject && { latestFirstMs: getLatestFirstMs(request, deadlineLeftMs) }),
+      isAdmitted: candidates.length === 0 || !mayReject || isWorth,
+      ...(needsRoom && { room: await this.#getRoom(query, engine, deadlineLeftMs) }),
+    };
+  }
+
+  /** What decides once no upstream of the first look has the memory. */
+  async #getRoom(
+    query: PlacementQuery,
+    engine: EngineSpec,
+    deadlineLeftMs: number,
+  ): Promise<PlacementSnapshot["room"]> {
+    const { req, pool, homes } = query;
+    const candidates = [...(await this.#findCandidates(query, engine, { isWhole: true }))];
+    const standing = this.#room.getStanding(req, candidates);
+    return (
+      standing && {
+        ...{ candidates, upstreams: this.#view.getAvailable(pool, homes).length, deadlineLeftMs },
+        ...{ mayReject: isRejectable(query), targetMs: req.route.targetMs },
+        ...{ standing, mayPromise: this.#room.mayPromise },
+      }
+    );
+  }
+
+  #getLimits(query: PlacementQuery, now: number): PlacementSnapshot["limits"] {
+    const usable = this.#finder.getUsable(query);
+    if (usable.length === 0) {
+      return undefined;
+    }
+    const wait = newQuotaWait(query, usable, { now, table: this.#view.table });
+    const available = this.#view.getAvailable(query.pool).map(({ id }) => id);
+    return {
+      upstreams: wait.upstreams.filter((id) => this.#quota.isLimited(id)),
+      returnInMs: this.#quotaQueue.getOpenInMs(available),
+      openInMs: this.#quotaQueue.getOpenInMs(wait.upstreams),
+      isWaited: this.#quotaQueue.admits(wait),
     };
   }
 
   async #findCandidates(
     query: PlacementQuery,
-    { engine, ...options }: { engine: EngineSpec; isSmall: boolean; isWhole: boolean },
+    engine: EngineSpec,
+    { isWhole }: { isWhole: boolean },
   ): Promise<readonly PlacementCandidate[]> {
     const { isAsked } = this.#finder;
-    const candidates = await this.#finder.find({ ...query, ...options });
-    const view = { req: query.req, engine, isAsked, isWaiting: options.isWhole };
-    return this.#room.addClaims(candidates, view);
+    const { req } = query;
+    const isSmall = isForOneUpstream(req.head.promptTokens);
+    const candidates = await this.#finder.find({ ...query, isSmall, isWhole });
+    return this.#room.addClaims(candidates, { req, engine, isAsked, isWaiting: isWhole });
   }
 }
-
-const getIds = (upstreams: readonly Upstream[]): string[] => upstreams.map(({ id }) => id);
--- a/packages/forwarding/src/explain/PlacementSnapshot.ts
+++ b/packages/forwarding/src/explain/PlacementSnapshot.ts
@@ -37,6 +37,40 @@
   /** JSON has no infinity: null without an answer that could miss a gap. */
   minGapMs: amount.nullable().transform((ms) => ms ?? Infinity),
   endsMs: z.array(amount),
+  claims: z
+    .array(
+      z.object({
+        ...{ id: z.string(), place: amount, inMs: amount, roomMs: amount, forMs: amount },
+        tokens: amount,
+      }),
+    )
+    .readonly()
+    .optional(),
+});
+
+const candidateSchema = z.object({
+  ...{ upstream: upstreamSchema, load: loadSchema, failureRate: amount, avoidance: amount },
+  pace: amount.optional(),
+  releases: z
+    .array(z.object({ inMs: amount, tokens: amount }))
+    .readonly()
+    .optional(),
+});
+
+/** What decides on a prompt that the upstreams looked at have no memory for. */
+const roomSchema = z.object({
+  /** All usable upstreams, as far as their loads are known. */
+  candidates: z.array(candidateSchema),
+  upstreams: amount,
+  deadlineLeftMs: z.number(),
+  mayReject: z.boolean(),
+  targetMs: z.number(),
+  standing: z.object({
+    ...{ place: amount, waitedMs: amount.optional() },
+    ...{ upstreams: z.array(z.string()).readonly(), hasReturned: z.boolean() },
+  }),
+  /** False while too many prompts of the process wait for another to be promised room. */
+  mayPromise: z.boolean(),
 });
 
 const requestSchema = z.object({
@@ -51,15 +85,19 @@
   /** Monotonic time of the process that took it. */
   atMs: z.number(),
   pool: z.string(),
-  candidates: z.array(
-    z.object({
-      ...{ upstream: upstreamSchema, load: loadSchema, failureRate: amount, avoidance: amount },
-      pace: amount.optional(),
-    }),
-  ),
+  candidates: z.array(candidateSchema),
   ruledOut: z.array(ruledOutSchema),
-  /** Time after which an upstream with a limit or a rest takes a request again. */
-  limitedInMs: z.number().optional(),
+  /** Limits and rests of the pool; absent when no upstream may be used. */
+  limits: z
+    .object({
+      /** Upstreams with a limit, whose owners a process asks before it sends something there. */
+      upstreams: z.array(z.string()),
+      /** Time after which one of the pool takes a request again, and one that the request may use. */
+      ...{ returnInMs: amount, openInMs: amount },
+      /** The request would wait for that rather than be rejected. */
+      isWaited: z.boolean(),
+    })
+    .optional(),
   /** Usual time of a call; absent when unknown, and for prompts. */
   callMs: amount.optional(),
   /** Latency objective of a call. */
@@ -70,5 +108,7 @@
   /** Latest time to the first event with which a new prompt is sent at all. */
   latestFirstMs: z.number().optional(),
   isAdmitted: z.boolean().optional(),
+  /** Set for prompts without a plan where room is promised. */
+  room: roomSchema.optional(),
 });
 export type PlacementSnapshot = z.infer<typeof placementSnapshotSchema>;
--- a/packages/forwarding/src/limits/QuotaQueue.ts
+++ b/packages/forwarding/src/limits/QuotaQueue.ts
@@ -32,21 +32,26 @@
 
   /** Resolves with true when it's time to ask again, and with false at once when that would be too late. */
   async wait(wait: QuotaWait): Promise<boolean> {
-    const openInMs = this.getOpenInMs(wait.upstreams);
-    const leftMs = wait.untilMs - this.#clock.now();
-    const expectedSends = (this.#quota.getOwnPerSecond(wait.upstreams) * leftMs) / 1_000;
-    if (openInMs >= leftMs || this.#countAhead(wait) >= Math.max(1, expectedSends)) {
+    if (!this.admits(wait)) {
       return false;
     }
     this.#waiting.add(wait);
     try {
-      await sleep(this.#clock, openInMs, wait.signal);
+      await sleep(this.#clock, this.getOpenInMs(wait.upstreams), wait.signal);
     } finally {
       this.#waiting.delete(wait);
     }
     return true;
   }
 
+  /** True when the request can expect to be sent in time. */
+  admits(wait: QuotaWait): boolean {
+    const leftMs = wait.untilMs - this.#clock.now();
+    const expectedSends = (this.#quota.getOwnPerSecond(wait.upstreams) * leftMs) / 1_000;
+    const isInTime = this.getOpenInMs(wait.upstreams) < leftMs;
+    return isInTime && this.#countAhead(wait) < Math.max(1, expectedSends);
+  }
+
   /** Waiting requests for the same upstreams that are worth at least as much. */
   #countAhead({ upstreams, value }: QuotaWait): number {
     const [first] = upstreams;
--- a/packages/forwarding/src/room/RoomBook.ts
+++ b/packages/forwarding/src/room/RoomBook.ts
@@ -16,14 +16,12 @@
 import { getRetryAfterMs } from "../retryAfter.js";
 import type { ForwardRequest } from "../types.js";
 import {
-  findRoomAgain,
+  decideRoom,
   getNeededInMs,
   getReturnId,
   getReturnKey,
-  isHeldByIdle,
-  isTooLate,
-  isUncertain,
   type RoomRequest,
+  type RoomStanding,
 } from "./decisions.js";
 import type { FoundRoom } from "./findRoom.js";
 import { estimateReleases, getAnswerMs, ReleaseForecast } from "./forecast.js";
@@ -175,44 +173,53 @@
     return plan.firstEventMs <= getLatestFirstMs(request, deadlineLeftMs);
   }
 
+  getStanding(req: ForwardRequest, candidates: readonly PlacementCandidate[]): RoomStanding {
+    const known = this.#waiting.get(req.head.attemptId);
+    return {
+      place: known?.place ?? this.#getPlace(req) ?? this.#getNextPlace(candidates),
+      waitedMs: known && this.#clock.now() - known.sinceMs,
+      upstreams: known?.upstreams ?? [],
+      hasReturned: !known && this.#findReturn(req) !== undefined,
+    };
+  }
+
+  get mayPromise(): boolean {
+    return this.#waiting.size < MAX_PROMISES;
+  }
+
   /** Has a prompt without a plan wait, promised room where there is any; returns why it shouldn't. */
   decide(room: RoomRequest): RoomCause | undefined {
-    const { req, mayReject } = room;
+    const { req, candidates } = room;
     const known = this.#waiting.get(req.head.attemptId);
     const now = this.#clock.now();
     const lookMs = LOOK_MS * Math.max(1, this.#waiting.size / WAITING_PER_LOOK);
     if (known && now < known.lookedMs + lookMs) {
       return undefined;
     }
-    if (mayReject && !isHeldByIdle(room)) {
-      return this.#reject(room, RoomCause.TooLarge, undefined);
+    const standing = this.getStanding(req, candidates);
+    const { cause, found, isKept } = decideRoom(room, standing);
+    if (cause === RoomCause.TooLarge) {
+      return this.#reject(room, cause, undefined);
     }
-    const found = findRoomAgain(room, known?.upstreams ?? []);
-    const waiting = known ?? this.#add(room, now);
+    const waiting = known ?? this.#add(room, standing, now);
     waiting.lookedMs = now;
-    if (mayReject && isTooLate(room, found, now - waiting.sinceMs)) {
-      return this.#reject(room, RoomCause.NoRoom, found?.inMs);
+    if (found && isKept) {
+      this.#promiseReturn(room, found, standing.place);
     }
-    if (found && !known && this.#shouldReturn(room, found)) {
-      this.#promiseReturn(room, found, waiting.place);
-      return this.#reject(room, RoomCause.NoRoom, found.inMs);
+    if (cause) {
+      return this.#reject(room, cause, found?.inMs);
     }
     this.#promise(room, waiting, found);
     return undefined;
   }
 
-  #shouldReturn(room: RoomRequest, found: FoundRoom): boolean {
-    return room.mayReject && this.#findReturn(room.req) === undefined && isUncertain(room, found);
-  }
-
-  #add({ req, candidates }: RoomRequest, now: number): WaitingPrompt {
+  #add({ req }: RoomRequest, { place, hasReturned }: RoomStanding, now: number): WaitingPrompt {
     const waiting: WaitingPrompt = {
       ...{ route: req.route.name, sinceMs: now, lookedMs: now, renewedMs: -Infinity, renewal: 0 },
-      ...{ place: this.#getPlace(req) ?? this.#getNextPlace(candidates), tokens: 0 },
+      ...{ place, tokens: 0, upstreams: [], yieldsSinceMs: undefined },
       ...{ firstRoomAtMs: undefined, roomAtMs: undefined, neededAtMs: undefined },
-      ...{ upstreams: [], yieldsSinceMs: undefined },
     };
-    if (this.#findReturn(req)) {
+    if (hasReturned) {
       this.#stats.countPromise("returned");
     }
     this.#waiting.set(req.head.attemptId, waiting);
--- a/packages/forwarding/src/room/RoomPolicy.ts
+++ b/packages/forwarding/src/room/RoomPolicy.ts
@@ -4,7 +4,7 @@
 import type { PlacementCandidate, PlacementPlan, PlacementRequest } from "../placement.js";
 import { getRetryAfterMs } from "../retryAfter.js";
 import type { ForwardRequest } from "../types.js";
-import type { RoomRequest } from "./decisions.js";
+import type { RoomRequest, RoomStanding } from "./decisions.js";
 import type { RoomCause } from "./RoomCause.js";
 import { RoomStats, type RoomCounts } from "./RoomStats.js";
 
@@ -38,6 +38,13 @@
   ): PlacementPlan | undefined;
   /** False for a plan of a new prompt that ends too late for its caller. */
   accepts(plan: PlacementPlan, request: PlacementRequest, deadlineLeftMs: number): boolean;
+  /** What a prompt without a plan has got so far; undefined where room isn't promised. */
+  getStanding(
+    req: ForwardRequest,
+    candidates: readonly PlacementCandidate[],
+  ): RoomStanding | undefined;
+  /** False while so many prompts of this process wait that another is promised nothing. */
+  readonly mayPromise: boolean;
   /** Has a prompt without a plan wait; returns why it shouldn't. */
   decide(room: RoomRequest): RoomCause | undefined;
   /** Ends the wait of a request, which was placed or not. */
@@ -49,6 +56,7 @@
 /** Prompts wait for KV memory until their time is over, and the first that finds it free takes it. */
 export class FreeForAll implements RoomPolicy {
   readonly isPromised = false;
+  readonly mayPromise = false;
   readonly counts: RoomCounts = new RoomStats().getCounts({ waiting: {}, promisedTokens: 0 });
 
   addClaims(candidates: readonly PlacementCandidate[]): readonly PlacementCandidate[] {
@@ -63,6 +71,10 @@
     return true;
   }
 
+  getStanding(): undefined {
+    return undefined;
+  }
+
   decide(): undefined {
     return undefined;
   }
--- a/packages/forwarding/src/room/decisions.ts
+++ b/packages/forwarding/src/room/decisions.ts
@@ -9,6 +9,7 @@
 import type { ForwardRequest } from "../types.js";
 import { findRoom, type FoundRoom } from "./findRoom.js";
 import { fitsIdle } from "./memory.js";
+import { RoomCause } from "./RoomCause.js";
 
 /** A promise moves to other upstreams when it becomes sooner by this time. */
 const STICKY_MS = 500;
@@ -24,9 +25,7 @@
 const KEY_LENGTH = 32;
 
 /** A prompt without a plan, and the upstreams that it may use. */
-export interface RoomRequest {
-  readonly req: ForwardRequest;
-  readonly pool: string;
+export interface RoomQuestion {
   readonly engine: EngineSpec;
   readonly request: PlacementRequest;
   /** All usable upstreams, as {@link RoomBook.addClaims} returns them. */
@@ -36,11 +35,41 @@
   readonly deadlineLeftMs: number;
   /** False for a caller that has a part of the answer. */
   readonly mayReject: boolean;
+  /** Objective for the first event from the arrival on, milliseconds. */
+  readonly targetMs: number;
+}
+
+/** The same with the request itself. */
+export interface RoomRequest extends RoomQuestion {
+  readonly req: ForwardRequest;
+  readonly pool: string;
+}
+
+/** What a prompt without a plan has got so far. */
+export interface RoomStanding {
+  /** Place in the queue. */
+  readonly place: number;
+  /** Time that it has waited, milliseconds; undefined for one that has just come. */
+  readonly waitedMs?: number | undefined;
+  /** Ids of upstreams on which it was promised room. */
+  readonly upstreams: readonly string[];
+  /** It was rejected before, and its room is kept. */
+  readonly hasReturned: boolean;
+}
+
+/** Whether a prompt without a plan waits. */
+export interface RoomDecision {
+  /** Why it doesn't wait; undefined for one that waits. */
+  readonly cause: RoomCause | undefined;
+  /** The room that it may expect; undefined while that isn't known. */
+  readonly found: FoundRoom | undefined;
+  /** The room is kept for a rejected prompt. */
+  readonly isKept: boolean;
 }
 
 /** Finds room, on the upstreams promised before unless others have it sooner. */
-export const findRoomAgain = (
-  { engine, request, candidates }: RoomRequest,
+const findRoomAgain = (
+  { engine, request, candidates }: RoomQuestion,
   promisedIds: readonly string[],
 ): FoundRoom | undefined => {
   const found = findRoom(engine, request, candidates);
@@ -52,19 +81,22 @@
   return again && again.inMs <= found.inMs + STICKY_MS ? again : found;
 };
 
+/** Time for which a prompt waits while it isn't known when there is room, milliseconds. */
+export const getUnknownWaitMs = (targetMs: number): number => UNKNOWN_WAIT_SHARE * targetMs;
+
 /** True when a prompt that has waited for `waitedMs` shouldn't wait on. */
-export const isTooLate = (
-  { request, req, deadlineLeftMs }: RoomRequest,
+const isTooLate = (
+  { request, targetMs, deadlineLeftMs }: RoomQuestion,
   found: FoundRoom | undefined,
   waitedMs: number,
 ): boolean =>
   found
     ? found.inMs + found.plan.firstEventMs > getLatestFirstMs(request, deadlineLeftMs)
-    : waitedMs >= UNKNOWN_WAIT_SHARE * req.route.targetMs;
+    : waitedMs >= getUnknownWaitMs(targetMs);
 
 /** True for a prompt that may get room too late, and whose caller can come back when it is due. */
-export const isUncertain = (
-  { request, deadlineLeftMs }: RoomRequest,
+const isUncertain = (
+  { request, deadlineLeftMs }: RoomQuestion,
   { inMs, plan }: FoundRoom,
 ): boolean => {
   const latestMs = (1 + UNCERTAINTY) * inMs + plan.firstEventMs;
@@ -77,7 +109,7 @@
  * anyway. Until then others may use the memory.
  */
 export const getNeededInMs = (
-  { request, deadlineLeftMs }: RoomRequest,
+  { request, deadlineLeftMs }: RoomQuestion,
   { inMs, plan }: FoundRoom,
 ): number => {
   const isLate = inMs + plan.firstEventMs > request.targetLeftMs;
@@ -86,12 +118,29 @@
 };
 
 /** True for a prompt that the pool's upstreams hold while nothing runs there. */
-export const isHeldByIdle = ({ engine, request, upstreams }: RoomRequest): boolean => {
+const isHeldByIdle = ({ engine, request, upstreams }: RoomQuestion): boolean => {
   const kvTokens = getNeededKv(request);
   const maxMembers = getMaxMembers(request.promptTokens, upstreams);
   return fitsIdle(engine, kvTokens, { upstreams, maxMembers });
 };
 
+/** Decides whether a prompt without a plan waits, and what for. */
+export const decideRoom = (question: RoomQuestion, standing: RoomStanding): RoomDecision => {
+  const { mayReject } = question;
+  const { waitedMs, upstreams, hasReturned } = standing;
+  if (mayReject && !isHeldByIdle(question)) {
+    return { cause: RoomCause.TooLarge, found: undefined, isKept: false };
+  }
+  const found = findRoomAgain(question, upstreams);
+  if (mayReject && isTooLate(question, found, waitedMs ?? 0)) {
+    return { cause: RoomCause.NoRoom, found, isKept: false };
+  }
+  const isNew = waitedMs === undefined && !hasReturned;
+  return found && isNew && mayReject && isUncertain(question, found)
+    ? { cause: RoomCause.NoRoom, found, isKept: true }
+    : { cause: undefined, found, isKept: false };
+};
+
 /** Key under which attempts of one request are known to each other. */
 export const getReturnKey = (req: ForwardRequest): string => req.fingerprint.slice(0, KEY_LENGTH);
 
