--- a/packages/forwarding/src/Placer.ts
+++ b/packages/forwarding/src/Placer.ts
@@ -11,6 +11,7 @@
 import type { EngineSpec } from "./fleetConfig.js";
 import type { FleetView } from "./FleetView.js";
 import { QuotaQueue } from "./limits/QuotaQueue.js";
+import { newQuotaWait } from "./limits/quotaWait.js";
 import type { SendQuota } from "./limits/SendQuota.js";
 import type { LoadTracker } from "./LoadTracker.js";
 import type { PeerLoads } from "./PeerLoads.js";
@@ -165,15 +166,10 @@
 
   /** Resolves with false at once when no limited upstream is expected to take the request in time. */
   #waitForQuota(query: PlacementQuery): Promise<boolean> {
-    const { timeline, deadlineAtMs, signal } = query;
     const now = this.#clock.now();
-    const hasEvents = timeline.firstMs !== undefined;
-    const untilMs = hasEvents ? deadlineAtMs : now + timeline.getTargetLeftMs(now);
-    return this.#quotaQueue.wait({
-      upstreams: this.#finder.getUsable(query).map(({ id }) => id),
-      value: getRequestValue(query, this.#view.table),
-      ...{ untilMs, signal },
-    });
+    const { table } = this.#view;
+    const usable = this.#finder.getUsable(query);
+    return this.#quotaQueue.wait(newQuotaWait(query, usable, { now, table }));
   }
 
   async #findForCall(
@@ -243,7 +239,9 @@
       isNew = false;
       if (isWhole || !isPromised) {
         const upstreams = this.#view.getAvailable(pool, query.homes).length;
-        const cause = this.room.decide({ ...asked, upstreams, deadlineLeftMs, mayReject });
+        const { targetMs } = req.route;
+        const bounds = { upstreams, deadlineLeftMs, mayReject, targetMs };
+        const cause = this.room.decide({ ...asked, ...bounds });
         if (cause) {
           return cause;
         }
