Spend less processor time on prompts that wait for room, and renew all promises in time

Cause: every prompt that waits was planned every 15 ms on all upstreams and looked for room every 60 ms in steps of 10 ms; with 60 full upstreams and 8 waiting prompts this took 1.3 cores, with 500 it took 67. From 200 waiting on, the looks were rarer than the term of a promise, so that all promises lapsed. An error in a search left its prompt waiting, and its promise, for good. The wait ends also with an error.

--- a/packages/forwarding/src/Placer.ts
+++ b/packages/forwarding/src/Placer.ts
@@ -6,19 +6,14 @@
 import type { CostBook } from "./costs/CostBook.js";
 import { estimateCallMs, getCost } from "./costs/placementCosts.js";
 import type { PlacementSnapshot } from "./explain/PlacementSnapshot.js";
-import type { EngineSpec, Upstream } from "./fleetConfig.js";
+import type { EngineSpec } from "./fleetConfig.js";
 import type { FleetView } from "./FleetView.js";
 import { getReadMs } from "./engineModel.js";
 import { QuotaQueue } from "./limits/QuotaQueue.js";
 import type { SendQuota } from "./limits/SendQuota.js";
 import type { LoadTracker } from "./LoadTracker.js";
 import type { PeerLoads } from "./PeerLoads.js";
-import {
-  isForOneUpstream,
-  planPlacement,
-  type PlacementCandidate,
-  type PlacementRequest,
-} from "./placement.js";
+import { isForOneUpstream, type PlacementCandidate, type PlacementRequest } from "./placement.js";
 import { pickServiceUpstream } from "./pickServiceUpstream.js";
 import {
   getEnd,
@@ -32,12 +27,10 @@
 import { getCallLoad, getKvTokens, getPromptLoad } from "./requestLoad.js";
 import { getRequestValue } from "./requestValue.js";
 import { getRetryAfterMs, REJECTED_RETRY_AFTER_MS } from "./retryAfter.js";
+import { planNow } from "./room/decisions.js";
 import { RoomBook } from "./room/RoomBook.js";
 import type { UpstreamHealth } from "./UpstreamHealth.js";
 
-/** Interval at which a prompt that waits for KV memory is planned again. */
-const REPLAN_INTERVAL_MS = 15;
-
 export * from "./placementQuery.js";
 
 type Choice = Pick<PlacementQuery, "pool" | "homes" | "excluded">;
@@ -124,8 +117,12 @@
 
   /** Resolves with a placement once there is an acceptable one, or with the reason for none. */
   async find(query: PlacementQuery): Promise<Placement | PlacementFailure> {
-    const placement = await this.#search(query);
-    this.room.end(query.req, typeof placement !== "string");
+    let placement: Placement | PlacementFailure = PlacementFailure.NoUpstream;
+    try {
+      placement = await this.#search(query);
+    } finally {
+      this.room.end(query.req, typeof placement !== "string");
+    }
     return placement;
   }
 
@@ -231,7 +228,7 @@
         return this.#shed(pool, PlacementFailure.Overloaded, candidates);
       }
       const asked = { req, pool, engine, request, candidates };
-      const plan = this.room.awaitTurn(asked, planPlacement(engine, request, candidates));
+      const plan = this.room.awaitTurn(asked, planNow(asked, { isWaiting: isWhole }));
       if (plan) {
         const cost = getCost(candidates, plan.upstream);
         const isSent = !isNew || plan.firstEventMs <= getLatestFirstMs(request, deadlineLeftMs);
@@ -246,7 +243,7 @@
         if (cause) {
           return cause;
         }
-        await sleep(this.#clock, REPLAN_INTERVAL_MS, query.signal);
+        await sleep(this.#clock, this.room.getReplanMs(req), query.signal);
       }
     }
   }
@@ -311,7 +308,7 @@
       ? await this.#findCandidates(query, { engine, isSmall, isWhole: false })
       : await this.#finder.find(query);
     const candidates = [...found];
-    const usable = getIds(this.#finder.getUsable(query));
+    const usable = this.#finder.getUsable(query).map(({ id }) => id);
     const base = {
       ...{ atMs: now, pool, candidates, ruledOut: this.#finder.explain(query, candidates) },
       limitedInMs: usable.length > 0 ? this.#quotaQueue.getOpenInMs(usable) : undefined,
@@ -345,5 +342,3 @@
     });
   }
 }
-
-const getIds = (upstreams: readonly Upstream[]): string[] => upstreams.map(({ id }) => id);
--- a/packages/forwarding/src/placementMemory.test.ts
+++ b/packages/forwarding/src/placementMemory.test.ts
@@ -2,7 +2,13 @@
 import fc from "fast-check";
 
 import type { EngineSpec } from "./fleetConfig.js";
-import { MAX_HELPERS, planPlacement, type PlacementCandidate } from "./placement.js";
+import {
+  MAX_HELPERS,
+  planPlacement,
+  type PlacementCandidate,
+  type PlacementRequest,
+} from "./placement.js";
+import { mayHold } from "./room/findRoom.js";
 import { ENGINE, newCandidates, newPrompt } from "./testing/samples.js";
 
 const OUTPUT_TOKENS = 1_300;
@@ -10,16 +16,14 @@
 const USABLE_SHARE = 0.95;
 const HELPER_SHARE = 0.8;
 
+const newLong = (promptTokens: number): PlacementRequest =>
+  newPrompt({ promptTokens, outputTokens: OUTPUT_TOKENS, maxGapMs: 1_000 });
+
 const plan = (
   engine: EngineSpec,
   promptTokens: number,
   candidates: readonly PlacementCandidate[],
-): ReturnType<typeof planPlacement> =>
-  planPlacement(
-    engine,
-    newPrompt({ promptTokens, outputTokens: OUTPUT_TOKENS, maxGapMs: 1_000 }),
-    candidates,
-  );
+): ReturnType<typeof planPlacement> => planPlacement(engine, newLong(promptTokens), candidates);
 
 /** Most tokens that upstreams with these loads hold for one prompt. */
 const getMostTokens = (engine: EngineSpec, usedTokens: readonly number[]): number => {
@@ -84,8 +88,11 @@
         // A smaller prompt may have fewer members than there are upstreams.
         fc.pre(promptTokens >= 8_000 * Math.min(list.length, MAX_HELPERS + 1));
         const loads = list.map((load, index) => ({ ...load, kvTokens: used[index] ?? 0 }));
-        const isPlanned = plan(engine, promptTokens, newCandidates(loads)) !== undefined;
+        const candidates = newCandidates(loads);
+        const isPlanned = plan(engine, promptTokens, candidates) !== undefined;
         expect(isPlanned).to.equal(promptTokens + OUTPUT_TOKENS <= most);
+        // Prompts that wait are planned only where this is true.
+        expect(isPlanned && !mayHold(engine, newLong(promptTokens), candidates)).to.equal(false);
       }),
       { numRuns: 500 },
     );
--- a/packages/forwarding/src/room/RoomBook.ts
+++ b/packages/forwarding/src/room/RoomBook.ts
@@ -22,11 +22,13 @@
   isHeldByIdle,
   isTooLate,
   isUncertain,
+  type AskedPrompt,
   type RoomRequest,
 } from "./decisions.js";
 import type { FoundRoom } from "./findRoom.js";
 import { estimateReleases, getAnswerMs, ReleaseForecast } from "./forecast.js";
 import { withClaimsNow } from "./memory.js";
+import { getLookMs, getReplanMs } from "./pacing.js";
 import { goesBefore, isInForce, RETURN_GRACE_MS, type RoomPromise } from "./promise.js";
 import { RoomCause } from "./RoomCause.js";
 import { RoomStats, type RoomCounts } from "./RoomStats.js";
@@ -34,9 +36,6 @@
 /** A promise is renewed at this interval, or sooner when it moved by the second time. */
 const RENEWAL_MS = 500;
 const MOVED_MS = 100;
-/** Interval at which room is looked for again, for each so many prompts that wait here. */
-const LOOK_MS = 60;
-const WAITING_PER_LOOK = 8;
 /** Time for which each prompt before may take memory that has become free, and most of them. */
 const YIELD_MS = 25;
 const MAX_YIELDS = 4;
@@ -163,12 +162,7 @@
    * at about the same time. Each gets some time to take it.
    */
   awaitTurn(
-    {
-      req,
-      engine,
-      request,
-      candidates,
-    }: Pick<RoomRequest, "req" | "engine" | "request" | "candidates">,
+    { req, engine, request, candidates }: AskedPrompt,
     plan: PlacementPlan | undefined,
   ): PlacementPlan | undefined {
     const waiting = this.#waiting.get(req.head.attemptId);
@@ -192,8 +186,7 @@
     const { req, mayReject } = room;
     const known = this.#waiting.get(req.head.attemptId);
     const now = this.#clock.now();
-    const lookMs = LOOK_MS * Math.max(1, this.#waiting.size / WAITING_PER_LOOK);
-    if (known && now < known.lookedMs + lookMs) {
+    if (known && now < known.lookedMs + getLookMs(this.#waiting.size, known)) {
       return undefined;
     }
     if (mayReject && !isHeldByIdle(room)) {
@@ -213,6 +206,15 @@
     return undefined;
   }
 
+  /** Time after which a prompt that waits should be planned again, milliseconds. */
+  getReplanMs({ head: { attemptId: id } }: ForwardRequest): number {
+    const own = { id, place: this.#waiting.get(id)?.place ?? 0 };
+    return getReplanMs(
+      [...this.#waiting].filter(([other, { place }]) => goesBefore({ id: other, place }, own))
+        .length,
+    );
+  }
+
   #shouldReturn(room: RoomRequest, found: FoundRoom): boolean {
     return room.mayReject && this.#findReturn(room.req) === undefined && isUncertain(room, found);
   }
--- a/packages/forwarding/src/room/decisions.ts
+++ b/packages/forwarding/src/room/decisions.ts
@@ -2,12 +2,14 @@
 import {
   getMaxMembers,
   getNeededKv,
+  planPlacement,
   type PlacementCandidate,
+  type PlacementPlan,
   type PlacementRequest,
 } from "../placement.js";
 import { getLatestFirstMs } from "../placementQuery.js";
 import type { ForwardRequest } from "../types.js";
-import { findRoom, type FoundRoom } from "./findRoom.js";
+import { findRoom, mayHold, type FoundRoom } from "./findRoom.js";
 import { fitsIdle } from "./memory.js";
 
 /** A promise moves to other upstreams when it becomes sooner by this time. */
@@ -38,6 +40,18 @@
   readonly mayReject: boolean;
 }
 
+/** A prompt, and the upstreams that it may use. */
+export type AskedPrompt = Pick<RoomRequest, "req" | "engine" | "request" | "candidates">;
+
+/** Plans a prompt; one that waits lacks the memory most times, which is known sooner than by plans. */
+export const planNow = (
+  { engine, request, candidates }: Omit<AskedPrompt, "req">,
+  { isWaiting }: { isWaiting: boolean },
+): PlacementPlan | undefined =>
+  isWaiting && !mayHold(engine, request, candidates)
+    ? undefined
+    : planPlacement(engine, request, candidates);
+
 /** Finds room, on the upstreams promised before unless others have it sooner. */
 export const findRoomAgain = (
   { engine, request, candidates }: RoomRequest,
--- a/packages/forwarding/src/room/memory.ts
+++ b/packages/forwarding/src/room/memory.ts
@@ -42,7 +42,13 @@
 /** KV memory of an upstream that a prompt may use which ends in `untilMs`, in tokens. */
 export const getFreeTokens = (
   engine: EngineSpec,
-  { load, releases = [] }: { load: UpstreamLoad; releases?: readonly Release[] | undefined },
+  {
+    load,
+    releases = [],
+  }: {
+    load: Pick<UpstreamLoad, "kvTokens"> & { claims?: readonly RoomClaim[] | undefined };
+    releases?: readonly Release[] | undefined;
+  },
   untilMs = Infinity,
 ): number => {
   const free = engine.kvTokens * (1 - KV_HEADROOM) - load.kvTokens;
