--- a/packages/forwarding/src/costs/CostBook.test.ts
+++ b/packages/forwarding/src/costs/CostBook.test.ts
@@ -193,6 +193,17 @@
     expect(told.paces.get("u1", 0)).to.be.within(1.6, 2.1);
   });
 
+  for (const pace of [1e-300, 1e300]) {
+    it(`isn't held for long at what a peer says that can't be: ${String(pace)}`, () => {
+      const { book } = newBook();
+      book.paces.recordPeer([{ upstream: "u1", pace, weight: 30 }]);
+      for (let count = 0; count < 8; count++) {
+        book.paces.recordPeer([{ upstream: "u1", pace: 1, weight: 30 }]);
+      }
+      expect(book.paces.get("u1", 0)).to.equal(1);
+    });
+  }
+
   it("forgets upstreams that are gone", () => {
     const { book } = newBook();
     observe(book, 2, 10);
--- a/packages/forwarding/src/costs/UpstreamPaces.ts
+++ b/packages/forwarding/src/costs/UpstreamPaces.ts
@@ -92,7 +92,8 @@
       const knownWeight = known ? getPeerWeight(known, now) : 0;
       const sum = knownWeight + weight;
       if (sum > 0 && pace > 0 && Number.isFinite(pace)) {
-        const logPace = ((known?.logPace ?? 0) * knownWeight + Math.log(pace) * weight) / sum;
+        const toldLog = Math.log(Math.min(MAX_PACE, Math.max(MIN_PACE, pace)));
+        const logPace = ((known?.logPace ?? 0) * knownWeight + toldLog * weight) / sum;
         this.#peers.set(upstream, { logPace, weight: Math.max(knownWeight, weight), atMs: now });
       }
     }
--- a/packages/forwarding/src/load.ts
+++ b/packages/forwarding/src/load.ts
@@ -159,27 +159,28 @@
 export const newTimedItem = (
   item: LoadItem,
   { sinceMs, reportedMs }: Pick<TimedLoadItem, "sinceMs" | "reportedMs">,
-): TimedLoadItem => ({
-  id: item.id,
-  pool: item.pool,
-  phase: item.phase,
-  upstream: item.upstream,
-  helpers: item.helpers,
-  readMs: item.readMs,
-  kvTokens: item.kvTokens,
-  heldTokens: item.heldTokens,
-  maxGapMs: item.maxGapMs,
-  targetLeftMs: item.targetLeftMs,
-  deadlineLeftMs: item.deadlineLeftMs,
-  value: item.value,
-  isLate: item.isLate,
-  isApart: item.isApart,
-  writeMs: item.writeMs,
-  outputTokens: item.outputTokens,
-  promise: item.promise,
-  sinceMs,
-  reportedMs,
-});
+): TimedLoadItem =>
+  ({
+    id: item.id,
+    pool: item.pool,
+    phase: item.phase,
+    upstream: item.upstream,
+    helpers: item.helpers,
+    readMs: item.readMs,
+    kvTokens: item.kvTokens,
+    heldTokens: item.heldTokens,
+    maxGapMs: item.maxGapMs,
+    targetLeftMs: item.targetLeftMs,
+    deadlineLeftMs: item.deadlineLeftMs,
+    value: item.value,
+    isLate: item.isLate,
+    isApart: item.isApart,
+    writeMs: item.writeMs,
+    outputTokens: item.outputTokens,
+    promise: item.promise,
+    sinceMs,
+    reportedMs,
+  }) satisfies Record<keyof TimedLoadItem, unknown>;
 
 /** Load of an upstream with nothing in flight. */
 export const newUpstreamLoad = (): UpstreamLoad => ({
