--- a/packages/forwarding/src/Placer.ts
+++ b/packages/forwarding/src/Placer.ts
@@ -15,7 +15,12 @@
 import type { SendQuota } from "./limits/SendQuota.js";
 import type { LoadTracker } from "./LoadTracker.js";
 import type { PeerLoads } from "./PeerLoads.js";
-import { isForOneUpstream, type PlacementCandidate, type PlacementRequest } from "./placement.js";
+import {
+  isForOneUpstream,
+  type PlacementCandidate,
+  type PlacementPlan,
+  type PlacementRequest,
+} from "./placement.js";
 import {
   getEnd,
   isRejectable,
@@ -27,13 +32,12 @@
 import { getCallLoad, getKvTokens, getPromptLoad } from "./requestLoad.js";
 import { getRequestValue } from "./requestValue.js";
 import { getRetryAfterMs, REJECTED_RETRY_AFTER_MS } from "./retryAfter.js";
+import type { AskedPrompt } from "./room/decisions.js";
+import { mayHold } from "./room/findRoom.js";
 import { RoomBook } from "./room/RoomBook.js";
 import { FreeForAll, type RoomPolicy } from "./room/RoomPolicy.js";
 import type { UpstreamHealth } from "./UpstreamHealth.js";
 
-/** Interval at which a prompt that waits for KV memory is planned again. */
-const REPLAN_INTERVAL_MS = 15;
-
 export * from "./placementQuery.js";
 
 type Choice = Pick<PlacementQuery, "pool" | "homes" | "excluded">;
@@ -129,8 +133,12 @@
 
   /** Resolves with a placement once there is an acceptable one, or with the reason for none. */
   async find(query: PlacementQuery): Promise<Placement | PlacementFailure> {
-    const placement = await this.#search(query);
-    this.room.end(query.req, typeof placement !== "string");
+    let placement: Placement | PlacementFailure = PlacementFailure.NoUpstream;
+    try {
+      placement = await this.#search(query);
+    } finally {
+      this.room.end(query.req, typeof placement !== "string");
+    }
     return placement;
   }
 
@@ -229,7 +237,7 @@
         return this.#shed(pool, PlacementFailure.Overloaded, candidates);
       }
       const asked = { req, pool, engine, request, candidates };
-      const plan = this.room.awaitTurn(asked, planNear(engine, request, candidates));
+      const plan = this.#plan(asked, { isNew });
       if (plan) {
         const cost = getCost(candidates, plan.upstream);
         return !isNew || this.room.accepts(plan, request, deadlineLeftMs)
@@ -245,11 +253,18 @@
         if (cause) {
           return cause;
         }
-        await sleep(this.#clock, REPLAN_INTERVAL_MS, query.signal);
+        await sleep(this.#clock, this.room.getReplanMs(req), query.signal);
       }
     }
   }
 
+  /** The plan of a prompt; one that waits lacks the memory most times, which is known sooner than by plans. */
+  #plan(asked: AskedPrompt, { isNew }: { isNew: boolean }): PlacementPlan | undefined {
+    const { engine, request, candidates } = asked;
+    const mayFit = isNew || mayHold(engine, request, candidates);
+    return this.room.awaitTurn(asked, mayFit ? planNear(engine, request, candidates) : undefined);
+  }
+
   /**
    * Decides once, when the prompt arrives or has to be sent again. A caller that has events of the
    * answer isn't asked about: shedding the rest would waste what it has.
--- a/packages/forwarding/src/room/decisions.ts
+++ b/packages/forwarding/src/room/decisions.ts
@@ -67,6 +67,9 @@
   readonly isKept: boolean;
 }
 
+/** A prompt, and the upstreams that it may use. */
+export type AskedPrompt = Pick<RoomRequest, "req" | "engine" | "request" | "candidates">;
+
 /** Finds room, on the upstreams promised before unless others have it sooner. */
 const findRoomAgain = (
   { engine, request, candidates }: RoomQuestion,
