Give back the trial of a suspect part whose grant came too late

Cause: an owner that answers after the 80 ms that the asking process waits (the first call between two processes on a busy machine) has granted the trial all the same. Change: who got no answer ends the trial at its owner at once and a second later. Requests for trials have an id, so that no later trial is ended; processes of an earlier build send none.

--- a/packages/daemon/src/gateway/CrashExchange.ts
+++ b/packages/daemon/src/gateway/CrashExchange.ts
@@ -30,6 +30,7 @@
 const MAX_LOST = 8;
 const MAX_PARTS = 64;
 const MAX_SOUND = 128;
+const MAX_ID_LENGTH = 256;
 
 const partSchema = z.string().min(1).max(64);
 const reportSchema = z.object({
@@ -47,17 +48,19 @@
 });
 type ReportMessage = z.output<typeof reportSchema>;
 
+/** Processes of an earlier build send no id. */
+const trialKey = { part: partSchema, id: z.string().max(MAX_ID_LENGTH).optional() };
 const trialMethod = newRpcMethod(
   "crash.trial",
   z.object({
     host: z.string(),
-    part: partSchema,
+    ...trialKey,
     parts: z.array(partSchema).max(MAX_PARTS),
     report: reportSchema,
   }),
   z.object({ isGranted: z.boolean(), retryMs: z.number() }),
 );
-const trialEndSchema = z.object({ part: partSchema });
+const trialEndSchema = z.object(trialKey);
 
 /** Exchanges evidence on parts of prompts that crash upstreams, and the trials of such parts, with peers. */
 export class CrashExchange {
@@ -103,12 +106,12 @@
     });
     this.#owner = new TrialOwner({ clock, evidence });
     const peers: TrialPeers = {
-      ask: (host, { part, parts, report }) =>
+      ask: (host, { part, id, parts, report }) =>
         this.#calls.call(host, trialMethod, {
-          ...{ host: this.#host, part, parts: [...parts], report: this.#toMessage(report) },
+          ...{ host: this.#host, part, id, parts: [...parts], report: this.#toMessage(report) },
         }),
-      end: (host, part) => {
-        this.#channel.notify("crash.trial.end", { part }, [host]);
+      end: (host, { part, id }) => {
+        this.#channel.notify("crash.trial.end", { part, id }, [host]);
       },
     };
     this.guard = new PartGuard({
@@ -120,12 +123,12 @@
     this.#channel.handle("crash.evidence", reportSchema, (report, host) => {
       this.guard.evidence.recordPeer(host, this.#toReport(report));
     });
-    this.#channel.handle("crash.trial.end", trialEndSchema, ({ part }) => {
-      this.#owner.end(part);
+    this.#channel.handle("crash.trial.end", trialEndSchema, ({ part, id }) => {
+      this.#owner.end({ part, id });
     });
-    server.handle(trialMethod, ({ host, part, parts, report }) => {
+    server.handle(trialMethod, ({ host, part, id, parts, report }) => {
       this.guard.evidence.recordPeer(host, this.#toReport(report));
-      return this.#owner.take(host, { part, parts });
+      return this.#owner.take(host, { part, id, parts });
     });
     this.#gossip();
   }
--- a/packages/forwarding/src/crashes/PartGuard.test.ts
+++ b/packages/forwarding/src/crashes/PartGuard.test.ts
@@ -18,6 +18,8 @@
   readonly hosts: readonly string[];
   readonly #owners = new Map<string, { evidence: CrashEvidence; owner: TrialOwner }>();
   isCut = false;
+  /** Asks reach their owners this much later than the asking process waits; undefined for at once. */
+  lateMs: number | undefined;
 
   constructor(count: number) {
     this.hosts = Array.from({ length: count }, (_, index) => `n${String(index)}`);
@@ -33,16 +35,24 @@
     const guard = new PartGuard({
       ...{ clock, evidence, owner, getMembers, logger },
       peers: {
-        ask: (host, { part, parts, report }) => {
+        ask: async (host, req) => {
           const peer = this.#owners.get(host);
           if (this.isCut || !peer) {
-            return Promise.reject(new Error("no answer"));
+            throw new Error("no answer");
           }
-          peer.evidence.recordPeer(self, report);
-          return Promise.resolve(peer.owner.take(self, { part, parts }));
+          peer.evidence.recordPeer(self, req.report);
+          if (this.lateMs !== undefined && this.lateMs > 0) {
+            clock.setTimer(() => peer.owner.take(self, req), this.lateMs);
+            throw new Error("no answer in time");
+          }
+          const answer = peer.owner.take(self, req);
+          if (this.lateMs === 0) {
+            throw new Error("no answer in time");
+          }
+          return answer;
         },
-        end: (host, part) => {
-          this.#owners.get(host)?.owner.end(part);
+        end: (host, trial) => {
+          this.#owners.get(host)?.owner.end(trial);
         },
       },
     });
@@ -50,6 +60,8 @@
   }
 }
 
+const OWNER = pickOwner("bad", { self: "", hosts: new Processes(6).hosts, known: 0 });
+
 const endTrial = (admission: Admission): void => {
   if (admission.kind === "trial") {
     admission.end();
@@ -111,6 +123,26 @@
     expect(count(await admit("bad"), "trial")).to.equal(1);
   });
 
+  // A grant that came too late was held for 10 s, in which nobody could try the part.
+  for (const [lateMs, openMs] of [
+    [0, 0],
+    [100, 1_001],
+  ] as const) {
+    it(`gives back a trial that was granted ${String(lateMs)} ms too late, and no later one`, async () => {
+      accuse("u1", "bad");
+      const asking = all.find((_, index) => processes.hosts[index] !== OWNER);
+      processes.lateMs = lateMs;
+      expect((await asking?.guard.admit(["bad"]))?.kind).to.equal("refused");
+      processes.lateMs = undefined;
+      await processes.clock.advance(openMs);
+      const others = all.filter((process) => process !== asking);
+      const next = await Promise.all(others.map(({ guard }) => guard.admit(["bad"])));
+      expect(count(next, "trial")).to.equal(1);
+      await processes.clock.advance(1_001);
+      expect(count(await admit("bad"), "trial")).to.equal(0);
+    });
+  }
+
   it("returns what it was granted when another part of the request is being tried", async () => {
     accuse("u1", "bad");
     accuse("u2", "worse");
--- a/packages/forwarding/src/crashes/PartGuard.ts
+++ b/packages/forwarding/src/crashes/PartGuard.ts
@@ -3,7 +3,7 @@
 
 import { pickOwner, type Members } from "../members.js";
 import type { CrashEvidence } from "./CrashEvidence.js";
-import type { TrialAnswer, TrialOwner, TrialRequest } from "./TrialOwner.js";
+import type { TrialAnswer, TrialKey, TrialOwner, TrialRequest } from "./TrialOwner.js";
 
 /** Time after which to ask an owner again that didn't answer. */
 const NO_ANSWER_RETRY_MS = 1_000;
@@ -13,7 +13,7 @@
   /** Asks the owner of a part; rejects when it doesn't answer in time. */
   ask(host: string, req: TrialRequest): Promise<TrialAnswer>;
   /** Tells the owner that a trial ended. */
-  end(host: string, part: string): void;
+  end(host: string, trial: TrialKey): void;
 }
 
 /** Whether a request may be sent to an upstream now. */
@@ -39,6 +39,7 @@
   readonly #peers: TrialPeers;
   readonly #getMembers: () => Members;
   readonly #logger: Logger;
+  #nextId = 1;
 
   constructor(options: {
     clock: Clock;
@@ -72,33 +73,36 @@
       return { kind: "free" };
     }
     const members = this.#getMembers();
-    const granted: string[] = [];
+    const granted: TrialKey[] = [];
     const end = (): void => {
-      granted.forEach((part) => {
-        this.#end(part, members);
+      granted.forEach((trial) => {
+        this.#end(trial, members);
       });
     };
     for (const part of suspects) {
-      const { isGranted, retryMs } = await this.#ask(part, parts, members);
+      const trial = { part, id: `${members.self}#${String(this.#nextId++)}` };
+      const { isGranted, retryMs } = await this.#ask(trial, parts, members);
       if (!isGranted) {
         end();
         return { kind: "refused", reason: `prompt part ${part} is suspected`, retryMs };
       }
-      granted.push(part);
+      granted.push(trial);
     }
     return { kind: "trial", end };
   }
 
-  async #ask(part: string, parts: readonly string[], members: Members): Promise<TrialAnswer> {
+  async #ask(trial: TrialKey, parts: readonly string[], members: Members): Promise<TrialAnswer> {
+    const { part } = trial;
     const owner = pickOwner(part, members);
     if (owner === members.self) {
-      return this.#owner.take(owner, { part, parts });
+      return this.#owner.take(owner, { ...trial, parts });
     }
     try {
       return await this.#peers.ask(owner, {
-        ...{ part, parts, report: this.evidence.getReport(parts) },
+        ...{ ...trial, parts, report: this.evidence.getReport(parts) },
       });
     } catch (err) {
+      this.#giveBack(owner, trial);
       this.#logger.warn("trial not granted: no answer from its owner", {
         ...{ step: "admit", part, owner, err: getMessage(err) },
       });
@@ -106,12 +110,20 @@
     }
   }
 
-  #end(part: string, members: Members): void {
-    const owner = pickOwner(part, members);
+  /** Ends a trial that the owner may have granted, or grants when the request reaches it late. */
+  #giveBack(owner: string, trial: TrialKey): void {
+    this.#peers.end(owner, trial);
+    this.#clock.setTimer(() => {
+      this.#peers.end(owner, trial);
+    }, NO_ANSWER_RETRY_MS);
+  }
+
+  #end(trial: TrialKey, members: Members): void {
+    const owner = pickOwner(trial.part, members);
     if (owner === members.self) {
-      this.#owner.end(part);
+      this.#owner.end(trial);
     } else {
-      this.#peers.end(owner, part);
+      this.#peers.end(owner, trial);
     }
   }
 }
--- a/packages/forwarding/src/crashes/TrialOwner.ts
+++ b/packages/forwarding/src/crashes/TrialOwner.ts
@@ -13,15 +13,27 @@
  */
 const SAME_PROCESS_PAUSE_MS = 2_000;
 
-/** A request for the trial of a suspect part. */
-export interface TrialRequest {
+/** Which trial of a part is meant. */
+export interface TrialKey {
   readonly part: string;
+  /** Differs between requests for trials; undefined from processes of an earlier build. */
+  readonly id: string | undefined;
+}
+
+/** A request for the trial of a suspect part. */
+export interface TrialRequest extends TrialKey {
   /** All shared parts of the request. */
   readonly parts: readonly string[];
   /** What the asking process knows about these parts. */
   readonly report: CrashReport;
 }
 
+interface Trial {
+  readonly host: string;
+  readonly id: string | undefined;
+  readonly untilMs: number;
+}
+
 /** Answer to a process that asks for a trial. */
 export interface TrialAnswer {
   readonly isGranted: boolean;
@@ -34,7 +46,7 @@
   readonly #clock: Clock;
   readonly #evidence: CrashEvidence;
   /** Trials in progress, with the ends of their terms. */
-  readonly #trials = new Map<string, { readonly host: string; readonly untilMs: number }>();
+  readonly #trials = new Map<string, Trial>();
   /** Processes that had the last trials, with the ends of their pauses. */
   readonly #paused = new Map<string, { readonly host: string; readonly untilMs: number }>();
 
@@ -47,7 +59,7 @@
    * Grants a trial of `part` to a process for a request with `parts`, unless one is in progress or
    * the part is blocked.
    */
-  take(host: string, { part, parts }: Pick<TrialRequest, "part" | "parts">): TrialAnswer {
+  take(host: string, { part, parts, id }: Omit<TrialRequest, "report">): TrialAnswer {
     const now = this.#clock.now();
     forgetEnded(this.#trials, now);
     forgetEnded(this.#paused, now);
@@ -58,13 +70,14 @@
     if (this.#trials.has(part) || this.#paused.get(part)?.host === host) {
       return { isGranted: false, retryMs: IN_PROGRESS_RETRY_MS };
     }
-    this.#trials.set(part, { host, untilMs: now + TRIAL_TERM_MS });
+    this.#trials.set(part, { host, id, untilMs: now + TRIAL_TERM_MS });
     return { isGranted: true, retryMs: 0 };
   }
 
-  end(part: string): void {
+  /** Ends a trial, unless another one of the part is in progress by now. */
+  end({ part, id }: TrialKey): void {
     const trial = this.#trials.get(part);
-    if (trial) {
+    if (trial && (id === undefined || trial.id === id)) {
       this.#trials.delete(part);
       const untilMs = this.#clock.now() + SAME_PROCESS_PAUSE_MS;
       this.#paused.set(part, { host: trial.host, untilMs });
--- a/packages/simulation/src/GatewayNetwork.ts
+++ b/packages/simulation/src/GatewayNetwork.ts
@@ -87,9 +87,9 @@
     return {
       ask: (host: string, req: TrialRequest): Promise<TrialAnswer> =>
         this.#call(host, (owner) => owner.takeTrialForPeer(from, req)),
-      end: (host, part) => {
+      end: (host, trial) => {
         void this.#call(host, (owner) => {
-          owner.endTrial(part);
+          owner.endTrial(trial);
         }).catch(() => undefined);
       },
     };
--- a/packages/simulation/src/SimulatedGateway.ts
+++ b/packages/simulation/src/SimulatedGateway.ts
@@ -30,6 +30,7 @@
   type QuotaPeers,
   type TrialAnswer,
   type TrialPeers,
+  type TrialKey,
   type TrialRequest,
   type Upstream,
   type UpstreamControl,
@@ -165,8 +166,8 @@
     return this.#trialOwner.take(peer, req);
   }
 
-  endTrial(part: string): void {
-    this.#trialOwner.end(part);
+  endTrial(trial: TrialKey): void {
+    this.#trialOwner.end(trial);
   }
 
   observeQuotas(): void {
