Run the tests on injected clocks beside those on sockets

Cause: one mocha process ran all tests in turn; those on sockets wait for real time, the others take one core. The time of a whole run isn't measured yet.

--- a/.mocharc.cjs
+++ b/.mocharc.cjs
@@ -13,8 +13,23 @@
   process.stdout.write(`known red, passed over: ${title}\n`);
 }
 
+const PACKAGES = "packages/*/dist/**/*.test.js";
+const PLATFORM = "platform/dist/**/*.test.js";
+/** Tests of the platform on injected clocks, which take a core and no time of their own. */
+const SIMULATED = ["platform/dist/readerCalls.test.js", "platform/dist/returnSimulation.test.js"];
+
+/** The halves that `npm test` runs beside each other; without `TEST_PART` all tests run. */
+const PARTS = {
+  clocks: { spec: [PACKAGES, ...SIMULATED] },
+  sockets: { spec: [PLATFORM], ignore: SIMULATED },
+};
+const part = process.env.TEST_PART;
+if (part !== undefined && !(part in PARTS)) {
+  throw new Error(`TEST_PART is ${part}; it takes ${Object.keys(PARTS).join(" or ")}`);
+}
+
 module.exports = {
-  spec: ["packages/*/dist/**/*.test.js", "platform/dist/**/*.test.js"],
+  ...(part === undefined ? { spec: [PACKAGES, PLATFORM] } : PARTS[part]),
   timeout: 20000,
   forbidOnly: true,
   forbidPending: true,
