--- a/packages/forwarding/src/AdmissionControl.ts
+++ b/packages/forwarding/src/AdmissionControl.ts
@@ -70,11 +70,12 @@
       request: PlacementRequest;
       candidates: readonly PlacementCandidate[];
       targetMs: number;
+      value: number;
     },
   ): boolean {
-    const { engine, request, candidates, targetMs } = options;
+    const { engine, request, candidates, targetMs, value } = options;
     const prefillMs = getReadMs(engine, request.promptTokens);
-    return this.admits(pool, request.value, prefillMs, getBusyShare(candidates, targetMs));
+    return this.admits(pool, value, prefillMs, getBusyShare(candidates, targetMs));
   }
 
   /** False when the work would serve other requests better. */
--- a/packages/forwarding/src/Placer.ts
+++ b/packages/forwarding/src/Placer.ts
@@ -5,6 +5,7 @@
 import { CandidateFinder } from "./CandidateFinder.js";
 import type { CostBook } from "./costs/CostBook.js";
 import { estimateCallMs, getCost } from "./costs/placementCosts.js";
+import { pickNear, planNear } from "./distance/preferNear.js";
 import { PlacementExplainer } from "./explain/PlacementExplainer.js";
 import type { PlacementSnapshot } from "./explain/PlacementSnapshot.js";
 import type { EngineSpec } from "./fleetConfig.js";
@@ -14,13 +15,7 @@
 import type { SendQuota } from "./limits/SendQuota.js";
 import type { LoadTracker } from "./LoadTracker.js";
 import type { PeerLoads } from "./PeerLoads.js";
-import {
-  isForOneUpstream,
-  planPlacement,
-  type PlacementCandidate,
-  type PlacementRequest,
-} from "./placement.js";
-import { pickServiceUpstream } from "./pickServiceUpstream.js";
+import { isForOneUpstream, type PlacementCandidate, type PlacementRequest } from "./placement.js";
 import {
   getEnd,
   isRejectable,
@@ -30,6 +25,7 @@
 } from "./placementQuery.js";
 import { newPlacementRequest } from "./placementRequest.js";
 import { getCallLoad, getKvTokens, getPromptLoad } from "./requestLoad.js";
+import { getRequestValue } from "./requestValue.js";
 import { getRetryAfterMs, REJECTED_RETRY_AFTER_MS } from "./retryAfter.js";
 import { RoomBook } from "./room/RoomBook.js";
 import { FreeForAll, type RoomPolicy } from "./room/RoomPolicy.js";
@@ -68,6 +64,8 @@
     /** Undefined where every process hears of all requests. */
     peerLoads?: PeerLoads | undefined;
     costs?: CostBook | undefined;
+    /** Failure domain whose upstreams are near; undefined where distance doesn't count. */
+    nearDomain?: string | undefined;
     health: UpstreamHealth;
     quota: SendQuota;
     logger: Logger;
@@ -185,7 +183,7 @@
     }
     const callMs = estimateCallMs(this.#costs, query.req, query.pool);
     const candidates = await this.#finder.find(query);
-    const upstream = pickServiceUpstream(candidates, this.#random, {
+    const upstream = pickNear(candidates, this.#random, {
       ...{ callMs, targetMs: query.req.route.targetMs },
     });
     if (!upstream) {
@@ -231,7 +229,7 @@
         return this.#shed(pool, PlacementFailure.Overloaded, candidates);
       }
       const asked = { req, pool, engine, request, candidates };
-      const plan = this.room.awaitTurn(asked, planPlacement(engine, request, candidates));
+      const plan = this.room.awaitTurn(asked, planNear(engine, request, candidates));
       if (plan) {
         const cost = getCost(candidates, plan.upstream);
         return !isNew || this.room.accepts(plan, request, deadlineLeftMs)
@@ -265,9 +263,10 @@
     const { query, engine, request, candidates } = options;
     const workMs = getWorkMs(engine, request);
     const { targetMs } = query.req.route;
-    const asked = { engine, request, candidates, targetMs };
+    const value = getRequestValue(query, this.#view.table);
+    const asked = { engine, request, candidates, targetMs, value };
     const isAdmitted = this.#admission.isWorth(query.pool, asked);
-    this.#admission.record(query.pool, request.value, workMs);
+    this.#admission.record(query.pool, value, workMs);
     return isAdmitted;
   }
 
--- a/packages/forwarding/src/explain/PlacementExplainer.ts
+++ b/packages/forwarding/src/explain/PlacementExplainer.ts
@@ -4,14 +4,16 @@
 import type { CandidateFinder } from "../CandidateFinder.js";
 import type { CostBook } from "../costs/CostBook.js";
 import { estimateCallMs } from "../costs/placementCosts.js";
+import { planNear } from "../distance/preferNear.js";
 import type { EngineSpec } from "../fleetConfig.js";
 import type { FleetView } from "../FleetView.js";
 import type { QuotaQueue } from "../limits/QuotaQueue.js";
 import { newQuotaWait } from "../limits/quotaWait.js";
 import type { SendQuota } from "../limits/SendQuota.js";
-import { isForOneUpstream, planPlacement, type PlacementCandidate } from "../placement.js";
+import { isForOneUpstream, type PlacementCandidate } from "../placement.js";
 import { getLatestFirstMs, isRejectable, type PlacementQuery } from "../placementQuery.js";
 import { newPlacementRequest } from "../placementRequest.js";
+import { getRequestValue } from "../requestValue.js";
 import type { RoomPolicy } from "../room/RoomPolicy.js";
 import type { PlacementSnapshot } from "./PlacementSnapshot.js";
 
@@ -65,10 +67,12 @@
     }
     const { table } = this.#view;
     const request = newPlacementRequest(query, { engine, now, costs: this.#costs, table });
-    const isWorth = this.#admission.isWorth(pool, { engine, request, candidates, targetMs });
+    const asked = { engine, request, candidates, targetMs };
+    const value = getRequestValue(query, table);
+    const isWorth = this.#admission.isWorth(pool, { ...asked, value });
     const deadlineLeftMs = query.deadlineAtMs - now;
     const mayReject = isRejectable(query);
-    const hasPlan = planPlacement(engine, request, candidates) !== undefined;
+    const hasPlan = planNear(engine, request, candidates) !== undefined;
     const needsRoom = this.#room.isPromised && candidates.length > 0 && !hasPlan;
     return {
       ...{ ...base, engine, request },
--- a/packages/forwarding/src/explain/explainPlacement.ts
+++ b/packages/forwarding/src/explain/explainPlacement.ts
@@ -1,6 +1,7 @@
 import { getRoomMs } from "../AdmissionControl.js";
+import { pickNear, planNear } from "../distance/preferNear.js";
 import type { EngineSpec, Upstream } from "../fleetConfig.js";
-import { getCallCost, pickServiceUpstream } from "../pickServiceUpstream.js";
+import { getCallCost } from "../pickServiceUpstream.js";
 import {
   planPlacement,
   type PlacementCandidate,
@@ -143,7 +144,7 @@
   if (engine && request) {
     return choosePlan(snapshot, engine, request);
   }
-  const upstream = pickServiceUpstream(candidates, random, { callMs, targetMs });
+  const upstream = pickNear(candidates, random, { callMs, targetMs });
   return upstream ? { verdict: Verdict.Sent, upstream } : { verdict: Verdict.NoUpstream };
 };
 
@@ -155,7 +156,7 @@
   if (isAdmitted === false) {
     return { verdict: Verdict.Overloaded };
   }
-  const plan = planPlacement(engine, request, candidates);
+  const plan = planNear(engine, request, candidates);
   if (plan) {
     return plan.firstEventMs > latestFirstMs
       ? { verdict: Verdict.TooLate, plan }
@@ -164,7 +165,7 @@
   if (!room) {
     return { verdict: Verdict.Waits };
   }
-  const found = planPlacement(engine, request, room.candidates);
+  const found = planNear(engine, request, room.candidates);
   if (found) {
     return { verdict: Verdict.Sent, upstream: found.upstream, plan: found };
   }
--- a/packages/forwarding/src/forwardDependencies.ts
+++ b/packages/forwarding/src/forwardDependencies.ts
@@ -40,6 +40,8 @@
   readonly costs?: CostBook | undefined;
   /** Prompts that wait for KV memory are promised it; false by default. */
   readonly promisesRoom?: boolean | undefined;
+  /** Failure domain whose upstreams are near; undefined where distance doesn't count. */
+  readonly nearDomain?: string | undefined;
   readonly health: UpstreamHealth;
   readonly watch: UpstreamWatch;
   readonly limits: UpstreamLimits;
