--- a/packages/forwarding/src/costs/placementCosts.ts
+++ b/packages/forwarding/src/costs/placementCosts.ts
@@ -46,7 +46,7 @@
 /** The upstream's pace, and its load with the times that this makes of its prefill. */
 export const applyPace = (
   costs: CostBook | undefined,
-  upstream: Upstream,
+  upstream: Pick<Upstream, "id" | "slots">,
   load: UpstreamLoad,
 ): { readonly load: UpstreamLoad; readonly pace?: number } => {
   if (!costs) {
--- a/packages/forwarding/src/placement.ts
+++ b/packages/forwarding/src/placement.ts
@@ -10,7 +10,6 @@
   type Prospect,
 } from "./lateness.js";
 import { getEndMs, type UpstreamLoad } from "./load.js";
-import { getAnswerMs } from "./room/forecast.js";
 import { getFreeTokens, splitTokens, type Release } from "./room/memory.js";
 
 /** Most upstreams that prefill a prompt besides the one that decodes the answer. */
@@ -156,12 +155,8 @@
   const passLeftMs = load.decoding > 0 ? passMs * PASS_LEFT_SHARE : 0;
   const helperReadyMs = passLeftMs + load.pendingHelpMs + readMs;
   const decoderReadyMs = passLeftMs + load.pendingReadMs + readMs;
-  const crowded = {
-    decoding: load.decoding + 1,
-    contextTokens: load.contextTokens + req.promptTokens,
-  };
   const endMs = load.claims
-    ? decoderReadyMs + getAnswerMs(engine, req.outputTokens, crowded)
+    ? decoderReadyMs + newDecodePlan(engine, req, candidate).writeMs
     : Infinity;
   const stake =
     addedLoss +
--- a/packages/forwarding/src/room/RoomBook.ts
+++ b/packages/forwarding/src/room/RoomBook.ts
@@ -1,7 +1,9 @@
 import type { Clock, Random } from "@lycheepulley/core";
 import type { Logger } from "@lycheepulley/telemetry";
 
-import type { TimedLoadItem, UpstreamLoad } from "../load.js";
+import type { CostBook } from "../costs/CostBook.js";
+import { newDecodePlan } from "../decodePlan.js";
+import { newUpstreamLoad, type TimedLoadItem, type UpstreamLoad } from "../load.js";
 import type { LoadTracker } from "../LoadTracker.js";
 import {
   getNeededKv,
@@ -24,7 +26,7 @@
   type RoomStanding,
 } from "./decisions.js";
 import type { FoundRoom } from "./findRoom.js";
-import { estimateReleases, getAnswerMs, ReleaseForecast } from "./forecast.js";
+import { estimateReleases, ReleaseForecast } from "./forecast.js";
 import { withClaimsNow } from "./memory.js";
 import { goesBefore, isInForce, RETURN_GRACE_MS, type RoomPromise } from "./promise.js";
 import { RoomCause } from "./RoomCause.js";
@@ -63,7 +65,12 @@
   readonly #forecast: ReleaseForecast;
   readonly #stats = new RoomStats();
 
-  constructor(options: { clock: Clock; loadTracker: LoadTracker; logger: Logger }) {
+  constructor(options: {
+    clock: Clock;
+    loadTracker: LoadTracker;
+    costs?: CostBook | undefined;
+    logger: Logger;
+  }) {
     this.#clock = options.clock;
     this.#loadTracker = options.loadTracker;
     this.#logger = options.logger;
@@ -290,9 +297,9 @@
     { id, plan, inMs, neededInMs }: FoundRoom & { id: string; neededInMs: number },
     fields: Pick<RoomPromise, "place" | "renewal" | "returnKey">,
   ): void {
-    const crowded = { decoding: engine.slots, contextTokens: 0 };
-    const answerMs = getAnswerMs(engine, request.outputTokens, crowded);
-    const forMs = Math.ceil(plan.firstEventMs + answerMs);
+    const crowded = { ...newUpstreamLoad(), decoding: engine.slots - 1 };
+    const { writeMs } = newDecodePlan(engine, request, { load: crowded, pace: plan.decode.pace });
+    const forMs = Math.ceil(plan.firstEventMs + writeMs);
     this.#loadTracker.setOwn({
       ...getPromptLoad(plan, request),
       ...{ id, pool, upstream: plan.upstream.id, kvTokens: getKvTokens(req, plan, request) },
--- a/packages/forwarding/src/room/forecast.ts
+++ b/packages/forwarding/src/room/forecast.ts
@@ -1,8 +1,11 @@
 import type { Clock } from "@lycheepulley/core";
 
+import type { CostBook } from "../costs/CostBook.js";
+import { applyPace } from "../costs/placementCosts.js";
 import { getPassMs } from "../engineModel.js";
 import type { EngineSpec } from "../fleetConfig.js";
 import {
+  estimateRemaining,
   LoadPhase,
   newUpstreamLoad,
   sumLoads,
@@ -16,8 +19,6 @@
 const FORECAST_MS = 10;
 /** Length of an answer whose process, of an older build, doesn't report it. */
 const USUAL_OUTPUT_TOKENS = 1_000;
-/** An answer that is longer than expected goes on for this share of its time so far. */
-const OVERRUN_SHARE = 0.25;
 
 type Loads = ReadonlyMap<string, UpstreamLoad>;
 
@@ -30,31 +31,39 @@
   Math.ceil(outputTokens / engine.stepsPerPass) *
   getPassMs(engine, Math.max(1, decoding), contextTokens);
 
-/** Expected time until a request's answer ends, milliseconds. */
+interface Forecast {
+  readonly loads: Loads;
+  readonly nowMs: number;
+  /** Undefined where placement goes by published constants alone. */
+  readonly costs?: CostBook | undefined;
+}
+
+/** Expected time until a request's answer ends, as placement expects it, milliseconds. */
 const getEndInMs = (
   engine: EngineSpec,
   item: TimedLoadItem,
-  { loads, nowMs }: { loads: Loads; nowMs: number },
+  { loads, nowMs, costs }: Forecast,
 ): number => {
-  const load = loads.get(item.upstream) ?? newUpstreamLoad();
-  const answerMs = getAnswerMs(engine, item.outputTokens ?? USUAL_OUTPUT_TOKENS, load);
-  if (item.phase === LoadPhase.Writing) {
-    const elapsedMs = nowMs - item.sinceMs;
-    // Prompts are prefilled inside the passes that decode answers.
-    return Math.max(answerMs - elapsedMs, OVERRUN_SHARE * elapsedMs) + load.pendingReadMs;
-  }
-  const readMs = item.helpers.reduce(
-    (ms, id) => Math.max(ms, loads.get(id)?.pendingHelpMs ?? 0),
+  const getPaced = (id: string): { readonly load: UpstreamLoad; readonly pace?: number } =>
+    applyPace(costs, { id, slots: engine.slots }, loads.get(id) ?? newUpstreamLoad());
+  const { load, pace = 1 } = getPaced(item.upstream);
+  const writeMs =
+    item.writeMs ?? pace * getAnswerMs(engine, item.outputTokens ?? USUAL_OUTPUT_TOKENS, load);
+  const left = estimateRemaining({ ...item, writeMs }, nowMs);
+  // Prompts are prefilled before one that is read, and inside the passes that decode answers.
+  const helpers = item.phase === LoadPhase.Writing ? [] : item.helpers;
+  const readMs = helpers.reduce(
+    (ms, id) => Math.max(ms, getPaced(id).load.pendingHelpMs),
     load.pendingReadMs,
   );
-  return readMs + answerMs;
+  return readMs + (left.writeMs ?? writeMs);
 };
 
 /** When KV memory becomes free at each upstream, as far as the in-flight requests are known. */
 export const forecastReleases = (
   engine: EngineSpec,
   items: readonly TimedLoadItem[],
-  options: { loads: Loads; nowMs: number },
+  options: Forecast,
 ): ReadonlyMap<string, readonly Release[]> => {
   const releases = new Map<string, Release[]>();
   const add = (id: string, release: Release): void => {
@@ -98,13 +107,15 @@
 export class ReleaseForecast {
   readonly #clock: Clock;
   readonly #loadTracker: LoadTracker;
+  readonly #costs: CostBook | undefined;
   #engine: EngineSpec | undefined;
   #releases: ReadonlyMap<string, readonly Release[]> = new Map();
   #untilMs = -Infinity;
 
-  constructor(options: { clock: Clock; loadTracker: LoadTracker }) {
+  constructor(options: { clock: Clock; loadTracker: LoadTracker; costs?: CostBook | undefined }) {
     this.#clock = options.clock;
     this.#loadTracker = options.loadTracker;
+    this.#costs = options.costs;
   }
 
   /** Releases by upstream. */
@@ -112,7 +123,8 @@
     const nowMs = this.#clock.now();
     if (this.#engine !== engine || nowMs >= this.#untilMs) {
       const { items } = this.#loadTracker;
-      this.#releases = forecastReleases(engine, items, { loads: sumLoads(items, nowMs), nowMs });
+      const loads = sumLoads(items, nowMs);
+      this.#releases = forecastReleases(engine, items, { loads, nowMs, costs: this.#costs });
       this.#engine = engine;
       this.#untilMs = nowMs + FORECAST_MS;
     }
