--- a/packages/forwarding/src/explain/PlacementExplainer.ts
+++ b/packages/forwarding/src/explain/PlacementExplainer.ts
@@ -4,12 +4,13 @@
 import type { CandidateFinder } from "../CandidateFinder.js";
 import type { CostBook } from "../costs/CostBook.js";
 import { estimateCallMs } from "../costs/placementCosts.js";
+import { planNear } from "../distance/preferNear.js";
 import type { EngineSpec } from "../fleetConfig.js";
 import type { FleetView } from "../FleetView.js";
 import type { QuotaQueue } from "../limits/QuotaQueue.js";
 import { newQuotaWait } from "../limits/quotaWait.js";
 import type { SendQuota } from "../limits/SendQuota.js";
-import { isForOneUpstream, planPlacement, type PlacementCandidate } from "../placement.js";
+import { isForOneUpstream, type PlacementCandidate } from "../placement.js";
 import { getLatestFirstMs, isRejectable, type PlacementQuery } from "../placementQuery.js";
 import { newPlacementRequest } from "../placementRequest.js";
 import { getRequestValue } from "../requestValue.js";
@@ -71,7 +72,7 @@
     const isWorth = this.#admission.isWorth(pool, { ...asked, value });
     const deadlineLeftMs = query.deadlineAtMs - now;
     const mayReject = isRejectable(query);
-    const hasPlan = planPlacement(engine, request, candidates) !== undefined;
+    const hasPlan = planNear(engine, request, candidates) !== undefined;
     const needsRoom = this.#room.isPromised && candidates.length > 0 && !hasPlan;
     return {
       ...{ ...base, engine, request },
--- a/packages/forwarding/src/explain/PlacementSnapshot.ts
+++ b/packages/forwarding/src/explain/PlacementSnapshot.ts
@@ -50,7 +50,7 @@
 
 const candidateSchema = z.object({
   ...{ upstream: upstreamSchema, load: loadSchema, failureRate: amount, avoidance: amount },
-  pace: amount.optional(),
+  ...{ pace: amount.optional(), crossingCost: amount.optional() },
   releases: z
     .array(z.object({ inMs: amount, tokens: amount }))
     .readonly()
--- a/packages/forwarding/src/explain/explainPlacement.test.ts
+++ b/packages/forwarding/src/explain/explainPlacement.test.ts
@@ -59,6 +59,8 @@
   readonly learned: boolean;
   readonly promises?: readonly PromiseCase[];
   readonly promisesRoom?: boolean;
+  /** Every other upstream is far, and distance counts. */
+  readonly weighsDistance?: boolean;
   readonly timeoutMs?: number;
   /** Rest that upstreams asked for, milliseconds. */
   readonly restMs?: number;
@@ -97,7 +99,10 @@
   const costs = fleet.learned ? new CostBook(clock) : undefined;
   view.applyConfig(newConfig({ pools: [{ name: "p", engine: ENGINE }] }));
   const upstreams = fleet.upstreams.map(({ state }, at) =>
-    newUpstream(`u${String(at)}`, { isLeaving: state === "leaving" }),
+    newUpstream(`u${String(at)}`, {
+      isLeaving: state === "leaving",
+      failureDomain: at % 2 === 0 ? "far" : "near",
+    }),
   );
   view.applyUpstreams({ version: 1, upstreams }, 0, new Set());
   const items: LoadItem[] = [];
@@ -131,6 +136,7 @@
   const placer = new Placer({
     ...{ clock, random: NO_RANDOM, view, loadTracker: tracker, health, quota, costs, logger },
     promisesRoom: fleet.promisesRoom ?? true,
+    nearDomain: fleet.weighsDistance === true ? "near" : undefined,
   });
   const { promptTokens, outputTokens, timeoutMs = 5_000 } = fleet;
   const query: PlacementQuery = {
@@ -190,6 +196,7 @@
   restMs: fc.constantFrom(50, 2_000),
   isResumed: fc.constantFrom(false, false, true),
   isSecond: fc.boolean(),
+  weighsDistance: fc.boolean(),
 });
 
 describe("explanation of a placement", () => {
