Spread simulated fleets over failure domains, and don't weigh distance by old loads

Change: Pattern.spread; distance isn't weighed while a tenth of a request at each upstream may be unseen.

--- a/packages/forwarding/src/CandidateFinder.ts
+++ b/packages/forwarding/src/CandidateFinder.ts
@@ -2,7 +2,12 @@
 
 import type { CostBook } from "./costs/CostBook.js";
 import { applyPace } from "./costs/placementCosts.js";
-import { addCrossingCost, getCrossingCost, type CrossingRequest } from "./distance/crossing.js";
+import {
+  addCrossingCost,
+  areOld,
+  getCrossingCost,
+  type CrossingRequest,
+} from "./distance/crossing.js";
 import type { Upstream } from "./fleetConfig.js";
 import { RuledOutReason, type RuledOut } from "./explain/PlacementSnapshot.js";
 import type { FleetView } from "./FleetView.js";
@@ -95,8 +100,9 @@
     const open = this.getUsable(query).filter(({ id }) => this.#quota.isOpen(id));
     const active = this.#health.selectActive(open);
     const { isAsked } = this;
-    const options = { isSmall, isAsked, random: this.#random, nearDomain: this.#nearDomain };
     const known = isAsked ? NO_LOADS : this.#loadTracker.getLoads();
+    const nearDomain = areOld(active, known) ? undefined : this.#nearDomain;
+    const options = { isSmall, isAsked, random: this.#random, nearDomain };
     const considered = isWhole && !isAsked ? active : selectCandidates(active, known, options);
     const loads = isAsked ? await this.fetchLoads(considered.map(({ id }) => id)) : known;
     const candidates = considered.map((upstream) => ({
@@ -105,18 +111,23 @@
       failureRate: this.#health.getFailureRate(upstream.id),
       avoidance: this.#quota.getAvoidance(upstream.id) + this.#view.getReturnAvoidance(upstream),
     }));
-    return selectSeparate(this.#weighCrossing(candidates, query), isApart);
+    const isWeighed = nearDomain !== undefined && !areOld(considered, loads);
+    return selectSeparate(
+      isWeighed ? this.#weighCrossing(candidates, nearDomain, query) : candidates,
+      isApart,
+    );
   }
 
   #weighCrossing(
     candidates: readonly PlacementCandidate[],
+    nearDomain: string,
     { pool, req }: CandidateQuery,
   ): readonly PlacementCandidate[] {
-    if (this.#nearDomain === undefined || !req) {
+    if (!req) {
       return candidates;
     }
     const cost = getCrossingCost(req, this.#view.table?.findPool(pool)?.engine);
-    return addCrossingCost(candidates, this.#nearDomain, cost);
+    return addCrossingCost(candidates, nearDomain, cost);
   }
 
   /** Why the other upstreams of the pool are no candidates. */
--- a/packages/forwarding/src/distance/crossing.ts
+++ b/packages/forwarding/src/distance/crossing.ts
@@ -1,4 +1,5 @@
 import type { EngineSpec, Upstream } from "../fleetConfig.js";
+import type { UpstreamLoad } from "../load.js";
 import type { PlacementCandidate } from "../placement.js";
 import type { ForwardRequest } from "../types.js";
 
@@ -10,6 +11,9 @@
 /** Share of an objective that its worth loses by delay, as placement weighs delays. */
 const DELAY_WEIGHT = 0.25;
 
+/** Requests for each upstream of which this process doesn't know yet, from which on distance isn't weighed. */
+const MAX_UNSEEN = 0.1;
+
 /** A request to weigh: its bytes and its objective. */
 export type CrossingRequest = Pick<ForwardRequest, "body" | "head" | "route">;
 
@@ -27,12 +31,20 @@
 export const isNear = ({ crossingCost = 0 }: Pick<PlacementCandidate, "crossingCost">): boolean =>
   crossingCost === 0;
 
+/** True when the loads may be so old that processes which prefer the same upstreams would fill them unseen. */
+export const areOld = (
+  upstreams: readonly Upstream[],
+  loads: ReadonlyMap<string, UpstreamLoad>,
+): boolean =>
+  upstreams.reduce((sum, { id }) => sum + (loads.get(id)?.unseen ?? 0), 0) >
+  MAX_UNSEEN * upstreams.length;
+
 /** Sets the cost of the crossing at candidates in other failure domains than `failureDomain`. */
-export const addCrossingCost = <T extends { readonly upstream: Upstream }>(
-  candidates: readonly T[],
+export const addCrossingCost = (
+  candidates: readonly PlacementCandidate[],
   failureDomain: string,
   cost: number,
-): (T & Pick<PlacementCandidate, "crossingCost">)[] =>
+): PlacementCandidate[] =>
   candidates.map((candidate) =>
     candidate.upstream.failureDomain === failureDomain
       ? candidate
--- a/packages/simulation/src/SimulatedFleet.ts
+++ b/packages/simulation/src/SimulatedFleet.ts
@@ -9,7 +9,9 @@
 } from "@lycheepulley/forwarding";
 
 import { CostPolicy, newCosts } from "./costPolicies.js";
+import { DomainSpread } from "./DomainSpread.js";
 import { getPace, withPace } from "./enginePaces.js";
+import type { FleetUtilization, LimitPeriod } from "./fleetRecords.js";
 import { GatewayNetwork, NETWORK_MS } from "./GatewayNetwork.js";
 import type { Incident, Pattern, PromptClass } from "./pattern.js";
 import { SimulatedGateway } from "./SimulatedGateway.js";
@@ -34,27 +36,6 @@
   ...{ pools: [{ pool: POOL, weight: 1 }], maxAttempts: 2 },
 });
 
-/** Work at all upstreams of a fleet at one moment. */
-export interface FleetUtilization {
-  readonly upstreams: number;
-  /** Requests that hold a slot. */
-  readonly running: number;
-  readonly queued: number;
-  /** Parts of prompts that upstreams prefill as helpers. */
-  readonly helping: number;
-  /** Prefill that is left to do, milliseconds of one upstream. */
-  readonly prefillMs: number;
-}
-
-/** A time during which an upstream named a limit. */
-export interface LimitPeriod {
-  /** Times at which requests arrived at the upstream, also before and after the period. */
-  readonly arrivals: readonly number[];
-  readonly perSecond: number;
-  readonly fromMs: number;
-  readonly untilMs: number;
-}
-
 /** Gateways and upstreams of a pattern, and the incidents that they go through. */
 export class SimulatedFleet {
   readonly #clock: Clock;
@@ -65,6 +46,8 @@
   readonly #upstreams = new Map<string, SimulatedUpstream>();
   readonly #leaving = new Set<string>();
   readonly #network: GatewayNetwork;
+  /** Failure domains of processes and upstreams, and what crosses between them. */
+  readonly domains: DomainSpread;
   /** Entry processes that are up. */
   gateways: readonly SimulatedGateway[] = [];
   /** Times during which upstreams named limits. */
@@ -84,6 +67,7 @@
     this.#costPolicy = costPolicy;
     this.#clock = clock;
     this.#random = random;
+    this.domains = new DomainSpread(pattern.spread, clock, random);
     this.#network = new GatewayNetwork(clock, () => this.gateways, pattern);
     this.#config = {
       revision: 1,
@@ -107,7 +91,7 @@
 
   /** A random gateway that accepts callers; undefined while all are down. */
   pickGateway(): SimulatedGateway | undefined {
-    return this.gateways[Math.floor(this.#random.next() * this.gateways.length)];
+    return this.domains.pick(this.gateways);
   }
 
   /** False once the gateway's process has ended. */
@@ -180,9 +164,12 @@
     };
     this.gateways = Array.from({ length: this.#pattern.processes }, (_, index) => {
       const name = `g${String(index)}-${String(incarnation)}`;
+      const failureDomain = this.domains.get(index);
       const gateway = new SimulatedGateway({
+        ...{ failureDomain, nearDomain: this.#pattern.spread?.weighs ? failureDomain : undefined },
         costs: newCosts(this.#costPolicy, this.#clock, (id) => getPace(this.#pattern, id)),
-        ...{ name, clock: this.#clock, random: this.#random, config: this.#config, transport },
+        ...{ name, clock: this.#clock, random: this.#random, config: this.#config },
+        transport: this.domains.watch(transport, failureDomain, (port) => this.#findByPort(port)),
         ...{ control: this.#newControl(), processes: this.#pattern.processes },
         getMembers: () => this.#network.getMembers(name),
         onUpstreamDead: (upstream) => {
@@ -227,7 +214,7 @@
     const { engine, chunkTokens, queueSlots } = this.#pattern;
     const upstream: Upstream = {
       ...{ id: `u${String(index)}`, pool: POOL, host: "upstream", port: index + 1 },
-      ...{ failureDomain: "z", slots: engine.slots, isLeaving: false },
+      ...{ failureDomain: this.domains.get(index), slots: engine.slots, isLeaving: false },
     };
     this.#upstreams.set(
       upstream.id,
--- a/packages/simulation/src/SimulatedGateway.ts
+++ b/packages/simulation/src/SimulatedGateway.ts
@@ -44,6 +44,7 @@
 /** One entry process: the real decision modules, with simulated upstreams and peers. */
 export class SimulatedGateway {
   readonly name: string;
+  readonly failureDomain: string;
   readonly #clock: Clock;
   readonly #view = new FleetView();
   readonly #health: UpstreamHealth;
@@ -60,6 +61,9 @@
 
   constructor(options: {
     name: string;
+    failureDomain: string;
+    /** Failure domain whose upstreams are near; undefined where distance doesn't count. */
+    nearDomain: string | undefined;
     clock: Clock;
     random: Random;
     config: FleetConfig;
@@ -79,6 +83,7 @@
   }) {
     const { clock, random, transport, control } = options;
     this.name = options.name;
+    this.failureDomain = options.failureDomain;
     this.#costs = options.costs;
     this.#clock = clock;
     this.#health = new UpstreamHealth(clock);
@@ -120,6 +125,7 @@
         watch: this.#watch,
         loadTracker: this.#loadTracker,
         peerLoads: options.peerLoads,
+        nearDomain: options.nearDomain,
         dialect: new SimulatedDialect(),
       },
       retryBudget: new RetryBudget({
--- a/packages/simulation/src/experiment.ts
+++ b/packages/simulation/src/experiment.ts
@@ -5,7 +5,9 @@
 import type { Pattern } from "./pattern.js";
 import { SimulatedCaller, type RequestRecord } from "./SimulatedCaller.js";
 import { SimulatedClock } from "./SimulatedClock.js";
-import { SimulatedFleet, type FleetUtilization, type LimitPeriod } from "./SimulatedFleet.js";
+import type { DomainSend } from "./DomainSpread.js";
+import type { FleetUtilization, LimitPeriod } from "./fleetRecords.js";
+import { SimulatedFleet } from "./SimulatedFleet.js";
 
 const WINDOW_MS = 2_000;
 const SAMPLE_MS = 500;
@@ -36,6 +38,7 @@
   /** Mean share of the worst windows. */
   readonly worstWindows: number;
   readonly samples: readonly UtilizationSample[];
+  readonly sends: readonly DomainSend[];
   readonly errors: readonly EstimateError[];
 }
 
@@ -49,6 +52,8 @@
   readonly records: readonly RequestRecord[];
   readonly samples: readonly UtilizationSample[];
   readonly limitPeriods: readonly LimitPeriod[];
+  /** Prompts sent, with their failure domains. */
+  readonly sends: readonly DomainSend[];
   /** Times at which a part of prompts crashed upstreams, and at which prompts with it arrived there. */
   readonly partCrashes: readonly number[];
   readonly crashingArrivals: readonly number[];
@@ -77,9 +82,11 @@
   }
   await clock.run(endMs);
   const { limitPeriods, partCrashes } = fleet;
+  const { sends } = fleet.domains;
   const crashingArrivals = fleet.getCrashingArrivals();
   const errors = fleet.gateways.flatMap((gateway) => gateway.getErrors());
-  return { records: caller.records, samples, limitPeriods, partCrashes, crashingArrivals, errors };
+  const { records } = caller;
+  return { records, samples, limitPeriods, sends, partCrashes, crashingArrivals, errors };
 };
 
 /** Plays one pattern and sums up its credit; the same seed gives the same result. */
@@ -88,15 +95,15 @@
   seed: number,
   costPolicy?: CostPolicy,
 ): Promise<ExperimentResult> => {
-  const { records, samples, errors } = await playPattern(pattern, seed, costPolicy);
-  return { ...summarize(pattern, seed, records), samples, errors };
+  const { records, samples, sends, errors } = await playPattern(pattern, seed, costPolicy);
+  return { ...summarize(pattern, seed, records), samples, sends, errors };
 };
 
 const summarize = (
   pattern: Pattern,
   seed: number,
   records: readonly RequestRecord[],
-): Omit<ExperimentResult, "samples" | "errors"> => {
+): Omit<ExperimentResult, "samples" | "sends" | "errors"> => {
   const windows: Credit[] = [];
   for (let atMs = 0; atMs < pattern.lengthMs; atMs += WINDOW_MS) {
     const inWindow = records.filter(({ askedMs }) => atMs <= askedMs && askedMs < atMs + WINDOW_MS);
--- a/packages/simulation/src/limits.test.ts
+++ b/packages/simulation/src/limits.test.ts
@@ -3,7 +3,7 @@
 import { playPattern } from "./experiment.js";
 import type { Incident, Pattern } from "./pattern.js";
 import { PATTERNS } from "./patterns.js";
-import type { LimitPeriod } from "./SimulatedFleet.js";
+import type { LimitPeriod } from "./fleetRecords.js";
 
 const TIMEOUT_MS = 180_000;
 const WINDOW_MS = 4_000;
--- a/packages/simulation/src/pattern.ts
+++ b/packages/simulation/src/pattern.ts
@@ -68,6 +68,17 @@
 ]);
 export type Incident = z.infer<typeof incidentSchema>;
 
+/** Failure domains of processes, upstreams and callers, which are spread over them evenly. */
+export const domainSpreadSchema = z.object({
+  domains: z.number().int().positive(),
+  /** Placement weighs the crossing between them. */
+  weighs: z.boolean(),
+  /** Waves of the callers, out of phase: period, and swing as a share of the mean. */
+  periodMs: z.number().positive(),
+  swing: z.number().min(0).max(1),
+});
+export type DomainSpreadSpec = z.infer<typeof domainSpreadSchema>;
+
 /** A deployment and the load and incidents that it goes through. */
 export const patternSchema = z.object({
   name: z.string().min(1),
@@ -83,6 +94,8 @@
   loadBatchMs: z.number().positive().optional(),
   /** Processes ask one of their failure domain for loads, and only these hear of all requests. */
   failureDomains: z.number().int().positive().optional(),
+  /** Absent for a fleet in one failure domain. */
+  spread: domainSpreadSchema.optional(),
   /** First parts that the prompts of a class share, if they share any. */
   firstParts: z.number().int().positive().optional(),
   classes: z.array(promptClassSchema).min(1),
