--- a/packages/forwarding/src/room/RoomBook.ts
+++ b/packages/forwarding/src/room/RoomBook.ts
@@ -1,7 +1,7 @@
 import type { Clock, Random } from "@lycheepulley/core";
 import type { Logger } from "@lycheepulley/telemetry";
 
-import type { TimedLoadItem, UpstreamLoad } from "../load.js";
+import type { LoadItem, TimedLoadItem, UpstreamLoad } from "../load.js";
 import type { LoadTracker } from "../LoadTracker.js";
 import {
   getNeededKv,
@@ -16,20 +16,19 @@
 import { getRetryAfterMs } from "../retryAfter.js";
 import type { ForwardRequest } from "../types.js";
 import {
-  findRoomAgain,
+  decideRoom,
   getNeededInMs,
   getReturnId,
   getReturnKey,
-  isHeldByIdle,
-  isTooLate,
-  isUncertain,
   type AskedPrompt,
   type RoomRequest,
+  type RoomStanding,
 } from "./decisions.js";
 import type { FoundRoom } from "./findRoom.js";
 import { estimateReleases, getAnswerMs, ReleaseForecast } from "./forecast.js";
+import { KeptRoom } from "./KeptRoom.js";
 import { withClaimsNow } from "./memory.js";
-import { getLookMs, getReplanMs } from "./pacing.js";
+import { countBefore, getLookMs, getReplanMs } from "./pacing.js";
 import { goesBefore, isInForce, RETURN_GRACE_MS, type RoomPromise } from "./promise.js";
 import { RoomCause } from "./RoomCause.js";
 import type { RoomPolicy, RoomView } from "./RoomPolicy.js";
@@ -60,6 +59,7 @@
   readonly #logger: Logger;
   readonly #waiting = new Map<string, WaitingPrompt>();
   readonly #returnMs = new WeakMap<ForwardRequest, number>();
+  readonly #kept: KeptRoom;
   readonly #roomMs = new WeakMap<ForwardRequest, number>();
   readonly #forecast: ReleaseForecast;
   readonly #stats = new RoomStats();
@@ -69,6 +69,7 @@
     this.#loadTracker = options.loadTracker;
     this.#logger = options.logger;
     this.#forecast = new ReleaseForecast(options);
+    this.#kept = new KeptRoom(options);
   }
 
   get counts(): RoomCounts {
@@ -169,52 +170,57 @@
     return plan.firstEventMs <= getLatestFirstMs(request, deadlineLeftMs);
   }
 
+  getStanding(req: ForwardRequest, candidates: readonly PlacementCandidate[]): RoomStanding {
+    const known = this.#waiting.get(req.head.attemptId);
+    return {
+      place: known?.place ?? this.#getPlace(req) ?? this.#getNextPlace(candidates),
+      waitedMs: known && this.#clock.now() - known.sinceMs,
+      upstreams: known?.upstreams ?? [],
+      hasReturned: !known && this.#findReturn(req) !== undefined,
+    };
+  }
+
+  get mayPromise(): boolean {
+    return this.#waiting.size < MAX_PROMISES;
+  }
+
   /** Has a prompt without a plan wait, promised room where there is any; returns why it shouldn't. */
   decide(room: RoomRequest): RoomCause | undefined {
-    const { req, mayReject } = room;
+    const { req, candidates } = room;
     const known = this.#waiting.get(req.head.attemptId);
     const now = this.#clock.now();
     if (known && now < known.lookedMs + getLookMs(this.#waiting.size, known)) {
       return undefined;
     }
-    if (mayReject && !isHeldByIdle(room)) {
-      return this.#reject(room, RoomCause.TooLarge, undefined);
+    const standing = this.getStanding(req, candidates);
+    const { cause, found, isKept } = decideRoom(room, standing);
+    if (cause === RoomCause.TooLarge) {
+      return this.#reject(room, cause, undefined);
     }
-    const found = findRoomAgain(room, known?.upstreams ?? []);
-    const waiting = known ?? this.#add(room, now);
+    const waiting = known ?? this.#add(room, standing, now);
     waiting.lookedMs = now;
-    if (mayReject && isTooLate(room, found, now - waiting.sinceMs)) {
-      return this.#reject(room, RoomCause.NoRoom, found?.inMs);
+    if (found && isKept) {
+      this.#promiseReturn(room, found, standing.place);
     }
-    if (found && !known && this.#shouldReturn(room, found)) {
-      this.#promiseReturn(room, found, waiting.place);
-      return this.#reject(room, RoomCause.NoRoom, found.inMs);
+    if (cause) {
+      return this.#reject(room, cause, found?.inMs);
     }
     this.#promise(room, waiting, found);
     return undefined;
   }
 
   /** Time after which a prompt that waits should be planned again, milliseconds. */
-  getReplanMs({ head: { attemptId: id } }: ForwardRequest): number {
-    const own = { id, place: this.#waiting.get(id)?.place ?? 0 };
-    return getReplanMs(
-      [...this.#waiting].filter(([other, { place }]) => goesBefore({ id: other, place }, own))
-        .length,
-    );
+  getReplanMs({ head }: ForwardRequest): number {
+    return getReplanMs(countBefore(this.#waiting, head.attemptId));
   }
 
-  #shouldReturn(room: RoomRequest, found: FoundRoom): boolean {
-    return room.mayReject && this.#findReturn(room.req) === undefined && isUncertain(room, found);
-  }
-
-  #add({ req, candidates }: RoomRequest, now: number): WaitingPrompt {
+  #add({ req }: RoomRequest, { place, hasReturned }: RoomStanding, now: number): WaitingPrompt {
     const waiting: WaitingPrompt = {
       ...{ route: req.route.name, sinceMs: now, lookedMs: now, renewedMs: -Infinity, renewal: 0 },
-      ...{ place: this.#getPlace(req) ?? this.#getNextPlace(candidates), tokens: 0 },
+      ...{ place, tokens: 0, upstreams: [], yieldsSinceMs: undefined },
       ...{ firstRoomAtMs: undefined, roomAtMs: undefined, neededAtMs: undefined },
-      ...{ upstreams: [], yieldsSinceMs: undefined },
     };
-    if (this.#findReturn(req)) {
+    if (hasReturned) {
       this.#stats.countPromise("returned");
     }
     this.#waiting.set(req.head.attemptId, waiting);
@@ -256,7 +262,9 @@
         waiting.neededAtMs = now + getNeededInMs(room, found);
       }
       const neededInMs = Math.max(found.inMs, waiting.neededAtMs - now);
-      this.#setItem(room, { ...found, id: attemptId, neededInMs }, { place, renewal });
+      this.#loadTracker.setOwn(
+        this.#newItem(room, { ...found, id: attemptId, neededInMs }, { place, renewal }),
+      );
     }
     if (isFirst || movedMs >= RENEWAL_MS) {
       this.#logger.info("prompt waits for room", {
@@ -272,27 +280,26 @@
   /** Keeps room for a caller that is told to come back for it. */
   #promiseReturn(room: RoomRequest, found: FoundRoom, place: number): void {
     const id = getReturnId(room.req);
-    this.#returnMs.set(room.req, found.inMs);
     const fields = { place, renewal: 0, returnKey: getReturnKey(room.req) };
-    this.#setItem(room, { ...found, id, neededInMs: found.inMs }, fields);
-    this.#clock.setTimer(() => {
-      this.#loadTracker.removeOwn(id);
-    }, found.inMs + RETURN_GRACE_MS);
+    const item = this.#newItem(room, { ...found, id, neededInMs: found.inMs }, fields);
+    if (this.#kept.keep(item, found.inMs + RETURN_GRACE_MS)) {
+      this.#returnMs.set(room.req, found.inMs);
+    }
   }
 
-  #setItem(
+  #newItem(
     { req, pool, engine, request }: RoomRequest,
     { id, plan, inMs, neededInMs }: FoundRoom & { id: string; neededInMs: number },
     fields: Pick<RoomPromise, "place" | "renewal" | "returnKey">,
-  ): void {
+  ): LoadItem {
     const crowded = { decoding: engine.slots, contextTokens: 0 };
     const answerMs = getAnswerMs(engine, request.outputTokens, crowded);
     const forMs = Math.ceil(plan.firstEventMs + answerMs);
-    this.#loadTracker.setOwn({
+    return {
       ...getPromptLoad(plan, request),
       ...{ id, pool, upstream: plan.upstream.id, kvTokens: getKvTokens(req, plan, request) },
       promise: { inMs: Math.ceil(inMs), neededInMs: Math.ceil(neededInMs), forMs, ...fields },
-    });
+    };
   }
 
   #reject({ req, request }: RoomRequest, cause: RoomCause, roomMs: number | undefined): RoomCause {
@@ -313,6 +320,9 @@
   /** Ends the wait of a request, which was placed or not. */
   end(req: ForwardRequest, isPlaced: boolean): void {
     const { attemptId } = req.head;
+    if (isPlaced) {
+      this.#kept.end(getReturnId(req));
+    }
     const waiting = this.#waiting.get(attemptId);
     if (!waiting) {
       return;
--- a/packages/forwarding/src/room/pacing.ts
+++ b/packages/forwarding/src/room/pacing.ts
@@ -1,4 +1,4 @@
-import { PROMISE_TERM_MS } from "./promise.js";
+import { goesBefore, PROMISE_TERM_MS } from "./promise.js";
 
 /** Interval at which room is looked for again, for each so many prompts that wait at a process. */
 const LOOK_MS = 60;
@@ -18,3 +18,12 @@
 /** Time after which a prompt with `before` others before it is planned again, milliseconds. */
 export const getReplanMs = (before: number): number =>
   REPLAN_INTERVAL_MS * Math.max(1, before / BEFORE_PER_REPLAN);
+
+/** Number of those that wait and go before the one with this id. */
+export const countBefore = (
+  waiting: ReadonlyMap<string, { readonly place: number }>,
+  id: string,
+): number => {
+  const own = { id, place: waiting.get(id)?.place ?? 0 };
+  return [...waiting].filter(([other, { place }]) => goesBefore({ id: other, place }, own)).length;
+};
