--- a/packages/forwarding/src/room/RoomBook.ts
+++ b/packages/forwarding/src/room/RoomBook.ts
@@ -1,7 +1,8 @@
 import type { Clock, Random } from "@lycheepulley/core";
 import type { Logger } from "@lycheepulley/telemetry";
 
-import type { LoadItem, TimedLoadItem, UpstreamLoad } from "../load.js";
+import type { CostBook } from "../costs/CostBook.js";
+import type { TimedLoadItem, UpstreamLoad } from "../load.js";
 import type { LoadTracker } from "../LoadTracker.js";
 import {
   getNeededKv,
@@ -12,7 +13,6 @@
   type PlacementRequest,
 } from "../placement.js";
 import { getLatestFirstMs } from "../placementQuery.js";
-import { getKvTokens, getPromptLoad } from "../requestLoad.js";
 import { getRetryAfterMs } from "../retryAfter.js";
 import type { ForwardRequest } from "../types.js";
 import {
@@ -25,11 +25,12 @@
   type RoomStanding,
 } from "./decisions.js";
 import type { FoundRoom } from "./findRoom.js";
-import { estimateReleases, getAnswerMs, ReleaseForecast } from "./forecast.js";
+import { estimateReleases, ReleaseForecast } from "./forecast.js";
 import { KeptRoom } from "./KeptRoom.js";
 import { withClaimsNow } from "./memory.js";
 import { countBefore, getLookMs, getReplanMs } from "./pacing.js";
-import { goesBefore, isInForce, RETURN_GRACE_MS, type RoomPromise } from "./promise.js";
+import { goesBefore, isInForce, RETURN_GRACE_MS } from "./promise.js";
+import { newPromiseItem } from "./promiseItem.js";
 import { RoomCause } from "./RoomCause.js";
 import type { RoomPolicy, RoomView } from "./RoomPolicy.js";
 import { RoomStats, type RoomCounts } from "./RoomStats.js";
@@ -64,7 +65,12 @@
   readonly #forecast: ReleaseForecast;
   readonly #stats = new RoomStats();
 
-  constructor(options: { clock: Clock; loadTracker: LoadTracker; logger: Logger }) {
+  constructor(options: {
+    clock: Clock;
+    loadTracker: LoadTracker;
+    costs?: CostBook | undefined;
+    logger: Logger;
+  }) {
     this.#clock = options.clock;
     this.#loadTracker = options.loadTracker;
     this.#logger = options.logger;
@@ -263,7 +269,7 @@
       }
       const neededInMs = Math.max(found.inMs, waiting.neededAtMs - now);
       this.#loadTracker.setOwn(
-        this.#newItem(room, { ...found, id: attemptId, neededInMs }, { place, renewal }),
+        newPromiseItem(room, { ...found, id: attemptId, neededInMs }, { place, renewal }),
       );
     }
     if (isFirst || movedMs >= RENEWAL_MS) {
@@ -281,27 +287,12 @@
   #promiseReturn(room: RoomRequest, found: FoundRoom, place: number): void {
     const id = getReturnId(room.req);
     const fields = { place, renewal: 0, returnKey: getReturnKey(room.req) };
-    const item = this.#newItem(room, { ...found, id, neededInMs: found.inMs }, fields);
+    const item = newPromiseItem(room, { ...found, id, neededInMs: found.inMs }, fields);
     if (this.#kept.keep(item, found.inMs + RETURN_GRACE_MS)) {
       this.#returnMs.set(room.req, found.inMs);
     }
   }
 
-  #newItem(
-    { req, pool, engine, request }: RoomRequest,
-    { id, plan, inMs, neededInMs }: FoundRoom & { id: string; neededInMs: number },
-    fields: Pick<RoomPromise, "place" | "renewal" | "returnKey">,
-  ): LoadItem {
-    const crowded = { decoding: engine.slots, contextTokens: 0 };
-    const answerMs = getAnswerMs(engine, request.outputTokens, crowded);
-    const forMs = Math.ceil(plan.firstEventMs + answerMs);
-    return {
-      ...getPromptLoad(plan, request),
-      ...{ id, pool, upstream: plan.upstream.id, kvTokens: getKvTokens(req, plan, request) },
-      promise: { inMs: Math.ceil(inMs), neededInMs: Math.ceil(neededInMs), forMs, ...fields },
-    };
-  }
-
   #reject({ req, request }: RoomRequest, cause: RoomCause, roomMs: number | undefined): RoomCause {
     const waiting = this.#waiting.get(req.head.attemptId);
     if (roomMs !== undefined) {
--- a/packages/simulation/src/SimulatedGateway.ts
+++ b/packages/simulation/src/SimulatedGateway.ts
@@ -30,6 +30,7 @@
   type QuotaPeers,
   type TrialAnswer,
   type TrialPeers,
+  type TrialKey,
   type TrialRequest,
   type Upstream,
   type UpstreamControl,
@@ -44,6 +45,7 @@
 /** One entry process: the real decision modules, with simulated upstreams and peers. */
 export class SimulatedGateway {
   readonly name: string;
+  readonly failureDomain: string;
   readonly #clock: Clock;
   readonly #view = new FleetView();
   readonly #health: UpstreamHealth;
@@ -60,6 +62,9 @@
 
   constructor(options: {
     name: string;
+    failureDomain: string;
+    /** Failure domain whose upstreams are near; undefined where distance doesn't count. */
+    nearDomain: string | undefined;
     clock: Clock;
     random: Random;
     config: FleetConfig;
@@ -79,6 +84,7 @@
   }) {
     const { clock, random, transport, control } = options;
     this.name = options.name;
+    this.failureDomain = options.failureDomain;
     this.#costs = options.costs;
     this.#clock = clock;
     this.#health = new UpstreamHealth(clock);
@@ -120,6 +126,7 @@
         watch: this.#watch,
         loadTracker: this.#loadTracker,
         peerLoads: options.peerLoads,
+        nearDomain: options.nearDomain,
         dialect: new SimulatedDialect(),
       },
       retryBudget: new RetryBudget({
@@ -165,8 +172,8 @@
     return this.#trialOwner.take(peer, req);
   }
 
-  endTrial(part: string): void {
-    this.#trialOwner.end(part);
+  endTrial(trial: TrialKey): void {
+    this.#trialOwner.end(trial);
   }
 
   observeQuotas(): void {
