--- a/packages/forwarding/src/room/RoomBook.ts
+++ b/packages/forwarding/src/room/RoomBook.ts
@@ -2,8 +2,7 @@
 import type { Logger } from "@lycheepulley/telemetry";
 
 import type { CostBook } from "../costs/CostBook.js";
-import { newDecodePlan } from "../decodePlan.js";
-import { newUpstreamLoad, type TimedLoadItem, type UpstreamLoad } from "../load.js";
+import type { TimedLoadItem, UpstreamLoad } from "../load.js";
 import type { LoadTracker } from "../LoadTracker.js";
 import {
   getNeededKv,
@@ -14,7 +13,6 @@
   type PlacementRequest,
 } from "../placement.js";
 import { getLatestFirstMs } from "../placementQuery.js";
-import { getKvTokens, getPromptLoad } from "../requestLoad.js";
 import { getRetryAfterMs } from "../retryAfter.js";
 import type { ForwardRequest } from "../types.js";
 import {
@@ -28,9 +26,11 @@
 } from "./decisions.js";
 import type { FoundRoom } from "./findRoom.js";
 import { estimateReleases, ReleaseForecast } from "./forecast.js";
+import { KeptRoom } from "./KeptRoom.js";
 import { withClaimsNow } from "./memory.js";
-import { getLookMs, getReplanMs } from "./pacing.js";
-import { goesBefore, isInForce, RETURN_GRACE_MS, type RoomPromise } from "./promise.js";
+import { countBefore, getLookMs, getReplanMs } from "./pacing.js";
+import { goesBefore, isInForce, RETURN_GRACE_MS } from "./promise.js";
+import { newPromiseItem } from "./promiseItem.js";
 import { RoomCause } from "./RoomCause.js";
 import type { RoomPolicy, RoomView } from "./RoomPolicy.js";
 import { RoomStats, type RoomCounts } from "./RoomStats.js";
@@ -60,6 +60,7 @@
   readonly #logger: Logger;
   readonly #waiting = new Map<string, WaitingPrompt>();
   readonly #returnMs = new WeakMap<ForwardRequest, number>();
+  readonly #kept: KeptRoom;
   readonly #roomMs = new WeakMap<ForwardRequest, number>();
   readonly #forecast: ReleaseForecast;
   readonly #stats = new RoomStats();
@@ -74,6 +75,7 @@
     this.#loadTracker = options.loadTracker;
     this.#logger = options.logger;
     this.#forecast = new ReleaseForecast(options);
+    this.#kept = new KeptRoom(options);
   }
 
   get counts(): RoomCounts {
@@ -214,12 +216,8 @@
   }
 
   /** Time after which a prompt that waits should be planned again, milliseconds. */
-  getReplanMs({ head: { attemptId: id } }: ForwardRequest): number {
-    const own = { id, place: this.#waiting.get(id)?.place ?? 0 };
-    return getReplanMs(
-      [...this.#waiting].filter(([other, { place }]) => goesBefore({ id: other, place }, own))
-        .length,
-    );
+  getReplanMs({ head }: ForwardRequest): number {
+    return getReplanMs(countBefore(this.#waiting, head.attemptId));
   }
 
   #add({ req }: RoomRequest, { place, hasReturned }: RoomStanding, now: number): WaitingPrompt {
@@ -270,7 +268,9 @@
         waiting.neededAtMs = now + getNeededInMs(room, found);
       }
       const neededInMs = Math.max(found.inMs, waiting.neededAtMs - now);
-      this.#setItem(room, { ...found, id: attemptId, neededInMs }, { place, renewal });
+      this.#loadTracker.setOwn(
+        newPromiseItem(room, { ...found, id: attemptId, neededInMs }, { place, renewal }),
+      );
     }
     if (isFirst || movedMs >= RENEWAL_MS) {
       this.#logger.info("prompt waits for room", {
@@ -286,27 +286,11 @@
   /** Keeps room for a caller that is told to come back for it. */
   #promiseReturn(room: RoomRequest, found: FoundRoom, place: number): void {
     const id = getReturnId(room.req);
-    this.#returnMs.set(room.req, found.inMs);
     const fields = { place, renewal: 0, returnKey: getReturnKey(room.req) };
-    this.#setItem(room, { ...found, id, neededInMs: found.inMs }, fields);
-    this.#clock.setTimer(() => {
-      this.#loadTracker.removeOwn(id);
-    }, found.inMs + RETURN_GRACE_MS);
-  }
-
-  #setItem(
-    { req, pool, engine, request }: RoomRequest,
-    { id, plan, inMs, neededInMs }: FoundRoom & { id: string; neededInMs: number },
-    fields: Pick<RoomPromise, "place" | "renewal" | "returnKey">,
-  ): void {
-    const crowded = { ...newUpstreamLoad(), decoding: engine.slots - 1 };
-    const { writeMs } = newDecodePlan(engine, request, { load: crowded, pace: plan.decode.pace });
-    const forMs = Math.ceil(plan.firstEventMs + writeMs);
-    this.#loadTracker.setOwn({
-      ...getPromptLoad(plan, request),
-      ...{ id, pool, upstream: plan.upstream.id, kvTokens: getKvTokens(req, plan, request) },
-      promise: { inMs: Math.ceil(inMs), neededInMs: Math.ceil(neededInMs), forMs, ...fields },
-    });
+    const item = newPromiseItem(room, { ...found, id, neededInMs: found.inMs }, fields);
+    if (this.#kept.keep(item, found.inMs + RETURN_GRACE_MS)) {
+      this.#returnMs.set(room.req, found.inMs);
+    }
   }
 
   #reject({ req, request }: RoomRequest, cause: RoomCause, roomMs: number | undefined): RoomCause {
@@ -327,6 +311,9 @@
   /** Ends the wait of a request, which was placed or not. */
   end(req: ForwardRequest, isPlaced: boolean): void {
     const { attemptId } = req.head;
+    if (isPlaced) {
+      this.#kept.end(getReturnId(req));
+    }
     const waiting = this.#waiting.get(attemptId);
     if (!waiting) {
       return;
