--- a/packages/cli/src/commands/where.ts
+++ b/packages/cli/src/commands/where.ts
@@ -123,7 +123,8 @@
       found.upstream,
       found.failureDomain === domain ? `${domain} (caller)` : found.failureDomain,
       `${String(found.inFlight)}/${String(found.slots)}`,
-      ...[found.pace.toFixed(2), formatMs(found.pendingReadMs)],
+      found.pace.toFixed(2) + (found.paceSeen ? ` of ${found.paceSeen.toFixed(1)}` : ""),
+      formatMs(found.pendingReadMs),
       formatMs(found.remainingMs) + (found.unknown > 0 ? ` + ${String(found.unknown)}?` : ""),
       ...[formatMs(found.firstEventMs), found.cost?.toFixed(2) ?? "no memory"],
     ]),
@@ -131,7 +132,7 @@
 
 const printExplanation = (
   ctx: CommandContext,
-  { process, listAgeMs, revision, errors }: WhereAnswer,
+  { process, listAgeMs, revision, errors, snapshot }: WhereAnswer,
   explanation: PlacementExplanation,
 ): void => {
   const { candidates, ruledOut, answerTokens } = explanation;
@@ -140,7 +141,7 @@
     ctx.print("A limit applies there: the owner of the quota wasn't asked, and may refuse.");
   }
   ctx.print(
-    `Asked ${process}; configuration ${String(revision)}, upstream list ${formatMs(listAgeMs)} old` +
+    `Asked ${process}; configuration ${String(revision)}, upstream list ${formatMs(listAgeMs)} old, load of peers up to ${formatMs(snapshot.loadAgeMs)}` +
       (answerTokens === undefined ? "" : `, ${String(answerTokens)} tokens of answer expected`),
   );
   if (candidates.length > 0) {
--- a/packages/forwarding/src/LoadTracker.ts
+++ b/packages/forwarding/src/LoadTracker.ts
@@ -139,20 +139,27 @@
     return [...this.#items()];
   }
 
+  /** Age of what is known of the peer that was heard longest ago, milliseconds; 0 without peers. */
+  get ageMs(): number {
+    const now = this.#clock.now();
+    return Math.max(0, ...this.#heardPeers(now).map(({ lastMessageMs }) => now - lastMessageMs));
+  }
+
   /** Load items of all processes except silent peers. */
   *#items(): Generator<TimedLoadItem> {
     yield* this.#own.values();
-    const now = this.#clock.now();
-    for (const peer of this.#peers.values()) {
-      if (
-        now - peer.lastMessageMs <
-        Math.max(PEER_SILENCE_MS, PEER_SILENCE_HEARTBEATS * peer.beatMs)
-      ) {
-        yield* peer.items.values();
-      }
+    for (const peer of this.#heardPeers(this.#clock.now())) {
+      yield* peer.items.values();
     }
   }
 
+  #heardPeers(now: number): PeerLoads[] {
+    return [...this.#peers.values()].filter(
+      ({ lastMessageMs, beatMs }) =>
+        now - lastMessageMs < Math.max(PEER_SILENCE_MS, PEER_SILENCE_HEARTBEATS * beatMs),
+    );
+  }
+
   #getPeer(name: string): PeerLoads {
     let loads = this.#peers.get(name);
     if (!loads) {
--- a/packages/forwarding/src/costs/UpstreamPaces.ts
+++ b/packages/forwarding/src/costs/UpstreamPaces.ts
@@ -66,12 +66,19 @@
       : Math.min(MAX_PACE, Math.max(MIN_PACE, Math.exp(logPace)));
   }
 
+  /** Observations behind an upstream's pace, each with what is left of its weight. */
+  getWeight(upstream: string): number {
+    const now = this.#clock.now();
+    const peer = this.#peers.get(upstream);
+    const own = this.#own.get(upstream)?.getWeight(now) ?? 0;
+    return Math.max(own, peer ? getPeerWeight(peer, now) : 0);
+  }
+
   /** Paces that differ from the usual, the best known first. */
   getReports(): PaceReport[] {
-    const now = this.#clock.now();
     const keys = new Set([...this.#own.keys(), ...this.#peers.keys()]);
     return [...keys]
-      .map((upstream) => this.#newReport(upstream, now))
+      .map((upstream) => this.#newReport(upstream))
       .filter(
         ({ pace, weight }) =>
           Math.abs(Math.log(pace)) > TOLD_DEVIATION && weight >= MIN_TOLD_WEIGHT,
@@ -109,12 +116,9 @@
     }
   }
 
-  #newReport(upstream: string, now: number): PaceReport {
-    const own = this.#own.get(upstream)?.getWeight(now) ?? 0;
-    const peer = this.#peers.get(upstream);
-    const weight = Math.max(own, peer ? getPeerWeight(peer, now) : 0);
+  #newReport(upstream: string): PaceReport {
     const pace = Math.exp(this.#blend(upstream, 0));
-    return { upstream, pace: round(pace), weight: round(weight) };
+    return { upstream, pace: round(pace), weight: round(this.getWeight(upstream)) };
   }
 
   /** Logarithm of the pace: that of this process and its peers, drawn to `prior` while little is known. */
--- a/packages/forwarding/src/explain/PlacementExplainer.ts
+++ b/packages/forwarding/src/explain/PlacementExplainer.ts
@@ -10,6 +10,7 @@
 import type { QuotaQueue } from "../limits/QuotaQueue.js";
 import { newQuotaWait } from "../limits/quotaWait.js";
 import type { SendQuota } from "../limits/SendQuota.js";
+import type { LoadTracker } from "../LoadTracker.js";
 import { isForOneUpstream, type PlacementCandidate } from "../placement.js";
 import { getLatestFirstMs, isRejectable, type PlacementQuery } from "../placementQuery.js";
 import { newPlacementRequest } from "../placementRequest.js";
@@ -24,6 +25,7 @@
   readonly #finder: CandidateFinder;
   readonly #costs: CostBook | undefined;
   readonly #admission: AdmissionControl;
+  readonly #loadTracker: LoadTracker;
   readonly #quota: SendQuota;
   readonly #quotaQueue: QuotaQueue;
   readonly #room: RoomPolicy;
@@ -34,6 +36,7 @@
     finder: CandidateFinder;
     costs?: CostBook | undefined;
     admission: AdmissionControl;
+    loadTracker: LoadTracker;
     quota: SendQuota;
     quotaQueue: QuotaQueue;
     room: RoomPolicy;
@@ -43,6 +46,7 @@
     this.#finder = options.finder;
     this.#costs = options.costs;
     this.#admission = options.admission;
+    this.#loadTracker = options.loadTracker;
     this.#quota = options.quota;
     this.#quotaQueue = options.quotaQueue;
     this.#room = options.room;
@@ -56,8 +60,9 @@
     const found = isPrompt
       ? await this.#findCandidates(query, engine, { isWhole: false })
       : await this.#finder.find(query);
-    const candidates = [...found];
+    const candidates = this.#addEvidence(found);
     const base = {
+      loadAgeMs: this.#loadTracker.ageMs,
       ...{ atMs: now, pool, candidates, ruledOut: this.#finder.explain(query, candidates) },
       limits: this.#getLimits(query, now),
     };
@@ -83,6 +88,16 @@
     };
   }
 
+  /** Says how well the paces of candidates are known. */
+  #addEvidence(
+    candidates: readonly PlacementCandidate[],
+  ): (PlacementCandidate & { paceSeen?: number })[] {
+    return candidates.map((candidate) => ({
+      ...candidate,
+      ...(this.#costs && { paceSeen: this.#costs.paces.getWeight(candidate.upstream.id) }),
+    }));
+  }
+
   /** What decides once no upstream of the first look has the memory. */
   async #getRoom(
     query: PlacementQuery,
@@ -90,7 +105,8 @@
     deadlineLeftMs: number,
   ): Promise<PlacementSnapshot["room"]> {
     const { req, pool, homes } = query;
-    const candidates = [...(await this.#findCandidates(query, engine, { isWhole: true }))];
+    const found = await this.#findCandidates(query, engine, { isWhole: true });
+    const candidates = this.#addEvidence(found);
     const standing = this.#room.getStanding(req, candidates);
     return (
       standing && {
--- a/packages/forwarding/src/explain/PlacementSnapshot.ts
+++ b/packages/forwarding/src/explain/PlacementSnapshot.ts
@@ -51,6 +51,8 @@
 const candidateSchema = z.object({
   ...{ upstream: upstreamSchema, load: loadSchema, failureRate: amount, avoidance: amount },
   ...{ pace: amount.optional(), crossingCost: amount.optional() },
+  /** Observations behind the pace, each with what is left of its weight. */
+  paceSeen: amount.optional(),
   releases: z
     .array(z.object({ inMs: amount, tokens: amount }))
     .readonly()
@@ -85,6 +87,8 @@
   /** Monotonic time of the process that took it. */
   atMs: z.number(),
   pool: z.string(),
+  /** Age of the oldest load of a peer that counts, milliseconds. */
+  loadAgeMs: amount.optional(),
   candidates: z.array(candidateSchema),
   ruledOut: z.array(ruledOutSchema),
   /** Limits and rests of the pool; absent when no upstream may be used. */
--- a/packages/forwarding/src/explain/explainPlacement.ts
+++ b/packages/forwarding/src/explain/explainPlacement.ts
@@ -2,12 +2,7 @@
 import { pickNear, planNear } from "../distance/preferNear.js";
 import type { EngineSpec, Upstream } from "../fleetConfig.js";
 import { getCallCost } from "../pickServiceUpstream.js";
-import {
-  planPlacement,
-  type PlacementCandidate,
-  type PlacementPlan,
-  type PlacementRequest,
-} from "../placement.js";
+import { planPlacement, type PlacementPlan, type PlacementRequest } from "../placement.js";
 import { getRetryAfterMs } from "../retryAfter.js";
 import { decideRoom, getUnknownWaitMs, type RoomDecision } from "../room/decisions.js";
 import { goesBefore } from "../room/promise.js";
@@ -56,6 +51,8 @@
   readonly inFlight: number;
   readonly slots: number;
   readonly pace: number;
+  /** Observations behind the pace, each with what is left of its weight; undefined where nothing is learned. */
+  readonly paceSeen: number | undefined;
   /** Prefill that waits there, milliseconds. */
   readonly pendingReadMs: number;
   /** Sum of the expected times until its requests end, milliseconds. */
@@ -224,14 +221,15 @@
 
 const explainCandidate = (
   { engine, request, callMs, targetMs = Infinity }: PlacementSnapshot,
-  candidate: PlacementCandidate,
+  candidate: PlacementSnapshot["candidates"][number],
 ): ExplainedCandidate => {
-  const { upstream, load, pace = 1 } = candidate;
+  const { upstream, load, pace = 1, paceSeen } = candidate;
   const plan: PlacementPlan | undefined =
     engine && request ? planPlacement(engine, request, [candidate]) : undefined;
   return {
     ...{ upstream: upstream.id, failureDomain: upstream.failureDomain },
-    ...{ inFlight: load.inFlight, slots: upstream.slots, pace, pendingReadMs: load.pendingReadMs },
+    ...{ inFlight: load.inFlight, slots: upstream.slots, pace, paceSeen },
+    pendingReadMs: load.pendingReadMs,
     remainingMs: load.endsMs.reduce((sum, ms) => sum + ms, 0),
     unknown: load.inFlight - load.endsMs.length,
     firstEventMs: plan?.firstEventMs,
