--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -56,7 +56,7 @@
     countParts: () => countByStatus(this.#evidence.crashes.guard.evidence.suspects),
     ...{ countDetours: () => this.#connector.detours, hasLostLinks: () => this.#connector.isLost },
     countEvacuated: () => this.#evacuations.count,
-    ...{ getRoom: () => this.#forwarder.room, getHeldBytes: () => this.#listener.heldBytes },
+    ...{ getRoom: () => this.#forwarder.room, getHeldBytes: () => this.#listener.held.bytes },
     getCrossedBytes: () => this.#crossed.counts,
     getCold: () => this.#evidence.limits.coldCounts,
   });
--- a/packages/forwarding/src/room/RoomBook.ts
+++ b/packages/forwarding/src/room/RoomBook.ts
@@ -22,12 +22,14 @@
   getNeededInMs,
   getReturnId,
   getReturnKey,
+  type AskedPrompt,
   type RoomRequest,
   type RoomStanding,
 } from "./decisions.js";
 import type { FoundRoom } from "./findRoom.js";
 import { estimateReleases, ReleaseForecast } from "./forecast.js";
 import { withClaimsNow } from "./memory.js";
+import { getLookMs, getReplanMs } from "./pacing.js";
 import { goesBefore, isInForce, RETURN_GRACE_MS, type RoomPromise } from "./promise.js";
 import { RoomCause } from "./RoomCause.js";
 import type { RoomPolicy, RoomView } from "./RoomPolicy.js";
@@ -37,9 +39,6 @@
 /** A promise is renewed at this interval, or sooner when it moved by the second time. */
 const RENEWAL_MS = 500;
 const MOVED_MS = 100;
-/** Interval at which room is looked for again, for each so many prompts that wait here. */
-const LOOK_MS = 60;
-const WAITING_PER_LOOK = 8;
 /** Time for which each prompt before may take memory that has become free, and most of them. */
 const YIELD_MS = 25;
 const MAX_YIELDS = 4;
@@ -152,12 +151,7 @@
    * at about the same time. Each gets some time to take it.
    */
   awaitTurn(
-    {
-      req,
-      engine,
-      request,
-      candidates,
-    }: Pick<RoomRequest, "req" | "engine" | "request" | "candidates">,
+    { req, engine, request, candidates }: AskedPrompt,
     plan: PlacementPlan | undefined,
   ): PlacementPlan | undefined {
     const waiting = this.#waiting.get(req.head.attemptId);
@@ -199,8 +193,7 @@
     const { req, candidates } = room;
     const known = this.#waiting.get(req.head.attemptId);
     const now = this.#clock.now();
-    const lookMs = LOOK_MS * Math.max(1, this.#waiting.size / WAITING_PER_LOOK);
-    if (known && now < known.lookedMs + lookMs) {
+    if (known && now < known.lookedMs + getLookMs(this.#waiting.size, known)) {
       return undefined;
     }
     const standing = this.getStanding(req, candidates);
@@ -220,6 +213,15 @@
     return undefined;
   }
 
+  /** Time after which a prompt that waits should be planned again, milliseconds. */
+  getReplanMs({ head: { attemptId: id } }: ForwardRequest): number {
+    const own = { id, place: this.#waiting.get(id)?.place ?? 0 };
+    return getReplanMs(
+      [...this.#waiting].filter(([other, { place }]) => goesBefore({ id: other, place }, own))
+        .length,
+    );
+  }
+
   #add({ req }: RoomRequest, { place, hasReturned }: RoomStanding, now: number): WaitingPrompt {
     const waiting: WaitingPrompt = {
       ...{ route: req.route.name, sinceMs: now, lookedMs: now, renewedMs: -Infinity, renewal: 0 },
--- a/packages/forwarding/src/room/RoomPolicy.ts
+++ b/packages/forwarding/src/room/RoomPolicy.ts
@@ -5,6 +5,7 @@
 import { getRetryAfterMs } from "../retryAfter.js";
 import type { ForwardRequest } from "../types.js";
 import type { RoomRequest, RoomStanding } from "./decisions.js";
+import { getReplanMs } from "./pacing.js";
 import type { RoomCause } from "./RoomCause.js";
 import { RoomStats, type RoomCounts } from "./RoomStats.js";
 
@@ -47,6 +48,8 @@
   readonly mayPromise: boolean;
   /** Has a prompt without a plan wait; returns why it shouldn't. */
   decide(room: RoomRequest): RoomCause | undefined;
+  /** Time after which a prompt that waits should be planned again, milliseconds. */
+  getReplanMs(req: ForwardRequest): number;
   /** Ends the wait of a request, which was placed or not. */
   end(req: ForwardRequest, isPlaced: boolean): void;
   /** Time after which a rejected request should come back, milliseconds. */
@@ -79,6 +82,10 @@
     return undefined;
   }
 
+  getReplanMs(): number {
+    return getReplanMs(0);
+  }
+
   end(): void {
     // Nothing is kept of a prompt that waits.
   }
