--- a/packages/forwarding/src/room/RoomBook.ts
+++ b/packages/forwarding/src/room/RoomBook.ts
@@ -34,7 +34,7 @@
 import { RoomCause } from "./RoomCause.js";
 import type { RoomPolicy, RoomView } from "./RoomPolicy.js";
 import { RoomStats, type RoomCounts } from "./RoomStats.js";
-import type { WaitingPrompt } from "./WaitingPrompt.js";
+import { newWaitingPrompt, type WaitingPrompt } from "./WaitingPrompt.js";
 
 /** A promise is renewed at this interval, or sooner when it moved by the second time. */
 const RENEWAL_MS = 500;
@@ -223,11 +223,7 @@
   }
 
   #add({ req }: RoomRequest, { place, hasReturned }: RoomStanding, now: number): WaitingPrompt {
-    const waiting: WaitingPrompt = {
-      ...{ route: req.route.name, sinceMs: now, lookedMs: now, renewedMs: -Infinity, renewal: 0 },
-      ...{ place, tokens: 0, upstreams: [], yieldsSinceMs: undefined },
-      ...{ firstRoomAtMs: undefined, roomAtMs: undefined, neededAtMs: undefined },
-    };
+    const waiting = newWaitingPrompt({ route: req.route.name, place, now });
     if (hasReturned) {
       this.#stats.countPromise("returned");
     }
--- a/packages/forwarding/src/room/WaitingPrompt.ts
+++ b/packages/forwarding/src/room/WaitingPrompt.ts
@@ -17,3 +17,17 @@
   /** Since when there is memory that prompts before it may be about to take. */
   yieldsSinceMs: number | undefined;
 }
+
+/** A prompt that begins to wait at the monotonic time `now`, promised nothing yet. */
+export const newWaitingPrompt = (options: {
+  route: string;
+  place: number;
+  now: number;
+}): WaitingPrompt => {
+  const { route, place, now } = options;
+  return {
+    ...{ route, place, sinceMs: now, lookedMs: now, renewedMs: -Infinity, renewal: 0 },
+    ...{ firstRoomAtMs: undefined, roomAtMs: undefined, neededAtMs: undefined },
+    ...{ tokens: 0, upstreams: [], yieldsSinceMs: undefined },
+  };
+};
