--- a/packages/simulation/src/GatewayNetwork.ts
+++ b/packages/simulation/src/GatewayNetwork.ts
@@ -1,5 +1,6 @@
 import { sleep, type Clock } from "@lycheepulley/core";
 import type {
+  ColdReport,
   CrashReport,
   KnownLimit,
   LimitReport,
@@ -77,8 +78,8 @@
 
   /** Asks the gateways of other processes for sends to upstreams with limits. */
   newQuotaPeers(from: string): QuotaPeers {
-    const ask = (host: string, limit: KnownLimit): Promise<QuotaAnswer> =>
-      this.#call(host, (owner) => owner.takeForPeer(from, limit));
+    const ask = (host: string, limit: KnownLimit, cold?: ColdReport): Promise<QuotaAnswer> =>
+      this.#call(host, (owner) => owner.takeForPeer(from, limit, cold));
     return { ask, charge: () => undefined };
   }
 
@@ -120,6 +121,12 @@
     });
   }
 
+  sendCold(from: string, reports: readonly ColdReport[]): void {
+    this.#broadcast(from, (gateway) => {
+      gateway.applyPeerCold(from, reports);
+    });
+  }
+
   sendLimit(from: string, report: LimitReport): void {
     this.#broadcast(from, (gateway) => {
       gateway.applyPeerLimit(from, report);
--- a/packages/simulation/src/SimulatedCaller.ts
+++ b/packages/simulation/src/SimulatedCaller.ts
@@ -1,8 +1,9 @@
 import { nextExponential, type Cancel, type Clock, type Random } from "@lycheepulley/core";
 import type { AnswerWriter, ForwardRequest } from "@lycheepulley/forwarding";
 
+import { newRoute } from "./fleetConfig.js";
 import type { Incident, Pattern, PromptClass } from "./pattern.js";
-import { newRoute, type SimulatedFleet } from "./SimulatedFleet.js";
+import type { SimulatedFleet } from "./SimulatedFleet.js";
 import { CRASHING_PART } from "./SimulatedUpstream.js";
 import { ANSWER_HEADER } from "./simulatedDialect.js";
 
--- a/packages/simulation/src/SimulatedFleet.ts
+++ b/packages/simulation/src/SimulatedFleet.ts
@@ -1,26 +1,26 @@
 import type { Clock, Random } from "@lycheepulley/core";
-import {
-  DEFAULT_CALLER_LIMITS,
-  type FleetConfig,
-  type Route,
-  type Upstream,
-  type UpstreamControl,
-  type UpstreamTransport,
+import type {
+  FleetConfig,
+  Upstream,
+  UpstreamControl,
+  UpstreamTransport,
 } from "@lycheepulley/forwarding";
 
 import { CostPolicy, newCosts } from "./costPolicies.js";
 import { DomainSpread } from "./DomainSpread.js";
 import { getPace, withPace } from "./enginePaces.js";
+import { newFleetConfig, POOL } from "./fleetConfig.js";
 import type { FleetUtilization, LimitPeriod } from "./fleetRecords.js";
 import { GatewayNetwork, NETWORK_MS } from "./GatewayNetwork.js";
-import type { Incident, Pattern, PromptClass } from "./pattern.js";
+import type { Incident, Pattern } from "./pattern.js";
 import { SimulatedGateway } from "./SimulatedGateway.js";
 import { SimulatedUpstream, UpstreamState } from "./SimulatedUpstream.js";
 import type { WorkerModel } from "./WorkerModel.js";
 
-const POOL = "engines";
 /** Time until the gateways know that the list of upstreams changed. */
 const LIST_LAG_MS = 120;
+/** The same for one that becomes cold again. */
+const COLD_LIST_MS = 550;
 /** Time between an upstream's notice that it leaves and its end. */
 const DRAIN_MS = 2_800;
 /** Time between the end of an upstream and its successor's start. */
@@ -28,14 +28,6 @@
 /** Time until a crashed upstream is missing on the list. */
 const CRASH_LIST_MS = 2_500;
 
-/** Route of one class of prompts. */
-export const newRoute = (prompt: PromptClass): Route => ({
-  ...{ name: prompt.name, host: "fleet.example", pathPrefix: `/${prompt.name}/` },
-  ...{ repeat: "at_most_once", isStream: true, isResumable: true, isPublic: true, priority: 1 },
-  ...{ timeoutMs: prompt.deadlineMs, targetMs: prompt.targetMs, maxGapMs: prompt.maxGapMs },
-  ...{ pools: [{ pool: POOL, weight: 1 }], maxAttempts: 2 },
-});
-
 /** Gateways and upstreams of a pattern, and the incidents that they go through. */
 export class SimulatedFleet {
   readonly #clock: Clock;
@@ -69,12 +61,7 @@
     this.#random = random;
     this.domains = new DomainSpread(pattern.spread, clock, random);
     this.#network = new GatewayNetwork(clock, () => this.gateways, pattern);
-    this.#config = {
-      revision: 1,
-      routes: pattern.classes.map((prompt) => newRoute(prompt)),
-      pools: [{ name: POOL, engine: pattern.engine }],
-      limits: DEFAULT_CALLER_LIMITS,
-    };
+    this.#config = newFleetConfig(pattern);
     for (let count = 0; count < pattern.upstreams; count++) {
       this.#addUpstream();
     }
@@ -142,6 +129,12 @@
           this.#limit(incident);
         }
         return;
+      case "coldReturn":
+        for (let at = 0; at < incident.count; at++) {
+          this.#cool(this.#pickServing(({ coldUntilMs }) => coldUntilMs < this.#clock.now()));
+        }
+        this.#announceList(COLD_LIST_MS);
+        return;
       case "restart":
         this.gateways = [];
         this.#clock.setTimer(() => {
@@ -182,6 +175,9 @@
         onCrashNews: (report) => {
           this.#network.sendEvidence(name, report);
         },
+        onCold: (reports) => {
+          this.#network.sendCold(name, reports);
+        },
         onLimitChange: (report) => {
           this.#network.sendLimit(name, report);
         },
@@ -227,9 +223,23 @@
         },
       }),
     );
+    if (this.#clock.now() > 0) {
+      this.#cool(this.#upstreams.get(upstream.id));
+    }
     this.#announceList();
   }
 
+  #cool(upstream: SimulatedUpstream | undefined): void {
+    if (this.#pattern.cold) {
+      upstream?.cool(this.#pattern.cold);
+    }
+  }
+
+  /** Times at which requests arrived at each upstream while it was cold. */
+  getColdArrivals(): (readonly number[])[] {
+    return [...this.#upstreams.values()].map(({ coldArrivals }) => coldArrivals);
+  }
+
   /** Announces that an upstream leaves, ends it after the drain time, and may start a successor. */
   #retire(isReplaced: boolean): void {
     const upstream = this.#pickServing();
@@ -325,7 +335,10 @@
   #list(): Upstream[] {
     return [...this.#upstreams.values()]
       .filter(({ state }) => state !== UpstreamState.Ended)
-      .map(({ upstream }) => ({ ...upstream, isLeaving: this.#leaving.has(upstream.id) }));
+      .map(({ upstream, coldUntilMs }) => ({
+        ...{ ...upstream, isLeaving: this.#leaving.has(upstream.id) },
+        coldMs: Math.max(0, coldUntilMs - this.#clock.now()),
+      }));
   }
 
   #findByPort(port: number): SimulatedUpstream | undefined {
--- a/packages/simulation/src/SimulatedGateway.ts
+++ b/packages/simulation/src/SimulatedGateway.ts
@@ -1,6 +1,8 @@
 import type { Clock, Random } from "@lycheepulley/core";
 import {
+  ColdUpstreams,
   CrashEvidence,
+  type ColdReport,
   type CostBook,
   type CostSummary,
   type EstimateError,
@@ -51,6 +53,7 @@
   readonly #loadTracker: LoadTracker;
   readonly #forwarder: Forwarder;
   readonly #limits: UpstreamLimits;
+  readonly #cold: ColdUpstreams;
   readonly #quotaOwner: QuotaOwner;
   readonly #evidence: CrashEvidence;
   readonly #trialOwner: TrialOwner;
@@ -70,6 +73,7 @@
     transport: UpstreamTransport;
     control: UpstreamControl;
     processes: number;
+    onCold: (reports: readonly ColdReport[]) => void;
     onLimitChange: (report: LimitReport) => void;
     quotaPeers: QuotaPeers;
     onCrashNews: (report: CrashReport) => void;
@@ -101,9 +105,11 @@
     const rests = new UpstreamRests({ clock, random, logger });
     const { getMembers } = options;
     this.#limits = limits;
-    this.#quotaOwner = new QuotaOwner({ clock, limits, getMembers });
+    const cold = new ColdUpstreams({ clock, logger, onNews: options.onCold });
+    this.#cold = cold;
+    this.#quotaOwner = new QuotaOwner({ clock, limits, cold, getMembers });
     const quota = new SendQuota({
-      ...{ clock, limits, rests, owner: this.#quotaOwner, peers: options.quotaPeers },
+      ...{ clock, limits, cold, rests, owner: this.#quotaOwner, peers: options.quotaPeers },
       ...{ getMembers, logger },
     });
     const evidence = new CrashEvidence({ clock, logger, onNews: options.onCrashNews });
@@ -133,7 +139,7 @@
         getProcessCount: () => options.processes,
       }),
       crashes: new CrashTracker({ clock, onCrash: () => undefined }),
-      ...{ limits, rests, quota, guard, costs: options.costs },
+      ...{ limits, cold, rests, quota, guard, costs: options.costs },
       onLeaving: () => undefined,
       reservations: new ReservationManager({ clock, control, logger }),
       onEnd: () => undefined,
@@ -156,9 +162,15 @@
     this.#limits.recordPeer(peer, report);
   }
 
+  applyPeerCold(peer: string, reports: readonly ColdReport[]): void {
+    reports.forEach((report) => {
+      this.#cold.recordPeer(peer, report);
+    });
+  }
+
   /** Answers a peer that asks for one send to an upstream with a limit. */
-  takeForPeer(peer: string, limit: LimitReport): QuotaAnswer {
-    return this.#quotaOwner.takeForPeer(peer, limit);
+  takeForPeer(peer: string, limit: LimitReport, cold?: ColdReport): QuotaAnswer {
+    return this.#quotaOwner.takeForPeer(peer, limit, cold);
   }
 
   applyEvidence(peer: string, report: CrashReport): void {
@@ -186,6 +198,11 @@
     const ids = new Set(this.#view.upstreams.keys());
     this.#health.retain(ids);
     this.#limits.retain(ids);
+    this.#cold.retain(ids);
+    this.#cold.observe(upstreams, {
+      isDirect: true,
+      getColdStart: (pool) => this.#view.table?.findPool(pool)?.coldStart,
+    });
     this.#costs?.paces.retain(ids);
   }
 
--- a/packages/simulation/src/SimulatedUpstream.ts
+++ b/packages/simulation/src/SimulatedUpstream.ts
@@ -48,6 +48,10 @@
   #state: UpstreamState = UpstreamState.Serving;
   /** Requests a second that the upstream names as its limit; undefined for no limit. */
   limitPerSecond: number | undefined;
+  /** Time until which the upstream is cold. */
+  coldUntilMs = -Infinity;
+  /** Times at which requests arrived while it was cold. */
+  readonly coldArrivals: number[] = [];
   /** Times at which requests arrived. */
   readonly arrivals: number[] = [];
   /** The same for those with the crashing part. */
@@ -76,6 +80,15 @@
     return this.#state;
   }
 
+  /** Makes the upstream cold, and slow, for some time. */
+  cool({ durationMs, pace }: { durationMs: number; pace: number }): void {
+    this.coldUntilMs = this.#clock.now() + durationMs;
+    this.model.pace = pace;
+    this.#clock.setTimer(() => {
+      this.model.pace = this.#clock.now() < this.coldUntilMs ? pace : 1;
+    }, durationMs);
+  }
+
   /** Ends the upstream; calls in progress are reset or, without power, hang. */
   end(state: UpstreamState): void {
     this.#state = state;
@@ -126,6 +139,9 @@
     };
     this.#calls.add(call);
     this.arrivals.push(this.#clock.now());
+    if (this.#clock.now() < this.coldUntilMs) {
+      this.coldArrivals.push(this.#clock.now());
+    }
     if (call.isCrashing) {
       this.crashingArrivals.push(this.#clock.now());
     }
--- a/packages/simulation/src/WorkerModel.ts
+++ b/packages/simulation/src/WorkerModel.ts
@@ -59,6 +59,8 @@
   readonly #queue: RunningJob[] = [];
   readonly #reservations = new Map<string, Reservation>();
   #cancelPass: Cancel | undefined;
+  /** Time that passes take, as a multiple of what the constants give. */
+  pace = 1;
   /** Number of times that a request was preempted because memory ran out. */
   preemptions = 0;
 
@@ -231,7 +233,7 @@
     this.#cancelPass = this.#clock.setTimer(() => {
       this.#cancelPass = undefined;
       this.#endPass(decoding, prefilled);
-    }, ms);
+    }, ms * this.pace);
   }
 
   #hasWork(): boolean {
--- a/packages/simulation/src/experiment.ts
+++ b/packages/simulation/src/experiment.ts
@@ -39,6 +39,7 @@
   readonly worstWindows: number;
   readonly samples: readonly UtilizationSample[];
   readonly sends: readonly DomainSend[];
+  readonly coldArrivals: readonly (readonly number[])[];
   readonly errors: readonly EstimateError[];
 }
 
@@ -54,6 +55,8 @@
   readonly limitPeriods: readonly LimitPeriod[];
   /** Prompts sent, with their failure domains. */
   readonly sends: readonly DomainSend[];
+  /** Times at which requests arrived at each upstream while it was cold. */
+  readonly coldArrivals: readonly (readonly number[])[];
   /** Times at which a part of prompts crashed upstreams, and at which prompts with it arrived there. */
   readonly partCrashes: readonly number[];
   readonly crashingArrivals: readonly number[];
@@ -86,7 +89,17 @@
   const crashingArrivals = fleet.getCrashingArrivals();
   const errors = fleet.gateways.flatMap((gateway) => gateway.getErrors());
   const { records } = caller;
-  return { records, samples, limitPeriods, sends, partCrashes, crashingArrivals, errors };
+  const coldArrivals = fleet.getColdArrivals();
+  return {
+    records,
+    samples,
+    limitPeriods,
+    sends,
+    coldArrivals,
+    partCrashes,
+    crashingArrivals,
+    errors,
+  };
 };
 
 /** Plays one pattern and sums up its credit; the same seed gives the same result. */
@@ -95,15 +108,19 @@
   seed: number,
   costPolicy?: CostPolicy,
 ): Promise<ExperimentResult> => {
-  const { records, samples, sends, errors } = await playPattern(pattern, seed, costPolicy);
-  return { ...summarize(pattern, seed, records), samples, sends, errors };
+  const { records, samples, sends, coldArrivals, errors } = await playPattern(
+    pattern,
+    seed,
+    costPolicy,
+  );
+  return { ...summarize(pattern, seed, records), samples, sends, coldArrivals, errors };
 };
 
 const summarize = (
   pattern: Pattern,
   seed: number,
   records: readonly RequestRecord[],
-): Omit<ExperimentResult, "samples" | "sends" | "errors"> => {
+): Omit<ExperimentResult, "samples" | "sends" | "coldArrivals" | "errors"> => {
   const windows: Credit[] = [];
   for (let atMs = 0; atMs < pattern.lengthMs; atMs += WINDOW_MS) {
     const inWindow = records.filter(({ askedMs }) => atMs <= askedMs && askedMs < atMs + WINDOW_MS);
--- a/packages/simulation/src/pattern.ts
+++ b/packages/simulation/src/pattern.ts
@@ -64,6 +64,12 @@
     /** Time until the successor of a crashed upstream starts. */
     backMs: z.number().positive(),
   }),
+  /** Upstreams become cold again at the same moment. */
+  z.object({
+    kind: z.literal("coldReturn"),
+    atMs: z.number(),
+    count: z.number().int().positive(),
+  }),
   z.object({ kind: z.literal("restart"), atMs: z.number(), downMs: z.number().positive() }),
 ]);
 export type Incident = z.infer<typeof incidentSchema>;
@@ -79,6 +85,17 @@
 });
 export type DomainSpreadSpec = z.infer<typeof domainSpreadSchema>;
 
+/** What upstreams are like for some time after a start during the play, or when they become cold again. */
+export const coldSpecSchema = z.object({
+  durationMs: z.number().positive(),
+  /** Requests a second that all processes together may send to a cold upstream. */
+  perSecond: z.number().positive(),
+  /** Times of a cold upstream as a multiple of the usual ones. */
+  pace: z.number().positive(),
+  /** The processes know of it: of the rate, and that work takes longer. */
+  isKnown: z.boolean(),
+});
+
 /** A deployment and the load and incidents that it goes through. */
 export const patternSchema = z.object({
   name: z.string().min(1),
@@ -94,6 +111,8 @@
   loadBatchMs: z.number().positive().optional(),
   /** Processes ask one of their failure domain for loads, and only these hear of all requests. */
   failureDomains: z.number().int().positive().optional(),
+  /** Absent for upstreams that are never cold. */
+  cold: coldSpecSchema.optional(),
   /** Absent for a fleet in one failure domain. */
   spread: domainSpreadSchema.optional(),
   /** First parts that the prompts of a class share, if they share any. */
