--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -56,7 +56,7 @@
     countParts: () => countByStatus(this.#evidence.crashes.guard.evidence.suspects),
     ...{ countDetours: () => this.#connector.detours, hasLostLinks: () => this.#connector.isLost },
     countEvacuated: () => this.#evacuations.count,
-    ...{ getRoom: () => this.#forwarder.room, getHeldBytes: () => this.#listener.heldBytes },
+    ...{ getRoom: () => this.#forwarder.room, getHeldBytes: () => this.#listener.held.bytes },
     getCrossedBytes: () => this.#crossed.counts,
     getCold: () => this.#evidence.limits.coldCounts,
   });
@@ -226,7 +226,7 @@
       ...{ crashes: this.#crashTracker, transport, dialect, logger },
       retryBudget: newRetryBudget(settings, clock, this.#peers),
       ...{ control, limits, cold, rests, quota, guard: this.#evidence.crashes.guard },
-      costs: this.#evidence.costs.book,
+      ...{ costs: this.#evidence.costs.book, promisesRoom: decisions?.promisesRoom },
       reservations: new ReservationManager({ clock, control, logger }),
       onLeaving: (upstream) => {
         this.#peerExchange.notifyUpstream("leaving", upstream);
--- a/packages/forwarding/src/LoadTracker.ts
+++ b/packages/forwarding/src/LoadTracker.ts
@@ -3,6 +3,7 @@
 import {
   isPastObjective,
   LoadPhase,
+  newTimedItem,
   sumLoads,
   type LoadItem,
   type TimedLoadItem,
@@ -54,7 +55,10 @@
 
   /** Records a request of this process in its current phase. */
   setOwn(item: LoadItem): void {
-    this.#own.set(item.id, { ...item, sinceMs: this.#clock.now() });
+    this.#own.set(
+      item.id,
+      newTimedItem(item, { sinceMs: this.#clock.now(), reportedMs: undefined }),
+    );
     this.#onOwnChange({ changed: [item], writing: [], ended: [] });
   }
 
@@ -71,7 +75,7 @@
   markLate(id: string): void {
     const item = this.#own.get(id);
     if (item && !item.isLate) {
-      const late = { ...item, isLate: true };
+      const late = newTimedItem({ ...item, isLate: true }, item);
       this.#own.set(id, late);
       this.#onOwnChange({ changed: [late], writing: [], ended: [] });
     }
@@ -135,20 +139,27 @@
     return [...this.#items()];
   }
 
+  /** Age of what is known of the peer that was heard longest ago, milliseconds; 0 without peers. */
+  get ageMs(): number {
+    const now = this.#clock.now();
+    return Math.max(0, ...this.#heardPeers(now).map(({ lastMessageMs }) => now - lastMessageMs));
+  }
+
   /** Load items of all processes except silent peers. */
   *#items(): Generator<TimedLoadItem> {
     yield* this.#own.values();
-    const now = this.#clock.now();
-    for (const peer of this.#peers.values()) {
-      if (
-        now - peer.lastMessageMs <
-        Math.max(PEER_SILENCE_MS, PEER_SILENCE_HEARTBEATS * peer.beatMs)
-      ) {
-        yield* peer.items.values();
-      }
+    for (const peer of this.#heardPeers(this.#clock.now())) {
+      yield* peer.items.values();
     }
   }
 
+  #heardPeers(now: number): PeerLoads[] {
+    return [...this.#peers.values()].filter(
+      ({ lastMessageMs, beatMs }) =>
+        now - lastMessageMs < Math.max(PEER_SILENCE_MS, PEER_SILENCE_HEARTBEATS * beatMs),
+    );
+  }
+
   #getPeer(name: string): PeerLoads {
     let loads = this.#peers.get(name);
     if (!loads) {
@@ -162,7 +173,11 @@
   #newWriting(item: TimedLoadItem): TimedLoadItem {
     const now = this.#clock.now();
     const isLate = isPastObjective(item, now);
-    return { ...item, phase: LoadPhase.Writing, isLate, sinceMs: now };
+    const { reportedMs } = item;
+    return newTimedItem(
+      { ...item, phase: LoadPhase.Writing, isLate },
+      { sinceMs: now, reportedMs },
+    );
   }
 
   #setPeerItem(loads: PeerLoads, item: LoadItem): void {
@@ -173,6 +188,6 @@
       known.promise?.renewal === item.promise?.renewal;
     const now = this.#clock.now();
     const sinceMs = isSame ? known.sinceMs : now;
-    loads.items.set(item.id, { ...item, sinceMs, reportedMs: known?.reportedMs ?? now });
+    loads.items.set(item.id, newTimedItem(item, { sinceMs, reportedMs: known?.reportedMs ?? now }));
   }
 }
--- a/packages/forwarding/src/room/RoomBook.ts
+++ b/packages/forwarding/src/room/RoomBook.ts
@@ -1,7 +1,7 @@
 import type { Clock, Random } from "@lycheepulley/core";
 import type { Logger } from "@lycheepulley/telemetry";
 
-import type { EngineSpec } from "../fleetConfig.js";
+import type { CostBook } from "../costs/CostBook.js";
 import type { TimedLoadItem, UpstreamLoad } from "../load.js";
 import type { LoadTracker } from "../LoadTracker.js";
 import {
@@ -10,33 +10,35 @@
   planPlacement,
   type PlacementCandidate,
   type PlacementPlan,
+  type PlacementRequest,
 } from "../placement.js";
-import { getKvTokens, getPromptLoad } from "../requestLoad.js";
+import { getLatestFirstMs } from "../placementQuery.js";
 import { getRetryAfterMs } from "../retryAfter.js";
 import type { ForwardRequest } from "../types.js";
 import {
-  findRoomAgain,
+  decideRoom,
   getNeededInMs,
   getReturnId,
   getReturnKey,
-  isHeldByIdle,
-  isTooLate,
-  isUncertain,
+  type AskedPrompt,
   type RoomRequest,
+  type RoomStanding,
 } from "./decisions.js";
 import type { FoundRoom } from "./findRoom.js";
-import { estimateReleases, getAnswerMs, ReleaseForecast } from "./forecast.js";
+import { estimateReleases, ReleaseForecast } from "./forecast.js";
+import { KeptRoom } from "./KeptRoom.js";
 import { withClaimsNow } from "./memory.js";
-import { goesBefore, isInForce, RETURN_GRACE_MS, type RoomPromise } from "./promise.js";
+import { countBefore, getLookMs, getReplanMs } from "./pacing.js";
+import { goesBefore, isInForce, RETURN_GRACE_MS } from "./promise.js";
+import { newPromiseItem } from "./promiseItem.js";
 import { RoomCause } from "./RoomCause.js";
+import type { RoomPolicy, RoomView } from "./RoomPolicy.js";
 import { RoomStats, type RoomCounts } from "./RoomStats.js";
+import { newWaitingPrompt, type WaitingPrompt } from "./WaitingPrompt.js";
 
 /** A promise is renewed at this interval, or sooner when it moved by the second time. */
 const RENEWAL_MS = 500;
 const MOVED_MS = 100;
-/** Interval at which room is looked for again, for each so many prompts that wait here. */
-const LOOK_MS = 60;
-const WAITING_PER_LOOK = 8;
 /** Time for which each prompt before may take memory that has become free, and most of them. */
 const YIELD_MS = 25;
 const MAX_YIELDS = 4;
@@ -47,44 +49,33 @@
 /** A caller may come back this much earlier than it was told. */
 const EARLY_RETURN_MS = 100;
 
-interface WaitingPrompt {
-  readonly route: string;
-  readonly sinceMs: number;
-  readonly place: number;
-  lookedMs: number;
-  renewedMs: number;
-  renewal: number;
-  /** Expected time of the room when it was first known, and as of now. */
-  firstRoomAtMs: number | undefined;
-  roomAtMs: number | undefined;
-  /** Latest time of the room, as of the first promise. */
-  neededAtMs: number | undefined;
-  tokens: number;
-  /** Upstreams with promised memory. */
-  upstreams: readonly string[];
-  /** Since when there is memory that prompts before it may be about to take. */
-  yieldsSinceMs: number | undefined;
-}
-
 /**
  * Prompts of this process that wait for KV memory, and the memory that they are promised. Promises are
  * load items, so that all processes know them; a total order by place and id settles conflicts.
  */
-export class RoomBook {
+export class RoomBook implements RoomPolicy {
+  readonly isPromised = true;
   readonly #clock: Clock;
   readonly #loadTracker: LoadTracker;
   readonly #logger: Logger;
   readonly #waiting = new Map<string, WaitingPrompt>();
   readonly #returnMs = new WeakMap<ForwardRequest, number>();
+  readonly #kept: KeptRoom;
   readonly #roomMs = new WeakMap<ForwardRequest, number>();
   readonly #forecast: ReleaseForecast;
   readonly #stats = new RoomStats();
 
-  constructor(options: { clock: Clock; loadTracker: LoadTracker; logger: Logger }) {
+  constructor(options: {
+    clock: Clock;
+    loadTracker: LoadTracker;
+    costs?: CostBook | undefined;
+    logger: Logger;
+  }) {
     this.#clock = options.clock;
     this.#loadTracker = options.loadTracker;
     this.#logger = options.logger;
     this.#forecast = new ReleaseForecast(options);
+    this.#kept = new KeptRoom(options);
   }
 
   get counts(): RoomCounts {
@@ -108,9 +99,8 @@
    */
   addClaims(
     candidates: readonly PlacementCandidate[],
-    options: { req: ForwardRequest; engine: EngineSpec; isAsked: boolean; isWaiting: boolean },
+    { req, engine, isAsked, isWaiting }: RoomView,
   ): readonly PlacementCandidate[] {
-    const { req, engine, isAsked, isWaiting } = options;
     if (!isWaiting && candidates.every(({ load }) => load.claims === undefined)) {
       return candidates;
     }
@@ -163,12 +153,7 @@
    * at about the same time. Each gets some time to take it.
    */
   awaitTurn(
-    {
-      req,
-      engine,
-      request,
-      candidates,
-    }: Pick<RoomRequest, "req" | "engine" | "request" | "candidates">,
+    { req, engine, request, candidates }: AskedPrompt,
     plan: PlacementPlan | undefined,
   ): PlacementPlan | undefined {
     const waiting = this.#waiting.get(req.head.attemptId);
@@ -187,44 +172,57 @@
     return now < untilMs ? undefined : plan;
   }
 
+  accepts(plan: PlacementPlan, request: PlacementRequest, deadlineLeftMs: number): boolean {
+    return plan.firstEventMs <= getLatestFirstMs(request, deadlineLeftMs);
+  }
+
+  getStanding(req: ForwardRequest, candidates: readonly PlacementCandidate[]): RoomStanding {
+    const known = this.#waiting.get(req.head.attemptId);
+    return {
+      place: known?.place ?? this.#getPlace(req) ?? this.#getNextPlace(candidates),
+      waitedMs: known && this.#clock.now() - known.sinceMs,
+      upstreams: known?.upstreams ?? [],
+      hasReturned: !known && this.#findReturn(req) !== undefined,
+    };
+  }
+
+  get mayPromise(): boolean {
+    return this.#waiting.size < MAX_PROMISES;
+  }
+
   /** Has a prompt without a plan wait, promised room where there is any; returns why it shouldn't. */
   decide(room: RoomRequest): RoomCause | undefined {
-    const { req, mayReject } = room;
+    const { req, candidates } = room;
     const known = this.#waiting.get(req.head.attemptId);
     const now = this.#clock.now();
-    const lookMs = LOOK_MS * Math.max(1, this.#waiting.size / WAITING_PER_LOOK);
-    if (known && now < known.lookedMs + lookMs) {
+    if (known && now < known.lookedMs + getLookMs(this.#waiting.size, known)) {
       return undefined;
     }
-    if (mayReject && !isHeldByIdle(room)) {
-      return this.#reject(room, RoomCause.TooLarge, undefined);
+    const standing = this.getStanding(req, candidates);
+    const { cause, found, isKept } = decideRoom(room, standing);
+    if (cause === RoomCause.TooLarge) {
+      return this.#reject(room, cause, undefined);
     }
-    const found = findRoomAgain(room, known?.upstreams ?? []);
-    const waiting = known ?? this.#add(room, now);
+    const waiting = known ?? this.#add(room, standing, now);
     waiting.lookedMs = now;
-    if (mayReject && isTooLate(room, found, now - waiting.sinceMs)) {
-      return this.#reject(room, RoomCause.NoRoom, found?.inMs);
+    if (found && isKept) {
+      this.#promiseReturn(room, found, standing.place);
     }
-    if (found && !known && this.#shouldReturn(room, found)) {
-      this.#promiseReturn(room, found, waiting.place);
-      return this.#reject(room, RoomCause.NoRoom, found.inMs);
+    if (cause) {
+      return this.#reject(room, cause, found?.inMs);
     }
     this.#promise(room, waiting, found);
     return undefined;
   }
 
-  #shouldReturn(room: RoomRequest, found: FoundRoom): boolean {
-    return room.mayReject && this.#findReturn(room.req) === undefined && isUncertain(room, found);
+  /** Time after which a prompt that waits should be planned again, milliseconds. */
+  getReplanMs({ head }: ForwardRequest): number {
+    return getReplanMs(countBefore(this.#waiting, head.attemptId));
   }
 
-  #add({ req, candidates }: RoomRequest, now: number): WaitingPrompt {
-    const waiting: WaitingPrompt = {
-      ...{ route: req.route.name, sinceMs: now, lookedMs: now, renewedMs: -Infinity, renewal: 0 },
-      ...{ place: this.#getPlace(req) ?? this.#getNextPlace(candidates), tokens: 0 },
-      ...{ firstRoomAtMs: undefined, roomAtMs: undefined, neededAtMs: undefined },
-      ...{ upstreams: [], yieldsSinceMs: undefined },
-    };
-    if (this.#findReturn(req)) {
+  #add({ req }: RoomRequest, { place, hasReturned }: RoomStanding, now: number): WaitingPrompt {
+    const waiting = newWaitingPrompt({ route: req.route.name, place, now });
+    if (hasReturned) {
       this.#stats.countPromise("returned");
     }
     this.#waiting.set(req.head.attemptId, waiting);
@@ -266,7 +264,9 @@
         waiting.neededAtMs = now + getNeededInMs(room, found);
       }
       const neededInMs = Math.max(found.inMs, waiting.neededAtMs - now);
-      this.#setItem(room, { ...found, id: attemptId, neededInMs }, { place, renewal });
+      this.#loadTracker.setOwn(
+        newPromiseItem(room, { ...found, id: attemptId, neededInMs }, { place, renewal }),
+      );
     }
     if (isFirst || movedMs >= RENEWAL_MS) {
       this.#logger.info("prompt waits for room", {
@@ -282,27 +282,11 @@
   /** Keeps room for a caller that is told to come back for it. */
   #promiseReturn(room: RoomRequest, found: FoundRoom, place: number): void {
     const id = getReturnId(room.req);
-    this.#returnMs.set(room.req, found.inMs);
     const fields = { place, renewal: 0, returnKey: getReturnKey(room.req) };
-    this.#setItem(room, { ...found, id, neededInMs: found.inMs }, fields);
-    this.#clock.setTimer(() => {
-      this.#loadTracker.removeOwn(id);
-    }, found.inMs + RETURN_GRACE_MS);
-  }
-
-  #setItem(
-    { req, pool, engine, request }: RoomRequest,
-    { id, plan, inMs, neededInMs }: FoundRoom & { id: string; neededInMs: number },
-    fields: Pick<RoomPromise, "place" | "renewal" | "returnKey">,
-  ): void {
-    const crowded = { decoding: engine.slots, contextTokens: 0 };
-    const answerMs = getAnswerMs(engine, request.outputTokens, crowded);
-    const forMs = Math.ceil(plan.firstEventMs + answerMs);
-    this.#loadTracker.setOwn({
-      ...getPromptLoad(plan, request),
-      ...{ id, pool, upstream: plan.upstream.id, kvTokens: getKvTokens(req, plan, request) },
-      promise: { inMs: Math.ceil(inMs), neededInMs: Math.ceil(neededInMs), forMs, ...fields },
-    });
+    const item = newPromiseItem(room, { ...found, id, neededInMs: found.inMs }, fields);
+    if (this.#kept.keep(item, found.inMs + RETURN_GRACE_MS)) {
+      this.#returnMs.set(room.req, found.inMs);
+    }
   }
 
   #reject({ req, request }: RoomRequest, cause: RoomCause, roomMs: number | undefined): RoomCause {
@@ -323,6 +307,9 @@
   /** Ends the wait of a request, which was placed or not. */
   end(req: ForwardRequest, isPlaced: boolean): void {
     const { attemptId } = req.head;
+    if (isPlaced) {
+      this.#kept.end(getReturnId(req));
+    }
     const waiting = this.#waiting.get(attemptId);
     if (!waiting) {
       return;
--- a/packages/simulation/src/SimulatedGateway.ts
+++ b/packages/simulation/src/SimulatedGateway.ts
@@ -32,6 +32,7 @@
   type QuotaPeers,
   type TrialAnswer,
   type TrialPeers,
+  type TrialKey,
   type TrialRequest,
   type Upstream,
   type UpstreamControl,
@@ -139,7 +140,7 @@
         getProcessCount: () => options.processes,
       }),
       crashes: new CrashTracker({ clock, onCrash: () => undefined }),
-      ...{ limits, cold, rests, quota, guard, costs: options.costs },
+      ...{ limits, cold, rests, quota, guard, costs: options.costs, promisesRoom: true },
       onLeaving: () => undefined,
       reservations: new ReservationManager({ clock, control, logger }),
       onEnd: () => undefined,
@@ -183,8 +184,8 @@
     return this.#trialOwner.take(peer, req);
   }
 
-  endTrial(part: string): void {
-    this.#trialOwner.end(part);
+  endTrial(trial: TrialKey): void {
+    this.#trialOwner.end(trial);
   }
 
   observeQuotas(): void {
