Bound the bytes of evacuated names in heartbeats

Cause: a relay sends up to 30 heartbeats in one datagram; with 64 evacuated names of 60 characters they took 124,000 bytes, above the 60,000 of a datagram, so that the processes of a large fleet no longer heard of each other. Change: 640 bytes of names, as they are encoded, domains with upstreams first.

--- a/packages/forwarding/src/evacuations/EvacuationTracker.ts
+++ b/packages/forwarding/src/evacuations/EvacuationTracker.ts
@@ -5,7 +5,7 @@
 import type { FleetView } from "../FleetView.js";
 import type { PeerIdentity } from "../PeerTable.js";
 import {
-  MAX_STATED_DOMAINS,
+  MAX_STATED_BYTES,
   MAX_STATED_LENGTH,
   type EvacuationList,
   type EvacuationStatement,
@@ -99,14 +99,16 @@
   /** Names to state; those of domains that have upstreams come first. */
   #selectStated(domains: readonly string[]): string[] {
     const stated = domains.filter(({ length }) => length <= MAX_STATED_LENGTH);
-    if (stated.length <= MAX_STATED_DOMAINS) {
-      return stated;
-    }
     const inUse = new Set([...this.#view.upstreams.values()].map((one) => one.failureDomain));
-    return [
+    const ranked = [
       ...stated.filter((domain) => inUse.has(domain)),
       ...stated.filter((domain) => !inUse.has(domain)),
-    ].slice(0, MAX_STATED_DOMAINS);
+    ];
+    let bytes = 0;
+    return ranked.filter((domain) => {
+      bytes += Buffer.byteLength(JSON.stringify(domain)) + 1;
+      return bytes <= MAX_STATED_BYTES;
+    });
   }
 
   /** Puts a change in force in the view; true when there is one. */
--- a/packages/forwarding/src/evacuations/evacuationList.ts
+++ b/packages/forwarding/src/evacuations/evacuationList.ts
@@ -17,6 +17,7 @@
 });
 export type EvacuationStatement = z.output<typeof evacuationStatementSchema>;
 
-/** Most names, and characters of a name, in a statement; longer ones are in force where they were read. */
-export const MAX_STATED_DOMAINS = 64;
+/** Longest name in a statement, characters; longer ones are in force where they were read. */
 export const MAX_STATED_LENGTH = 64;
+/** Bytes of the names in a statement, and of those held: the heartbeats that a relay sends on are one datagram. */
+export const MAX_STATED_BYTES = 640;
--- a/packages/forwarding/src/evacuations/evacuations.test.ts
+++ b/packages/forwarding/src/evacuations/evacuations.test.ts
@@ -3,6 +3,7 @@
 
 import { FleetView } from "../FleetView.js";
 import { ManualClock } from "../testing/ManualClock.js";
+import { newUpstream } from "../testing/samples.js";
 import type { EvacuationStatement } from "./evacuationList.js";
 import { EvacuationTracker } from "./EvacuationTracker.js";
 
@@ -118,6 +119,26 @@
     });
   }
 
+  const names: readonly [name: string, domain: string][] = [
+    ["long", "d".repeat(60)],
+    ["of several bytes a character", "\u00e9\u4e2d".repeat(20)],
+    ["escaped in messages", "\u0001".repeat(40)],
+  ];
+  for (const [name, domain] of names) {
+    it(`are stated in few bytes, those with upstreams first: names ${name}`, () => {
+      const [clock, view] = [new ManualClock(), new FleetView()];
+      const logger = newSilentLogger();
+      const tracker = new EvacuationTracker({ clock, view, logger, isSourced: true });
+      const upstreams = [newUpstream("u1", { failureDomain: "z" })];
+      view.applyUpstreams({ version: 1, upstreams }, 0, new Set());
+      const domains = Array.from({ length: 100 }, (_, at) => domain + String(at));
+      tracker.onRead(state(1, 5, [...domains, "z"]));
+      // Thirty heartbeats have to fit into a datagram of 60,000 bytes.
+      expect(Buffer.byteLength(JSON.stringify(tracker.statement))).to.be.below(1_000);
+      expect(tracker.statement?.domains[0]).to.equal("z");
+    });
+  }
+
   it("are read by a process itself once nobody confirms them", async () => {
     const [clock, view] = [new ManualClock(), new FleetView()];
     const tracker = new EvacuationTracker({
