--- a/packages/cli/src/commands/experiment.ts
+++ b/packages/cli/src/commands/experiment.ts
@@ -56,16 +56,18 @@
       help: `What is known of costs: ${COST_POLICIES.join(", ")}`,
       default: CostPolicy.Quantiles,
     },
+    shares: { type: "boolean", help: "Customers have shares of the fleet", default: false },
     json: JSON_FLAG,
   },
   example: "lycheepulley experiment --patterns surges-while-replaced --seeds 1,2,3",
   run: async (ctx) => {
     const seeds = parseSeeds(ctx.getString("seeds"));
     const costs = parseCosts(ctx.getString("costs"));
+    const sharesRoom = ctx.getBoolean("shares");
     const results: ExperimentResult[] = [];
     for (const pattern of parsePatterns(ctx.getString("patterns"))) {
       for (const seed of seeds) {
-        results.push(await runExperiment(pattern, seed, costs));
+        results.push(await runExperiment({ ...pattern, sharesRoom }, seed, costs));
       }
     }
     if (ctx.getBoolean("json")) {
@@ -79,10 +81,21 @@
 
 const formatResults = (results: readonly ExperimentResult[]): string =>
   formatTable(
-    ["pattern", "seed", "credit", "worst windows", "by class", "late", "refused", "failed"],
-    results.map(({ pattern, seed, day, worstWindows, classes }) => [
+    [
+      "pattern",
+      "seed",
+      "credit",
+      "worst windows",
+      "by class",
+      "late",
+      "refused",
+      "failed",
+      "customers",
+    ],
+    results.map(({ pattern, seed, day, worstWindows, classes, customers }) => [
       ...[pattern, String(seed), day.share.toFixed(3), worstWindows.toFixed(3)],
       classes.map(({ name, share }) => `${name} ${share.toFixed(2)}`).join(", "),
       ...[String(day.late), String(day.refused), String(day.failed)],
+      customers.map(({ name, share }) => `${name} ${share.toFixed(2)}`).join(", "),
     ]),
   );
--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -55,7 +55,7 @@
     countParts: () => countByStatus(this.#evidence.crashes.guard.evidence.suspects),
     ...{ countDetours: () => this.#connector.detours, hasLostLinks: () => this.#connector.isLost },
     countEvacuated: () => this.#evacuations.count,
-    getRoom: () => this.#forwarder.room,
+    ...{ getRoom: () => this.#forwarder.room, getShares: () => this.#forwarder.usedShares },
     getHeldBytes: () => this.#listener.heldBytes,
   });
   readonly #view: FleetView;
@@ -226,7 +226,7 @@
       ...{ crashes: this.#crashTracker, transport, dialect, logger },
       retryBudget: newRetryBudget(settings, clock, this.#peers),
       ...{ control, limits, cold, rests, quota, guard: this.#evidence.crashes.guard },
-      costs: this.#evidence.costs.book,
+      ...{ costs: this.#evidence.costs.book, sharesRoom: decisions?.sharesRoom },
       reservations: new ReservationManager({ clock, control, logger }),
       onLeaving: (upstream) => {
         this.#peerExchange.notifyUpstream("leaving", upstream);
--- a/packages/forwarding/src/Forwarder.ts
+++ b/packages/forwarding/src/Forwarder.ts
@@ -4,21 +4,25 @@
 import type { ForwardDependencies } from "./forwardDependencies.js";
 import { ForwardJob } from "./ForwardJob.js";
 import { Placer } from "./Placer.js";
+import { newSharing, type Sharing } from "./PromptAdmission.js";
 import type { RoomCounts } from "./room/RoomStats.js";
 import { getDeadlineAtMs, pickPool } from "./sendParameters.js";
 import { SendPlanner } from "./SendPlanner.js";
+import type { UsedShare } from "./shares/CustomerShares.js";
 import type { AnswerWriter, ForwardRequest } from "./types.js";
 
 /** Forwards requests to upstreams and their answers to callers. */
 export class Forwarder {
   readonly #deps: ForwardDependencies;
+  readonly #sharing: Sharing | undefined;
   readonly #placer: Placer;
   readonly #planner: SendPlanner;
   #inFlight = 0;
 
   constructor(deps: ForwardDependencies) {
     this.#deps = deps;
-    this.#placer = new Placer(deps);
+    this.#sharing = deps.sharesRoom ? newSharing(deps) : undefined;
+    this.#placer = new Placer({ ...deps, sharing: this.#sharing });
     this.#planner = new SendPlanner({ guard: deps.guard, placer: this.#placer });
   }
 
@@ -32,6 +36,11 @@
     return this.#placer.room.counts;
   }
 
+  /** Share of each pool's work by customer; none where customers have no shares. */
+  get usedShares(): readonly UsedShare[] {
+    return this.#sharing?.shares.usedShares ?? [];
+  }
+
   /** Errors of this process's estimates; none where it learns nothing. */
   get estimateErrors(): EstimateError[] {
     return this.#deps.costs?.errors.all ?? [];
--- a/packages/forwarding/src/Placer.ts
+++ b/packages/forwarding/src/Placer.ts
@@ -1,24 +1,17 @@
 import { sleep, type Clock, type Random } from "@lycheepulley/core";
 import type { Logger } from "@lycheepulley/telemetry";
 
-import { AdmissionControl, getBusyShare, getRoomMs, getWorkMs } from "./AdmissionControl.js";
 import { CandidateFinder } from "./CandidateFinder.js";
 import type { CostBook } from "./costs/CostBook.js";
 import { estimateCallMs, getCost } from "./costs/placementCosts.js";
 import type { PlacementSnapshot } from "./explain/PlacementSnapshot.js";
 import type { EngineSpec, Upstream } from "./fleetConfig.js";
 import type { FleetView } from "./FleetView.js";
-import { getReadMs } from "./engineModel.js";
 import { QuotaQueue } from "./limits/QuotaQueue.js";
 import type { SendQuota } from "./limits/SendQuota.js";
 import type { LoadTracker } from "./LoadTracker.js";
 import type { PeerLoads } from "./PeerLoads.js";
-import {
-  isForOneUpstream,
-  planPlacement,
-  type PlacementCandidate,
-  type PlacementRequest,
-} from "./placement.js";
+import { isForOneUpstream, planPlacement, type PlacementCandidate } from "./placement.js";
 import { pickServiceUpstream } from "./pickServiceUpstream.js";
 import {
   getEnd,
@@ -28,10 +21,12 @@
   type Placement,
   type PlacementQuery,
 } from "./placementQuery.js";
+import { PromptAdmission, type Sharing } from "./PromptAdmission.js";
 import { newPlacementRequest } from "./placementRequest.js";
 import { getCallLoad, getKvTokens, getPromptLoad } from "./requestLoad.js";
 import { getRequestValue } from "./requestValue.js";
 import { getRetryAfterMs, REJECTED_RETRY_AFTER_MS } from "./retryAfter.js";
+import { getCustomerKey } from "./shares/customerKey.js";
 import { RoomBook } from "./room/RoomBook.js";
 import type { UpstreamHealth } from "./UpstreamHealth.js";
 
@@ -51,13 +46,12 @@
   readonly #finder: CandidateFinder;
   readonly #costs: CostBook | undefined;
   readonly #health: UpstreamHealth;
-  readonly #admission: AdmissionControl;
+  readonly #admission: PromptAdmission;
+  readonly #sharing: Sharing | undefined;
   readonly #quota: SendQuota;
   readonly #quotaQueue: QuotaQueue;
   /** Prompts that wait for KV memory. */
   readonly room: RoomBook;
-  /** Time after which a pool that shed a prompt was expected to have room. */
-  readonly #roomMs = new Map<string, number>();
 
   constructor(options: {
     clock: Clock;
@@ -70,6 +64,8 @@
     health: UpstreamHealth;
     quota: SendQuota;
     logger: Logger;
+    /** Undefined where customers have no shares. */
+    sharing?: Sharing | undefined;
   }) {
     this.#clock = options.clock;
     this.#random = options.random;
@@ -78,7 +74,8 @@
     this.#finder = new CandidateFinder(options);
     this.#costs = options.costs;
     this.#health = options.health;
-    this.#admission = new AdmissionControl(options.clock);
+    this.#admission = new PromptAdmission(options);
+    this.#sharing = options.sharing;
     this.#quota = options.quota;
     this.#quotaQueue = new QuotaQueue(options.clock, options.quota);
     this.room = new RoomBook(options);
@@ -88,8 +85,9 @@
   getRetryMs({ req, pool }: Pick<PlacementQuery, "req" | "pool">, reason: string): number {
     switch (reason) {
       case PlacementFailure.Overloaded:
+      case PlacementFailure.OverShare:
       case PlacementFailure.TooLate:
-        return getRetryAfterMs(this.#roomMs.get(pool), this.#random);
+        return this.#admission.getRetryMs({ req, pool }, this.#random);
       case PlacementFailure.Limited:
         return getRetryAfterMs(this.#getOpenInMs(pool), this.#random);
       case PlacementFailure.NoRoom:
@@ -227,17 +225,20 @@
       };
       const { req, pool, isApart } = query;
       const deadlineLeftMs = query.deadlineAtMs - now;
-      if (isNew && !this.#isAdmitted({ query, engine, request, candidates })) {
-        return this.#shed(pool, PlacementFailure.Overloaded, candidates);
+      const prompt = { query, engine, request, candidates };
+      const rejection = isNew ? this.#admission.decide(prompt) : undefined;
+      if (rejection) {
+        return rejection;
       }
       const asked = { req, pool, engine, request, candidates };
       const plan = this.room.awaitTurn(asked, planPlacement(engine, request, candidates));
       if (plan) {
         const cost = getCost(candidates, plan.upstream);
         const isSent = !isNew || plan.firstEventMs <= getLatestFirstMs(request, deadlineLeftMs);
+        const placed = { upstream: plan.upstream, plan, request, waitedMs: now - startMs };
         return isSent
-          ? { upstream: plan.upstream, plan, request, waitedMs: now - startMs, cost, isApart }
-          : this.#shed(pool, PlacementFailure.TooLate, candidates);
+          ? { ...placed, cost, isApart, share: this.#admission.getShare(req) }
+          : this.#admission.shedLate(prompt);
       }
       isNew = false;
       if (isWhole) {
@@ -251,32 +252,6 @@
     }
   }
 
-  /**
-   * Decides once, when the prompt arrives or has to be sent again. A caller that has events of the
-   * answer isn't asked about: shedding the rest would waste what it has.
-   */
-  #isAdmitted(options: {
-    query: PlacementQuery;
-    engine: EngineSpec;
-    request: PlacementRequest;
-    candidates: readonly PlacementCandidate[];
-  }): boolean {
-    const { query, engine, request, candidates } = options;
-    const workMs = getWorkMs(engine, request);
-    const isAdmitted = this.#isWorth({ query, engine, request, candidates });
-    this.#admission.record(query.pool, request.value, workMs);
-    return isAdmitted;
-  }
-
-  #shed(
-    pool: string,
-    reason: PlacementFailure,
-    candidates: readonly PlacementCandidate[],
-  ): PlacementFailure {
-    this.#roomMs.set(pool, getRoomMs(candidates));
-    return reason;
-  }
-
   async #findCandidates(
     query: PlacementQuery,
     { engine, ...options }: { engine: EngineSpec; isSmall: boolean; isWhole: boolean },
@@ -287,19 +262,6 @@
     return this.room.addClaims(candidates, { req, engine, isAsked, isWaiting: options.isWhole });
   }
 
-  /** True when a new prompt is admitted now. */
-  #isWorth(options: {
-    query: PlacementQuery;
-    engine: EngineSpec;
-    request: PlacementRequest;
-    candidates: readonly PlacementCandidate[];
-  }): boolean {
-    const { query, engine, request, candidates } = options;
-    const busyShare = getBusyShare(candidates, query.req.route.targetMs);
-    const prefillMs = getReadMs(engine, request.promptTokens);
-    return this.#admission.admits(query.pool, request.value, prefillMs, busyShare);
-  }
-
   /** Where a request would go now, and why; sends and books nothing. */
   async explain(query: PlacementQuery): Promise<PlacementSnapshot> {
     const { pool, req } = query;
@@ -326,7 +288,8 @@
     return {
       ...{ ...base, engine, request },
       latestFirstMs: getLatestFirstMs(request, query.deadlineAtMs - now),
-      isAdmitted: candidates.length === 0 || this.#isWorth({ query, engine, request, candidates }),
+      isAdmitted:
+        candidates.length === 0 || this.#admission.admits({ query, engine, request, candidates }),
     };
   }
 
@@ -337,10 +300,12 @@
   ): void {
     const { attemptId } = req.head;
     const isPrompt = plan !== undefined && request !== undefined;
+    const { customer } = req;
     this.#loadTracker.setOwn({
       ...{ id: attemptId, pool, upstream: upstream.id },
       kvTokens: getKvTokens(req, plan, request),
       ...(isApart && { isApart }),
+      ...(this.#sharing && customer !== undefined && { customer: getCustomerKey(customer) }),
       ...(isPrompt ? getPromptLoad(plan, request) : getCallLoad(cost)),
     });
   }
--- a/packages/forwarding/src/RequestLog.ts
+++ b/packages/forwarding/src/RequestLog.ts
@@ -1,5 +1,6 @@
 import type { Logger } from "@lycheepulley/telemetry";
 
+import { getShareFields } from "./PromptAdmission.js";
 import type { AnswerTimeline } from "./AnswerTimeline.js";
 import type { KnownLimit } from "./limits/UpstreamLimits.js";
 import type { NextStep, SendOutcome } from "./outcomes.js";
@@ -59,6 +60,7 @@
       expectedMs: Math.round(placed.plan?.firstEventMs ?? 0),
       loss: Number((placed.plan?.loss ?? 0).toFixed(2)),
       ...getLearned(placed),
+      ...getShareFields(placed.share),
       listAgeMs: Math.round(nowMs - listedMs),
       waitedMs: Math.round(nowMs - receivedMs),
       ...(limit && { limit: limit.perSecond, limitAgeMs: Math.round(nowMs - limit.receivedMs) }),
--- a/packages/forwarding/src/RouteTable.ts
+++ b/packages/forwarding/src/RouteTable.ts
@@ -6,9 +6,12 @@
   readonly config: FleetConfig;
   readonly #byHost = new Map<string, Map<string, Route>>();
   readonly #byApiKey = new Map<string, ForwardCustomer>();
+  readonly #customerPriorities = new Map<string, number>();
   readonly #pools = new Map<string, Pool>();
   /** Shortest and longest gap objective of the routes to each pool. */
   readonly #gapsByPool = new Map<string, { shortestMs: number; longestMs: number }>();
+  /** Shortest latency objective of the routes to each pool. */
+  readonly #shortestTargets = new Map<string, number>();
   /** Most urgent priority of the routes to each pool. */
   readonly #firstPriorities = new Map<string, number>();
 
@@ -21,11 +24,15 @@
       this.#byHost.set(host, prefixes);
       this.#addGap(route);
       this.#addPriority(route);
+      this.#addTarget(route);
     }
     for (const customer of config.customers ?? []) {
       for (const key of customer.apiKeys) {
         this.#byApiKey.set(key, customer);
       }
+      if (customer.priority !== undefined) {
+        this.#customerPriorities.set(customer.name, customer.priority);
+      }
     }
     for (const pool of config.pools) {
       this.#pools.set(pool.name, pool);
@@ -50,6 +57,11 @@
     return undefined;
   }
 
+  /** Priority of a customer that has one of its own. */
+  findPriority(customer: string): number | undefined {
+    return this.#customerPriorities.get(customer);
+  }
+
   /** Regions in which any request to a host is handled; undefined when it may be anywhere. */
   getHostHomes(host: string): Homes {
     const routes = [...(this.#byHost.get(host.toLowerCase())?.values() ?? [])];
@@ -84,6 +96,18 @@
     }
   }
 
+  /** Shortest latency objective of the pool's routes, milliseconds; undefined for a pool without any. */
+  getShortestTargetMs(pool: string): number | undefined {
+    return this.#shortestTargets.get(pool);
+  }
+
+  #addTarget({ targetMs, pools }: Route): void {
+    for (const { pool } of pools) {
+      const known = this.#shortestTargets.get(pool) ?? targetMs;
+      this.#shortestTargets.set(pool, Math.min(known, targetMs));
+    }
+  }
+
   #addGap({ maxGapMs, pools }: Route): void {
     if (maxGapMs === undefined) {
       return;
--- a/packages/forwarding/src/forwardDependencies.ts
+++ b/packages/forwarding/src/forwardDependencies.ts
@@ -38,6 +38,8 @@
   readonly peerLoads?: PeerLoads | undefined;
   /** Undefined where placement goes by published constants alone. */
   readonly costs?: CostBook | undefined;
+  /** Customers have shares of contended pools; false by default. */
+  readonly sharesRoom?: boolean | undefined;
   readonly health: UpstreamHealth;
   readonly watch: UpstreamWatch;
   readonly limits: UpstreamLimits;
--- a/packages/forwarding/src/lateness.ts
+++ b/packages/forwarding/src/lateness.ts
@@ -18,12 +18,15 @@
 /** Share of its worth that a request keeps for each rank by which others of its pool go before it. */
 const RANK_WEIGHT = 0.5;
 
+/** Weight of a priority at a distance from the most urgent one of its pool. */
+export const getRankWeight = (rank = 0): number => RANK_WEIGHT ** rank;
+
 /**
  * Estimated worth of a prompt; a short one of the most urgent priority in its pool is worth about 1.
  * `rank` is the distance of its priority from that one.
  */
 export const estimateValue = (tokens: number, rank = 0): number =>
-  (1 + tokens / 10_000) * RANK_WEIGHT ** rank;
+  (1 + tokens / 10_000) * getRankWeight(rank);
 
 /** Risk of missing an objective: 0 while `ms` is well within `limitMs`, 1 at the limit and beyond. */
 export const getLateRisk = (ms: number, limitMs: number): number => {
--- a/packages/forwarding/src/load.ts
+++ b/packages/forwarding/src/load.ts
@@ -7,6 +7,7 @@
   roomPromiseSchema,
   type RoomClaim,
 } from "./room/promise.js";
+import { MAX_CUSTOMER_KEY_LENGTH } from "./shares/customerKey.js";
 
 /** What a request is doing at its upstreams. */
 export const LoadPhase = {
@@ -54,9 +55,13 @@
   outputTokens: z.number().nonnegative().optional(),
   /** The request isn't sent yet, and is promised room. */
   promise: roomPromiseSchema.optional(),
+  /** Key of the customer, where customers have shares. */
+  customer: z.string().max(MAX_CUSTOMER_KEY_LENGTH).optional(),
 });
 export type LoadItem = z.infer<typeof loadItemSchema>;
 
+const isString = (value: unknown): value is string => typeof value === "string";
+
 const isAmount = (value: unknown): value is number =>
   Number.isFinite(value) && (value as number) >= 0;
 
@@ -67,15 +72,15 @@
   OPTIONAL_FLAGS.includes(item.isApart) &&
   (item.outputTokens === undefined || isAmount(item.outputTokens)) &&
   (item.writeMs === undefined || isAmount(item.writeMs)) &&
-  isOptionalPromise(item.promise);
+  isOptionalPromise(item.promise) &&
+  (item.customer === undefined ||
+    (isString(item.customer) && item.customer.length <= MAX_CUSTOMER_KEY_LENGTH));
 
 const AMOUNTS = ["readMs", "kvTokens", "value"] as const;
 
 const isArrayOf = (value: unknown, isEntry: (entry: unknown) => boolean): boolean =>
   Array.isArray(value) && value.every(isEntry);
 
-const isString = (value: unknown): value is string => typeof value === "string";
-
 const isPhase = (value: unknown): boolean =>
   value === LoadPhase.Reading || value === LoadPhase.Writing;
 
--- a/packages/forwarding/src/placementQuery.ts
+++ b/packages/forwarding/src/placementQuery.ts
@@ -4,6 +4,7 @@
 import type { PlacementPlan, PlacementRequest } from "./placement.js";
 import type { Homes } from "./regions.js";
 import { RoomCause } from "./room/RoomCause.js";
+import type { ShareState } from "./shares/CustomerShares.js";
 import type { ForwardRequest } from "./types.js";
 
 /** Upstream that one request is sent to; `plan` and `request` are set for prompts only. */
@@ -13,6 +14,8 @@
   readonly request: PlacementRequest | undefined;
   readonly waitedMs: number;
   readonly cost?: PlacementCost | undefined;
+  /** Share of the customer in a contended pool. */
+  readonly share?: ShareState | undefined;
   /** Other requests avoid the upstream meanwhile. */
   readonly isApart: boolean;
 }
@@ -23,6 +26,8 @@
   TimeOver: "time_over",
   /** The fleet is busy, and other requests are worth more for the same work. */
   Overloaded: "overloaded",
+  /** The pool is contended, and the customer uses more of it than its share. */
+  OverShare: "over_share",
   /** The upstreams would send the first event too late for the caller. */
   TooLate: "too_late",
   ...RoomCause,
--- /dev/null
+++ b/packages/forwarding/src/shares/customerKey.ts
@@ -0,0 +1,9 @@
+import { createHash } from "node:crypto";
+
+const KEY_LENGTH = 8;
+/** Longest key that is read from a peer's message. */
+export const MAX_CUSTOMER_KEY_LENGTH = 16;
+
+/** Short key of a customer in load items; equal at all processes. */
+export const getCustomerKey = (customer: string): string =>
+  createHash("sha1").update(customer).digest("hex").slice(0, KEY_LENGTH);
--- a/packages/forwarding/src/testing/RoomFleet.ts
+++ b/packages/forwarding/src/testing/RoomFleet.ts
@@ -3,12 +3,13 @@
 
 import { AnswerTimeline } from "../AnswerTimeline.js";
 import { getPassMs } from "../engineModel.js";
-import type { EngineSpec, Upstream } from "../fleetConfig.js";
+import type { EngineSpec, FleetConfig, ForwardCustomer, Upstream } from "../fleetConfig.js";
 import { FleetView } from "../FleetView.js";
 import { UpstreamLimits } from "../limits/UpstreamLimits.js";
 import type { LoadItem } from "../load.js";
 import { LoadTracker, type LoadChange } from "../LoadTracker.js";
 import { Placer, type Placement, type PlacementFailure } from "../Placer.js";
+import { newSharing } from "../PromptAdmission.js";
 import type { ForwardRequest } from "../types.js";
 import { UpstreamHealth } from "../UpstreamHealth.js";
 import { ManualClock } from "./ManualClock.js";
@@ -16,7 +17,7 @@
 import { ENGINE, newConfig, newRoute, newUpstream } from "./samples.js";
 
 /** Time after which a change at one process is known to the others, milliseconds. */
-const LAG_MS = 2;
+const DEFAULT_LAG_MS = 2;
 const HEARTBEAT_MS = 250;
 const TIMEOUT_MS = 15_000;
 
@@ -29,6 +30,7 @@
   readonly targetMs?: number;
   /** Equal for attempts of one caller. */
   readonly body?: string;
+  readonly customer?: string;
 }
 
 /** What became of a prompt. */
@@ -54,6 +56,9 @@
 export class RoomFleet {
   readonly clock = new ManualClock();
   readonly #engine: EngineSpec;
+  readonly #config: FleetConfig;
+  readonly #sharesRoom: boolean;
+  readonly #lagMs: number;
   readonly #processes: Process[] = [];
   #upstreams: Upstream[] = [];
   #version = 0;
@@ -65,8 +70,19 @@
   /** Reads messages as another build does; undefined for an item that it doesn't know. */
   readItem: (item: LoadItem) => LoadItem = (item) => item;
 
-  constructor(options: { processes: number; upstreams: number; engine?: Partial<EngineSpec> }) {
+  constructor(options: {
+    processes: number;
+    upstreams: number;
+    engine?: Partial<EngineSpec>;
+    customers?: readonly ForwardCustomer[];
+    sharesRoom?: boolean;
+    lagMs?: number;
+  }) {
     this.#engine = { ...ENGINE, ...options.engine };
+    const pools = [{ name: "p", engine: this.#engine }];
+    this.#config = newConfig({ pools, customers: [...(options.customers ?? [])] });
+    this.#sharesRoom = options.sharesRoom ?? false;
+    this.#lagMs = options.lagMs ?? DEFAULT_LAG_MS;
     for (let index = 0; index < options.processes; index++) {
       this.#processes.push(this.#newProcess(`g${String(index)}`));
     }
@@ -78,7 +94,7 @@
     const { clock } = this;
     const logger = newSilentLogger();
     const view = new FleetView();
-    view.applyConfig(newConfig({ pools: [{ name: "p", engine: this.#engine }] }));
+    view.applyConfig(this.#config);
     const loads = new LoadTracker({
       clock,
       onOwnChange: (change) => {
@@ -88,6 +104,7 @@
     const limits = new UpstreamLimits({ clock, logger, onOwnChange: () => undefined });
     const placer = new Placer({
       ...{ clock, random: new SeededRandom(1), view, loadTracker: loads, logger },
+      sharing: this.#sharesRoom ? newSharing({ clock, view, loadTracker: loads }) : undefined,
       ...{ health: new UpstreamHealth(clock), quota: newLoneSendQuota(clock, limits) },
     });
     const process: Process = { name, view, loads, placer, seq: 0, state: "up" };
@@ -102,7 +119,7 @@
       this.#listPeers(from).forEach(({ loads }) => {
         loads.applyPeerChange(from.name, seq, { ...change, changed });
       });
-    }, LAG_MS);
+    }, this.#lagMs);
   }
 
   #listPeers(from: Process): Process[] {
@@ -224,7 +241,7 @@
         ...{ promptTokens: ask.tokens, outputTokens: ask.outputTokens ?? 800 },
       },
       route: newRoute({ isStream: true, maxGapMs: 1_000, targetMs, timeoutMs }),
-      ...{ body: Buffer.alloc(0), customer: undefined, priority: 1, revision: 1 },
+      ...{ body: Buffer.alloc(0), customer: ask.customer, priority: 1, revision: 1 },
       ...{ receivedMs: this.clock.now(), fingerprint: ask.body ?? id, signal },
     };
   }
--- a/packages/simulation/src/SimulatedCaller.ts
+++ b/packages/simulation/src/SimulatedCaller.ts
@@ -1,6 +1,7 @@
 import { nextExponential, type Cancel, type Clock, type Random } from "@lycheepulley/core";
 import type { AnswerWriter, ForwardRequest } from "@lycheepulley/forwarding";
 
+import { getCustomersFactor, getHighestFactor, pickCustomer } from "./customers.js";
 import type { Incident, Pattern, PromptClass } from "./pattern.js";
 import { newRoute, type SimulatedFleet } from "./SimulatedFleet.js";
 import { CRASHING_PART } from "./SimulatedUpstream.js";
@@ -36,6 +37,7 @@
   readonly lateWorth: number;
   /** Parts of the prompt that other prompts share. */
   readonly parts: readonly string[];
+  readonly customer: string | undefined;
   attempts: number;
   firstMs: number | undefined;
   longestGapMs: number;
@@ -112,8 +114,9 @@
 
   /** Draws arrivals at the class's highest rate, and drops those above the rate of the moment. */
   #scheduleNext(prompt: PromptClass): void {
-    const factors = this.#pattern.surges.map((surge) => surge.factors[prompt.name] ?? 1);
-    const highest = prompt.perSecond * Math.max(1, ...factors);
+    const { customers, surges } = this.#pattern;
+    const factors = surges.map((surge) => surge.factors[prompt.name] ?? 1);
+    const highest = prompt.perSecond * Math.max(1, ...factors) * getHighestFactor(customers);
     this.#clock.setTimer(
       () => {
         if (this.#clock.now() > this.#pattern.lengthMs) {
@@ -131,7 +134,8 @@
   #getRate(prompt: PromptClass): number {
     const now = this.#clock.now();
     const surge = this.#pattern.surges.find(({ atMs, forMs }) => atMs <= now && now < atMs + forMs);
-    return prompt.perSecond * (surge?.factors[prompt.name] ?? 1);
+    const rate = prompt.perSecond * getCustomersFactor(this.#pattern.customers, now);
+    return rate * (surge?.factors[prompt.name] ?? 1);
   }
 
   #ask(prompt: PromptClass, parts: readonly string[]): void {
@@ -139,8 +143,12 @@
     const outputTokens = nextLogNormal(this.#random, prompt.outputTokens);
     const size = FIXED_WORTH + (1 - FIXED_WORTH) * (promptTokens / prompt.promptTokens.mean);
     const factor = Math.min(MAX_WORTH_FACTOR, size);
+    const askedMs = this.#clock.now();
+    const at = { nowMs: askedMs, random: this.#random };
+    const customer = pickCustomer(this.#pattern.customers, at);
     const record: RequestRecord = {
-      ...{ className: prompt.name, askedMs: this.#clock.now(), promptTokens },
+      customer: customer?.name,
+      ...{ className: prompt.name, askedMs, promptTokens },
       ...{ worth: prompt.worth * factor, lateWorth: prompt.lateWorth * factor },
       ...{ firstMs: undefined, longestGapMs: 0, result: "open", parts, attempts: 0 },
     };
@@ -164,6 +172,7 @@
       return;
     }
     const abort = new AbortController();
+    const { signal } = abort;
     const cancelDeadline = this.#clock.setTimer(() => {
       abort.abort();
     }, leftMs);
@@ -176,7 +185,8 @@
     });
     const cancelWatch = this.#watchProcess(() => this.#fleet.isUp(gateway), abort);
     record.attempts = state.attempt;
-    const req = this.#newRequest(prompt, { ...state, parts: record.parts }, leftMs, abort.signal);
+    const asked = this.#newRequest(prompt, { ...state, parts: record.parts }, leftMs);
+    const req = { ...asked, ...this.#identify(record), signal };
     await gateway.forward(req, answer);
     cancelDeadline();
     cancelWatch();
@@ -197,6 +207,12 @@
     }
   }
 
+  /** Attempts of one caller look alike. */
+  #identify(record: RequestRecord): Partial<Pick<ForwardRequest, "customer" | "fingerprint">> {
+    const { customer } = record;
+    return customer ? { customer, fingerprint: `f${String(this.records.indexOf(record))}` } : {};
+  }
+
   /** Aborts the request once its entry process has ended. */
   #watchProcess(isUp: () => boolean, abort: AbortController): () => void {
     let cancel = (): void => undefined;
@@ -235,8 +251,7 @@
       parts: readonly string[];
     },
     deadlineMs: number,
-    signal: AbortSignal,
-  ): ForwardRequest {
+  ): Omit<ForwardRequest, "signal"> {
     const { promptTokens, outputTokens, lastEventId, parts } = state;
     const attemptId = `a${String(this.#nextAttempt++)}`;
     const path = `/${prompt.name}/`;
@@ -250,7 +265,7 @@
       },
       route: newRoute(prompt),
       ...{ body: Buffer.alloc(0), customer: undefined, priority: 1, revision: 1 },
-      ...{ receivedMs: this.#clock.now(), fingerprint: attemptId, signal },
+      ...{ receivedMs: this.#clock.now(), fingerprint: attemptId },
     };
   }
 }
--- a/packages/simulation/src/SimulatedFleet.ts
+++ b/packages/simulation/src/SimulatedFleet.ts
@@ -184,6 +184,7 @@
         costs: newCosts(this.#costPolicy, this.#clock, (id) => getPace(this.#pattern, id)),
         ...{ name, clock: this.#clock, random: this.#random, config: this.#config, transport },
         ...{ control: this.#newControl(), processes: this.#pattern.processes },
+        sharesRoom: this.#pattern.sharesRoom ?? false,
         getMembers: () => this.#network.getMembers(name),
         onUpstreamDead: (upstream) => {
           this.#network.sendDead(name, upstream);
--- a/packages/simulation/src/SimulatedGateway.ts
+++ b/packages/simulation/src/SimulatedGateway.ts
@@ -76,6 +76,7 @@
     peerLoads: PeerLoads;
     onUpstreamDead: (upstream: string) => void;
     costs: CostBook | undefined;
+    sharesRoom: boolean;
   }) {
     const { clock, random, transport, control } = options;
     this.name = options.name;
@@ -114,6 +115,7 @@
       tellPeers: options.onUpstreamDead,
     });
     this.#forwarder = new Forwarder({
+      sharesRoom: options.sharesRoom,
       ...{ clock, random, transport, control, logger, view: this.#view },
       ...{
         health: this.#health,
--- a/packages/simulation/src/experiment.ts
+++ b/packages/simulation/src/experiment.ts
@@ -32,6 +32,8 @@
   readonly seed: number;
   readonly day: Credit;
   readonly classes: readonly Credit[];
+  /** By customer, where callers have any. */
+  readonly customers: readonly Credit[];
   readonly windows: readonly Credit[];
   /** Mean share of the worst windows. */
   readonly worstWindows: number;
@@ -107,8 +109,14 @@
     .map(({ share }) => share)
     .sort((a, b) => a - b)
     .slice(0, WORST_WINDOWS);
+  const customers = (pattern.customers ?? []).map(({ name }) =>
+    newCredit(
+      name,
+      records.filter(({ customer }) => customer === name),
+    ),
+  );
   return {
-    ...{ pattern: pattern.name, seed, windows },
+    ...{ pattern: pattern.name, seed, windows, customers },
     day: newCredit("day", records),
     classes: pattern.classes.map(({ name }) =>
       newCredit(
--- a/packages/simulation/src/pattern.ts
+++ b/packages/simulation/src/pattern.ts
@@ -68,6 +68,17 @@
 ]);
 export type Incident = z.infer<typeof incidentSchema>;
 
+/** A customer, the part of all requests that are usually its own, and times at which it asks for more or less. */
+export const simulatedCustomerSchema = z.object({
+  name: z.string().min(1),
+  part: z.number().positive(),
+  surges: z
+    .array(z.object({ atMs: z.number(), forMs: z.number(), factor: z.number().nonnegative() }))
+    .optional(),
+  /** Attempts that it makes at once after a refusal, in place of coming back when it was told to. */
+  repeats: z.number().int().nonnegative().optional(),
+});
+
 /** A deployment and the load and incidents that it goes through. */
 export const patternSchema = z.object({
   name: z.string().min(1),
@@ -86,6 +97,10 @@
   /** First parts that the prompts of a class share, if they share any. */
   firstParts: z.number().int().positive().optional(),
   classes: z.array(promptClassSchema).min(1),
+  /** Customers, whose parts add up to 1; absent for callers without keys. */
+  customers: z.array(simulatedCustomerSchema).optional(),
+  /** Customers have shares of the fleet. */
+  sharesRoom: z.boolean().optional(),
   surges: z.array(surgeSchema),
   incidents: z.array(incidentSchema),
 });
--- a/packages/simulation/src/patterns.ts
+++ b/packages/simulation/src/patterns.ts
@@ -47,6 +47,13 @@
   ],
 };
 
+/** Customers with as much to ask for each, one of whom asks for a multiple of it for some time. */
+const newCustomers = (count: number, factor: number): NonNullable<Pattern["customers"]> =>
+  Array.from({ length: count }, (_, index) => ({
+    ...{ name: `c${String(index)}`, part: 1 / count },
+    surges: index === 0 ? [{ atMs: 4_000, forMs: 20_000, factor }] : [],
+  }));
+
 /** Many processes that hear of each other's load through relays. */
 const LARGE_FLEET: typeof FLEET = {
   ...{ ...FLEET, lengthMs: 10_000, processes: 30, upstreams: 54, loadBatchMs: 60 },
@@ -130,6 +137,8 @@
   newPattern("asking-fleet-surge-of-long", [during(2_000, 8_000, LONG_SURGE)], [], ASKING_FLEET),
   newPattern("unequal-fleet-by-turns", BY_TURNS, [], UNEQUAL_FLEET),
   newPattern("unequal-fleet-steady", [], [], UNEQUAL_FLEET),
+  newPattern("customers-steady", [], [], { ...FLEET, customers: newCustomers(10, 1) }),
+  newPattern("one-customer-surges", [], [], { ...FLEET, customers: newCustomers(10, 15) }),
   newPattern("small-fleet-by-turns", BY_TURNS, [], SMALL_FLEET),
   newPattern("small-fleet-replaced", BY_TURNS, [{ ...REPLACED, count: 4 }], SMALL_FLEET),
 ];
--- a/packages/telemetry/src/ForwardMetrics.ts
+++ b/packages/telemetry/src/ForwardMetrics.ts
@@ -34,6 +34,7 @@
     countEvacuated,
     getRoom,
     getHeldBytes = () => 0,
+    getShares,
   }: {
     countLimited: () => number;
     countResting: () => number;
@@ -45,6 +46,8 @@
     getRoom?: () => RoomMetrics;
     /** Bytes held for callers and upstreams. */
     getHeldBytes?: () => number;
+    /** Part of each pool's work by customer; undefined where customers have no shares. */
+    getShares?: () => readonly { pool: string; customer: string; share: number }[];
   }) {
     const registers = [this.#registry];
     this.#requests = new Counter({
@@ -127,6 +130,18 @@
     if (getRoom) {
       addRoomMetrics(this.#registry, getRoom);
     }
+    new Gauge({
+      name: "lycheepulley_customer_use",
+      help: "Part of a pool's work of the last seconds that was for a customer, 0 to 1",
+      labelNames: ["pool", "customer"],
+      registers,
+      collect() {
+        this.reset();
+        for (const { pool, customer, share } of getShares?.() ?? []) {
+          this.set({ pool, customer }, share);
+        }
+      },
+    });
     const latencies = this.#latencies;
     new Gauge({
       name: "lycheepulley_forward_ms",
