--- a/packages/forwarding/src/shares/ReturnBook.ts
+++ b/packages/forwarding/src/shares/ReturnBook.ts
@@ -10,9 +10,13 @@
 /** Share of the time left after which callers come back at the latest, whatever they are told. */
 const HONOURED_SHARE = 1 / 3;
 /** No caller is told to come back sooner. */
-const MIN_RETURN_MS = 250;
-/** A caller may come back this much earlier than it was told. */
-const EARLY_RETURN_MS = 100;
+const MIN_RETURN_MS = 500;
+/**
+ * A caller may come back this much earlier than it was told, and this share of the time: processes count
+ * the time from when they hear of it.
+ */
+const EARLY_RETURN_MS = 250;
+const EARLY_RETURN_SHARE = 0.5;
 /** Most callers of one process that have an appointment; others get times without one. */
 const MAX_APPOINTMENTS = 256;
 
@@ -67,8 +71,10 @@
     if (times.length === 0 || this.#taken.has(id)) {
       return undefined;
     }
-    const leftMs = Math.max(...times);
-    return { isDue: leftMs <= EARLY_RETURN_MS, leftMs: Math.max(0, leftMs) };
+    const leftMs = Math.max(...times.map((time) => time.leftMs));
+    const namedMs = Math.max(...times.map((time) => time.namedMs));
+    const earlyMs = Math.min(EARLY_RETURN_MS, EARLY_RETURN_SHARE * namedMs);
+    return { isDue: leftMs <= earlyMs, leftMs: Math.max(0, leftMs) };
   }
 
   /** Time after which a rejected caller is to come back, milliseconds: behind those of its customer told before. */
@@ -77,7 +83,7 @@
     const queue = this.#list(
       (item) => isAppointment(item) && item.pool === pool && item.customer === customer,
     );
-    const behindMs = queue.length > 0 ? Math.max(...queue) + workMs : 0;
+    const behindMs = queue.length > 0 ? Math.max(...queue.map(({ leftMs }) => leftMs)) + workMs : 0;
     const honouredMs = HONOURED_SHARE * Math.max(0, deadlineLeftMs);
     const inMs = Math.ceil(Math.min(honouredMs, Math.max(MIN_RETURN_MS, roomMs, behindMs)));
     const id = getId(req);
@@ -109,11 +115,14 @@
     return this.#own.size;
   }
 
-  /** Times until the appointments that match, milliseconds; negative for those that are over. */
-  #list(matches: (item: LoadItem) => boolean): number[] {
+  /** Named times of the appointments that match, and what is left of them, negative once they are over. */
+  #list(matches: (item: LoadItem) => boolean): { namedMs: number; leftMs: number }[] {
     const now = this.#clock.now();
     return this.#loadTracker.items
       .filter((item) => item.promise && matches(item) && isInForce(item, now))
-      .map(({ promise, sinceMs }) => (promise?.inMs ?? 0) - (now - sinceMs));
+      .map(({ promise, sinceMs }) => {
+        const namedMs = promise?.inMs ?? 0;
+        return { namedMs, leftMs: namedMs - (now - sinceMs) };
+      });
   }
 }
