--- a/packages/simulation/src/SimulatedCaller.ts
+++ b/packages/simulation/src/SimulatedCaller.ts
@@ -1,7 +1,7 @@
 import { nextExponential, type Cancel, type Clock, type Random } from "@lycheepulley/core";
 import type { AnswerWriter, ForwardRequest } from "@lycheepulley/forwarding";
 
-import { getCustomersFactor, getHighestFactor, pickCustomer } from "./customers.js";
+import { getHighestFactor, getSourceFactor, newSources, type RequestSource } from "./customers.js";
 import type { Incident, Pattern, PromptClass } from "./pattern.js";
 import { newRoute, type SimulatedFleet } from "./SimulatedFleet.js";
 import { CRASHING_PART } from "./SimulatedUpstream.js";
@@ -83,8 +83,11 @@
     this.#fleet = fleet;
     this.#clock = clock;
     this.#random = random;
+    const sources = newSources(pattern.customers, random);
     pattern.classes.forEach((prompt) => {
-      this.#scheduleNext(prompt);
+      sources.forEach((source) => {
+        this.#scheduleNext(prompt, source);
+      });
     });
     pattern.incidents.forEach((incident) => {
       if (incident.kind === "crashingPart") {
@@ -113,42 +116,38 @@
   }
 
   /** Draws arrivals at the class's highest rate, and drops those above the rate of the moment. */
-  #scheduleNext(prompt: PromptClass): void {
-    const { customers, surges } = this.#pattern;
-    const factors = surges.map((surge) => surge.factors[prompt.name] ?? 1);
-    const highest = prompt.perSecond * Math.max(1, ...factors) * getHighestFactor(customers);
+  #scheduleNext(prompt: PromptClass, source: RequestSource): void {
+    const factors = this.#pattern.surges.map((surge) => surge.factors[prompt.name] ?? 1);
+    const highest = prompt.perSecond * Math.max(1, ...factors) * getHighestFactor(source);
     this.#clock.setTimer(
       () => {
         if (this.#clock.now() > this.#pattern.lengthMs) {
           return;
         }
-        if (this.#random.next() * highest < this.#getRate(prompt)) {
-          this.#ask(prompt, this.#pickParts(prompt));
+        if (source.random.next() * highest < this.#getRate(prompt, source)) {
+          this.#ask(prompt, this.#pickParts(prompt), source);
         }
-        this.#scheduleNext(prompt);
+        this.#scheduleNext(prompt, source);
       },
-      nextExponential(this.#random, 1_000 / highest),
+      nextExponential(source.random, 1_000 / highest),
     );
   }
 
-  #getRate(prompt: PromptClass): number {
+  #getRate(prompt: PromptClass, source: RequestSource): number {
     const now = this.#clock.now();
     const surge = this.#pattern.surges.find(({ atMs, forMs }) => atMs <= now && now < atMs + forMs);
-    const rate = prompt.perSecond * getCustomersFactor(this.#pattern.customers, now);
-    return rate * (surge?.factors[prompt.name] ?? 1);
+    return prompt.perSecond * (surge?.factors[prompt.name] ?? 1) * getSourceFactor(source, now);
   }
 
-  #ask(prompt: PromptClass, parts: readonly string[]): void {
-    const promptTokens = nextLogNormal(this.#random, prompt.promptTokens);
-    const outputTokens = nextLogNormal(this.#random, prompt.outputTokens);
+  #ask(prompt: PromptClass, parts: readonly string[], source?: RequestSource): void {
+    const random = source?.random ?? this.#random;
+    const promptTokens = nextLogNormal(random, prompt.promptTokens);
+    const outputTokens = nextLogNormal(random, prompt.outputTokens);
     const size = FIXED_WORTH + (1 - FIXED_WORTH) * (promptTokens / prompt.promptTokens.mean);
     const factor = Math.min(MAX_WORTH_FACTOR, size);
-    const askedMs = this.#clock.now();
-    const at = { nowMs: askedMs, random: this.#random };
-    const customer = pickCustomer(this.#pattern.customers, at);
     const record: RequestRecord = {
-      customer: customer?.name,
-      ...{ className: prompt.name, askedMs, promptTokens },
+      customer: source?.customer?.name,
+      ...{ className: prompt.name, askedMs: this.#clock.now(), promptTokens },
       ...{ worth: prompt.worth * factor, lateWorth: prompt.lateWorth * factor },
       ...{ firstMs: undefined, longestGapMs: 0, result: "open", parts, attempts: 0 },
     };
--- a/packages/simulation/src/customers.ts
+++ b/packages/simulation/src/customers.ts
@@ -1,38 +1,32 @@
-import type { Random } from "@lycheepulley/core";
+import { SeededRandom, type Random } from "@lycheepulley/core";
 
 import type { Pattern } from "./pattern.js";
 
-type Customers = NonNullable<Pattern["customers"]>;
+type Customer = NonNullable<Pattern["customers"]>[number];
 
-const getFactor = ({ surges }: Customers[number], nowMs: number): number =>
-  surges?.find(({ atMs, forMs }) => atMs <= nowMs && nowMs < atMs + forMs)?.factor ?? 1;
+const MAX_SEED = 2 ** 31;
 
-/** Requests of all customers at a time, as a multiple of the usual ones; 1 without customers. */
-export const getCustomersFactor = (customers: Customers = [], nowMs: number): number =>
-  customers.length === 0
-    ? 1
-    : customers.reduce((sum, customer) => sum + customer.part * getFactor(customer, nowMs), 0);
+/** Where requests come from: one customer, or callers without keys. */
+export interface RequestSource {
+  readonly customer: Customer | undefined;
+  readonly random: Random;
+}
 
-/** Highest of {@link getCustomersFactor} at any time. */
-export const getHighestFactor = (customers: Customers = []): number =>
-  customers.reduce(
-    (sum, { part, surges = [] }) => sum + part * Math.max(1, ...surges.map((each) => each.factor)),
-    0,
-  ) || 1;
+/** Sources of a pattern. Each customer has its own random numbers, so that what one asks doesn't change what others ask. */
+export const newSources = (
+  customers: Pattern["customers"],
+  random: Random,
+): readonly RequestSource[] =>
+  customers?.map((customer) => ({
+    ...{ customer, random: new SeededRandom(Math.floor(random.next() * MAX_SEED)) },
+  })) ?? [{ customer: undefined, random }];
 
-/** Picks a customer by what each asks for at a time; undefined without customers. */
-export const pickCustomer = (
-  customers: Customers = [],
-  { nowMs, random }: { nowMs: number; random: Random },
-): Customers[number] | undefined => {
-  if (customers.length === 0) {
-    return undefined;
-  }
-  let left = random.next() * getCustomersFactor(customers, nowMs);
-  return (
-    customers.find((customer) => {
-      left -= customer.part * getFactor(customer, nowMs);
-      return left < 0;
-    }) ?? customers.at(-1)
-  );
+/** Requests of a source at a time, as a multiple of those of the whole pattern. */
+export const getSourceFactor = ({ customer }: RequestSource, nowMs: number): number => {
+  const surge = customer?.surges?.find(({ atMs, forMs }) => atMs <= nowMs && nowMs < atMs + forMs);
+  return (customer?.part ?? 1) * (surge?.factor ?? 1);
 };
+
+/** Highest of {@link getSourceFactor} at any time. */
+export const getHighestFactor = ({ customer }: RequestSource): number =>
+  (customer?.part ?? 1) * Math.max(1, ...(customer?.surges ?? []).map(({ factor }) => factor));
