--- a/packages/forwarding/src/shares/CustomerShares.ts
+++ b/packages/forwarding/src/shares/CustomerShares.ts
@@ -11,9 +11,9 @@
 /** Share of a pool in use from which it is contended. */
 const CONTENDED_SHARE = 0.5;
 /** Share of a pool up to which customers above their shares may fill it; the rest is for those below. */
-const FILLED_SHARE = 0.7;
+const FILLED_SHARE = 0.6;
 /** The same for callers that return when they were told to, who go before newcomers. */
-const FILLED_BY_RETURNS_SHARE = 0.75;
+const FILLED_BY_RETURNS_SHARE = 0.63;
 /** A customer isn't above its share until it uses this much of an equal part of what is in use. */
 const TOLERANCE = 1.25;
 /** Requests of late without which nothing is known of shares. */
