--- a/packages/forwarding/src/Placer.ts
+++ b/packages/forwarding/src/Placer.ts
@@ -14,7 +14,7 @@
 import type { SendQuota } from "./limits/SendQuota.js";
 import type { LoadTracker } from "./LoadTracker.js";
 import type { PeerLoads } from "./PeerLoads.js";
-import { isForOneUpstream, type PlacementCandidate } from "./placement.js";
+import { isForOneUpstream, type PlacementCandidate, type PlacementPlan } from "./placement.js";
 import {
   getEnd,
   isRejectable,
@@ -26,14 +26,13 @@
 import { newPlacementRequest } from "./placementRequest.js";
 import { getCallLoad, getKvTokens, getPromptLoad } from "./requestLoad.js";
 import { getRetryAfterMs, REJECTED_RETRY_AFTER_MS } from "./retryAfter.js";
+import type { AskedPrompt } from "./room/decisions.js";
+import { mayHold } from "./room/findRoom.js";
 import { getCustomerKey } from "./shares/customerKey.js";
 import { RoomBook } from "./room/RoomBook.js";
 import { FreeForAll, type RoomPolicy } from "./room/RoomPolicy.js";
 import type { UpstreamHealth } from "./UpstreamHealth.js";
 
-/** Interval at which a prompt that waits for KV memory is planned again. */
-const REPLAN_INTERVAL_MS = 15;
-
 export * from "./placementQuery.js";
 
 type Choice = Pick<PlacementQuery, "pool" | "homes" | "excluded">;
@@ -132,8 +131,12 @@
 
   /** Resolves with a placement once there is an acceptable one, or with the reason for none. */
   async find(query: PlacementQuery): Promise<Placement | PlacementFailure> {
-    const placement = await this.#search(query);
-    this.room.end(query.req, typeof placement !== "string");
+    let placement: Placement | PlacementFailure = PlacementFailure.NoUpstream;
+    try {
+      placement = await this.#search(query);
+    } finally {
+      this.room.end(query.req, typeof placement !== "string");
+    }
     return placement;
   }
 
@@ -234,7 +237,7 @@
         return rejection;
       }
       const asked = { req, pool, engine, request, candidates };
-      const plan = this.room.awaitTurn(asked, planNear(engine, request, candidates));
+      const plan = this.#plan(asked, { isNew });
       if (plan) {
         const cost = getCost(candidates, plan.upstream);
         const placed = { upstream: plan.upstream, plan, request, waitedMs: now - startMs };
@@ -251,11 +254,18 @@
         if (cause) {
           return cause;
         }
-        await sleep(this.#clock, REPLAN_INTERVAL_MS, query.signal);
+        await sleep(this.#clock, this.room.getReplanMs(req), query.signal);
       }
     }
   }
 
+  /** The plan of a prompt; one that waits lacks the memory most times, which is known sooner than by plans. */
+  #plan(asked: AskedPrompt, { isNew }: { isNew: boolean }): PlacementPlan | undefined {
+    const { engine, request, candidates } = asked;
+    const mayFit = isNew || mayHold(engine, request, candidates);
+    return this.room.awaitTurn(asked, mayFit ? planNear(engine, request, candidates) : undefined);
+  }
+
   async #findCandidates(
     query: PlacementQuery,
     { engine, ...options }: { engine: EngineSpec; isSmall: boolean; isWhole: boolean },
--- a/packages/forwarding/src/PromptAdmission.ts
+++ b/packages/forwarding/src/PromptAdmission.ts
@@ -20,7 +20,7 @@
 import type { ForwardRequest } from "./types.js";
 
 /** A prompt, and the upstreams that it may use. */
-export interface AskedPrompt {
+export interface OfferedPrompt {
   readonly query: PlacementQuery;
   readonly engine: EngineSpec;
   readonly request: PlacementRequest;
@@ -84,7 +84,7 @@
   }
 
   /** Decides once, when the prompt arrives; undefined for one that is let in. */
-  decide(asked: AskedPrompt): PlacementFailure | undefined {
+  decide(asked: OfferedPrompt): PlacementFailure | undefined {
     const { query, engine, request } = asked;
     const verdict = this.#judge(asked);
     const value = getRequestValue(query, this.#view.table);
@@ -103,7 +103,7 @@
   }
 
   /** Notes that a prompt's first event would come too late; returns that. */
-  shedLate(asked: AskedPrompt): PlacementFailure {
+  shedLate(asked: OfferedPrompt): PlacementFailure {
     return this.#shed(asked, PlacementFailure.TooLate, this.#judge(asked));
   }
 
@@ -113,11 +113,11 @@
   }
 
   /** True when a new prompt is let in now. */
-  admits(asked: AskedPrompt): boolean {
+  admits(asked: OfferedPrompt): boolean {
     return this.#judge(asked).isAdmitted;
   }
 
-  #judge(asked: AskedPrompt): Verdict {
+  #judge(asked: OfferedPrompt): Verdict {
     const { query } = asked;
     const value = getRequestValue(query, this.#view.table);
     const busyShare = getBusyShare(asked.candidates, query.req.route.targetMs);
@@ -138,12 +138,12 @@
     return { isAdmitted, share, appointment };
   }
 
-  #isWorth({ query, engine, request }: AskedPrompt, value: number, busyShare: number): boolean {
+  #isWorth({ query, engine, request }: OfferedPrompt, value: number, busyShare: number): boolean {
     const readMs = getReadMs(engine, request.promptTokens);
     return this.#admission.admits(query.pool, value, readMs, busyShare);
   }
 
-  #getPressure({ query, engine, candidates }: AskedPrompt): PoolPressure {
+  #getPressure({ query, engine, candidates }: OfferedPrompt): PoolPressure {
     // Those with the shortest objectives are the first that a surge of others makes late.
     const shortestMs = this.#view.table?.getShortestTargetMs(query.pool);
     return {
@@ -152,7 +152,7 @@
     };
   }
 
-  #shed(asked: AskedPrompt, reason: PlacementFailure, verdict: Verdict): PlacementFailure {
+  #shed(asked: OfferedPrompt, reason: PlacementFailure, verdict: Verdict): PlacementFailure {
     const { query, engine, request, candidates } = asked;
     const roomMs = getRoomMs(candidates);
     this.#roomMs.set(query.pool, roomMs);
--- a/packages/forwarding/src/explain/PlacementExplainer.ts
+++ b/packages/forwarding/src/explain/PlacementExplainer.ts
@@ -3,12 +3,14 @@
 import type { CandidateFinder } from "../CandidateFinder.js";
 import type { CostBook } from "../costs/CostBook.js";
 import { estimateCallMs } from "../costs/placementCosts.js";
+import { planNear } from "../distance/preferNear.js";
 import type { EngineSpec } from "../fleetConfig.js";
 import type { FleetView } from "../FleetView.js";
 import type { QuotaQueue } from "../limits/QuotaQueue.js";
 import { newQuotaWait } from "../limits/quotaWait.js";
 import type { SendQuota } from "../limits/SendQuota.js";
-import { isForOneUpstream, planPlacement, type PlacementCandidate } from "../placement.js";
+import type { LoadTracker } from "../LoadTracker.js";
+import { isForOneUpstream, type PlacementCandidate } from "../placement.js";
 import { getLatestFirstMs, isRejectable, type PlacementQuery } from "../placementQuery.js";
 import { newPlacementRequest } from "../placementRequest.js";
 import type { PromptAdmission } from "../PromptAdmission.js";
@@ -22,6 +24,7 @@
   readonly #finder: CandidateFinder;
   readonly #costs: CostBook | undefined;
   readonly #admission: PromptAdmission;
+  readonly #loadTracker: LoadTracker;
   readonly #quota: SendQuota;
   readonly #quotaQueue: QuotaQueue;
   readonly #room: RoomPolicy;
@@ -32,6 +35,7 @@
     finder: CandidateFinder;
     costs?: CostBook | undefined;
     admission: PromptAdmission;
+    loadTracker: LoadTracker;
     quota: SendQuota;
     quotaQueue: QuotaQueue;
     room: RoomPolicy;
@@ -41,6 +45,7 @@
     this.#finder = options.finder;
     this.#costs = options.costs;
     this.#admission = options.admission;
+    this.#loadTracker = options.loadTracker;
     this.#quota = options.quota;
     this.#quotaQueue = options.quotaQueue;
     this.#room = options.room;
@@ -54,8 +59,9 @@
     const found = isPrompt
       ? await this.#findCandidates(query, engine, { isWhole: false })
       : await this.#finder.find(query);
-    const candidates = [...found];
+    const candidates = this.#addEvidence(found);
     const base = {
+      loadAgeMs: this.#loadTracker.ageMs,
       ...{ atMs: now, pool, candidates, ruledOut: this.#finder.explain(query, candidates) },
       limits: this.#getLimits(query, now),
     };
@@ -68,7 +74,7 @@
     const isWorth = this.#admission.admits({ query, engine, request, candidates });
     const deadlineLeftMs = query.deadlineAtMs - now;
     const mayReject = isRejectable(query);
-    const hasPlan = planPlacement(engine, request, candidates) !== undefined;
+    const hasPlan = planNear(engine, request, candidates) !== undefined;
     const needsRoom = this.#room.isPromised && candidates.length > 0 && !hasPlan;
     return {
       ...{ ...base, engine, request },
@@ -79,6 +85,16 @@
     };
   }
 
+  /** Says how well the paces of candidates are known. */
+  #addEvidence(
+    candidates: readonly PlacementCandidate[],
+  ): (PlacementCandidate & { paceSeen?: number })[] {
+    return candidates.map((candidate) => ({
+      ...candidate,
+      ...(this.#costs && { paceSeen: this.#costs.paces.getWeight(candidate.upstream.id) }),
+    }));
+  }
+
   /** What decides once no upstream of the first look has the memory. */
   async #getRoom(
     query: PlacementQuery,
@@ -86,7 +102,8 @@
     deadlineLeftMs: number,
   ): Promise<PlacementSnapshot["room"]> {
     const { req, pool, homes } = query;
-    const candidates = [...(await this.#findCandidates(query, engine, { isWhole: true }))];
+    const found = await this.#findCandidates(query, engine, { isWhole: true });
+    const candidates = this.#addEvidence(found);
     const standing = this.#room.getStanding(req, candidates);
     return (
       standing && {
--- a/packages/forwarding/src/load.ts
+++ b/packages/forwarding/src/load.ts
@@ -7,7 +7,7 @@
   roomPromiseSchema,
   type RoomClaim,
 } from "./room/promise.js";
-import { isOptionalCustomerKey, MAX_CUSTOMER_KEY_LENGTH } from "./shares/customerKey.js";
+import { customerKeySchema, isOptionalCustomerKey } from "./shares/customerKey.js";
 
 /** What a request is doing at its upstreams. */
 export const LoadPhase = {
@@ -55,8 +55,7 @@
   outputTokens: z.number().nonnegative().optional(),
   /** The request isn't sent yet, and is promised room. */
   promise: roomPromiseSchema.optional(),
-  /** Key of the customer, where customers have shares. */
-  customer: z.string().max(MAX_CUSTOMER_KEY_LENGTH).optional(),
+  customer: customerKeySchema,
 });
 export type LoadItem = z.infer<typeof loadItemSchema>;
 
@@ -163,28 +162,29 @@
 export const newTimedItem = (
   item: LoadItem,
   { sinceMs, reportedMs }: Pick<TimedLoadItem, "sinceMs" | "reportedMs">,
-): TimedLoadItem => ({
-  id: item.id,
-  pool: item.pool,
-  phase: item.phase,
-  upstream: item.upstream,
-  helpers: item.helpers,
-  readMs: item.readMs,
-  kvTokens: item.kvTokens,
-  heldTokens: item.heldTokens,
-  maxGapMs: item.maxGapMs,
-  targetLeftMs: item.targetLeftMs,
-  deadlineLeftMs: item.deadlineLeftMs,
-  value: item.value,
-  isLate: item.isLate,
-  isApart: item.isApart,
-  writeMs: item.writeMs,
-  outputTokens: item.outputTokens,
-  promise: item.promise,
-  customer: item.customer,
-  sinceMs,
-  reportedMs,
-});
+): TimedLoadItem =>
+  ({
+    id: item.id,
+    pool: item.pool,
+    phase: item.phase,
+    upstream: item.upstream,
+    helpers: item.helpers,
+    readMs: item.readMs,
+    kvTokens: item.kvTokens,
+    heldTokens: item.heldTokens,
+    maxGapMs: item.maxGapMs,
+    targetLeftMs: item.targetLeftMs,
+    deadlineLeftMs: item.deadlineLeftMs,
+    value: item.value,
+    isLate: item.isLate,
+    isApart: item.isApart,
+    writeMs: item.writeMs,
+    outputTokens: item.outputTokens,
+    promise: item.promise,
+    customer: item.customer,
+    sinceMs,
+    reportedMs,
+  }) satisfies Record<keyof TimedLoadItem, unknown>;
 
 /** Load of an upstream with nothing in flight. */
 export const newUpstreamLoad = (): UpstreamLoad => ({
--- a/packages/forwarding/src/room/RoomBook.ts
+++ b/packages/forwarding/src/room/RoomBook.ts
@@ -1,6 +1,7 @@
 import type { Clock, Random } from "@lycheepulley/core";
 import type { Logger } from "@lycheepulley/telemetry";
 
+import type { CostBook } from "../costs/CostBook.js";
 import type { TimedLoadItem, UpstreamLoad } from "../load.js";
 import type { LoadTracker } from "../LoadTracker.js";
 import {
@@ -12,7 +13,6 @@
   type PlacementRequest,
 } from "../placement.js";
 import { getLatestFirstMs } from "../placementQuery.js";
-import { getKvTokens, getPromptLoad } from "../requestLoad.js";
 import { getRetryAfterMs } from "../retryAfter.js";
 import type { ForwardRequest } from "../types.js";
 import {
@@ -20,24 +20,25 @@
   getNeededInMs,
   getReturnId,
   getReturnKey,
+  type AskedPrompt,
   type RoomRequest,
   type RoomStanding,
 } from "./decisions.js";
 import type { FoundRoom } from "./findRoom.js";
-import { estimateReleases, getAnswerMs, ReleaseForecast } from "./forecast.js";
+import { estimateReleases, ReleaseForecast } from "./forecast.js";
+import { KeptRoom } from "./KeptRoom.js";
 import { withClaimsNow } from "./memory.js";
-import { goesBefore, isInForce, RETURN_GRACE_MS, type RoomPromise } from "./promise.js";
+import { countBefore, getLookMs, getReplanMs } from "./pacing.js";
+import { goesBefore, isInForce, RETURN_GRACE_MS } from "./promise.js";
+import { newPromiseItem } from "./promiseItem.js";
 import { RoomCause } from "./RoomCause.js";
 import type { RoomPolicy, RoomView } from "./RoomPolicy.js";
 import { RoomStats, type RoomCounts } from "./RoomStats.js";
-import type { WaitingPrompt } from "./WaitingPrompt.js";
+import { newWaitingPrompt, type WaitingPrompt } from "./WaitingPrompt.js";
 
 /** A promise is renewed at this interval, or sooner when it moved by the second time. */
 const RENEWAL_MS = 500;
 const MOVED_MS = 100;
-/** Interval at which room is looked for again, for each so many prompts that wait here. */
-const LOOK_MS = 60;
-const WAITING_PER_LOOK = 8;
 /** Time for which each prompt before may take memory that has become free, and most of them. */
 const YIELD_MS = 25;
 const MAX_YIELDS = 4;
@@ -59,15 +60,22 @@
   readonly #logger: Logger;
   readonly #waiting = new Map<string, WaitingPrompt>();
   readonly #returnMs = new WeakMap<ForwardRequest, number>();
+  readonly #kept: KeptRoom;
   readonly #roomMs = new WeakMap<ForwardRequest, number>();
   readonly #forecast: ReleaseForecast;
   readonly #stats = new RoomStats();
 
-  constructor(options: { clock: Clock; loadTracker: LoadTracker; logger: Logger }) {
+  constructor(options: {
+    clock: Clock;
+    loadTracker: LoadTracker;
+    costs?: CostBook | undefined;
+    logger: Logger;
+  }) {
     this.#clock = options.clock;
     this.#loadTracker = options.loadTracker;
     this.#logger = options.logger;
     this.#forecast = new ReleaseForecast(options);
+    this.#kept = new KeptRoom(options);
   }
 
   get counts(): RoomCounts {
@@ -145,12 +153,7 @@
    * at about the same time. Each gets some time to take it.
    */
   awaitTurn(
-    {
-      req,
-      engine,
-      request,
-      candidates,
-    }: Pick<RoomRequest, "req" | "engine" | "request" | "candidates">,
+    { req, engine, request, candidates }: AskedPrompt,
     plan: PlacementPlan | undefined,
   ): PlacementPlan | undefined {
     const waiting = this.#waiting.get(req.head.attemptId);
@@ -192,8 +195,7 @@
     const { req, candidates } = room;
     const known = this.#waiting.get(req.head.attemptId);
     const now = this.#clock.now();
-    const lookMs = LOOK_MS * Math.max(1, this.#waiting.size / WAITING_PER_LOOK);
-    if (known && now < known.lookedMs + lookMs) {
+    if (known && now < known.lookedMs + getLookMs(this.#waiting.size, known)) {
       return undefined;
     }
     const standing = this.getStanding(req, candidates);
@@ -213,12 +215,13 @@
     return undefined;
   }
 
+  /** Time after which a prompt that waits should be planned again, milliseconds. */
+  getReplanMs({ head }: ForwardRequest): number {
+    return getReplanMs(countBefore(this.#waiting, head.attemptId));
+  }
+
   #add({ req }: RoomRequest, { place, hasReturned }: RoomStanding, now: number): WaitingPrompt {
-    const waiting: WaitingPrompt = {
-      ...{ route: req.route.name, sinceMs: now, lookedMs: now, renewedMs: -Infinity, renewal: 0 },
-      ...{ place, tokens: 0, upstreams: [], yieldsSinceMs: undefined },
-      ...{ firstRoomAtMs: undefined, roomAtMs: undefined, neededAtMs: undefined },
-    };
+    const waiting = newWaitingPrompt({ route: req.route.name, place, now });
     if (hasReturned) {
       this.#stats.countPromise("returned");
     }
@@ -261,7 +264,9 @@
         waiting.neededAtMs = now + getNeededInMs(room, found);
       }
       const neededInMs = Math.max(found.inMs, waiting.neededAtMs - now);
-      this.#setItem(room, { ...found, id: attemptId, neededInMs }, { place, renewal });
+      this.#loadTracker.setOwn(
+        newPromiseItem(room, { ...found, id: attemptId, neededInMs }, { place, renewal }),
+      );
     }
     if (isFirst || movedMs >= RENEWAL_MS) {
       this.#logger.info("prompt waits for room", {
@@ -277,27 +282,11 @@
   /** Keeps room for a caller that is told to come back for it. */
   #promiseReturn(room: RoomRequest, found: FoundRoom, place: number): void {
     const id = getReturnId(room.req);
-    this.#returnMs.set(room.req, found.inMs);
     const fields = { place, renewal: 0, returnKey: getReturnKey(room.req) };
-    this.#setItem(room, { ...found, id, neededInMs: found.inMs }, fields);
-    this.#clock.setTimer(() => {
-      this.#loadTracker.removeOwn(id);
-    }, found.inMs + RETURN_GRACE_MS);
-  }
-
-  #setItem(
-    { req, pool, engine, request }: RoomRequest,
-    { id, plan, inMs, neededInMs }: FoundRoom & { id: string; neededInMs: number },
-    fields: Pick<RoomPromise, "place" | "renewal" | "returnKey">,
-  ): void {
-    const crowded = { decoding: engine.slots, contextTokens: 0 };
-    const answerMs = getAnswerMs(engine, request.outputTokens, crowded);
-    const forMs = Math.ceil(plan.firstEventMs + answerMs);
-    this.#loadTracker.setOwn({
-      ...getPromptLoad(plan, request),
-      ...{ id, pool, upstream: plan.upstream.id, kvTokens: getKvTokens(req, plan, request) },
-      promise: { inMs: Math.ceil(inMs), neededInMs: Math.ceil(neededInMs), forMs, ...fields },
-    });
+    const item = newPromiseItem(room, { ...found, id, neededInMs: found.inMs }, fields);
+    if (this.#kept.keep(item, found.inMs + RETURN_GRACE_MS)) {
+      this.#returnMs.set(room.req, found.inMs);
+    }
   }
 
   #reject({ req, request }: RoomRequest, cause: RoomCause, roomMs: number | undefined): RoomCause {
@@ -318,6 +307,9 @@
   /** Ends the wait of a request, which was placed or not. */
   end(req: ForwardRequest, isPlaced: boolean): void {
     const { attemptId } = req.head;
+    if (isPlaced) {
+      this.#kept.end(getReturnId(req));
+    }
     const waiting = this.#waiting.get(attemptId);
     if (!waiting) {
       return;
--- a/packages/simulation/src/SimulatedFleet.ts
+++ b/packages/simulation/src/SimulatedFleet.ts
@@ -1,24 +1,26 @@
 import type { Clock, Random } from "@lycheepulley/core";
-import {
-  DEFAULT_CALLER_LIMITS,
-  type FleetConfig,
-  type Route,
-  type Upstream,
-  type UpstreamControl,
-  type UpstreamTransport,
+import type {
+  FleetConfig,
+  Upstream,
+  UpstreamControl,
+  UpstreamTransport,
 } from "@lycheepulley/forwarding";
 
 import { CostPolicy, newCosts } from "./costPolicies.js";
+import { DomainSpread } from "./DomainSpread.js";
 import { getPace, withPace } from "./enginePaces.js";
+import { newFleetConfig, POOL } from "./fleetConfig.js";
+import type { FleetUtilization, LimitPeriod } from "./fleetRecords.js";
 import { GatewayNetwork, NETWORK_MS } from "./GatewayNetwork.js";
-import type { Incident, Pattern, PromptClass } from "./pattern.js";
+import type { Incident, Pattern } from "./pattern.js";
 import { SimulatedGateway } from "./SimulatedGateway.js";
 import { SimulatedUpstream, UpstreamState } from "./SimulatedUpstream.js";
 import type { WorkerModel } from "./WorkerModel.js";
 
-const POOL = "engines";
 /** Time until the gateways know that the list of upstreams changed. */
 const LIST_LAG_MS = 120;
+/** The same for one that becomes cold again. */
+const COLD_LIST_MS = 550;
 /** Time between an upstream's notice that it leaves and its end. */
 const DRAIN_MS = 2_800;
 /** Time between the end of an upstream and its successor's start. */
@@ -26,35 +28,6 @@
 /** Time until a crashed upstream is missing on the list. */
 const CRASH_LIST_MS = 2_500;
 
-/** Route of one class of prompts. */
-export const newRoute = (prompt: PromptClass): Route => ({
-  ...{ name: prompt.name, host: "fleet.example", pathPrefix: `/${prompt.name}/` },
-  ...{ repeat: "at_most_once", isStream: true, isResumable: true, isPublic: true, priority: 1 },
-  ...{ timeoutMs: prompt.deadlineMs, targetMs: prompt.targetMs, maxGapMs: prompt.maxGapMs },
-  ...{ pools: [{ pool: POOL, weight: 1 }], maxAttempts: 2 },
-});
-
-/** Work at all upstreams of a fleet at one moment. */
-export interface FleetUtilization {
-  readonly upstreams: number;
-  /** Requests that hold a slot. */
-  readonly running: number;
-  readonly queued: number;
-  /** Parts of prompts that upstreams prefill as helpers. */
-  readonly helping: number;
-  /** Prefill that is left to do, milliseconds of one upstream. */
-  readonly prefillMs: number;
-}
-
-/** A time during which an upstream named a limit. */
-export interface LimitPeriod {
-  /** Times at which requests arrived at the upstream, also before and after the period. */
-  readonly arrivals: readonly number[];
-  readonly perSecond: number;
-  readonly fromMs: number;
-  readonly untilMs: number;
-}
-
 /** Gateways and upstreams of a pattern, and the incidents that they go through. */
 export class SimulatedFleet {
   readonly #clock: Clock;
@@ -65,6 +38,8 @@
   readonly #upstreams = new Map<string, SimulatedUpstream>();
   readonly #leaving = new Set<string>();
   readonly #network: GatewayNetwork;
+  /** Failure domains of processes and upstreams, and what crosses between them. */
+  readonly domains: DomainSpread;
   /** Entry processes that are up. */
   gateways: readonly SimulatedGateway[] = [];
   /** Times during which upstreams named limits. */
@@ -84,13 +59,9 @@
     this.#costPolicy = costPolicy;
     this.#clock = clock;
     this.#random = random;
+    this.domains = new DomainSpread(pattern.spread, clock, random);
     this.#network = new GatewayNetwork(clock, () => this.gateways, pattern);
-    this.#config = {
-      revision: 1,
-      routes: pattern.classes.map((prompt) => newRoute(prompt)),
-      pools: [{ name: POOL, engine: pattern.engine }],
-      limits: DEFAULT_CALLER_LIMITS,
-    };
+    this.#config = newFleetConfig(pattern);
     for (let count = 0; count < pattern.upstreams; count++) {
       this.#addUpstream();
     }
@@ -107,7 +78,7 @@
 
   /** A random gateway that accepts callers; undefined while all are down. */
   pickGateway(): SimulatedGateway | undefined {
-    return this.gateways[Math.floor(this.#random.next() * this.gateways.length)];
+    return this.domains.pick(this.gateways);
   }
 
   /** False once the gateway's process has ended. */
@@ -158,6 +129,12 @@
           this.#limit(incident);
         }
         return;
+      case "coldReturn":
+        for (let at = 0; at < incident.count; at++) {
+          this.#cool(this.#pickServing(({ coldUntilMs }) => coldUntilMs < this.#clock.now()));
+        }
+        this.#announceList(COLD_LIST_MS);
+        return;
       case "restart":
         this.gateways = [];
         this.#clock.setTimer(() => {
@@ -180,9 +157,12 @@
     };
     this.gateways = Array.from({ length: this.#pattern.processes }, (_, index) => {
       const name = `g${String(index)}-${String(incarnation)}`;
+      const failureDomain = this.domains.get(index);
       const gateway = new SimulatedGateway({
+        ...{ failureDomain, nearDomain: this.#pattern.spread?.weighs ? failureDomain : undefined },
         costs: newCosts(this.#costPolicy, this.#clock, (id) => getPace(this.#pattern, id)),
-        ...{ name, clock: this.#clock, random: this.#random, config: this.#config, transport },
+        ...{ name, clock: this.#clock, random: this.#random, config: this.#config },
+        transport: this.domains.watch(transport, failureDomain, (port) => this.#findByPort(port)),
         ...{ control: this.#newControl(), processes: this.#pattern.processes },
         sharesRoom: this.#pattern.sharesRoom ?? false,
         getMembers: () => this.#network.getMembers(name),
@@ -196,6 +176,9 @@
         onCrashNews: (report) => {
           this.#network.sendEvidence(name, report);
         },
+        onCold: (reports) => {
+          this.#network.sendCold(name, reports);
+        },
         onLimitChange: (report) => {
           this.#network.sendLimit(name, report);
         },
@@ -228,7 +211,7 @@
     const { engine, chunkTokens, queueSlots } = this.#pattern;
     const upstream: Upstream = {
       ...{ id: `u${String(index)}`, pool: POOL, host: "upstream", port: index + 1 },
-      ...{ failureDomain: "z", slots: engine.slots, isLeaving: false },
+      ...{ failureDomain: this.domains.get(index), slots: engine.slots, isLeaving: false },
     };
     this.#upstreams.set(
       upstream.id,
@@ -241,9 +224,23 @@
         },
       }),
     );
+    if (this.#clock.now() > 0) {
+      this.#cool(this.#upstreams.get(upstream.id));
+    }
     this.#announceList();
   }
 
+  #cool(upstream: SimulatedUpstream | undefined): void {
+    if (this.#pattern.cold) {
+      upstream?.cool(this.#pattern.cold);
+    }
+  }
+
+  /** Times at which requests arrived at each upstream while it was cold. */
+  getColdArrivals(): (readonly number[])[] {
+    return [...this.#upstreams.values()].map(({ coldArrivals }) => coldArrivals);
+  }
+
   /** Announces that an upstream leaves, ends it after the drain time, and may start a successor. */
   #retire(isReplaced: boolean): void {
     const upstream = this.#pickServing();
@@ -339,7 +336,10 @@
   #list(): Upstream[] {
     return [...this.#upstreams.values()]
       .filter(({ state }) => state !== UpstreamState.Ended)
-      .map(({ upstream }) => ({ ...upstream, isLeaving: this.#leaving.has(upstream.id) }));
+      .map(({ upstream, coldUntilMs }) => ({
+        ...{ ...upstream, isLeaving: this.#leaving.has(upstream.id) },
+        coldMs: Math.max(0, coldUntilMs - this.#clock.now()),
+      }));
   }
 
   #findByPort(port: number): SimulatedUpstream | undefined {
--- a/packages/simulation/src/SimulatedGateway.ts
+++ b/packages/simulation/src/SimulatedGateway.ts
@@ -1,6 +1,8 @@
 import type { Clock, Random } from "@lycheepulley/core";
 import {
+  ColdUpstreams,
   CrashEvidence,
+  type ColdReport,
   type CostBook,
   type CostSummary,
   type EstimateError,
@@ -30,6 +32,7 @@
   type QuotaPeers,
   type TrialAnswer,
   type TrialPeers,
+  type TrialKey,
   type TrialRequest,
   type Upstream,
   type UpstreamControl,
@@ -44,12 +47,14 @@
 /** One entry process: the real decision modules, with simulated upstreams and peers. */
 export class SimulatedGateway {
   readonly name: string;
+  readonly failureDomain: string;
   readonly #clock: Clock;
   readonly #view = new FleetView();
   readonly #health: UpstreamHealth;
   readonly #loadTracker: LoadTracker;
   readonly #forwarder: Forwarder;
   readonly #limits: UpstreamLimits;
+  readonly #cold: ColdUpstreams;
   readonly #quotaOwner: QuotaOwner;
   readonly #evidence: CrashEvidence;
   readonly #trialOwner: TrialOwner;
@@ -60,12 +65,16 @@
 
   constructor(options: {
     name: string;
+    failureDomain: string;
+    /** Failure domain whose upstreams are near; undefined where distance doesn't count. */
+    nearDomain: string | undefined;
     clock: Clock;
     random: Random;
     config: FleetConfig;
     transport: UpstreamTransport;
     control: UpstreamControl;
     processes: number;
+    onCold: (reports: readonly ColdReport[]) => void;
     onLimitChange: (report: LimitReport) => void;
     quotaPeers: QuotaPeers;
     onCrashNews: (report: CrashReport) => void;
@@ -80,6 +89,7 @@
   }) {
     const { clock, random, transport, control } = options;
     this.name = options.name;
+    this.failureDomain = options.failureDomain;
     this.#costs = options.costs;
     this.#clock = clock;
     this.#health = new UpstreamHealth(clock);
@@ -97,9 +107,11 @@
     const rests = new UpstreamRests({ clock, random, logger });
     const { getMembers } = options;
     this.#limits = limits;
-    this.#quotaOwner = new QuotaOwner({ clock, limits, getMembers });
+    const cold = new ColdUpstreams({ clock, logger, onNews: options.onCold });
+    this.#cold = cold;
+    this.#quotaOwner = new QuotaOwner({ clock, limits, cold, getMembers });
     const quota = new SendQuota({
-      ...{ clock, limits, rests, owner: this.#quotaOwner, peers: options.quotaPeers },
+      ...{ clock, limits, cold, rests, owner: this.#quotaOwner, peers: options.quotaPeers },
       ...{ getMembers, logger },
     });
     const evidence = new CrashEvidence({ clock, logger, onNews: options.onCrashNews });
@@ -122,6 +134,7 @@
         watch: this.#watch,
         loadTracker: this.#loadTracker,
         peerLoads: options.peerLoads,
+        nearDomain: options.nearDomain,
         dialect: new SimulatedDialect(),
       },
       retryBudget: new RetryBudget({
@@ -129,7 +142,7 @@
         getProcessCount: () => options.processes,
       }),
       crashes: new CrashTracker({ clock, onCrash: () => undefined }),
-      ...{ limits, rests, quota, guard, costs: options.costs, promisesRoom: true },
+      ...{ limits, cold, rests, quota, guard, costs: options.costs, promisesRoom: true },
       onLeaving: () => undefined,
       reservations: new ReservationManager({ clock, control, logger }),
       onEnd: () => undefined,
@@ -152,9 +165,15 @@
     this.#limits.recordPeer(peer, report);
   }
 
+  applyPeerCold(peer: string, reports: readonly ColdReport[]): void {
+    reports.forEach((report) => {
+      this.#cold.recordPeer(peer, report);
+    });
+  }
+
   /** Answers a peer that asks for one send to an upstream with a limit. */
-  takeForPeer(peer: string, limit: LimitReport): QuotaAnswer {
-    return this.#quotaOwner.takeForPeer(peer, limit);
+  takeForPeer(peer: string, limit: LimitReport, cold?: ColdReport): QuotaAnswer {
+    return this.#quotaOwner.takeForPeer(peer, limit, cold);
   }
 
   applyEvidence(peer: string, report: CrashReport): void {
@@ -167,8 +186,8 @@
     return this.#trialOwner.take(peer, req);
   }
 
-  endTrial(part: string): void {
-    this.#trialOwner.end(part);
+  endTrial(trial: TrialKey): void {
+    this.#trialOwner.end(trial);
   }
 
   observeQuotas(): void {
@@ -182,6 +201,11 @@
     const ids = new Set(this.#view.upstreams.keys());
     this.#health.retain(ids);
     this.#limits.retain(ids);
+    this.#cold.retain(ids);
+    this.#cold.observe(upstreams, {
+      isDirect: true,
+      getColdStart: (pool) => this.#view.table?.findPool(pool)?.coldStart,
+    });
     this.#costs?.paces.retain(ids);
   }
 
