--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -57,7 +57,7 @@
     ...{ countDetours: () => this.#connector.detours, hasLostLinks: () => this.#connector.isLost },
     countEvacuated: () => this.#evacuations.count,
     ...{ getRoom: () => this.#forwarder.room, getHeldBytes: () => this.#listener.held.bytes },
-    getCrossedBytes: () => this.#crossed.counts,
+    ...{ getShares: () => this.#forwarder.usedShares, getCrossedBytes: () => this.#crossed.counts },
     getCold: () => this.#evidence.limits.coldCounts,
   });
   readonly #crossed: CrossedBytes;
@@ -226,7 +226,7 @@
       ...{ crashes: this.#crashTracker, transport, dialect, logger },
       retryBudget: newRetryBudget(settings, clock, this.#peers),
       ...{ control, limits, cold, rests, quota, guard: this.#evidence.crashes.guard },
-      ...{ costs: this.#evidence.costs.book, promisesRoom: decisions?.promisesRoom },
+      ...{ ...decisions, costs: this.#evidence.costs.book },
       reservations: new ReservationManager({ clock, control, logger }),
       onLeaving: (upstream) => {
         this.#peerExchange.notifyUpstream("leaving", upstream);
--- a/packages/forwarding/src/Placer.ts
+++ b/packages/forwarding/src/Placer.ts
@@ -1,7 +1,6 @@
 import { sleep, type Clock, type Random } from "@lycheepulley/core";
 import type { Logger } from "@lycheepulley/telemetry";
 
-import { AdmissionControl, getRoomMs, getWorkMs } from "./AdmissionControl.js";
 import { CandidateFinder } from "./CandidateFinder.js";
 import type { CostBook } from "./costs/CostBook.js";
 import { estimateCallMs, getCost } from "./costs/placementCosts.js";
@@ -15,12 +14,7 @@
 import type { SendQuota } from "./limits/SendQuota.js";
 import type { LoadTracker } from "./LoadTracker.js";
 import type { PeerLoads } from "./PeerLoads.js";
-import {
-  isForOneUpstream,
-  type PlacementCandidate,
-  type PlacementPlan,
-  type PlacementRequest,
-} from "./placement.js";
+import { isForOneUpstream, type PlacementCandidate, type PlacementPlan } from "./placement.js";
 import {
   getEnd,
   isRejectable,
@@ -28,12 +22,13 @@
   type Placement,
   type PlacementQuery,
 } from "./placementQuery.js";
+import { PromptAdmission, type Sharing } from "./PromptAdmission.js";
 import { newPlacementRequest } from "./placementRequest.js";
 import { getCallLoad, getKvTokens, getPromptLoad } from "./requestLoad.js";
-import { getRequestValue } from "./requestValue.js";
 import { getRetryAfterMs, REJECTED_RETRY_AFTER_MS } from "./retryAfter.js";
 import type { AskedPrompt } from "./room/decisions.js";
 import { mayHold } from "./room/findRoom.js";
+import { getCustomerKey } from "./shares/customerKey.js";
 import { RoomBook } from "./room/RoomBook.js";
 import { FreeForAll, type RoomPolicy } from "./room/RoomPolicy.js";
 import type { UpstreamHealth } from "./UpstreamHealth.js";
@@ -51,14 +46,13 @@
   readonly #finder: CandidateFinder;
   readonly #costs: CostBook | undefined;
   readonly #health: UpstreamHealth;
-  readonly #admission: AdmissionControl;
+  readonly #admission: PromptAdmission;
+  readonly #sharing: Sharing | undefined;
   readonly #quota: SendQuota;
   readonly #quotaQueue: QuotaQueue;
   readonly #explainer: PlacementExplainer;
   /** Prompts that wait for KV memory. */
   readonly room: RoomPolicy;
-  /** Time after which a pool that shed a prompt was expected to have room. */
-  readonly #roomMs = new Map<string, number>();
 
   constructor(options: {
     clock: Clock;
@@ -73,6 +67,8 @@
     health: UpstreamHealth;
     quota: SendQuota;
     logger: Logger;
+    /** Undefined where customers have no shares. */
+    sharing?: Sharing | undefined;
     /** Prompts that wait for KV memory are promised it; false by default. */
     promisesRoom?: boolean | undefined;
   }) {
@@ -83,7 +79,8 @@
     this.#finder = new CandidateFinder(options);
     this.#costs = options.costs;
     this.#health = options.health;
-    this.#admission = new AdmissionControl(options.clock);
+    this.#admission = new PromptAdmission(options);
+    this.#sharing = options.sharing;
     this.#quota = options.quota;
     this.#quotaQueue = new QuotaQueue(options.clock, options.quota);
     this.room = options.promisesRoom ? new RoomBook(options) : new FreeForAll();
@@ -97,8 +94,9 @@
   getRetryMs({ req, pool }: Pick<PlacementQuery, "req" | "pool">, reason: string): number {
     switch (reason) {
       case PlacementFailure.Overloaded:
+      case PlacementFailure.OverShare:
       case PlacementFailure.TooLate:
-        return getRetryAfterMs(this.#roomMs.get(pool), this.#random);
+        return this.#admission.getRetryMs({ req, pool }, this.#random);
       case PlacementFailure.Limited:
         return getRetryAfterMs(this.#getOpenInMs(pool), this.#random);
       case PlacementFailure.NoRoom:
@@ -233,16 +231,19 @@
       const request = newPlacementRequest(query, { engine, now, costs: this.#costs, table });
       const { req, pool, isApart } = query;
       const deadlineLeftMs = query.deadlineAtMs - now;
-      if (isNew && !this.#isAdmitted({ query, engine, request, candidates })) {
-        return this.#shed(pool, PlacementFailure.Overloaded, candidates);
+      const prompt = { query, engine, request, candidates };
+      const rejection = isNew ? this.#admission.decide(prompt) : undefined;
+      if (rejection) {
+        return rejection;
       }
       const asked = { req, pool, engine, request, candidates };
       const plan = this.#plan(asked, { isNew });
       if (plan) {
         const cost = getCost(candidates, plan.upstream);
+        const placed = { upstream: plan.upstream, plan, request, waitedMs: now - startMs };
         return !isNew || this.room.accepts(plan, request, deadlineLeftMs)
-          ? { upstream: plan.upstream, plan, request, waitedMs: now - startMs, cost, isApart }
-          : this.#shed(pool, PlacementFailure.TooLate, candidates);
+          ? { ...placed, cost, isApart, share: this.#admission.getShare(req) }
+          : this.#admission.shedLate(prompt);
       }
       isNew = false;
       if (isWhole || !isPromised) {
@@ -265,35 +266,6 @@
     return this.room.awaitTurn(asked, mayFit ? planNear(engine, request, candidates) : undefined);
   }
 
-  /**
-   * Decides once, when the prompt arrives or has to be sent again. A caller that has events of the
-   * answer isn't asked about: shedding the rest would waste what it has.
-   */
-  #isAdmitted(options: {
-    query: PlacementQuery;
-    engine: EngineSpec;
-    request: PlacementRequest;
-    candidates: readonly PlacementCandidate[];
-  }): boolean {
-    const { query, engine, request, candidates } = options;
-    const workMs = getWorkMs(engine, request);
-    const { targetMs } = query.req.route;
-    const value = getRequestValue(query, this.#view.table);
-    const asked = { engine, request, candidates, targetMs, value };
-    const isAdmitted = this.#admission.isWorth(query.pool, asked);
-    this.#admission.record(query.pool, value, workMs);
-    return isAdmitted;
-  }
-
-  #shed(
-    pool: string,
-    reason: PlacementFailure,
-    candidates: readonly PlacementCandidate[],
-  ): PlacementFailure {
-    this.#roomMs.set(pool, getRoomMs(candidates));
-    return reason;
-  }
-
   async #findCandidates(
     query: PlacementQuery,
     { engine, ...options }: { engine: EngineSpec; isSmall: boolean; isWhole: boolean },
@@ -316,10 +288,12 @@
   ): void {
     const { attemptId } = req.head;
     const isPrompt = plan !== undefined && request !== undefined;
+    const { customer } = req;
     this.#loadTracker.setOwn({
       ...{ id: attemptId, pool, upstream: upstream.id },
       kvTokens: getKvTokens(req, plan, request),
       ...(isApart && { isApart }),
+      ...(this.#sharing && customer !== undefined && { customer: getCustomerKey(customer) }),
       ...(isPrompt ? getPromptLoad(plan, request) : getCallLoad(cost)),
     });
   }
--- a/packages/forwarding/src/explain/PlacementExplainer.ts
+++ b/packages/forwarding/src/explain/PlacementExplainer.ts
@@ -1,6 +1,5 @@
 import type { Clock } from "@lycheepulley/core";
 
-import type { AdmissionControl } from "../AdmissionControl.js";
 import type { CandidateFinder } from "../CandidateFinder.js";
 import type { CostBook } from "../costs/CostBook.js";
 import { estimateCallMs } from "../costs/placementCosts.js";
@@ -14,7 +13,7 @@
 import { isForOneUpstream, type PlacementCandidate } from "../placement.js";
 import { getLatestFirstMs, isRejectable, type PlacementQuery } from "../placementQuery.js";
 import { newPlacementRequest } from "../placementRequest.js";
-import { getRequestValue } from "../requestValue.js";
+import type { PromptAdmission } from "../PromptAdmission.js";
 import type { RoomPolicy } from "../room/RoomPolicy.js";
 import type { PlacementSnapshot } from "./PlacementSnapshot.js";
 
@@ -24,7 +23,7 @@
   readonly #view: FleetView;
   readonly #finder: CandidateFinder;
   readonly #costs: CostBook | undefined;
-  readonly #admission: AdmissionControl;
+  readonly #admission: PromptAdmission;
   readonly #loadTracker: LoadTracker;
   readonly #quota: SendQuota;
   readonly #quotaQueue: QuotaQueue;
@@ -35,7 +34,7 @@
     view: FleetView;
     finder: CandidateFinder;
     costs?: CostBook | undefined;
-    admission: AdmissionControl;
+    admission: PromptAdmission;
     loadTracker: LoadTracker;
     quota: SendQuota;
     quotaQueue: QuotaQueue;
@@ -72,9 +71,7 @@
     }
     const { table } = this.#view;
     const request = newPlacementRequest(query, { engine, now, costs: this.#costs, table });
-    const asked = { engine, request, candidates, targetMs };
-    const value = getRequestValue(query, table);
-    const isWorth = this.#admission.isWorth(pool, { ...asked, value });
+    const isWorth = this.#admission.admits({ query, engine, request, candidates });
     const deadlineLeftMs = query.deadlineAtMs - now;
     const mayReject = isRejectable(query);
     const hasPlan = planNear(engine, request, candidates) !== undefined;
--- a/packages/forwarding/src/load.ts
+++ b/packages/forwarding/src/load.ts
@@ -7,6 +7,7 @@
   roomPromiseSchema,
   type RoomClaim,
 } from "./room/promise.js";
+import { customerKeySchema, isOptionalCustomerKey } from "./shares/customerKey.js";
 
 /** What a request is doing at its upstreams. */
 export const LoadPhase = {
@@ -54,9 +55,12 @@
   outputTokens: z.number().nonnegative().optional(),
   /** The request isn't sent yet, and is promised room. */
   promise: roomPromiseSchema.optional(),
+  customer: customerKeySchema,
 });
 export type LoadItem = z.infer<typeof loadItemSchema>;
 
+const isString = (value: unknown): value is string => typeof value === "string";
+
 const isAmount = (value: unknown): value is number =>
   Number.isFinite(value) && (value as number) >= 0;
 
@@ -67,15 +71,14 @@
   OPTIONAL_FLAGS.includes(item.isApart) &&
   (item.outputTokens === undefined || isAmount(item.outputTokens)) &&
   (item.writeMs === undefined || isAmount(item.writeMs)) &&
-  isOptionalPromise(item.promise);
+  isOptionalPromise(item.promise) &&
+  isOptionalCustomerKey(item.customer);
 
 const AMOUNTS = ["readMs", "kvTokens", "value"] as const;
 
 const isArrayOf = (value: unknown, isEntry: (entry: unknown) => boolean): boolean =>
   Array.isArray(value) && value.every(isEntry);
 
-const isString = (value: unknown): value is string => typeof value === "string";
-
 const isPhase = (value: unknown): boolean =>
   value === LoadPhase.Reading || value === LoadPhase.Writing;
 
@@ -178,6 +181,7 @@
     writeMs: item.writeMs,
     outputTokens: item.outputTokens,
     promise: item.promise,
+    customer: item.customer,
     sinceMs,
     reportedMs,
   }) satisfies Record<keyof TimedLoadItem, unknown>;
--- a/packages/simulation/src/SimulatedCaller.ts
+++ b/packages/simulation/src/SimulatedCaller.ts
@@ -1,6 +1,7 @@
 import { nextExponential, type Cancel, type Clock, type Random } from "@lycheepulley/core";
 import type { AnswerWriter, ForwardRequest } from "@lycheepulley/forwarding";
 
+import { getHighestFactor, getSourceFactor, newSources, type RequestSource } from "./customers.js";
 import { newRoute } from "./fleetConfig.js";
 import type { Incident, Pattern, PromptClass } from "./pattern.js";
 import type { SimulatedFleet } from "./SimulatedFleet.js";
@@ -37,6 +38,7 @@
   readonly lateWorth: number;
   /** Parts of the prompt that other prompts share. */
   readonly parts: readonly string[];
+  readonly customer: string | undefined;
   attempts: number;
   firstMs: number | undefined;
   longestGapMs: number;
@@ -82,8 +84,11 @@
     this.#fleet = fleet;
     this.#clock = clock;
     this.#random = random;
+    const sources = newSources(pattern.customers, random);
     pattern.classes.forEach((prompt) => {
-      this.#scheduleNext(prompt);
+      sources.forEach((source) => {
+        this.#scheduleNext(prompt, source);
+      });
     });
     pattern.incidents.forEach((incident) => {
       if (incident.kind === "crashingPart") {
@@ -112,35 +117,37 @@
   }
 
   /** Draws arrivals at the class's highest rate, and drops those above the rate of the moment. */
-  #scheduleNext(prompt: PromptClass): void {
+  #scheduleNext(prompt: PromptClass, source: RequestSource): void {
     const factors = this.#pattern.surges.map((surge) => surge.factors[prompt.name] ?? 1);
-    const highest = prompt.perSecond * Math.max(1, ...factors);
+    const highest = prompt.perSecond * Math.max(1, ...factors) * getHighestFactor(source);
     this.#clock.setTimer(
       () => {
         if (this.#clock.now() > this.#pattern.lengthMs) {
           return;
         }
-        if (this.#random.next() * highest < this.#getRate(prompt)) {
-          this.#ask(prompt, this.#pickParts(prompt));
+        if (source.random.next() * highest < this.#getRate(prompt, source)) {
+          this.#ask(prompt, this.#pickParts(prompt), source);
         }
-        this.#scheduleNext(prompt);
+        this.#scheduleNext(prompt, source);
       },
-      nextExponential(this.#random, 1_000 / highest),
+      nextExponential(source.random, 1_000 / highest),
     );
   }
 
-  #getRate(prompt: PromptClass): number {
+  #getRate(prompt: PromptClass, source: RequestSource): number {
     const now = this.#clock.now();
     const surge = this.#pattern.surges.find(({ atMs, forMs }) => atMs <= now && now < atMs + forMs);
-    return prompt.perSecond * (surge?.factors[prompt.name] ?? 1);
+    return prompt.perSecond * (surge?.factors[prompt.name] ?? 1) * getSourceFactor(source, now);
   }
 
-  #ask(prompt: PromptClass, parts: readonly string[]): void {
-    const promptTokens = nextLogNormal(this.#random, prompt.promptTokens);
-    const outputTokens = nextLogNormal(this.#random, prompt.outputTokens);
+  #ask(prompt: PromptClass, parts: readonly string[], source?: RequestSource): void {
+    const random = source?.random ?? this.#random;
+    const promptTokens = nextLogNormal(random, prompt.promptTokens);
+    const outputTokens = nextLogNormal(random, prompt.outputTokens);
     const size = FIXED_WORTH + (1 - FIXED_WORTH) * (promptTokens / prompt.promptTokens.mean);
     const factor = Math.min(MAX_WORTH_FACTOR, size);
     const record: RequestRecord = {
+      customer: source?.customer?.name,
       ...{ className: prompt.name, askedMs: this.#clock.now(), promptTokens },
       ...{ worth: prompt.worth * factor, lateWorth: prompt.lateWorth * factor },
       ...{ firstMs: undefined, longestGapMs: 0, result: "open", parts, attempts: 0 },
@@ -165,6 +172,7 @@
       return;
     }
     const abort = new AbortController();
+    const { signal } = abort;
     const cancelDeadline = this.#clock.setTimer(() => {
       abort.abort();
     }, leftMs);
@@ -177,7 +185,8 @@
     });
     const cancelWatch = this.#watchProcess(() => this.#fleet.isUp(gateway), abort);
     record.attempts = state.attempt;
-    const req = this.#newRequest(prompt, { ...state, parts: record.parts }, leftMs, abort.signal);
+    const asked = this.#newRequest(prompt, { ...state, parts: record.parts }, leftMs);
+    const req = { ...asked, ...this.#identify(record), signal };
     await gateway.forward(req, answer);
     cancelDeadline();
     cancelWatch();
@@ -198,6 +207,12 @@
     }
   }
 
+  /** Attempts of one caller look alike. */
+  #identify(record: RequestRecord): Partial<Pick<ForwardRequest, "customer" | "fingerprint">> {
+    const { customer } = record;
+    return customer ? { customer, fingerprint: `f${String(this.records.indexOf(record))}` } : {};
+  }
+
   /** Aborts the request once its entry process has ended. */
   #watchProcess(isUp: () => boolean, abort: AbortController): () => void {
     let cancel = (): void => undefined;
@@ -236,8 +251,7 @@
       parts: readonly string[];
     },
     deadlineMs: number,
-    signal: AbortSignal,
-  ): ForwardRequest {
+  ): Omit<ForwardRequest, "signal"> {
     const { promptTokens, outputTokens, lastEventId, parts } = state;
     const attemptId = `a${String(this.#nextAttempt++)}`;
     const path = `/${prompt.name}/`;
@@ -251,7 +265,7 @@
       },
       route: newRoute(prompt),
       ...{ body: Buffer.alloc(0), customer: undefined, priority: 1, revision: 1 },
-      ...{ receivedMs: this.#clock.now(), fingerprint: attemptId, signal },
+      ...{ receivedMs: this.#clock.now(), fingerprint: attemptId },
     };
   }
 }
--- a/packages/simulation/src/SimulatedFleet.ts
+++ b/packages/simulation/src/SimulatedFleet.ts
@@ -164,6 +164,7 @@
         ...{ name, clock: this.#clock, random: this.#random, config: this.#config },
         transport: this.domains.watch(transport, failureDomain, (port) => this.#findByPort(port)),
         ...{ control: this.#newControl(), processes: this.#pattern.processes },
+        sharesRoom: this.#pattern.sharesRoom ?? false,
         getMembers: () => this.#network.getMembers(name),
         onUpstreamDead: (upstream) => {
           this.#network.sendDead(name, upstream);
