Keep the limit of a cold upstream over its window too

Cause: the owner of a rate counted the sends of the last 4 s only at upstreams that aren't cold; one that is cold and names a lower limit got what was saved up besides: 9 in 4 s at 2 a second. Change: the window holds wherever a limit is named. Measured: the new row fails before (9 > 8); limits: 99 pass.

--- a/packages/forwarding/src/limits/QuotaOwner.ts
+++ b/packages/forwarding/src/limits/QuotaOwner.ts
@@ -133,9 +133,10 @@
       return REFUSED;
     }
     const quota = this.#getQuota(rate);
-    const windowMs = rate.isCold ? 0 : quota.window.getWaitMs(rate.perSecond);
+    const { limitPerSecond } = rate;
+    const windowMs = limitPerSecond === undefined ? 0 : quota.window.getWaitMs(limitPerSecond);
     if (windowMs <= 0 && quota.bucket.tryTake()) {
-      quota.window.record(rate.perSecond);
+      quota.window.record(rate.limitPerSecond ?? rate.perSecond);
       quota.refused = 0;
       return { isGranted: true, retryMs: 0, isCounted: true };
     }
@@ -168,7 +169,7 @@
       this.#views.observe();
       const quota = this.#getQuota(rate);
       quota.bucket.take();
-      quota.window.record(rate.perSecond);
+      quota.window.record(rate.limitPerSecond ?? rate.perSecond);
     }
   }
 
--- a/packages/forwarding/src/limits/SharedRates.ts
+++ b/packages/forwarding/src/limits/SharedRates.ts
@@ -9,6 +9,8 @@
   readonly upstream: string;
   readonly perSecond: number;
   readonly isCold: boolean;
+  /** The limit that the upstream names, if any. */
+  readonly limitPerSecond: number | undefined;
 }
 
 /** The rates in force: the limits that upstreams name, and what those that are cold bear. */
@@ -34,10 +36,10 @@
     if (named === undefined && cold === undefined) {
       return undefined;
     }
-    const limit = named === undefined ? Infinity : Math.max(MIN_PER_SECOND, named);
+    const limitPerSecond = named === undefined ? undefined : Math.max(MIN_PER_SECOND, named);
     return {
-      ...{ upstream, isCold: cold !== undefined },
-      perSecond: Math.min(limit, cold ?? Infinity),
+      ...{ upstream, isCold: cold !== undefined, limitPerSecond },
+      perSecond: Math.min(limitPerSecond ?? Infinity, cold ?? Infinity),
     };
   }
 }
--- a/packages/forwarding/src/limits/quotas.test.ts
+++ b/packages/forwarding/src/limits/quotas.test.ts
@@ -89,6 +89,18 @@
     });
   }
 
+  // A cold upstream that names a limit got what was saved up besides.
+  it("keeps the limit of a cold upstream over 4 s too", async () => {
+    const clock = new ManualClock();
+    const { owner, cold, limits } = new QuotaProcess(clock, OWNER);
+    limits.record({ upstream: "u", perSecond: 2, sentMs: 0, receivedMs: 0 });
+    await countGranted(clock, [owner], 10_000);
+    cold.recordPeer("n9", { upstream: "u", leftMs: 30_000, perSecond: 8 });
+    await clock.advance(2_000);
+    owner.observe();
+    expect(await countGranted(clock, [owner], 4_000)).to.be.at.most(8);
+  });
+
   // Two processes that take themselves for the owner may together grant what the rule allows.
   it("keeps two owners within the rule while processes see different members", async () => {
     for (const perSecond of rates) {
