--- a/packages/forwarding/src/CandidateFinder.ts
+++ b/packages/forwarding/src/CandidateFinder.ts
@@ -101,7 +101,8 @@
     const active = this.#health.selectActive(open);
     const { isAsked } = this;
     const known = isAsked ? NO_LOADS : this.#loadTracker.getLoads();
-    const nearDomain = areOld(active, known) ? undefined : this.#nearDomain;
+    const isWeighed = !isLong(query) && !areOld(active, known);
+    const nearDomain = isWeighed ? this.#nearDomain : undefined;
     const options = { isSmall, isAsked, random: this.#random, nearDomain };
     const considered = isWhole && !isAsked ? active : selectCandidates(active, known, options);
     const loads = isAsked ? await this.fetchLoads(considered.map(({ id }) => id)) : known;
@@ -111,9 +112,10 @@
       failureRate: this.#health.getFailureRate(upstream.id),
       avoidance: this.#quota.getAvoidance(upstream.id) + this.#view.getReturnAvoidance(upstream),
     }));
-    const isWeighed = nearDomain !== undefined && !areOld(considered, loads);
     return selectSeparate(
-      isWeighed ? this.#weighCrossing(candidates, nearDomain, query) : candidates,
+      nearDomain === undefined || areOld(considered, loads)
+        ? candidates
+        : this.#weighCrossing(candidates, nearDomain, query),
       isApart,
     );
   }
@@ -154,3 +156,7 @@
       .map(({ id }) => ({ upstream: id, reason: getReason(id) }));
   }
 }
+
+/** True for a prompt for several upstreams: its time is worth more than the crossing of its bytes. */
+const isLong = ({ req, isSmall = false }: CandidateQuery): boolean =>
+  !isSmall && req !== undefined && req.head.promptTokens > 0;
--- a/packages/forwarding/src/testing/PlacerHarness.ts
+++ b/packages/forwarding/src/testing/PlacerHarness.ts
@@ -20,20 +20,30 @@
   readonly upstreams: readonly string[];
   readonly #tracker: LoadTracker;
 
-  constructor(options: { upstreams: number; random?: Random; config?: FleetConfig }) {
-    const { random = new SeededRandom(1), config = newConfig() } = options;
+  /** Every `domains` upstreams are in as many failure domains, `d0`, `d1`, …. */
+  constructor(options: {
+    upstreams: number;
+    random?: Random;
+    config?: FleetConfig;
+    domains?: number;
+    nearDomain?: string | undefined;
+  }) {
+    const { random = new SeededRandom(1), config = newConfig(), domains = 1 } = options;
     const clock = new ManualClock();
     const logger = newSilentLogger();
     this.#tracker = new LoadTracker({ clock, onOwnChange: () => undefined });
     this.upstreams = Array.from({ length: options.upstreams }, (_, at) => `u${String(at)}`);
     this.view.applyConfig(config);
-    const list = this.upstreams.map((id) => newUpstream(id));
+    const list = this.upstreams.map((id, at) =>
+      newUpstream(id, { failureDomain: `d${String(at % domains)}` }),
+    );
     this.view.applyUpstreams({ version: 1, upstreams: list }, 0, new Set());
     const limits = new UpstreamLimits({ clock, logger, onOwnChange: () => undefined });
     this.placer = new Placer({
       ...{ clock, random, view: this.view, loadTracker: this.#tracker, logger },
       health: new UpstreamHealth(clock),
       quota: newLoneSendQuota(clock, limits),
+      nearDomain: options.nearDomain,
     });
   }
 
