--- a/review/src/case2.ts
+++ b/review/src/case2.ts
@@ -1,10 +1,10 @@
 import { sleep } from "./net.js";
 import { hasTrouble, runCase } from "./runCase.js";
 
-const PROMPTS = 13;
+const PROMPTS = 16;
 const PROMPT_TOKENS = 110_000;
 const OUTPUT_TOKENS = 688;
-const TERM_AFTER_MS = 700;
+const SEND_EVERY_MS = 120;
 const GRACE_MS = 8_000;
 const GRACE_TAIL_MS = GRACE_MS / 6;
 const DEADLINE_MS = 15_000;
@@ -16,12 +16,15 @@
   if (!gateway) {
     throw new Error("no gateway");
   }
-  const sent = Array.from({ length: PROMPTS }, () =>
-    deployment.send(gateway, {
-      ...{ route: "review", tokens: [PROMPT_TOKENS, OUTPUT_TOKENS], timeoutMs: DEADLINE_MS },
-    }),
-  );
-  await sleep(TERM_AFTER_MS);
+  const sent: ReturnType<typeof deployment.send>[] = [];
+  for (let count = 0; count < PROMPTS; count++) {
+    sent.push(
+      deployment.send(gateway, {
+        ...{ route: "review", tokens: [PROMPT_TOKENS, OUTPUT_TOKENS], timeoutMs: DEADLINE_MS },
+      }),
+    );
+    await sleep(SEND_EVERY_MS);
+  }
   const termMs = deployment.now();
   if (hasTrouble) {
     note(`SIGTERM to ${gateway.host}`);
