--- a/review/src/Deployment.ts
+++ b/review/src/Deployment.ts
@@ -23,7 +23,7 @@
 });
 
 /** Configuration like that of caixa-lisboa. */
-export const newConfig = (version: number): object => ({
+export const newConfig = (version: number, fields: object = {}): object => ({
   version,
   routes: [
     newRoute("note", {
@@ -49,6 +49,7 @@
     ...{ header_timeout_ms: 5_000, idle_timeout_ms: 15_000 },
   },
   tenants: [{ name: "hule930", api_keys: [API_KEY] }],
+  ...fields,
 });
 
 /** A small deployment on loopback addresses: gateways as processes, the rest as stand-ins. */
@@ -58,6 +59,8 @@
   readonly prompts: WorkerStandin[] = [];
   readonly calls: WorkerStandin[] = [];
   readonly store = new StoreStandin();
+  readonly #movedStore = new StoreStandin();
+  #liveStore = this.store;
   readonly #startedMs = performance.now();
   readonly #folder = mkdtempSync(join(tmpdir(), "review-"));
   readonly #subnet = `127.${String(64 + Math.floor(Math.random() * 128))}.${String(Math.floor(Math.random() * 256))}`;
@@ -93,7 +96,7 @@
       this.calls.push(newWorker(`i-app-${String(index)}`, 150 + index));
     }
     await Promise.all([...this.prompts, ...this.calls].map((worker) => worker.listen()));
-    this.store.put("keyed.op", "config", newConfig(3));
+    this.configure(newConfig(3));
     this.#beat();
     await this.#startGateways(options.gateways, storePort);
   }
@@ -131,7 +134,7 @@
     const write = (service: string) => (worker: WorkerStandin, index: number) => {
       const sequence = (this.#sequences.get(worker.id) ?? 0) + 1;
       this.#sequences.set(worker.id, sequence);
-      this.store.put("keyed.servers", worker.id, {
+      this.#liveStore.put("keyed.servers", worker.id, {
         ...{ service, address: worker.address, zone: ZONES[index % ZONES.length] },
         ...{ version: "1", slots: ENGINE.slots, state: "ready", warmup_left_ms: 0, sequence },
       });
@@ -172,6 +175,28 @@
     });
   }
 
+  /**
+   * Moves the platform's store to another address: its records go along, the settings files name the new
+   * address, and two of three processes get SIGHUP. The store at the old address answers no more calls.
+   */
+  async moveStore(): Promise<void> {
+    const port = await this.#movedStore.listen(`${this.#subnet}.2`);
+    this.#movedStore.copyFrom(this.store);
+    this.#liveStore = this.#movedStore;
+    this.gateways.forEach((gateway, index) => {
+      gateway.writeSettings(`${this.#subnet}.2:${String(port)}`);
+      if (index % 3 !== 2) {
+        gateway.signal("SIGHUP");
+      }
+    });
+    this.store.close();
+  }
+
+  /** The operator writes a configuration; the store has acknowledged it on return. */
+  configure(config: object): void {
+    this.#liveStore.put("keyed.op", "config", config);
+  }
+
   async close(): Promise<void> {
     clearTimeout(this.#heartbeat);
     this.gateways.forEach((gateway) => {
@@ -182,6 +207,7 @@
       worker.close();
     });
     this.store.close();
+    this.#movedStore.close();
     if (process.env.KEEP_LOGS === undefined) {
       rmSync(this.#folder, { recursive: true, force: true });
     }
--- a/review/src/Gateway.ts
+++ b/review/src/Gateway.ts
@@ -1,6 +1,6 @@
 import { spawn, type ChildProcess } from "node:child_process";
 import { once } from "node:events";
-import { createWriteStream, readFileSync, writeFileSync } from "node:fs";
+import { createWriteStream, readFileSync, renameSync, writeFileSync } from "node:fs";
 import { get } from "node:http";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
@@ -35,6 +35,7 @@
   readonly ports: Ports;
   readonly #folder: string;
   readonly #settingsFile: string;
+  readonly #options: Parameters<typeof newSettings>[0];
   #child: ChildProcess | undefined;
 
   constructor(options: {
@@ -48,11 +49,19 @@
     folder: string;
   }) {
     const { host, ports, folder } = options;
+    this.#options = options;
     this.host = host;
     this.ports = ports;
     this.#folder = folder;
     this.#settingsFile = join(folder, `${host}.toml`);
-    writeFileSync(this.#settingsFile, newSettings(options));
+    this.writeSettings(options.storeAddress);
+  }
+
+  /** Writes the settings file, whole at every moment. */
+  writeSettings(storeAddress: string): void {
+    const next = `${this.#settingsFile}.next`;
+    writeFileSync(next, newSettings({ ...this.#options, storeAddress }));
+    renameSync(next, this.#settingsFile);
   }
 
   start(): void {
--- a/review/src/StoreStandin.ts
+++ b/review/src/StoreStandin.ts
@@ -25,6 +25,11 @@
     closeServer(this.#server);
   }
 
+  /** Takes over all records of another store, at their offsets. */
+  copyFrom(other: StoreStandin): void {
+    other.#topics.forEach((records, topic) => this.#topics.set(topic, [...records]));
+  }
+
   /** Writes a record as the operator or a worker does; without a value it drops the key. */
   put(topic: string, key: string, value?: object): void {
     const data = value === undefined ? Buffer.alloc(0) : Buffer.from(JSON.stringify(value));
