--- a/review/src/runCase.ts
+++ b/review/src/runCase.ts
@@ -46,6 +46,11 @@
     write();
     void deployment.close().then(() => process.exit(COULD_NOT_RUN));
   }, LIMIT_MS);
+  for (const signal of ["SIGINT", "SIGTERM"] as const) {
+    process.once(signal, () => {
+      void deployment.close().then(() => process.exit(COULD_NOT_RUN));
+    });
+  }
   let status = COULD_NOT_RUN;
   try {
     const { outcomes, breaks, problem } = await play(deployment, note);
