Keep the review's sources out of folders of their own

Cause: review/src and the built review/dist are no case folders, and only 1 to 5 may stand there. Change: the stand-ins lie in review/ as files, each script in its case's folder, which is also where build.sh compiles it to.

--- a/review/src/case1.ts
+++ b/review/1/case.ts
@@ -1,5 +1,5 @@
-import { sleep } from "./net.js";
-import { hasTrouble, runCase } from "./runCase.js";
+import { sleep } from "../net.js";
+import { hasTrouble, runCase } from "../runCase.js";
 
 const EVENTS = 32;
 const STREAMS = 20;
--- a/review/src/case2.ts
+++ b/review/2/case.ts
@@ -1,5 +1,5 @@
-import { sleep } from "./net.js";
-import { hasTrouble, runCase } from "./runCase.js";
+import { sleep } from "../net.js";
+import { hasTrouble, runCase } from "../runCase.js";
 
 const PROMPTS = 16;
 const PROMPT_TOKENS = 110_000;
--- a/review/src/Gateway.ts
+++ b/review/Gateway.ts
@@ -7,7 +7,7 @@
 
 import { sleep } from "./net.js";
 
-export const ROOT = fileURLToPath(new URL("../../", import.meta.url));
+export const ROOT = fileURLToPath(new URL("../../../", import.meta.url));
 const READY_POLL_MS = 50;
 
 /** Ports of all processes; they differ by address. */
