Frame answers to callers, and take no unframed end for whole by itself

Cause: an upstream's answer without framing was passed on without framing. A process that is killed can't reset such a connection; the system closes it in order. The answers were passed on so since a crashing upstream ends an unframed answer in order as well, and chunks would have vouched for the part. Change: callers of HTTP/1.1 get a length or chunks. The end of an unframed answer counts once its upstream accepts another connection; otherwise the answer was broken off. Callers of HTTP/1.0 get a reset in every such case, also when they close their sending side.

--- a/packages/callers/src/forward/ForwardServer.test.ts
+++ b/packages/callers/src/forward/ForwardServer.test.ts
@@ -1,10 +1,23 @@
-import type { Socket } from "node:net";
+import { fork } from "node:child_process";
+import { once } from "node:events";
+import { connect, type Socket } from "node:net";
 
 import { expect } from "chai";
 import fc from "fast-check";
 
 import { getStatus, newConfig, newRequest, useListener } from "./testing/ListenerHarness.js";
 
+const UNFINISHED_CHUNKS = /\r\nTransfer-Encoding: chunked\r\n.*half of it\r\n$/s;
+
+/** What comes until the connection ends, with the code of the error that ends it. */
+const readToClose = async (socket: Socket): Promise<string> => {
+  let answer = "";
+  socket.on("data", (chunk) => (answer += chunk.toString()));
+  socket.on("error", (err: NodeJS.ErrnoException) => (answer += ` ${err.code ?? ""}`));
+  await new Promise((resolve) => socket.once("close", resolve));
+  return answer;
+};
+
 describe("ForwardServer: every request gets an answer", () => {
   const fixture = useListener();
 
@@ -66,32 +79,52 @@
     });
   }
 
-  // An answer that broke off halfway reached the caller as a complete success.
-  for (const isFramed of [true, false]) {
-    it(`tells a caller that an answer ${isFramed ? "in chunks" : "without a length"} was cut`, async () => {
+  // Half of an answer reached the caller as a complete success.
+  const cuts: readonly [version: string, framing: string, seen: RegExp][] = [
+    ["1.1", "in chunks", UNFINISHED_CHUNKS],
+    ["1.0", "without a length", /half of it ECONNRESET$/],
+  ];
+  for (const [version, framing, seen] of cuts) {
+    it(`tells a caller of HTTP/${version} that an answer ${framing} was cut`, async () => {
       const { harness } = fixture;
       harness.forward = async (_req, writer) => {
-        writer.sendHead(200, [], isFramed);
+        writer.sendHead(200, []);
         writer.write(Buffer.from("half of it"));
         await new Promise((resolve) => setTimeout(resolve, 50));
         writer.abort();
       };
       const socket = await harness.connect();
-      let answer = "";
-      const errors: string[] = [];
-      socket.on("data", (chunk) => (answer += chunk.toString()));
-      socket.on("error", (err: NodeJS.ErrnoException) => errors.push(err.code ?? ""));
-      socket.write(newRequest());
-      await new Promise((resolve) => socket.once("close", resolve));
-      expect(answer).to.include("half of it");
-      if (isFramed) {
-        expect(answer).to.not.match(/\r\n0\r\n\r\n$/);
-      } else {
-        expect(errors).to.deep.equal(["ECONNRESET"]);
-      }
+      socket.write(newRequest().replace("HTTP/1.1", `HTTP/${version}`));
+      expect(await readToClose(socket)).to.match(seen);
     });
   }
 
+  // Callers of HTTP/1.0 that close their sending side during an answer took what they had for all of it.
+  it("resets the connection of a caller that closes its sending side during an unframed answer", async () => {
+    const { harness } = fixture;
+    harness.forward = (_req, writer) => {
+      writer.sendHead(200, []);
+      writer.write(Buffer.from("half of it"));
+      return new Promise(() => undefined);
+    };
+    const socket = await harness.connect();
+    socket.write(newRequest().replace("HTTP/1.1", "HTTP/1.0"));
+    socket.once("data", () => socket.end());
+    expect(await readToClose(socket)).to.match(/half of it ECONNRESET$/);
+  });
+
+  // The system closes the connections of a killed process in order, which ended the answer as if whole.
+  it("tells a caller that an answer was cut when its process is killed", async () => {
+    const child = fork(new URL("./testing/halfAnswerMain.js", import.meta.url));
+    const [port] = (await once(child, "message")) as [number];
+    const socket = connect(port, "127.0.0.1");
+    socket.write(newRequest());
+    socket.once("data", () => {
+      child.kill("SIGKILL");
+    });
+    expect(await readToClose(socket)).to.match(UNFINISHED_CHUNKS);
+  });
+
   const waits = [0, 600];
   for (const waitMs of waits) {
     // A caller that had sent its whole request and closed its sending side got no answer.
--- a/packages/callers/src/forward/ResponseWriter.ts
+++ b/packages/callers/src/forward/ResponseWriter.ts
@@ -3,9 +3,14 @@
 import type { AnswerWriter, HeaderList, UpstreamCall } from "@lycheepulley/forwarding";
 
 import type { HeldMemory, HeldRequest } from "./HeldMemory.js";
+import { resetOnClose } from "./resetOnClose.js";
 
 const MS_PER_S = 1_000;
 
+/** True when the headers, names and values by turns, declare the length of the body. */
+const hasLength = (headers: HeaderList): boolean =>
+  headers.some((name, index) => index % 2 === 0 && name.toLowerCase() === "content-length");
+
 /** Writes an answer to a caller, an upstream's or one of this process itself. */
 export class ResponseWriter implements AnswerWriter {
   readonly #res: ServerResponse;
@@ -13,7 +18,7 @@
   readonly #memory: HeldMemory;
   readonly #held: HeldRequest;
   #isLastAnswer = false;
-  /** Only a reset tells a caller that such an answer isn't complete. */
+  /** Callers of HTTP/1.0 take no chunks: only a reset tells them that an answer isn't complete. */
   #isUnframed = false;
 
   constructor(
@@ -77,16 +82,12 @@
     this.#isLastAnswer = true;
   }
 
-  sendHead(status: number, headers: HeaderList, isFramed: boolean): void {
+  sendHead(status: number, headers: HeaderList): void {
     if (this.isClosed || this.isHeadSent) {
       return;
     }
-    if (!isFramed) {
-      this.#isLastAnswer = true;
-      this.#isUnframed = true;
-      this.#res.useChunkedEncodingByDefault = false;
-    }
     this.#res.writeHead(status, [...headers, ...this.#newConnectionHeader()]);
+    this.#isUnframed = !this.#res.chunkedEncoding && !hasLength(headers);
   }
 
   write(chunk: Buffer): boolean {
@@ -116,8 +117,7 @@
   abort(): void {
     const { socket } = this.#res;
     if (this.#isUnframed && socket) {
-      // `resetAndDestroy` sends a FIN before the reset, which looks like the end of the answer.
-      Object.assign(socket, { resetAndClosing: true });
+      resetOnClose(socket);
     }
     this.#res.destroy();
   }
--- a/packages/callers/src/forward/halfClosed.ts
+++ b/packages/callers/src/forward/halfClosed.ts
@@ -2,6 +2,8 @@
 
 import type { Clock } from "@lycheepulley/core";
 
+import { resetOnClose } from "./resetOnClose.js";
+
 /** A reset shows with the next write, so that a caller that left is noticed after two of them. */
 const PROBE_INTERVAL_MS = 100;
 
@@ -28,6 +30,9 @@
   };
   const onEnd = (): void => {
     if (res.headersSent || req.httpVersionMinor === 0) {
+      if (res.headersSent && !res.chunkedEncoding) {
+        resetOnClose(socket);
+      }
       // No interim answers are possible, and a stream would go on until two more of its events.
       res.destroy();
     } else {
--- a/packages/callers/src/forward/slowReaders.test.ts
+++ b/packages/callers/src/forward/slowReaders.test.ts
@@ -24,7 +24,7 @@
     const { harness } = fixture;
     harness.forward = (req, writer) => {
       if (req.body.length === 0) {
-        writer.sendHead(200, ["Content-Length", String(UNREAD_BYTES)], true);
+        writer.sendHead(200, ["Content-Length", String(UNREAD_BYTES)]);
         writer.write(Buffer.alloc(UNREAD_BYTES));
       } else {
         writer.sendOwn(200, "answered");
@@ -57,7 +57,7 @@
     const { harness } = fixture;
     let written = 0;
     harness.forward = (_req, writer) => {
-      writer.sendHead(200, ["Content-Length", String(UNREAD_BYTES)], true);
+      writer.sendHead(200, ["Content-Length", String(UNREAD_BYTES)]);
       const chunk = Buffer.alloc(CHUNK_BYTES);
       const write = (): void => {
         while (written < UNREAD_BYTES) {
--- a/packages/callers/src/forward/testing/ListenerHarness.ts
+++ b/packages/callers/src/forward/testing/ListenerHarness.ts
@@ -39,7 +39,7 @@
 export class ListenerHarness {
   readonly view = new FleetView();
   readonly server: ForwardServer;
-  readonly #port: number;
+  readonly port: number;
   forward: (req: ForwardRequest, writer: AnswerWriter) => Promise<void> = (_req, writer) => {
     writer.sendOwn(200, "answered");
     return Promise.resolve();
@@ -51,7 +51,7 @@
   });
 
   private constructor(port: number) {
-    this.#port = port;
+    this.port = port;
     this.view.applyConfig(newConfig(1));
     this.server = new ForwardServer({
       ...{ clock: new SystemClock(), view: this.view, logger: newSilentLogger() },
@@ -80,7 +80,7 @@
 
   connect(): Promise<Socket> {
     return new Promise((resolve) => {
-      const socket = connect(this.#port, HOST, () => {
+      const socket = connect(this.port, HOST, () => {
         resolve(socket);
       });
       socket.on("error", () => undefined);
--- /dev/null
+++ b/packages/forwarding/src/AnswerBuffer.ts
@@ -0,0 +1,32 @@
+import type { AnswerWriter } from "./types.js";
+
+/** Bytes of an answer that are kept until it is known whether the caller gets them. */
+export class AnswerBuffer {
+  readonly #writer: AnswerWriter;
+  #chunks: Buffer[] = [];
+  #size = 0;
+
+  constructor(writer: AnswerWriter) {
+    this.#writer = writer;
+  }
+
+  get bytes(): number {
+    return this.#size;
+  }
+
+  /** False when there is no memory for more. */
+  add(chunk: Buffer): boolean {
+    this.#chunks.push(chunk);
+    this.#size += chunk.length;
+    return this.#writer.collect?.(chunk.length) ?? true;
+  }
+
+  /** Empties the buffer. */
+  take(): Buffer {
+    const bytes = Buffer.concat(this.#chunks);
+    this.#writer.collect?.(-this.#size);
+    this.#chunks = [];
+    this.#size = 0;
+    return bytes;
+  }
+}
--- a/packages/forwarding/src/FinalAnswer.ts
+++ b/packages/forwarding/src/FinalAnswer.ts
@@ -67,7 +67,7 @@
       this.#writer.abort();
     } else {
       const headers = this.#deps.dialect.newAnswerHeaders(answer.head, { keepLength: true });
-      this.#writer.sendHead(answer.head.status, headers, answer.isFramed);
+      this.#writer.sendHead(answer.head.status, headers);
       this.#writer.write(answer.body);
       this.#writer.end();
     }
--- a/packages/forwarding/src/ForwardJob.ts
+++ b/packages/forwarding/src/ForwardJob.ts
@@ -60,7 +60,7 @@
     this.#timeline = new AnswerTimeline(options.req.receivedMs, options.req.route);
     const { deps, req, writer } = options;
     this.#feedback = new SendFeedback({ deps, req, log: this.#log });
-    const progress = { lastEventId: req.head.lastEventId, isHeadSent: false, isFramed: false };
+    const progress = { lastEventId: req.head.lastEventId, isHeadSent: false };
     this.#runner = new SendRunner({
       ...{ deps, req, writer, progress, deadlineAtMs: this.#deadlineAtMs },
     });
@@ -197,7 +197,6 @@
       },
       onHead: (facts) => {
         this.#feedback.recordHead(upstream, sentMs, facts);
-        live.evidence?.onHead(facts);
       },
       onEvents: () => {
         live.evidence?.onEvents();
--- a/packages/forwarding/src/Forwarder.test.ts
+++ b/packages/forwarding/src/Forwarder.test.ts
@@ -48,16 +48,6 @@
     expect(harness.resumedAfter).to.equal("1");
   });
 
-  it("forwards an unframed stream unframed", async () => {
-    const harness = new ForwarderHarness();
-    await harness.request(STREAM, 5_000);
-    harness.transport.startStream(["unframed"]);
-    harness.transport.sendEvents(1);
-    harness.transport.last.observer.onEnd();
-    await harness.settle();
-    expect(harness.caller).to.include({ isFramed: false, ending: "whole" });
-  });
-
   const stalls: readonly [name: string, isAlive: boolean, afterMs: number, sends: number][] = [
     ["waits for a stalled upstream that is alive", true, 1_200, 1],
     ["abandons a stalled upstream that is dead", false, 800, 2],
--- a/packages/forwarding/src/Send.ts
+++ b/packages/forwarding/src/Send.ts
@@ -1,5 +1,7 @@
 import { getMessage, type Clock } from "@lycheepulley/core";
 
+import { AnswerBuffer } from "./AnswerBuffer.js";
+import { ENDED_WITH_UPSTREAM, hasKnownEnd } from "./answerEnd.js";
 import type { AnswerObserver, AnswerProgress } from "./answerProgress.js";
 import { EventSplitter, type StreamEvent } from "./EventSplitter.js";
 import { getFailure, SendResult, type BufferedAnswer, type SendOutcome } from "./outcomes.js";
@@ -30,10 +32,10 @@
   readonly #writer: AnswerWriter;
   readonly #progress: AnswerProgress;
   readonly #observer: AnswerObserver;
+  readonly #hasSurvived: () => Promise<boolean>;
   readonly #stallWatch: StallWatch;
   readonly #splitter = new EventSplitter();
-  readonly #buffered: Buffer[] = [];
-  #bufferedBytes = 0;
+  readonly #buffer: AnswerBuffer;
   #passedBytes = 0;
   /** An event of the stream arrived. */
   #hasEvents = false;
@@ -60,12 +62,16 @@
     observer: AnswerObserver;
     /** Asks the upstream whether it is alive. */
     isAlive: () => Promise<boolean>;
+    /** Finds out whether the upstream lives on after the end of its answer. Never rejects. */
+    hasSurvived: () => Promise<boolean>;
   }) {
     this.#dialect = options.dialect;
     this.#req = options.req;
     this.#writer = options.writer;
     this.#progress = options.progress;
     this.#observer = options.observer;
+    this.#hasSurvived = options.hasSurvived;
+    this.#buffer = new AnswerBuffer(options.writer);
     this.#stallWatch = new StallWatch(options);
     this.outcome = new Promise((resolve) => {
       this.#resolveOutcome = resolve;
@@ -140,7 +146,7 @@
     } else if (this.#isPassthrough) {
       this.#passThrough(chunk);
     } else {
-      this.#buffer(chunk);
+      this.#collect(chunk);
     }
   }
 
@@ -158,6 +164,30 @@
     if (this.#isSettled || !this.#head || !this.#facts) {
       return;
     }
+    if (hasKnownEnd(this.#req.head.method, this.#head.status, this.#facts)) {
+      this.#endAnswer(this.#head, this.#facts);
+    } else {
+      this.#stallWatch.stop();
+      void this.#endUnframed(this.#head, this.#facts);
+    }
+  }
+
+  /** The connections of a process that crashes end in order, as after a complete answer. */
+  async #endUnframed(head: AnswerHead, facts: AnswerFacts): Promise<void> {
+    const hasSurvived = await this.#hasSurvived();
+    if (this.#isSettled) {
+      return;
+    }
+    if (!hasSurvived) {
+      this.#finish(ENDED_WITH_UPSTREAM);
+      return;
+    }
+    this.#guard(() => {
+      this.#endAnswer(head, facts);
+    });
+  }
+
+  #endAnswer(head: AnswerHead, facts: AnswerFacts): void {
     if (this.#isEventStream) {
       this.#endEventStream();
       return;
@@ -167,7 +197,7 @@
       this.#finish({ result: SendResult.Delivered, reason: "whole answer" });
       return;
     }
-    this.#endBuffered(this.#head, this.#facts);
+    this.#endBuffered(head, facts);
   }
 
   get #isEventStream(): boolean {
@@ -194,7 +224,7 @@
     for (const { id } of blocks) {
       this.#progress.lastEventId = id ?? this.#progress.lastEventId;
     }
-    this.#write(Buffer.concat([...this.#takeBuffered(), ...blocks.map(({ bytes }) => bytes)]));
+    this.#write(Buffer.concat([this.#buffer.take(), ...blocks.map(({ bytes }) => bytes)]));
     this.#watchForStall("gapMs");
   }
 
@@ -205,48 +235,29 @@
         this.#write(bytes);
       } else {
         // Another send may go on with the answer until this one has an event.
-        this.#collect(bytes);
+        this.#buffer.add(bytes);
       }
     }
-    if (this.#bufferedBytes > MAX_BUFFERED_BYTES) {
+    if (this.#buffer.bytes > MAX_BUFFERED_BYTES) {
       this.#finish({ result: SendResult.Broken, reason: "comments without an event" });
     }
   }
 
-  /** False when there is no memory for more. */
-  #collect(bytes: Buffer): boolean {
-    this.#buffered.push(bytes);
-    this.#bufferedBytes += bytes.length;
-    return this.#writer.collect?.(bytes.length) ?? true;
-  }
-
-  #takeBuffered(): Buffer[] {
-    this.#writer.collect?.(-this.#bufferedBytes);
-    this.#bufferedBytes = 0;
-    return this.#buffered.splice(0);
-  }
-
   #endEventStream(): void {
     if (this.#splitter.pendingBytes > 0) {
       const reason = "stream ended inside an event";
       this.#finish({ result: SendResult.Broken, reason, isCut: true });
       return;
     }
-    if (this.#progress.isFramed && !this.#facts?.isFramed) {
-      this.#finish({ result: SendResult.Broken, reason: "end of an unframed stream in doubt" });
-      return;
-    }
     this.#observer.onProgress();
     this.#sendHeadOnce();
-    this.#takeBuffered().forEach((bytes) => {
-      this.#write(bytes);
-    });
+    this.#write(this.#buffer.take());
     this.#writer.end();
     this.#finish({ result: SendResult.Delivered, reason: "whole stream" });
   }
 
   #endBuffered(head: AnswerHead, facts: AnswerFacts): void {
-    const answer = { head, body: Buffer.concat(this.#takeBuffered()), isFramed: facts.isFramed };
+    const answer = { head, body: this.#buffer.take() };
     const failure = getFailure(answer, facts);
     if (failure) {
       this.#finish(failure);
@@ -262,17 +273,17 @@
   #deliver(answer: BufferedAnswer): void {
     this.#observer.onProgress();
     const headers = this.#dialect.newAnswerHeaders(answer.head, { keepLength: true });
-    this.#writer.sendHead(answer.head.status, headers, answer.isFramed);
+    this.#writer.sendHead(answer.head.status, headers);
     this.#progress.isHeadSent = true;
     this.#writer.write(answer.body);
     this.#writer.end();
   }
 
   /** Buffers the answer, and passes it through once it exceeds the limit or memory is short. */
-  #buffer(chunk: Buffer): void {
-    const hasMemory = this.#collect(chunk);
+  #collect(chunk: Buffer): void {
+    const hasMemory = this.#buffer.add(chunk);
     this.#watchForStall("gapMs");
-    if ((hasMemory && this.#bufferedBytes <= MAX_BUFFERED_BYTES) || !this.#head) {
+    if ((hasMemory && this.#buffer.bytes <= MAX_BUFFERED_BYTES) || !this.#head) {
       return;
     }
     if (this.#head.status >= FIRST_FAILURE_STATUS || this.#progress.isHeadSent) {
@@ -283,7 +294,7 @@
     this.#stallWatch.stop();
     this.#observer.onProgress();
     this.#sendHeadOnce({ keepLength: true });
-    this.#write(Buffer.concat(this.#takeBuffered()));
+    this.#write(this.#buffer.take());
   }
 
   /** Ends a failure whose body is too long to be buffered, and may have no end. */
@@ -298,10 +309,8 @@
       return;
     }
     this.#progress.isHeadSent = true;
-    const isFramed = this.#facts?.isFramed ?? false;
-    this.#progress.isFramed = isFramed;
     const headers = this.#dialect.newAnswerHeaders(this.#head, options);
-    this.#writer.sendHead(this.#head.status, headers, isFramed);
+    this.#writer.sendHead(this.#head.status, headers);
   }
 
   #write(chunk: Buffer): void {
@@ -334,7 +343,7 @@
     }
     this.#isSettled = true;
     this.#stallWatch.stop();
-    this.#takeBuffered();
+    this.#buffer.take();
     this.#call?.abort();
     this.#resolveOutcome(outcome);
   }
--- a/packages/forwarding/src/SendRunner.ts
+++ b/packages/forwarding/src/SendRunner.ts
@@ -130,6 +130,7 @@
       timeouts: getStallTimeouts(req.route, placement),
       observer,
       isAlive: () => this.#deps.control.isAlive(placement.upstream),
+      hasSurvived: () => this.#deps.watch.accepts(placement.upstream),
     });
     const headers = dialect.newUpstreamHeaders(req, {
       deadlineMs: Math.max(1, Math.floor(this.#deadlineAtMs - now)),
--- a/packages/forwarding/src/UpstreamWatch.ts
+++ b/packages/forwarding/src/UpstreamWatch.ts
@@ -55,6 +55,11 @@
     this.#stopped.abort();
   }
 
+  /** True when the upstream accepts a connection now. Never rejects. */
+  accepts(upstream: Upstream): Promise<boolean> {
+    return this.#probe(upstream);
+  }
+
   /** Probes an upstream that failed a request of this process, and tells the peers if it is dead. */
   suspect(id: string): void {
     void this.#check(id, undefined);
--- a/packages/forwarding/src/answerProgress.ts
+++ b/packages/forwarding/src/answerProgress.ts
@@ -7,8 +7,6 @@
   lastEventId: string | undefined;
   /** The head of the answer was sent to the caller. */
   isHeadSent: boolean;
-  /** The framing of the sent head tells the answer's end from a cut connection. */
-  isFramed: boolean;
 }
 
 /** Follows the answer to one send, and decides what becomes of a stalled one. */
--- a/packages/forwarding/src/outcomes.ts
+++ b/packages/forwarding/src/outcomes.ts
@@ -30,8 +30,6 @@
 export interface BufferedAnswer {
   readonly head: AnswerHead;
   readonly body: Buffer;
-  /** Its framing tells its end from a cut connection. */
-  readonly isFramed: boolean;
 }
 
 /** Outcome of one send, with what the retry decision needs. */
--- a/packages/forwarding/src/testing/FakeUpstreams.ts
+++ b/packages/forwarding/src/testing/FakeUpstreams.ts
@@ -101,16 +101,14 @@
   ending: "open" | "whole" | "cut" = "open";
   isOwn = false;
   retryAfterMs: number | undefined;
-  isFramed: boolean | undefined;
 
   get isHeadSent(): boolean {
     return this.status !== undefined;
   }
 
-  sendHead(status: number, headers: HeaderList, isFramed: boolean): void {
+  sendHead(status: number, headers: HeaderList): void {
     this.status = status;
     this.headers = headers;
-    this.isFramed = isFramed;
   }
 
   write(chunk: Buffer): boolean {
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -52,10 +52,10 @@
 export interface AnswerWriter {
   readonly isHeadSent: boolean;
   /**
-   * Starts the answer of an upstream; `headers` go out unchanged. An answer
-   * without framing ends when the caller's connection is closed.
+   * Starts the answer of an upstream; `headers` go out unchanged. The caller can tell the end of the
+   * answer from that of its connection, whatever the upstream's framing.
    */
-  sendHead(status: number, headers: HeaderList, isFramed: boolean): void;
+  sendHead(status: number, headers: HeaderList): void;
   /** Returns false when the caller reads more slowly than the answer is written. */
   write(chunk: Buffer): boolean;
   onDrain(fn: () => void): void;
