Take a reset for a cut answer also where it has no length

Change: the connector renames that code before undici sees it, so that the call fails and its caller is told that it may have run.

--- a/packages/http/src/HttpPeer.ts
+++ b/packages/http/src/HttpPeer.ts
@@ -1,5 +1,5 @@
 import { getMessage, PeerError, toTimerMs, type TrafficMeter } from "@lycheepulley/core";
-import { Pool, type Dispatcher } from "undici";
+import { buildConnector, Pool, type Dispatcher } from "undici";
 import type { z } from "zod";
 
 /** Estimated size of a request's or response's first line and headers. */
@@ -12,6 +12,9 @@
 /** A response that is read as a whole, also one that goes on in small pieces, ends within this many time-outs. */
 const MAX_TIMEOUTS = 4;
 
+/** Code of a connection that was reset after it had been made. */
+const RESET_CODE = "ERR_CONNECTION_RESET";
+
 /** Errors before a byte is sent: no connection in time, and a request that the client rejects. */
 const UNSENT_CODES = ["UND_ERR_CONNECT_TIMEOUT", "UND_ERR_INVALID_ARG"] as const;
 /** System calls that come before the first byte of a request. */
@@ -42,6 +45,25 @@
   readonly timeoutMs?: number;
 }
 
+/**
+ * Connects without the code by which undici takes a reset for the end of an answer that has neither a
+ * length nor chunks: what came before it isn't all of the answer.
+ */
+const newConnector = (): buildConnector.connector => {
+  const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+  return (options, callback) => {
+    connect(options, (...result) => {
+      const [, socket] = result;
+      socket?.prependListener("error", (err: NodeJS.ErrnoException) => {
+        if (err.code === "ECONNRESET") {
+          err.code = RESET_CODE;
+        }
+      });
+      callback(...result);
+    });
+  };
+};
+
 const getErrorCode = (err: unknown): string | undefined =>
   typeof err === "object" && err !== null && "code" in err ? String(err.code) : undefined;
 
@@ -92,7 +114,7 @@
     this.#traffic = options.traffic;
     this.#pool = new Pool(options.origin, {
       connections: options.connections ?? DEFAULT_MAX_CONNECTIONS,
-      connect: { timeout: CONNECT_TIMEOUT_MS },
+      connect: newConnector(),
       keepAliveTimeout: 30_000,
     });
   }
