Take no answer of a service that crashes for a whole one

Callers of the product's own interface got status 200 with half of an answer when the service's process ended in the middle of one without a length. The system closes the connections of a process that ends in order, as a service closes them after such an answer. Change: the end of an answer that has neither a length nor chunks counts once the service accepts another connection; otherwise the call fails as one that may have run. Evidence: the new test of a crashing service failed before (status 200) and passes; that of a service that lives on passes before and after.

--- a/packages/services/src/ServiceClient.ts
+++ b/packages/services/src/ServiceClient.ts
@@ -1,4 +1,6 @@
+import { PeerError } from "@lycheepulley/core";
 import { HttpPeer } from "@lycheepulley/http";
+import type { Dispatcher } from "undici";
 
 /** Parameters of one call to a plain service. */
 export interface ServiceCall {
@@ -28,6 +30,19 @@
   close(): Promise<void>;
 }
 
+/** Statuses of answers that never have a body. */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
+/** True when the end of an answer can be told from that of its connection. */
+const hasKnownEnd = (
+  method: ServiceCall["method"],
+  { statusCode, headers }: Pick<Dispatcher.ResponseData, "statusCode" | "headers">,
+): boolean =>
+  "content-length" in headers ||
+  "transfer-encoding" in headers ||
+  method === "HEAD" ||
+  BODILESS_STATUSES.has(statusCode);
+
 /** Client of a plain service over HTTP. */
 export class HttpServiceClient implements ServiceClient {
   readonly name: string;
@@ -44,11 +59,16 @@
     const res = await this.#peer.open(path, { method, headers, body, timeoutMs, signal });
     try {
       const contentType = res.headers["content-type"];
-      return {
+      const answer = {
         status: res.statusCode,
         contentType: typeof contentType === "string" ? contentType : "application/octet-stream",
         body: await res.body.text(),
       };
+      // The connections of a service that crashes end in order, as after a complete answer.
+      if (!hasKnownEnd(method, res) && !(await this.#peer.accepts())) {
+        throw new PeerError(this.name, "the service ended with its answer", { sent: true });
+      }
+      return answer;
     } catch (err) {
       throw this.#peer.toPeerError(err);
     }
