Tell requests that wait when their process ends

Cause: a drain waited for all requests until its time was over and then exited. What waits for memory, reservations or quota knew nothing of the end. Change: the forwarder knows when the process ends. It bounds the room that prompts are promised; a search that would lead to a cut answer ends with 503 and a short Retry-After; sends that are left at the end stop, with 502 where there is no answer yet.

--- a/packages/callers/src/forward/ForwardServer.ts
+++ b/packages/callers/src/forward/ForwardServer.ts
@@ -6,6 +6,7 @@
 import {
   canFinishWhileDraining,
   DEFAULT_CALLER_LIMITS,
+  LEAVING_RETRY_AFTER_MS,
   type AnswerWriter,
   type Dialect,
   type FleetView,
@@ -33,8 +34,6 @@
 const INTERNAL_ERROR_RETRY_MS = 500;
 /** Longest time for which the body of a rejected request is awaited. */
 const MAX_DISCARD_MS = 500;
-/** Other processes can take the request at once. */
-const DRAINING_RETRY_MS = 50;
 
 /** Answers to connections that end on an error, by its code. */
 const ERROR_ANSWERS: Readonly<Record<string, readonly [status: number, reason: string]>> = {
@@ -273,7 +272,7 @@
       ...{ requestId: head.attemptId, step: "admit", status, reason: message },
       ...{ host: head.host, path: head.path, revision: this.#view.revision },
     });
-    const retryAfterMs = this.#drain ? DRAINING_RETRY_MS : UNCONFIGURED_RETRY_MS;
+    const retryAfterMs = this.#drain ? LEAVING_RETRY_AFTER_MS : UNCONFIGURED_RETRY_MS;
     writer.sendOwn(status, message, status === 503 ? retryAfterMs : undefined);
   }
 
--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -286,9 +286,9 @@
     }
     const { drainMs } = this.#settings;
     this.#isDraining = true;
-    this.#connector.startDrain(drainMs);
     this.#peerExchange.announce();
-    this.#listener.startDrain(drainMs);
+    const parts = [this.#connector, this.#listener, this.#forwarder];
+    parts.forEach((part) => part.startDrain(drainMs));
     await closeAndDrain({
       ...{ clock: this.#clock, logger: this.#logger, drainMs, reason },
       ...{ listener: this.#listener, relays: this.#connector.server },
--- a/packages/forwarding/src/ForwardJob.ts
+++ b/packages/forwarding/src/ForwardJob.ts
@@ -12,7 +12,10 @@
 import { getDeadlineAtMs, pickPool } from "./sendParameters.js";
 import { SendFeedback } from "./SendFeedback.js";
 import { getRetryAfterMs, NO_UPSTREAM_RETRY_AFTER_MS } from "./retryAfter.js";
-import type { FailedPlan, JobEvent, LiveSend } from "./liveSend.js";
+import { LeaveWatch } from "./LeaveWatch.js";
+import { getFailedResult, type FailedPlan, type JobEvent, type LiveSend } from "./liveSend.js";
+import type { ProcessEnd } from "./ProcessEnd.js";
+import { SendCounts } from "./SendCounts.js";
 import type { SendPlanner } from "./SendPlanner.js";
 import { SendRunner, type SendObserver } from "./SendRunner.js";
 import { EventQueue } from "./EventQueue.js";
@@ -38,10 +41,8 @@
   readonly #events = new EventQueue<JobEvent>();
   /** The send that the request's load item describes. */
   #loaded: LiveSend | undefined;
-  /** Sends whose bytes reached an upstream or may do so. */
-  #sends = 0;
-  #unsentSends = 0;
-  #mayHaveRun = false;
+  readonly #counts = new SendCounts();
+  readonly #leaveWatch: LeaveWatch;
 
   constructor(options: {
     deps: ForwardDependencies;
@@ -49,6 +50,7 @@
     planner: SendPlanner;
     req: ForwardRequest;
     writer: AnswerWriter;
+    processEnd: ProcessEnd;
   }) {
     this.#deps = options.deps;
     this.#placer = options.placer;
@@ -66,7 +68,12 @@
     });
     this.#final = new FinalAnswer({
       ...{ deps, req, writer, log: this.#log, progress },
-      ...{ timeline: this.#timeline, getSends: () => this.#sends },
+      ...{ timeline: this.#timeline, getSends: () => this.#counts.sends },
+    });
+    this.#leaveWatch = new LeaveWatch({
+      ...{ clock: deps.clock, processEnd: options.processEnd, req, live: this.#live },
+      engine: deps.view.table?.findPool(this.#pool)?.engine,
+      isAnswering: () => progress.isHeadSent,
     });
   }
 
@@ -81,6 +88,7 @@
       this.#stopSends(SendResult.Cancelled);
     };
     signal.addEventListener("abort", onAbort);
+    this.#leaveWatch.start();
     try {
       do {
         await this.#startSend();
@@ -89,6 +97,7 @@
       this.#endOnError(err);
     } finally {
       signal.removeEventListener("abort", onAbort);
+      this.#leaveWatch.stop();
       this.#stopSends(SendResult.Cancelled);
     }
   }
@@ -101,6 +110,7 @@
       abort.abort(SendResult.Cancelled);
     }
     this.#live.add(live);
+    this.#leaveWatch.limitSearch(live);
     this.#loaded = undefined;
     const planned = await this.#planner.plan({
       ...{ req: this.#req, pool: this.#pool, homes: this.#req.homes },
@@ -114,7 +124,7 @@
     }
     const { placement } = planned;
     live.placement = placement;
-    this.#sends += 1;
+    this.#counts.start();
     this.#loaded = live;
     const observer = this.#newObserver(live, placement);
     const outcome = this.#runner.run(placement, abort.signal, observer).catch((err: unknown) => {
@@ -158,7 +168,7 @@
   #endOnError(err: unknown): void {
     this.#log.logError(err);
     const reason = "internal error";
-    if (this.#sends > 0) {
+    if (this.#counts.sends > 0) {
       this.#final.fail({ result: SendResult.Internal, reason });
     } else {
       this.#final.reject(reason, NO_UPSTREAM_RETRY_AFTER_MS);
@@ -189,7 +199,12 @@
         const { listedMs } = view;
         sentMs = clock.now();
         const limit = limits.get(upstream.id);
-        this.#log.logSend(placement, { sends: this.#sends - 1, nowMs: sentMs, listedMs, limit });
+        this.#log.logSend(placement, {
+          sends: this.#counts.sends - 1,
+          nowMs: sentMs,
+          listedMs,
+          limit,
+        });
         live.evidence = new SendEvidence(guard.evidence, this.#req, upstream);
       },
       onProgress: () => {
@@ -231,7 +246,7 @@
 
   #canReplace({ upstream }: Placement): boolean {
     const excluded = new Set([...this.#feedback.excluded, upstream.id]);
-    const history = { sends: this.#sends, timeLeftMs: this.#getTimeLeftMs() };
+    const history = { sends: this.#counts.sends, timeLeftMs: this.#getTimeLeftMs() };
     return (
       this.#live.size === 1 &&
       canReplaceStalled(this.#req.route, history) &&
@@ -245,7 +260,7 @@
     const isReplaced =
       !isExpected && this.#canReplace(placement) && retryBudget.trySpend(this.#pool);
     const next = isReplaced ? NextStep.Retry : NextStep.Wait;
-    this.#log.logStall(id, { reason, isAlive, isExpected, next, sends: this.#sends });
+    this.#log.logStall(id, { reason, isAlive, isExpected, next, sends: this.#counts.sends });
     if (!isReplaced) {
       return false;
     }
@@ -263,18 +278,18 @@
     const { clock, retryBudget } = this.#deps;
     const upstream = live.placement?.upstream;
     this.#live.delete(live);
-    this.#countSend(live, outcome);
+    this.#counts.end(live, outcome);
     this.#final.recordOutcome(outcome);
     if (upstream) {
       this.#feedback.recordOutcome(upstream, outcome);
     }
     const next = decideNext(this.#req.route, outcome, {
-      ...{ sends: this.#sends, unsent: this.#unsentSends, inFlight: this.#live.size },
-      ...{ mayHaveRun: this.#mayHaveRun, timeLeftMs: this.#getTimeLeftMs() },
+      ...{ sends: this.#counts.sends, unsent: this.#counts.unsent, inFlight: this.#live.size },
+      ...{ mayHaveRun: this.#counts.mayHaveRun, timeLeftMs: this.#getTimeLeftMs() },
       trySpend: () => retryBudget.trySpend(this.#pool),
     });
     this.#log.logSendEnd(upstream?.id ?? "", outcome, {
-      ...{ next, sends: this.#sends, nowMs: clock.now() },
+      ...{ next, sends: this.#counts.sends, nowMs: clock.now() },
     });
     this.#performStep(next, outcome);
     return next;
@@ -294,31 +309,19 @@
         this.#final.deliver(outcome);
         return;
       case NextStep.Reject:
-        this.#final.reject(outcome.reason, this.#placer.getReturnMs(this.#pool));
+        this.#final.reject(outcome.reason, this.#placer.getReturnMs(this.#pool, outcome.result));
         return;
       case NextStep.Fail:
         this.#final.fail(outcome);
     }
   }
 
-  #countSend({ evidence }: LiveSend, { result }: SendOutcome): void {
-    if (result === SendResult.Unsent || result === SendResult.NoMemory) {
-      this.#unsentSends += 1;
-    }
-    if (!evidence || result === SendResult.Unsent) {
-      this.#sends -= 1;
-      return;
-    }
-    this.#mayHaveRun ||= result !== SendResult.NotRun;
-  }
-
   #endWithoutPlacement(failed: FailedPlan): void {
     const { reason } = failed;
     if (reason === PlacementFailure.Cancelled) {
       this.#final.finish({ result: SendResult.Cancelled, reason });
-    } else if (this.#mayHaveRun) {
-      const result = failed.kind === "held" ? SendResult.Broken : SendResult.TimedOut;
-      this.#final.fail({ result, reason });
+    } else if (this.#counts.mayHaveRun) {
+      this.#final.fail({ result: getFailedResult(failed), reason });
     } else {
       const { random } = this.#deps;
       const query = { req: this.#req, pool: this.#pool };
--- a/packages/forwarding/src/Forwarder.ts
+++ b/packages/forwarding/src/Forwarder.ts
@@ -6,6 +6,7 @@
 import { Placer } from "./Placer.js";
 import { newSharing, type Sharing } from "./PromptAdmission.js";
 import type { RoomCounts } from "./room/RoomStats.js";
+import { ProcessEnd } from "./ProcessEnd.js";
 import { getDeadlineAtMs, pickPool } from "./sendParameters.js";
 import { SendPlanner } from "./SendPlanner.js";
 import type { UsedShare } from "./shares/CustomerShares.js";
@@ -17,12 +18,14 @@
   readonly #sharing: Sharing | undefined;
   readonly #placer: Placer;
   readonly #planner: SendPlanner;
+  readonly #processEnd: ProcessEnd;
   #inFlight = 0;
 
   constructor(deps: ForwardDependencies) {
     this.#deps = deps;
     this.#sharing = deps.sharesRoom ? newSharing(deps) : undefined;
-    this.#placer = new Placer({ ...deps, sharing: this.#sharing });
+    this.#processEnd = new ProcessEnd(deps.clock);
+    this.#placer = new Placer({ ...deps, sharing: this.#sharing, processEnd: this.#processEnd });
     this.#planner = new SendPlanner({ guard: deps.guard, placer: this.#placer });
   }
 
@@ -55,12 +58,21 @@
     });
   }
 
+  /**
+   * Has the process end in `leftMs`: requests that wait in vain until then are rejected in time for
+   * another process to serve them, and all others end with it.
+   */
+  startDrain(leftMs: number): void {
+    this.#processEnd.start(leftMs);
+  }
+
   /** Resolves when the caller has its final answer or disconnected. */
   async forward(req: ForwardRequest, writer: AnswerWriter): Promise<void> {
     this.#inFlight += 1;
     try {
       await new ForwardJob({
         ...{ deps: this.#deps, placer: this.#placer, planner: this.#planner, req, writer },
+        processEnd: this.#processEnd,
       }).run();
     } finally {
       this.#inFlight -= 1;
--- a/packages/forwarding/src/Placer.ts
+++ b/packages/forwarding/src/Placer.ts
@@ -8,6 +8,7 @@
 import { PlacementExplainer } from "./explain/PlacementExplainer.js";
 import type { PlacementSnapshot } from "./explain/PlacementSnapshot.js";
 import type { EngineSpec } from "./fleetConfig.js";
+import { SendResult } from "./outcomes.js";
 import type { FleetView } from "./FleetView.js";
 import { QuotaQueue } from "./limits/QuotaQueue.js";
 import { newQuotaWait } from "./limits/quotaWait.js";
@@ -22,10 +23,11 @@
   type Placement,
   type PlacementQuery,
 } from "./placementQuery.js";
+import { ProcessEnd } from "./ProcessEnd.js";
 import { PromptAdmission, type Sharing } from "./PromptAdmission.js";
 import { newPlacementRequest } from "./placementRequest.js";
 import { getCallLoad, getKvTokens, getPromptLoad } from "./requestLoad.js";
-import { getRetryAfterMs, REJECTED_RETRY_AFTER_MS } from "./retryAfter.js";
+import { getRetryAfterMs, LEAVING_RETRY_AFTER_MS, REJECTED_RETRY_AFTER_MS } from "./retryAfter.js";
 import type { AskedPrompt } from "./room/decisions.js";
 import { mayHold } from "./room/findRoom.js";
 import { getCustomerKey } from "./shares/customerKey.js";
@@ -37,6 +39,13 @@
 
 type Choice = Pick<PlacementQuery, "pool" | "homes" | "excluded">;
 
+/** Failures of a process that ends soon, which another process needn't meet. */
+const ENDED_BY_LEAVING: ReadonlySet<string> = new Set([
+  PlacementFailure.Leaving,
+  PlacementFailure.NoRoom,
+  PlacementFailure.TooLate,
+]);
+
 /** Chooses upstreams for requests; a prompt waits only while no upstreams have the KV memory. */
 export class Placer {
   readonly #clock: Clock;
@@ -51,6 +60,7 @@
   readonly #quota: SendQuota;
   readonly #quotaQueue: QuotaQueue;
   readonly #explainer: PlacementExplainer;
+  readonly #processEnd: ProcessEnd;
   /** Prompts that wait for KV memory. */
   readonly room: RoomPolicy;
 
@@ -71,6 +81,7 @@
     sharing?: Sharing | undefined;
     /** Prompts that wait for KV memory are promised it; false by default. */
     promisesRoom?: boolean | undefined;
+    processEnd?: ProcessEnd | undefined;
   }) {
     this.#clock = options.clock;
     this.#random = options.random;
@@ -81,6 +92,7 @@
     this.#health = options.health;
     this.#admission = new PromptAdmission(options);
     this.#sharing = options.sharing;
+    this.#processEnd = options.processEnd ?? new ProcessEnd(options.clock);
     this.#quota = options.quota;
     this.#quotaQueue = new QuotaQueue(options.clock, options.quota);
     this.room = options.promisesRoom ? new RoomBook(options) : new FreeForAll();
@@ -92,6 +104,9 @@
 
   /** Time after which a request without a placement should come back, milliseconds. */
   getRetryMs({ req, pool }: Pick<PlacementQuery, "req" | "pool">, reason: string): number {
+    if (this.#processEnd.isKnown && ENDED_BY_LEAVING.has(reason)) {
+      return LEAVING_RETRY_AFTER_MS;
+    }
     switch (reason) {
       case PlacementFailure.Overloaded:
       case PlacementFailure.OverShare:
@@ -106,8 +121,11 @@
     }
   }
 
-  /** Time after which a request that its upstreams turned away should come back, milliseconds. */
-  getReturnMs(pool: string): number {
+  /** Time after which a request whose last send had this result should come back, milliseconds. */
+  getReturnMs(pool: string, result: SendResult): number {
+    if (result === SendResult.Leaving) {
+      return LEAVING_RETRY_AFTER_MS;
+    }
     const openInMs = this.#getOpenInMs(pool);
     return openInMs > 0 ? getRetryAfterMs(openInMs, this.#random) : REJECTED_RETRY_AFTER_MS;
   }
@@ -227,10 +245,15 @@
       if (candidates.length === 0) {
         return failure ?? this.#getLack(query);
       }
+      const deadlineAtMs = Math.min(query.deadlineAtMs, this.#processEnd.atMs);
       const { table } = this.#view;
-      const request = newPlacementRequest(query, { engine, now, costs: this.#costs, table });
+      const costs = this.#costs;
+      const request = newPlacementRequest(
+        { ...query, deadlineAtMs },
+        { engine, now, costs, table },
+      );
       const { req, pool, isApart } = query;
-      const deadlineLeftMs = query.deadlineAtMs - now;
+      const deadlineLeftMs = deadlineAtMs - now;
       const prompt = { query, engine, request, candidates };
       const rejection = isNew ? this.#admission.decide(prompt) : undefined;
       if (rejection) {
--- a/packages/forwarding/src/SendFeedback.ts
+++ b/packages/forwarding/src/SendFeedback.ts
@@ -12,6 +12,7 @@
   SendResult.NoMemory,
   SendResult.Internal,
   SendResult.Superseded,
+  SendResult.Leaving,
 ]);
 
 /** Records what the sends of one request tell about upstreams, and about the request itself. */
--- a/packages/forwarding/src/SendRunner.ts
+++ b/packages/forwarding/src/SendRunner.ts
@@ -20,6 +20,7 @@
 const STOP_REASONS: Partial<Record<SendResult, string>> = {
   [SendResult.Cancelled]: "caller left",
   [SendResult.Superseded]: "another send took over",
+  [SendResult.Leaving]: "this process is leaving",
 };
 
 /** Nothing was sent, and another upstream is chosen. */
--- a/packages/forwarding/src/costs/CostLesson.ts
+++ b/packages/forwarding/src/costs/CostLesson.ts
@@ -41,7 +41,11 @@
 
 const NONE: Lessons = { length: false, pace: false, call: false };
 /** Results of sends that were stopped here, while the upstream did its work as usual. */
-const STOPPED: ReadonlySet<SendResult> = new Set([SendResult.Cancelled, SendResult.TimedOut]);
+const STOPPED: ReadonlySet<SendResult> = new Set([
+  SendResult.Cancelled,
+  SendResult.TimedOut,
+  SendResult.Leaving,
+]);
 
 /**
  * What an ended send teaches: a whole answer everything, one that was stopped here only the pace that
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -26,6 +26,7 @@
 export * from "./forwardDependencies.js";
 export * from "./ListOutageGuard.js";
 export * from "./draining.js";
+export { LEAVING_RETRY_AFTER_MS } from "./retryAfter.js";
 export * from "./limits/ColdUpstreams.js";
 export * from "./limits/LimitedControl.js";
 export * from "./limits/QuotaOwner.js";
--- a/packages/forwarding/src/liveSend.ts
+++ b/packages/forwarding/src/liveSend.ts
@@ -1,6 +1,6 @@
 import type { SendEvidence } from "./crashes/SendEvidence.js";
-import type { SendOutcome } from "./outcomes.js";
-import type { Placement } from "./Placer.js";
+import { SendResult, type SendOutcome } from "./outcomes.js";
+import { PlacementFailure, type Placement } from "./placementQuery.js";
 import type { PlannedSend } from "./SendPlanner.js";
 
 /** One send of a request, from the search of an upstream to its outcome. */
@@ -21,3 +21,11 @@
   /** A send stalls, and another one may follow. */
   | { readonly kind: "stalled" }
   | { readonly kind: "ended"; readonly live: LiveSend; readonly outcome: SendOutcome };
+
+/** Result of a request that may have run, and for which no other upstream is found. */
+export const getFailedResult = (failed: FailedPlan): SendResult => {
+  if (failed.kind === "held") {
+    return SendResult.Broken;
+  }
+  return failed.reason === PlacementFailure.Leaving ? SendResult.Leaving : SendResult.TimedOut;
+};
--- a/packages/forwarding/src/outcomes.ts
+++ b/packages/forwarding/src/outcomes.ts
@@ -19,6 +19,8 @@
   Cancelled: "cancelled",
   /** The request's deadline passed. */
   TimedOut: "timed_out",
+  /** This process ended before the request. */
+  Leaving: "leaving",
   /** This process failed to handle the answer. */
   Internal: "internal",
   /** Another send of the request took over. */
@@ -88,6 +90,9 @@
 /** Sends of one request that may fail before a byte reaches an upstream. */
 const MAX_UNSENT = 6;
 
+/** Results that leave no time for another send. */
+const FINAL_RESULTS: ReadonlySet<SendResult> = new Set([SendResult.TimedOut, SendResult.Leaving]);
+
 /** What is known of a request's sends so far. */
 export interface SendHistory {
   /** Sends whose bytes may have reached an upstream. */
@@ -127,7 +132,7 @@
   if (result === SendResult.Superseded || history.inFlight > 0) {
     return NextStep.Wait;
   }
-  if (result === SendResult.TimedOut || history.timeLeftMs < MIN_RETRY_MS) {
+  if (FINAL_RESULTS.has(result) || history.timeLeftMs < MIN_RETRY_MS) {
     return getFinalStep(outcome, history);
   }
   if (result === SendResult.Unsent || result === SendResult.NoMemory) {
--- a/packages/forwarding/src/placementQuery.ts
+++ b/packages/forwarding/src/placementQuery.ts
@@ -1,6 +1,7 @@
 import type { PlacementCost } from "./costs/placementCosts.js";
 import type { AnswerTimeline } from "./AnswerTimeline.js";
 import type { Upstream } from "./fleetConfig.js";
+import { SendResult } from "./outcomes.js";
 import type { PlacementPlan, PlacementRequest } from "./placement.js";
 import type { Homes } from "./regions.js";
 import { RoomCause } from "./room/RoomCause.js";
@@ -34,6 +35,8 @@
   /** The upstreams name limits, and take no more requests in time. */
   Limited: "limited",
   Cancelled: "cancelled",
+  /** This process ends before the answer could. */
+  Leaving: "leaving",
 } as const;
 export type PlacementFailure = (typeof PlacementFailure)[keyof typeof PlacementFailure];
 
@@ -60,7 +63,9 @@
   now: number,
 ): PlacementFailure | undefined => {
   if (signal.aborted) {
-    return PlacementFailure.Cancelled;
+    return signal.reason === SendResult.Leaving
+      ? PlacementFailure.Leaving
+      : PlacementFailure.Cancelled;
   }
   return now >= deadlineAtMs ? PlacementFailure.TimeOver : undefined;
 };
--- a/packages/forwarding/src/retryAfter.ts
+++ b/packages/forwarding/src/retryAfter.ts
@@ -4,6 +4,8 @@
 export const NO_UPSTREAM_RETRY_AFTER_MS = 500;
 /** Time after which a request comes back that the upstreams rejected. */
 export const REJECTED_RETRY_AFTER_MS = 250;
+/** Time after which a request comes back that a leaving process rejects: others can take it at once. */
+export const LEAVING_RETRY_AFTER_MS = 50;
 /** Share of the time to return by which it varies. */
 const RETURN_SPREAD = 0.5;
 
--- a/packages/forwarding/src/testing/ForwarderHarness.ts
+++ b/packages/forwarding/src/testing/ForwarderHarness.ts
@@ -50,7 +50,10 @@
   readonly #retryBudget: RetryBudget;
   readonly #crashes = new CrashTracker({ clock: this.clock, onCrash: () => undefined });
 
-  constructor(upstreams = ["u0", "u1", "u2"]) {
+  constructor(
+    upstreams = ["u0", "u1", "u2"],
+    options: { readonly promisesRoom?: boolean | undefined } = {},
+  ) {
     const { clock, transport, dialect, view, loadTracker } = this;
     const logger = newSilentLogger();
     view.applyConfig(newConfig());
@@ -74,6 +77,7 @@
     });
     const health = new UpstreamHealth(clock);
     this.#forwarder = new Forwarder({
+      ...options,
       ...{ clock, transport, dialect, view, loadTracker, logger, control },
       random: new SeededRandom(1),
       ...{ health, watch: this.#newWatch(health) },
@@ -132,6 +136,11 @@
     await this.settle();
   }
 
+  /** Has the process end in `leftMs`. */
+  startDrain(leftMs: number): void {
+    this.#forwarder.startDrain(leftMs);
+  }
+
   async settle(): Promise<void> {
     await this.clock.advance(0);
   }
