Handle signals from the first line of the program on

Cause, likely: SIGHUP ends a process by default, and its handler was set once the bundle was loaded and the settings were read. Reproduced with the program of the deploy file: SIGHUP at 0 to 120 ms after the start ended it 5 of 5 times each, at 150 ms once of 5, at 250 ms never. Change: the loader takes SIGHUP before it loads the bundle. ProcessSignals takes the signals before the settings are read and keeps what is asked for. The product's own entry process uses it; any SIGHUP ended it. Until Node runs the first line nothing can be handled.

--- a/deploy/loader.cjs
+++ b/deploy/loader.cjs
@@ -5,6 +5,9 @@
 const { join } = require("node:path");
 const { Script } = require("node:vm");
 
+// Ends the process by default; the settings are read later anyway.
+process.on("SIGHUP", () => undefined);
+
 const filename = join(__dirname, "gateway.cjs");
 const cacheFile = join(__dirname, "gateway.cache");
 
--- a/packages/cli/src/commands/entry.ts
+++ b/packages/cli/src/commands/entry.ts
@@ -1,4 +1,4 @@
-import { EntryNode, readSettings } from "@lycheepulley/daemon";
+import { EntryNode, ProcessSignals, readSettings } from "@lycheepulley/daemon";
 
 import { ExitCode, type Command } from "../Command.js";
 
@@ -12,17 +12,13 @@
   },
   example: "lycheepulley entry --settings examples/medellin/settings.json",
   run: async (ctx) => {
+    const signals = new ProcessSignals();
     const settings = await readSettings(ctx.getString("settings"), ctx.getOptional("overlay"));
     const node = new EntryNode(settings);
     await node.start();
     ctx.print(JSON.stringify({ ready: true, name: settings.name }));
     const stopSignal = new Promise<string>((resolve) => {
-      process.once("SIGTERM", () => {
-        resolve("SIGTERM");
-      });
-      process.once("SIGINT", () => {
-        resolve("SIGINT");
-      });
+      signals.attach({ drain: resolve });
     });
     await Promise.race([
       stopSignal.then((signal) => node.drain(signal)),
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,4 +1,5 @@
 export * from "./EntryNode.js";
+export * from "./ProcessSignals.js";
 export * from "./settings.js";
 export * from "./gateway/GatewayNode.js";
 export * from "./gateway/loadDecisions.js";
