Join a drain that is in progress

Cause: each SIGTERM drained the node and exited after it, and a second drain resolved at once. The product's own entry process took one SIGTERM only; the next one ended it by default. Change: GatewayNode returns the drain in progress, and ProcessSignals drains once.

--- a/packages/callers/src/forward/ForwardServer.ts
+++ b/packages/callers/src/forward/ForwardServer.ts
@@ -101,6 +101,10 @@
     return this.#connections.size;
   }
 
+  get isDraining(): boolean {
+    return this.#drain !== undefined;
+  }
+
   /** What is held for callers and upstreams. */
   get held(): Pick<HeldMemory, "bytes" | "requests"> {
     return this.#memory;
@@ -173,7 +177,7 @@
     const writer = new ResponseWriter(res, {
       getRequestId: () => progress.head?.attemptId ?? "",
       memory: this.#memory,
-      isClosing: () => this.#drain !== undefined,
+      isClosing: () => this.isDraining,
     });
     try {
       progress.head = this.#dialect.readHead({
--- a/packages/daemon/src/ProcessSignals.test.ts
+++ b/packages/daemon/src/ProcessSignals.test.ts
@@ -24,6 +24,12 @@
       ...{ name: "reloads once for several early signals", early: ["SIGHUP", "SIGHUP"] },
       done: ["reload SIGHUP"],
     },
+    // A second SIGTERM cut what a drain still waited for.
+    { name: "drains once", late: ["SIGTERM", "SIGTERM", "SIGINT"], done: ["drain SIGTERM"] },
+    {
+      ...{ name: "drains once after an early signal", early: ["SIGTERM"], late: ["SIGTERM"] },
+      done: ["drain SIGTERM"],
+    },
     {
       ...{ name: "only drains when it was to reload before", early: ["SIGHUP", "SIGTERM"] },
       done: ["drain SIGTERM"],
--- a/packages/daemon/src/ProcessSignals.ts
+++ b/packages/daemon/src/ProcessSignals.ts
@@ -2,6 +2,7 @@
 export interface SignalHandlers {
   /** Undefined where there is nothing to read again. */
   readonly reload?: (signal: string) => void;
+  /** Called once, for the first signal that asks for it. */
   readonly drain: (signal: string) => void;
 }
 
@@ -44,6 +45,9 @@
   }
 
   #drain(signal: string): void {
+    if (this.#drainSignal !== undefined) {
+      return;
+    }
     this.#drainSignal = signal;
     this.#handlers?.drain(signal);
   }
--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -81,7 +81,7 @@
   readonly #listener: ForwardServer;
   readonly #metricsServer: HttpServer;
   readonly #incarnation = Date.now();
-  #isDraining = false;
+  #drained: Promise<void> | undefined;
 
   constructor(options: {
     settings: GatewaySettings;
@@ -244,7 +244,7 @@
 
   /** True while this process knows what to send where, and isn't draining. */
   get isReady(): boolean {
-    return this.#view.isKnown && this.#evacuations.isKnown && !this.#isDraining;
+    return this.#view.isKnown && this.#evacuations.isKnown && !this.#listener.isDraining;
   }
 
   /** Addresses of at most `limit` processes for a caller that wants to call `host`. */
@@ -278,20 +278,20 @@
   /**
    * Drains the process: peers stop listing it for callers, the listener closes
    * once callers no longer use its address, and in-flight requests finish. Resolves
-   * when none is left, or `drainMs` after the start.
+   * when none is left, or `drainMs` after the start. Further calls join the first drain.
    */
-  async drain(reason: string): Promise<void> {
-    if (this.#isDraining) {
-      return;
-    }
+  drain(reason: string): Promise<void> {
+    return (this.#drained ??= this.#drain(reason));
+  }
+
+  async #drain(reason: string): Promise<void> {
     const { drainMs } = this.#settings;
-    this.#isDraining = true;
+    const listener = this.#listener;
+    [this.#connector, listener, this.#forwarder].forEach((part) => part.startDrain(drainMs));
     this.#peerExchange.announce();
-    const parts = [this.#connector, this.#listener, this.#forwarder];
-    parts.forEach((part) => part.startDrain(drainMs));
     await closeAndDrain({
       ...{ clock: this.#clock, logger: this.#logger, drainMs, reason },
-      ...{ listener: this.#listener, relays: this.#connector.server },
+      ...{ listener, relays: this.#connector.server },
     });
   }
 
@@ -343,7 +343,7 @@
   #getIdentity(): Omit<PeerIdentity, "beatMs"> {
     return newPeerIdentity({
       ...{ settings: this.#settings, incarnation: this.#incarnation, view: this.#view },
-      ...{ isReady: this.isReady, isDraining: this.#isDraining },
+      ...{ isReady: this.isReady, isDraining: this.#listener.isDraining },
       ...{ evacuations: this.#evacuations, readerSelection: this.#readerSelection },
     });
   }
