Close no connection whose answer is still being sent

Callers that read slowly got 3.9 of 16 MB of a whole answer when the listener closed, 3.2 s after a SIGTERM. Cause: http.Server.close and closeIdleConnections take a connection for idle once the program has ended its answer, whether or not it has been sent. Change: the listener closes the listening socket alone, and then the connections whose last answer has been sent and on which nothing has come since. Evidence: "get the rest of a whole answer although the listener closes" failed before and passes; 36 tests of the listener and 54 of the nodes pass.

--- a/packages/callers/src/forward/CallerConnections.ts
+++ b/packages/callers/src/forward/CallerConnections.ts
@@ -11,6 +11,8 @@
   newest: Promise<void> | undefined;
   /** Time after which the connection is closed when it stays idle. */
   idleMs: number;
+  /** Bytes that were received until the last answer had been sent. */
+  answeredBytes: number;
   /** It is closed once nothing is in progress on it. */
   isLast: boolean;
 }
@@ -41,6 +43,7 @@
       pending: new Set(),
       newest: undefined,
       idleMs: 0,
+      answeredBytes: 0,
       isLast: false,
     };
     this.#states.set(socket, state);
@@ -70,6 +73,7 @@
       end: (idleMs) => {
         state.pending.delete(end);
         state.idleMs = idleMs;
+        state.answeredBytes = socket.bytesRead;
         end();
         if (state.isLast && state.pending.size === 0) {
           socket.end();
@@ -88,6 +92,18 @@
     }
   }
 
+  /**
+   * Closes the connections on which a request has been answered and none has begun since. An answer
+   * counts until all of it has been sent.
+   */
+  closeIdle(): void {
+    for (const [socket, { pending, answeredBytes }] of this.#states) {
+      if (pending.size === 0 && answeredBytes > 0 && socket.bytesRead === answeredBytes) {
+        socket.destroy();
+      }
+    }
+  }
+
   /** Ends a connection after an answer without a body, or after the answers in progress on it. */
   endWithStatus(socket: Socket, status: number, reason: string): void {
     const state = this.#states.get(socket);
--- a/packages/callers/src/forward/ForwardServer.ts
+++ b/packages/callers/src/forward/ForwardServer.ts
@@ -1,6 +1,6 @@
 import { createHash } from "node:crypto";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { Socket } from "node:net";
+import { Server as NetServer, type Socket } from "node:net";
 
 import { sleep, type Clock } from "@lycheepulley/core";
 import {
@@ -139,8 +139,9 @@
 
   /** Closes idle connections and accepts no new ones. */
   close(): void {
-    this.#server.close();
-    this.#server.closeIdleConnections();
+    // That of the HTTP server takes connections for idle while their answers are still being sent.
+    NetServer.prototype.close.call(this.#server);
+    this.#connections.closeIdle();
   }
 
   #handleConnectionError(err: NodeJS.ErrnoException, socket: Socket): void {
--- a/packages/callers/src/forward/slowReaders.test.ts
+++ b/packages/callers/src/forward/slowReaders.test.ts
@@ -6,6 +6,8 @@
 const UNREAD_BYTES = 96 * 1_048_576;
 const CHUNK_BYTES = 65_536;
 const HELD_LIMIT_BYTES = 64_000_000;
+/** More than the buffers of a connection take, and less than a process may hold. */
+const ANSWER_BYTES = 16_000_000;
 /** Time after which a caller that takes nothing counts as slow, with a margin. */
 const SLOW_MS = 700;
 
@@ -84,4 +86,26 @@
     }
     slow.destroy();
   });
+
+  // The end of a drain closed connections whose answers weren't on their way yet, as idle ones.
+  it("get the rest of a whole answer although the listener closes", async () => {
+    const { harness } = fixture;
+    harness.forward = (_req, writer) => {
+      writer.sendHead(200, ["Content-Length", String(ANSWER_BYTES)]);
+      writer.write(Buffer.alloc(ANSWER_BYTES));
+      writer.end();
+      return Promise.resolve();
+    };
+    const slow = await harness.connect();
+    slow.pause();
+    slow.write(newRequest());
+    await new Promise((resolve) => setTimeout(resolve, SLOW_MS));
+    harness.server.close();
+    let bytes = 0;
+    slow.on("data", (chunk) => (bytes += chunk.length));
+    slow.resume();
+    await waitFor(() => bytes >= ANSWER_BYTES || slow.destroyed);
+    expect(bytes).to.be.at.least(ANSWER_BYTES);
+    slow.destroy();
+  });
 });
