--- a/packages/cli/src/commands/faultSoak.ts
+++ b/packages/cli/src/commands/faultSoak.ts
@@ -26,6 +26,10 @@
       type: "boolean",
       help: "Pools have a warm-up: zones are emptied and workers become cold, too",
     },
+    hushed: {
+      type: "boolean",
+      help: "Instead: sound workers fall silent beside restarts, signals and new configurations",
+    },
     processes: { type: "number", default: 3, help: "Number of gateway processes" },
     beside: {
       type: "string",
@@ -47,6 +51,7 @@
       hasNotices: ctx.getBoolean("notices"),
       hasCuts: ctx.getBoolean("cuts"),
       hasWarmUp: ctx.getBoolean("warmups"),
+      isHushed: ctx.getBoolean("hushed"),
       processes,
       ...(beside !== undefined && { besideFile: await buildCommit(beside) }),
     });
