Cut no stream before its route's time-out

Cause: sends end 20 ms before the deadline, so that an answer of this process reaches the caller in time. A caller that has a part of an answer gets no other. Change: such a send ends at the deadline itself. Evidence: "cuts a stream at its route's time-out, and not before" failed before and passes. Traced: first upstream silent, stream resumed at another, "time over" after 3,986 ms with a time-out of 4,000 ms.

--- a/packages/forwarding/src/Forwarder.test.ts
+++ b/packages/forwarding/src/Forwarder.test.ts
@@ -48,6 +48,26 @@
     expect(harness.resumedAfter).to.equal("1");
   });
 
+  // Answers were cut 20 ms before their route's time-out, while they went on.
+  it("cuts a stream at its route's time-out, and not before", async () => {
+    const harness = new ForwarderHarness();
+    await harness.request({ ...STREAM, timeoutMs: 1_000 });
+    harness.transport.startStream();
+    harness.transport.sendEvents(1);
+    await harness.clock.advance(990);
+    harness.transport.sendEvents(2);
+    expect(harness.caller.ending).to.equal("open");
+    await harness.clock.advance(10);
+    expect(harness.caller.ending).to.equal("cut");
+  });
+
+  it("says that a request may have run before its caller's time is over", async () => {
+    const harness = new ForwarderHarness();
+    await harness.request({ ...STREAM, timeoutMs: 1_000 });
+    await harness.clock.advance(990);
+    expect(harness.caller).to.include({ status: 504, isOwn: true });
+  });
+
   const stalls: readonly [name: string, isAlive: boolean, afterMs: number, sends: number][] = [
     ["waits for a stalled upstream that is alive", true, 1_200, 1],
     ["abandons a stalled upstream that is dead", false, 800, 2],
--- a/packages/forwarding/src/SendRunner.ts
+++ b/packages/forwarding/src/SendRunner.ts
@@ -166,11 +166,20 @@
       }
     };
     signal.addEventListener("abort", onAbort);
-    const cancelTimeout = clock.setTimer(
+    const stop = (): void => {
+      send.stop({ result: SendResult.TimedOut, reason: "time over" });
+    };
+    const getLeftMs = (): number => Math.max(0, this.#deadlineAtMs - clock.now());
+    let cancelTimeout = clock.setTimer(
       () => {
-        send.stop({ result: SendResult.TimedOut, reason: "time over" });
+        // Nothing more can be said to a caller that has a part of the answer.
+        if (this.#progress.isHeadSent) {
+          cancelTimeout = clock.setTimer(stop, getLeftMs());
+        } else {
+          stop();
+        }
       },
-      Math.max(0, this.#deadlineAtMs - MARGIN_MS - clock.now()),
+      Math.max(0, getLeftMs() - MARGIN_MS),
     );
     try {
       return await send.outcome;
