Confirm the end of an unframed stream within a second

Cause: a caller with all events of an unframed stream waited for their confirmation as long as its route allows, and callers leave after two seconds without an event. Change: the confirmation has a second, after which the stream ends as whole. It goes on as usual once another upstream adds an event.

--- a/packages/forwarding/src/FinalAnswer.ts
+++ b/packages/forwarding/src/FinalAnswer.ts
@@ -88,7 +88,7 @@
 
   /** Ends an answer that the caller has a part of, which may be all of it. */
   #endPart(): AnswerEnding {
-    if (this.#progress.mayBeWhole) {
+    if (this.#progress.wholeSinceMs !== undefined) {
       this.#writer.end();
       return AnswerEnding.Whole;
     }
--- a/packages/forwarding/src/ForwardJob.ts
+++ b/packages/forwarding/src/ForwardJob.ts
@@ -1,3 +1,4 @@
+import { newAnswerProgress } from "./answerProgress.js";
 import { AnswerTimeline } from "./AnswerTimeline.js";
 import { SendEvidence } from "./crashes/SendEvidence.js";
 import type { ForwardDependencies } from "./forwardDependencies.js";
@@ -62,7 +63,7 @@
     this.#timeline = new AnswerTimeline(options.req.receivedMs, options.req.route);
     const { deps, req, writer } = options;
     this.#feedback = new SendFeedback({ deps, req, log: this.#log });
-    const progress = { lastEventId: req.head.lastEventId, isHeadSent: false, mayBeWhole: false };
+    const progress = newAnswerProgress(req);
     this.#runner = new SendRunner({
       ...{ deps, req, writer, progress, deadlineAtMs: this.#deadlineAtMs },
     });
@@ -112,10 +113,10 @@
     this.#live.add(live);
     this.#leaveWatch.limitSearch(live);
     this.#loaded = undefined;
+    const { deadlineAtMs } = this.#runner;
     const planned = await this.#planner.plan({
-      ...{ req: this.#req, pool: this.#pool, homes: this.#req.homes },
-      excluded: this.#feedback.excluded,
-      ...{ timeline: this.#timeline, deadlineAtMs: this.#deadlineAtMs, signal: abort.signal },
+      ...{ req: this.#req, pool: this.#pool, homes: this.#req.homes, deadlineAtMs },
+      ...{ excluded: this.#feedback.excluded, timeline: this.#timeline, signal: abort.signal },
     });
     if (planned.kind !== "planned") {
       this.#live.delete(live);
@@ -199,12 +200,8 @@
         const { listedMs } = view;
         sentMs = clock.now();
         const limit = limits.get(upstream.id);
-        this.#log.logSend(placement, {
-          sends: this.#counts.sends - 1,
-          nowMs: sentMs,
-          listedMs,
-          limit,
-        });
+        const sends = this.#counts.sends - 1;
+        this.#log.logSend(placement, { sends, nowMs: sentMs, listedMs, limit });
         live.evidence = new SendEvidence(guard.evidence, this.#req, upstream);
       },
       onProgress: () => {
--- a/packages/forwarding/src/Send.ts
+++ b/packages/forwarding/src/Send.ts
@@ -183,7 +183,6 @@
       return;
     }
     if (fault && (fault.isCut || this.#hasStreamed)) {
-      this.#progress.mayBeWhole = this.#progress.isHeadSent && !fault.isCut;
       this.#finish(fault);
     } else {
       this.#guard(() => this.#endAnswer(head, facts));
@@ -226,7 +225,7 @@
       return;
     }
     this.#hasEvents = true;
-    this.#progress.mayBeWhole = false;
+    this.#progress.wholeSinceMs = undefined;
     this.#observer.onProgress();
     this.#observer.onEvents(events);
     this.#sendHeadOnce();
--- a/packages/forwarding/src/SendRunner.ts
+++ b/packages/forwarding/src/SendRunner.ts
@@ -1,4 +1,4 @@
-import { sleep } from "@lycheepulley/core";
+import { sleep, type Cancel } from "@lycheepulley/core";
 
 import { CostLesson } from "./costs/CostLesson.js";
 import { DOUBTFUL_STREAM, ENDED_WITH_UPSTREAM } from "./answerEnd.js";
@@ -16,6 +16,8 @@
 const CONNECT_TIMEOUT_MS = 400;
 /** Time before the deadline at which this process answers itself. */
 const MARGIN_MS = 20;
+/** Time for which a caller that may have all of its answer waits for another upstream to confirm it. */
+const CONFIRM_MS = 1_000;
 /** Pause after KV memory that a plan counted on was taken by another request. */
 const NO_MEMORY_PAUSE_MS = 60;
 
@@ -47,7 +49,7 @@
   readonly #req: ForwardRequest;
   readonly #writer: AnswerWriter;
   readonly #progress: AnswerProgress;
-  readonly #deadlineAtMs: number;
+  readonly #requestDeadlineAtMs: number;
   #reserved = 0;
 
   constructor(options: {
@@ -61,7 +63,13 @@
     this.#req = options.req;
     this.#writer = options.writer;
     this.#progress = options.progress;
-    this.#deadlineAtMs = options.deadlineAtMs;
+    this.#requestDeadlineAtMs = options.deadlineAtMs;
+  }
+
+  /** Monotonic time by which a send has to end. */
+  get deadlineAtMs(): number {
+    const { wholeSinceMs = Infinity } = this.#progress;
+    return Math.min(this.#requestDeadlineAtMs, wholeSinceMs + CONFIRM_MS);
   }
 
   /** Runs one send until its outcome; `signal` is aborted with the result of one that is ended early. */
@@ -107,7 +115,7 @@
     const id = `${this.#req.head.attemptId}-${String(this.#reserved++)}`;
     const work = this.#deps.reservations.reserveAll(id, requests);
     const { clock } = this.#deps;
-    const held = await raceDeadline(work, clock, this.#deadlineAtMs - MARGIN_MS, signal);
+    const held = await raceDeadline(work, clock, this.deadlineAtMs - MARGIN_MS, signal);
     if (held === NOT_SETTLED) {
       void work.then((reservations) => reservations?.release());
       return "missing";
@@ -136,7 +144,7 @@
       findEndFault: () => this.#findEndFault(placement.upstream),
     });
     const headers = dialect.newUpstreamHeaders(req, {
-      deadlineMs: Math.max(1, Math.floor(this.#deadlineAtMs - now)),
+      deadlineMs: Math.max(1, Math.floor(this.deadlineAtMs - now)),
       upstreamId: placement.upstream.id,
       customer: req.customer,
       lastEventId: this.#progress.lastEventId,
@@ -149,12 +157,15 @@
         ...{ host: placement.upstream.host, port: placement.upstream.port },
         ...{ method: req.head.method, path: req.head.path, headers, body: req.body },
         homes: req.homes,
-        connectTimeoutMs: Math.min(CONNECT_TIMEOUT_MS, this.#deadlineAtMs - now),
+        connectTimeoutMs: Math.min(CONNECT_TIMEOUT_MS, this.deadlineAtMs - now),
       },
       send,
     );
     send.start(call);
     const outcome = await this.#awaitOutcome(send, signal);
+    if (outcome.result === SendResult.Doubtful && this.#progress.isHeadSent) {
+      this.#progress.wholeSinceMs = clock.now();
+    }
     lesson?.end(outcome);
     return outcome;
   }
@@ -177,21 +188,18 @@
       }
     };
     signal.addEventListener("abort", onAbort);
-    const stop = (): void => {
-      send.stop({ result: SendResult.TimedOut, reason: "time over" });
+    let cancelTimeout: Cancel = () => undefined;
+    const stopInTime = (): void => {
+      // Nothing more can be said to a caller that has a part of the answer.
+      const marginMs = this.#progress.isHeadSent ? 0 : MARGIN_MS;
+      const leftMs = this.deadlineAtMs - marginMs - clock.now();
+      if (leftMs <= 0) {
+        send.stop({ result: SendResult.TimedOut, reason: "time over" });
+      } else {
+        cancelTimeout = clock.setTimer(stopInTime, leftMs);
+      }
     };
-    const getLeftMs = (): number => Math.max(0, this.#deadlineAtMs - clock.now());
-    let cancelTimeout = clock.setTimer(
-      () => {
-        // Nothing more can be said to a caller that has a part of the answer.
-        if (this.#progress.isHeadSent) {
-          cancelTimeout = clock.setTimer(stop, getLeftMs());
-        } else {
-          stop();
-        }
-      },
-      Math.max(0, getLeftMs() - MARGIN_MS),
-    );
+    stopInTime();
     try {
       return await send.outcome;
     } finally {
--- a/packages/forwarding/src/answerProgress.ts
+++ b/packages/forwarding/src/answerProgress.ts
@@ -1,5 +1,5 @@
 import type { StallHandler } from "./StallWatch.js";
-import type { AnswerFacts } from "./types.js";
+import type { AnswerFacts, ForwardRequest } from "./types.js";
 
 /** State of the caller's answer, shared by all sends of a request. */
 export interface AnswerProgress {
@@ -7,10 +7,18 @@
   lastEventId: string | undefined;
   /** The head of the answer was sent to the caller. */
   isHeadSent: boolean;
-  /** What the caller has ended in order, without framing, at an upstream that lives on. */
-  mayBeWhole: boolean;
+  /**
+   * Monotonic time since which what the caller has may be all: it ended in order, without framing, at an
+   * upstream that lives on.
+   */
+  wholeSinceMs: number | undefined;
 }
 
+/** Progress of a request that has no answer yet. */
+export const newAnswerProgress = ({ head: { lastEventId } }: ForwardRequest): AnswerProgress => ({
+  ...{ lastEventId, isHeadSent: false, wholeSinceMs: undefined },
+});
+
 /** Follows the answer to one send, and decides what becomes of a stalled one. */
 export interface AnswerObserver extends StallHandler {
   /** Called before anything of the answer goes to the caller. */
--- a/packages/forwarding/src/unframedAnswers.test.ts
+++ b/packages/forwarding/src/unframedAnswers.test.ts
@@ -88,6 +88,36 @@
     });
   }
 
+  it("waits a second at most for another upstream to confirm the end of a stream", async () => {
+    const harness = new ForwarderHarness();
+    await harness.request(STREAM, 5_000);
+    harness.transport.startStream(["unframed"]);
+    harness.transport.sendEvents(1);
+    harness.transport.last.observer.onEnd();
+    await harness.clock.advance(950);
+    expect(harness.caller.ending).to.equal("open");
+    await harness.clock.advance(100);
+    expect(harness.caller.ending).to.equal("whole");
+  });
+
+  it("goes on with a stream to which another upstream adds events", async () => {
+    const harness = new ForwarderHarness();
+    await harness.request(STREAM, 5_000);
+    harness.transport.startStream(["unframed"]);
+    harness.transport.sendEvents(1);
+    harness.transport.last.observer.onEnd();
+    await harness.settle();
+    harness.transport.startStream();
+    for (const id of [2, 3, 4]) {
+      harness.transport.sendEvents(id);
+      await harness.clock.advance(400);
+    }
+    expect(harness.caller.ending).to.equal("open");
+    harness.transport.last.observer.onEnd();
+    await harness.settle();
+    expect(harness.caller.ending).to.equal("whole");
+  });
+
   // Every stream of a pool that never frames would take two upstreams, or be cut.
   it("takes the end of a stream for whole where most answers are unframed", async () => {
     const harness = new ForwarderHarness();
