Give the bundle the connector that peers' calls need

Cause: the bundle has only the parts of undici that are named in deploy/parts, and buildConnector wasn't; it was undefined there. The tests of the packages use the whole library. Change: the part exports it.

--- a/deploy/parts/undici.cjs
+++ b/deploy/parts/undici.cjs
@@ -5,3 +5,4 @@
 Object.assign(Dispatcher.prototype, require("undici/lib/api/index.js"));
 
 exports.Pool = require("undici/lib/dispatcher/pool.js");
+exports.buildConnector = require("undici/lib/core/connect.js");
