--- a/packages/forwarding/src/unframedAnswers.test.ts
+++ b/packages/forwarding/src/unframedAnswers.test.ts
@@ -5,6 +5,17 @@
 
 const ONCE: Partial<Route> = { ...STREAM, isResumable: false };
 
+/** A stream that ended in order after its first event, without framing, at an upstream that lives on. */
+const endUnframed = async (): Promise<ForwarderHarness> => {
+  const harness = new ForwarderHarness();
+  await harness.request(STREAM, 5_000);
+  harness.transport.startStream(["unframed"]);
+  harness.transport.sendEvents(1);
+  harness.transport.last.observer.onEnd();
+  await harness.settle();
+  return harness;
+};
+
 describe("Forwarder: answers that end with their connection", () => {
   // An upstream's process that ends, or an upstream that loses an answer, closes its connection in order.
   const streams: readonly {
@@ -48,12 +59,7 @@
 
   for (const framing of [[], ["unframed"]]) {
     it(`ends a stream to which another upstream adds nothing${framing.length > 0 ? ", also unframed" : ""}`, async () => {
-      const harness = new ForwarderHarness();
-      await harness.request(STREAM, 5_000);
-      harness.transport.startStream(["unframed"]);
-      harness.transport.sendEvents(1);
-      harness.transport.last.observer.onEnd();
-      await harness.settle();
+      const harness = await endUnframed();
       expect(harness.resumedAfter).to.equal("1");
       harness.transport.startStream(framing);
       harness.transport.last.observer.onEnd();
@@ -74,12 +80,7 @@
   ];
   for (const [name, headers, events, ending] of confirmations) {
     it(`${ending === "cut" ? "cuts" : "ends"} a stream to which the last upstream adds ${name}`, async () => {
-      const harness = new ForwarderHarness();
-      await harness.request(STREAM, 5_000);
-      harness.transport.startStream(["unframed"]);
-      harness.transport.sendEvents(1);
-      harness.transport.last.observer.onEnd();
-      await harness.settle();
+      const harness = await endUnframed();
       harness.transport.last.observer.onHead({ status: 200, headers });
       harness.transport.sendEvents(...events);
       harness.transport.last.observer.onError("sent", new Error("reset"));
@@ -89,11 +90,7 @@
   }
 
   it("waits a second at most for another upstream to confirm the end of a stream", async () => {
-    const harness = new ForwarderHarness();
-    await harness.request(STREAM, 5_000);
-    harness.transport.startStream(["unframed"]);
-    harness.transport.sendEvents(1);
-    harness.transport.last.observer.onEnd();
+    const harness = await endUnframed();
     await harness.clock.advance(950);
     expect(harness.caller.ending).to.equal("open");
     await harness.clock.advance(100);
@@ -101,12 +98,7 @@
   });
 
   it("goes on with a stream to which another upstream adds events", async () => {
-    const harness = new ForwarderHarness();
-    await harness.request(STREAM, 5_000);
-    harness.transport.startStream(["unframed"]);
-    harness.transport.sendEvents(1);
-    harness.transport.last.observer.onEnd();
-    await harness.settle();
+    const harness = await endUnframed();
     harness.transport.startStream();
     for (const id of [2, 3, 4]) {
       harness.transport.sendEvents(id);
