Tell of requests that end with their process

Nothing in the log said which requests a process took with it: the last line of one is 'sent to upstream', and 'drain finished' says only that nothing is in flight. So the hypotheses of the incident couldn't be told apart.

'request ended with its process' names each request without a complete answer, how far it had come, and the age and earlier answers of its connection. 'drain finished' counts open connections that are unused or have an unfinished head, and relays. No decision depends on any of it.

--- a/packages/callers/src/forward/CallerConnections.ts
+++ b/packages/callers/src/forward/CallerConnections.ts
@@ -1,12 +1,22 @@
-import { toTimerMs } from "@lycheepulley/core";
+import { toTimerMs, type Clock } from "@lycheepulley/core";
 import type { Socket } from "node:net";
 
 /** Time for which a connection that ends on an error is read on, so that its caller gets the answer. */
 const LINGER_MS = 1_000;
 
+/** A request without a complete answer. */
+interface PendingRequest {
+  readonly describe: () => object;
+  /** Resolves the turn of the request behind it. */
+  readonly end: () => void;
+}
+
 interface ConnectionState {
-  /** Ends of the requests without a complete answer, oldest first. */
-  readonly pending: Set<() => void>;
+  readonly openedMs: number;
+  /** Requests that were answered. */
+  answers: number;
+  /** Oldest first. */
+  readonly pending: Set<PendingRequest>;
   /** Resolves when the newest request has ended. */
   newest: Promise<void> | undefined;
   /** Time after which the connection is closed when it stays idle. */
@@ -27,8 +37,13 @@
 
 /** Connections of callers, with what is in progress on each. */
 export class CallerConnections {
+  readonly #clock: Clock;
   readonly #states = new Map<Socket, ConnectionState>();
 
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
   get size(): number {
     return this.#states.size;
   }
@@ -38,8 +53,34 @@
     return [...this.#states.values()].reduce((sum, { pending }) => sum + pending.size, 0);
   }
 
+  /** Open connections on which no byte was received. */
+  get unused(): number {
+    return this.#count((_state, socket) => socket.bytesRead === 0);
+  }
+
+  /** Open connections on which a request began whose head isn't complete. */
+  get partial(): number {
+    return this.#count(
+      ({ pending, answeredBytes }, socket) =>
+        pending.size === 0 && socket.bytesRead > answeredBytes,
+    );
+  }
+
+  /** What is known of each request without a complete answer, and of its connection. */
+  describePending(): object[] {
+    const now = this.#clock.now();
+    return [...this.#states.values()].flatMap(({ pending, openedMs, answers }) =>
+      [...pending].map(({ describe }) => ({
+        ...describe(),
+        ...{ connectionMs: Math.round(now - openedMs), answers },
+      })),
+    );
+  }
+
   add(socket: Socket): void {
     const state: ConnectionState = {
+      openedMs: this.#clock.now(),
+      answers: 0,
       pending: new Set(),
       newest: undefined,
       idleMs: 0,
@@ -50,13 +91,14 @@
     socket.on("error", () => undefined);
     socket.on("close", () => {
       this.#states.delete(socket);
-      state.pending.forEach((end) => {
+      state.pending.forEach(({ end }) => {
         end();
       });
     });
   }
 
-  startRequest(socket: Socket): ConnectionTurn {
+  /** `describe` tells how far the request has come, for the log. */
+  startRequest(socket: Socket, describe: () => object): ConnectionTurn {
     const state = this.#states.get(socket);
     if (!state) {
       return { earlier: undefined, end: () => undefined };
@@ -66,15 +108,16 @@
     state.newest = new Promise((done) => {
       resolve = done;
     });
-    const end = resolve;
-    state.pending.add(end);
+    const request: PendingRequest = { describe, end: resolve };
+    state.pending.add(request);
     return {
       earlier,
       end: (idleMs) => {
-        state.pending.delete(end);
+        state.pending.delete(request);
+        state.answers += 1;
         state.idleMs = idleMs;
         state.answeredBytes = socket.bytesRead;
-        end();
+        request.end();
         if (state.isLast && state.pending.size === 0) {
           socket.end();
         }
@@ -122,4 +165,8 @@
     socket.resume();
     setTimeout(() => socket.destroy(), LINGER_MS).unref();
   }
+
+  #count(isCounted: (state: ConnectionState, socket: Socket) => boolean): number {
+    return [...this.#states].filter(([socket, state]) => isCounted(state, socket)).length;
+  }
 }
--- a/packages/callers/src/forward/ForwardServer.ts
+++ b/packages/callers/src/forward/ForwardServer.ts
@@ -1,4 +1,3 @@
-import { createHash } from "node:crypto";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { Server as NetServer, type Socket } from "node:net";
 
@@ -21,6 +20,8 @@
 import { CallerConnections } from "./CallerConnections.js";
 import { getHeldLimitBytes, HeldMemory } from "./HeldMemory.js";
 import { allowHalfClosed, probeHalfClosed } from "./halfClosed.js";
+import { getStage, type AdmissionProgress } from "./progress.js";
+import { countHeaderBytes, getFingerprint } from "./requestBytes.js";
 import { ResponseWriter } from "./ResponseWriter.js";
 
 /** Added to the configured time-outs, so that a request sent just within them isn't cut off. */
@@ -45,7 +46,7 @@
 /** HTTP server that admits callers' requests and forwards their bytes to upstreams. */
 export class ForwardServer {
   readonly #server: Server;
-  readonly #connections = new CallerConnections();
+  readonly #connections: CallerConnections;
   readonly #memory: HeldMemory;
   readonly #clock: Clock;
   readonly #view: FleetView;
@@ -64,6 +65,7 @@
     forward: (req: ForwardRequest, writer: AnswerWriter) => Promise<void>;
   }) {
     this.#clock = options.clock;
+    this.#connections = new CallerConnections(options.clock);
     this.#view = options.view;
     this.#dialect = options.dialect;
     this.#logger = options.logger;
@@ -97,14 +99,21 @@
     return this.#connections.requests;
   }
 
-  get connections(): number {
-    return this.#connections.size;
+  get connections(): Pick<CallerConnections, "size" | "unused" | "partial"> {
+    return this.#connections;
   }
 
   get isDraining(): boolean {
     return this.#drain !== undefined;
   }
 
+  /** Logs each request without a complete answer, as the process is about to end with it. */
+  logUnfinished(): void {
+    this.#connections.describePending().forEach((request) => {
+      this.#logger.warn("request ended with its process", { step: "stop", ...request });
+    });
+  }
+
   /** What is held for callers and upstreams. */
   get held(): Pick<HeldMemory, "bytes" | "requests"> {
     return this.#memory;
@@ -160,7 +169,11 @@
     const receivedMs = this.#clock.now();
     const abort = new AbortController();
     const { socket } = req;
-    const turn = this.#connections.startRequest(socket);
+    const progress: AdmissionProgress = { head: undefined, isForwarded: false };
+    const turn = this.#connections.startRequest(socket, () => ({
+      ...{ requestId: progress.head?.attemptId, stage: getStage(req, res, progress) },
+      ms: Math.round(this.#clock.now() - receivedMs),
+    }));
     res.on("error", () => undefined);
     req.on("error", () => undefined);
     res.on("close", () => {
@@ -174,7 +187,6 @@
       return;
     }
     // Before its turn, a response isn't closed with its connection.
-    const progress: AdmissionProgress = { head: undefined, isForwarded: false };
     const writer = new ResponseWriter(res, {
       getRequestId: () => progress.head?.attemptId ?? "",
       memory: this.#memory,
@@ -329,21 +341,5 @@
   }
 }
 
-/** How far a request came. */
-interface AdmissionProgress {
-  head: RequestHead | undefined;
-  /** It was handed on, so that an upstream may have it. */
-  isForwarded: boolean;
-}
-
 /** Thrown when the request bodies being received exceed their limit. */
 class BuffersFullError extends Error {}
-
-const countHeaderBytes = ({ url, rawHeaders }: IncomingMessage): number =>
-  rawHeaders.reduce((sum, text) => sum + text.length, url?.length ?? 0);
-
-const getFingerprint = (head: RequestHead, customer: string | undefined, body: Buffer): string =>
-  createHash("sha1")
-    .update(`${head.method} ${head.path} ${customer ?? ""}\n`)
-    .update(body)
-    .digest("base64");
--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -40,9 +40,6 @@
 import type { GatewaySettings, GatewaySources } from "./types.js";
 import { answerWhere, whereMethod } from "./whereMethod.js";
 
-/** Time that a request waits for the answer of a process that owns a quota or a trial. */
-const OWNER_TIMEOUT_MS = 80;
-
 /** One gateway process: forwards requests and tracks configuration, upstreams and peers. */
 export class GatewayNode {
   readonly #clock: Clock = new SystemClock();
@@ -198,7 +195,7 @@
       },
     });
     this.#nodeServer = new NodeServer([this.#connector.server.route]);
-    this.#peerCalls = new PeerCalls({ port: settings.peerPort, timeoutMs: OWNER_TIMEOUT_MS });
+    this.#peerCalls = new PeerCalls(settings.peerPort);
     const exchange = {
       ...{ clock, random: this.#random, channel: this.#channel, peers: this.#peers, logger },
       ...{ host: settings.host, calls: this.#peerCalls, view: this.#view },
@@ -286,15 +283,18 @@
 
   async #drain(reason: string): Promise<void> {
     const { drainMs } = this.#settings;
-    const listener = this.#listener;
-    [this.#connector, listener, this.#forwarder].forEach((part) => part.startDrain(drainMs));
+    [this.#connector, this.#listener, this.#forwarder].forEach((part) => part.startDrain(drainMs));
     this.#peerExchange.announce();
     await closeAndDrain({
       ...{ clock: this.#clock, logger: this.#logger, drainMs, reason },
-      ...{ listener, relays: this.#connector.server },
+      ...{ listener: this.#listener, relays: this.#connector.server },
     });
   }
 
+  logUnfinished(): void {
+    this.#listener.logUnfinished();
+  }
+
   /** Closes servers, sockets and sources without waiting for requests. */
   stop(): void {
     this.#listener.close();
--- a/packages/daemon/src/gateway/PeerCalls.ts
+++ b/packages/daemon/src/gateway/PeerCalls.ts
@@ -2,15 +2,16 @@
 import { NodeClient, type RpcMethod } from "@lycheepulley/nodes";
 import type { z } from "zod";
 
+/** Time that a request waits for the answer of a process that owns a quota or a trial. */
+const OWNER_TIMEOUT_MS = 80;
+
 /** Calls methods of peers that a request waits for, each with a short time-out. */
 export class PeerCalls {
   readonly #port: number;
-  readonly #timeoutMs: number;
   readonly #clients = new Map<string, NodeClient>();
 
-  constructor(options: { port: number; timeoutMs: number }) {
-    this.#port = options.port;
-    this.#timeoutMs = options.timeoutMs;
+  constructor(port: number) {
+    this.#port = port;
   }
 
   /** Calls a method of a peer; rejects when it doesn't answer in time. */
@@ -19,7 +20,7 @@
     method: RpcMethod<P, R>,
     params: z.input<P>,
   ): Promise<z.output<R>> {
-    const timeoutMs = this.#timeoutMs;
+    const timeoutMs = OWNER_TIMEOUT_MS;
     const signal = AbortSignal.timeout(toTimerMs(timeoutMs));
     try {
       return await this.#getClient(host).call(method, params, { timeoutMs, signal });
--- a/packages/daemon/src/gateway/closeAndDrain.ts
+++ b/packages/daemon/src/gateway/closeAndDrain.ts
@@ -1,3 +1,4 @@
+import type { ForwardServer } from "@lycheepulley/callers";
 import { sleep, type Clock } from "@lycheepulley/core";
 import { LISTENER_CLOSE_DELAY_MS } from "@lycheepulley/forwarding";
 import type { Logger } from "@lycheepulley/telemetry";
@@ -13,7 +14,7 @@
   logger: Logger;
   drainMs: number;
   reason: string;
-  listener: { readonly requests: number; readonly connections: number; close(): void };
+  listener: Pick<ForwardServer, "requests" | "connections" | "close">;
   relays: { readonly open: number };
 }): Promise<void> => {
   const { clock, logger, drainMs, reason, listener, relays } = options;
@@ -24,7 +25,9 @@
   while (clock.now() < startMs + drainMs && listener.requests + relays.open > 0) {
     await sleep(clock, POLL_MS);
   }
-  const { requests, connections } = listener;
-  const ms = Math.round(clock.now() - startMs);
-  logger.info("drain finished", { step: "stop", inFlight: requests, connections, ms });
+  const { size, unused, partial } = listener.connections;
+  logger.info("drain finished", {
+    ...{ step: "stop", inFlight: listener.requests, relays: relays.open },
+    ...{ connections: size, unused, partial, ms: Math.round(clock.now() - startMs) },
+  });
 };
--- a/packages/telemetry/src/BoundedLogger.ts
+++ b/packages/telemetry/src/BoundedLogger.ts
@@ -15,6 +15,7 @@
   #pendingBytes = 0;
   #isWriting = false;
   #timer: NodeJS.Timeout | undefined;
+  #onEmpty: (() => void)[] = [];
   /** Dropped lines that weren't reported yet. */
   dropped = 0;
 
@@ -43,7 +44,13 @@
 
   /** Writes the buffered lines; only one write is in progress at a time. */
   flush(): void {
-    if (this.#isWriting || this.#pendingBytes === 0) {
+    if (this.#isWriting) {
+      return;
+    }
+    if (this.#pendingBytes === 0) {
+      this.#onEmpty.splice(0).forEach((resolve) => {
+        resolve();
+      });
       return;
     }
     const data = Buffer.from(this.#pending.join(""));
@@ -53,6 +60,13 @@
     this.#writeFully(data, lines);
   }
 
+  /** Resolves once all lines are written, or after `timeoutMs` where nobody reads them. */
+  async drain(timeoutMs: number): Promise<void> {
+    const empty = new Promise<void>((resolve) => this.#onEmpty.push(resolve));
+    this.flush();
+    await Promise.race([empty, new Promise((resolve) => setTimeout(resolve, timeoutMs))]);
+  }
+
   #writeFully(data: Buffer, lines: number): void {
     this.#isWriting = true;
     write(this.#fd, data, (err, written) => {
@@ -75,6 +89,12 @@
   }
 }
 
+/** A logger whose lines can be awaited before the process exits. */
+export interface BoundedLogger extends Logger {
+  /** Resolves once all lines are written, or after `timeoutMs` where nobody reads them. */
+  drain(timeoutMs: number): Promise<void>;
+}
+
 const LEVELS: readonly (keyof Logger)[] = ["debug", "info", "warn", "error"];
 
 /** One log line; fields that can't be written as JSON are left out. */
@@ -97,7 +117,10 @@
  * Creates a logger that writes JSON lines to standard output, with limits on its
  * lines per second and its memory. Lines beyond them are dropped and counted.
  */
-export const newBoundedLogger = (options: { process: string; level: keyof Logger }): Logger => {
+export const newBoundedLogger = (options: {
+  process: string;
+  level: keyof Logger;
+}): BoundedLogger => {
   const stream = new DroppingStream(STDOUT_FD);
   let secondStart = 0;
   let lines = 0;
@@ -137,5 +160,6 @@
     info: newMethod("info"),
     warn: newMethod("warn"),
     error: newMethod("error"),
+    drain: (timeoutMs) => stream.drain(timeoutMs),
   };
 };
