Relay nothing whose connection is made after the process decided to end

Callers at a process without links of its own could see: a request that was sent through a peer at the peer's end, cut, and answered as one that may have run, though another peer would have taken it.

Cause: RelayServer asked whether the process may relay only before it connected to the target. A connection that came about after the decision was handed to the peer (200) and closed with the process.

Evidence: relayEnds.test.js, "opens none when its connection is made after the decision to end", failed (a RelayedConnection in place of a RelayError). The relay is counted before it connects, so that a drain that ends early waits for it; the case needs a drain whose time is over meanwhile: half the drain time and 200 ms for the connection have to be longer than the drain, which is so for less than 0.4 s, or a process that stood still for seconds.

Change: RelayServer asks again after it has connected, and answers "not relayed"; nothing was sent, and the other side asks another peer.

--- a/packages/nodes/src/RelayServer.ts
+++ b/packages/nodes/src/RelayServer.ts
@@ -65,13 +65,18 @@
       timeoutMs: headers[RELAY_TIMEOUT_HEADER],
     };
     if (this.#open >= MAX_RELAYED || !this.#mayRelay(target)) {
-      sendJson(res, 503, { error: { message: "not relayed" } }, { connection: "close" });
+      refuse(res);
       return;
     }
     this.#open += 1;
     try {
       const socket = await this.#connect(target);
-      await relay(req, res, socket);
+      if (this.#mayRelay(target)) {
+        await relay(req, res, socket);
+      } else {
+        socket.destroy();
+        refuse(res);
+      }
     } catch {
       sendJson(res, 502, { error: { message: "no connection" } }, { connection: "close" });
     } finally {
@@ -80,6 +85,11 @@
   }
 }
 
+/** Tells a peer to use another process, before it has sent anything to the target. */
+const refuse = (res: ServerResponse): void => {
+  sendJson(res, 503, { error: { message: "not relayed" } }, { connection: "close" });
+};
+
 /** Passes bytes both ways until one side is closed. */
 const relay = (req: IncomingMessage, res: ServerResponse, socket: Duplex): Promise<void> =>
   new Promise((resolve) => {
