Wait for releases of memory at the end, and for heads only while they come

And bytes that are no head (a line end after a request, the rest of a rejected body) held a drain to its latest end, 7.5 s.

The drain counts reservations that are being released. A head counts while its bytes come at most 500 ms apart; what belongs to a request is known when all of it has been read, not when its answer has ended.

--- a/packages/callers/src/forward/CallerConnections.ts
+++ b/packages/callers/src/forward/CallerConnections.ts
@@ -5,6 +5,8 @@
 
 /** Callers send a request within this time after they connect, or much later. */
 const FIRST_REQUEST_MS = 200;
+/** Pieces of a head follow each other within this time, or much later. */
+const HEAD_PAUSE_MS = 500;
 /** Time for which a connection that ends on an error is read on, so that its caller gets the answer. */
 const LINGER_MS = 1_000;
 
@@ -25,14 +27,19 @@
   newest: Promise<void> | undefined;
   /** Time after which the connection is closed when it stays idle. */
   idleMs: number;
-  /** Bytes that were received until the last answer had been sent. */
-  answeredBytes: number;
+  /** Bytes that were received until the last request had been read. */
+  readBytes: number;
+  /** Bytes of an unfinished head when they were last counted, and the time of the newest. */
+  headBytes: number;
+  headAtMs: number;
   /** It is closed once nothing is in progress on it. */
   isLast: boolean;
 }
 
 /** One request on a connection, from its head to the end of its answer. */
 export interface ConnectionTurn {
+  /** All of the request has been received. */
+  endReading(): void;
   /** Resolves when the request before it on the connection has ended; undefined when there is none. */
   readonly earlier: Promise<void> | undefined;
   /** Ends the request; the connection may stay idle for `idleMs` from now on. */
@@ -58,18 +65,25 @@
   }
 
   /**
-   * What the process would cut if it ended now: requests without a complete answer, also those whose
-   * heads aren't complete, and requests that are likely to be on their way on new connections.
+   * Counts what the process would cut if it ended now: requests without a complete answer, also those
+   * whose heads are still coming, and requests that are likely to be on their way on new connections.
    */
-  get inProgress(): number {
+  countInProgress(): number {
     const now = this.#clock.now();
-    return (
-      this.requests +
-      this.partial +
-      this.#count(
-        ({ openedMs }, socket) => socket.bytesRead === 0 && now - openedMs < FIRST_REQUEST_MS,
-      )
-    );
+    const isComing = (state: ConnectionState, { bytesRead }: Socket): boolean => {
+      if (bytesRead === 0) {
+        return now - state.openedMs < FIRST_REQUEST_MS;
+      }
+      if (state.pending.size > 0 || bytesRead === state.readBytes) {
+        return false;
+      }
+      if (bytesRead > state.headBytes) {
+        state.headBytes = bytesRead;
+        state.headAtMs = now;
+      }
+      return now - state.headAtMs < HEAD_PAUSE_MS;
+    };
+    return this.requests + this.#count(isComing);
   }
 
   /** Open connections on which no byte was received. */
@@ -80,8 +94,7 @@
   /** Open connections on which a request began whose head isn't complete. */
   get partial(): number {
     return this.#count(
-      ({ pending, answeredBytes }, socket) =>
-        pending.size === 0 && socket.bytesRead > answeredBytes,
+      ({ pending, readBytes }, socket) => pending.size === 0 && socket.bytesRead > readBytes,
     );
   }
 
@@ -103,7 +116,7 @@
       pending: new Set(),
       newest: undefined,
       idleMs: 0,
-      answeredBytes: 0,
+      ...{ readBytes: 0, headBytes: 0, headAtMs: 0 },
       isLast: false,
     };
     this.#states.set(socket, state);
@@ -120,7 +133,7 @@
   startRequest(socket: Socket, describe: () => object): ConnectionTurn {
     const state = this.#states.get(socket);
     if (!state) {
-      return { earlier: undefined, end: () => undefined };
+      return { earlier: undefined, endReading: () => undefined, end: () => undefined };
     }
     const earlier = state.pending.size > 0 ? state.newest : undefined;
     let resolve = (): void => undefined;
@@ -131,11 +144,13 @@
     state.pending.add(request);
     return {
       earlier,
+      endReading: () => {
+        state.readBytes = socket.bytesRead;
+      },
       end: (idleMs) => {
         state.pending.delete(request);
         state.answers += 1;
         state.idleMs = idleMs;
-        state.answeredBytes = socket.bytesRead;
         request.end();
         if (state.isLast && state.pending.size === 0) {
           socket.end();
@@ -159,8 +174,8 @@
    * counts until all of it has been sent.
    */
   closeIdle(): void {
-    for (const [socket, { pending, answeredBytes }] of this.#states) {
-      if (pending.size === 0 && answeredBytes > 0 && socket.bytesRead === answeredBytes) {
+    for (const [socket, { pending, answers, readBytes }] of this.#states) {
+      if (pending.size === 0 && answers > 0 && socket.bytesRead === readBytes) {
         socket.destroy();
       }
     }
@@ -183,6 +198,7 @@
       }
       socket.destroy();
     }
+    this.#states.clear();
   }
 
   /** Ends a connection after an answer without a body, or after the answers in progress on it. */
--- a/packages/callers/src/forward/ForwardServer.ts
+++ b/packages/callers/src/forward/ForwardServer.ts
@@ -107,7 +107,7 @@
     return this.#connections.requests;
   }
 
-  get connections(): Pick<CallerConnections, "size" | "inProgress" | "unused" | "partial"> {
+  get connections(): Pick<CallerConnections, "size" | "countInProgress" | "unused" | "partial"> {
     return this.#connections;
   }
 
@@ -186,6 +186,7 @@
     }));
     res.on("error", () => undefined);
     req.on("error", () => undefined);
+    req.on("close", turn.endReading);
     res.on("close", () => {
       abort.abort();
       turn.end(this.#server.keepAliveTimeout);
--- a/packages/callers/src/forward/closing.test.ts
+++ b/packages/callers/src/forward/closing.test.ts
@@ -72,23 +72,38 @@
     });
   }
 
-  const waits: readonly [name: string, sent: string, waitMs: number, inProgress: number][] = [
-    ["a new connection, whose request is likely to come", "", 0, 1],
-    ["no connection that stays unused", "", 300, 0],
-    ["a head that isn't complete", request.slice(0, 20), 300, 1],
-    ["a request whose body isn't complete", request.slice(0, -2), 300, 1],
-    ["no connection after its answer", request, 300, 0],
+  const waits: readonly [name: string, sent: string, isWaiting: boolean, afterMs: number][] = [
+    ["a new connection, whose request is likely to come", "", true, 0],
+    ["no connection that stays unused", "", false, 300],
+    ["a head that isn't complete", request.slice(0, 20), true, 300],
+    ["no head that doesn't go on", request.slice(0, 20), false, 700],
+    ["a request whose body isn't complete", request.slice(0, -2), true, 700],
+    ["no connection after its answer", request, false, 0],
+    ["no line end after a request for long", `${request}\r\n`, false, 700],
   ];
-  for (const [name, sent, waitMs, inProgress] of waits) {
+  for (const [name, sent, isWaiting, afterMs] of waits) {
     // A process ended under requests whose heads had come in part.
     it(`has its process wait for ${name}`, async () => {
+      const { connections } = fixture.harness.server;
       const socket = await connectAndSend(sent);
-      await wait(waitMs);
-      expect(fixture.harness.server.connections.inProgress).to.equal(inProgress);
+      connections.countInProgress();
+      await wait(afterMs);
+      expect(connections.countInProgress()).to.equal(isWaiting ? 1 : 0);
       socket.destroy();
     });
   }
 
+  // The rest of a body that came after the answer was taken for a head, and held a drain to its end.
+  it("has its process wait for nothing after a rejected request whose body ended later", async () => {
+    const { server } = fixture.harness;
+    const rejected = request.replace("/a/1", "/none/1");
+    const socket = await connectAndSend(rejected.slice(0, -2));
+    socket.write(rejected.slice(-2));
+    await wait(50);
+    expect(server.connections.countInProgress()).to.equal(0);
+    socket.destroy();
+  });
+
   // A process that was busy for a moment closed connections whose requests it hadn't read.
   it("answers requests that its process hasn't read when connections are closed", async () => {
     const { server } = fixture.harness;
--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -288,7 +288,7 @@
     this.#drained ??= drainProcess({
       ...{ clock: this.#clock, logger: this.#logger, lifecycle: this.#lifecycle, reason },
       ...{ drainMs: this.#settings.drainMs, isKnown: this.isReady },
-      ...{ listener: this.#listener, relays: this.#connector.server },
+      ...{ listener: this.#listener, relays: this.#connector.server, forwarder: this.#forwarder },
     });
     this.#peerExchange.announce();
     return this.#drained;
--- a/packages/daemon/src/gateway/drainProcess.ts
+++ b/packages/daemon/src/gateway/drainProcess.ts
@@ -1,6 +1,6 @@
 import type { ForwardServer } from "@lycheepulley/callers";
 import { ProcessState, sleep, type Clock, type ProcessLifecycle } from "@lycheepulley/core";
-import { LISTENER_CLOSE_DELAY_MS } from "@lycheepulley/forwarding";
+import { LISTENER_CLOSE_DELAY_MS, type Forwarder } from "@lycheepulley/forwarding";
 import type { Logger } from "@lycheepulley/telemetry";
 
 const POLL_MS = 20;
@@ -22,8 +22,11 @@
   isKnown: boolean;
   listener: Pick<ForwardServer, "requests" | "connections" | "close" | "closeUnused" | "destroy">;
   relays: { readonly open: number };
+  forwarder: Pick<Forwarder, "releasing">;
 }): Promise<void> => {
   const { clock, logger, lifecycle, drainMs, reason, isKnown, listener, relays } = options;
+  const countInProgress = (): number =>
+    listener.connections.countInProgress() + relays.open + options.forwarder.releasing;
   lifecycle.on(ProcessState.Draining, () => {
     listener.close();
   });
@@ -40,10 +43,9 @@
   const listenMs = isKnown ? LISTENER_CLOSE_DELAY_MS : 0;
   lifecycle.leave(clock.now(), { listenMs, drainMs, closeMs: CLOSE_MS });
   for (;;) {
-    const waitMs = Math.min(POLL_MS, lifecycle.nextChangeMs - clock.now());
-    await sleep(clock, waitMs);
-    const inProgress = listener.connections.inProgress + relays.open;
-    if (lifecycle.advance(clock.now(), inProgress) === ProcessState.Stopped) {
+    const leftMs = lifecycle.nextChangeMs - clock.now();
+    await sleep(clock, lifecycle.has(ProcessState.Draining) ? Math.min(POLL_MS, leftMs) : leftMs);
+    if (lifecycle.advance(clock.now(), countInProgress()) === ProcessState.Stopped) {
       break;
     }
   }
--- a/packages/forwarding/src/Forwarder.ts
+++ b/packages/forwarding/src/Forwarder.ts
@@ -36,6 +36,11 @@
     return this.#inFlight;
   }
 
+  /** Reservations of KV memory that are being released now. */
+  get releasing(): number {
+    return this.#deps.reservations.releasing;
+  }
+
   /** What this process knows of prompts that wait for KV memory. */
   get room(): RoomCounts {
     return this.#placer.room.counts;
--- a/packages/forwarding/src/ReservationManager.ts
+++ b/packages/forwarding/src/ReservationManager.ts
@@ -39,6 +39,7 @@
   readonly #clock: Clock;
   readonly #control: UpstreamControl;
   readonly #logger: Logger;
+  #releasing = 0;
 
   constructor(options: { clock: Clock; control: UpstreamControl; logger: Logger }) {
     this.#clock = options.clock;
@@ -46,6 +47,11 @@
     this.#logger = options.logger;
   }
 
+  /** Reservations that are being released now. */
+  get releasing(): number {
+    return this.#releasing;
+  }
+
   /** Reserves all of the requested memory, or none of it; undefined for none. */
   async reserveAll(
     requestId: string,
@@ -133,11 +139,13 @@
   }
 
   async #release(requestId: string, entry: Reservation): Promise<void> {
+    this.#releasing += 1;
     for (let attempt = 1; attempt <= MAX_RELEASE_ATTEMPTS; attempt++) {
       if (await this.#tryRelease(requestId, entry, attempt)) {
         break;
       }
     }
+    this.#releasing -= 1;
     await this.#releaseLateOrders(requestId, entry);
   }
 
