End an entry process in one step, and admit nothing after that

Callers saw, at `lycheepulley entry`: a call on a connection opened before the drain was run, and its connection closed without an answer; the same for a head in two parts; a caller that read a large answer slowly got a third of it.

Whatever came while the fates were appended was admitted and run. Heads in parts weren't counted, nor answers that their callers hadn't read.

Calls beside another process (307) and bodies in parts weren't lost: they were counted from their head on.

Change: EntryNode uses ProcessLifecycle, which stays as it is. Drainer passes its states; OpenRequests counts what runs and arrives, and ends it: in closing a request gets 503 `leaving` (not run, Retry-After, Connection: close), one that still runs is aborted and answered, and callers have 10 s to read answers. The fates are appended after that. The end of admission is logged (`admission ended`), and so is each request that ends with its process.

--- a/packages/callers/src/CallerServer.test.ts
+++ b/packages/callers/src/CallerServer.test.ts
@@ -1,4 +1,12 @@
-import { PulleyError, Step, Verdict, type Fate } from "@lycheepulley/core";
+import {
+  ProcessLifecycle,
+  PulleyError,
+  Step,
+  SystemClock,
+  Verdict,
+  type Fate,
+} from "@lycheepulley/core";
+import { newSilentLogger } from "@lycheepulley/telemetry";
 import { expect } from "chai";
 
 import { CallerServer } from "./CallerServer.js";
@@ -84,7 +92,10 @@
   ];
   for (const { name, path, body, api, verdict } of CASES) {
     it(`answers ${verdict} after ${name}`, async () => {
-      const server = new CallerServer(newApi(api));
+      const server = new CallerServer(newApi(api), {
+        ...{ clock: new SystemClock(), lifecycle: new ProcessLifecycle() },
+        logger: newSilentLogger(),
+      });
       await server.listen("127.0.0.1", 0);
       try {
         const url = `http://127.0.0.1:${String(server.port)}${path}`;
--- a/packages/callers/src/CallerServer.ts
+++ b/packages/callers/src/CallerServer.ts
@@ -5,13 +5,17 @@
   PulleyError,
   Step,
   Verdict,
+  type Clock,
+  type ProcessLifecycle,
   type PromptRequest,
   type ServiceRequest,
 } from "@lycheepulley/core";
-import { HttpServer, readBody, sendJson, type Route } from "@lycheepulley/http";
+import { HttpServer, sendJson, type Route } from "@lycheepulley/http";
+import type { Logger } from "@lycheepulley/telemetry";
 
 import { sendCompletion, sendServiceAnswer, toHandedOnError, type PromptCall } from "./answers.js";
 import { sendError, toPulleyError } from "./errorAnswer.js";
+import { OpenRequests } from "./OpenRequests.js";
 import { parsePrompt, type ParsedPrompt } from "./parse.js";
 import { ResumableAnswer } from "./ResumableAnswer.js";
 import type { AcceptedRequest, ServingApi } from "./types.js";
@@ -30,17 +34,31 @@
 export class CallerServer {
   readonly #api: ServingApi;
   readonly #server: HttpServer;
+  readonly #open: OpenRequests;
   readonly #streamedAnswers = new Map<string, { answer: ResumableAnswer; customer: string }>();
 
-  constructor(api: ServingApi) {
+  constructor(
+    api: ServingApi,
+    options: { clock: Clock; lifecycle: ProcessLifecycle; logger: Logger },
+  ) {
     this.#api = api;
-    this.#server = new HttpServer(this.#routes(), (err, _req, res) => {
-      if (res.headersSent) {
-        res.destroy();
-      } else {
-        sendError(res, toPulleyError(err), "");
-      }
+    this.#open = new OpenRequests({
+      ...options,
+      stopAccepting: () => {
+        this.#server.stopAccepting();
+      },
     });
+    this.#server = new HttpServer(
+      this.#routes(),
+      (err, _req, res) => {
+        if (res.headersSent) {
+          res.destroy();
+        } else {
+          sendError(res, toPulleyError(err), "");
+        }
+      },
+      this.#open,
+    );
   }
 
   get port(): number {
@@ -51,11 +69,17 @@
     return this.#server.connections;
   }
 
+  /** What the process would cut if it went on to its next state. */
+  get inProgress(): number {
+    return this.#open.inProgress;
+  }
+
   listen(host: string, port: number): Promise<void> {
     return this.#server.listen(host, port);
   }
 
   close(): Promise<void> {
+    this.#open.destroy();
     return this.#server.close();
   }
 
@@ -169,9 +193,10 @@
       return;
     }
     const { accepted, customer } = this.#accept(req);
-    const abort = new AbortController();
+    const admitted = this.#open.admit(req, res, accepted.requestId);
+    const { abort } = admitted;
     try {
-      const raw = await readBody(req, this.#api.maxBodyBytes);
+      const raw = await admitted.readBody(this.#api.maxBodyBytes);
       const parsed = await parsePrompt(path, raw);
       const request = newPromptRequest(path, parsed, { req, customer, signal: abort.signal });
       if (parsed.isStream) {
@@ -184,6 +209,8 @@
       if (!res.headersSent && !res.destroyed) {
         sendError(res, toPulleyError(err), accepted.requestId);
       }
+    } finally {
+      admitted.end();
     }
   }
 
@@ -246,12 +273,13 @@
       return;
     }
     const { accepted, customer } = this.#accept(req);
-    const abort = new AbortController();
+    const admitted = this.#open.admit(req, res, accepted.requestId);
+    const { abort } = admitted;
     res.on("close", () => {
       abort.abort();
     });
     try {
-      const body = await readBody(req, this.#api.maxBodyBytes);
+      const body = await admitted.readBody(this.#api.maxBodyBytes);
       await sendServiceAnswer(res, accepted, {
         ...target,
         customer,
@@ -263,6 +291,8 @@
     } catch (err) {
       accepted.reject(err);
       sendError(res, toPulleyError(err), accepted.requestId);
+    } finally {
+      admitted.end();
     }
   }
 
--- /dev/null
+++ b/packages/callers/src/OpenRequests.ts
@@ -0,0 +1,199 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+
+import {
+  ProcessState,
+  PulleyError,
+  Step,
+  Verdict,
+  type Clock,
+  type ProcessLifecycle,
+} from "@lycheepulley/core";
+import { readBody, type HttpObserver } from "@lycheepulley/http";
+import type { Logger } from "@lycheepulley/telemetry";
+
+import { sendError } from "./errorAnswer.js";
+import { CallerConnections } from "./forward/CallerConnections.js";
+import { getStage } from "./forward/progress.js";
+
+/** Another process serves at once. */
+const LEAVING_RETRY_MS = 1_000;
+/** Longest time for which the body of a rejected request is awaited. */
+const MAX_DISCARD_MS = 500;
+
+/** How far a request came. */
+interface Progress {
+  requestId: string;
+  isForwarded: boolean;
+}
+
+/** A request that was given an id, until its process ends it or it ends by itself. */
+export interface AdmittedRequest {
+  /** Aborted by its caller, or by the end of the process. */
+  readonly abort: AbortController;
+  /** Reads the body; rejects when the process ends before the request can run. */
+  readBody(limitBytes: number): Promise<Buffer>;
+  end(): void;
+}
+
+const newLeavingError = (): PulleyError =>
+  new PulleyError("not run: this process is leaving", {
+    ...{ code: "leaving", step: Step.Accept, verdict: Verdict.NotRun },
+    retryAfterMs: LEAVING_RETRY_MS,
+  });
+
+/** Calls `fn` once the requests that the system holds for the process have been read. */
+const afterReading = (fn: () => void): void => {
+  // The runtime reads sockets between its timers and these callbacks.
+  setImmediate(fn);
+};
+
+/** Requests and connections of callers, which the life cycle of the process ends in order. */
+export class OpenRequests implements HttpObserver {
+  readonly #clock: Clock;
+  readonly #lifecycle: ProcessLifecycle;
+  readonly #logger: Logger;
+  readonly #connections: CallerConnections;
+  readonly #responses = new Map<ServerResponse, Progress>();
+
+  constructor(options: {
+    clock: Clock;
+    lifecycle: ProcessLifecycle;
+    logger: Logger;
+    /** Has the server accept no more connections. */
+    stopAccepting: () => void;
+  }) {
+    const { clock, lifecycle, logger, stopAccepting } = options;
+    this.#clock = clock;
+    this.#lifecycle = lifecycle;
+    this.#logger = logger;
+    this.#connections = new CallerConnections(clock);
+    lifecycle.on(ProcessState.Leaving, () => {
+      this.#responses.forEach((_progress, res) => {
+        res.shouldKeepAlive = false;
+      });
+    });
+    lifecycle.on(ProcessState.Draining, () => {
+      afterReading(() => {
+        this.#connections.closeIdle();
+      });
+    });
+    lifecycle.on(ProcessState.Closing, () => {
+      const { size, unused, partial } = this.#connections;
+      logger.info("admission ended", {
+        ...{ step: "drain", inFlight: this.#connections.requests },
+        ...{ connections: size, unused, partial },
+      });
+      afterReading(() => {
+        stopAccepting();
+        // Those that were accepted just now may have sent a request.
+        afterReading(() => {
+          this.#connections.closeIdle();
+          this.#connections.closeUnused();
+        });
+      });
+    });
+    lifecycle.on(ProcessState.Stopped, () => {
+      this.destroy();
+    });
+  }
+
+  /**
+   * What the process would cut if it admitted nothing from now on; once it doesn't, what it would cut
+   * if it ended, also answers that their callers haven't read.
+   */
+  get inProgress(): number {
+    const { inProgress, requests } = this.#connections;
+    const arriving = inProgress - requests;
+    const unended = [...this.#responses.keys()].filter((res) => !res.writableEnded).length;
+    return this.#lifecycle.isClosing ? inProgress : arriving + unended;
+  }
+
+  onConnection(socket: Socket): void {
+    this.#connections.add(socket);
+  }
+
+  /** Counts a request until its answer has been sent; true when it was rejected. */
+  onRequest(req: IncomingMessage, res: ServerResponse): boolean {
+    const progress: Progress = { requestId: "", isForwarded: false };
+    const startMs = this.#clock.now();
+    const { socket } = req;
+    const turn = this.#connections.startRequest(socket, () => ({
+      ...{ requestId: progress.requestId, stage: getStage(req, res, progress) },
+      ms: Math.round(this.#clock.now() - startMs),
+    }));
+    this.#responses.set(res, progress);
+    const end = (): void => {
+      this.#responses.delete(res);
+      turn.end(0);
+    };
+    res.on("close", end);
+    // Before its turn, a response isn't closed with its connection.
+    socket.once("close", end);
+    res.on("close", () => socket.off("close", end));
+    if (this.#lifecycle.isLeaving) {
+      res.shouldKeepAlive = false;
+    }
+    if (this.#lifecycle.isClosing) {
+      this.#reject(req, res);
+      return true;
+    }
+    return false;
+  }
+
+  /** Follows a request that was given an id. */
+  admit(req: IncomingMessage, res: ServerResponse, requestId: string): AdmittedRequest {
+    const progress = this.#responses.get(res) ?? { requestId, isForwarded: false };
+    progress.requestId = requestId;
+    const abort = new AbortController();
+    const cancel = this.#lifecycle.on(ProcessState.Closing, () => {
+      abort.abort();
+    });
+    return {
+      abort,
+      readBody: async (limitBytes) => {
+        const left = new Promise<undefined>((resolve) => {
+          this.#lifecycle.on(ProcessState.Closing, () => {
+            resolve(undefined);
+          });
+          res.once("close", () => {
+            resolve(undefined);
+          });
+        });
+        const body = await Promise.race([readBody(req, limitBytes), left]);
+        if (!body || this.#lifecycle.isClosing) {
+          throw newLeavingError();
+        }
+        progress.isForwarded = true;
+        return body;
+      },
+      end: cancel,
+    };
+  }
+
+  /** Closes all connections, and logs each request that ends without a complete answer. */
+  destroy(): void {
+    this.#connections.describePending().forEach((request) => {
+      this.#logger.warn("request ended with its process", { step: "stop", ...request });
+    });
+    this.#connections.destroy();
+  }
+
+  #reject(req: IncomingMessage, res: ServerResponse): void {
+    let isSent = false;
+    const send = (): void => {
+      if (!isSent && !res.destroyed) {
+        isSent = true;
+        sendError(res, newLeavingError(), "");
+      }
+    };
+    if (req.complete) {
+      send();
+      return;
+    }
+    // The connection closes after the answer, and unread bytes would reset it.
+    req.on("end", send);
+    req.resume();
+    this.#clock.setTimer(send, MAX_DISCARD_MS);
+  }
+}
--- a/packages/callers/src/forward/progress.ts
+++ b/packages/callers/src/forward/progress.ts
@@ -13,7 +13,7 @@
 export const getStage = (
   req: IncomingMessage,
   res: ServerResponse,
-  { isForwarded }: AdmissionProgress,
+  { isForwarded }: Pick<AdmissionProgress, "isForwarded">,
 ): string => {
   if (res.headersSent) {
     return res.writableEnded ? "unread answer" : "answer";
--- a/packages/cli/src/integration/SmallFleet.ts
+++ b/packages/cli/src/integration/SmallFleet.ts
@@ -26,7 +26,10 @@
   readonly controls: string[] = [];
 
   /** Starts the stand-ins and entry processes; resolves once each process lists all of them. */
-  async start(entryProcessCount: number): Promise<void> {
+  async start(
+    entryProcessCount: number,
+    limits: Readonly<Record<string, number>> = {},
+  ): Promise<void> {
     const standins = new StandinHost(
       standinSettingsSchema.parse({
         host: HOST,
@@ -45,7 +48,7 @@
     this.#standins = standins;
     const { platformPort } = await standins.start();
     this.platformOrigin = `http://${HOST}:${String(platformPort)}`;
-    await this.publishExample();
+    await this.publishExample(limits);
     for (let i = 0; i < entryProcessCount; i += 1) {
       await this.#startNode(i);
     }
@@ -58,13 +61,38 @@
     await this.#standins?.stop();
   }
 
-  /** Publishes the base configuration of the example deployment. */
-  async publishExample(): Promise<void> {
+  /** Drains an entry process, and stops it as its program does. */
+  async drain(index: number): Promise<void> {
+    const node = this.#nodes[index];
+    await node?.drain("test");
+    await node?.stop();
+  }
+
+  /** Changes the VM list of the platform. */
+  async putVms(vms: readonly Vm[], remove: readonly string[] = []): Promise<void> {
+    await fetch(`${this.platformOrigin}/standin/vms`, {
+      method: "POST",
+      body: JSON.stringify({ put: vms, remove }),
+    });
+  }
+
+  /** Has the log answer this much later. */
+  async delayLog(delayMs: number): Promise<void> {
+    await fetch(`${this.platformOrigin}/standin/log/faults`, {
+      method: "POST",
+      body: JSON.stringify({ delayMs }),
+    });
+  }
+
+  /** Publishes the base configuration of the example deployment, with these limits besides. */
+  async publishExample(limits: Readonly<Record<string, number>> = {}): Promise<void> {
     const session = new OperatorSession({ logOrigin: this.platformOrigin, operator: "test" });
     await session.open();
     const text = await readFile(join(EXAMPLES_FOLDER, "medellin", "base.json"), "utf8");
+    const base = JSON.parse(text) as { limits: object };
+    Object.assign(base.limits, limits);
     await session.config.publish({
-      bundle: { base: JSON.parse(text) as Record<string, unknown>, overlays: {} },
+      bundle: { base: { ...base }, overlays: {} },
       follows: session.config.current?.version ?? 0,
       changeId: "initial",
       by: "test",
@@ -95,10 +123,7 @@
       ...{ id: name, role: VmRole.Entry, pool: "entry", host: HOST, port: callerPort },
       ...{ controlPort, failureDomain: "poblado", state: VmState.Live },
     };
-    await fetch(`${this.platformOrigin}/standin/vms`, {
-      method: "POST",
-      body: JSON.stringify({ put: [vm] }),
-    });
+    await this.putVms([vm]);
   }
 
   /** Waits until every process lists all processes as addresses for callers. */
--- a/packages/daemon/src/EntryNode.ts
+++ b/packages/daemon/src/EntryNode.ts
@@ -1,5 +1,6 @@
 import {
   ALL_PROTECTIONS,
+  ProcessLifecycle,
   SystemClock,
   SystemRandom,
   TrafficMeter,
@@ -26,6 +27,7 @@
   readonly settings: Settings;
   readonly #clock: Clock = new SystemClock();
   readonly #random: Random = new SystemRandom();
+  readonly #lifecycle = new ProcessLifecycle();
   readonly #logger: Logger;
   readonly #traffic = new TrafficMeter();
   readonly #log: HttpLogClient;
@@ -55,6 +57,7 @@
     addNodeGauges(metrics, this.#node.status);
     this.#callerServer = new CallerServer(
       new NodeApi({ settings, node: this.#node, metrics, logger: this.#logger }),
+      { clock, lifecycle: this.#lifecycle, logger: this.#logger },
     );
   }
 
@@ -101,6 +104,8 @@
       site,
       clock: this.#clock,
       random: this.#random,
+      lifecycle: this.#lifecycle,
+      getInProgress: () => this.#callerServer.inProgress,
       log: this.#log,
       weights: new HttpWeightStoreClient({ origin: platform.weightStore, traffic }),
       directory: this.#directory,
--- a/packages/http/src/HttpServer.ts
+++ b/packages/http/src/HttpServer.ts
@@ -1,5 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { AddressInfo, Socket } from "node:net";
+import { Server as NetServer, type AddressInfo, type Socket } from "node:net";
 
 /** Handles one request; `params` holds the named path parameters. */
 export type Handler = (
@@ -16,6 +16,13 @@
   readonly handle: Handler;
 }
 
+/** Sees the connections and requests of a server before they are served. */
+export interface HttpObserver {
+  onConnection(socket: Socket): void;
+  /** True when the request has its answer, so that no route serves it. */
+  onRequest(req: IncomingMessage, res: ServerResponse): boolean;
+}
+
 const BASE_URL = "http://localhost";
 
 interface CompiledRoute extends Route {
@@ -82,11 +89,14 @@
   constructor(
     routes: readonly Route[],
     onError: (err: unknown, req: IncomingMessage, res: ServerResponse) => void,
+    observer?: HttpObserver,
   ) {
     this.#routes = routes.map(compileRoute);
     this.#onError = onError;
     this.#server = createServer((req, res) => {
-      void this.#dispatch(req, res);
+      if (!observer?.onRequest(req, res)) {
+        void this.#dispatch(req, res);
+      }
     });
     this.#server.on("connect", (_req, socket) => {
       socket.end("HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n");
@@ -99,6 +109,7 @@
       socket.setNoDelay(true);
       this.#sockets.add(socket);
       socket.on("close", () => this.#sockets.delete(socket));
+      observer?.onConnection(socket);
     });
   }
 
@@ -122,6 +133,12 @@
     });
   }
 
+  /** Stops accepting connections; the open ones are served on. */
+  stopAccepting(): void {
+    // That of the HTTP server takes connections for idle while their answers are still being sent.
+    NetServer.prototype.close.call(this.#server);
+  }
+
   /** Stops accepting connections and closes the open ones immediately. */
   close(): Promise<void> {
     return new Promise((resolve) => {
--- a/packages/serving/src/node/CoordinationNode.ts
+++ b/packages/serving/src/node/CoordinationNode.ts
@@ -1,4 +1,5 @@
 import {
+  ProcessLifecycle,
   RecordKind,
   RetryBudget,
   type Clock,
@@ -57,6 +58,9 @@
   readonly logger: Logger;
   readonly traffic: TrafficMeter;
   readonly metrics?: PromptMetrics;
+  readonly lifecycle?: ProcessLifecycle;
+  /** What callers have in progress besides requests that run. */
+  readonly getInProgress?: () => number;
   /** Called with each step of each request; for tests. */
   readonly onStep?: (trace: RequestTrace, step: string) => void;
 }
@@ -249,9 +253,10 @@
   }
 
   #newDrainer(): Drainer {
-    const { clock, logger } = this.#options;
+    const { clock, logger, lifecycle = new ProcessLifecycle(), getInProgress } = this.#options;
     return new Drainer({
       ...{ membership: this.membership, duties: this.duties, fates: this.fates, clock, logger },
+      ...{ lifecycle, getInProgress: () => this.fates.running + (getInProgress?.() ?? 0) },
       getAddressKeepMs: () => this.cfg?.limits.addressKeepMs ?? 0,
       getLongestPatienceMs: () =>
         Math.max(0, ...Object.values(this.cfg?.classes ?? {}).map((cls) => cls.patienceMs)),
--- a/packages/serving/src/node/Drainer.ts
+++ b/packages/serving/src/node/Drainer.ts
@@ -1,4 +1,10 @@
-import { sleep, type Clock, type Draft } from "@lycheepulley/core";
+import {
+  ProcessState,
+  sleep,
+  type Clock,
+  type Draft,
+  type ProcessLifecycle,
+} from "@lycheepulley/core";
 import { NodeState } from "@lycheepulley/nodes";
 import type { Logger } from "@lycheepulley/telemetry";
 
@@ -6,13 +12,18 @@
 import type { FateRecorder } from "../fates/FateRecorder.js";
 import type { Membership } from "../membership/Membership.js";
 
-const POLL_INTERVAL_MS = 50;
+const POLL_INTERVAL_MS = 20;
+/** Time in which callers read the last answers. */
+const CLOSE_MS = 10_000;
 
 export interface DrainerOptions {
   readonly membership: Membership;
   readonly duties: DutyRunner;
   readonly fates: FateRecorder;
   readonly clock: Clock;
+  readonly lifecycle: ProcessLifecycle;
+  /** What the process would cut if it went on to its next state. */
+  readonly getInProgress: () => number;
   readonly logger: Logger;
   /** How long callers cache the addresses that they were given. */
   readonly getAddressKeepMs: () => number;
@@ -25,7 +36,6 @@
 export class Drainer {
   readonly #options: DrainerOptions;
   #draining: Promise<void> | undefined;
-  #isRedirecting = false;
 
   constructor(options: DrainerOptions) {
     this.#options = options;
@@ -36,12 +46,13 @@
    * process.
    */
   get isRedirecting(): boolean {
-    return this.#isRedirecting;
+    return this.#options.lifecycle.has(ProcessState.Draining);
   }
 
   /**
    * Announces that the process leaves and releases the duties, serves until cached addresses have expired,
-   * waits for in-flight requests, and appends their fates. Further calls join the first drain.
+   * waits for in-flight requests, admits no more, waits until their answers are read, and appends their
+   * fates. Further calls join the first drain.
    */
   drain(by: string): Promise<void> {
     this.#draining ??= this.#drain(by);
@@ -61,18 +72,18 @@
     });
     membership.update({ state: NodeState.Leaving });
     await Promise.all([membership.announce(), duties.release()]);
-    await sleep(clock, getAddressKeepMs());
-    this.#isRedirecting = true;
-    await this.#waitForRequests();
+    await this.#passStates(getAddressKeepMs());
     await fates.flush();
     logger.info("drain finished", { step: "drain", afterMs: Math.round(clock.now() - startMs) });
   }
 
-  async #waitForRequests(): Promise<void> {
-    const { fates, clock, getLongestPatienceMs } = this.#options;
-    const untilMs = clock.now() + getLongestPatienceMs();
-    while (fates.running > 0 && clock.now() < untilMs) {
-      await sleep(clock, POLL_INTERVAL_MS);
-    }
+  async #passStates(listenMs: number): Promise<void> {
+    const { lifecycle, clock, getInProgress, getLongestPatienceMs } = this.#options;
+    const drainMs = listenMs + getLongestPatienceMs();
+    lifecycle.leave(clock.now(), { listenMs, drainMs, closeMs: CLOSE_MS });
+    do {
+      const waitMs = Math.min(POLL_INTERVAL_MS, lifecycle.nextChangeMs - clock.now());
+      await sleep(clock, Math.max(0, waitMs));
+    } while (lifecycle.advance(clock.now(), getInProgress()) !== ProcessState.Stopped);
   }
 }
