Count what comes at an entry process as at a gateway, and keep no listener of ended requests

The entry process's part was written before heads were counted by their pauses: it counts and reads as the gateway does now. While it was merged, a listener on the life cycle was found that each request left behind for good; requests listen to their own signal now. What both servers share, closing connections after what the system holds was read, is in one place.

--- a/packages/callers/src/CallerServer.ts
+++ b/packages/callers/src/CallerServer.ts
@@ -69,9 +69,9 @@
     return this.#server.connections;
   }
 
-  /** What the process would cut if it went on to its next state. */
-  get inProgress(): number {
-    return this.#open.inProgress;
+  /** Counts what the process would cut if it went on to its next state. */
+  countInProgress(): number {
+    return this.#open.countInProgress();
   }
 
   listen(host: string, port: number): Promise<void> {
--- a/packages/callers/src/OpenRequests.test.ts
+++ b/packages/callers/src/OpenRequests.test.ts
@@ -107,7 +107,7 @@
     it(`answers one ${one.name} with ${one.verdict}, and closes its connection`, async () => {
       socket.write(one.before);
       await wait(STEP_MS);
-      expect(server.inProgress).to.equal(1);
+      expect(server.countInProgress()).to.equal(1);
       enter(ProcessState.Closing);
       socket.write(one.after);
       await new Promise((resolve) => socket.once("close", resolve));
@@ -117,7 +117,7 @@
       expect(answer).to.include(`"verdict":"${one.verdict}"`);
       expect(answer.includes("retry-after: 1")).to.equal(one.verdict === "not_run");
       expect(runs).to.equal(one.runs);
-      expect(server.inProgress).to.equal(0);
+      expect(server.countInProgress()).to.equal(0);
     });
   }
 
--- a/packages/callers/src/OpenRequests.ts
+++ b/packages/callers/src/OpenRequests.ts
@@ -13,6 +13,7 @@
 import type { Logger } from "@lycheepulley/telemetry";
 
 import { sendError } from "./errorAnswer.js";
+import { afterReading } from "./forward/afterReading.js";
 import { CallerConnections } from "./forward/CallerConnections.js";
 import { getStage } from "./forward/progress.js";
 
@@ -42,12 +43,6 @@
     retryAfterMs: LEAVING_RETRY_MS,
   });
 
-/** Calls `fn` once the requests that the system holds for the process have been read. */
-const afterReading = (fn: () => void): void => {
-  // The runtime reads sockets between its timers and these callbacks.
-  setImmediate(fn);
-};
-
 /** Requests and connections of callers, which the life cycle of the process ends in order. */
 export class OpenRequests implements HttpObserver {
   readonly #clock: Clock;
@@ -99,12 +94,12 @@
   }
 
   /**
-   * What the process would cut if it admitted nothing from now on; once it doesn't, what it would cut
+   * Counts what the process would cut if it admitted nothing from now on; once it doesn't, what it would cut
    * if it ended, also answers that their callers haven't read.
    */
-  get inProgress(): number {
-    const { inProgress, requests } = this.#connections;
-    const arriving = inProgress - requests;
+  countInProgress(): number {
+    const inProgress = this.#connections.countInProgress();
+    const arriving = inProgress - this.#connections.requests;
     const unended = [...this.#responses.keys()].filter((res) => !res.writableEnded).length;
     return this.#lifecycle.isClosing ? inProgress : arriving + unended;
   }
@@ -127,6 +122,7 @@
       this.#responses.delete(res);
       turn.end(0);
     };
+    req.on("close", turn.endReading);
     res.on("close", end);
     // Before its turn, a response isn't closed with its connection.
     socket.once("close", end);
@@ -153,12 +149,11 @@
       abort,
       readBody: async (limitBytes) => {
         const left = new Promise<undefined>((resolve) => {
-          this.#lifecycle.on(ProcessState.Closing, () => {
-            resolve(undefined);
-          });
-          res.once("close", () => {
+          const end = (): void => {
             resolve(undefined);
-          });
+          };
+          abort.signal.addEventListener("abort", end);
+          res.once("close", end);
         });
         const body = await Promise.race([readBody(req, limitBytes), left]);
         if (!body || this.#lifecycle.isClosing) {
--- a/packages/callers/src/forward/ForwardServer.ts
+++ b/packages/callers/src/forward/ForwardServer.ts
@@ -14,6 +14,7 @@
 import { readBody, BodyTooLargeError } from "@lycheepulley/http";
 import type { Logger } from "@lycheepulley/telemetry";
 
+import { afterReading } from "./afterReading.js";
 import { AdmissionPolicy, LEAVING } from "./AdmissionPolicy.js";
 import { CallerConnections } from "./CallerConnections.js";
 import { getHeldLimitBytes, HeldMemory } from "./HeldMemory.js";
@@ -41,12 +42,6 @@
 };
 const BAD_REQUEST = [400, "Bad Request"] as const;
 
-/** Calls `fn` once the requests that the system holds for the process have been read. */
-const afterReading = (fn: () => void): void => {
-  // The runtime reads sockets between its timers and these callbacks.
-  setImmediate(fn);
-};
-
 /** HTTP server that admits callers' requests and forwards their bytes to upstreams. */
 export class ForwardServer {
   readonly #server: Server;
--- a/packages/daemon/src/EntryNode.ts
+++ b/packages/daemon/src/EntryNode.ts
@@ -105,7 +105,7 @@
       clock: this.#clock,
       random: this.#random,
       lifecycle: this.#lifecycle,
-      getInProgress: () => this.#callerServer.inProgress,
+      countInProgress: () => this.#callerServer.countInProgress(),
       log: this.#log,
       weights: new HttpWeightStoreClient({ origin: platform.weightStore, traffic }),
       directory: this.#directory,
--- a/packages/serving/src/node/CoordinationNode.ts
+++ b/packages/serving/src/node/CoordinationNode.ts
@@ -59,8 +59,8 @@
   readonly traffic: TrafficMeter;
   readonly metrics?: PromptMetrics;
   readonly lifecycle?: ProcessLifecycle;
-  /** What callers have in progress besides requests that run. */
-  readonly getInProgress?: () => number;
+  /** Counts what callers have in progress besides requests that run. */
+  readonly countInProgress?: () => number;
   /** Called with each step of each request; for tests. */
   readonly onStep?: (trace: RequestTrace, step: string) => void;
 }
@@ -253,10 +253,10 @@
   }
 
   #newDrainer(): Drainer {
-    const { clock, logger, lifecycle = new ProcessLifecycle(), getInProgress } = this.#options;
+    const { clock, logger, lifecycle = new ProcessLifecycle(), countInProgress } = this.#options;
     return new Drainer({
       ...{ membership: this.membership, duties: this.duties, fates: this.fates, clock, logger },
-      ...{ lifecycle, getInProgress: () => this.fates.running + (getInProgress?.() ?? 0) },
+      ...{ lifecycle, countInProgress: () => this.fates.running + (countInProgress?.() ?? 0) },
       getAddressKeepMs: () => this.cfg?.limits.addressKeepMs ?? 0,
       getLongestPatienceMs: () =>
         Math.max(0, ...Object.values(this.cfg?.classes ?? {}).map((cls) => cls.patienceMs)),
--- a/packages/serving/src/node/Drainer.ts
+++ b/packages/serving/src/node/Drainer.ts
@@ -22,8 +22,8 @@
   readonly fates: FateRecorder;
   readonly clock: Clock;
   readonly lifecycle: ProcessLifecycle;
-  /** What the process would cut if it went on to its next state. */
-  readonly getInProgress: () => number;
+  /** Counts what the process would cut if it went on to its next state. */
+  readonly countInProgress: () => number;
   readonly logger: Logger;
   /** How long callers cache the addresses that they were given. */
   readonly getAddressKeepMs: () => number;
@@ -78,12 +78,12 @@
   }
 
   async #passStates(listenMs: number): Promise<void> {
-    const { lifecycle, clock, getInProgress, getLongestPatienceMs } = this.#options;
+    const { lifecycle, clock, countInProgress, getLongestPatienceMs } = this.#options;
     const drainMs = listenMs + getLongestPatienceMs();
     lifecycle.leave(clock.now(), { listenMs, drainMs, closeMs: CLOSE_MS });
     do {
       const waitMs = Math.min(POLL_INTERVAL_MS, lifecycle.nextChangeMs - clock.now());
       await sleep(clock, Math.max(0, waitMs));
-    } while (lifecycle.advance(clock.now(), getInProgress()) !== ProcessState.Stopped);
+    } while (lifecycle.advance(clock.now(), countInProgress()) !== ProcessState.Stopped);
   }
 }
