--- a/packages/cli/src/commands/faultSoak.ts
+++ b/packages/cli/src/commands/faultSoak.ts
@@ -5,7 +5,7 @@
 
 const DEFAULT_LOAD_SECONDS = 40;
 /** Each needs some 100 MB and a loopback address. */
-const MAX_PROCESSES = 64;
+const MAX_PROCESSES = 160;
 
 /** Injects a seeded schedule of faults into real processes on stand-ins of the users' platform. */
 export const faultSoakCommand: Command = {
@@ -30,6 +30,10 @@
       type: "boolean",
       help: "Instead: sound workers fall silent beside restarts, signals and new configurations",
     },
+    endings: {
+      type: "boolean",
+      help: "Instead: processes end and start in overlapping work beside connections used late",
+    },
     processes: { type: "number", default: 3, help: "Number of gateway processes" },
     beside: {
       type: "string",
@@ -52,6 +56,7 @@
       hasCuts: ctx.getBoolean("cuts"),
       hasWarmUp: ctx.getBoolean("warmups"),
       isHushed: ctx.getBoolean("hushed"),
+      hasEndings: ctx.getBoolean("endings"),
       processes,
       ...(beside !== undefined && { besideFile: await buildCommit(beside) }),
     });
