Accept what the system holds before a listener closes

Callers saw: a call on a new connection, sent 0.8 s before the listener's end, was reset 1.8 s later without having been read.

Cause: the process stood still over the end of its listener. When it goes on, its timers come before new connections, and closing the listener resets those that the system accepted for it. The runtime accepts one connection in a turn, so that one turn isn't enough.

The listener closes after a turn without a new connection, after 200 ms at the latest, since callers may go on connecting.

--- a/packages/callers/src/forward/ForwardServer.ts
+++ b/packages/callers/src/forward/ForwardServer.ts
@@ -32,6 +32,8 @@
 const UNCONFIGURED_RETRY_MS = 3_000;
 /** Another process may not meet the error that ended the request here. */
 const INTERNAL_ERROR_RETRY_MS = 500;
+/** Longest time for which connections that callers keep opening are accepted at the end. */
+const MAX_ACCEPT_MS = 200;
 /** Longest time for which the body of a rejected request is awaited. */
 const MAX_DISCARD_MS = 500;
 
@@ -54,6 +56,8 @@
   readonly #forward: (req: ForwardRequest, writer: AnswerWriter) => Promise<void>;
   readonly #lifecycle: ProcessLifecycle;
   readonly #admission: AdmissionPolicy;
+  /** Connections so far. */
+  #accepted = 0;
 
   constructor(options: {
     clock: Clock;
@@ -87,6 +91,7 @@
     this.applyLimits();
     this.#server.on("connection", (socket) => {
       socket.setNoDelay(true);
+      this.#accepted += 1;
       this.#connections.add(socket);
     });
     this.#server.on("clientError", (err: NodeJS.ErrnoException, socket) => {
@@ -133,11 +138,24 @@
     this.#connections.extendIdle(this.#server.keepAliveTimeout);
   }
 
-  /** Accepts no new connections, and closes those that are idle after an answer. */
+  /**
+   * Accepts the connections that the system holds for the process and then no more, and closes those
+   * that are idle after an answer.
+   */
   close(): void {
-    // That of the HTTP server takes connections for idle while their answers are still being sent.
-    NetServer.prototype.close.call(this.#server);
+    this.#closeOnceAccepted(this.#clock.now() + MAX_ACCEPT_MS);
+  }
+
+  #closeOnceAccepted(untilMs: number): void {
+    const before = this.#accepted;
     afterReading(() => {
+      // The runtime accepts one connection in a turn, and closing resets those that still wait.
+      if (this.#accepted > before && this.#clock.now() < untilMs) {
+        this.#closeOnceAccepted(untilMs);
+        return;
+      }
+      // That of the HTTP server takes connections for idle while their answers are still being sent.
+      NetServer.prototype.close.call(this.#server);
       this.#connections.closeIdle();
     });
   }
