Log what becomes of each configuration, and a process that is behind

Cause: the log had one line, the revision in force. Change: FleetConfigTracker takes configurations from the source and from peers. It logs parts that were left out with their fields, the way by which one came and its age, one that is older than the one in force, a process that is behind its peers and why, and a configuration that nobody confirms. Peers tell how long they have known it (configAgeMs, passed over by earlier builds). A moved store has a line. No decision depends on any of it.

--- a/packages/daemon/src/gateway/FleetStateSync.test.ts
+++ b/packages/daemon/src/gateway/FleetStateSync.test.ts
@@ -107,6 +107,7 @@
       },
       failureDomain: this.#place.failureDomain,
       getRole: () => this.#place.role,
+      getConfigAgeMs: () => 0,
       onConfig: ({ revision }) => this.events.push(`config ${String(revision)}`),
       onList: ({ epoch, version }) =>
         this.events.push(
--- a/packages/daemon/src/gateway/FleetStateSync.ts
+++ b/packages/daemon/src/gateway/FleetStateSync.ts
@@ -30,6 +30,8 @@
   z.object({ revision: z.number(), listDigest: z.string() }),
   z.object({
     config: fleetConfigSchema.optional(),
+    /** Time since the configuration became known; unknown to earlier builds. */
+    configAgeMs: z.number().nonnegative().optional(),
     list: upstreamListSchema.optional(),
     listAgeMs: z.number().nonnegative(),
   }),
@@ -43,10 +45,11 @@
   readonly #peers: PeerTable;
   readonly #logger: Logger;
   readonly #port: number;
-  readonly #onConfig: (config: FleetConfig) => void;
+  readonly #onConfig: (config: FleetConfig, peer: string, ageMs: number) => void;
+  readonly #getConfigAgeMs: () => number;
   readonly #onList: (list: UpstreamList, atMs: number) => void;
   readonly #onListConfirmed: (position: ListPosition, atMs: number) => void;
-  readonly #onFetchFailed: () => void;
+  readonly #onFetchFailed: (peer: string, reason: string) => void;
   readonly #failureDomain: string;
   readonly #getRole: () => RelayRole;
   #isFetching = false;
@@ -58,13 +61,16 @@
     peers: PeerTable;
     logger: Logger;
     port: number;
-    onConfig: (config: FleetConfig) => void;
+    /** Called with a configuration that a peer has known for `ageMs`. */
+    onConfig: (config: FleetConfig, peer: string, ageMs: number) => void;
+    /** Time since the configuration in force became known. */
+    getConfigAgeMs: () => number;
     /** Called with a fetched list that was current at `atMs`. */
     onList: (list: UpstreamList, atMs: number) => void;
     /** Called when a peer's heartbeat shows that the list in force was current at `atMs`. */
     onListConfirmed: (position: ListPosition, atMs: number) => void;
     /** Called when a fetch from a peer with newer state failed. */
-    onFetchFailed: () => void;
+    onFetchFailed: (peer: string, reason: string) => void;
     failureDomain: string;
     getRole: () => RelayRole;
   }) {
@@ -75,6 +81,7 @@
     this.#logger = options.logger;
     this.#port = options.port;
     this.#onConfig = options.onConfig;
+    this.#getConfigAgeMs = options.getConfigAgeMs;
     this.#onList = options.onList;
     this.#onListConfirmed = options.onListConfirmed;
     this.#onFetchFailed = options.onFetchFailed;
@@ -86,6 +93,7 @@
   serve(server: NodeServer): void {
     server.handle(fleetStateMethod, ({ revision, listDigest }) => ({
       config: this.#view.revision > revision ? this.#view.table?.config : undefined,
+      configAgeMs: Math.max(0, this.#getConfigAgeMs()),
       list:
         listDigest === this.#view.listDigest
           ? undefined
@@ -177,13 +185,13 @@
         ...{ revision: state.config?.revision, listVersion: state.list?.version },
       });
       if (state.config) {
-        this.#onConfig(state.config);
+        this.#onConfig(state.config, peer.host, state.configAgeMs ?? 0);
       }
       if (state.list) {
         this.#onList(state.list, this.#clock.now() - state.listAgeMs);
       }
     } catch (err) {
-      this.#onFetchFailed();
+      this.#onFetchFailed(peer.host, getMessage(err));
       this.#logger.warn("fetching fleet state from peer failed", {
         ...{ step: "membership", peer: peer.host },
         err: getMessage(err),
--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -10,6 +10,7 @@
   CrashTracker,
   CrossedBytes,
   EvacuationTracker,
+  FleetConfigTracker,
   FleetView,
   Forwarder,
   getEpoch,
@@ -21,7 +22,6 @@
   UpstreamListTracker,
   UpstreamWatch,
   type Dialect,
-  type FleetConfig,
   type PeerIdentity,
   type UpstreamLinks,
   type UpstreamList,
@@ -66,6 +66,7 @@
   });
   readonly #crossed: CrossedBytes;
   readonly #view: FleetView;
+  readonly #configTracker: FleetConfigTracker;
   readonly #listTracker: UpstreamListTracker;
   readonly #evacuations: EvacuationTracker;
   readonly #connector: DetourConnector;
@@ -102,6 +103,13 @@
     this.#crossed = new CrossedBytes(settings.failureDomain);
     this.#view = new FleetView(clock, settings.regions);
     this.#health = new UpstreamHealth(clock);
+    this.#configTracker = new FleetConfigTracker({
+      ...{ clock, view: this.#view, logger },
+      getReadAgeMs: () => this.#readerSelection.getAges().configMs,
+      onInForce: () => {
+        this.#listener.applyLimits();
+      },
+    });
     this.#listTracker = new UpstreamListTracker({
       ...{ clock, view: this.#view, logger, upstreamBeatMs: settings.upstreamBeatMs },
       onRestored: () => {
@@ -123,14 +131,15 @@
       ...{ clock, self: settings, peers: this.#peers },
       getListEpoch: () => getEpoch(this.#view.list),
     });
+    const announce = (): void => {
+      this.#peerExchange.announce();
+    };
     this.#sourceFeed = new SourceFeed({
       ...{ clock, random: this.#random, sources: options.sources, logger },
       ...{ readerSelection: this.#readerSelection, listTracker: this.#listTracker },
       evacuations: this.#evacuations,
-      onEvacuations: () => {
-        this.#peerExchange.announce();
-      },
-      onConfig: (config) => this.#applyConfig(config) && this.#peerExchange.announce(),
+      ...{ onEvacuations: announce, onConfig: announce },
+      configTracker: this.#configTracker,
       onUpstreams: (list) =>
         this.#applyUpstreams(list, clock.now()) && this.#peerExchange.announce(),
       onPeers: (hosts) => {
@@ -163,8 +172,9 @@
       peers: this.#peers,
       failureDomain: settings.failureDomain,
       getRole: () => this.#peerExchange.role,
-      onConfig: (config) => {
-        this.#announceAsRelay(this.#applyConfig(config));
+      getConfigAgeMs: () => this.#configTracker.ageMs,
+      onConfig: (config, peer, ageMs) => {
+        this.#announceAsRelay(this.#configTracker.onFetched(config, peer, ageMs));
       },
       onList: (list, atMs) => {
         this.#announceAsRelay(this.#applyUpstreams(list, atMs));
@@ -173,7 +183,8 @@
         this.#listTracker.confirm(position, atMs);
         this.#metrics.setListEpoch(getEpoch(this.#view.list));
       },
-      onFetchFailed: () => {
+      onFetchFailed: (peer, reason) => {
+        this.#configTracker.onFetchFailed(peer, reason);
         this.#readerSelection.onPeerFailed();
       },
     });
@@ -183,6 +194,7 @@
       getLoadTracker: () => loadTracker,
       onPeerHeartbeat: (peer) => {
         this.#announceAsRelay(this.#evacuations.onPeer(peer));
+        this.#configTracker.onPeer(peer);
         this.#stateSync.onPeerHeartbeat(peer);
       },
       onPeerReturned: (host) => {
@@ -268,6 +280,7 @@
     const where = { clock: this.#clock, view: this.#view, forwarder: this.#forwarder, host };
     this.#nodeServer.handle(whereMethod, (request) => answerWhere(request, where));
     this.#sourceFeed.start();
+    this.#configTracker.start();
     await this.#listener.listen(host, callerPort);
     this.#metricsServer.listen(host, metricsPort).catch((err: unknown) => {
       this.#logger.error("metrics server failed", { step: "start", err: getMessage(err) });
@@ -304,25 +317,12 @@
     this.#connector.stop();
     this.#watch.stop();
     this.#sourceFeed.stop();
+    this.#configTracker.stop();
     void this.#metricsServer.close();
     this.#channel.close();
     void this.#nodeServer.close();
   }
 
-  /** Puts a configuration in force; false when the one in force is at least as new. */
-  #applyConfig(config: FleetConfig): boolean {
-    const before = this.#view.revision;
-    if (!this.#view.applyConfig(config)) {
-      return false;
-    }
-    this.#listener.applyLimits();
-    this.#logger.info("configuration in force", {
-      ...{ step: "config_read_back", revision: config.revision, before },
-      ...{ routes: config.routes.length, pools: config.pools.length },
-    });
-    return true;
-  }
-
   /** Tells the own failure domain of newer state, which its other processes wait for. */
   #announceAsRelay(isNewer: boolean): void {
     if (isNewer && this.#peerExchange.role === RelayRole.Relay) {
--- a/packages/daemon/src/gateway/SourceFeed.ts
+++ b/packages/daemon/src/gateway/SourceFeed.ts
@@ -1,7 +1,7 @@
 import type { Clock, Random } from "@lycheepulley/core";
 import type {
   EvacuationTracker,
-  FleetConfig,
+  FleetConfigTracker,
   ReaderSelection,
   UpstreamList,
   UpstreamListTracker,
@@ -23,7 +23,8 @@
   readonly #listTracker: UpstreamListTracker;
   readonly #evacuations: EvacuationTracker;
   readonly #onEvacuations: () => void;
-  readonly #onConfig: (config: FleetConfig) => void;
+  readonly #configTracker: FleetConfigTracker;
+  readonly #onConfig: () => void;
   readonly #onUpstreams: (list: UpstreamList) => void;
   readonly #onPeers: (hosts: readonly string[]) => void;
   /** When to read the peer list, which may lack this process, even if it isn't a reader. */
@@ -39,7 +40,9 @@
     evacuations: EvacuationTracker;
     /** Called when a read changed which failure domains are evacuated. */
     onEvacuations: () => void;
-    onConfig: (config: FleetConfig) => void;
+    configTracker: FleetConfigTracker;
+    /** Called when a read put a configuration in force. */
+    onConfig: () => void;
     onUpstreams: (list: UpstreamList) => void;
     onPeers: (hosts: readonly string[]) => void;
   }) {
@@ -51,6 +54,7 @@
     this.#listTracker = options.listTracker;
     this.#evacuations = options.evacuations;
     this.#onEvacuations = options.onEvacuations;
+    this.#configTracker = options.configTracker;
     this.#onConfig = options.onConfig;
     this.#onUpstreams = options.onUpstreams;
     this.#onPeers = options.onPeers;
@@ -72,8 +76,13 @@
       shouldRead: () => shouldRead() || this.#evacuations.isUnconfirmed,
       onRead: () => {
         this.#readerSelection.onRead("config");
+        this.#configTracker.onSourceRead();
+      },
+      onValue: (record) => {
+        if (this.#configTracker.onRead(record)) {
+          this.#onConfig();
+        }
       },
-      onValue: this.#onConfig,
       onConnectionChange: this.#newConnectionLogger("configuration"),
     });
     this.#sources.upstreams.start({
--- a/packages/daemon/src/gateway/types.ts
+++ b/packages/daemon/src/gateway/types.ts
@@ -1,6 +1,6 @@
 import type {
+  ConfigRecord,
   EvacuationList,
-  FleetConfig,
   RateBounds,
   Regions,
   UpstreamList,
@@ -26,7 +26,7 @@
 
 /** Sources of the configuration, the upstreams and the peers of a gateway process. */
 export interface GatewaySources {
-  readonly config: Source<FleetConfig>;
+  readonly config: Source<ConfigRecord>;
   readonly upstreams: Source<UpstreamList>;
   /** Hosts of other entry processes. */
   readonly peers: Source<readonly string[]>;
