Reproduce configurations that are taken in part, missed or late

Callers: 404 or 401 at every process for a route or key that the operator has listed, until the next version or for good.

--- a/packages/cli/src/commands/faultSoak.ts
+++ b/packages/cli/src/commands/faultSoak.ts
@@ -34,11 +34,19 @@
       type: "boolean",
       help: "Instead: processes end and start in overlapping work beside connections used late",
     },
+    configs: {
+      type: "boolean",
+      help: "Instead: configurations change, valid and not, beside restarts and moves of the store",
+    },
     processes: { type: "number", default: 3, help: "Number of gateway processes" },
     beside: {
       type: "string",
       help: "Earlier commit of this repository, whose build runs beside this one",
     },
+    commit: {
+      type: "string",
+      help: "Earlier commit of this repository, whose build runs in place of this one",
+    },
     json: JSON_FLAG,
   },
   example: "lycheepulley fault-soak --seed 3 --seconds 20",
@@ -48,6 +56,7 @@
       throw new UsageError(`--processes must be an integer from 2 to ${String(MAX_PROCESSES)}`);
     }
     const beside = ctx.getOptional("beside");
+    const commit = ctx.getOptional("commit");
     const report = await runFaultSoak({
       seed: ctx.getNumber("seed"),
       seconds: ctx.getNumber("seconds"),
@@ -57,18 +66,22 @@
       hasWarmUp: ctx.getBoolean("warmups"),
       isHushed: ctx.getBoolean("hushed"),
       hasEndings: ctx.getBoolean("endings"),
+      hasConfigs: ctx.getBoolean("configs"),
       processes,
       ...(beside !== undefined && { besideFile: await buildCommit(beside) }),
+      ...(commit !== undefined && { program: await buildCommit(commit) }),
     });
     if (ctx.getBoolean("json")) {
       ctx.printJson(report);
     } else {
       const { seed, requests, startupMs, maxStallMs, answers, faults, violations, logs } = report;
+      const { checkedProbes } = report;
       ctx.print(`seed ${String(seed)}: ${String(requests)} requests`);
       ctx.print(`all processes ready after ${String(startupMs)} ms`);
       ctx.print(`longest stall of the stand-ins: ${String(maxStallMs)} ms`);
       ctx.print(`answers by status: ${JSON.stringify(answers)}`);
       ctx.print(`faults: ${JSON.stringify(faults)}`);
+      ctx.print(`probes held to the bounds of configurations: ${String(checkedProbes)}`);
       ctx.print(`violations: ${String(violations.length)}${logs ? `, logs in ${logs}` : ""}`);
       violations.forEach(({ rule, attempt, detail }) => {
         ctx.print(`  ${rule} ${attempt}: ${detail}`);
