Check each configuration as a whole, and refuse it whole

Callers saw 404 or 401 at every process for routes and keys that the operator had listed, until the next version of a higher number. Cause: the boundary decided by itself what to leave out, and the product put the rest in force under the version of the whole. So null in an optional field took a route away, and an unusable record of a high version kept out all valid ones after it; peers handed it on. FleetConfigTracker keeps what is in force, logs the refusal with the operator's field names, and asks no peer again for what it refused.

--- a/packages/core/src/config/check.ts
+++ b/packages/core/src/config/check.ts
@@ -1,4 +1,5 @@
 import stringify from "fast-json-stable-stringify";
+import type { z } from "zod";
 
 import { sha256 } from "../ids.js";
 import { fleetSchema, type FleetConfig } from "./schema.js";
@@ -107,19 +108,22 @@
   });
 };
 
+/** The errors that a schema found, with the path of each invalid field. */
+export const toConfigFaults = ({ issues }: z.ZodError): ConfigFault[] =>
+  issues.flatMap((issue) => {
+    const parentPath = issue.path.map(String);
+    const keys = issue.code === "unrecognized_keys" ? issue.keys : [undefined];
+    return keys.map((key) => ({
+      path: [...parentPath, ...(key === undefined ? [] : [key])].join(".") || "(root)",
+      message: key === undefined ? issue.message : "unknown key",
+    }));
+  });
+
 /** Validates an effective configuration. */
 export const checkConfig = (raw: unknown): CheckResult => {
   const parsed = fleetSchema.safeParse(raw);
   if (!parsed.success) {
-    const faults = parsed.error.issues.flatMap((issue) => {
-      const parentPath = issue.path.map(String);
-      const keys = issue.code === "unrecognized_keys" ? issue.keys : [undefined];
-      return keys.map((key) => ({
-        path: [...parentPath, ...(key === undefined ? [] : [key])].join(".") || "(root)",
-        message: key === undefined ? issue.message : "unknown key",
-      }));
-    });
-    return { ok: false, faults: [...faults, ...findUnknownModels(raw)] };
+    return { ok: false, faults: [...toConfigFaults(parsed.error), ...findUnknownModels(raw)] };
   }
   const faults = findCrossFieldFaults(parsed.data);
   return faults.length > 0 ? { ok: false, faults } : { ok: true, config: parsed.data };
--- a/packages/daemon/src/gateway/FleetStateSync.test.ts
+++ b/packages/daemon/src/gateway/FleetStateSync.test.ts
@@ -107,8 +107,12 @@
       },
       failureDomain: this.#place.failureDomain,
       getRole: () => this.#place.role,
-      getConfigAgeMs: () => 0,
-      onConfig: ({ revision }) => this.events.push(`config ${String(revision)}`),
+      configTracker: {
+        ageMs: 0,
+        wants: (revision) => revision > view.revision,
+        onFetchFailed: () => undefined,
+      },
+      onConfig: ({ announced }) => this.events.push(`config ${String(announced)}`),
       onList: ({ epoch, version }) =>
         this.events.push(
           `list ${epoch === undefined ? "" : `${String(epoch)}/`}${String(version)}`,
--- a/packages/daemon/src/gateway/FleetStateSync.ts
+++ b/packages/daemon/src/gateway/FleetStateSync.ts
@@ -1,10 +1,10 @@
 import { getMessage, sleep, type Clock, type Random } from "@lycheepulley/core";
 import {
-  fleetConfigSchema,
   getEpoch,
   isListBefore,
   upstreamListSchema,
-  type FleetConfig,
+  type FetchedConfig,
+  type FleetConfigTracker,
   type FleetView,
   type ListPosition,
   type PeerIdentity,
@@ -29,7 +29,8 @@
   "fleet.state",
   z.object({ revision: z.number(), listDigest: z.string() }),
   z.object({
-    config: fleetConfigSchema.optional(),
+    /** Checked as a whole by the tracker of the configuration. */
+    config: z.unknown().optional(),
     /** Time since the configuration became known; unknown to earlier builds. */
     configAgeMs: z.number().nonnegative().optional(),
     list: upstreamListSchema.optional(),
@@ -37,6 +38,9 @@
   }),
 );
 
+/** What the sync uses of the configuration in force. */
+export type SyncedConfig = Pick<FleetConfigTracker, "ageMs" | "wants" | "onFetchFailed">;
+
 /** Fetches newer configurations and upstream lists from peers that announce them in heartbeats. */
 export class FleetStateSync {
   readonly #clock: Clock;
@@ -45,11 +49,11 @@
   readonly #peers: PeerTable;
   readonly #logger: Logger;
   readonly #port: number;
-  readonly #onConfig: (config: FleetConfig, peer: string, ageMs: number) => void;
-  readonly #getConfigAgeMs: () => number;
+  readonly #onConfig: (config: FetchedConfig) => void;
+  readonly #configTracker: SyncedConfig;
   readonly #onList: (list: UpstreamList, atMs: number) => void;
   readonly #onListConfirmed: (position: ListPosition, atMs: number) => void;
-  readonly #onFetchFailed: (peer: string, reason: string) => void;
+  readonly #onFetchFailed: () => void;
   readonly #failureDomain: string;
   readonly #getRole: () => RelayRole;
   #isFetching = false;
@@ -61,16 +65,14 @@
     peers: PeerTable;
     logger: Logger;
     port: number;
-    /** Called with a configuration that a peer has known for `ageMs`. */
-    onConfig: (config: FleetConfig, peer: string, ageMs: number) => void;
-    /** Time since the configuration in force became known. */
-    getConfigAgeMs: () => number;
+    onConfig: (config: FetchedConfig) => void;
+    configTracker: SyncedConfig;
     /** Called with a fetched list that was current at `atMs`. */
     onList: (list: UpstreamList, atMs: number) => void;
     /** Called when a peer's heartbeat shows that the list in force was current at `atMs`. */
     onListConfirmed: (position: ListPosition, atMs: number) => void;
     /** Called when a fetch from a peer with newer state failed. */
-    onFetchFailed: (peer: string, reason: string) => void;
+    onFetchFailed: () => void;
     failureDomain: string;
     getRole: () => RelayRole;
   }) {
@@ -81,7 +83,7 @@
     this.#logger = options.logger;
     this.#port = options.port;
     this.#onConfig = options.onConfig;
-    this.#getConfigAgeMs = options.getConfigAgeMs;
+    this.#configTracker = options.configTracker;
     this.#onList = options.onList;
     this.#onListConfirmed = options.onListConfirmed;
     this.#onFetchFailed = options.onFetchFailed;
@@ -93,7 +95,7 @@
   serve(server: NodeServer): void {
     server.handle(fleetStateMethod, ({ revision, listDigest }) => ({
       config: this.#view.revision > revision ? this.#view.table?.config : undefined,
-      configAgeMs: Math.max(0, this.#getConfigAgeMs()),
+      configAgeMs: Math.max(0, this.#configTracker.ageMs),
       list:
         listDigest === this.#view.listDigest
           ? undefined
@@ -121,7 +123,7 @@
   }
 
   #isBehind(peer: PeerIdentity): boolean {
-    if (peer.revision > this.#view.revision) {
+    if (this.#configTracker.wants(peer.revision)) {
       return true;
     }
     const { list, listDigest } = this.#view;
@@ -182,16 +184,18 @@
       const state = await client.call(fleetStateMethod, known, { timeoutMs: FETCH_TIMEOUT_MS });
       this.#logger.info("fleet state fetched from peer", {
         ...{ step: "membership", peer: peer.host },
-        ...{ revision: state.config?.revision, listVersion: state.list?.version },
+        ...{ hasConfig: state.config !== undefined, listVersion: state.list?.version },
       });
-      if (state.config) {
-        this.#onConfig(state.config, peer.host, state.configAgeMs ?? 0);
+      if (state.config !== undefined) {
+        const { host: from, revision: announced } = peer;
+        this.#onConfig({ value: state.config, from, announced, ageMs: state.configAgeMs ?? 0 });
       }
       if (state.list) {
         this.#onList(state.list, this.#clock.now() - state.listAgeMs);
       }
     } catch (err) {
-      this.#onFetchFailed(peer.host, getMessage(err));
+      this.#configTracker.onFetchFailed(peer.host, getMessage(err));
+      this.#onFetchFailed();
       this.#logger.warn("fetching fleet state from peer failed", {
         ...{ step: "membership", peer: peer.host },
         err: getMessage(err),
--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -63,6 +63,7 @@
     ...{ getRoom: () => this.#forwarder.room, getHeldBytes: () => this.#listener.held.bytes },
     ...{ getShares: () => this.#forwarder.usedShares, getCrossedBytes: () => this.#crossed.counts },
     getCold: () => this.#evidence.limits.coldCounts,
+    getConfig: () => this.#configTracker.status,
   });
   readonly #crossed: CrossedBytes;
   readonly #view: FleetView;
@@ -172,9 +173,9 @@
       peers: this.#peers,
       failureDomain: settings.failureDomain,
       getRole: () => this.#peerExchange.role,
-      getConfigAgeMs: () => this.#configTracker.ageMs,
-      onConfig: (config, peer, ageMs) => {
-        this.#announceAsRelay(this.#configTracker.onFetched(config, peer, ageMs));
+      configTracker: this.#configTracker,
+      onConfig: (config) => {
+        this.#announceAsRelay(this.#configTracker.onFetched(config));
       },
       onList: (list, atMs) => {
         this.#announceAsRelay(this.#applyUpstreams(list, atMs));
@@ -183,8 +184,7 @@
         this.#listTracker.confirm(position, atMs);
         this.#metrics.setListEpoch(getEpoch(this.#view.list));
       },
-      onFetchFailed: (peer, reason) => {
-        this.#configTracker.onFetchFailed(peer, reason);
+      onFetchFailed: () => {
         this.#readerSelection.onPeerFailed();
       },
     });
--- a/packages/forwarding/src/config/FleetConfigTracker.ts
+++ b/packages/forwarding/src/config/FleetConfigTracker.ts
@@ -1,8 +1,9 @@
-import type { Cancel, Clock, ConfigFault } from "@lycheepulley/core";
+import { isJsonObject, type Cancel, type Clock, type ConfigFault } from "@lycheepulley/core";
 import type { Logger } from "@lycheepulley/telemetry";
 
 import type { FleetConfig } from "../fleetConfig.js";
 import type { FleetView } from "../FleetView.js";
+import { checkFleetConfig } from "./checkFleetConfig.js";
 
 /** Time after which a configuration that peers announce and that isn't in force is reported. */
 const BEHIND_MS = 1_000;
@@ -12,15 +13,39 @@
 const CHECK_INTERVAL_MS = 500;
 /** Pause between two reports of the same kind. */
 const REPORT_INTERVAL_MS = 5_000;
-/** Faults named in one line. */
-const MAX_LOGGED_FAULTS = 8;
+/** Faults, or fields that aren't known, named in one line. */
+const MAX_LOGGED = 8;
+/** Refused revisions of peers that are remembered. */
+const MAX_REFUSED = 64;
 
-/** A configuration as it was read from its source. */
+/** A configuration as it was read from its source, not checked yet. */
 export interface ConfigRecord {
-  /** Undefined for a record that isn't a configuration. */
-  readonly config: FleetConfig | undefined;
-  /** Parts that could not be read and were left out. */
-  readonly skipped: readonly ConfigFault[];
+  /** What should be a {@link FleetConfig}. */
+  readonly value: unknown;
+  /** Fields of the source that aren't known here. */
+  readonly ignored: readonly string[];
+  /** Names a path of `value` as those who write to the source do. */
+  readonly nameField: (path: string) => string;
+}
+
+/** A configuration that a peer has in force, not checked yet. */
+export interface FetchedConfig {
+  /** What should be a {@link FleetConfig}. */
+  readonly value: unknown;
+  readonly from: string;
+  /** Revision that the peer announced. */
+  readonly announced: number;
+  /** Time for which the peer has known it, milliseconds. */
+  readonly ageMs: number;
+}
+
+/** What operators see of the configuration of a process. */
+export interface ConfigStatus {
+  readonly revision: number;
+  /** Configurations refused since the start. */
+  readonly refused: number;
+  /** Time for which a newer revision has been known to exist, 0 for none; milliseconds. */
+  readonly behindMs: number;
 }
 
 /** A revision that is known to exist, and since when. */
@@ -30,17 +55,27 @@
   readonly from: string;
 }
 
-const toText = ({ path, message }: ConfigFault): string => `${path}: ${message}`;
+/** What became of a configuration. */
+const Outcome = { InForce: "in_force", NotNewer: "not_newer", Refused: "refused" } as const;
+type Outcome = (typeof Outcome)[keyof typeof Outcome];
+
+/** How a configuration came, and for how long it has been known there. */
+interface Origin {
+  readonly via: string;
+  readonly ageMs: number;
+  readonly ignored?: readonly string[];
+}
 
-/** Fields of a log line for a list of faults, bounded. */
-const toFaultFields = (faults: readonly ConfigFault[]): { faults: string[]; more?: number } => ({
-  faults: faults.slice(0, MAX_LOGGED_FAULTS).map(toText),
-  ...(faults.length > MAX_LOGGED_FAULTS && { more: faults.length - MAX_LOGGED_FAULTS }),
-});
+/** Revision that a value names; undefined for none that could be in force. */
+const getRevision = (value: unknown): number | undefined => {
+  const revision = isJsonObject(value) ? value["revision"] : undefined;
+  return Number.isSafeInteger(revision) ? (revision as number) : undefined;
+};
 
 /**
- * Puts configurations in force, and logs what became of each one: seen, in force, by which way and how
- * late. Reports a process that is behind what its peers announce, or whose configuration nobody confirms.
+ * Decides which configuration is in force: each is checked as a whole, and one that isn't valid leaves the
+ * one before it in force, whatever its revision. Logs what became of each one, and reports a process
+ * that is behind what its peers announce or whose configuration nobody confirms.
  */
 export class FleetConfigTracker {
   readonly #clock: Clock;
@@ -57,6 +92,12 @@
   /** Why the newest revision isn't in force, as far as this process knows. */
   #reason = "not fetched yet";
   #reportedMs = -Infinity;
+  #refused = 0;
+  /** Last refusal that was logged; the source is read again without a change. */
+  #lastRefusal = "";
+  /** Revisions that peers have in force and that were refused here. */
+  readonly #refusedOfPeers = new Set<number>();
+  #lastIgnored = "";
   #cancelCheck: Cancel = () => undefined;
 
   /** `getReadAgeMs` returns the age of this process's own last read of the source. */
@@ -93,19 +134,36 @@
     return this.#clock.now() - this.#knownSinceMs;
   }
 
+  get status(): ConfigStatus {
+    const { revision } = this.#view;
+    const newest = this.#newest;
+    const isBehind = newest !== undefined && newest.revision > revision;
+    const behindMs = isBehind ? this.#clock.now() - newest.sinceMs : 0;
+    return { revision, refused: this.#refused, behindMs };
+  }
+
+  /** True for a revision of a peer that this process should fetch. */
+  wants(revision: number): boolean {
+    return revision > this.#view.revision && !this.#refusedOfPeers.has(revision);
+  }
+
   /** Takes a record that this process read itself; true when it is in force now. */
-  onRead({ config, skipped }: ConfigRecord): boolean {
-    if (skipped.length > 0 && (config === undefined || config.revision > this.#view.revision)) {
-      this.#logger.warn("configuration read in part", {
-        ...{ step: "config_read_back", revision: config?.revision, ...toFaultFields(skipped) },
-      });
-    }
-    return config !== undefined && this.#apply(config, { via: "own read", ageMs: 0 });
+  onRead({ value, ignored, nameField }: ConfigRecord): boolean {
+    const outcome = this.#take(value, { via: "own read", ageMs: 0, ignored }, nameField);
+    return outcome === Outcome.InForce;
   }
 
-  /** Takes a configuration that a peer has had in force for `ageMs`; true when it is in force now. */
-  onFetched(config: FleetConfig, peer: string, ageMs: number): boolean {
-    return this.#apply(config, { via: peer, ageMs });
+  /** Takes a configuration that a peer has in force; true when it is in force here, too. */
+  onFetched({ value, from, announced, ageMs }: FetchedConfig): boolean {
+    const outcome = this.#take(value, { via: from, ageMs }, (path) => path);
+    if (outcome === Outcome.Refused) {
+      this.#refusedOfPeers.add(announced);
+      const [oldest] = this.#refusedOfPeers;
+      if (this.#refusedOfPeers.size > MAX_REFUSED && oldest !== undefined) {
+        this.#refusedOfPeers.delete(oldest);
+      }
+    }
+    return outcome === Outcome.InForce;
   }
 
   /** Records that a fetch from a peer failed. */
@@ -120,7 +178,7 @@
     readonly reads: { readonly configMs?: number | undefined };
   }): void {
     const { host, revision, reads } = peer;
-    if (revision > Math.max(this.#view.revision, this.#newest?.revision ?? -1)) {
+    if (this.wants(revision) && revision > (this.#newest?.revision ?? -1)) {
       this.#newest = { revision, sinceMs: this.#clock.now(), from: host };
     }
     if (revision === this.#view.revision && reads.configMs !== undefined) {
@@ -133,16 +191,46 @@
     this.#confirm(0);
   }
 
-  #apply(config: FleetConfig, { via, ageMs }: { via: string; ageMs: number }): boolean {
-    const before = this.#view.revision;
-    if (!this.#view.applyConfig(config)) {
-      if (config.revision < before) {
+  #take(value: unknown, origin: Origin, nameField: (path: string) => string): Outcome {
+    const revision = getRevision(value);
+    const inForce = this.#view.revision;
+    if (revision !== undefined && revision <= inForce) {
+      if (revision < inForce) {
         this.#logger.info("configuration older than the one in force", {
-          ...{ step: "config_read_back", revision: config.revision, inForce: before, via },
+          ...{ step: "config_read_back", revision, inForce, via: origin.via },
         });
       }
-      return false;
+      return Outcome.NotNewer;
+    }
+    const checked = checkFleetConfig(value);
+    if (!checked.ok) {
+      const faults = checked.faults.map(
+        ({ path, message }: ConfigFault) => `${nameField(path)}: ${message}`,
+      );
+      this.#refuse(revision, faults, origin.via);
+      return Outcome.Refused;
+    }
+    this.#apply(checked.config, origin);
+    return Outcome.InForce;
+  }
+
+  #refuse(revision: number | undefined, faults: readonly string[], via: string): void {
+    const refusal = JSON.stringify([revision, faults]);
+    if (refusal === this.#lastRefusal) {
+      return;
     }
+    this.#lastRefusal = refusal;
+    this.#refused += 1;
+    this.#logger.error("configuration refused", {
+      ...{ step: "config_read_back", revision, inForce: this.#view.revision, via },
+      faults: faults.slice(0, MAX_LOGGED),
+      ...(faults.length > MAX_LOGGED && { more: faults.length - MAX_LOGGED }),
+    });
+  }
+
+  #apply(config: FleetConfig, { via, ageMs, ignored = [] }: Origin): void {
+    const before = this.#view.revision;
+    this.#view.applyConfig(config);
     const now = this.#clock.now();
     const { revision, routes, pools, customers } = config;
     const heardMs = this.#newest?.revision === revision ? this.#newest.sinceMs : now;
@@ -155,8 +243,20 @@
       ...{ step: "config_read_back", revision, before, via, ageMs: Math.round(this.ageMs) },
       ...{ routes: routes.length, pools: pools.length, customers: customers?.length },
     });
+    this.#logIgnored(revision, ignored);
     this.#onInForce();
-    return true;
+  }
+
+  /** Logs fields that aren't known, when they differ from those of the last configuration. */
+  #logIgnored(revision: number, ignored: readonly string[]): void {
+    const names = ignored.join();
+    if (names !== this.#lastIgnored && ignored.length > 0) {
+      this.#logger.info("fields of the configuration ignored", {
+        ...{ step: "config_read_back", revision, fields: ignored.slice(0, MAX_LOGGED) },
+        ...(ignored.length > MAX_LOGGED && { more: ignored.length - MAX_LOGGED }),
+      });
+    }
+    this.#lastIgnored = names;
   }
 
   #confirm(ageMs: number): void {
--- a/packages/forwarding/src/fleetConfig.ts
+++ b/packages/forwarding/src/fleetConfig.ts
@@ -93,7 +93,8 @@
 
 /** Everything that operators declare for forwarding, at one revision. */
 export const fleetConfigSchema = z.object({
-  revision: z.number(),
+  /** Rises with each configuration. */
+  revision: z.number().int().nonnegative(),
   routes: z.array(routeSchema),
   pools: z.array(poolSchema),
   /** Absent when callers need no key. */
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -1,5 +1,6 @@
 export * from "./answerProgress.js";
 export * from "./Batcher.js";
+export * from "./config/checkFleetConfig.js";
 export * from "./config/FleetConfigTracker.js";
 export * from "./costs/CostBook.js";
 export * from "./costs/CostLesson.js";
--- a/packages/telemetry/src/ForwardMetrics.ts
+++ b/packages/telemetry/src/ForwardMetrics.ts
@@ -21,6 +21,16 @@
   readonly sends: Readonly<Record<string, number>>;
 }
 
+/** What a process knows of its configuration, for {@link ForwardMetrics}. */
+export interface ConfigMetrics {
+  /** Revision in force; -1 before one is known. */
+  readonly revision: number;
+  /** Configurations refused since the start. */
+  readonly refused: number;
+  /** Time for which a newer revision has been known to exist, milliseconds. */
+  readonly behindMs: number;
+}
+
 /** Metrics of a forwarding process, in the Prometheus text format. */
 export class ForwardMetrics {
   readonly #registry = new Registry();
@@ -45,6 +55,7 @@
     getShares,
     getCrossedBytes = () => ({}),
     getCold = () => ({ count: 0, sends: {} }),
+    getConfig = () => ({ revision: -1, refused: 0, behindMs: 0 }),
   }: {
     countLimited: () => number;
     countResting: () => number;
@@ -61,6 +72,7 @@
     /** Bytes between failure domains since the start, by cause. */
     getCrossedBytes?: () => Readonly<Record<string, number>>;
     getCold?: () => ColdMetrics;
+    getConfig?: () => ConfigMetrics;
   }) {
     const registers = [this.#registry];
     this.#requests = new Counter({
@@ -158,6 +170,21 @@
         this.set(getCold().count);
       },
     });
+    addGauge(
+      this.#registry,
+      ["lycheepulley_config_revision", "Revision of the configuration in force, -1 for none"],
+      () => getConfig().revision,
+    );
+    addGauge(
+      this.#registry,
+      ["lycheepulley_config_refused", "Configurations refused since the start"],
+      () => getConfig().refused,
+    );
+    addGauge(
+      this.#registry,
+      ["lycheepulley_config_behind_ms", "Time for which a newer revision has been known to exist"],
+      () => getConfig().behindMs,
+    );
     if (getRoom) {
       addRoomMetrics(this.#registry, getRoom);
     }
@@ -232,6 +259,19 @@
   }
 }
 
+const addGauge = (
+  registry: Registry,
+  [name, help]: readonly [string, string],
+  getValue: () => number,
+): void => {
+  new Gauge({
+    ...{ name, help, registers: [registry] },
+    collect() {
+      this.set(getValue());
+    },
+  });
+};
+
 const addCounts = (
   registry: Registry,
   [name, help, label]: readonly [string, string, string],
