--- a/packages/forwarding/src/config/FleetConfigTracker.test.ts
+++ b/packages/forwarding/src/config/FleetConfigTracker.test.ts
@@ -144,8 +144,9 @@
 
   it("names ignored fields when they change", () => {
     harness.read(newValue(6), ["a"]);
-    harness.read(newValue(7), ["a"]);
-    harness.read(newValue(8), ["a", "b"]);
+    harness.fetch(newValue(7));
+    harness.read(newValue(8), ["a"]);
+    harness.read(newValue(9), ["a", "b"]);
     const fields = harness.find("fields of the configuration ignored").map((one) => one["fields"]);
     expect(fields).to.deep.equal([["a"], ["a", "b"]]);
   });
--- a/packages/forwarding/src/config/FleetConfigTracker.ts
+++ b/packages/forwarding/src/config/FleetConfigTracker.ts
@@ -63,6 +63,7 @@
 interface Origin {
   readonly via: string;
   readonly ageMs: number;
+  /** Absent for one of a peer, which doesn't tell. */
   readonly ignored?: readonly string[];
 }
 
@@ -228,7 +229,7 @@
     });
   }
 
-  #apply(config: FleetConfig, { via, ageMs, ignored = [] }: Origin): void {
+  #apply(config: FleetConfig, { via, ageMs, ignored }: Origin): void {
     const before = this.#view.revision;
     this.#view.applyConfig(config);
     const now = this.#clock.now();
@@ -243,7 +244,9 @@
       ...{ step: "config_read_back", revision, before, via, ageMs: Math.round(this.ageMs) },
       ...{ routes: routes.length, pools: pools.length, customers: customers?.length },
     });
-    this.#logIgnored(revision, ignored);
+    if (ignored) {
+      this.#logIgnored(revision, ignored);
+    }
     this.#onInForce();
   }
 
