Log lists and evacuations that are dropped as older

Cause: a list or an evacuation that counted as older left no line, so the log couldn't tell a store that began again at lower offsets from one in which nothing changes.

--- a/packages/forwarding/src/UpstreamListTracker.test.ts
+++ b/packages/forwarding/src/UpstreamListTracker.test.ts
@@ -35,6 +35,9 @@
         info: (message, fields) => {
           this.lines.push({ message, ...fields });
         },
+        warn: (message, fields) => {
+          this.lines.push({ message, ...fields });
+        },
       },
       onRestored: () => {
         this.restored += 1;
@@ -260,6 +263,22 @@
   });
 });
 
+describe("UpstreamListTracker with answers that are out of order", () => {
+  // Guards against an answer that arrives late and overrules a newer one of the same epoch.
+  it("drops a list with a lower version, and says so", () => {
+    const harness = new TrackerHarness();
+    const versions = [1, 5, 4, 6].filter((version) =>
+      harness.apply(1, [`u${String(version)}`], version),
+    );
+    expect(versions).to.deep.equal([1, 5, 6]);
+    expect(harness.lines).to.deep.include({
+      ...{ message: "upstream list older than the one in force", step: "membership" },
+      ...{ epoch: 1, listVersion: 4, isDirect: false, epochInForce: 1, listVersionInForce: 5 },
+      ageMs: 0,
+    });
+  });
+});
+
 describe("DepartedUpstreams", () => {
   const NONE = { heldBack: new Set<string>(), leaving: new Set<string>() };
 
--- a/packages/forwarding/src/UpstreamListTracker.ts
+++ b/packages/forwarding/src/UpstreamListTracker.ts
@@ -7,11 +7,15 @@
 import { ListOutageGuard } from "./ListOutageGuard.js";
 import { UpstreamStarts } from "./UpstreamStarts.js";
 
+/** Pause between two reports of lists that are older than the one in force. */
+const REPORT_INTERVAL_MS = 5_000;
+
 /**
  * Applies lists of upstreams to the view, from the listing service or from peers.
  * Bridges outages of the service and its returns from an older copy.
  */
 export class UpstreamListTracker {
+  readonly #clock: Clock;
   readonly #view: FleetView;
   readonly #logger: Logger;
   readonly #onRestored: () => void;
@@ -20,6 +24,7 @@
   readonly #starts = new UpstreamStarts();
   #position: ListPosition = { version: -1 };
   #restarted: ReadonlySet<string> = new Set();
+  #reportedMs = -Infinity;
 
   /** `onRestored` is called when the service came back from an older copy. */
   constructor(options: {
@@ -30,6 +35,7 @@
     onRestored: () => void;
   }) {
     const { clock, upstreamBeatMs } = options;
+    this.#clock = clock;
     this.#view = options.view;
     this.#logger = options.logger;
     this.#onRestored = options.onRestored;
@@ -55,6 +61,7 @@
     }
     const hasRisen = this.#outageGuard.onList(atMs, getEpoch(list));
     if (isListBefore(list, this.#view.list)) {
+      this.#reportOlder(list);
       return false;
     }
     this.#restarted = this.#starts.observe(list.upstreams);
@@ -99,6 +106,20 @@
     }
   }
 
+  #reportOlder({ epoch, version, isDirect = false }: UpstreamList): void {
+    const nowMs = this.#clock.now();
+    if (nowMs - this.#reportedMs < REPORT_INTERVAL_MS) {
+      return;
+    }
+    this.#reportedMs = nowMs;
+    const { list, listedMs } = this.#view;
+    this.#logger.warn("upstream list older than the one in force", {
+      ...{ step: "membership", epoch, listVersion: version, isDirect },
+      ...{ epochInForce: list.epoch, listVersionInForce: list.version },
+      ageMs: Math.round(nowMs - listedMs),
+    });
+  }
+
   #logRestored(list: UpstreamList, { heldBack, leaving }: ListCorrections): void {
     const listed = new Set(list.upstreams.map(({ id }) => id));
     this.#logger.info("store restored from an older copy", {
--- a/packages/forwarding/src/evacuations/EvacuationTracker.ts
+++ b/packages/forwarding/src/evacuations/EvacuationTracker.ts
@@ -14,6 +14,8 @@
 
 /** Evacuations in force that neither a read nor a peer confirmed for longer are read by each process itself. */
 const MAX_UNCONFIRMED_MS = 5_000;
+/** Pause between two reports of reads that are older than the list in force. */
+const REPORT_INTERVAL_MS = 5_000;
 /** Lines logged for one change. */
 const MAX_LINES = 16;
 
@@ -24,6 +26,7 @@
   readonly #logger: Logger;
   readonly #isSourced: boolean;
   readonly #evacuations = new Evacuations();
+  #reportedMs = -Infinity;
 
   /** `isSourced` is false for a deployment in which nobody requests evacuations. */
   constructor(options: { clock: Clock; view: FleetView; logger: Logger; isSourced: boolean }) {
@@ -65,6 +68,14 @@
   /** Applies a list that this process read itself; true when evacuations changed. */
   onRead(list: EvacuationList): boolean {
     const nowMs = this.#clock.now();
+    const inForce = this.#evacuations.list;
+    if (inForce && isListBefore(list, inForce) && nowMs - this.#reportedMs >= REPORT_INTERVAL_MS) {
+      this.#reportedMs = nowMs;
+      this.#logger.warn("evacuations older than those in force", {
+        ...{ step: "membership", epoch: list.epoch, version: list.version },
+        ...{ epochInForce: inForce.epoch, versionInForce: inForce.version },
+      });
+    }
     return this.#record("own read", this.#evacuations.apply(list, { nowMs, atMs: nowMs }));
   }
 
