Order lists and evacuations by the generation of the store's log

Callers saw: after a store had begun again at lower offsets without naming an era, upstreams that joined got nothing, those that left got every request, and evacuations were ignored at all processes, until the offsets had grown past the old ones. Cause: the order of a list was borrowed from an offset, which orders records within one log only. Change: positions have a generation above era and offset. A reader that is answered three times in a row with less than was known, here or at a peer, when it asked, or with another record at an offset, begins the next generation; one such answer is read again and never applied, so that an older copy undoes nothing. Peers state the generation in heartbeats; a read that is sent after it was heard counts in it, as the store is linearizable. A rise is handled as a newer era is: live upstreams are kept, departed ones held back, own entries written again.

--- a/packages/daemon/src/gateway/FleetStateSync.ts
+++ b/packages/daemon/src/gateway/FleetStateSync.ts
@@ -1,6 +1,7 @@
 import { getMessage, sleep, type Clock, type Random } from "@lycheepulley/core";
 import {
-  getEpoch,
+  getListPosition,
+  isEpochBefore,
   isListBefore,
   upstreamListSchema,
   type FetchedConfig,
@@ -110,7 +111,7 @@
     if (
       peer.listDigest === this.#view.listDigest &&
       peer.reads.listMs !== undefined &&
-      getEpoch(position) >= getEpoch(this.#view.list)
+      !isEpochBefore(position, this.#view.list)
     ) {
       this.#onListConfirmed(position, this.#clock.now() - peer.reads.listMs);
     }
@@ -210,8 +211,3 @@
   (failureDomain: string) =>
   (peer: PeerIdentity): boolean =>
     peer.failureDomain === failureDomain;
-
-const getListPosition = ({ listEpoch, listVersion }: PeerIdentity): ListPosition => ({
-  epoch: listEpoch,
-  version: listVersion,
-});
--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -13,7 +13,6 @@
   FleetConfigTracker,
   FleetView,
   Forwarder,
-  getEpoch,
   LoadTracker,
   PeerTable,
   ReaderSelection,
@@ -130,7 +129,7 @@
     });
     this.#readerSelection = new ReaderSelection({
       ...{ clock, self: settings, peers: this.#peers },
-      getListEpoch: () => getEpoch(this.#view.list),
+      getListEpoch: () => this.#view.list,
     });
     const announce = (): void => {
       this.#peerExchange.announce();
@@ -182,7 +181,7 @@
       },
       onListConfirmed: (position, atMs) => {
         this.#listTracker.confirm(position, atMs);
-        this.#metrics.setListEpoch(getEpoch(this.#view.list));
+        this.#metrics.setListEpoch(this.#view.list.epoch ?? 0);
       },
       onFetchFailed: () => {
         this.#readerSelection.onPeerFailed();
@@ -193,6 +192,7 @@
       getIdentity: () => this.#getIdentity(),
       getLoadTracker: () => loadTracker,
       onPeerHeartbeat: (peer) => {
+        this.#sourceFeed.onPeer(peer);
         this.#announceAsRelay(this.#evacuations.onPeer(peer));
         this.#configTracker.onPeer(peer);
         this.#stateSync.onPeerHeartbeat(peer);
@@ -336,7 +336,7 @@
     const ids = this.#listTracker.lasting;
     this.#health.retain(ids);
     this.#evidence.retain(ids);
-    this.#metrics.setListEpoch(getEpoch(this.#view.list));
+    this.#metrics.setListEpoch(this.#view.list.epoch ?? 0);
     return hasChanged;
   }
 
--- a/packages/daemon/src/gateway/SourceFeed.ts
+++ b/packages/daemon/src/gateway/SourceFeed.ts
@@ -1,10 +1,14 @@
 import type { Clock, Random } from "@lycheepulley/core";
-import type {
-  EvacuationTracker,
-  FleetConfigTracker,
-  ReaderSelection,
-  UpstreamList,
-  UpstreamListTracker,
+import {
+  ReadOrder,
+  SourceGenerations,
+  type EvacuationTracker,
+  type FleetConfigTracker,
+  type PeerIdentity,
+  type ReaderSelection,
+  type ReadPosition,
+  type UpstreamList,
+  type UpstreamListTracker,
 } from "@lycheepulley/forwarding";
 import type { Logger } from "@lycheepulley/telemetry";
 
@@ -27,6 +31,9 @@
   readonly #onConfig: () => void;
   readonly #onUpstreams: (list: UpstreamList) => void;
   readonly #onPeers: (hosts: readonly string[]) => void;
+  readonly #generations = new SourceGenerations();
+  readonly #listOrder: ReadOrder;
+  readonly #evacuationOrder: ReadOrder;
   /** When to read the peer list, which may lack this process, even if it isn't a reader. */
   #peersDueMs = Infinity;
 
@@ -58,17 +65,37 @@
     this.#onConfig = options.onConfig;
     this.#onUpstreams = options.onUpstreams;
     this.#onPeers = options.onPeers;
+    const order = { logger: options.logger, generations: this.#generations };
+    this.#listOrder = new ReadOrder({
+      ...{ ...order, source: "upstream list" },
+      getKnown: () => this.#listTracker.position,
+    });
+    this.#evacuationOrder = new ReadOrder({
+      ...{ ...order, source: "evacuations" },
+      getKnown: () => this.#evacuations.position,
+    });
+  }
+
+  /** Records the generations of the sources that a peer states. */
+  onPeer({ listGeneration, evacuations }: PeerIdentity): void {
+    this.#generations.observe(listGeneration);
+    this.#generations.observe(evacuations?.generation);
   }
 
   start(): void {
     const shouldRead = (): boolean => this.#readerSelection.isReader();
     this.#sources.evacuations?.start({
       shouldRead,
+      onReadStart: () => {
+        this.#evacuationOrder.onReadStart();
+      },
       onRead: () => {
         this.#tellIf(this.#evacuations.onUnchanged());
       },
-      onValue: (list) => {
-        this.#tellIf(this.#evacuations.onRead(list));
+      onValue: (read) => {
+        const list = withGeneration(read, this.#evacuationOrder);
+        this.#tellIf(list !== undefined && this.#evacuations.onRead(list));
+        return list !== undefined;
       },
       onConnectionChange: () => undefined,
     });
@@ -87,15 +114,20 @@
     });
     this.#sources.upstreams.start({
       shouldRead,
+      onReadStart: () => {
+        this.#listOrder.onReadStart();
+      },
       onRead: () => {
         this.#readerSelection.onRead("list");
       },
-      onValue: (list) => {
-        if (this.#listTracker.isOfOlderEpoch(list)) {
+      onValue: (read) => {
+        const list = withGeneration(read, this.#listOrder);
+        if (list === undefined || this.#listTracker.isOfOlderEpoch(list)) {
           this.#readerSelection.onStaleRead("list");
         } else {
           this.#onUpstreams(list);
         }
+        return list !== undefined;
       },
       onConnectionChange: this.#newConnectionLogger("upstream list"),
     });
@@ -136,3 +168,13 @@
     };
   }
 }
+
+/** What was read, in the generation that the order of its source tells; undefined when it is in doubt. */
+const withGeneration = <T extends ReadPosition>(
+  read: T,
+  order: ReadOrder,
+): Omit<T, "entryVersions"> | undefined => {
+  const { entryVersions, ...list } = read;
+  const generation = order.getGeneration({ ...list, entryVersions });
+  return generation === undefined ? undefined : { ...list, ...(generation > 0 && { generation }) };
+};
--- a/packages/daemon/src/gateway/newPeerIdentity.ts
+++ b/packages/daemon/src/gateway/newPeerIdentity.ts
@@ -25,6 +25,7 @@
     callerAddress: `${host}:${String(callerPort)}`,
     state: getPeerState(process),
     revision: view.revision,
+    ...(view.list.generation !== undefined && { listGeneration: view.list.generation }),
     ...{ listEpoch: view.list.epoch, listVersion: view.list.version },
     ...{ listDigest: view.listDigest, evacuations: process.evacuations.statement },
     reads: process.readerSelection.getAges(),
--- a/packages/daemon/src/gateway/peerMessages.ts
+++ b/packages/daemon/src/gateway/peerMessages.ts
@@ -29,6 +29,7 @@
   callerAddress: z.string(),
   state: z.enum([PeerState.Joining, PeerState.Live, PeerState.Leaving]),
   revision: z.number(),
+  listGeneration: z.number().int().nonnegative().optional(),
   listEpoch: z.number().optional(),
   listVersion: z.number(),
   listDigest: z.string(),
@@ -225,6 +226,9 @@
 
 const isOptionalNumber = (value: unknown): boolean => value === undefined || isNumber(value);
 
+const isOptionalCount = (value: unknown): boolean =>
+  value === undefined || (Number.isSafeInteger(value) && (value as number) >= 0);
+
 const isArrayOf = (value: unknown, isItem: (item: unknown) => boolean): boolean =>
   Array.isArray(value) && value.every(isItem);
 
@@ -236,6 +240,7 @@
 const isEvacuations = (value: unknown): boolean =>
   value === undefined ||
   (isFields(value) &&
+    isOptionalCount(value["generation"]) &&
     isOptionalNumber(value["epoch"]) &&
     isNumber(value["version"]) &&
     isArrayOf(value["domains"], isString) &&
@@ -249,6 +254,7 @@
   IDENTITY_STRINGS.every((field) => isString(value[field])) &&
   IDENTITY_NUMBERS.every((field) => isNumber(value[field])) &&
   PEER_STATES.includes(value["state"]) &&
+  isOptionalCount(value["listGeneration"]) &&
   isOptionalNumber(value["listEpoch"]) &&
   isReads(value["reads"]) &&
   isNumber(value["beatMs"]) &&
--- a/packages/daemon/src/gateway/types.ts
+++ b/packages/daemon/src/gateway/types.ts
@@ -2,6 +2,7 @@
   ConfigRecord,
   EvacuationList,
   RateBounds,
+  ReadPosition,
   Regions,
   UpstreamList,
 } from "@lycheepulley/forwarding";
@@ -11,14 +12,16 @@
 /** Watches a value that another system holds and reports its changes to one observer. */
 export interface Source<T> {
   /**
-   * Reads once, then goes on reading while `shouldRead` returns true. `onRead` is
-   * called for each answer, also for one without a change, and
-   * `onConnectionChange` when the connection is lost or restored.
+   * Reads once, then goes on reading while `shouldRead` returns true. `onReadStart` is called before
+   * each read is sent, `onRead` for each answer, also for one without a change, and
+   * `onConnectionChange` when the connection is lost or restored. `onValue` returns false for a value
+   * that may be of an older copy, which is to be read again at once.
    */
   start(observer: {
     shouldRead: () => boolean;
+    onReadStart?: () => void;
     onRead: () => void;
-    onValue: (value: T) => void;
+    onValue: (value: T) => unknown;
     onConnectionChange: (isConnected: boolean, reason: string) => void;
   }): void;
   stop(): void;
@@ -27,14 +30,14 @@
 /** Sources of the configuration, the upstreams and the peers of a gateway process. */
 export interface GatewaySources {
   readonly config: Source<ConfigRecord>;
-  readonly upstreams: Source<UpstreamList>;
+  readonly upstreams: Source<UpstreamList & ReadPosition>;
   /** Hosts of other entry processes. */
   readonly peers: Source<readonly string[]>;
   /**
    * Failure domains that operators evacuate, read by the source of the configuration, which `onRead`
    * tells only of reads that found no change; absent where nobody requests that.
    */
-  readonly evacuations?: Source<EvacuationList>;
+  readonly evacuations?: Source<EvacuationList & ReadPosition>;
 }
 
 /** Identity, addresses and limits of one gateway process. */
--- a/packages/forwarding/src/DepartedUpstreams.ts
+++ b/packages/forwarding/src/DepartedUpstreams.ts
@@ -1,7 +1,8 @@
 import type { Clock } from "@lycheepulley/core";
 
-import { getEpoch, type Upstream, type UpstreamList } from "./fleetConfig.js";
+import type { Upstream, UpstreamList } from "./fleetConfig.js";
 import { RELIST_MS } from "./ListOutageGuard.js";
+import { isEpochBefore, isSameEpoch, type ListEpoch } from "./sources/listPosition.js";
 
 /** Entries expire after this number of heartbeat intervals without a heartbeat. */
 const EXPIRY_HEARTBEATS = 3;
@@ -20,7 +21,7 @@
 
 interface Departure {
   /** Epoch of the list that showed the departure. */
-  readonly epoch: number;
+  readonly epoch: ListEpoch;
   /** When the newest list showed it. */
   readonly atMs: number;
   readonly isGone: boolean;
@@ -36,7 +37,7 @@
   readonly #holdMs: number;
   readonly #departures = new Map<string, Departure>();
   #inUse: ReadonlySet<string> = new Set();
-  #epoch: number | undefined;
+  #epoch: ListEpoch | undefined;
   #holdUntilMs = -Infinity;
 
   constructor(options: { clock: Clock; upstreamBeatMs: number }) {
@@ -56,13 +57,12 @@
 
   /** Corrections to a list that was current at `atMs` and isn't older than those recorded. */
   getCorrections(list: UpstreamList, atMs: number): ListCorrections {
-    const epoch = getEpoch(list);
-    this.#trackEpoch(epoch);
+    this.#trackEpoch(list);
     const isHolding = atMs < this.#holdUntilMs;
     const [heldBack, leaving] = [new Set<string>(), new Set<string>()];
     for (const { id } of list.upstreams) {
       const departure = this.#departures.get(id);
-      if (!departure || departure.epoch >= epoch) {
+      if (!departure || !isEpochBefore(departure.epoch, list)) {
         continue;
       }
       if (departure.hasDrained) {
@@ -80,7 +80,8 @@
     { heldBack, leaving }: ListCorrections,
     inUse: ReadonlyMap<string, Upstream>,
   ): void {
-    const [epoch, atMs] = [getEpoch(list), this.#clock.now()];
+    const epoch: ListEpoch = { generation: list.generation, epoch: list.epoch };
+    const atMs = this.#clock.now();
     const listed = new Set(list.upstreams.map(({ id }) => id));
     for (const { id, isLeaving } of inUse.values()) {
       if (leaving.has(id)) {
@@ -96,7 +97,11 @@
     const candidates = new Set([...this.#inUse, ...this.#departures.keys()]);
     for (const id of candidates) {
       const known = this.#departures.get(id);
-      if (inUse.has(id) || heldBack.has(id) || (known?.isGone === true && known.epoch === epoch)) {
+      if (
+        inUse.has(id) ||
+        heldBack.has(id) ||
+        (known?.isGone === true && isSameEpoch(known.epoch, epoch))
+      ) {
         continue;
       }
       const hasDrained = known?.hasDrained ?? false;
@@ -106,11 +111,14 @@
     this.#forget(atMs);
   }
 
-  #trackEpoch(epoch: number): void {
-    if (this.#epoch !== undefined && epoch > this.#epoch) {
+  #trackEpoch({ generation, epoch }: ListEpoch): void {
+    const next = { generation, epoch };
+    if (this.#epoch === undefined) {
+      this.#epoch = next;
+    } else if (isEpochBefore(this.#epoch, next)) {
+      this.#epoch = next;
       this.#holdUntilMs = this.#clock.now() + this.#holdMs;
     }
-    this.#epoch = Math.max(epoch, this.#epoch ?? -Infinity);
   }
 
   #remember(id: string, departure: Departure): void {
--- a/packages/forwarding/src/FleetView.ts
+++ b/packages/forwarding/src/FleetView.ts
@@ -4,15 +4,14 @@
 
 import {
   getListedFields,
-  isListBefore,
   type FleetConfig,
-  type ListPosition,
   type Upstream,
   type UpstreamList,
 } from "./fleetConfig.js";
 import type { ListCorrections } from "./DepartedUpstreams.js";
 import { isHome, type Homes, type Regions } from "./regions.js";
 import { RouteTable } from "./RouteTable.js";
+import { isListBefore, type ListPosition } from "./sources/listPosition.js";
 
 /** Ids of upstreams that a list added, and of those that it removed or that began to drain. */
 export interface ListChange {
@@ -155,9 +154,9 @@
   }
 
   /** Records that the list in force is still current at `position`. */
-  confirmList({ epoch, version }: ListPosition, atMs: number): void {
-    if (isListBefore(this.#list, { epoch, version })) {
-      this.#list = { ...this.#list, epoch, version };
+  confirmList({ generation, epoch, version }: ListPosition, atMs: number): void {
+    if (isListBefore(this.#list, { generation, epoch, version })) {
+      this.#list = { ...this.#list, generation, epoch, version };
     }
     this.#listedMs = Math.max(this.#listedMs, atMs);
   }
--- a/packages/forwarding/src/ListOutageGuard.ts
+++ b/packages/forwarding/src/ListOutageGuard.ts
@@ -1,5 +1,7 @@
 import type { Clock } from "@lycheepulley/core";
 
+import { isEpochBefore, type ListEpoch } from "./sources/listPosition.js";
+
 /** Time after an outage within which live upstreams with expired or lost entries are listed again. */
 export const RELIST_MS = 2_000;
 /**
@@ -19,7 +21,7 @@
   readonly #clock: Clock;
   readonly #minOutageMs: number;
   #lastListMs: number | undefined;
-  #epoch: number | undefined;
+  #epoch: ListEpoch | undefined;
   #retainUntilMs = -Infinity;
 
   constructor(options: { clock: Clock; upstreamBeatMs: number }) {
@@ -28,13 +30,14 @@
   }
 
   /** Records a list of an epoch that was current at `atMs`; true when the epoch rose. */
-  onList(atMs: number, epoch = 0): boolean {
+  onList(atMs: number, { generation, epoch }: ListEpoch = {}): boolean {
     const wasOut = this.#lastListMs !== undefined && atMs - this.#lastListMs >= this.#minOutageMs;
-    const hasRisen = this.#epoch !== undefined && epoch > this.#epoch;
+    const next = { generation, epoch };
+    const hasRisen = this.#epoch !== undefined && isEpochBefore(this.#epoch, next);
     if (wasOut || hasRisen) {
       this.#retainUntilMs = this.#clock.now() + RELIST_MS;
     }
-    this.#epoch = Math.max(epoch, this.#epoch ?? -Infinity);
+    this.#epoch = this.#epoch === undefined || hasRisen ? next : this.#epoch;
     this.#lastListMs = Math.max(atMs, this.#lastListMs ?? -Infinity);
     return hasRisen;
   }
--- a/packages/forwarding/src/PeerTable.ts
+++ b/packages/forwarding/src/PeerTable.ts
@@ -2,6 +2,7 @@
 
 import type { EvacuationStatement } from "./evacuations/evacuationList.js";
 import type { Members } from "./members.js";
+import type { ListPosition } from "./sources/listPosition.js";
 
 /** Whether a process serves callers, as it states in its heartbeats. */
 export const PeerState = {
@@ -39,6 +40,8 @@
   readonly state: PeerState;
   /** Revision of its configuration, -1 before one is known. */
   readonly revision: number;
+  /** Generation of its list of upstreams; absent for the first one, or in earlier builds. */
+  readonly listGeneration?: number | undefined;
   /** Epoch of its list of upstreams, absent for a service without epochs. */
   readonly listEpoch?: number | undefined;
   /** Version of that list within its epoch, -1 before one is known. */
@@ -57,6 +60,13 @@
   readonly evacuations?: EvacuationStatement | undefined;
 }
 
+/** Position of the list of upstreams of a process. */
+export const getListPosition = (
+  peer: Pick<PeerIdentity, "listGeneration" | "listEpoch" | "listVersion">,
+): ListPosition => ({
+  ...{ generation: peer.listGeneration, epoch: peer.listEpoch, version: peer.listVersion },
+});
+
 /** A peer with a recent heartbeat. */
 export interface LivePeer {
   readonly peer: PeerIdentity;
--- a/packages/forwarding/src/ReaderSelection.test.ts
+++ b/packages/forwarding/src/ReaderSelection.test.ts
@@ -2,6 +2,7 @@
 
 import { PeerState, PeerTable, type ReadAges } from "./PeerTable.js";
 import { ReaderSelection } from "./ReaderSelection.js";
+import type { ListEpoch } from "./sources/listPosition.js";
 import { ManualClock } from "./testing/ManualClock.js";
 
 const HOSTS = Array.from({ length: 8 }, (_, index) => `10.0.0.${String(index)}`);
@@ -21,7 +22,7 @@
       const { clock } = this;
       const peers = new PeerTable({ clock, self: host });
       const self = { host, capacity: capacities[index] ?? 1 };
-      const getListEpoch = (): number => this.listEpoch;
+      const getListEpoch = (): ListEpoch => ({ epoch: this.listEpoch });
       return { host, peers, selection: new ReaderSelection({ clock, self, peers, getListEpoch }) };
     });
   }
--- a/packages/forwarding/src/ReaderSelection.ts
+++ b/packages/forwarding/src/ReaderSelection.ts
@@ -2,8 +2,9 @@
 
 import type { Clock } from "@lycheepulley/core";
 
-import { getEpoch } from "./fleetConfig.js";
+import { isEpochBefore, type ListEpoch } from "./sources/listPosition.js";
 import {
+  getListPosition,
   PeerState,
   type PeerIdentity,
   type LivePeer,
@@ -65,7 +66,7 @@
   readonly #clock: Clock;
   readonly #self: RankedProcess;
   readonly #peers: PeerTable;
-  readonly #getListEpoch: () => number;
+  readonly #getListEpoch: () => ListEpoch;
   readonly #startedMs: number;
   readonly #hostDigests = new Map<string, string>();
   #selfReadUntilMs = -Infinity;
@@ -78,13 +79,13 @@
     self: RankedProcess;
     peers: PeerTable;
     /** Epoch of the list in force; a peer with an older list doesn't count as a reader. */
-    getListEpoch?: () => number;
+    getListEpoch?: () => ListEpoch;
   }) {
     this.#clock = options.clock;
     this.#startedMs = options.clock.now();
     this.#self = options.self;
     this.#peers = options.peers;
-    this.#getListEpoch = options.getListEpoch ?? (() => 0);
+    this.#getListEpoch = options.getListEpoch ?? (() => ({}));
   }
 
   /** Records that a peer failed to share what it read. */
@@ -117,7 +118,7 @@
       .getLiveWithSilence()
       .filter(
         ({ peer }) =>
-          peer.state !== PeerState.Leaving && getEpoch({ epoch: peer.listEpoch }) >= epoch,
+          peer.state !== PeerState.Leaving && !isEpochBefore(getListPosition(peer), epoch),
       );
     if (this.#isLearning(others.length)) {
       return false;
--- a/packages/forwarding/src/UpstreamListTracker.test.ts
+++ b/packages/forwarding/src/UpstreamListTracker.test.ts
@@ -2,8 +2,9 @@
 import { expect } from "chai";
 
 import { DepartedUpstreams } from "./DepartedUpstreams.js";
-import type { ListPosition, Upstream } from "./fleetConfig.js";
+import type { Upstream } from "./fleetConfig.js";
 import { FleetView } from "./FleetView.js";
+import type { ListPosition } from "./sources/listPosition.js";
 import { ManualClock } from "./testing/ManualClock.js";
 import { newUpstream } from "./testing/samples.js";
 import { UpstreamListTracker } from "./UpstreamListTracker.js";
--- a/packages/forwarding/src/UpstreamListTracker.ts
+++ b/packages/forwarding/src/UpstreamListTracker.ts
@@ -2,9 +2,10 @@
 import type { Logger } from "@lycheepulley/telemetry";
 
 import { DepartedUpstreams, type ListCorrections } from "./DepartedUpstreams.js";
-import { getEpoch, isListBefore, type ListPosition, type UpstreamList } from "./fleetConfig.js";
+import type { UpstreamList } from "./fleetConfig.js";
 import type { FleetView } from "./FleetView.js";
 import { ListOutageGuard } from "./ListOutageGuard.js";
+import { isEpochBefore, isListBefore, type ListPosition } from "./sources/listPosition.js";
 import { UpstreamStarts } from "./UpstreamStarts.js";
 
 /** Pause between two reports of lists that are older than the one in force. */
@@ -43,9 +44,15 @@
     this.#departed = new DepartedUpstreams({ clock, upstreamBeatMs });
   }
 
+  /** Position of the list in force; undefined before one is known. */
+  get position(): ListPosition | undefined {
+    const { list } = this.#view;
+    return list.version < 0 ? undefined : list;
+  }
+
   /** True when `list` is of an older epoch than the list in force. */
   isOfOlderEpoch(list: ListPosition): boolean {
-    return getEpoch(list) < getEpoch(this.#view.list);
+    return isEpochBefore(list, this.#view.list);
   }
 
   /** Upstreams in use without those that started again with the newest list, of which nothing is known. */
@@ -59,7 +66,7 @@
     if (this.isOfOlderEpoch(list)) {
       return false;
     }
-    const hasRisen = this.#outageGuard.onList(atMs, getEpoch(list));
+    const hasRisen = this.#outageGuard.onList(atMs, list);
     if (isListBefore(list, this.#view.list)) {
       this.#reportOlder(list);
       return false;
@@ -85,7 +92,7 @@
       this.#logRestored(list, corrections);
       this.#onRestored();
     }
-    this.#position = { epoch: list.epoch, version: list.version };
+    this.#position = { generation: list.generation, epoch: list.epoch, version: list.version };
     return left.length > 0 || joined.length > 0 || hasRisen;
   }
 
@@ -97,16 +104,16 @@
     if (this.isOfOlderEpoch(position)) {
       return;
     }
-    const hasRisen = getEpoch(position) > getEpoch(this.#view.list);
+    const hasRisen = isEpochBefore(this.#view.list, position);
     this.#view.confirmList(position, atMs);
     if (hasRisen || this.#view.isProvisional) {
       this.apply(this.#view.list, atMs);
     } else {
-      this.#outageGuard.onList(atMs, getEpoch(position));
+      this.#outageGuard.onList(atMs, position);
     }
   }
 
-  #reportOlder({ epoch, version, isDirect = false }: UpstreamList): void {
+  #reportOlder({ generation, epoch, version, isDirect = false }: UpstreamList): void {
     const nowMs = this.#clock.now();
     if (nowMs - this.#reportedMs < REPORT_INTERVAL_MS) {
       return;
@@ -114,6 +121,7 @@
     this.#reportedMs = nowMs;
     const { list, listedMs } = this.#view;
     this.#logger.warn("upstream list older than the one in force", {
+      ...(generation !== undefined && { generation }),
       ...{ step: "membership", epoch, listVersion: version, isDirect },
       ...{ epochInForce: list.epoch, listVersionInForce: list.version },
       ageMs: Math.round(nowMs - listedMs),
@@ -123,6 +131,7 @@
   #logRestored(list: UpstreamList, { heldBack, leaving }: ListCorrections): void {
     const listed = new Set(list.upstreams.map(({ id }) => id));
     this.#logger.info("store restored from an older copy", {
+      ...(list.generation !== undefined && { generation: list.generation }),
       ...{ step: "membership", epochBefore: this.#position.epoch, epoch: list.epoch },
       ...{ listVersionBefore: this.#position.version, listVersion: list.version },
       ...{ revision: this.#view.revision, size: this.#view.upstreams.size },
--- a/packages/forwarding/src/evacuations/EvacuationTracker.ts
+++ b/packages/forwarding/src/evacuations/EvacuationTracker.ts
@@ -1,9 +1,9 @@
 import type { Clock } from "@lycheepulley/core";
 import type { Logger } from "@lycheepulley/telemetry";
 
-import { getEpoch, isListBefore } from "../fleetConfig.js";
 import type { FleetView } from "../FleetView.js";
 import type { PeerIdentity } from "../PeerTable.js";
+import { isEpochBefore, isListBefore, type ListPosition } from "../sources/listPosition.js";
 import {
   MAX_STATED_BYTES,
   MAX_STATED_LENGTH,
@@ -41,6 +41,11 @@
     return !this.#isSourced || this.#evacuations.list !== undefined;
   }
 
+  /** Position of the newest list; undefined before one is known. */
+  get position(): ListPosition | undefined {
+    return this.#evacuations.list;
+  }
+
   /** Number of evacuated domains. */
   get count(): number {
     return this.#evacuations.inForce.size;
@@ -59,7 +64,8 @@
       return undefined;
     }
     return {
-      ...(list.epoch === undefined ? {} : { epoch: list.epoch }),
+      ...(list.generation !== undefined && { generation: list.generation }),
+      ...(list.epoch !== undefined && { epoch: list.epoch }),
       ...{ version: list.version, domains: this.#selectStated(list.domains) },
       ...(held.length > 0 && { held: this.#selectStated(held) }),
     };
@@ -94,8 +100,7 @@
     const { list } = this.#evacuations;
     const held = stated.held ?? [];
     if (list && isListBefore(stated, list)) {
-      const isEpochBefore = getEpoch(stated) < getEpoch(list);
-      const domains = isEpochBefore ? [...stated.domains, ...held] : held;
+      const domains = isEpochBefore(stated, list) ? [...stated.domains, ...held] : held;
       return this.#record(host, this.#evacuations.hold(domains, nowMs));
     }
     const atMs = reads.configMs === undefined ? -Infinity : nowMs - reads.configMs;
--- a/packages/forwarding/src/evacuations/Evacuations.ts
+++ b/packages/forwarding/src/evacuations/Evacuations.ts
@@ -1,4 +1,4 @@
-import { getEpoch, isListBefore } from "../fleetConfig.js";
+import { isEpochBefore, isListBefore } from "../sources/listPosition.js";
 import type { EvacuationList } from "./evacuationList.js";
 
 /**
@@ -68,7 +68,7 @@
       return NO_CHANGE;
     }
     const listed = new Set(list.domains);
-    if (!this.#list || getEpoch(list) > getEpoch(this.#list)) {
+    if (!this.#list || isEpochBefore(this.#list, list)) {
       this.#startEpoch(nowMs);
     } else {
       for (const domain of [
--- a/packages/forwarding/src/evacuations/evacuationList.ts
+++ b/packages/forwarding/src/evacuations/evacuationList.ts
@@ -1,6 +1,6 @@
 import { z } from "zod";
 
-import type { ListPosition } from "../fleetConfig.js";
+import { listPositionSchema, type ListPosition } from "../sources/listPosition.js";
 
 /** Failure domains that operators evacuate, as the service that holds the requests lists them. */
 export interface EvacuationList extends ListPosition {
@@ -8,9 +8,7 @@
 }
 
 /** What a process knows of evacuations, as it states it in its heartbeats. */
-export const evacuationStatementSchema = z.object({
-  epoch: z.number().optional(),
-  version: z.number(),
+export const evacuationStatementSchema = listPositionSchema.extend({
   domains: z.array(z.string()),
   /** Domains that are evacuated though the list, restored from an older copy, lacks them for now. */
   held: z.array(z.string()).optional(),
--- a/packages/forwarding/src/fleetConfig.ts
+++ b/packages/forwarding/src/fleetConfig.ts
@@ -1,5 +1,7 @@
 import { z } from "zod";
 
+import { listPositionSchema } from "./sources/listPosition.js";
+
 /** Whether a request may be run again when it may already have run. */
 export const Repeat = {
   /** May run any number of times. */
@@ -139,26 +141,10 @@
 };
 
 /** Upstreams at one time. Positions are compared with `isListBefore`. */
-export const upstreamListSchema = z.object({
-  /**
-   * Rises when the service that lists the upstreams was restored from an older
-   * copy; versions are comparable only within one epoch. Absent for a service without epochs.
-   */
-  epoch: z.number().optional(),
-  version: z.number(),
+export const upstreamListSchema = listPositionSchema.extend({
   upstreams: z.array(upstreamSchema),
 });
 export type UpstreamList = z.infer<typeof upstreamListSchema> & {
   /** This process read it from the listing service itself, so that its times are those of the entries. */
   readonly isDirect?: boolean;
 };
-
-/** Position of a list: its epoch and its version within that. */
-export type ListPosition = Pick<UpstreamList, "epoch" | "version">;
-
-/** Epoch of a position; 0 without one. */
-export const getEpoch = ({ epoch }: Pick<ListPosition, "epoch">): number => epoch ?? 0;
-
-/** True when the position `one` is older than `other`. */
-export const isListBefore = (one: ListPosition, other: ListPosition): boolean =>
-  getEpoch(one) === getEpoch(other) ? one.version < other.version : getEpoch(one) < getEpoch(other);
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -23,6 +23,8 @@
 export * from "./explain/explainPlacement.js";
 export * from "./explain/PlacementSnapshot.js";
 export * from "./fleetConfig.js";
+export * from "./sources/listPosition.js";
+export * from "./sources/ReadOrder.js";
 export * from "./FleetView.js";
 export * from "./Forwarder.js";
 export * from "./forwardDependencies.js";
