--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -21,6 +21,7 @@
 export * from "./protections.js";
 export * from "./random.js";
 export * from "./requests.js";
+export * from "./ResponseTimeout.js";
 export * from "./rollout.js";
 export * from "./retryBudget.js";
 export * from "./suspects.js";
--- a/packages/daemon/src/gateway/FleetStateSync.ts
+++ b/packages/daemon/src/gateway/FleetStateSync.ts
@@ -1,4 +1,4 @@
-import { getMessage, sleep, type Clock, type Random } from "@lycheepulley/core";
+import { getMessage, ResponseTimeout, sleep, type Clock, type Random } from "@lycheepulley/core";
 import {
   getListPosition,
   isEpochBefore,
@@ -21,7 +21,8 @@
 /** A fetch is delayed by a random time, at most this for each live peer. */
 const JITTER_MS_PER_PEER = 3;
 const MIN_JITTER_MS = 30;
-const FETCH_TIMEOUT_MS = 700;
+const MIN_FETCH_TIMEOUT_MS = 700;
+const MAX_FETCH_TIMEOUT_MS = 5_000;
 /** Time for which a process waits for newer state within its failure domain, and between two looks. */
 const DOMAIN_WAIT_MS = 400;
 const DOMAIN_LOOK_MS = 50;
@@ -57,6 +58,10 @@
   readonly #onFetchFailed: () => void;
   readonly #failureDomain: string;
   readonly #getRole: () => RelayRole;
+  readonly #timeout = new ResponseTimeout({
+    minMs: MIN_FETCH_TIMEOUT_MS,
+    maxMs: MAX_FETCH_TIMEOUT_MS,
+  });
   #isFetching = false;
 
   constructor(options: {
@@ -177,12 +182,15 @@
     }
     const origin = `http://${peer.host}:${String(this.#port)}`;
     let client: NodeClient | undefined;
+    const { ms: timeoutMs } = this.#timeout;
+    const startMs = this.#clock.now();
     try {
       // Throws when a heartbeat gave a host that is no address.
       client = new NodeClient({ name: peer.host, origin });
       const { revision, listDigest } = this.#view;
       const known = { revision, listDigest };
-      const state = await client.call(fleetStateMethod, known, { timeoutMs: FETCH_TIMEOUT_MS });
+      const state = await client.call(fleetStateMethod, known, { timeoutMs });
+      this.#timeout.observe(this.#clock.now() - startMs);
       this.#logger.info("fleet state fetched from peer", {
         ...{ step: "membership", peer: peer.host },
         ...{ hasConfig: state.config !== undefined, listVersion: state.list?.version },
@@ -195,6 +203,9 @@
         this.#onList(state.list, this.#clock.now() - state.listAgeMs);
       }
     } catch (err) {
+      if (this.#clock.now() - startMs >= timeoutMs) {
+        this.#timeout.onTimeout();
+      }
       this.#configTracker.onFetchFailed(peer.host, getMessage(err));
       this.#onFetchFailed();
       this.#logger.warn("fetching fleet state from peer failed", {
--- a/packages/forwarding/src/ListOutageGuard.ts
+++ b/packages/forwarding/src/ListOutageGuard.ts
@@ -10,6 +10,8 @@
  */
 const MIN_OUTAGE_HEARTBEATS = 2;
 const OUTAGE_MARGIN_MS = 200;
+/** Most of the time between two lists that counts as time in which an upstream could have been listed again. */
+const MAX_STEP_MS = 1_000;
 
 /**
  * Decides which upstreams stay in use although a list lacks them. While the
@@ -23,6 +25,9 @@
   #lastListMs: number | undefined;
   #epoch: ListEpoch | undefined;
   #retainUntilMs = -Infinity;
+  /** Time for which lists have lacked upstreams in use, and when the newest of these lists was current. */
+  readonly #missingMs = new Map<string, number>();
+  #countedMs: number | undefined;
 
   constructor(options: { clock: Clock; upstreamBeatMs: number }) {
     this.#clock = options.clock;
@@ -37,17 +42,37 @@
     if (wasOut || hasRisen) {
       this.#retainUntilMs = this.#clock.now() + RELIST_MS;
     }
+    if (hasRisen) {
+      this.#missingMs.clear();
+    }
     this.#epoch = this.#epoch === undefined || hasRisen ? next : this.#epoch;
     this.#lastListMs = Math.max(atMs, this.#lastListMs ?? -Infinity);
     return hasRisen;
   }
 
   /**
-   * The known upstreams while the newest list is of shortly after an outage, otherwise none.
-   * Time without a newer list doesn't count: the service may be out again.
+   * The upstreams in use that stay so although the newest list lacks them, shortly after an outage.
+   * Time without a newer list doesn't count: the service may be out again. A service that is slow
+   * looks like one outage after the other, and retains none for good.
    */
-  getRetained(known: Iterable<string>): ReadonlySet<string> {
-    const isRetaining = (this.#lastListMs ?? -Infinity) < this.#retainUntilMs;
-    return isRetaining ? new Set(known) : new Set();
+  getRetained(
+    inUse: Iterable<string>,
+    listed: ReadonlySet<string> = new Set(),
+  ): ReadonlySet<string> {
+    const listMs = this.#lastListMs ?? 0;
+    const stepMs = Math.min(MAX_STEP_MS, listMs - (this.#countedMs ?? listMs));
+    this.#countedMs = listMs;
+    const isRetaining = listMs < this.#retainUntilMs;
+    const missing = [...inUse].filter((id) => !listed.has(id));
+    const before = new Map(this.#missingMs);
+    this.#missingMs.clear();
+    return new Set(
+      missing.filter((id) => {
+        const knownMs = before.get(id);
+        const missingMs = knownMs === undefined ? 0 : knownMs + stepMs;
+        this.#missingMs.set(id, missingMs);
+        return isRetaining && missingMs < RELIST_MS;
+      }),
+    );
   }
 }
--- a/packages/forwarding/src/UpstreamListTracker.test.ts
+++ b/packages/forwarding/src/UpstreamListTracker.test.ts
@@ -280,6 +280,18 @@
   });
 });
 
+describe("UpstreamListTracker with a slow service", () => {
+  // Guards against requests to an upstream that left, as each list seems to follow an outage.
+  it("drops an upstream that left, although lists come seconds apart", async () => {
+    const harness = new TrackerHarness();
+    for (const entries of [["a", "b"], ["a", "b"], ["a"], ["a"], ["a"]]) {
+      harness.apply(1, entries);
+      await harness.clock.advance(3_000);
+    }
+    expect(harness.available).to.equal("a");
+  });
+});
+
 describe("DepartedUpstreams", () => {
   const NONE = { heldBack: new Set<string>(), leaving: new Set<string>() };
 
--- a/packages/forwarding/src/UpstreamListTracker.ts
+++ b/packages/forwarding/src/UpstreamListTracker.ts
@@ -76,7 +76,10 @@
       this.#departed.forget(id);
       this.#view.forgetLeaving(id);
     });
-    const retained = this.#outageGuard.getRetained(this.#view.upstreams.keys());
+    const retained = this.#outageGuard.getRetained(
+      this.#view.upstreams.keys(),
+      new Set(list.upstreams.map(({ id }) => id)),
+    );
     const corrections = this.#departed.getCorrections(list, atMs);
     const { joined, left } = this.#view.applyUpstreams(list, atMs, retained, corrections);
     this.#departed.record(list, corrections, this.#view.upstreams);
