Start by the last usable configuration that the store retains

Callers saw: 503 at every process that started while the newest record couldn't be used, until somebody wrote a valid one. Cause: the validity of a start hung on the newest record alone; the records before it were never looked at.

--- a/packages/daemon/src/gateway/SourceFeed.ts
+++ b/packages/daemon/src/gateway/SourceFeed.ts
@@ -1,7 +1,8 @@
-import type { Clock, Random } from "@lycheepulley/core";
+import { getMessage, sleep, type Clock, type Random } from "@lycheepulley/core";
 import {
   ReadOrder,
   SourceGenerations,
+  type ConfigRecord,
   type EvacuationTracker,
   type FleetConfigTracker,
   type PeerIdentity,
@@ -16,6 +17,8 @@
 
 /** Time over which processes read the peer list again after its service was restored. */
 const PEERS_REREAD_SPREAD_MS = 2_000;
+/** Pause before earlier configurations are read again after a failure. */
+const EARLIER_CONFIGS_PAUSE_MS = 500;
 
 /** Reads configuration, upstreams and peers while this process is one of those that read them. */
 export class SourceFeed {
@@ -34,6 +37,8 @@
   readonly #generations = new SourceGenerations();
   readonly #listOrder: ReadOrder;
   readonly #evacuationOrder: ReadOrder;
+  readonly #abort = new AbortController();
+  #isLookingBack = false;
   /** When to read the peer list, which may lack this process, even if it isn't a reader. */
   #peersDueMs = Infinity;
 
@@ -106,9 +111,8 @@
         this.#configTracker.onSourceRead();
       },
       onValue: (record) => {
-        if (this.#configTracker.onRead(record)) {
-          this.#onConfig();
-        }
+        this.#applyConfig(record, "own read");
+        void this.#lookBack();
       },
       onConnectionChange: this.#newConnectionLogger("configuration"),
     });
@@ -147,12 +151,45 @@
   }
 
   stop(): void {
+    this.#abort.abort();
     this.#sources.evacuations?.stop();
     this.#sources.config.stop();
     this.#sources.upstreams.stop();
     this.#sources.peers.stop();
   }
 
+  #applyConfig(record: ConfigRecord, via: string): void {
+    if (this.#configTracker.onRead(record, via)) {
+      this.#onConfig();
+    }
+  }
+
+  /** Puts the newest usable configuration in force that the source had before, while there is none. */
+  async #lookBack(): Promise<void> {
+    const { readEarlierConfigs } = this.#sources;
+    const { signal } = this.#abort;
+    if (!readEarlierConfigs || this.#isLookingBack) {
+      return;
+    }
+    this.#isLookingBack = true;
+    while (!this.#configTracker.isKnown && !signal.aborted) {
+      try {
+        for (const record of await readEarlierConfigs()) {
+          if (!this.#configTracker.isKnown) {
+            this.#applyConfig(record, "earlier record");
+          }
+        }
+        break;
+      } catch (err) {
+        this.#logger.warn("reading earlier configurations failed", {
+          ...{ step: "config_read_back", err: getMessage(err) },
+        });
+        await sleep(this.#clock, EARLIER_CONFIGS_PAUSE_MS, signal);
+      }
+    }
+    this.#isLookingBack = false;
+  }
+
   #tellIf(haveEvacuationsChanged: boolean): void {
     if (haveEvacuationsChanged) {
       this.#onEvacuations();
--- a/packages/daemon/src/gateway/types.ts
+++ b/packages/daemon/src/gateway/types.ts
@@ -31,6 +31,8 @@
 export interface GatewaySources {
   readonly config: Source<ConfigRecord>;
   readonly upstreams: Source<UpstreamList & ReadPosition>;
+  /** Configurations that the source has held, as far as it still retains them, the newest first. */
+  readonly readEarlierConfigs?: () => Promise<readonly ConfigRecord[]>;
   /** Hosts of other entry processes. */
   readonly peers: Source<readonly string[]>;
   /**
--- a/packages/forwarding/src/config/FleetConfigTracker.ts
+++ b/packages/forwarding/src/config/FleetConfigTracker.ts
@@ -148,9 +148,14 @@
     return revision > this.#view.revision && !this.#refusedOfPeers.has(revision);
   }
 
+  /** True once a configuration is in force. */
+  get isKnown(): boolean {
+    return this.#view.table !== undefined;
+  }
+
   /** Takes a record that this process read itself; true when it is in force now. */
-  onRead({ value, ignored, nameField }: ConfigRecord): boolean {
-    const outcome = this.#take(value, { via: "own read", ageMs: 0, ignored }, nameField);
+  onRead({ value, ignored, nameField }: ConfigRecord, via = "own read"): boolean {
+    const outcome = this.#take(value, { via, ageMs: 0, ignored }, nameField);
     return outcome === Outcome.InForce;
   }
 
