Soak a store that begins again, is slow, or starts with an unusable record

The soak of configurations held neither lists nor evacuations to anything, and its store never went back. A read that is repeated takes an answer also when a later call was refused.

--- a/packages/cli/src/commands/faultSoak.ts
+++ b/packages/cli/src/commands/faultSoak.ts
@@ -38,6 +38,10 @@
       type: "boolean",
       help: "Instead: configurations change, valid and not, beside restarts and moves of the store",
     },
+    restarts: {
+      type: "boolean",
+      help: "As --configs, and the store begins again at lower offsets and is slow, too",
+    },
     processes: { type: "number", default: 3, help: "Number of gateway processes" },
     beside: {
       type: "string",
@@ -66,7 +70,8 @@
       hasWarmUp: ctx.getBoolean("warmups"),
       isHushed: ctx.getBoolean("hushed"),
       hasEndings: ctx.getBoolean("endings"),
-      hasConfigs: ctx.getBoolean("configs"),
+      hasConfigs: ctx.getBoolean("configs") || ctx.getBoolean("restarts"),
+      hasStoreRestarts: ctx.getBoolean("restarts"),
       processes,
       ...(beside !== undefined && { besideFile: await buildCommit(beside) }),
       ...(commit !== undefined && { program: await buildCommit(commit) }),
--- a/packages/core/src/ResponseTimeout.test.ts
+++ b/packages/core/src/ResponseTimeout.test.ts
@@ -106,6 +106,11 @@
     });
   }
 
+  it("takes an answer although a later call was refused", async () => {
+    const { outcome, ms } = await run([2_500, new Error("too many calls")]);
+    expect([outcome, ms]).to.deep.equal([0, 2_500]);
+  });
+
   it("rejects with an error at once", async () => {
     const { outcome, ms } = await run([new Error("refused")]);
     expect([(outcome as Error).message, ms]).to.deep.equal(["refused", 0]);
--- a/packages/core/src/ResponseTimeout.ts
+++ b/packages/core/src/ResponseTimeout.ts
@@ -55,10 +55,16 @@
   }
 }
 
+/** The first answer; rejects with the error of the newest call once all have failed. */
+const getFirst = <T>(calls: readonly Promise<T>[]): Promise<T> =>
+  Promise.any(calls).catch((err: unknown) => {
+    throw err instanceof AggregateError ? err.errors.at(-1) : err;
+  });
+
 /**
  * Makes an idempotent call, and again whenever its answer is overdue, while the earlier ones go on: a
  * dependency may be slow, or the connection dead. Resolves to the first answer and aborts the others; rejects
- * with the first error.
+ * with the newest error once all calls have failed.
  *
  * @throws {NoAnswerError} when there is no answer `limitMs` after the first call
  */
@@ -87,7 +93,7 @@
       calls.push(attempt);
       const waited = new AbortController();
       const overdue = sleep(clock, Math.min(timeout.ms, leftMs), waited.signal);
-      const first = await Promise.race([...calls, overdue]).finally(() => {
+      const first = await Promise.race([getFirst(calls), overdue]).finally(() => {
         waited.abort();
       });
       if (first) {
