--- a/packages/core/src/vms.ts
+++ b/packages/core/src/vms.ts
@@ -29,7 +29,14 @@
   /** Ids of VMs that were removed; empty for a whole list. */
   removed: z.array(z.string()),
 });
-export type VmList = z.infer<typeof vmListSchema>;
+export type VmList = z.infer<typeof vmListSchema> & {
+  /** Number of times that the service began again at lower versions, as its client saw; 0 when absent. */
+  readonly generation?: number;
+};
+
+/** True when `one` is newer than `other`; versions are comparable only within one generation. */
+export const isNewerVmList = (one: VmList, other: VmList): boolean =>
+  ((one.generation ?? 0) - (other.generation ?? 0) || one.version - other.version) > 0;
 
 /** Applies a response to the known list and returns the whole list; ignores stale responses. */
 export const foldVmList = (known: VmList | undefined, answer: VmList): VmList => {
--- a/packages/daemon/src/VmListWatcher.ts
+++ b/packages/daemon/src/VmListWatcher.ts
@@ -1,4 +1,4 @@
-import type { Clock, TrafficMeter, VmList } from "@lycheepulley/core";
+import { isNewerVmList, type Clock, type TrafficMeter, type VmList } from "@lycheepulley/core";
 import { Poller } from "@lycheepulley/streams";
 import { HttpVmListClient } from "@lycheepulley/vmlist";
 
@@ -25,7 +25,7 @@
     const newVersions = this.#poller.results
       .filter((polled) => polled.ok)
       .map((polled) => polled.value)
-      .skipRepeatsWith((a, b) => a.version === b.version);
+      .skipRepeatsWith((a, b) => !isNewerVmList(b, a));
     void newVersions.observe(onList);
   }
 
--- a/packages/serving/src/upstreams/UpstreamDirectory.ts
+++ b/packages/serving/src/upstreams/UpstreamDirectory.ts
@@ -1,4 +1,4 @@
-import { VmRole, VmState, type Vm, type VmList } from "@lycheepulley/core";
+import { isNewerVmList, VmRole, VmState, type Vm, type VmList } from "@lycheepulley/core";
 import type { EngineClient } from "@lycheepulley/engines";
 import type { ServiceClient } from "@lycheepulley/services";
 import { Publisher } from "@lycheepulley/streams";
@@ -44,7 +44,7 @@
 
   /** Applies an answer of the VM list, unless its version is not newer. */
   applyList(list: VmList): void {
-    if (list.version <= this.version) {
+    if (this.#list && !isNewerVmList(list, this.#list)) {
       return;
     }
     this.#list = list;
