--- a/packages/vmlist/src/VmListClient.test.ts
+++ b/packages/vmlist/src/VmListClient.test.ts
@@ -39,7 +39,8 @@
     it(name, async () => {
       versions = [...answered];
       const lists: VmList[] = [];
-      for (let poll = 0; poll < answered.length; poll += 1) {
+      const polls = answered.values();
+      while (polls.next().done !== true) {
         const list = await client.fetchVms();
         const last = lists.at(-1);
         if (!last || isNewerVmList(list, last)) {
