Take the newest usable configuration, and know a slow list from an outage

Callers saw: 404 for a route that the store had confirmed, since the record after it couldn't be used and only the newest one was ever read; requests at an upstream that had left, while answers took 2.5 s. Cause: the validity of a configuration hung on the record behind it; an outage was told by the time between two lists, which a slow service stretches as well. Change: after a refused record, not only at a start, the history is read back. A list carries the time at which the call that was answered was sent: a call sent soon after the list before shows that the service was slow. Refusals are remembered, so that the history logs each once.

--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -140,8 +140,8 @@
       evacuations: this.#evacuations,
       ...{ onEvacuations: announce, onConfig: announce },
       configTracker: this.#configTracker,
-      onUpstreams: (list) =>
-        this.#applyUpstreams(list, clock.now()) && this.#peerExchange.announce(),
+      onUpstreams: (list, sentMs) =>
+        this.#applyUpstreams(list, clock.now(), sentMs) && this.#peerExchange.announce(),
       onPeers: (hosts) => {
         this.#peers.addHosts(hosts);
       },
@@ -331,8 +331,8 @@
   }
 
   /** Applies an upstream list that was current at `atMs`; true when upstreams or the epoch changed. */
-  #applyUpstreams(list: UpstreamList, atMs: number): boolean {
-    const hasChanged = this.#listTracker.apply(list, atMs);
+  #applyUpstreams(list: UpstreamList, atMs: number, sentMs?: number): boolean {
+    const hasChanged = this.#listTracker.apply(list, atMs, sentMs);
     const ids = this.#listTracker.lasting;
     this.#health.retain(ids);
     this.#evidence.retain(ids);
--- a/packages/daemon/src/gateway/SourceFeed.ts
+++ b/packages/daemon/src/gateway/SourceFeed.ts
@@ -32,7 +32,7 @@
   readonly #onEvacuations: () => void;
   readonly #configTracker: FleetConfigTracker;
   readonly #onConfig: () => void;
-  readonly #onUpstreams: (list: UpstreamList) => void;
+  readonly #onUpstreams: (list: UpstreamList, sentMs: number | undefined) => void;
   readonly #onPeers: (hosts: readonly string[]) => void;
   readonly #generations = new SourceGenerations();
   readonly #listOrder: ReadOrder;
@@ -55,7 +55,8 @@
     configTracker: FleetConfigTracker;
     /** Called when a read put a configuration in force. */
     onConfig: () => void;
-    onUpstreams: (list: UpstreamList) => void;
+    /** Called with a list, and the time at which it was asked for where that is known. */
+    onUpstreams: (list: UpstreamList, sentMs: number | undefined) => void;
     onPeers: (hosts: readonly string[]) => void;
   }) {
     this.#clock = options.clock;
@@ -129,7 +130,7 @@
         if (list === undefined || this.#listTracker.isOfOlderEpoch(list)) {
           this.#readerSelection.onStaleRead("list");
         } else {
-          this.#onUpstreams(list);
+          this.#onUpstreams(list, read.sentMs);
         }
         return list !== undefined;
       },
@@ -158,13 +159,15 @@
     this.#sources.peers.stop();
   }
 
-  #applyConfig(record: ConfigRecord, via: string): void {
-    if (this.#configTracker.onRead(record, via)) {
+  #applyConfig(record: ConfigRecord, via: string): boolean {
+    const isInForce = this.#configTracker.onRead(record, via);
+    if (isInForce) {
       this.#onConfig();
     }
+    return isInForce;
   }
 
-  /** Puts the newest usable configuration in force that the source had before, while there is none. */
+  /** Puts the newest usable configuration in force that the source had before one that was refused. */
   async #lookBack(): Promise<void> {
     const { readEarlierConfigs } = this.#sources;
     const { signal } = this.#abort;
@@ -172,13 +175,10 @@
       return;
     }
     this.#isLookingBack = true;
-    while (!this.#configTracker.isKnown && !signal.aborted) {
+    while (this.#configTracker.isNewestRefused && !signal.aborted) {
       try {
-        for (const record of await readEarlierConfigs()) {
-          if (!this.#configTracker.isKnown) {
-            this.#applyConfig(record, "earlier record");
-          }
-        }
+        const records = await readEarlierConfigs();
+        records.find((record) => this.#applyConfig(record, "earlier record"));
         break;
       } catch (err) {
         this.#logger.warn("reading earlier configurations failed", {
@@ -210,8 +210,8 @@
 const withGeneration = <T extends ReadPosition>(
   read: T,
   order: ReadOrder,
-): Omit<T, "entryVersions"> | undefined => {
-  const { entryVersions, ...list } = read;
-  const generation = order.getGeneration({ ...list, entryVersions });
+): Omit<T, "entryVersions" | "sentMs"> | undefined => {
+  const { entryVersions, sentMs, ...list } = read;
+  const generation = order.getGeneration({ ...list, entryVersions, sentMs });
   return generation === undefined ? undefined : { ...list, ...(generation > 0 && { generation }) };
 };
--- a/packages/forwarding/src/ListOutageGuard.ts
+++ b/packages/forwarding/src/ListOutageGuard.ts
@@ -34,9 +34,12 @@
     this.#minOutageMs = MIN_OUTAGE_HEARTBEATS * options.upstreamBeatMs - OUTAGE_MARGIN_MS;
   }
 
-  /** Records a list of an epoch that was current at `atMs`; true when the epoch rose. */
-  onList(atMs: number, { generation, epoch }: ListEpoch = {}): boolean {
-    const wasOut = this.#lastListMs !== undefined && atMs - this.#lastListMs >= this.#minOutageMs;
+  /**
+   * Records a list of an epoch that was current at `atMs`; true when the epoch rose. A service that answered a
+   * call sent at `sentMs`, soon after the list before, was slow and not out.
+   */
+  onList(atMs: number, { generation, epoch }: ListEpoch = {}, sentMs = atMs): boolean {
+    const wasOut = this.#lastListMs !== undefined && sentMs - this.#lastListMs >= this.#minOutageMs;
     const next = { generation, epoch };
     const hasRisen = this.#epoch !== undefined && isEpochBefore(this.#epoch, next);
     if (wasOut || hasRisen) {
--- a/packages/forwarding/src/UpstreamListTracker.test.ts
+++ b/packages/forwarding/src/UpstreamListTracker.test.ts
@@ -47,10 +47,16 @@
   }
 
   /** Applies a list; each one has a greater version than the one before, unless given. */
-  apply(epoch: number | undefined, entries: readonly Entry[], version?: number): boolean {
+  apply(
+    epoch: number | undefined,
+    entries: readonly Entry[],
+    version?: number,
+    sentMs?: number,
+  ): boolean {
     this.#version = version ?? this.#version + 1;
     const upstreams = entries.map(toUpstream);
-    return this.#tracker.apply({ epoch, version: this.#version, upstreams }, this.clock.now());
+    const list = { epoch, version: this.#version, upstreams };
+    return this.#tracker.apply(list, this.clock.now(), sentMs);
   }
 
   /** A peer confirms the list, which it read `ageMs` ago. */
@@ -290,6 +296,14 @@
     }
     expect(harness.available).to.equal("a");
   });
+
+  it("drops it at once when the list is known to be slow", async () => {
+    const harness = new TrackerHarness();
+    harness.apply(1, ["a", "b"]);
+    await harness.clock.advance(3_000);
+    harness.apply(1, ["a"], undefined, harness.clock.now() - 2_500);
+    expect(harness.available).to.equal("a");
+  });
 });
 
 describe("DepartedUpstreams", () => {
--- a/packages/forwarding/src/UpstreamListTracker.ts
+++ b/packages/forwarding/src/UpstreamListTracker.ts
@@ -60,13 +60,16 @@
     return new Set([...this.#view.upstreams.keys()].filter((id) => !this.#restarted.has(id)));
   }
 
-  /** Applies a list that was current at `atMs`; true when upstreams or the epoch changed. */
-  apply(list: UpstreamList, atMs: number): boolean {
+  /**
+   * Applies a list that was current at `atMs`, and asked for at `sentMs` where that is known; true when
+   * upstreams or the epoch changed.
+   */
+  apply(list: UpstreamList, atMs: number, sentMs = atMs): boolean {
     this.#restarted = new Set();
     if (this.isOfOlderEpoch(list)) {
       return false;
     }
-    const hasRisen = this.#outageGuard.onList(atMs, list);
+    const hasRisen = this.#outageGuard.onList(atMs, list, sentMs);
     if (isListBefore(list, this.#view.list)) {
       this.#reportOlder(list);
       return false;
--- a/packages/forwarding/src/config/FleetConfigTracker.ts
+++ b/packages/forwarding/src/config/FleetConfigTracker.ts
@@ -15,7 +15,7 @@
 const REPORT_INTERVAL_MS = 5_000;
 /** Faults, or fields that aren't known, named in one line. */
 const MAX_LOGGED = 8;
-/** Refused revisions of peers that are remembered. */
+/** Refusals, and refused revisions of peers, that are remembered. */
 const MAX_REFUSED = 64;
 
 /** A configuration as it was read from its source, not checked yet. */
@@ -67,6 +67,15 @@
   readonly ignored?: readonly string[];
 }
 
+/** Adds an item to a set, and drops the oldest one beyond `count`. */
+const rememberAtMost = <T>(items: Set<T>, item: T, count: number): void => {
+  items.add(item);
+  const [oldest] = items;
+  if (items.size > count && oldest !== undefined) {
+    items.delete(oldest);
+  }
+};
+
 /** Revision that a value names; undefined for none that could be in force. */
 const getRevision = (value: unknown): number | undefined => {
   const revision = isJsonObject(value) ? value["revision"] : undefined;
@@ -94,8 +103,9 @@
   #reason = "not fetched yet";
   #reportedMs = -Infinity;
   #refused = 0;
-  /** Last refusal that was logged; the source is read again without a change. */
-  #lastRefusal = "";
+  #isNewestRefused = false;
+  /** Refusals that were logged, the newest last; the source is read again without a change. */
+  readonly #refusals = new Set<string>();
   /** Revisions that peers have in force and that were refused here. */
   readonly #refusedOfPeers = new Set<number>();
   #lastIgnored = "";
@@ -148,14 +158,15 @@
     return revision > this.#view.revision && !this.#refusedOfPeers.has(revision);
   }
 
-  /** True once a configuration is in force. */
-  get isKnown(): boolean {
-    return this.#view.table !== undefined;
+  /** True while the newest record that this process read itself was refused. */
+  get isNewestRefused(): boolean {
+    return this.#isNewestRefused;
   }
 
   /** Takes a record that this process read itself; true when it is in force now. */
   onRead({ value, ignored, nameField }: ConfigRecord, via = "own read"): boolean {
     const outcome = this.#take(value, { via, ageMs: 0, ignored }, nameField);
+    this.#isNewestRefused = outcome === Outcome.Refused;
     return outcome === Outcome.InForce;
   }
 
@@ -163,11 +174,7 @@
   onFetched({ value, from, announced, ageMs }: FetchedConfig): boolean {
     const outcome = this.#take(value, { via: from, ageMs }, (path) => path);
     if (outcome === Outcome.Refused) {
-      this.#refusedOfPeers.add(announced);
-      const [oldest] = this.#refusedOfPeers;
-      if (this.#refusedOfPeers.size > MAX_REFUSED && oldest !== undefined) {
-        this.#refusedOfPeers.delete(oldest);
-      }
+      rememberAtMost(this.#refusedOfPeers, announced, MAX_REFUSED);
     }
     return outcome === Outcome.InForce;
   }
@@ -222,10 +229,10 @@
 
   #refuse(revision: number | undefined, faults: readonly string[], via: string): void {
     const refusal = JSON.stringify([revision, faults]);
-    if (refusal === this.#lastRefusal) {
+    if (this.#refusals.has(refusal)) {
       return;
     }
-    this.#lastRefusal = refusal;
+    rememberAtMost(this.#refusals, refusal, MAX_REFUSED);
     this.#refused += 1;
     this.#logger.error("configuration refused", {
       ...{ step: "config_read_back", revision, inForce: this.#view.revision, via },
--- a/packages/forwarding/src/sources/ReadOrder.ts
+++ b/packages/forwarding/src/sources/ReadOrder.ts
@@ -32,6 +32,8 @@
 export interface ReadPosition extends ListPosition {
   /** Version at which each entry was written; absent where that isn't known. */
   readonly entryVersions?: ReadonlyMap<string, number> | undefined;
+  /** Monotonic time at which the call that was answered was sent; absent where that isn't known. */
+  readonly sentMs?: number | undefined;
 }
 
 /** True unless `after` shows that the log isn't the one that `before` was read from. */
