Log how answers are framed and how their connections end

Cause: the log couldn't tell an answer without framing from a framed one, nor an orderly close from a reset that comes with data, which libuv reports as an orderly end. Change: one place (core, answerEnd.ts) names framing, closing and end of an answer; ConnectionEnd asks the system for the peer at the end of a connection; 'send ended' has all three. No decision depends on them yet.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -14,7 +14,7 @@
   nodes: ["core", "http", "streams"],
   forwarding: ["core", "telemetry"],
   simulation: ["core", "forwarding", "telemetry"],
-  upstreams: ["core", "forwarding"],
+  upstreams: ["core", "forwarding", "http"],
   callers: ["core", "http", "telemetry", "forwarding"],
   serving: [
     "core",
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./answerEnd.js";
 export * from "./answerStream.js";
 export * from "./classify.js";
 export * from "./clock.js";
--- a/packages/forwarding/src/ForwardJob.test.ts
+++ b/packages/forwarding/src/ForwardJob.test.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 
 import type { Route } from "./fleetConfig.js";
+import { endAnswer } from "./testing/FakeUpstreams.js";
 import { SAFE, ForwarderHarness, STREAM, UNSAFE } from "./testing/ForwarderHarness.js";
 
 describe("Forwarder: prompts larger than one engine", () => {
@@ -16,7 +17,7 @@
     expect(harness.memoryCalls.length).to.equal(2 * reserved);
     harness.transport.startStream();
     harness.transport.sendEvents(1);
-    harness.transport.last.observer.onEnd();
+    endAnswer(harness.transport.last);
     await harness.settle();
     const ids = new Set(harness.memoryCalls.map((call) => call.replace(/^\w+ /, "")));
     const released = harness.memoryCalls.filter((call) => call.startsWith("release"));
--- a/packages/forwarding/src/Forwarder.test.ts
+++ b/packages/forwarding/src/Forwarder.test.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
 
+import { endAnswer } from "./testing/FakeUpstreams.js";
 import { SAFE, ForwarderHarness, STREAM, UNSAFE } from "./testing/ForwarderHarness.js";
 
 describe("Forwarder: streams", () => {
@@ -14,7 +15,7 @@
     expect(harness.resumedAfter).to.equal("2");
     harness.transport.startStream(["seal", "second"]);
     harness.transport.sendEvents(3, 4);
-    harness.transport.last.observer.onEnd();
+    endAnswer(harness.transport.last);
     await harness.settle();
     expect(harness.caller.headers).to.include("first");
     expect(harness.caller.body.match(/id: \d/g)).to.deep.equal([
@@ -43,7 +44,7 @@
     await harness.request(STREAM, 5_000);
     harness.transport.startStream();
     harness.transport.last.observer.onData(Buffer.from("id: 1\ndata: x\n\nid: 2\nda"));
-    harness.transport.last.observer.onEnd();
+    endAnswer(harness.transport.last);
     await harness.settle();
     expect(harness.resumedAfter).to.equal("1");
   });
--- a/packages/forwarding/src/RequestLog.ts
+++ b/packages/forwarding/src/RequestLog.ts
@@ -69,13 +69,13 @@
 
   logSendEnd(
     peer: string,
-    { result, reason }: SendOutcome,
+    { result, reason, end }: SendOutcome,
     fields: { next: NextStep; sends: number; nowMs: number },
   ): void {
     const { next, sends, nowMs } = fields;
     this.#logger.info("send ended", {
       ...{ requestId: this.#req.head.attemptId, step: "send", peer },
-      ...{ result, reason, next, sends },
+      ...{ result, reason, next, sends, ...end },
       ms: Math.round(nowMs - this.#req.receivedMs),
     });
   }
--- a/packages/forwarding/src/Send.ts
+++ b/packages/forwarding/src/Send.ts
@@ -1,4 +1,4 @@
-import { getMessage, type Clock } from "@lycheepulley/core";
+import { getMessage, type Clock, type EndReport } from "@lycheepulley/core";
 
 import { AnswerBuffer } from "./AnswerBuffer.js";
 import { deliverAnswer, hasKnownEnd } from "./answerEnd.js";
@@ -23,10 +23,9 @@
   type UpstreamCall,
 } from "./types.js";
 
+const FIRST_FAILURE_STATUS = 400;
 /** Answers up to this size are buffered until they are complete, so that a broken one can be retried. */
 const MAX_BUFFERED_BYTES = 1_048_576;
-const FIRST_FAILURE_STATUS = 400;
-
 /** Longest plain answer without a declared length; a longer one is taken for one without end. */
 const MAX_UNDECLARED_BYTES = 67_108_864;
 
@@ -52,6 +51,7 @@
   #isPaused = false;
   #resolveOutcome: (outcome: SendOutcome) => void = () => undefined;
   #isSettled = false;
+  #end: EndReport | undefined;
 
   /** Resolves once, when the call has ended. */
   readonly outcome: Promise<SendOutcome>;
@@ -111,7 +111,8 @@
     });
   }
 
-  onEnd(): void {
+  onEnd(report: EndReport): void {
+    this.#end = report;
     this.#guard(() => {
       this.#handleEnd();
     });
@@ -344,6 +345,6 @@
     this.#stallWatch.stop();
     this.#buffer.take();
     this.#call?.abort();
-    this.#resolveOutcome(outcome);
+    this.#resolveOutcome({ ...outcome, end: this.#end });
   }
 }
--- a/packages/forwarding/src/crashingParts.test.ts
+++ b/packages/forwarding/src/crashingParts.test.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 
 import { SendState } from "./types.js";
+import { endAnswer } from "./testing/FakeUpstreams.js";
 import { ForwarderHarness, SAFE, STREAM } from "./testing/ForwarderHarness.js";
 import { newUpstream } from "./testing/samples.js";
 
@@ -58,7 +59,7 @@
       (harness) => {
         harness.transport.startStream(["unframed", "1"]);
         harness.transport.last.observer.onData(Buffer.from("id: 1\ndata: x"));
-        harness.transport.last.observer.onEnd();
+        endAnswer(harness.transport.last);
         return harness.settle();
       },
     ],
@@ -68,7 +69,7 @@
       (harness) => {
         harness.transport.startStream();
         harness.transport.sendEvents(1);
-        harness.transport.last.observer.onEnd();
+        endAnswer(harness.transport.last);
         return harness.settle();
       },
     ],
@@ -106,7 +107,7 @@
     await harness.request(STREAM, TOKENS);
     harness.transport.startStream(["unframed", "1"]);
     harness.transport.sendEvents(1);
-    harness.transport.last.observer.onEnd();
+    endAnswer(harness.transport.last);
     await harness.settle();
     expect(harness.caller.ending).to.equal("whole");
     expect(getSuspects(harness)).to.deep.equal(["a"]);
--- a/packages/forwarding/src/distance/CrossedBytes.test.ts
+++ b/packages/forwarding/src/distance/CrossedBytes.test.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
 
+import { FRAMED_END } from "../testing/FakeUpstreams.js";
 import { newUpstream } from "../testing/samples.js";
 import type { CallObserver, UpstreamTransport } from "../types.js";
 import { CrossedBytes, CrossingCause } from "./CrossedBytes.js";
@@ -18,7 +19,7 @@
   open: (_req, { onHead, onData, onEnd }) => {
     onHead({ status: 200, headers: ["a", "bcd"] });
     onData(Buffer.alloc(10));
-    onEnd();
+    onEnd(FRAMED_END);
     return { pause: () => undefined, resume: () => undefined, abort: () => undefined };
   },
 };
--- a/packages/forwarding/src/distance/CrossedBytes.ts
+++ b/packages/forwarding/src/distance/CrossedBytes.ts
@@ -84,8 +84,8 @@
     onBytes(chunk.length);
     observer.onData(chunk);
   },
-  onEnd: () => {
-    observer.onEnd();
+  onEnd: (report) => {
+    observer.onEnd(report);
   },
   onError: (state, err) => {
     observer.onError(state, err);
--- a/packages/forwarding/src/outcomes.ts
+++ b/packages/forwarding/src/outcomes.ts
@@ -1,3 +1,5 @@
+import type { EndReport } from "@lycheepulley/core";
+
 import { Repeat, type Route } from "./fleetConfig.js";
 import type { AnswerFacts, AnswerHead } from "./types.js";
 
@@ -42,6 +44,8 @@
 export interface SendOutcome {
   readonly result: SendResult;
   readonly reason: string;
+  /** How the answer ended; undefined for one that didn't. */
+  readonly end?: EndReport | undefined;
   /** The connection ended in the middle of the answer, or before it. */
   readonly isCut?: boolean;
   /** Complete answer of the upstream, buffered until the retry decision. */
--- a/packages/forwarding/src/stalledSends.test.ts
+++ b/packages/forwarding/src/stalledSends.test.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
 
 import type { Route } from "./fleetConfig.js";
-import type { FakeCall } from "./testing/FakeUpstreams.js";
+import { endAnswer, type FakeCall } from "./testing/FakeUpstreams.js";
 import { ForwarderHarness, SAFE, STREAM } from "./testing/ForwarderHarness.js";
 
 /** Longer than the time after which another upstream is tried for a stream. */
@@ -26,7 +26,7 @@
   call: FakeCall | undefined,
 ): Promise<void> => {
   call?.observer.onData(Buffer.from("id: 2\ndata: x\n\n"));
-  call?.observer.onEnd();
+  endAnswer(call);
   await harness.settle();
 };
 
@@ -45,7 +45,7 @@
       await harness.clock.advance(STALL_MS);
       expect(harness.caller.ending).to.equal("open");
       harness.transport.sendEvents(2);
-      harness.transport.last.observer.onEnd();
+      endAnswer(harness.transport.last);
       await harness.settle();
       expect(harness.caller).to.include({ ending: "whole" });
       expect(harness.caller.body.match(/id: \d/g)).to.deep.equal(["id: 1", "id: 2"]);
@@ -89,7 +89,7 @@
     await harness.clock.advance(STALL_MS);
     expect(harness.sentTo.length).to.equal(1);
     harness.transport.sendEvents(2);
-    harness.transport.last.observer.onEnd();
+    endAnswer(harness.transport.last);
     await harness.settle();
     expect(harness.caller).to.include({ ending: "whole" });
   });
@@ -134,7 +134,7 @@
     harness.transport.startStream();
     harness.transport.sendEvents(2, 3);
     first?.observer.onData(Buffer.from("id: 3\ndata: x\n\n"));
-    first?.observer.onEnd();
+    endAnswer(first);
     await harness.settle();
     expect(harness.caller.body.match(/id: \d/g)).to.deep.equal(["id: 1", "id: 2", "id: 3"]);
     expect(harness.caller.ending).to.equal("whole");
@@ -253,7 +253,7 @@
     harness.transport.sendEvents(2);
     expect(first?.isAborted).to.equal(true);
     first?.observer.onData(Buffer.from("id: 2\ndata: x\n\n"));
-    harness.transport.last.observer.onEnd();
+    endAnswer(harness.transport.last);
     await harness.settle();
     expect(harness.caller.body.match(/id: \d/g)).to.deep.equal(["id: 1", "id: 2"]);
     expect(harness.caller.ending).to.equal("whole");
@@ -280,7 +280,7 @@
     expect(harness.caller.ending).to.equal("open");
     first?.observer.onHead({ status: 200, headers: ["seal"] });
     first?.observer.onData(Buffer.from("body"));
-    first?.observer.onEnd();
+    endAnswer(first);
     await harness.settle();
     expect(harness.caller).to.include({ status: 200, body: "body", ending: "whole" });
   });
@@ -317,7 +317,7 @@
         await harness.clock.advance(60);
         harness.transport.last.observer.onData(Buffer.from("y"));
       }
-      harness.transport.last.observer.onEnd();
+      endAnswer(harness.transport.last);
       await harness.settle();
       expect(harness.sentTo.length).to.equal(1);
       expect(harness.caller.ending).to.equal("whole");
@@ -340,7 +340,7 @@
     await harness.clock.advance(310);
     expect(harness.sentTo.length).to.equal(2);
     first?.observer.onHead({ status: 200, headers: ["seal"] });
-    first?.observer.onEnd();
+    endAnswer(first);
     await harness.settle();
     expect(harness.transport.last.isAborted).to.equal(true);
   });
--- a/packages/forwarding/src/testing/FakeUpstreams.ts
+++ b/packages/forwarding/src/testing/FakeUpstreams.ts
@@ -1,3 +1,5 @@
+import { AnswerEnd, Closing, Framing, type EndReport } from "@lycheepulley/core";
+
 import type {
   AnswerWriter,
   CallObserver,
@@ -9,19 +11,47 @@
 
 type OpenRequest = Parameters<UpstreamTransport["open"]>[0];
 
+/** End of an answer in chunks. */
+export const FRAMED_END: EndReport = {
+  ...{ end: AnswerEnd.Whole, framing: Framing.Chunks, closing: Closing.Orderly },
+};
+
+/** End of an answer that ends with its connection, in order. */
+export const UNFRAMED_END: EndReport = {
+  ...{ end: AnswerEnd.Unknown, framing: Framing.None, closing: Closing.Orderly },
+};
+
 /** A call that a test answers. */
 export interface FakeCall {
   readonly req: OpenRequest;
   readonly observer: CallObserver;
+  /** Headers of the answer. */
+  headers: HeaderList;
   isAborted: boolean;
 }
 
+/** Ends the answer of a call as a sound upstream does. */
+export const endAnswer = (call: FakeCall | undefined): void => {
+  call?.observer.onEnd(call.headers.includes("unframed") ? UNFRAMED_END : FRAMED_END);
+};
+
 /** Transport whose calls are answered by a test. */
 export class FakeTransport implements UpstreamTransport {
   readonly calls: FakeCall[] = [];
 
   open(req: OpenRequest, observer: CallObserver): UpstreamCall {
-    const call: FakeCall = { req, observer, isAborted: false };
+    const call: FakeCall = {
+      ...{ req, headers: [], isAborted: false },
+      observer: {
+        onHead: (head) => {
+          call.headers = head.headers;
+          observer.onHead(head);
+        },
+        onData: observer.onData.bind(observer),
+        onEnd: observer.onEnd.bind(observer),
+        onError: observer.onError.bind(observer),
+      },
+    };
     this.calls.push(call);
     return {
       pause: () => undefined,
@@ -54,7 +84,7 @@
   answer(status: number, headers: HeaderList = [], body = ""): void {
     this.last.observer.onHead({ status, headers });
     this.last.observer.onData(Buffer.from(body));
-    this.last.observer.onEnd();
+    endAnswer(this.last);
   }
 }
 
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -1,5 +1,7 @@
 import type { Duplex } from "node:stream";
 
+import type { EndReport } from "@lycheepulley/core";
+
 import type { Route, Upstream } from "./fleetConfig.js";
 import type { Homes } from "./regions.js";
 
@@ -145,8 +147,8 @@
 export interface CallObserver {
   onHead(head: AnswerHead): void;
   onData(chunk: Buffer): void;
-  /** The answer is complete by its framing. */
-  onEnd(): void;
+  /** All was read that the framing promises or, without framing, until the connection ended. */
+  onEnd(report: EndReport): void;
   /** Called at most once; nothing follows. */
   onError(state: SendState, err: Error): void;
 }
--- a/packages/forwarding/src/unframedAnswers.test.ts
+++ b/packages/forwarding/src/unframedAnswers.test.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 
 import type { Route } from "./fleetConfig.js";
+import { endAnswer } from "./testing/FakeUpstreams.js";
 import { ForwarderHarness, SAFE, STREAM, UNSAFE } from "./testing/ForwarderHarness.js";
 
 const ONCE: Partial<Route> = { ...STREAM, isResumable: false };
@@ -11,7 +12,7 @@
   await harness.request(STREAM, 5_000);
   harness.transport.startStream(["unframed"]);
   harness.transport.sendEvents(1);
-  harness.transport.last.observer.onEnd();
+  endAnswer(harness.transport.last);
   await harness.settle();
   return harness;
 };
@@ -49,7 +50,7 @@
       await harness.request(route, 5_000);
       harness.transport.startStream(["unframed"]);
       harness.transport.sendEvents(1);
-      harness.transport.last.observer.onEnd();
+      endAnswer(harness.transport.last);
       await harness.settle();
       expect(harness.caller.ending).to.equal(ending);
       expect(harness.sentTo.length).to.equal(sends);
@@ -62,7 +63,7 @@
       const harness = await endUnframed();
       expect(harness.resumedAfter).to.equal("1");
       harness.transport.startStream(framing);
-      harness.transport.last.observer.onEnd();
+      endAnswer(harness.transport.last);
       await harness.settle();
       expect(harness.caller.ending).to.equal("whole");
     });
@@ -105,7 +106,7 @@
       await harness.clock.advance(400);
     }
     expect(harness.caller.ending).to.equal("open");
-    harness.transport.last.observer.onEnd();
+    endAnswer(harness.transport.last);
     await harness.settle();
     expect(harness.caller.ending).to.equal("whole");
   });
@@ -123,7 +124,7 @@
     await harness.request(STREAM, 5_000);
     harness.transport.startStream(["unframed"]);
     harness.transport.sendEvents(1);
-    harness.transport.last.observer.onEnd();
+    endAnswer(harness.transport.last);
     await harness.settle();
     expect(harness.caller.ending).to.equal("whole");
     expect(harness.sentTo.length).to.equal(before + 1);
@@ -170,7 +171,7 @@
     const { observer } = harness.transport.last;
     observer.onHead({ status: 200, headers: ["unframed"] });
     observer.onData(Buffer.alloc(2_000_000));
-    observer.onEnd();
+    endAnswer(harness.transport.last);
     await harness.settle();
     expect(harness.caller).to.include({ status: 200, ending: "cut" });
   });
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./ConnectionEnd.js";
 export * from "./ConnectionQueue.js";
 export * from "./HttpPeer.js";
 export * from "./HttpServer.js";
--- a/packages/simulation/src/SimulatedUpstream.ts
+++ b/packages/simulation/src/SimulatedUpstream.ts
@@ -1,10 +1,21 @@
-import type { Cancel, Clock } from "@lycheepulley/core";
+import {
+  AnswerEnd,
+  Closing,
+  Framing,
+  type Cancel,
+  type Clock,
+  type EndReport,
+} from "@lycheepulley/core";
 import type { CallObserver, Upstream, UpstreamCall } from "@lycheepulley/forwarding";
 import { SendState } from "@lycheepulley/forwarding";
 
 import { readFields, type CallFields } from "./simulatedDialect.js";
 import { WorkerModel, type WorkerSpec } from "./WorkerModel.js";
 
+const FRAMED_END: EndReport = {
+  ...{ end: AnswerEnd.Whole, framing: Framing.Chunks, closing: Closing.Orderly },
+};
+
 /** Time that work which depends on a dead upstream stalls before it is cut off, milliseconds. */
 const STALL_MS = 1_500;
 
@@ -219,7 +230,7 @@
       call.observer.onData(Buffer.from(`id: ${String(id)}\ndata: x\n\n`));
       if (isLast) {
         this.#forget(call);
-        call.observer.onEnd();
+        call.observer.onEnd(FRAMED_END);
       }
     });
   }
@@ -232,7 +243,7 @@
         status: 503,
         headers: ["not-run", "1", ...fault, ...this.#limitHeaders],
       });
-      call.observer.onEnd();
+      call.observer.onEnd(FRAMED_END);
     });
   }
 
--- a/packages/upstreams/src/HttpUpstreamTransport.ts
+++ b/packages/upstreams/src/HttpUpstreamTransport.ts
@@ -1,6 +1,7 @@
 import { request, type ClientRequest, type IncomingMessage } from "node:http";
 import type { Duplex } from "node:stream";
 
+import { Closing, getFraming, newEndReport, type EndReport } from "@lycheepulley/core";
 import {
   SendState,
   type CallObserver,
@@ -8,6 +9,7 @@
   type UpstreamCall,
   type UpstreamTransport,
 } from "@lycheepulley/forwarding";
+import { ConnectionEnd } from "@lycheepulley/http";
 
 import { TcpConnector } from "./TcpConnector.js";
 
@@ -24,7 +26,9 @@
 /** One request to an upstream, on its own connection. */
 class HttpUpstreamCall implements UpstreamCall {
   readonly #observer: CallObserver;
+  readonly #method: string;
   #socket: Duplex | undefined;
+  #connectionEnd: ConnectionEnd | undefined;
   #req: ClientRequest | undefined;
   #res: IncomingMessage | undefined;
   #state: SendState = SendState.Unsent;
@@ -34,6 +38,7 @@
 
   constructor(connector: Connector, options: OpenRequest, observer: CallObserver) {
     this.#observer = observer;
+    this.#method = options.method;
     connector.connect(options, options.connectTimeoutMs).then(
       (socket) => {
         this.#send(socket, options);
@@ -52,6 +57,7 @@
     }
     this.#state = SendState.Sent;
     this.#socket = socket;
+    this.#connectionEnd = new ConnectionEnd(socket);
     const { host, port, method, path, headers } = options;
     const req = request({ host, port, method, path, headers, createConnection: () => socket });
     this.#req = req;
@@ -113,13 +119,21 @@
     res.on("end", () => {
       if (!this.#isClosed && res.complete) {
         this.#close();
-        this.#observer.onEnd();
+        this.#observer.onEnd(this.#newEndReport(res));
       } else {
         this.#fail(new Error("answer cut"));
       }
     });
   }
 
+  #newEndReport({ statusCode = 0, headers, complete }: IncomingMessage): EndReport {
+    return newEndReport({
+      framing: getFraming(this.#method, { status: statusCode, headers }),
+      closing: this.#connectionEnd?.closing ?? Closing.Unknown,
+      isComplete: complete,
+    });
+  }
+
   /** Ends an answer that consists of little but framing. */
   #countReceived(bytes: number): void {
     this.#receivedBytes += bytes;
