Tell no answer as whole whose end isn't known

Cause: a stream that ended in order without framing counted as whole unless somebody showed otherwise within a second; plain answers were passed on without framing, and the habits of a pool vouched for single answers. Calls of unknown end are repeated where that is allowed, and otherwise answered 502: a body that ends with its connection is complete to a caller. A second send has all the time of the request. Whether an upstream accepts connections only tells a crash. The test of sendUnframed is replaced by whole answers to callers of HTTP/1.1 and 1.0.

--- a/packages/callers/src/forward/ForwardServer.test.ts
+++ b/packages/callers/src/forward/ForwardServer.test.ts
@@ -113,19 +113,25 @@
     expect(await readToClose(socket)).to.match(/half of it ECONNRESET$/);
   });
 
-  // The caller can't be told more of the end of an answer than its upstream tells.
-  it("ends an unframed answer with its connection", async () => {
-    const { harness } = fixture;
-    harness.forward = (_req, writer) => {
-      writer.sendUnframed?.(200, [], Buffer.from("all of it"));
-      return Promise.resolve();
-    };
-    const socket = await harness.connect();
-    socket.write(newRequest());
-    const answer = await readToClose(socket);
-    expect(answer).to.match(/\r\nConnection: close\r\n.*\r\n\r\nall of it$/s);
-    expect(answer).to.not.include("Transfer-Encoding");
-  });
+  // Only a framed answer lets a caller of HTTP/1.1 tell its end from that of the process.
+  const wholes: readonly [version: string, seen: RegExp][] = [
+    ["1.1", /Transfer-Encoding: chunked\r\n\r\n9\r\nall of it\r\n0\r\n\r\n/],
+    ["1.0", /Connection: close\r\n\r\nall of it$/],
+  ];
+  for (const [version, seen] of wholes) {
+    it(`ends a whole answer without a length for a caller of HTTP/${version}`, async () => {
+      const { harness } = fixture;
+      harness.forward = (_req, writer) => {
+        writer.sendHead(200, []);
+        writer.write(Buffer.from("all of it"));
+        writer.end();
+        return Promise.resolve();
+      };
+      const socket = await harness.connect();
+      socket.write(newRequest(["Connection: close"]).replace("HTTP/1.1", `HTTP/${version}`));
+      expect(await readToClose(socket)).to.match(seen);
+    });
+  }
 
   // The system closes the connections of a killed process in order, which ended the answer as if whole.
   it("tells a caller that an answer was cut when its process is killed", async () => {
--- a/packages/callers/src/forward/ResponseWriter.ts
+++ b/packages/callers/src/forward/ResponseWriter.ts
@@ -90,18 +90,6 @@
     this.#isUnframed = !this.#res.chunkedEncoding && !hasLength(headers);
   }
 
-  sendUnframed(status: number, headers: HeaderList, body: Buffer): void {
-    if (this.isClosed || this.isHeadSent) {
-      return;
-    }
-    this.#isUnframed = true;
-    this.#isLastAnswer = true;
-    this.#res.useChunkedEncodingByDefault = false;
-    this.#res.writeHead(status, [...headers, ...this.#newConnectionHeader()]);
-    // Together with the head, so that the system has all of it even if the process is killed now.
-    this.#res.end(body);
-  }
-
   write(chunk: Buffer): boolean {
     if (this.isClosed || chunk.length === 0) {
       return true;
--- a/packages/forwarding/src/FinalAnswer.ts
+++ b/packages/forwarding/src/FinalAnswer.ts
@@ -65,7 +65,7 @@
   deliver({ answer }: SendOutcome): void {
     let ending: AnswerEnding = AnswerEnding.Whole;
     if (!answer || this.#progress.isHeadSent) {
-      ending = this.#endPart();
+      ending = this.#cutPart();
     } else {
       deliverAnswer(answer, this.#writer, this.#deps.dialect);
     }
@@ -80,18 +80,14 @@
   /** Sends an answer of this process, or cuts the answer that the caller already receives. */
   #sendOwn(status: number, message: string, retryAfterMs?: number): AnswerEnding {
     if (this.#progress.isHeadSent) {
-      return this.#endPart();
+      return this.#cutPart();
     }
     this.#writer.sendOwn(status, message, retryAfterMs);
     return AnswerEnding.Own;
   }
 
-  /** Ends an answer that the caller has a part of, which may be all of it. */
-  #endPart(): AnswerEnding {
-    if (this.#progress.wholeSinceMs !== undefined) {
-      this.#writer.end();
-      return AnswerEnding.Whole;
-    }
+  /** Cuts an answer that the caller has a part of, which it then doesn't take for all. */
+  #cutPart(): AnswerEnding {
     this.#writer.abort();
     return AnswerEnding.Cut;
   }
--- a/packages/forwarding/src/ForwardJob.ts
+++ b/packages/forwarding/src/ForwardJob.ts
@@ -210,7 +210,6 @@
       },
       onHead: (facts) => {
         this.#feedback.recordHead(upstream, sentMs, facts);
-        live.evidence?.onHead(facts);
       },
       onEvents: () => {
         live.evidence?.onEvents();
--- a/packages/forwarding/src/Forwarder.ts
+++ b/packages/forwarding/src/Forwarder.ts
@@ -4,7 +4,6 @@
 import type { EstimateError } from "./costs/EstimateErrors.js";
 import type { PlacementSnapshot } from "./explain/PlacementSnapshot.js";
 import type { ForwardDependencies } from "./forwardDependencies.js";
-import { FramingHabits } from "./FramingHabits.js";
 import { ForwardJob } from "./ForwardJob.js";
 import { Placer } from "./Placer.js";
 import { newSharing, type Sharing } from "./PromptAdmission.js";
@@ -23,8 +22,8 @@
   readonly #lifecycle: ProcessLifecycle;
   #inFlight = 0;
 
-  constructor(deps: Omit<ForwardDependencies, "framing">) {
-    this.#deps = { ...deps, framing: new FramingHabits() };
+  constructor(deps: ForwardDependencies) {
+    this.#deps = deps;
     this.#sharing = deps.sharesRoom ? newSharing(deps) : undefined;
     this.#lifecycle = deps.lifecycle ?? new ProcessLifecycle();
     this.#placer = new Placer({ ...deps, sharing: this.#sharing, lifecycle: this.#lifecycle });
--- a/packages/forwarding/src/Send.ts
+++ b/packages/forwarding/src/Send.ts
@@ -1,7 +1,7 @@
-import { getMessage, type Clock, type EndReport } from "@lycheepulley/core";
+import { AnswerEnd, getMessage, type Clock, type EndReport } from "@lycheepulley/core";
 
 import { AnswerBuffer } from "./AnswerBuffer.js";
-import { deliverAnswer, hasKnownEnd } from "./answerEnd.js";
+import { CUT_EVENT, deliverAnswer, findEndFault } from "./answerEnd.js";
 import type { AnswerObserver, AnswerProgress } from "./answerProgress.js";
 import { EventSplitter, type StreamEvent } from "./EventSplitter.js";
 import {
@@ -36,7 +36,7 @@
   readonly #writer: AnswerWriter;
   readonly #progress: AnswerProgress;
   readonly #observer: AnswerObserver;
-  readonly #findEndFault: () => Promise<SendOutcome | undefined>;
+  readonly #accepts: () => Promise<boolean>;
   readonly #stallWatch: StallWatch;
   readonly #splitter = new EventSplitter();
   readonly #buffer: AnswerBuffer;
@@ -67,15 +67,15 @@
     observer: AnswerObserver;
     /** Asks the upstream whether it is alive. */
     isAlive: () => Promise<boolean>;
-    /** Finds out why an answer that ended without framing may not be whole. Never rejects. */
-    findEndFault: () => Promise<SendOutcome | undefined>;
+    /** True when the upstream accepts a connection now. Never rejects. */
+    accepts: () => Promise<boolean>;
   }) {
     this.#dialect = options.dialect;
     this.#req = options.req;
     this.#writer = options.writer;
     this.#progress = options.progress;
     this.#observer = options.observer;
-    this.#findEndFault = options.findEndFault;
+    this.#accepts = options.accepts;
     this.#buffer = new AnswerBuffer(options.writer);
     this.#stallWatch = new StallWatch(options);
     this.outcome = new Promise((resolve) => {
@@ -114,7 +114,7 @@
   onEnd(report: EndReport): void {
     this.#end = report;
     this.#guard(() => {
-      this.#handleEnd();
+      this.#handleEnd(report);
     });
   }
 
@@ -166,35 +166,21 @@
     this.#write(chunk);
   }
 
-  #handleEnd(): void {
+  #handleEnd({ end }: EndReport): void {
     if (this.#isSettled || !this.#head || !this.#facts) {
       return;
     }
     this.#stallWatch.stop();
-    if (hasKnownEnd(this.#req, this.#head, this.#facts) || this.#splitter.pendingBytes > 0) {
+    // A statement that the request didn't run is whole with its head.
+    if (end === AnswerEnd.Whole || this.#facts.isNotRun) {
       this.#endAnswer(this.#head, this.#facts);
+    } else if (this.#splitter.pendingBytes > 0) {
+      this.#finish(CUT_EVENT);
     } else {
-      void this.#endUnframed(this.#head, this.#facts);
+      void findEndFault(end, this.#head, this.#accepts).then(this.#finish.bind(this));
     }
   }
 
-  async #endUnframed(head: AnswerHead, facts: AnswerFacts): Promise<void> {
-    const fault = await this.#findEndFault();
-    if (this.#isSettled) {
-      return;
-    }
-    if (fault && (fault.isCut || this.#hasStreamed)) {
-      this.#finish(fault);
-    } else {
-      this.#guard(() => this.#endAnswer(head, facts));
-    }
-  }
-
-  /** False for a stream that adds nothing to what the caller has, which confirms the end of that. */
-  get #hasStreamed(): boolean {
-    return this.#isEventStream && (this.#hasEvents || !this.#progress.isHeadSent);
-  }
-
   #endAnswer(head: AnswerHead, facts: AnswerFacts): void {
     if (this.#isEventStream) {
       this.#endEventStream();
@@ -226,7 +212,6 @@
       return;
     }
     this.#hasEvents = true;
-    this.#progress.wholeSinceMs = undefined;
     this.#observer.onProgress();
     this.#observer.onEvents(events);
     this.#sendHeadOnce();
@@ -254,8 +239,7 @@
 
   #endEventStream(): void {
     if (this.#splitter.pendingBytes > 0) {
-      const reason = "stream ended inside an event";
-      this.#finish({ result: SendResult.Broken, reason, isCut: true });
+      this.#finish(CUT_EVENT);
       return;
     }
     this.#observer.onProgress();
@@ -266,8 +250,7 @@
   }
 
   #endBuffered(head: AnswerHead, facts: AnswerFacts): void {
-    const hasEnd = hasKnownEnd(this.#req, head, facts);
-    const answer = { head, body: this.#buffer.take(), hasEnd };
+    const answer = { head, body: this.#buffer.take() };
     const failure = getFailure(answer, facts);
     if (failure) {
       this.#finish(failure);
--- a/packages/forwarding/src/SendFeedback.ts
+++ b/packages/forwarding/src/SendFeedback.ts
@@ -43,9 +43,8 @@
   }
 
   /** Records what the head of an answer says of its upstream; the request went out at `sentMs`. */
-  recordHead({ id, pool }: Upstream, sentMs: number, facts: AnswerFacts): void {
-    const { limits, cold, clock, rests, view, onLeaving, framing } = this.#deps;
-    framing.record(pool, facts.isFramed);
+  recordHead({ id }: Upstream, sentMs: number, facts: AnswerFacts): void {
+    const { limits, cold, clock, rests, view, onLeaving } = this.#deps;
     if (facts.isLeaving && view.recordLeaving(id)) {
       this.#log.logLeaving(id);
       onLeaving(id);
--- a/packages/forwarding/src/SendRunner.ts
+++ b/packages/forwarding/src/SendRunner.ts
@@ -1,8 +1,6 @@
 import { sleep, type Cancel } from "@lycheepulley/core";
 
 import { CostLesson } from "./costs/CostLesson.js";
-import { DOUBTFUL_STREAM, ENDED_WITH_UPSTREAM } from "./answerEnd.js";
-import type { Upstream } from "./fleetConfig.js";
 import type { ForwardDependencies } from "./forwardDependencies.js";
 import { SendResult, type SendOutcome } from "./outcomes.js";
 import type { Placement } from "./Placer.js";
@@ -16,8 +14,6 @@
 const CONNECT_TIMEOUT_MS = 400;
 /** Time before the deadline at which this process answers itself. */
 const MARGIN_MS = 20;
-/** Time for which a caller that may have all of its answer waits for another upstream to confirm it. */
-const CONFIRM_MS = 1_000;
 /** Pause after KV memory that a plan counted on was taken by another request. */
 const NO_MEMORY_PAUSE_MS = 60;
 
@@ -49,7 +45,8 @@
   readonly #req: ForwardRequest;
   readonly #writer: AnswerWriter;
   readonly #progress: AnswerProgress;
-  readonly #requestDeadlineAtMs: number;
+  /** Monotonic time by which a send has to end. */
+  readonly deadlineAtMs: number;
   #reserved = 0;
 
   constructor(options: {
@@ -63,13 +60,7 @@
     this.#req = options.req;
     this.#writer = options.writer;
     this.#progress = options.progress;
-    this.#requestDeadlineAtMs = options.deadlineAtMs;
-  }
-
-  /** Monotonic time by which a send has to end. */
-  get deadlineAtMs(): number {
-    const { wholeSinceMs = Infinity } = this.#progress;
-    return Math.min(this.#requestDeadlineAtMs, wholeSinceMs + CONFIRM_MS);
+    this.deadlineAtMs = options.deadlineAtMs;
   }
 
   /** Runs one send until its outcome; `signal` is aborted with the result of one that is ended early. */
@@ -141,7 +132,7 @@
       timeouts: getStallTimeouts(req.route, placement),
       observer,
       isAlive: () => this.#deps.control.isAlive(placement.upstream),
-      findEndFault: () => this.#findEndFault(placement.upstream),
+      accepts: () => this.#deps.watch.accepts(placement.upstream),
     });
     const headers = dialect.newUpstreamHeaders(req, {
       deadlineMs: Math.max(1, Math.floor(this.deadlineAtMs - now)),
@@ -163,22 +154,10 @@
     );
     send.start(call);
     const outcome = await this.#awaitOutcome(send, signal);
-    if (outcome.result === SendResult.Doubtful && this.#progress.isHeadSent) {
-      this.#progress.wholeSinceMs = clock.now();
-    }
     lesson?.end(outcome);
     return outcome;
   }
 
-  /** The connections of a process that crashes end in order, as after a complete answer. */
-  async #findEndFault(upstream: Upstream): Promise<SendOutcome | undefined> {
-    const { watch, framing } = this.#deps;
-    if (!(await watch.accepts(upstream))) {
-      return ENDED_WITH_UPSTREAM;
-    }
-    return framing.isUsual(upstream.pool) ? DOUBTFUL_STREAM : undefined;
-  }
-
   async #awaitOutcome(send: Send, signal: AbortSignal): Promise<SendOutcome> {
     const { clock } = this.#deps;
     const onAbort = (): void => {
--- a/packages/forwarding/src/answerEnd.ts
+++ b/packages/forwarding/src/answerEnd.ts
@@ -1,48 +1,51 @@
-import { SendResult, type BufferedAnswer, type SendOutcome } from "./outcomes.js";
-import type { AnswerFacts, AnswerHead, AnswerWriter, Dialect, ForwardRequest } from "./types.js";
+import { AnswerEnd } from "@lycheepulley/core";
 
-/** Longest answer that one write hands over to the system, which sends it also after the process ends. */
-const MAX_ONE_WRITE_BYTES = 65_536;
+import {
+  FIRST_ERROR_STATUS,
+  SendResult,
+  type BufferedAnswer,
+  type SendOutcome,
+} from "./outcomes.js";
+import type { AnswerHead, AnswerWriter, Dialect } from "./types.js";
 
-/** Statuses of answers that never have a body. */
-const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+const CUT: SendOutcome = { result: SendResult.Broken, reason: "answer cut", isCut: true };
 
-/** True when the end of an answer can be told from that of its connection, or doesn't matter. */
-export const hasKnownEnd = (
-  { head: { method } }: ForwardRequest,
-  { status }: AnswerHead,
-  facts: AnswerFacts,
-): boolean =>
-  facts.isFramed || facts.isNotRun || method === "HEAD" || BODILESS_STATUSES.has(status);
+/** The stream's last event may lack its end, whatever the framing says. */
+export const CUT_EVENT: SendOutcome = { ...CUT, reason: "stream ended inside an event" };
 
-/** Outcome of a send whose upstream ended together with an answer without framing. */
-export const ENDED_WITH_UPSTREAM: SendOutcome = {
-  result: SendResult.Broken,
-  reason: "upstream ended with an answer that has no framing",
-  isCut: true,
+const ENDED_WITH_UPSTREAM: SendOutcome = {
+  ...{ ...CUT, reason: "upstream ended with an answer that has no framing" },
 };
 
-/** Outcome of a send whose upstream lives on after a stream that ended without framing. */
-export const DOUBTFUL_STREAM: SendOutcome = {
-  result: SendResult.Doubtful,
-  reason: "end of an unframed stream in doubt",
-};
+const DOUBT = "end of an unframed answer in doubt";
 
 /**
- * Sends a buffered answer to the caller. One that may have been cut by its upstream goes out without
- * framing as it came, so that nothing vouches for its end.
+ * Finds the outcome of a send whose answer isn't known to be whole. That an unframed answer's upstream is gone shows a crash;
+ * that it accepts connections shows nothing, since it may have started anew.
  */
+export const findEndFault = async (
+  end: Exclude<AnswerEnd, typeof AnswerEnd.Whole>,
+  { status }: AnswerHead,
+  accepts: () => Promise<boolean>,
+): Promise<SendOutcome> => {
+  if (end === AnswerEnd.Cut) {
+    return CUT;
+  }
+  if (!(await accepts())) {
+    return ENDED_WITH_UPSTREAM;
+  }
+  return status >= FIRST_ERROR_STATUS
+    ? { result: SendResult.Failed, reason: `status ${String(status)}, ${DOUBT}` }
+    : { result: SendResult.Doubtful, reason: DOUBT };
+};
+
+/** Sends a whole answer to the caller. */
 export const deliverAnswer = (
-  { head, body, hasEnd }: BufferedAnswer,
+  { head, body }: BufferedAnswer,
   writer: AnswerWriter,
   dialect: Dialect,
 ): void => {
-  const headers = dialect.newAnswerHeaders(head, { keepLength: true });
-  if (!hasEnd && writer.sendUnframed && body.length <= MAX_ONE_WRITE_BYTES) {
-    writer.sendUnframed(head.status, headers, body);
-    return;
-  }
-  writer.sendHead(head.status, headers);
+  writer.sendHead(head.status, dialect.newAnswerHeaders(head, { keepLength: true }));
   writer.write(body);
   writer.end();
 };
--- a/packages/forwarding/src/answerProgress.ts
+++ b/packages/forwarding/src/answerProgress.ts
@@ -7,16 +7,11 @@
   lastEventId: string | undefined;
   /** The head of the answer was sent to the caller. */
   isHeadSent: boolean;
-  /**
-   * Monotonic time since which what the caller has may be all: it ended in order, without framing, at an
-   * upstream that lives on.
-   */
-  wholeSinceMs: number | undefined;
 }
 
 /** Progress of a request that has no answer yet. */
 export const newAnswerProgress = ({ head: { lastEventId } }: ForwardRequest): AnswerProgress => ({
-  ...{ lastEventId, isHeadSent: false, wholeSinceMs: undefined },
+  ...{ lastEventId, isHeadSent: false },
 });
 
 /** Follows the answer to one send, and decides what becomes of a stalled one. */
--- a/packages/forwarding/src/crashes/SendEvidence.ts
+++ b/packages/forwarding/src/crashes/SendEvidence.ts
@@ -1,6 +1,6 @@
 import { getStartId, type Upstream } from "../fleetConfig.js";
 import { SendResult, type SendOutcome } from "../outcomes.js";
-import type { AnswerFacts, ForwardRequest } from "../types.js";
+import type { ForwardRequest } from "../types.js";
 import type { CrashEvidence } from "./CrashEvidence.js";
 
 /** Time after its first event at which an answer shows that its upstream doesn't crash under it. */
@@ -13,7 +13,6 @@
   readonly #upstream: string;
   readonly #sentMs: number;
   #firstMs: number | undefined;
-  #isFramed = false;
   #isSound = false;
 
   constructor(evidence: CrashEvidence, { head }: ForwardRequest, upstream: Upstream) {
@@ -23,10 +22,6 @@
     this.#sentMs = evidence.now();
   }
 
-  onHead({ isFramed }: AnswerFacts): void {
-    this.#isFramed = isFramed;
-  }
-
   onEvents(): void {
     const now = this.#evidence.now();
     if (this.#firstMs === undefined) {
@@ -50,10 +45,7 @@
       this.#recordLoss();
     } else if (result === SendResult.Delivered) {
       this.#evidence.recordAnswer(this.#upstream, this.#sentMs);
-      // The end of an answer without framing may be that of its upstream.
-      if (this.#isFramed) {
-        this.#recordSound(this.#firstMs ?? this.#evidence.now());
-      }
+      this.#recordSound(this.#firstMs ?? this.#evidence.now());
     }
   }
 
--- a/packages/forwarding/src/crashingParts.test.ts
+++ b/packages/forwarding/src/crashingParts.test.ts
@@ -109,7 +109,7 @@
     harness.transport.sendEvents(1);
     endAnswer(harness.transport.last);
     await harness.settle();
-    expect(harness.caller.ending).to.equal("whole");
+    expect(harness.caller.ending).to.equal("cut");
     expect(getSuspects(harness)).to.deep.equal(["a"]);
   });
 
--- a/packages/forwarding/src/decisions.test.ts
+++ b/packages/forwarding/src/decisions.test.ts
@@ -125,7 +125,7 @@
   const outcome = (result: SendOutcome["result"]): SendOutcome => ({ result, reason: "" });
   const failed: SendOutcome = {
     ...outcome("failed"),
-    answer: { head: { status: 500, headers: [] }, body: Buffer.alloc(0), hasEnd: true },
+    answer: { head: { status: 500, headers: [] }, body: Buffer.alloc(0) },
   };
   const cases: readonly [string, typeof unsafe, SendOutcome, SendHistory, string][] = [
     ["a delivered answer", safe, outcome("delivered"), once, "done"],
--- a/packages/forwarding/src/forwardDependencies.ts
+++ b/packages/forwarding/src/forwardDependencies.ts
@@ -4,7 +4,6 @@
 import type { CostBook } from "./costs/CostBook.js";
 import type { CrashTracker } from "./crashes/CrashTracker.js";
 import type { PartGuard } from "./crashes/PartGuard.js";
-import type { FramingHabits } from "./FramingHabits.js";
 import type { FleetView } from "./FleetView.js";
 import type { SendQuota } from "./limits/SendQuota.js";
 import type { ColdUpstreams } from "./limits/ColdUpstreams.js";
@@ -52,7 +51,6 @@
   readonly nearDomain?: string | undefined;
   readonly health: UpstreamHealth;
   readonly watch: UpstreamWatch;
-  readonly framing: FramingHabits;
   readonly limits: UpstreamLimits;
   /** Undefined where no upstream is ever cold. */
   readonly cold?: ColdUpstreams | undefined;
--- a/packages/forwarding/src/outcomes.ts
+++ b/packages/forwarding/src/outcomes.ts
@@ -17,7 +17,7 @@
   Failed: "failed",
   /** The answer was cut off, stalled or belonged to another request. */
   Broken: "broken",
-  /** The stream ended in order, without framing, and may not be whole. */
+  /** The answer ended in order, without framing, and may not be whole. */
   Doubtful: "doubtful",
   /** The caller disconnected. */
   Cancelled: "cancelled",
@@ -32,12 +32,10 @@
 } as const;
 export type SendResult = (typeof SendResult)[keyof typeof SendResult];
 
-/** Complete answer of an upstream. */
+/** Whole answer of an upstream. */
 export interface BufferedAnswer {
   readonly head: AnswerHead;
   readonly body: Buffer;
-  /** Its end could be told from that of its connection. */
-  readonly hasEnd: boolean;
 }
 
 /** Outcome of one send, with what the retry decision needs. */
@@ -56,7 +54,8 @@
 
 /** Statuses from which a caller concludes that its request never ran. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
-const FIRST_ERROR_STATUS = 500;
+/** Answers with this status or a higher one are failures of the upstream. */
+export const FIRST_ERROR_STATUS = 500;
 
 /** The failure that a complete answer tells; undefined for an answer to pass on. */
 export const getFailure = (
--- a/packages/forwarding/src/testing/FakeUpstreams.ts
+++ b/packages/forwarding/src/testing/FakeUpstreams.ts
@@ -114,7 +114,6 @@
       faultAddress: undefined,
       isEventStream: headers.includes("stream"),
       hasLength: headers.includes("length"),
-      isFramed: !headers.includes("unframed"),
     };
   }
 
@@ -128,7 +127,7 @@
   status: number | undefined;
   headers: HeaderList = [];
   body = "";
-  ending: "open" | "whole" | "unframed" | "cut" = "open";
+  ending: "open" | "whole" | "cut" = "open";
   isOwn = false;
   retryAfterMs: number | undefined;
 
@@ -141,12 +140,6 @@
     this.headers = headers;
   }
 
-  sendUnframed(status: number, headers: HeaderList, body: Buffer): void {
-    this.sendHead(status, headers);
-    this.write(body);
-    this.ending = "unframed";
-  }
-
   write(chunk: Buffer): boolean {
     this.body += chunk.toString();
     return true;
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -58,8 +58,6 @@
    * answer from that of its connection, whatever the upstream's framing.
    */
   sendHead(status: number, headers: HeaderList): void;
-  /** Sends an answer that ends with the connection, at once; undefined where answers need no framing. */
-  sendUnframed?(status: number, headers: HeaderList, body: Buffer): void;
   /** Returns false when the caller reads more slowly than the answer is written. */
   write(chunk: Buffer): boolean;
   onDrain(fn: () => void): void;
@@ -92,8 +90,6 @@
   /** Address of the upstream at fault, when it isn't the one that answered. */
   readonly faultAddress: string | undefined;
   readonly isEventStream: boolean;
-  /** It has a length or is sent in chunks, so that its end differs from a cut connection. */
-  readonly isFramed: boolean;
   /** Its head declares the length of its body. */
   readonly hasLength: boolean;
   /** Requests a second that the upstream takes from all processes; undefined when it names no limit. */
--- a/packages/forwarding/src/unframedAnswers.test.ts
+++ b/packages/forwarding/src/unframedAnswers.test.ts
@@ -1,15 +1,20 @@
+import { AnswerEnd, Closing, Framing } from "@lycheepulley/core";
 import { expect } from "chai";
 
 import type { Route } from "./fleetConfig.js";
 import { endAnswer } from "./testing/FakeUpstreams.js";
 import { ForwarderHarness, SAFE, STREAM, UNSAFE } from "./testing/ForwarderHarness.js";
+import { SendState } from "./types.js";
 
 const ONCE: Partial<Route> = { ...STREAM, isResumable: false };
+const CUT = { end: AnswerEnd.Cut, framing: Framing.None, closing: Closing.Reset };
 
-/** A stream that ended in order after its first event, without framing, at an upstream that lives on. */
-const endUnframed = async (): Promise<ForwarderHarness> => {
-  const harness = new ForwarderHarness();
-  await harness.request(STREAM, 5_000);
+/** Sends a request whose stream ends in order after its first event, without framing. */
+const endUnframed = async (
+  harness: ForwarderHarness,
+  route: Partial<Route> = STREAM,
+): Promise<ForwarderHarness> => {
+  await harness.request(route, 5_000);
   harness.transport.startStream(["unframed"]);
   harness.transport.sendEvents(1);
   endAnswer(harness.transport.last);
@@ -18,161 +23,235 @@
 };
 
 describe("Forwarder: answers that end with their connection", () => {
-  // An upstream's process that ends, or an upstream that loses an answer, closes its connection in order.
-  const streams: readonly {
+  // A part of a stream was told as all of it, in chunks, when nobody went on with it.
+  const unresumed: readonly {
     name: string;
     route: Partial<Route>;
-    isAlive: boolean;
-    ending: string;
-    sends: number;
+    prepare?: (harness: ForwarderHarness) => void;
   }[] = [
+    { name: "that nobody may resume, whose upstream lives on", route: ONCE },
     {
-      ...{ name: "resumes a stream whose upstream lives on", route: STREAM },
-      ...{ isAlive: true, ending: "open", sends: 2 },
-    },
-    {
-      ...{ name: "resumes a stream whose upstream has ended", route: STREAM },
-      ...{ isAlive: false, ending: "open", sends: 2 },
+      ...{ name: "that nobody may resume, whose upstream has ended", route: ONCE },
+      prepare: (harness) => (harness.isUpstreamAlive = false),
     },
     {
-      ...{ name: "ends a stream that nobody may resume, whose upstream lives on", route: ONCE },
-      ...{ isAlive: true, ending: "whole", sends: 1 },
-    },
-    {
-      ...{ name: "cuts a stream that nobody may resume, whose upstream has ended", route: ONCE },
-      ...{ isAlive: false, ending: "cut", sends: 1 },
+      ...{ name: "when the retry budget is spent", route: STREAM },
+      prepare: (harness) => {
+        harness.exhaustRetryBudget();
+      },
     },
+    { name: "when all attempts are used", route: { ...STREAM, maxAttempts: 1 } },
   ];
-  for (const { name, route, isAlive, ending, sends } of streams) {
-    it(name, async () => {
+  for (const { name, route, prepare } of unresumed) {
+    it(`cuts a stream ${name}`, async () => {
       const harness = new ForwarderHarness();
-      harness.isUpstreamAlive = isAlive;
-      await harness.request(route, 5_000);
-      harness.transport.startStream(["unframed"]);
-      harness.transport.sendEvents(1);
-      endAnswer(harness.transport.last);
-      await harness.settle();
-      expect(harness.caller.ending).to.equal(ending);
-      expect(harness.sentTo.length).to.equal(sends);
+      prepare?.(harness);
+      await endUnframed(harness, route);
+      expect(harness.caller.ending).to.equal("cut");
+      expect(harness.sentTo.length).to.equal(1);
       expect(harness.isBlocked).to.equal(false);
     });
   }
 
-  for (const framing of [[], ["unframed"]]) {
-    it(`ends a stream to which another upstream adds nothing${framing.length > 0 ? ", also unframed" : ""}`, async () => {
-      const harness = await endUnframed();
+  it("cuts a stream that its only upstream doesn't confirm", async () => {
+    const harness = await endUnframed(new ForwarderHarness(["u0"]));
+    expect(harness.sentTo).to.deep.equal(["u0", "u0"]);
+    await harness.clock.advance(30_000);
+    expect(harness.caller.ending).to.equal("cut");
+  });
+
+  for (const isAlive of [true, false]) {
+    it(`resumes a stream whose upstream ${isAlive ? "lives on" : "has ended"}`, async () => {
+      const harness = new ForwarderHarness();
+      harness.isUpstreamAlive = isAlive;
+      await endUnframed(harness);
+      expect(harness.caller.ending).to.equal("open");
       expect(harness.resumedAfter).to.equal("1");
-      harness.transport.startStream(framing);
-      endAnswer(harness.transport.last);
-      await harness.settle();
-      expect(harness.caller.ending).to.equal("whole");
+      expect(harness.isBlocked).to.equal(false);
     });
   }
 
-  // A whole stream was cut where the second upstream didn't know what to say to a finished request.
-  const confirmations: readonly [
+  // Only an upstream that goes on after the last event, and whose own end is known, shows what the end was.
+  const seconds: readonly [
     name: string,
-    headers: readonly string[],
-    events: number[],
-    string,
+    ending: "whole" | "cut",
+    run: (harness: ForwarderHarness) => unknown,
   ][] = [
-    ["an error", ["forged"], [], "whole"],
-    ["more events, and breaks off", ["stream", "1"], [2], "cut"],
+    [
+      "adds nothing",
+      "whole",
+      ({ transport }) => {
+        transport.startStream();
+        endAnswer(transport.last);
+      },
+    ],
+    [
+      "adds the rest",
+      "whole",
+      ({ transport }) => {
+        transport.startStream();
+        transport.sendEvents(2, 3);
+        endAnswer(transport.last);
+      },
+    ],
+    [
+      "adds nothing, and closes without framing",
+      "cut",
+      ({ transport }) => {
+        transport.startStream(["unframed"]);
+        endAnswer(transport.last);
+      },
+    ],
+    [
+      "adds an event, and closes without framing",
+      "cut",
+      ({ transport }) => {
+        transport.startStream(["unframed"]);
+        transport.sendEvents(2);
+        endAnswer(transport.last);
+      },
+    ],
+    [
+      "adds an event, and breaks off",
+      "cut",
+      ({ transport }) => {
+        transport.startStream();
+        transport.sendEvents(2);
+        transport.last.observer.onError(SendState.Sent, new Error("reset"));
+      },
+    ],
+    [
+      "adds nothing, and is reset together with its data",
+      "cut",
+      ({ transport }) => {
+        transport.startStream(["unframed"]);
+        transport.last.observer.onEnd(CUT);
+      },
+    ],
+    [
+      "answers another request",
+      "cut",
+      ({ transport }) => {
+        transport.answer(200, ["forged"]);
+      },
+    ],
+    [
+      "answers 500",
+      "cut",
+      ({ transport }) => {
+        transport.answer(500);
+      },
+    ],
+    [
+      "refuses",
+      "cut",
+      ({ transport }) => {
+        transport.answer(503, ["not-run"]);
+      },
+    ],
+    ["stays silent until the deadline", "cut", ({ clock }) => clock.advance(30_000)],
+    [
+      "is at work when the process leaves",
+      "cut",
+      (harness) => {
+        harness.startDrain(1_000);
+        return harness.clock.advance(2_000);
+      },
+    ],
   ];
-  for (const [name, headers, events, ending] of confirmations) {
-    it(`${ending === "cut" ? "cuts" : "ends"} a stream to which the last upstream adds ${name}`, async () => {
-      const harness = await endUnframed();
-      harness.transport.last.observer.onHead({ status: 200, headers });
-      harness.transport.sendEvents(...events);
-      harness.transport.last.observer.onError("sent", new Error("reset"));
+  for (const [name, ending, run] of seconds) {
+    it(`${ending === "cut" ? "cuts" : "ends"} a stream in doubt when the last upstream ${name}`, async () => {
+      const harness = await endUnframed(new ForwarderHarness(["u0", "u1"]));
+      await run(harness);
       await harness.settle();
       expect(harness.caller.ending).to.equal(ending);
+      expect(harness.sentTo.length).to.equal(2);
     });
   }
 
-  it("waits a second at most for another upstream to confirm the end of a stream", async () => {
-    const harness = await endUnframed();
-    await harness.clock.advance(950);
+  // The part was told as whole after a second, while the second upstream read a long prompt.
+  it("waits for an upstream that reads for long before it adds events", async () => {
+    const harness = await endUnframed(new ForwarderHarness(["u0", "u1"]));
+    await harness.clock.advance(2_500);
     expect(harness.caller.ending).to.equal("open");
-    await harness.clock.advance(100);
-    expect(harness.caller.ending).to.equal("whole");
-  });
-
-  it("goes on with a stream to which another upstream adds events", async () => {
-    const harness = await endUnframed();
     harness.transport.startStream();
-    for (const id of [2, 3, 4]) {
-      harness.transport.sendEvents(id);
-      await harness.clock.advance(400);
-    }
-    expect(harness.caller.ending).to.equal("open");
+    harness.transport.sendEvents(2);
     endAnswer(harness.transport.last);
     await harness.settle();
     expect(harness.caller.ending).to.equal("whole");
   });
 
-  // Every stream of a pool that never frames would take two upstreams, or be cut.
-  it("takes the end of a stream for whole where most answers are unframed", async () => {
+  // A pool's habit shows nothing of one answer.
+  it("cuts a stream in doubt also where all answers are unframed", async () => {
     const harness = new ForwarderHarness();
     for (let answers = 0; answers < 6; answers++) {
       await harness.request(UNSAFE);
       harness.transport.answer(200, ["unframed"], "all");
       await harness.settle();
     }
-    const before = harness.sentTo.length;
     harness.caller.ending = "open";
-    await harness.request(STREAM, 5_000);
-    harness.transport.startStream(["unframed"]);
-    harness.transport.sendEvents(1);
-    endAnswer(harness.transport.last);
-    await harness.settle();
-    expect(harness.caller.ending).to.equal("whole");
-    expect(harness.sentTo.length).to.equal(before + 1);
+    await endUnframed(harness, ONCE);
+    expect(harness.caller.ending).to.equal("cut");
   });
 
   // A part of an answer would reach the caller as all of it.
   const calls: readonly {
     name: string;
     route: Partial<Route>;
-    isAlive: boolean;
-    status: number | undefined;
-    ending: string;
+    status?: number;
+    headers?: readonly string[];
+    isAlive?: boolean;
+    seen: { status: number | undefined; ending: string };
     sends: number;
   }[] = [
     {
-      ...{ name: "passes an answer on without framing whose upstream lives on", route: UNSAFE },
-      ...{ isAlive: true, status: 200, ending: "unframed", sends: 1 },
+      ...{ name: "says that a call may have run whose upstream lives on", route: UNSAFE },
+      ...{ seen: { status: 502, ending: "whole" }, sends: 1 },
     },
     {
-      ...{ name: "repeats a safe call whose upstream has ended", route: SAFE },
-      ...{ isAlive: false, status: undefined, ending: "open", sends: 2 },
+      ...{ name: "says that a call may have run whose upstream has ended", route: UNSAFE },
+      ...{ isAlive: false, seen: { status: 502, ending: "whole" }, sends: 1 },
     },
     {
-      ...{ name: "says that a call may have run whose upstream has ended", route: UNSAFE },
-      ...{ isAlive: false, status: 502, ending: "whole", sends: 1 },
+      ...{ name: "repeats a safe call whose upstream lives on", route: SAFE },
+      ...{ seen: { status: undefined, ending: "open" }, sends: 2 },
+    },
+    {
+      ...{ name: "repeats a safe call whose upstream has ended", route: SAFE, isAlive: false },
+      ...{ seen: { status: undefined, ending: "open" }, sends: 2 },
+    },
+    {
+      ...{ name: "passes no error answer on whose end is in doubt", route: UNSAFE, status: 500 },
+      ...{ seen: { status: 502, ending: "whole" }, sends: 1 },
+    },
+    {
+      ...{ name: "takes the head's word that a call didn't run", route: UNSAFE, status: 503 },
+      ...{ headers: ["not-run"], seen: { status: undefined, ending: "open" }, sends: 2 },
     },
   ];
-  for (const { name, route, isAlive, status, ending, sends } of calls) {
+  for (const { name, route, status = 200, headers = [], isAlive = true, seen, sends } of calls) {
     it(name, async () => {
       const harness = new ForwarderHarness();
       harness.isUpstreamAlive = isAlive;
       await harness.request(route);
-      harness.transport.answer(200, ["unframed"], "part");
+      harness.transport.answer(status, ["unframed", ...headers], "part");
       await harness.settle();
-      expect(harness.caller).to.include({ status, ending });
+      expect(harness.caller).to.include(seen);
       expect(harness.sentTo.length).to.equal(sends);
     });
   }
 
-  it("cuts a large answer whose upstream has ended", async () => {
-    const harness = new ForwarderHarness();
-    harness.isUpstreamAlive = false;
-    await harness.request(UNSAFE);
-    const { observer } = harness.transport.last;
-    observer.onHead({ status: 200, headers: ["unframed"] });
-    observer.onData(Buffer.alloc(2_000_000));
-    endAnswer(harness.transport.last);
-    await harness.settle();
-    expect(harness.caller).to.include({ status: 200, ending: "cut" });
-  });
+  for (const isAlive of [true, false]) {
+    it(`cuts a large answer whose upstream ${isAlive ? "lives on" : "has ended"}`, async () => {
+      const harness = new ForwarderHarness();
+      harness.isUpstreamAlive = isAlive;
+      await harness.request(UNSAFE);
+      const { observer } = harness.transport.last;
+      observer.onHead({ status: 200, headers: ["unframed"] });
+      observer.onData(Buffer.alloc(2_000_000));
+      endAnswer(harness.transport.last);
+      await harness.settle();
+      expect(harness.caller).to.include({ status: 200, ending: "cut" });
+    });
+  }
 });
--- a/packages/simulation/src/simulatedDialect.ts
+++ b/packages/simulation/src/simulatedDialect.ts
@@ -55,7 +55,7 @@
     const faultAt = headers.indexOf("fault");
     const limitAt = headers.indexOf("limit");
     return {
-      ...{ isValid: true, isNotRun: headers.includes("not-run"), isFramed: true },
+      ...{ isValid: true, isNotRun: headers.includes("not-run") },
       hasLength: false,
       ...{ isEventStream: headers.includes("stream") },
       limitPerSecond: limitAt >= 0 ? Number(headers[limitAt + 1]) : undefined,
