Tell no orderly close of both sides as a reset

Seen by a relay's peer, once the relay uses ConnectionEnd: an exchange whose two sides both ended was cut. Cause: the system doesn't name the peer either once both sides of a connection have ended in order. Change: after the reader's own side has ended, an end without a peer's name is unknown instead of a reset. Measured: ConnectionEnd.test.ts, 9 cases on real sockets; 1 of them fails without this.

--- a/packages/http/src/ConnectionEnd.ts
+++ b/packages/http/src/ConnectionEnd.ts
@@ -13,7 +13,7 @@
   constructor(connection: Duplex) {
     // Before all other listeners, as some of them close the connection themselves.
     connection.prependListener("end", () => {
-      this.#closing = isReset(connection) ? Closing.Reset : Closing.Orderly;
+      this.#closing = getClosing(connection);
     });
     connection.prependListener("error", () => {
       this.#closing = Closing.Reset;
@@ -25,6 +25,14 @@
   }
 }
 
-/** After a reset the system no longer names the peer, unless it was asked for before. */
-const isReset = (connection: Duplex): boolean =>
-  connection instanceof Socket && connection.remoteAddress === undefined;
+const getClosing = (connection: Duplex): Closing => {
+  if (!(connection instanceof Socket)) {
+    return Closing.Orderly;
+  }
+  // After a reset the system no longer names the peer, unless it was asked for before.
+  if (connection.remoteAddress !== undefined) {
+    return Closing.Orderly;
+  }
+  // It doesn't after an orderly close of both sides either.
+  return connection.writableEnded ? Closing.Unknown : Closing.Reset;
+};
