Cut a relay's answer whose target was reset together with its data

Seen by callers behind a process that connects through peers: a part of an unframed answer, as of an orderly end. Cause: the relay took the end of its target's bytes for their last, and ended its own answer with a last chunk. Change: RelayServer asks ConnectionEnd, and cuts its answer after a reset.

--- a/packages/nodes/src/RelayServer.ts
+++ b/packages/nodes/src/RelayServer.ts
@@ -1,7 +1,8 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Duplex } from "node:stream";
 
-import { sendJson, type Route } from "@lycheepulley/http";
+import { Closing } from "@lycheepulley/core";
+import { ConnectionEnd, sendJson, type Route } from "@lycheepulley/http";
 import { z } from "zod";
 
 /** Path at which a process relays connections of its peers. */
@@ -94,6 +95,7 @@
 const relay = (req: IncomingMessage, res: ServerResponse, socket: Duplex): Promise<void> =>
   new Promise((resolve) => {
     let hasEnded = false;
+    const connectionEnd = new ConnectionEnd(socket);
     const close = (): void => {
       socket.destroy();
       // Without its last chunk, the answer is seen to be cut.
@@ -105,6 +107,10 @@
       return;
     }
     socket.on("end", () => {
+      if (connectionEnd.closing === Closing.Reset) {
+        close();
+        return;
+      }
       hasEnded = true;
       res.end();
     });
--- a/packages/nodes/src/relay.test.ts
+++ b/packages/nodes/src/relay.test.ts
@@ -14,6 +14,7 @@
 import { RelayServer } from "./RelayServer.js";
 
 const LOCALHOST = "127.0.0.1";
+const UPLOAD = "ask".repeat(1_000_000);
 
 const connect = (host: string, port: number): Promise<Duplex> =>
   new Promise((resolve, reject) => {
@@ -71,6 +72,7 @@
 
   const endings: readonly {
     name: string;
+    upload?: string;
     answer: (socket: Socket) => void;
     end: "end" | "error";
   }[] = [
@@ -83,6 +85,21 @@
         }),
       end: "error",
     },
+    {
+      // Guards against an answer that looks complete because its target's reset came together with data.
+      name: "resets its connection together with its data",
+      answer: (socket) => {
+        socket.write("abc");
+        socket.resetAndDestroy();
+      },
+      end: "error",
+    },
+    {
+      name: "ends its side during an upload",
+      upload: UPLOAD,
+      answer: (socket) => socket.end("abc"),
+      end: "end",
+    },
     {
       // Guards against an answer that looks complete because the process in the middle has ended.
       name: "goes on while the peer ends",
@@ -93,16 +110,29 @@
       end: "error",
     },
   ];
-  for (const { name, answer, end } of endings) {
+  for (const { name, upload = "ask", answer, end } of endings) {
     it(`tell "${end}" when the target ${name}`, async () => {
       onConnection = (socket) => socket.once("data", () => answer(socket));
       const connection = await open();
-      connection.write("ask");
+      connection.write(upload);
       expect(await readAll(connection)).to.deep.equal({ text: "abc", end });
       connection.destroy();
     });
   }
 
+  it("tell an error when the target resets its connection with data during an upload", async () => {
+    onConnection = (socket) =>
+      socket.once("data", () => {
+        socket.pause();
+        socket.write("abc");
+        socket.resetAndDestroy();
+      });
+    const connection = await open();
+    connection.write(UPLOAD);
+    // The reset may overtake the data.
+    expect((await readAll(connection)).end).to.equal("error");
+  });
+
   it("pass bytes both ways before either side ends", async () => {
     onConnection = (socket) => socket.pipe(socket);
     const connection = await open();
