Take only an answer in chunks for a relay of a peer

Cause: openRelay took each 200 for a relay, also one that ends with its connection or at a length, whose end is not that of the target's bytes. Change: an answer that isn't framed in chunks is no relay, before anything is sent; the end of a relay is judged by core's answerEnd.ts.

--- a/packages/nodes/src/openRelay.ts
+++ b/packages/nodes/src/openRelay.ts
@@ -1,7 +1,15 @@
 import { request, type ClientRequest, type IncomingMessage } from "node:http";
 import { Duplex } from "node:stream";
 
-import { toTimerMs } from "@lycheepulley/core";
+import {
+  AnswerEnd,
+  Closing,
+  Framing,
+  getFraming,
+  newEndReport,
+  toTimerMs,
+  type EndReport,
+} from "@lycheepulley/core";
 
 import {
   RELAY_HOST_HEADER,
@@ -14,6 +22,7 @@
 /** Time for the way to the peer and back, besides its own connection. */
 const EXTRA_TIMEOUT_MS = 100;
 
+const METHOD = "POST";
 const OPENED_STATUS = 200;
 const NO_CONNECTION_STATUS = 502;
 
@@ -29,6 +38,18 @@
   }
 }
 
+/** Tells how a peer's answer ends, which the end of its connection doesn't show. */
+const getReport = ({ statusCode = 0, headers, complete }: IncomingMessage): EndReport =>
+  newEndReport({
+    framing: getFraming(METHOD, { status: statusCode, headers }),
+    closing: Closing.Unknown,
+    isComplete: complete,
+  });
+
+/** True for the answer of a peer that relays; a length would end it before the target does. */
+const isRelay = (res: IncomingMessage): boolean =>
+  res.statusCode === OPENED_STATUS && getReport(res).framing === Framing.Chunks;
+
 /** A connection through a peer; errors when the peer ends before the target does. */
 class RelayedConnection extends Duplex {
   readonly #req: ClientRequest;
@@ -46,7 +67,11 @@
       }
     });
     res.on("end", () => {
-      this.push(null);
+      if (getReport(res).end === AnswerEnd.Whole) {
+        this.push(null);
+      } else {
+        this.destroy(new Error("relayed connection cut"));
+      }
     });
     res.pause();
   }
@@ -80,7 +105,7 @@
 ): Promise<Duplex> =>
   new Promise((resolve, reject) => {
     const req = request({
-      ...{ host: peer.host, port: peer.port, method: "POST", path: RELAY_PATH, agent: false },
+      ...{ host: peer.host, port: peer.port, method: METHOD, path: RELAY_PATH, agent: false },
       headers: {
         [RELAY_HOST_HEADER]: host,
         [RELAY_PORT_HEADER]: String(port),
@@ -104,7 +129,7 @@
       fail(err.message);
     });
     req.on("response", (res) => {
-      if (res.statusCode === OPENED_STATUS) {
+      if (isRelay(res)) {
         clearTimeout(timer);
         resolve(new RelayedConnection(req, res));
       } else {
