Tell no answer of a peer as whole whose end isn't known

Seen by readers of answers: a part of a text as the whole one, when the peer's connection ended in order or by a reset that came with the data. Cause: undici takes each end of a connection for that of an answer without framing, and HttpPeer took its word. Change: call() tells the end by core's answerEnd.ts; callJson() and postJson() take an answer of unknown end only if it is a JSON object or array, which delimit themselves; stream() rejects one unless its reader finds the end by a marker of its own (engine streams: [DONE]). Renewing a reservation needs the status only.

--- a/packages/engines/src/ExtendedEngineClient.ts
+++ b/packages/engines/src/ExtendedEngineClient.ts
@@ -36,7 +36,6 @@
 /** Streams have a connection pool of their own, as they last long and would block short calls. */
 const MAX_STREAM_CONNECTIONS = 256;
 
-const anyResponseSchema = z.unknown();
 const exportResponseSchema = z.object({ handle: z.string() });
 
 /** Client of an engine with an OpenAI-style API and the extension interface (docs/PLATFORM.md). */
@@ -69,6 +68,7 @@
         body: resume ? addResumeField(call.body, resume) : call.body,
         signal: call.signal,
         timeoutMs: call.timeoutMs,
+        hasEndMarker: true,
         headers: {
           [EngineHeader.Attempt]: attemptId,
           [EngineHeader.Priority]: String(call.priority),
@@ -87,7 +87,8 @@
     const { attemptId, fromSeq, signal, timeoutMs } = call;
     const parser = new AnswerParser(this.name, attemptId, fromSeq, onChunk);
     const path = `${EXTENSION_PREFIX}/streams/${attemptId}?from=${String(fromSeq)}`;
-    await this.#streamPeer.stream(path, { signal, timeoutMs }, parser.push);
+    const options = { signal, timeoutMs, hasEndMarker: true };
+    await this.#streamPeer.stream(path, options, parser.push);
     parser.checkEnded();
   }
 
@@ -132,7 +133,14 @@
   }
 
   async renewKv(id: string, termMs: number): Promise<void> {
-    await this.#peer.postJson(`${EXTENSION_PREFIX}/kv/${id}/renew`, { termMs }, anyResponseSchema);
+    const path = `${EXTENSION_PREFIX}/kv/${id}/renew`;
+    const { status, text } = await this.#peer.call(path, {
+      method: "POST",
+      body: JSON.stringify({ termMs }),
+    });
+    if (status < 200 || status > 299) {
+      throw new PeerError(this.name, `status ${String(status)}: ${text}`, { sent: true, status });
+    }
   }
 
   async releaseKv(id: string): Promise<void> {
--- a/packages/http/src/HttpPeer.ts
+++ b/packages/http/src/HttpPeer.ts
@@ -1,7 +1,10 @@
-import { getMessage, PeerError, toTimerMs, type TrafficMeter } from "@lycheepulley/core";
+import { AnswerEnd, getMessage, PeerError, toTimerMs, type TrafficMeter } from "@lycheepulley/core";
 import { buildConnector, Pool, type Dispatcher } from "undici";
 import type { z } from "zod";
 
+import { delimitsItself, getReadEnd, UNKNOWN_END } from "./readEnd.js";
+import { StreamHandler } from "./StreamHandler.js";
+
 /** Estimated size of a request's or response's first line and headers. */
 const ESTIMATED_HEADER_BYTES = 250;
 const DEFAULT_TIMEOUT_MS = 2_000;
@@ -45,6 +48,18 @@
   readonly timeoutMs?: number;
 }
 
+export interface StreamOptions extends CallOptions {
+  /** The reader of the bytes finds a whole answer's end in them. */
+  readonly hasEndMarker?: boolean;
+}
+
+/** The body of a response, as far as it arrived. */
+export interface PeerAnswer {
+  readonly status: number;
+  readonly text: string;
+  readonly end: AnswerEnd;
+}
+
 /**
  * Connects without the code by which undici takes a reset for the end of an answer that has neither a
  * length nor chunks: what came before it isn't all of the answer.
@@ -119,7 +134,10 @@
     });
   }
 
-  /** Sends a request and returns the response without reading its body. */
+  /**
+   * Sends a request and returns the response without reading its body, of whose end only {@link getReadEnd}
+   * tells.
+   */
   async open(path: string, options: CallOptions = {}): Promise<Dispatcher.ResponseData> {
     const timeoutMs = toTimerMs(options.timeoutMs ?? this.#timeoutMs);
     try {
@@ -140,16 +158,19 @@
 
   /**
    * Sends a request and passes the body of a response with status 200 to `onData` as it
-   * arrives. Resolves at the end of the body; rejects on another status or a broken connection.
+   * arrives. Resolves at the end of the body; rejects on another status, a broken connection, or an end
+   * that isn't known, unless `onData` has its own marker of it.
    */
-  stream(path: string, options: CallOptions, onData: (bytes: Buffer) => void): Promise<void> {
+  stream(path: string, options: StreamOptions, onData: (bytes: Buffer) => void): Promise<void> {
     const timeoutMs = toTimerMs(options.timeoutMs ?? this.#timeoutMs);
     return new Promise((resolve, reject) => {
-      const handler = new StreamHandler(this, { onData, resolve, reject, signal: options.signal });
+      const { signal, method = "GET", hasEndMarker = false } = options;
+      const handler = new StreamHandler(this, {
+        ...{ onData, resolve, reject, signal, method, hasEndMarker },
+      });
       this.#pool.dispatch(
         {
-          path,
-          method: options.method ?? "GET",
+          ...{ path, method },
           headers: { "content-type": "application/json", ...options.headers },
           body: options.body ?? null,
           reset: !this.#reusesConnections,
@@ -161,8 +182,8 @@
     });
   }
 
-  /** Sends a request and reads the whole response body as text. */
-  async call(path: string, options: CallOptions = {}): Promise<{ status: number; text: string }> {
+  /** Sends a request and reads the response body as text; tells whether it is whole or its end unknown. */
+  async call(path: string, options: CallOptions = {}): Promise<PeerAnswer> {
     const totalMs = MAX_TIMEOUTS * (options.timeoutMs ?? this.#timeoutMs);
     const timeout = AbortSignal.timeout(toTimerMs(totalMs));
     const signal = options.signal ? AbortSignal.any([timeout, options.signal]) : timeout;
@@ -171,7 +192,7 @@
       const text = await readText(res.body);
       const sentBytes = Buffer.byteLength(options.body ?? "") + ESTIMATED_HEADER_BYTES;
       this.#traffic?.count(this.#kind, sentBytes, Buffer.byteLength(text) + ESTIMATED_HEADER_BYTES);
-      return { status: res.statusCode, text };
+      return { status: res.statusCode, text, end: getReadEnd(options.method ?? "GET", res) };
     } catch (err) {
       throw this.toPeerError(err);
     }
@@ -183,7 +204,7 @@
     schema: S,
     options: CallOptions = {},
   ): Promise<z.output<S>> {
-    const { status, text } = await this.call(path, options);
+    const { status, text, end } = await this.call(path, options);
     if (status < 200 || status > 299) {
       throw new PeerError(this.name, `status ${String(status)}: ${text.slice(0, 200)}`, {
         sent: true,
@@ -191,7 +212,11 @@
       });
     }
     try {
-      return schema.parse(JSON.parse(text === "" ? "null" : text));
+      const json: unknown = JSON.parse(text === "" ? "null" : text);
+      if (end !== AnswerEnd.Whole && !delimitsItself(json)) {
+        throw new Error(UNKNOWN_END);
+      }
+      return schema.parse(json);
     } catch (err) {
       const message = `unreadable answer: ${getMessage(err)}`;
       throw new PeerError(this.name, message, { sent: true, status, cause: err });
@@ -237,92 +262,3 @@
     await this.#pool.destroy();
   }
 }
-
-interface StreamHandlerOptions {
-  readonly onData: (bytes: Buffer) => void;
-  readonly resolve: () => void;
-  readonly reject: (err: Error) => void;
-  readonly signal: AbortSignal | undefined;
-}
-
-const HTTP_OK = 200;
-const MAX_ERROR_TEXT_LENGTH = 200;
-const MAX_ERROR_BYTES = 1_048_576;
-
-/** Passes on the body of one streamed response without buffering it. */
-class StreamHandler implements Dispatcher.DispatchHandler {
-  readonly #peer: HttpPeer;
-  readonly #options: StreamHandlerOptions;
-  #errorText = "";
-  #errorBytes = 0;
-  #status = 0;
-  #controller: Dispatcher.DispatchController | undefined;
-
-  constructor(peer: HttpPeer, options: StreamHandlerOptions) {
-    this.#peer = peer;
-    this.#options = options;
-  }
-
-  onRequestStart(controller: Dispatcher.DispatchController): void {
-    const { signal } = this.#options;
-    this.#controller = controller;
-    if (signal?.aborted) {
-      this.#onAbort();
-    } else {
-      signal?.addEventListener("abort", this.#onAbort);
-    }
-  }
-
-  onResponseStart(_controller: Dispatcher.DispatchController, status: number): void {
-    this.#status = status;
-  }
-
-  onResponseData(controller: Dispatcher.DispatchController, bytes: Buffer): void {
-    if (this.#status !== HTTP_OK) {
-      this.#handleErrorData(controller, bytes);
-      return;
-    }
-    try {
-      this.#options.onData(bytes);
-    } catch (err) {
-      controller.abort(this.#peer.toPeerError(err));
-    }
-  }
-
-  /** Ends a response with an error status whose body is long and may have no end. */
-  #handleErrorData(controller: Dispatcher.DispatchController, bytes: Buffer): void {
-    this.#errorBytes += bytes.length;
-    if (this.#errorText.length < MAX_ERROR_TEXT_LENGTH) {
-      this.#errorText += bytes.toString().slice(0, MAX_ERROR_TEXT_LENGTH);
-    }
-    if (this.#errorBytes > MAX_ERROR_BYTES) {
-      controller.abort(this.#newStatusError());
-    }
-  }
-
-  #newStatusError(): PeerError {
-    const text = this.#errorText.slice(0, MAX_ERROR_TEXT_LENGTH);
-    const message = `status ${String(this.#status)}: ${text}`;
-    return new PeerError(this.#peer.name, message, { sent: true, status: this.#status });
-  }
-
-  onResponseEnd(): void {
-    this.#options.signal?.removeEventListener("abort", this.#onAbort);
-    if (this.#status === HTTP_OK) {
-      this.#options.resolve();
-      return;
-    }
-    this.#options.reject(this.#newStatusError());
-  }
-
-  onResponseError(_controller: Dispatcher.DispatchController, err: Error): void {
-    this.#options.signal?.removeEventListener("abort", this.#onAbort);
-    this.#options.reject(this.#peer.toPeerError(err));
-  }
-
-  readonly #onAbort = (): void => {
-    const reason: unknown = this.#options.signal?.reason;
-    const cancelled = new PeerError(this.#peer.name, "cancelled", { sent: true, cause: reason });
-    this.#controller?.abort(cancelled);
-  };
-}
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -2,3 +2,4 @@
 export * from "./ConnectionQueue.js";
 export * from "./HttpPeer.js";
 export * from "./HttpServer.js";
+export * from "./readEnd.js";
