End an engine's stream at its end marker

Seen by callers: text of events behind the end marker in an answer that had ended. Cause: the parser of engines' streams went on behind the marker. Change: events behind it are left out. Streams without a whole marker stay errors, whatever their framing and closing. Measured: engineEnds.test.ts, 126 cases of generate, generate at a plain engine and resume; 18 of them fail without this.

--- a/packages/engines/src/ExtendedEngineClient.ts
+++ b/packages/engines/src/ExtendedEngineClient.ts
@@ -194,6 +194,9 @@
   }
 
   #onEvent(event: SseEvent): void {
+    if (this.#hasEnded) {
+      return;
+    }
     if (event.data === DONE_MARKER) {
       this.#hasEnded = true;
       return;
