Take no service's answer of unknown end for a whole one

Seen by callers: a part of a service's answer as a 200, and as the stored outcome of an idempotency key. Cause: an answer without framing counted as whole while its service accepted connections. A service that crashed and started anew does so, and undici hides a reset that comes with the data. Change: HttpServiceClient asks core's answerEnd.ts; an answer of unknown end is an error after which the call may have run, and is repeated if it is idempotent. Its status stays usable: one that states that the call didn't run is believed. One expectation told a part as whole and is replaced by its opposite: 'takes the end of a connection for that of its answer while the service lives on'.

--- a/packages/http/src/HttpPeer.ts
+++ b/packages/http/src/HttpPeer.ts
@@ -233,17 +233,6 @@
     return this.callJson(path, schema, { method: "POST", ...options, body: JSON.stringify(body) });
   }
 
-  /** True when the peer accepts a connection now. Never rejects. */
-  accepts(): Promise<boolean> {
-    const { hostname, port, protocol } = new URL(this.origin);
-    return new Promise((resolve) => {
-      newConnector()({ hostname, host: hostname, port, protocol }, (err, socket) => {
-        socket?.destroy();
-        resolve(err === null);
-      });
-    });
-  }
-
   /** Converts an error of the transport to a {@link PeerError}. */
   toPeerError(err: unknown): PeerError {
     if (err instanceof PeerError) {
--- a/packages/services/src/ServiceClient.test.ts
+++ b/packages/services/src/ServiceClient.test.ts
@@ -1,5 +1,6 @@
-import { createServer, type AddressInfo, type Server } from "node:net";
+import { createServer, type AddressInfo, type Server, type Socket } from "node:net";
 
+import { PeerError } from "@lycheepulley/core";
 import { expect } from "chai";
 
 import { HttpServiceClient, type ServiceCall } from "./ServiceClient.js";
@@ -37,7 +38,60 @@
   signal: new AbortController().signal,
 });
 
-const ANSWER = { status: 200, body: "half of it" };
+const OK = "HTTP/1.1 200 OK\r\n";
+const LATER_MS = 10;
+
+/** Answers of a service, and whether they are taken for whole ones after an orderly end. */
+const ANSWERS: readonly {
+  name: string;
+  text: string;
+  body?: string;
+  method?: ServiceCall["method"];
+  isWhole: boolean;
+}[] = [
+  { name: "no framing", text: `${OK}\r\nhalf of it`, isWhole: false },
+  { name: "no framing, JSON", text: `${OK}\r\n{"a":1}`, isWhole: false },
+  { name: "no framing, no body", text: `${OK}\r\n`, isWhole: false },
+  { name: "no framing, an error", text: "HTTP/1.1 500 No\r\n\r\nhalf of it", isWhole: false },
+  { name: "no framing, HTTP/1.0", text: "HTTP/1.0 200 OK\r\n\r\nhalf of it", isWhole: false },
+  {
+    name: "a coding that isn't chunked",
+    text: `${OK}Transfer-Encoding: gzip\r\n\r\nhalf of it`,
+    isWhole: false,
+  },
+  { name: "a cut length", text: `${OK}Content-Length: 11\r\n\r\nhalf of it`, isWhole: false },
+  {
+    name: "cut chunks",
+    text: `${OK}Transfer-Encoding: chunked\r\n\r\na\r\nhalf of it\r\n`,
+    isWhole: false,
+  },
+  { name: "a length", text: newAnswer("all of it"), body: "all of it", isWhole: true },
+  {
+    name: "chunks",
+    text: `${OK}Transfer-Encoding: chunked\r\n\r\n9\r\nall of it\r\n0\r\n\r\n`,
+    body: "all of it",
+    isWhole: true,
+  },
+  { name: "status 204", text: "HTTP/1.1 204 No Content\r\n\r\n", isWhole: true },
+  { name: "an answer to HEAD", text: `${OK}\r\n`, method: "HEAD", isWhole: true },
+];
+
+const CLOSINGS: readonly [name: string, close: (socket: Socket, text: string) => void][] = [
+  ["an orderly end", (socket, text) => socket.end(text)],
+  [
+    "a reset with the data",
+    (socket, text) => {
+      socket.write(text);
+      socket.resetAndDestroy();
+    },
+  ],
+  [
+    "a reset later",
+    (socket, text) => {
+      socket.write(text, () => setTimeout(() => socket.resetAndDestroy(), LATER_MS));
+    },
+  ],
+];
 
 describe("ServiceClient", () => {
   // The next caller got the answer of another one, of which a late second copy arrived.
@@ -74,30 +128,44 @@
     expect(result).to.include({ sent: true });
   });
 
-  const ends: readonly [name: string, hasCrashed: boolean, seen: object][] = [
-    [
-      "takes the end of a connection for that of its answer while the service lives on",
-      false,
-      ANSWER,
-    ],
-    ["doesn't take the end of a service that crashes for that of its answer", true, { sent: true }],
-  ];
-  for (const [name, hasCrashed, seen] of ends) {
-    // The connections of a process that ends are closed in order, as after a whole answer.
-    it(name, async () => {
-      const server = createServer((socket) => {
-        socket.once("data", () => {
-          if (hasCrashed) {
-            server.close();
+  for (const livesOn of [true, false]) {
+    for (const [closing, close] of CLOSINGS) {
+      for (const { name, text, body = "", method = "GET", isWhole } of ANSWERS) {
+        const service = livesOn ? "a service that lives on" : "a service that crashes";
+        // That a service accepts connections proves nothing: it may have started anew.
+        it(`${isWhole ? "takes" : "doesn't take"} an answer for whole: ${name}, ${closing}, ${service}`, async () => {
+          const server = createServer((socket) => {
+            socket.on("error", () => undefined);
+            socket.once("data", () => {
+              if (!livesOn) {
+                server.close();
+              }
+              close(socket, text);
+            });
+          });
+          const client = await startClient(server);
+          const call = { ...newCall(), method };
+          const result: unknown = await client.call(call).catch((err: unknown) => err);
+          await client.close();
+          server.close();
+          if (isWhole) {
+            expect(result).to.include({ body });
+          } else {
+            expect(result).to.be.instanceOf(PeerError).and.to.include({ sent: true });
           }
-          socket.end("HTTP/1.1 200 OK\r\n\r\nhalf of it");
         });
-      });
-      const client = await startClient(server);
-      const result: unknown = await client.call(newCall()).catch((err: unknown) => err);
-      await client.close();
-      server.close();
-      expect(result).to.include(seen);
-    });
+      }
+    }
   }
+
+  it("tells the status of an answer whose end isn't known", async () => {
+    const server = createServer((socket) => {
+      socket.once("data", () => socket.end("HTTP/1.1 423 Locked\r\n\r\nnot r"));
+    });
+    const client = await startClient(server);
+    const result: unknown = await client.call(newCall()).catch((err: unknown) => err);
+    await client.close();
+    server.close();
+    expect(result).to.include({ sent: true, status: 423 });
+  });
 });
--- a/packages/services/src/ServiceClient.ts
+++ b/packages/services/src/ServiceClient.ts
@@ -1,6 +1,5 @@
-import { PeerError } from "@lycheepulley/core";
-import { HttpPeer } from "@lycheepulley/http";
-import type { Dispatcher } from "undici";
+import { AnswerEnd, PeerError } from "@lycheepulley/core";
+import { getReadEnd, HttpPeer, UNKNOWN_END } from "@lycheepulley/http";
 
 /** Parameters of one call to a plain service. */
 export interface ServiceCall {
@@ -25,24 +24,14 @@
 /** Client of one instance of a plain service. */
 export interface ServiceClient {
   readonly name: string;
-  /** Calls the service; rejects with a PeerError that says whether bytes were sent. */
+  /**
+   * Calls the service; rejects with a PeerError that says whether bytes were sent. An answer of unknown end is
+   * rejected with its status.
+   */
   call(call: ServiceCall): Promise<ServiceAnswer>;
   close(): Promise<void>;
 }
 
-/** Statuses of answers that never have a body. */
-const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
-
-/** True when the end of an answer can be told from that of its connection. */
-const hasKnownEnd = (
-  method: ServiceCall["method"],
-  { statusCode, headers }: Pick<Dispatcher.ResponseData, "statusCode" | "headers">,
-): boolean =>
-  "content-length" in headers ||
-  "transfer-encoding" in headers ||
-  method === "HEAD" ||
-  BODILESS_STATUSES.has(statusCode);
-
 /** Client of a plain service over HTTP. */
 export class HttpServiceClient implements ServiceClient {
   readonly name: string;
@@ -64,9 +53,9 @@
         contentType: typeof contentType === "string" ? contentType : "application/octet-stream",
         body: await res.body.text(),
       };
-      // The connections of a service that crashes end in order, as after a complete answer.
-      if (!hasKnownEnd(method, res) && !(await this.#peer.accepts())) {
-        throw new PeerError(this.name, "the service ended with its answer", { sent: true });
+      // Neither an orderly end nor that the service lives tells a whole answer from a part.
+      if (getReadEnd(method, res) !== AnswerEnd.Whole) {
+        throw new PeerError(this.name, UNKNOWN_END, { sent: true, status: res.statusCode });
       }
       return answer;
     } catch (err) {
--- a/packages/serving/src/requests/ServiceRunner.ts
+++ b/packages/serving/src/requests/ServiceRunner.ts
@@ -167,6 +167,11 @@
       }
       return answer;
     } catch (err) {
+      const status = isPeerError(err) ? err.status : undefined;
+      if (status !== undefined && service.notRunStatuses.includes(status)) {
+        // The status says so, whatever is missing of its answer.
+        throw newNotRunError(req.service, status);
+      }
       if (!isPeerError(err) || err.sent) {
         ctx.noteSent();
       }
--- a/packages/serving/src/requests/serviceEnds.test.ts
+++ b/packages/serving/src/requests/serviceEnds.test.ts
@@ -14,6 +14,7 @@
   NOT_RUN,
   observe,
   sent,
+  status,
   unsent,
   type Said,
 } from "./testing/observeRun.js";
@@ -57,6 +58,16 @@
     { name: "a status that states no run", steps: [answerWith(423)], said: NOT_RUN },
     { name: "no connection", steps: [failWith(unsent)], said: NOT_RUN },
     { name: "a broken connection", steps: [failWith(sent)], said: MAY_HAVE_RUN },
+    {
+      name: "an answer of unknown end",
+      steps: [failWith(() => status(200))],
+      said: MAY_HAVE_RUN,
+    },
+    {
+      name: "a status that states no run with an answer of unknown end",
+      steps: [failWith(() => status(423))],
+      said: NOT_RUN,
+    },
     {
       name: "an error that is no peer's",
       steps: [failWith(() => new TypeError("bug"))],
@@ -69,6 +80,14 @@
     });
   }
 
+  it("is repeated after an answer of unknown end if it is idempotent", async () => {
+    const said = await observeService([failWith(() => status(200)), answerWith(200)], {
+      method: "PUT",
+      idempotencyKey: undefined,
+    });
+    expect(said).to.deep.equal({ ...ANSWERED, claim: undefined });
+  });
+
   it("may have run when a repeated call found no connection after a broken one", async () => {
     const said = await observeService([failWith(sent), failWith(unsent)], {
       method: "PUT",
