Tell how answers of an upstream's own interface ended

Cause: fetchAnswer passed a body as a whole answer's, however it had ended. Change: it tells the end; orders and probes need the status only, and reports are JSON objects, which delimit themselves. Measured: fetchAnswer.test.ts, 7 cases on real sockets; 6 of them ask for the end and fail without this.

--- a/packages/upstreams/src/fetchAnswer.ts
+++ b/packages/upstreams/src/fetchAnswer.ts
@@ -1,4 +1,4 @@
-import type { Clock } from "@lycheepulley/core";
+import { AnswerEnd, type Clock } from "@lycheepulley/core";
 import type { UpstreamAddress, UpstreamTransport } from "@lycheepulley/forwarding";
 
 /** A short call to an upstream's own interface. */
@@ -13,13 +13,16 @@
 /** Longest body that is read of an answer; a longer one counts as empty. */
 const MAX_BODY_BYTES = 262_144;
 
-/** A whole answer of an upstream's own interface. */
+/** An answer of an upstream's own interface. */
 export interface InterfaceAnswer {
   readonly status: number;
+  /** All that arrived. */
   readonly body: Buffer;
+  /** Unless it is whole, the body counts only if it delimits itself. */
+  readonly end: AnswerEnd;
 }
 
-/** Resolves with a whole answer; undefined when there is none in time. */
+/** Resolves with an answer and how it ended; undefined when there is none in time. */
 export const fetchAnswer = (
   transport: UpstreamTransport,
   clock: Clock,
@@ -41,10 +44,12 @@
             chunks.push(chunk);
           }
         },
-        onEnd: () => {
+        onEnd: ({ end }) => {
           cancelTimeout();
-          const body = Buffer.concat(size <= MAX_BODY_BYTES ? chunks : []);
-          resolve(status === undefined ? undefined : { status, body });
+          const isTooLong = size > MAX_BODY_BYTES;
+          const body = Buffer.concat(isTooLong ? [] : chunks);
+          const read = { body, end: isTooLong ? AnswerEnd.Cut : end };
+          resolve(status === undefined ? undefined : { status, ...read });
         },
         onError: () => {
           cancelTimeout();
