Refuse workers' answers with an invalid head

Cause: the parser takes any three digits as a status, any encoding whose end it doesn't know as a body up to the end of the connection, versions 0.9 and 2.0, and control bytes in the reason. Change: core's answerHead.ts says whether the head of a final answer is valid, and the transport asks it before it tells of a head: an answer that isn't valid is an error of its send. Coded bodies (gzip) are refused too: none is asked for, and the coding couldn't be told to the caller.

--- /dev/null
+++ b/packages/core/src/answerHead.ts
@@ -0,0 +1,69 @@
+/** Statuses of a final answer. */
+const MIN_STATUS = 200;
+const MAX_STATUS = 599;
+/** Names of fields are tokens (RFC 9110, 5.6.2). */
+const NAME = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$/;
+/** Bytes that no value and no reason may have: all control bytes but the tab. */
+const CONTROL = /[\u0000-\u0008\u000a-\u001f\u007f]/;
+/** Lengths that a number tells apart. */
+const LENGTH = /^\d{1,15}$/;
+
+/** The head of a final answer as it came in. */
+export interface ReceivedHead {
+  readonly status: number;
+  /** Undefined where the parser doesn't tell it. */
+  readonly version?: string | undefined;
+  readonly reason?: string | undefined;
+  /** Names and values in turn. */
+  readonly fields: readonly string[];
+}
+
+const findFieldFault = (fields: readonly string[]): string | undefined => {
+  for (let at = 0; at < fields.length; at += 2) {
+    const name = fields[at] ?? "";
+    if (!NAME.test(name)) {
+      return `field name ${JSON.stringify(name)}`;
+    }
+    if (CONTROL.test(fields[at + 1] ?? "")) {
+      return `control byte in ${name}`;
+    }
+  }
+  return undefined;
+};
+
+const getValues = (fields: readonly string[], name: string): string[] =>
+  fields.filter((_, at) => at % 2 === 1 && fields[at - 1]?.toLowerCase() === name);
+
+/** Only "chunked" is ever asked for, so that no other coding can be taken off the body. */
+const findFramingFault = ({ version, fields }: ReceivedHead): string | undefined => {
+  const lengths = getValues(fields, "content-length");
+  const encodings = getValues(fields, "transfer-encoding");
+  if (lengths.length + encodings.length > 1) {
+    return "more than one length or encoding";
+  }
+  if (lengths.some((length) => !LENGTH.test(length))) {
+    return "content-length";
+  }
+  const isFramed = encodings.every((encoding) => encoding.toLowerCase() === "chunked");
+  return isFramed && (encodings.length === 0 || version !== "1.0")
+    ? undefined
+    : "transfer-encoding";
+};
+
+/**
+ * Finds what makes the head of a final answer invalid; undefined when it is valid. Nothing of an answer
+ * with an invalid head may be taken: its sender is in trouble, or another reader sees another body.
+ */
+export const findHeadFault = (head: ReceivedHead): string | undefined => {
+  const { status, version, fields } = head;
+  if (version !== undefined && version !== "1.1" && version !== "1.0") {
+    return `version ${version}`;
+  }
+  if (!Number.isInteger(status) || status < MIN_STATUS || status > MAX_STATUS) {
+    return `status ${String(status)}`;
+  }
+  if (CONTROL.test(head.reason ?? "")) {
+    return "control byte in the reason";
+  }
+  return findFieldFault(fields) ?? findFramingFault(head);
+};
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,4 +1,5 @@
 export * from "./answerEnd.js";
+export * from "./answerHead.js";
 export * from "./answerStream.js";
 export * from "./classify.js";
 export * from "./clock.js";
--- /dev/null
+++ b/packages/core/src/testing/RawServer.ts
@@ -0,0 +1,76 @@
+import { createServer, type AddressInfo, type Server, type Socket } from "node:net";
+
+/** How the bytes of an answer are sent. */
+export interface Pace {
+  /** All at once by default. */
+  readonly bytesPerWrite?: number;
+  /** Time between writes, milliseconds; within one turn of the event loop when 0. */
+  readonly pauseMs?: number;
+  /** Leaves the connection open behind the answer. */
+  readonly staysOpen?: boolean;
+}
+
+/** Server that answers each connection, once a request arrives, with given bytes. */
+export class RawServer {
+  readonly #server: Server;
+  readonly #sockets = new Set<Socket>();
+  #bytes = "";
+  #pace: Pace = {};
+  requests = 0;
+
+  constructor() {
+    this.#server = createServer((socket) => {
+      this.#sockets.add(socket);
+      socket.setNoDelay(true);
+      socket.on("error", () => undefined);
+      socket.on("close", () => this.#sockets.delete(socket));
+      socket.once("data", () => {
+        // Unread bytes would reset the connection.
+        socket.resume();
+        this.requests += 1;
+        void this.#send(socket);
+      });
+    });
+  }
+
+  get port(): number {
+    return (this.#server.address() as AddressInfo).port;
+  }
+
+  get origin(): string {
+    return `http://127.0.0.1:${String(this.port)}`;
+  }
+
+  listen(): Promise<void> {
+    return new Promise((resolve) => this.#server.listen(0, "127.0.0.1", resolve));
+  }
+
+  /** `bytes` has one byte a character. */
+  answerWith(bytes: string, pace: Pace = {}): void {
+    this.#bytes = bytes;
+    this.#pace = pace;
+  }
+
+  close(): void {
+    this.#server.close();
+    this.#sockets.forEach((socket) => socket.destroy());
+  }
+
+  async #send(socket: Socket): Promise<void> {
+    const { bytesPerWrite = this.#bytes.length, pauseMs = 0, staysOpen = false } = this.#pace;
+    const bytes = Buffer.from(this.#bytes, "latin1");
+    for (let at = 0; at < bytes.length && !socket.destroyed; at += bytesPerWrite) {
+      socket.write(bytes.subarray(at, at + bytesPerWrite));
+      await new Promise((resolve) => {
+        if (pauseMs > 0) {
+          setTimeout(resolve, pauseMs);
+        } else {
+          setImmediate(resolve);
+        }
+      });
+    }
+    if (!staysOpen) {
+      socket.end();
+    }
+  }
+}
--- /dev/null
+++ b/packages/core/src/testing/index.ts
@@ -0,0 +1,3 @@
+export * from "./answers.js";
+export * from "./RawServer.js";
+export * from "./testAnswers.js";
--- /dev/null
+++ b/packages/http/src/answerChecks.ts
@@ -0,0 +1,74 @@
+import type { IncomingMessage } from "node:http";
+
+import { findHeadFault } from "@lycheepulley/core";
+import type { Dispatcher } from "undici";
+
+const FIRST_INTERIM_STATUS = 100;
+const FIRST_FINAL_STATUS = 200;
+
+/** An answer whose head is invalid; nothing of it is taken. */
+export class InvalidHeadError extends Error {
+  readonly code = "ERR_INVALID_HEAD";
+
+  constructor(fault: string) {
+    super(`invalid head of an answer: ${fault}`);
+    this.name = "InvalidHeadError";
+  }
+}
+
+/** Finds why an answer that node:http has parsed can't be taken; undefined when it can. */
+export const findInvalidHead = (res: IncomingMessage): InvalidHeadError | undefined => {
+  const { statusCode: status = 0, httpVersion: version, rawHeaders: fields } = res;
+  const fault = findHeadFault({ status, version, reason: res.statusMessage, fields });
+  return fault === undefined ? undefined : new InvalidHeadError(fault);
+};
+
+type Handler = Required<Dispatcher.DispatchHandler>;
+
+/** Ends requests whose answer has an invalid head. */
+class HeadCheck implements Dispatcher.DispatchHandler {
+  readonly #handler: Dispatcher.DispatchHandler;
+
+  constructor(handler: Dispatcher.DispatchHandler) {
+    this.#handler = handler;
+  }
+
+  onRequestStart(...args: Parameters<Handler["onRequestStart"]>): void {
+    this.#handler.onRequestStart?.(...args);
+  }
+
+  onRequestUpgrade(...args: Parameters<Handler["onRequestUpgrade"]>): void {
+    this.#handler.onRequestUpgrade?.(...args);
+  }
+
+  onResponseStart(...args: Parameters<Handler["onResponseStart"]>): void {
+    const [controller, status, headers, reason] = args;
+    const fields = Object.entries(headers).flatMap(([name, values]) =>
+      [values ?? []].flat().flatMap((value) => [name, value]),
+    );
+    const isInterim = status >= FIRST_INTERIM_STATUS && status < FIRST_FINAL_STATUS;
+    const fault = isInterim ? undefined : findHeadFault({ status, reason, fields });
+    if (fault === undefined) {
+      this.#handler.onResponseStart?.(...args);
+    } else {
+      controller.abort(new InvalidHeadError(fault));
+    }
+  }
+
+  onResponseData(...args: Parameters<Handler["onResponseData"]>): void {
+    this.#handler.onResponseData?.(...args);
+  }
+
+  onResponseEnd(...args: Parameters<Handler["onResponseEnd"]>): void {
+    this.#handler.onResponseEnd?.(...args);
+  }
+
+  onResponseError(...args: Parameters<Handler["onResponseError"]>): void {
+    this.#handler.onResponseError?.(...args);
+  }
+}
+
+/** Lets a client of undici take only answers with a valid head. */
+export const checkAnswerHeads: Dispatcher.DispatcherComposeInterceptor =
+  (dispatch) => (options, handler) =>
+    dispatch(options, new HeadCheck(handler));
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./answerChecks.js";
 export * from "./ConnectionEnd.js";
 export * from "./ConnectionQueue.js";
 export * from "./HttpPeer.js";
--- a/packages/upstreams/src/HttpUpstreamTransport.ts
+++ b/packages/upstreams/src/HttpUpstreamTransport.ts
@@ -9,7 +9,7 @@
   type UpstreamCall,
   type UpstreamTransport,
 } from "@lycheepulley/forwarding";
-import { ConnectionEnd } from "@lycheepulley/http";
+import { ConnectionEnd, findInvalidHead } from "@lycheepulley/http";
 
 import { TcpConnector } from "./TcpConnector.js";
 
@@ -109,6 +109,11 @@
     if (this.#isClosed) {
       return;
     }
+    const invalid = findInvalidHead(res);
+    if (invalid) {
+      this.#fail(invalid);
+      return;
+    }
     this.#observer.onHead({ status: res.statusCode ?? 0, headers: res.rawHeaders });
     res.on("data", (chunk: Buffer) => {
       this.#bodyBytes += chunk.length;
