Read a peer's invalid answer to a relay without ending the process

Seen: none by callers yet. A peer's answer that opens a relay and has an invalid chunk or trailer in the same packet ended the reading process: "Uncaught Error: Parse Error"; an answer whose head is invalid opened a connection. Cause: the parser's error came in the turn of the head, before anybody that awaits the connection could listen to it.

--- a/packages/nodes/src/openRelay.ts
+++ b/packages/nodes/src/openRelay.ts
@@ -10,6 +10,7 @@
   toTimerMs,
   type EndReport,
 } from "@lycheepulley/core";
+import { findInvalidHead } from "@lycheepulley/http";
 
 import {
   RELAY_HOST_HEADER,
@@ -59,8 +60,12 @@
     super();
     this.#req = req;
     this.#res = res;
-    req.on("error", (err) => this.destroy(err));
-    res.on("error", (err) => this.destroy(err));
+    // Behind this turn, in which nobody can listen to the connection yet.
+    const fail = (err: Error): void => {
+      setImmediate(() => this.destroy(err));
+    };
+    req.on("error", fail);
+    res.on("error", fail);
     res.on("data", (chunk: Buffer) => {
       if (!this.push(chunk)) {
         res.pause();
@@ -70,7 +75,7 @@
       if (getReport(res).end === AnswerEnd.Whole) {
         this.push(null);
       } else {
-        this.destroy(new Error("relayed connection cut"));
+        fail(new Error("relayed connection cut"));
       }
     });
     res.pause();
@@ -129,7 +134,10 @@
       fail(err.message);
     });
     req.on("response", (res) => {
-      if (isRelay(res)) {
+      const invalid = findInvalidHead(res);
+      if (invalid) {
+        fail(invalid.message);
+      } else if (isRelay(res)) {
         clearTimeout(timer);
         resolve(new RelayedConnection(req, res));
       } else {
