--- a/packages/http/src/HttpPeer.ts
+++ b/packages/http/src/HttpPeer.ts
@@ -2,6 +2,7 @@
 import { buildConnector, Pool, type Dispatcher } from "undici";
 import type { z } from "zod";
 
+import { checkAnswerHeads } from "./answerChecks.js";
 import { delimitsItself, getReadEnd, UNKNOWN_END } from "./readEnd.js";
 import { StreamHandler } from "./StreamHandler.js";
 
@@ -115,7 +116,7 @@
   readonly name: string;
   readonly origin: string;
   readonly #kind: string;
-  readonly #pool: Pool;
+  readonly #pool: Dispatcher;
   readonly #timeoutMs: number;
   readonly #reusesConnections: boolean;
   readonly #traffic: TrafficMeter | undefined;
@@ -131,7 +132,7 @@
       connections: options.connections ?? DEFAULT_MAX_CONNECTIONS,
       connect: newConnector(),
       keepAliveTimeout: 30_000,
-    });
+    }).compose(checkAnswerHeads);
   }
 
   /**
