Forward nothing for callers that left while nothing was read

The end of the caller's side, which lies behind its request, stayed in the system's buffer; the question took two turns without it for a yes.

Change: only connections without a request in progress are paused. Each request's caller is asked, not only where a long wait is known.

The three cases of load.test.ts on `mayHaveLeft`, which is gone, are cases on the waits themselves now, and the question is tested on sockets, also where it used to be saved. One case for callers of an entry process (failed before: 4 runs for 3 callers; three of three runs pass). HttpUpstreamTransport: nothing goes out before the caller is confirmed.

--- a/packages/callers/src/OpenRequests.ts
+++ b/packages/callers/src/OpenRequests.ts
@@ -29,8 +29,6 @@
 interface Progress {
   requestId: string;
   isForwarded: boolean;
-  /** Its caller may have left before it was read. */
-  mayHaveLeft: boolean;
 }
 
 /** A request that was given an id, until its process ends it or it ends by itself. */
@@ -131,7 +129,7 @@
   /** Counts a request until its answer has been sent; true when it was rejected. */
   onRequest(req: IncomingMessage, res: ServerResponse): boolean {
     const readWait = this.#load.turns.getWait();
-    const progress: Progress = { requestId: "", isForwarded: false, mayHaveLeft: false };
+    const progress: Progress = { requestId: "", isForwarded: false };
     const startMs = this.#clock.now();
     const { socket } = req;
     const turn = this.#connections.startRequest(socket, () => ({
@@ -151,7 +149,6 @@
     if (this.#lifecycle.isLeaving) {
       res.shouldKeepAlive = false;
     }
-    progress.mayHaveLeft = this.#load.mayHaveLeft(turn.wait, readWait);
     const retryAfterMs = this.#load.decideRead(turn.wait, readWait);
     if (this.#lifecycle.isClosing) {
       this.#reject(req, res);
@@ -166,7 +163,7 @@
 
   /** Follows a request that was given an id. */
   admit(req: IncomingMessage, res: ServerResponse, requestId: string): AdmittedRequest {
-    const unknown = { requestId, isForwarded: false, mayHaveLeft: true };
+    const unknown = { requestId, isForwarded: false };
     const progress = this.#responses.get(res) ?? unknown;
     progress.requestId = requestId;
     const abort = new AbortController();
@@ -184,9 +181,7 @@
           res.once("close", end);
         });
         const body = await Promise.race([readBody(req, limitBytes), left]);
-        if (progress.mayHaveLeft) {
-          await this.#checkCaller(req);
-        }
+        await this.#checkCaller(req);
         if (!body || this.#lifecycle.isClosing) {
           throw newLeavingError();
         }
--- a/packages/callers/src/callerOverload.test.ts
+++ b/packages/callers/src/callerOverload.test.ts
@@ -81,6 +81,28 @@
     expect(runs).to.equal(0);
   });
 
+  // Callers were asked only after a long wait, which a freeze in the middle of a turn hides.
+  it("runs nothing for one that closes a kept connection in a turn right after another's", async () => {
+    const [socket, other] = await Promise.all(
+      [1, 2].map(async () => {
+        const kept = connect(server.port, LOCALHOST);
+        kept.on("error", () => undefined);
+        kept.write(REQUEST);
+        await new Promise((resolve) => kept.once("data", resolve));
+        return kept;
+      }),
+    );
+    await wait(SETTLE_MS);
+    other?.write(REQUEST);
+    setImmediate(() => {
+      socket?.write(REQUEST);
+      socket?.destroy();
+    });
+    await wait(SETTLE_MS);
+    other?.destroy();
+    expect(runs).to.equal(3);
+  });
+
   // Requests were taken in whatever they had waited.
   it("rejects those that waited for a turn of its event loop, and says when to return", async () => {
     const sockets = Array.from({ length: 3 }, () => connect(server.port, LOCALHOST));
--- a/packages/callers/src/forward/ForwardServer.ts
+++ b/packages/callers/src/forward/ForwardServer.ts
@@ -16,6 +16,7 @@
 import { afterReading } from "./afterReading.js";
 import { AdmissionPolicy, LEAVING } from "./AdmissionPolicy.js";
 import { CallerConnections } from "./CallerConnections.js";
+import { CallerPresence } from "./CallerPresence.js";
 import { discardBody } from "./discardBody.js";
 import { BuffersFullError, toFailureAnswer } from "./failureAnswer.js";
 import { getHeldLimitBytes, HeldMemory } from "./HeldMemory.js";
@@ -93,7 +94,7 @@
     this.applyLimits();
     this.#queue = new ConnectionQueue(this.#server, {
       ...{ clock, load: options.load, newAnswer: newOverloadAnswer },
-      getOpen: () => this.#connections.sockets,
+      getIdle: () => this.#connections.idle,
       onAccept: (socket) => {
         this.#accepted += 1;
         this.#connections.add(socket);
@@ -224,6 +225,7 @@
     }
     const { turns } = this.#load;
     const probe = new HalfClosedProbe(req, res, { clock: this.#clock, turns });
+    const presence = new CallerPresence(probe, this.#clock);
     await turn.earlier;
     if (!socket.writable) {
       // The answer before ended the connection; the caller knows that this request wasn't read.
@@ -238,10 +240,9 @@
     try {
       const head = this.#readHead(req);
       progress.head = head;
-      const mayHaveLeft = this.#load.mayHaveLeft(turn.wait, readWait);
       await this.#admit({
         ...{ req, head, writer, receivedMs: wait.sinceMs, signal: abort.signal, progress },
-        ...(mayHaveLeft && { probe }),
+        presence,
       });
     } catch (err) {
       this.#handleFailure(err, { req, progress, writer });
@@ -263,10 +264,9 @@
     receivedMs: number;
     signal: AbortSignal;
     progress: AdmissionProgress;
-    /** Given for a caller that may have left before its request was read. */
-    probe?: HalfClosedProbe;
+    presence: CallerPresence;
   }): Promise<void> {
-    const { req, head, writer, receivedMs, signal, progress, probe } = options;
+    const { req, head, writer, receivedMs, signal, progress, presence } = options;
     const { maxHeaderBytes } = this.#view.table?.config.limits ?? DEFAULT_CALLER_LIMITS;
     if (countHeaderBytes(req) > maxHeaderBytes) {
       writer.closeAfterAnswer();
@@ -283,7 +283,7 @@
       return;
     }
     const body = await this.#readBody(req, writer);
-    await probe?.settle();
+    await presence.ask();
     if (signal.aborted) {
       return;
     }
@@ -296,6 +296,7 @@
       {
         ...{ ...admission, head, body, receivedMs, signal },
         fingerprint: getFingerprint(head, admission.customer, body),
+        confirmCaller: () => presence.confirm(),
       },
       writer,
     );
--- a/packages/callers/src/forward/halfClosed.ts
+++ b/packages/callers/src/forward/halfClosed.ts
@@ -59,7 +59,8 @@
    */
   async settle(): Promise<void> {
     await this.#nextTurn();
-    if (!this.#req.socket.readableEnded || this.#res.destroyed) {
+    const { destroyed, headersSent } = this.#res;
+    if (!this.#req.socket.readableEnded || destroyed || headersSent) {
       return;
     }
     await new Promise<void>((resolve) => {
@@ -71,6 +72,16 @@
     await this.#nextTurn();
   }
 
+  /** The same once more: the interim answers that went out before tell nothing of a caller that left since. */
+  async settleAgain(): Promise<void> {
+    if (this.#probes > 0) {
+      this.#cancel();
+      this.#probes = 0;
+      this.#probe();
+    }
+    await this.settle();
+  }
+
   #nextTurn(): Promise<void> {
     return new Promise((resolve) => {
       this.#turns.afterNextTurn(resolve);
--- a/packages/core/src/load/LoopTurns.ts
+++ b/packages/core/src/load/LoopTurns.ts
@@ -27,7 +27,6 @@
   #previousMs = -Infinity;
   #idleMs = -Infinity;
   #possiblyReadyMs = 0;
-  #isAfterIdle = false;
 
   /** `getIdleMs` returns the time that the event loop has waited for events so far, milliseconds. */
   constructor(
@@ -47,18 +46,13 @@
     return { sinceMs: this.getReadyMs(), possiblySinceMs: this.#possiblyReadyMs };
   }
 
-  /** True for events that ended a pause of the loop, for which the whole process may have been frozen. */
-  get isAfterIdle(): boolean {
-    return this.#isAfterIdle;
-  }
-
   /** Monotonic time since which the event that is handled now is known to have waited. */
   getReadyMs(): number {
     if (this.#startMs === undefined) {
       const startMs = this.#clock.now();
       this.#startMs = startMs;
-      this.#isAfterIdle = this.#getIdleMs() - this.#idleMs >= BUSY_MS;
-      this.#possiblyReadyMs = this.#isAfterIdle ? startMs : this.#previousMs;
+      const isAfterIdle = this.#getIdleMs() - this.#idleMs >= BUSY_MS;
+      this.#possiblyReadyMs = isAfterIdle ? startMs : this.#previousMs;
       this.#afterTurn(() => {
         this.#previousMs = startMs;
         this.#idleMs = this.#getIdleMs();
--- a/packages/core/src/load/load.test.ts
+++ b/packages/core/src/load/load.test.ts
@@ -4,6 +4,9 @@
 import type { OverloadChange } from "./OverloadDetector.js";
 import { TurnLoop } from "./testing/TurnLoop.js";
 
+/** Time that events before the request take, of which the process takes no note. */
+const OTHER_MS = 20;
+
 describe("what a process knows of waits before it reads a request", () => {
   let loop: TurnLoop;
   let changes: OverloadChange[];
@@ -27,6 +30,25 @@
     expect(load.turns.getReadyMs()).to.equal(40);
   });
 
+  const waits: readonly [name: string, turnMs: number, idleMs: number, possiblyMs: number][] = [
+    ["right after another turn", 5, 0, 25],
+    ["after a long turn", 300, 0, 320],
+    ["after a pause of the loop", 5, 50, 20],
+  ];
+  for (const [name, turnMs, idleMs, possiblyMs] of waits) {
+    // The wait of requests that came during another turn was unknown.
+    it(`knows how long an event may have waited that is handled ${name}`, () => {
+      loop.advance(1_000);
+      load.turns.getWait();
+      loop.endTurn(turnMs);
+      loop.rest(idleMs);
+      const { sinceMs, possiblySinceMs } = load.turns.getWait();
+      expect(sinceMs).to.equal(loop.now());
+      loop.advance(OTHER_MS);
+      expect(loop.now() - possiblySinceMs).to.equal(possiblyMs);
+    });
+  }
+
   const runs: readonly [name: string, turns: readonly boolean[], waitMs: number][] = [
     ["after turns without any", [false, false, true], 0],
     ["in a row with others", [true, true, true], 20],
@@ -142,32 +164,3 @@
     });
   }
 });
-
-/** Time that events before the request take, of which the process takes no note. */
-const OTHER_MS = 20;
-
-describe("a caller that may have left before its request is read", () => {
-  const cases: readonly [name: string, turnsMs: readonly number[], idleMs: number, may: boolean][] =
-    [
-      ["came in a turn right after another", [5], 0, false],
-      ["waited for a long turn", [300], 0, true],
-      ["came after a pause, in which the process may have been frozen", [5], 50, true],
-    ];
-  for (const [name, turnsMs, idleMs, may] of cases) {
-    // Requests on kept connections ran whose callers had left while the process was frozen.
-    it(`is asked for when the request ${name}`, () => {
-      const loop = new TurnLoop();
-      const load = new OverloadControl({
-        ...{ clock: loop, loop, random: { next: () => 0 } },
-      });
-      loop.advance(1_000);
-      for (const ms of turnsMs) {
-        load.turns.getWait();
-        loop.endTurn(ms);
-      }
-      loop.rest(idleMs);
-      loop.advance(OTHER_MS);
-      expect(load.mayHaveLeft(undefined, load.turns.getWait())).to.equal(may);
-    });
-  }
-});
--- a/packages/forwarding/src/SendRunner.ts
+++ b/packages/forwarding/src/SendRunner.ts
@@ -147,7 +147,7 @@
       {
         ...{ host: placement.upstream.host, port: placement.upstream.port },
         ...{ method: req.head.method, path: req.head.path, headers, body: req.body },
-        homes: req.homes,
+        ...{ homes: req.homes, confirm: req.confirmCaller },
         connectTimeoutMs: Math.min(CONNECT_TIMEOUT_MS, this.deadlineAtMs - now),
       },
       send,
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -48,6 +48,8 @@
   readonly fingerprint: string;
   /** Aborts when the caller disconnects. */
   readonly signal: AbortSignal;
+  /** Asks whether the caller is still there, before anything is sent; undefined when that is known. */
+  readonly confirmCaller?: () => Promise<void> | undefined;
 }
 
 /** Writes the answer to a caller. */
@@ -185,6 +187,8 @@
       readonly body: Buffer;
       readonly connectTimeoutMs: number;
       readonly homes?: Homes;
+      /** Called once the connection is open; the request goes out when it resolves. Never rejects. */
+      readonly confirm?: (() => Promise<void> | undefined) | undefined;
     },
     observer: CallObserver,
   ): UpstreamCall;
--- a/packages/http/src/HttpServer.ts
+++ b/packages/http/src/HttpServer.ts
@@ -98,6 +98,8 @@
   readonly #routes: readonly CompiledRoute[];
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
+  /** Requests in progress by connection. */
+  readonly #requests = new Map<Socket, number>();
   readonly #onError: (err: unknown, req: IncomingMessage, res: ServerResponse) => void;
   readonly #queue: ConnectionQueue | undefined;
 
@@ -109,6 +111,10 @@
     this.#routes = routes.map(compileRoute);
     this.#onError = onError;
     this.#server = createServer((req, res) => {
+      this.#count(req.socket, 1);
+      res.on("close", () => {
+        this.#count(req.socket, -1);
+      });
       if (!observer?.onRequest(req, res)) {
         void this.#dispatch(req, res);
       }
@@ -123,12 +129,15 @@
     const onConnection = (socket: Socket): void => {
       socket.setNoDelay(true);
       this.#sockets.add(socket);
-      socket.on("close", () => this.#sockets.delete(socket));
+      socket.on("close", () => {
+        this.#sockets.delete(socket);
+        this.#requests.delete(socket);
+      });
       observer?.onConnection(socket);
     };
     if (admission) {
       this.#queue = new ConnectionQueue(this.#server, {
-        ...{ ...admission, onAccept: onConnection, getOpen: () => this.#sockets },
+        ...{ ...admission, onAccept: onConnection, getIdle: () => this.#idle },
         onServe: (socket, wait) => observer?.onServe?.(socket, wait),
       });
     } else {
@@ -175,6 +184,19 @@
     });
   }
 
+  get #idle(): readonly Socket[] {
+    return [...this.#sockets].filter((socket) => !this.#requests.has(socket));
+  }
+
+  #count(socket: Socket, change: number): void {
+    const count = (this.#requests.get(socket) ?? 0) + change;
+    if (count > 0 && this.#sockets.has(socket)) {
+      this.#requests.set(socket, count);
+    } else {
+      this.#requests.delete(socket);
+    }
+  }
+
   async #dispatch(req: IncomingMessage, res: ServerResponse): Promise<void> {
     // A request target such as "//" is valid HTTP, but no URL.
     const target = req.url ?? "/";
--- a/packages/http/src/ReadingPause.ts
+++ b/packages/http/src/ReadingPause.ts
@@ -5,16 +5,16 @@
 /** Longest time for which nothing is read. */
 const MAX_PAUSE_MS = 100;
 
-/** Stops reading open connections for some turns, so that those that wait are accepted meanwhile. */
+/** Stops reading idle connections for some turns, so that those that wait are accepted meanwhile. */
 export class ReadingPause {
   readonly #clock: Clock;
-  readonly #getOpen: () => Iterable<Socket>;
+  readonly #getIdle: () => readonly Socket[];
   #paused: Socket[] = [];
   #startMs = -Infinity;
 
-  constructor(clock: Clock, getOpen: () => Iterable<Socket>) {
+  constructor(clock: Clock, getIdle: () => readonly Socket[]) {
     this.#clock = clock;
-    this.#getOpen = getOpen;
+    this.#getIdle = getIdle;
   }
 
   get isOn(): boolean {
@@ -27,7 +27,7 @@
   }
 
   start(): void {
-    this.#paused = [...this.#getOpen()].filter((socket) => !socket.isPaused());
+    this.#paused = this.#getIdle().filter((socket) => !socket.isPaused());
     this.#paused.forEach((socket) => socket.pause());
     this.#startMs = this.#clock.now();
   }
--- a/packages/upstreams/src/HttpUpstreamTransport.test.ts
+++ b/packages/upstreams/src/HttpUpstreamTransport.test.ts
@@ -187,4 +187,37 @@
     call.abort();
     server.close();
   });
+
+  const confirmations: readonly [name: string, isGone: boolean, received: number][] = [
+    ["sends a request once its caller is known to be there", false, 1],
+    ["sends nothing for a caller that turns out to have left", true, 0],
+  ];
+  for (const [name, isGone, received] of confirmations) {
+    // Requests whose connections opened in a freeze of the process were sent for callers that had left.
+    it(name, async () => {
+      let requests = 0;
+      let early = NaN;
+      const server = await listen(() => (requests += 1));
+      const ignore = (): void => undefined;
+      const call = new HttpUpstreamTransport().open(
+        {
+          ...{ host: "127.0.0.1", port: (server.address() as AddressInfo).port },
+          ...{ method: "POST", path: "/", body: Buffer.from("xy"), connectTimeoutMs: 5_000 },
+          headers: ["Host", "a.example", "Content-Length", "2"],
+          confirm: async () => {
+            await new Promise((resolve) => setTimeout(resolve, 50));
+            early = requests;
+            if (isGone) {
+              call.abort();
+            }
+          },
+        },
+        { onHead: ignore, onData: ignore, onEnd: ignore, onError: ignore },
+      );
+      await new Promise((resolve) => setTimeout(resolve, 150));
+      expect([early, requests]).to.deep.equal([0, received]);
+      call.abort();
+      server.close();
+    });
+  }
 });
--- a/packages/upstreams/src/HttpUpstreamTransport.ts
+++ b/packages/upstreams/src/HttpUpstreamTransport.ts
@@ -41,7 +41,14 @@
     this.#method = options.method;
     connector.connect(options, options.connectTimeoutMs).then(
       (socket) => {
-        this.#send(socket, options);
+        const confirmed = options.confirm?.();
+        if (confirmed) {
+          void confirmed.then(() => {
+            this.#send(socket, options);
+          });
+        } else {
+          this.#send(socket, options);
+        }
       },
       (err: unknown) => {
         this.#fail(err instanceof Error ? err : new Error(String(err)));
