Answer requests whose bodies aren't HTTP

Seen: a request with an invalid chunk, trailer or encoding got no answer, and its connection and memory were held for as long as its caller stayed. Cause: the parser's error concerns the connection, which waits for its pending requests; the body of the one that was being read never ended. Change: the error ends the reading of that body, and the request is answered 400 as the last of its connection.

--- a/packages/callers/src/forward/ForwardServer.ts
+++ b/packages/callers/src/forward/ForwardServer.ts
@@ -15,6 +15,7 @@
 
 import { afterReading } from "./afterReading.js";
 import { AdmissionPolicy, LEAVING } from "./AdmissionPolicy.js";
+import { BrokenBodies } from "./BrokenBodies.js";
 import { CallerConnections } from "./CallerConnections.js";
 import { CallerPresence } from "./CallerPresence.js";
 import { discardBody } from "./discardBody.js";
@@ -55,6 +56,7 @@
   readonly #load: OverloadControl;
   readonly #rejections: Rejections;
   readonly #queue: ConnectionQueue;
+  readonly #bodies = new BrokenBodies();
   /** Connections so far. */
   #accepted = 0;
 
@@ -198,6 +200,7 @@
       ...{ step: "accept", err: err.message, code: err.code },
       receivedBytes: socket.bytesRead,
     });
+    this.#bodies.fail(socket);
     this.#connections.endWithStatus(socket, ...getErrorAnswer(err.code));
   }
 
@@ -205,6 +208,7 @@
     const readWait = this.#load.turns.getWait();
     const abort = new AbortController();
     const { socket } = req;
+    this.#bodies.add(req);
     const progress: AdmissionProgress = { head: undefined, isForwarded: false };
     const turn = this.#connections.startRequest(socket, () => ({
       ...{ requestId: progress.head?.attemptId, stage: getStage(req, res, progress) },
@@ -302,7 +306,8 @@
     );
   }
 
-  #readBody(req: IncomingMessage, writer: ResponseWriter): Promise<Buffer> {
+  async #readBody(req: IncomingMessage, writer: ResponseWriter): Promise<Buffer> {
+    this.#bodies.check(req);
     const { maxBodyBytes } = this.#view.table?.config.limits ?? DEFAULT_CALLER_LIMITS;
     return readBody(req, maxBodyBytes, (chunk) => {
       if (!writer.addBody(chunk.length)) {
--- a/packages/callers/src/forward/failureAnswer.ts
+++ b/packages/callers/src/forward/failureAnswer.ts
@@ -2,6 +2,7 @@
 import { BodyTooLargeError } from "@lycheepulley/http";
 
 import type { Rejection } from "./AdmissionPolicy.js";
+import { InvalidBodyError } from "./BrokenBodies.js";
 import type { AdmissionProgress } from "./progress.js";
 
 const BUFFERS_FULL_RETRY_MS = 500;
@@ -27,6 +28,9 @@
   if (err instanceof BodyTooLargeError) {
     return { status: 413, message: getMessage(err), isExpected: true, closes: true };
   }
+  if (err instanceof InvalidBodyError) {
+    return { status: 400, message: getMessage(err), isExpected: true, closes: true };
+  }
   if (err instanceof BuffersFullError) {
     const message = "not run: too many bodies in memory";
     const retryAfterMs = BUFFERS_FULL_RETRY_MS;
