Refuse requests with an invalid head

Seen: requests with two hosts, with codings before the chunks, with an empty encoding (whose body was read as the next request), with chunks in version 1.0, and of the versions 0.9 and 2.0 were served. Cause: the parser takes them. Change: both listeners hold heads to core's answerHead.ts and answer 400 as the last of the connection.

--- a/packages/callers/src/forward/ForwardServer.ts
+++ b/packages/callers/src/forward/ForwardServer.ts
@@ -10,7 +10,7 @@
   type ForwardRequest,
   type RequestHead,
 } from "@lycheepulley/forwarding";
-import { ConnectionQueue, readBody } from "@lycheepulley/http";
+import { ConnectionQueue, findInvalidRequest, readBody } from "@lycheepulley/http";
 import type { Logger } from "@lycheepulley/telemetry";
 
 import { afterReading } from "./afterReading.js";
@@ -271,6 +271,11 @@
     presence: CallerPresence;
   }): Promise<void> {
     const { req, head, writer, receivedMs, signal, progress, presence } = options;
+    if (findInvalidRequest(req) !== undefined) {
+      writer.closeAfterAnswer();
+      this.#rejections.reject(head, writer, { status: 400, message: "invalid head" });
+      return;
+    }
     const { maxHeaderBytes } = this.#view.table?.config.limits ?? DEFAULT_CALLER_LIMITS;
     if (countHeaderBytes(req) > maxHeaderBytes) {
       writer.closeAfterAnswer();
--- a/packages/core/src/answerHead.ts
+++ b/packages/core/src/answerHead.ts
@@ -34,8 +34,11 @@
 const getValues = (fields: readonly string[], name: string): string[] =>
   fields.filter((_, at) => at % 2 === 1 && fields[at - 1]?.toLowerCase() === name);
 
-/** Only "chunked" is ever asked for, so that no other coding can be taken off the body. */
-const findFramingFault = ({ version, fields }: ReceivedHead): string | undefined => {
+/** No other coding than "chunked" could be taken off a body. */
+const findFramingFault = ({
+  version,
+  fields,
+}: Omit<ReceivedHead, "status">): string | undefined => {
   const lengths = getValues(fields, "content-length");
   const encodings = getValues(fields, "transfer-encoding");
   if (lengths.length + encodings.length > 1) {
@@ -50,20 +53,27 @@
     : "transfer-encoding";
 };
 
+const findMessageFault = (head: Omit<ReceivedHead, "status">): string | undefined => {
+  const { version } = head;
+  return version !== undefined && version !== "1.1" && version !== "1.0"
+    ? `version ${version}`
+    : (findFieldFault(head.fields) ?? findFramingFault(head));
+};
+
+/** Finds what makes the head of a request invalid; undefined when it is valid. */
+export const findRequestFault = (
+  head: Pick<ReceivedHead, "version" | "fields">,
+): string | undefined =>
+  getValues(head.fields, "host").length > 1 ? "more than one host" : findMessageFault(head);
+
 /**
  * Finds what makes the head of a final answer invalid; undefined when it is valid. Nothing of an answer
  * with an invalid head may be taken: its sender is in trouble, or another reader sees another body.
  */
 export const findHeadFault = (head: ReceivedHead): string | undefined => {
-  const { status, version, fields } = head;
-  if (version !== undefined && version !== "1.1" && version !== "1.0") {
-    return `version ${version}`;
-  }
+  const { status, reason = "" } = head;
   if (!Number.isInteger(status) || status < MIN_STATUS || status > MAX_STATUS) {
     return `status ${String(status)}`;
   }
-  if (CONTROL.test(head.reason ?? "")) {
-    return "control byte in the reason";
-  }
-  return findFieldFault(fields) ?? findFramingFault(head);
+  return CONTROL.test(reason) ? "control byte in the reason" : findMessageFault(head);
 };
--- a/packages/core/src/testing/RawServer.ts
+++ b/packages/core/src/testing/RawServer.ts
@@ -10,6 +10,25 @@
   readonly staysOpen?: boolean;
 }
 
+/** At once, byte by byte within turns of the event loop, and in packets with pauses. */
+export const PACES: readonly Pace[] = [{}, { bytesPerWrite: 1 }, { bytesPerWrite: 11, pauseMs: 2 }];
+
+/** Writes bytes, one a character, in pieces. */
+export const writeAtPace = async (socket: Socket, text: string, pace: Pace): Promise<void> => {
+  const { bytesPerWrite = text.length, pauseMs = 0 } = pace;
+  const bytes = Buffer.from(text, "latin1");
+  for (let at = 0; at < bytes.length && !socket.destroyed; at += bytesPerWrite) {
+    socket.write(bytes.subarray(at, at + bytesPerWrite));
+    await new Promise((resolve) => {
+      if (pauseMs > 0) {
+        setTimeout(resolve, pauseMs);
+      } else {
+        setImmediate(resolve);
+      }
+    });
+  }
+};
+
 /** Server that answers each connection, once a request arrives, with given bytes. */
 export class RawServer {
   readonly #server: Server;
@@ -57,18 +76,8 @@
   }
 
   async #send(socket: Socket): Promise<void> {
-    const { bytesPerWrite = this.#bytes.length, pauseMs = 0, staysOpen = false } = this.#pace;
-    const bytes = Buffer.from(this.#bytes, "latin1");
-    for (let at = 0; at < bytes.length && !socket.destroyed; at += bytesPerWrite) {
-      socket.write(bytes.subarray(at, at + bytesPerWrite));
-      await new Promise((resolve) => {
-        if (pauseMs > 0) {
-          setTimeout(resolve, pauseMs);
-        } else {
-          setImmediate(resolve);
-        }
-      });
-    }
+    const { staysOpen = false } = this.#pace;
+    await writeAtPace(socket, this.#bytes, this.#pace);
     if (!staysOpen) {
       socket.end();
     }
--- a/packages/core/src/testing/answers.ts
+++ b/packages/core/src/testing/answers.ts
@@ -62,8 +62,8 @@
   ["byte 7f", "\u007f"],
 ];
 
-/** Lines that make a head, an interim head or trailers invalid. */
-const INVALID_LINES: readonly (readonly [name: string, line: string])[] = [
+/** Lines that make a head, an interim head or trailers invalid, with what is wrong. */
+export const INVALID_LINES: readonly (readonly [name: string, line: string])[] = [
   ...BYTES.map(([name, byte]) => [`${name} in a name`, `X-O${byte}dd: ${INVALID_MARK}`] as const),
   ["byte 80 in a name", `X-\u0080dd: ${INVALID_MARK}`],
   ["a separator in a name", `X(dd): ${INVALID_MARK}`],
--- a/packages/core/src/testing/testAnswers.ts
+++ b/packages/core/src/testing/testAnswers.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
 
 import { Expected, INVALID_MARK, type AnswerCase } from "./answers.js";
-import { RawServer, type Pace } from "./RawServer.js";
+import { PACES, RawServer } from "./RawServer.js";
 
 /** What a reader made of an answer. */
 export interface ReadAnswer {
@@ -11,9 +11,6 @@
   readonly passedOn?: string | undefined;
 }
 
-/** At once, byte by byte within turns of the event loop, and in packets with pauses. */
-const PACES: readonly Pace[] = [{}, { bytesPerWrite: 1 }, { bytesPerWrite: 11, pauseMs: 2 }];
-
 /** Reads each answer at each pace, from a server of its own. */
 export const testAnswers = (
   cases: readonly AnswerCase[],
--- a/packages/http/src/HttpServer.ts
+++ b/packages/http/src/HttpServer.ts
@@ -3,6 +3,7 @@
 
 import type { Clock, OverloadControl, Wait } from "@lycheepulley/core";
 
+import { findInvalidRequest } from "./answerChecks.js";
 import { ConnectionQueue } from "./ConnectionQueue.js";
 
 /** Handles one request; `params` holds the named path parameters. */
@@ -115,8 +116,13 @@
       res.on("close", () => {
         this.#count(req.socket, -1);
       });
-      if (!observer?.onRequest(req, res)) {
+      if (observer?.onRequest(req, res)) {
+        return;
+      }
+      if (findInvalidRequest(req) === undefined) {
         void this.#dispatch(req, res);
+      } else {
+        sendJson(res, 400, { error: { message: "invalid head" } }, { connection: "close" });
       }
     });
     this.#server.on("connect", (_req, socket) => {
--- a/packages/http/src/answerChecks.ts
+++ b/packages/http/src/answerChecks.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage } from "node:http";
 
-import { findHeadFault } from "@lycheepulley/core";
+import { findHeadFault, findRequestFault } from "@lycheepulley/core";
 import type { Dispatcher } from "undici";
 
 const FIRST_INTERIM_STATUS = 100;
@@ -25,6 +25,13 @@
 
 type Handler = Required<Dispatcher.DispatchHandler>;
 
+/** Finds why a request that node:http has parsed can't be served; undefined when it can. */
+export const findInvalidRequest = ({
+  httpVersion,
+  rawHeaders,
+}: IncomingMessage): string | undefined =>
+  findRequestFault({ version: httpVersion, fields: rawHeaders });
+
 /** Ends requests whose answer has an invalid head. */
 class HeadCheck implements Dispatcher.DispatchHandler {
   readonly #handler: Dispatcher.DispatchHandler;
