--- a/packages/cli/src/registry.ts
+++ b/packages/cli/src/registry.ts
@@ -1,4 +1,5 @@
 import type { Command } from "./Command.js";
+import { answerEndsCommand } from "./commands/answerEnds.js";
 import { auditCommand, configHistoryCommand } from "./commands/audit.js";
 import { benchCommand } from "./commands/bench.js";
 import { blockLiftCommand, blockListCommand } from "./commands/block.js";
@@ -44,6 +45,7 @@
   demoCommand,
   faultSoakCommand,
   overloadCommand,
+  answerEndsCommand,
   platformDemoCommand,
   overheadCommand,
   standinCommand,
