Go on with an answer elsewhere only where the caller's part tells the place

Seen by callers: a part of an answer and then a second one from its start, told as one whole answer: streams whose events, or whose last event, have no id; events on a route of calls that may be repeated. Cause: whether another send may follow was decided by the route alone, not by what the caller already had. Change: canGoOn: once a caller has a part, only a resumable stream whose last event has an id is sent on; else it is cut. The same holds for replacements of silent upstreams. A large answer to a call isn't repeated in vain.

--- a/packages/forwarding/src/ForwardJob.ts
+++ b/packages/forwarding/src/ForwardJob.ts
@@ -1,6 +1,6 @@
 import type { ProcessLifecycle } from "@lycheepulley/core";
 
-import { newAnswerProgress } from "./answerProgress.js";
+import { canGoOn, newAnswerProgress, type AnswerProgress } from "./answerProgress.js";
 import { AnswerTimeline } from "./AnswerTimeline.js";
 import { SendEvidence } from "./crashes/SendEvidence.js";
 import type { ForwardDependencies } from "./forwardDependencies.js";
@@ -37,6 +37,7 @@
   readonly #feedback: SendFeedback;
   readonly #timeline: AnswerTimeline;
   readonly #log: RequestLog;
+  readonly #progress: AnswerProgress;
   readonly #final: FinalAnswer;
   readonly #runner: SendRunner;
   readonly #live = new Set<LiveSend>();
@@ -64,7 +65,7 @@
     this.#timeline = new AnswerTimeline(options.req.receivedMs, options.req.route);
     const { deps, req, writer } = options;
     this.#feedback = new SendFeedback({ deps, req, log: this.#log });
-    const progress = newAnswerProgress(req);
+    const progress = (this.#progress = newAnswerProgress(req));
     this.#runner = new SendRunner({
       ...{ deps, req, writer, progress, deadlineAtMs: this.#deadlineAtMs },
     });
@@ -246,6 +247,7 @@
     const history = { sends: this.#counts.sends, timeLeftMs: this.#getTimeLeftMs() };
     return (
       this.#live.size === 1 &&
+      canGoOn(this.#progress, this.#req.route) &&
       canReplaceStalled(this.#req.route, history) &&
       this.#placer.hasAlternative({ pool: this.#pool, homes: this.#req.homes, excluded })
     );
@@ -283,6 +285,7 @@
     const next = decideNext(this.#req.route, outcome, {
       ...{ sends: this.#counts.sends, unsent: this.#counts.unsent, inFlight: this.#live.size },
       ...{ mayHaveRun: this.#counts.mayHaveRun, timeLeftMs: this.#getTimeLeftMs() },
+      canGoOn: canGoOn(this.#progress, this.#req.route),
       trySpend: () => retryBudget.trySpend(this.#pool),
     });
     this.#log.logSendEnd(upstream?.id ?? "", outcome, {
--- a/packages/forwarding/src/Send.ts
+++ b/packages/forwarding/src/Send.ts
@@ -215,8 +215,9 @@
     this.#observer.onProgress();
     this.#observer.onEvents(events);
     this.#sendHeadOnce();
-    for (const { id } of blocks) {
+    for (const { id } of blocks.filter(({ isEvent }) => isEvent)) {
       this.#progress.lastEventId = id ?? this.#progress.lastEventId;
+      this.#progress.isLastUnnamed = id === undefined;
     }
     this.#write(Buffer.concat([this.#buffer.take(), ...blocks.map(({ bytes }) => bytes)]));
     this.#watchForStall("gapMs");
--- a/packages/forwarding/src/answerProgress.ts
+++ b/packages/forwarding/src/answerProgress.ts
@@ -1,3 +1,4 @@
+import type { Route } from "./fleetConfig.js";
 import type { StallHandler } from "./StallWatch.js";
 import type { AnswerFacts, ForwardRequest } from "./types.js";
 
@@ -5,15 +6,23 @@
 export interface AnswerProgress {
   /** Id of the last event that went to the caller. */
   lastEventId: string | undefined;
+  /** The last event that went to the caller has no id, so that nothing tells where another send would go on. */
+  isLastUnnamed: boolean;
   /** The head of the answer was sent to the caller. */
   isHeadSent: boolean;
 }
 
 /** Progress of a request that has no answer yet. */
 export const newAnswerProgress = ({ head: { lastEventId } }: ForwardRequest): AnswerProgress => ({
-  ...{ lastEventId, isHeadSent: false },
+  ...{ lastEventId, isLastUnnamed: false, isHeadSent: false },
 });
 
+/** True while the caller has nothing of the answer, or has a part that another send can go on with. */
+export const canGoOn = (
+  { isHeadSent, isLastUnnamed }: AnswerProgress,
+  { isStream, isResumable }: Route,
+): boolean => !isHeadSent || (isStream && isResumable && !isLastUnnamed);
+
 /** Follows the answer to one send, and decides what becomes of a stalled one. */
 export interface AnswerObserver extends StallHandler {
   /** Called before anything of the answer goes to the caller. */
--- a/packages/forwarding/src/decisions.test.ts
+++ b/packages/forwarding/src/decisions.test.ts
@@ -119,7 +119,7 @@
   const plainStream = newRoute({ isStream: true });
   const once: SendHistory = {
     ...{ sends: 1, unsent: 0, inFlight: 0, mayHaveRun: true, timeLeftMs: 1_000 },
-    trySpend: () => true,
+    ...{ canGoOn: true, trySpend: () => true },
   };
   const notRun = { ...once, mayHaveRun: false };
   const outcome = (result: SendOutcome["result"]): SendOutcome => ({ result, reason: "" });
@@ -158,6 +158,13 @@
     ["a broken plain stream", plainStream, outcome("broken"), once, "fail"],
     ["an upstream's failure of an at-most-once call", unsafe, failed, once, "deliver"],
     ["an upstream's failure of an idempotent call", safe, failed, once, "retry"],
+    [
+      "a part that no send can go on with",
+      stream,
+      outcome("doubtful"),
+      { ...once, canGoOn: false },
+      "fail",
+    ],
     ["an exhausted budget", safe, failed, { ...once, trySpend: () => false }, "deliver"],
     [
       "an exhausted budget after a broken answer",
--- a/packages/forwarding/src/outcomes.ts
+++ b/packages/forwarding/src/outcomes.ts
@@ -121,6 +121,8 @@
   /** One of the sends may have run the request. */
   readonly mayHaveRun: boolean;
   readonly timeLeftMs: number;
+  /** The caller has nothing of the answer, or another send can go on with it. */
+  readonly canGoOn: boolean;
   /** Takes one retry from the retry budget; false when it is exhausted. */
   readonly trySpend: () => boolean;
 }
@@ -141,6 +143,10 @@
     ? NextStep.Deliver
     : rejectOrFail(mayHaveRun);
 
+/** True when another send could still bring the caller's answer to its end. */
+const allowsSend = ({ canGoOn, timeLeftMs }: SendHistory): boolean =>
+  canGoOn && timeLeftMs >= MIN_RETRY_MS;
+
 /** Decides what follows a send; takes from the retry budget only for a retry. */
 export const decideNext = (route: Route, outcome: SendOutcome, history: SendHistory): NextStep => {
   const { result } = outcome;
@@ -150,7 +156,7 @@
   if (result === SendResult.Superseded || history.inFlight > 0) {
     return NextStep.Wait;
   }
-  if (FINAL_RESULTS.has(result) || history.timeLeftMs < MIN_RETRY_MS) {
+  if (FINAL_RESULTS.has(result) || !allowsSend(history)) {
     return getFinalStep(outcome, history);
   }
   if (result === SendResult.Unsent || result === SendResult.NoMemory) {
--- a/packages/forwarding/src/unframedAnswers.test.ts
+++ b/packages/forwarding/src/unframedAnswers.test.ts
@@ -254,4 +254,39 @@
       expect(harness.caller).to.include({ status: 200, ending: "cut" });
     });
   }
+
+  // Another upstream began anew behind the part that the caller had, and the whole was told as one answer.
+  const unresumable: readonly [name: string, route: Partial<Route>, events: string][] = [
+    ["a stream whose events have no ids", STREAM, "data: x\n\n"],
+    ["a stream whose last event has no id", STREAM, "id: 1\ndata: x\n\ndata: y\n\n"],
+    ["events on a route of plain calls", SAFE, "id: 1\ndata: x\n\n"],
+  ];
+  for (const [name, route, events] of unresumable) {
+    it(`cuts ${name}`, async () => {
+      const harness = new ForwarderHarness();
+      await harness.request(route, 5_000);
+      harness.transport.answer(200, ["unframed", "stream", "1"], events);
+      await harness.settle();
+      expect(harness.caller.ending).to.equal("cut");
+      expect(harness.sentTo.length).to.equal(1);
+    });
+  }
+
+  it("doesn't replace a silent upstream whose last event has no id", async () => {
+    const harness = new ForwarderHarness();
+    await harness.request(STREAM, 5_000);
+    harness.transport.startStream();
+    harness.transport.last.observer.onData(Buffer.from("data: x\n\n"));
+    await harness.clock.advance(5_000);
+    expect(harness.sentTo.length).to.equal(1);
+  });
+
+  it("cuts a large answer to a call that may be repeated, and doesn't repeat it", async () => {
+    const harness = new ForwarderHarness();
+    await harness.request(SAFE);
+    harness.transport.answer(200, ["unframed"], "x".repeat(2_000_000));
+    await harness.settle();
+    expect(harness.caller.ending).to.equal("cut");
+    expect(harness.sentTo.length).to.equal(1);
+  });
 });
