Don't end a body that goes to the caller by its head's word that nothing ran

Seen by callers: a part of a 200 without framing, a stream or a large answer, that is complete by its framing, when its head has the statement that the request didn't run. Cause: that statement counted as the end of any answer, also of one whose body the caller receives. Change: it ends only an answer of which nothing goes on; a body that is passed on needs a known end.

--- a/packages/forwarding/src/Send.ts
+++ b/packages/forwarding/src/Send.ts
@@ -171,8 +171,9 @@
       return;
     }
     this.#stallWatch.stop();
-    // A statement that the request didn't run is whole with its head.
-    if (end === AnswerEnd.Whole || this.#facts.isNotRun) {
+    // A statement that the request didn't run is whole with its head, unless the body goes to the caller.
+    const isSaid = this.#facts.isNotRun && !this.#isEventStream && !this.#isPassthrough;
+    if (end === AnswerEnd.Whole || isSaid) {
       this.#endAnswer(this.#head, this.#facts);
     } else if (this.#splitter.pendingBytes > 0) {
       this.#finish(CUT_EVENT);
--- a/packages/forwarding/src/unframedAnswers.test.ts
+++ b/packages/forwarding/src/unframedAnswers.test.ts
@@ -255,6 +255,23 @@
     });
   }
 
+  // A part was told as all of it, since its head says that nothing ran.
+  const unsaid: readonly [name: string, route: Partial<Route>, headers: string[], body: string][] =
+    [
+      ["stream", ONCE, ["stream", "1"], "id: 1\ndata: x\n\n"],
+      ["resumable stream", STREAM, ["stream", "1"], "id: 1\ndata: x\n\n"],
+      ["large answer", UNSAFE, [], "x".repeat(2_000_000)],
+    ];
+  for (const [name, route, headers, body] of unsaid) {
+    it(`doesn't end a ${name} with 200 by its head's word that it didn't run`, async () => {
+      const harness = new ForwarderHarness();
+      await harness.request(route, 5_000);
+      harness.transport.answer(200, ["unframed", "not-run", ...headers], body);
+      await harness.settle();
+      expect(harness.caller.ending).to.equal(route === STREAM ? "open" : "cut");
+    });
+  }
+
   // Another upstream began anew behind the part that the caller had, and the whole was told as one answer.
   const unresumable: readonly [name: string, route: Partial<Route>, events: string][] = [
     ["a stream whose events have no ids", STREAM, "data: x\n\n"],
