--- a/packages/core/src/testing/RawServer.ts
+++ b/packages/core/src/testing/RawServer.ts
@@ -33,7 +33,7 @@
 export class RawServer {
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
-  #bytes = "";
+  #newBytes: (request: string) => string = () => "";
   #pace: Pace = {};
   requests = 0;
 
@@ -43,11 +43,11 @@
       socket.setNoDelay(true);
       socket.on("error", () => undefined);
       socket.on("close", () => this.#sockets.delete(socket));
-      socket.once("data", () => {
+      socket.once("data", (data) => {
         // Unread bytes would reset the connection.
         socket.resume();
         this.requests += 1;
-        void this.#send(socket);
+        void this.#send(socket, this.#newBytes(data.toString("latin1")));
       });
     });
   }
@@ -64,9 +64,9 @@
     return new Promise((resolve) => this.#server.listen(0, "127.0.0.1", resolve));
   }
 
-  /** `bytes` has one byte a character. */
-  answerWith(bytes: string, pace: Pace = {}): void {
-    this.#bytes = bytes;
+  /** `bytes` has one byte a character; a function gets the first packet of the request. */
+  answerWith(bytes: string | ((request: string) => string), pace: Pace = {}): void {
+    this.#newBytes = typeof bytes === "string" ? (): string => bytes : bytes;
     this.#pace = pace;
   }
 
@@ -75,9 +75,9 @@
     this.#sockets.forEach((socket) => socket.destroy());
   }
 
-  async #send(socket: Socket): Promise<void> {
+  async #send(socket: Socket, bytes: string): Promise<void> {
     const { staysOpen = false } = this.#pace;
-    await writeAtPace(socket, this.#bytes, this.#pace);
+    await writeAtPace(socket, bytes, this.#pace);
     if (!staysOpen) {
       socket.end();
     }
