Keep the strict parser whatever the process is started with

Change: readers and listeners name the strict parser themselves. (undici's parser doesn't know the option.)

--- a/packages/callers/src/forward/ForwardServer.ts
+++ b/packages/callers/src/forward/ForwardServer.ts
@@ -87,7 +87,7 @@
       ...{ clock, logger, limitBytes: getHeldLimitBytes(options.memoryMb) },
     });
     this.#server = createServer(
-      { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0 },
+      { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, insecureHTTPParser: false },
       (req, res) => {
         void this.#handleRequest(req, res);
       },
--- a/packages/http/src/HttpServer.ts
+++ b/packages/http/src/HttpServer.ts
@@ -111,7 +111,7 @@
   ) {
     this.#routes = routes.map(compileRoute);
     this.#onError = onError;
-    this.#server = createServer((req, res) => {
+    this.#server = createServer({ insecureHTTPParser: false }, (req, res) => {
       this.#count(req.socket, 1);
       res.on("close", () => {
         this.#count(req.socket, -1);
--- a/packages/nodes/src/openRelay.ts
+++ b/packages/nodes/src/openRelay.ts
@@ -111,6 +111,7 @@
   new Promise((resolve, reject) => {
     const req = request({
       ...{ host: peer.host, port: peer.port, method: METHOD, path: RELAY_PATH, agent: false },
+      insecureHTTPParser: false,
       headers: {
         [RELAY_HOST_HEADER]: host,
         [RELAY_PORT_HEADER]: String(port),
--- a/packages/upstreams/src/HttpUpstreamTransport.ts
+++ b/packages/upstreams/src/HttpUpstreamTransport.ts
@@ -66,7 +66,10 @@
     this.#socket = socket;
     this.#connectionEnd = new ConnectionEnd(socket);
     const { host, port, method, path, headers } = options;
-    const req = request({ host, port, method, path, headers, createConnection: () => socket });
+    const req = request({
+      ...{ host, port, method, path, headers, insecureHTTPParser: false },
+      createConnection: () => socket,
+    });
     this.#req = req;
     this.#observe(req);
     req.on("socket", () => {
