Forward nothing for a caller whose reset came with its request

Seen by workers: requests of callers that had reset a kept connection in the same turn as they sent them, while the process was busy (GONE). Cause: such a reset looks like the end of the caller's sending side, and lies behind the request, which was forwarded first. Change: the system is asked whether the connection is reset before a request is forwarded, without another turn, and at the end of the caller's side, which then needs no probes. The socket doesn't remember the answer, so that it can be asked again. Measured: halfClosed.test.ts, 6 new cases on kept connections of a busy loop; the 3 with a reset were forwarded without this, those with an orderly end are answered as before.

--- a/packages/callers/src/forward/ForwardServer.ts
+++ b/packages/callers/src/forward/ForwardServer.ts
@@ -10,7 +10,7 @@
   type ForwardRequest,
   type RequestHead,
 } from "@lycheepulley/forwarding";
-import { ConnectionQueue, findInvalidRequest, readBody } from "@lycheepulley/http";
+import { ConnectionQueue, findInvalidRequest, isReset, readBody } from "@lycheepulley/http";
 import type { Logger } from "@lycheepulley/telemetry";
 
 import { afterReading } from "./afterReading.js";
@@ -296,6 +296,10 @@
     if (signal.aborted) {
       return;
     }
+    if (isReset(req.socket)) {
+      writer.abort();
+      return;
+    }
     if (this.#lifecycle.isClosing) {
       this.#rejections.reject(head, writer, LEAVING);
       return;
--- a/packages/callers/src/forward/halfClosed.test.ts
+++ b/packages/callers/src/forward/halfClosed.test.ts
@@ -60,6 +60,64 @@
     expect(forwarded).to.equal(1);
   });
 
+  /** Keeps the loop busy, so that it reads a request without a pause before. */
+  const keepBusy = (): (() => void) => {
+    let isBusy = true;
+    const turn = (): void => {
+      if (isBusy) {
+        setImmediate(turn);
+      }
+    };
+    turn();
+    return () => {
+      isBusy = false;
+    };
+  };
+
+  const together: readonly [name: string, bytes: string][] = [
+    ["a request", newRequest([], "body")],
+    ["a body in chunks", CHUNKED],
+    ["a request without a body", newRequest([], "")],
+  ];
+  for (const [name, bytes] of together) {
+    // Requests ran whose caller's reset came in the same turn, which looks like an orderly end.
+    it(`forwards nothing for ${name} that comes together with a reset on a kept connection`, async () => {
+      const { harness } = fixture;
+      let forwarded = 0;
+      harness.forward = (_req, writer) => {
+        forwarded += 1;
+        writer.sendOwn(200, "answered");
+        return Promise.resolve();
+      };
+      const socket = await harness.connect();
+      const rest = keepBusy();
+      socket.write(newRequest([], "body"));
+      await new Promise((resolve) => socket.once("data", resolve));
+      await new Promise((resolve) => setTimeout(resolve, SETTLE_MS));
+      socket.write(bytes);
+      socket.resetAndDestroy();
+      await new Promise((resolve) => setTimeout(resolve, SETTLE_MS));
+      rest();
+      expect(forwarded).to.equal(1);
+      expect(harness.server.requests).to.equal(0);
+    });
+
+    it(`answers ${name} that comes together with an orderly end on a kept connection`, async () => {
+      const { harness } = fixture;
+      const socket = await harness.connect();
+      const rest = keepBusy();
+      socket.write(newRequest([], "body"));
+      await new Promise((resolve) => socket.once("data", resolve));
+      await new Promise((resolve) => setTimeout(resolve, SETTLE_MS));
+      let answer = "";
+      socket.on("data", (chunk) => (answer += chunk.toString()));
+      socket.end(bytes);
+      await new Promise((resolve) => socket.once("end", resolve));
+      rest();
+      expect(getStatus(answer.replace(/^(HTTP\/1\.1 100 [^\r]*\r\n\r\n)+/, ""))).to.equal(200);
+    });
+  }
+
   // A caller that only stops sending still waits for its answer.
   const halfClosing: readonly [name: string, bytes: string][] = [
     ["a request", newRequest([], "body")],
--- a/packages/callers/src/forward/halfClosed.ts
+++ b/packages/callers/src/forward/halfClosed.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 
 import type { Clock, LoopTurns } from "@lycheepulley/core";
+import { isReset } from "@lycheepulley/http";
 
 import { resetOnClose } from "./resetOnClose.js";
 
@@ -90,6 +91,10 @@
 
   #onEnd(): void {
     const { headersSent, chunkedEncoding } = this.#res;
+    if (isReset(this.#req.socket)) {
+      this.#res.destroy();
+      return;
+    }
     if (!headersSent && this.#req.httpVersionMinor !== 0) {
       this.#probe();
       return;
--- a/packages/http/src/ConnectionEnd.test.ts
+++ b/packages/http/src/ConnectionEnd.test.ts
@@ -1,10 +1,11 @@
+import { once } from "node:events";
 import { connect, createServer, type AddressInfo, type Server, type Socket } from "node:net";
 import { Duplex } from "node:stream";
 
 import { Closing } from "@lycheepulley/core";
 import { expect } from "chai";
 
-import { ConnectionEnd } from "./ConnectionEnd.js";
+import { ConnectionEnd, isReset } from "./ConnectionEnd.js";
 
 const LOCALHOST = "127.0.0.1";
 const DATA = "x".repeat(1_000);
@@ -114,6 +115,44 @@
     });
   }
 
+  const states: readonly [
+    name: string,
+    act: (peer: Socket, socket: Socket) => void,
+    isReset: boolean,
+  ][] = [
+    ["open", () => undefined, false],
+    ["ended by its peer", (peer) => peer.end(DATA), false],
+    ["ended by both", (peer, socket) => peer.end(DATA) && socket.end(), false],
+    ["reset by its peer", (peer) => peer.resetAndDestroy(), true],
+    [
+      "reset by its peer behind data",
+      (peer) => {
+        peer.write(DATA);
+        peer.resetAndDestroy();
+      },
+      true,
+    ],
+    ["closed here", (_peer, socket) => socket.destroy(), true],
+  ];
+  for (const [name, act, expected] of states) {
+    it(`tells whether a connection is reset before its end is read: ${name}`, async () => {
+      const connected = new Promise<Socket>((resolve) => {
+        onPeer = resolve;
+      });
+      const { port } = server.address() as AddressInfo;
+      const socket = connect({ host: LOCALHOST, port, allowHalfOpen: true });
+      socket.on("error", () => undefined);
+      const [peer] = await Promise.all([connected, once(socket, "connect")]);
+      socket.pause();
+      expect(isReset(socket)).to.equal(false);
+      act(peer, socket);
+      await new Promise((resolve) => setTimeout(resolve, LATER_MS));
+      expect(isReset(socket)).to.equal(expected);
+      socket.destroy();
+      peer.destroy();
+    });
+  }
+
   it("takes the end of a stream that is no socket for orderly", async () => {
     const stream = new Duplex({ read: () => undefined, write: () => undefined });
     const connectionEnd = new ConnectionEnd(stream);
--- a/packages/http/src/ConnectionEnd.ts
+++ b/packages/http/src/ConnectionEnd.ts
@@ -26,13 +26,24 @@
 }
 
 const getClosing = (connection: Duplex): Closing => {
-  if (!(connection instanceof Socket)) {
+  if (!(connection instanceof Socket) || namesPeer(connection)) {
     return Closing.Orderly;
   }
-  // After a reset the system no longer names the peer, unless it was asked for before.
-  if (connection.remoteAddress !== undefined) {
-    return Closing.Orderly;
-  }
-  // It doesn't after an orderly close of both sides either.
+  // An orderly close of both sides looks the same.
   return connection.writableEnded ? Closing.Unknown : Closing.Reset;
 };
+
+/**
+ * True when a connection whose own side is open is known to be reset by now, also before its end is read, or is
+ * closed here.
+ */
+export const isReset = (socket: Socket): boolean =>
+  socket.destroyed || (!socket.writableEnded && !namesPeer(socket));
+
+/** After a reset the system no longer names the peer. */
+const namesPeer = (socket: Socket): boolean => {
+  const isNamed = socket.remoteAddress !== undefined;
+  // Not in the types: otherwise the socket doesn't ask the system again.
+  Object.assign(socket, { _peername: undefined });
+  return isNamed;
+};
