Run nothing for a caller of an entry process whose reset came with its request

Cause: as before an upstream: the reset lies behind the request, and looks like an orderly end. Change: OpenRequests asks whether the connection is reset once the body is read, before the request runs. Measured: callerOverload.test.ts, two new cases on a kept connection of a busy loop; the one with a reset ran without this.

--- a/packages/callers/src/OpenRequests.ts
+++ b/packages/callers/src/OpenRequests.ts
@@ -11,7 +11,7 @@
   type ProcessLifecycle,
   type Wait,
 } from "@lycheepulley/core";
-import { readBody, type HttpObserver } from "@lycheepulley/http";
+import { isReset, readBody, type HttpObserver } from "@lycheepulley/http";
 import type { Logger } from "@lycheepulley/telemetry";
 
 import { sendError } from "./errorAnswer.js";
@@ -182,6 +182,9 @@
         });
         const body = await Promise.race([readBody(req, limitBytes), left]);
         await this.#checkCaller(req);
+        if (body && isReset(req.socket)) {
+          throw newGoneError();
+        }
         if (!body || this.#lifecycle.isClosing) {
           throw newLeavingError();
         }
--- a/packages/callers/src/callerOverload.test.ts
+++ b/packages/callers/src/callerOverload.test.ts
@@ -1,4 +1,4 @@
-import { connect } from "node:net";
+import { connect, type Socket } from "node:net";
 
 import {
   OverloadControl,
@@ -103,6 +103,35 @@
     expect(runs).to.equal(3);
   });
 
+  const leaving: readonly [name: string, leave: (socket: Socket) => void, runs: number][] = [
+    // Requests ran whose caller's reset came in the same turn, which looks like an orderly end.
+    ["nothing for a request that comes together with a reset", (to) => to.resetAndDestroy(), 1],
+    ["a request on an open connection", () => undefined, 2],
+  ];
+  for (const [name, leave, expected] of leaving) {
+    it(`runs ${name} on a kept connection of a busy loop`, async () => {
+      const socket = connect(server.port, LOCALHOST);
+      socket.on("error", () => undefined);
+      await new Promise((resolve) => socket.once("connect", resolve));
+      let isBusy = true;
+      const turn = (): void => {
+        if (isBusy) {
+          setImmediate(turn);
+        }
+      };
+      turn();
+      socket.write(REQUEST);
+      await new Promise((resolve) => socket.once("data", resolve));
+      await wait(SETTLE_MS);
+      socket.write(REQUEST);
+      leave(socket);
+      await wait(SETTLE_MS);
+      isBusy = false;
+      socket.destroy();
+      expect(runs).to.equal(expected);
+    });
+  }
+
   // Requests were taken in whatever they had waited.
   it("rejects those that waited for a turn of its event loop, and says when to return", async () => {
     const sockets = Array.from({ length: 3 }, () => connect(server.port, LOCALHOST));
