Import nothing in a cycle within http

Cause: HttpPeer and StreamHandler, which was taken out of it, imported each other. Measured: importCycles.test.ts failed once they were two files, and passes now.

--- a/packages/http/src/StreamHandler.ts
+++ b/packages/http/src/StreamHandler.ts
@@ -1,9 +1,14 @@
 import { AnswerEnd, PeerError } from "@lycheepulley/core";
 import type { Dispatcher } from "undici";
 
-import type { HttpPeer } from "./HttpPeer.js";
 import { getReadEnd, UNKNOWN_END } from "./readEnd.js";
 
+interface StreamPeer {
+  readonly name: string;
+  /** Converts an error of the transport. */
+  toPeerError(err: unknown): PeerError;
+}
+
 interface StreamHandlerOptions {
   readonly onData: (bytes: Buffer) => void;
   readonly resolve: () => void;
@@ -19,7 +24,7 @@
 
 /** Passes on the body of one streamed response without buffering it. */
 export class StreamHandler implements Dispatcher.DispatchHandler {
-  readonly #peer: Pick<HttpPeer, "name" | "toPeerError">;
+  readonly #peer: StreamPeer;
   readonly #options: StreamHandlerOptions;
   #errorText = "";
   #errorBytes = 0;
@@ -27,7 +32,7 @@
   #isEndKnown = false;
   #controller: Dispatcher.DispatchController | undefined;
 
-  constructor(peer: Pick<HttpPeer, "name" | "toPeerError">, options: StreamHandlerOptions) {
+  constructor(peer: StreamPeer, options: StreamHandlerOptions) {
     this.#peer = peer;
     this.#options = options;
   }
