Let a process exit whose standard output nobody reads

Cause: log lines are written on a thread of the runtime, whose exit waits for it; a blocked write never ends.

Change: a pipe is opened once more for writes that don't block, through /proc, which leaves the flags of others that share it as they are; a socket is written by the runtime's own socket. A pipe of another user, which can't be opened, and systems without /proc are written as before.

--- a/packages/telemetry/src/BoundedLogger.test.ts
+++ b/packages/telemetry/src/BoundedLogger.test.ts
@@ -7,6 +7,9 @@
 
 const FLOOD = fileURLToPath(new URL("testing/logFlood.js", import.meta.url));
 const LINES = fileURLToPath(new URL("testing/logLines.js", import.meta.url));
+const EXIT = fileURLToPath(new URL("testing/logExit.js", import.meta.url));
+/** Longer than a process needs that doesn't wait for its output; it logs and drains for half a second. */
+const EXIT_MS = 3_000;
 const FLOOD_LINES = 5_000;
 /** Limit for the lines in the buffer, in the write in progress and in the pipe. */
 const MAX_BUFFERED_BYTES = 2_200_000;
@@ -56,3 +59,30 @@
     expect(lost).to.be.at.least(FLOOD_LINES - written);
   });
 });
+
+describe("exit of a process whose output isn't read", () => {
+  const outputs: readonly [name: string, command: string][] = [
+    ["a socket", '"$0" "$1"; echo "status $?" >&2'],
+    ["a pipe", '("$0" "$1"; echo "status $?" >&2) | sleep 10'],
+  ];
+  for (const [name, command] of outputs) {
+    // A gateway process that had drained stayed: the runtime's exit waits for a write that blocks.
+    it(`doesn't wait for ${name}`, async () => {
+      const args = ["-c", command, process.execPath, EXIT];
+      const child = spawn("sh", args, { stdio: "pipe", detached: true });
+      const timer = setTimeout(() => child.stderr.destroy(), EXIT_MS);
+      let status = "";
+      try {
+        child.stderr.once("data", (data: Buffer) => {
+          status = data.toString();
+          child.stderr.destroy();
+        });
+        await once(child.stderr, "close");
+        expect(status).to.equal("status 0\n");
+      } finally {
+        clearTimeout(timer);
+        process.kill(-(child.pid ?? 0), "SIGKILL");
+      }
+    }).timeout(2 * EXIT_MS);
+  }
+});
--- a/packages/telemetry/src/BoundedLogger.ts
+++ b/packages/telemetry/src/BoundedLogger.ts
@@ -1,16 +1,14 @@
-import { write } from "node:fs";
-
+import { openStandardOutput, type LogOutput } from "./LogOutput.js";
 import type { Logger, LogFields } from "./Logger.js";
 
-const STDOUT_FD = 1;
 const FLUSH_MS = 20;
 const MAX_PENDING_BYTES = 1_000_000;
 const MAX_LINES_PER_S = 2_000;
 const MS_PER_S = 1_000;
 
-/** Writes lines to a descriptor without blocking; drops lines while its buffer is full. */
+/** Writes lines to an output without blocking; drops lines while its buffer is full. */
 class DroppingStream {
-  readonly #fd: number;
+  readonly #output: LogOutput;
   #pending: string[] = [];
   #pendingBytes = 0;
   #isWriting = false;
@@ -19,8 +17,8 @@
   /** Dropped lines that weren't reported yet. */
   dropped = 0;
 
-  constructor(fd: number) {
-    this.#fd = fd;
+  constructor(output: LogOutput) {
+    this.#output = output;
   }
 
   /** True while less than half of the buffer is used, so that a short line fits. */
@@ -69,7 +67,7 @@
 
   #writeFully(data: Buffer, lines: number): void {
     this.#isWriting = true;
-    write(this.#fd, data, (err, written) => {
+    this.#output.write(data, (err, written) => {
       if (err?.code === "EAGAIN") {
         // The pipe is full. The write is repeated, so that no line is cut in the middle.
         setTimeout(() => {
@@ -121,7 +119,7 @@
   process: string;
   level: keyof Logger;
 }): BoundedLogger => {
-  const stream = new DroppingStream(STDOUT_FD);
+  const stream = new DroppingStream(openStandardOutput());
   let secondStart = 0;
   let lines = 0;
   let dropped = 0;
