--- a/packages/callers/src/forward/ForwardServer.ts
+++ b/packages/callers/src/forward/ForwardServer.ts
@@ -253,12 +253,8 @@
     }
   }
 
-  #readHead({
-    method = "GET",
-    url: path = "/",
-    rawHeaders: headers,
-  }: IncomingMessage): RequestHead {
-    return this.#dialect.readHead({ method, path, headers });
+  #readHead({ method = "GET", url = "/", rawHeaders: headers }: IncomingMessage): RequestHead {
+    return this.#dialect.readHead({ method, path: url, headers });
   }
 
   async #admit(options: {
--- a/packages/cli/src/commands/faultSoak.ts
+++ b/packages/cli/src/commands/faultSoak.ts
@@ -34,6 +34,10 @@
       type: "boolean",
       help: "Instead: processes end and start in overlapping work beside connections used late",
     },
+    answers: {
+      type: "boolean",
+      help: "Instead: workers end answers in ways of their own beside restarts and cut links",
+    },
     configs: {
       type: "boolean",
       help: "Instead: configurations change, valid and not, beside restarts and moves of the store",
@@ -70,6 +74,7 @@
       hasWarmUp: ctx.getBoolean("warmups"),
       isHushed: ctx.getBoolean("hushed"),
       hasEndings: ctx.getBoolean("endings"),
+      hasAnswerEnds: ctx.getBoolean("answers"),
       hasConfigs: ctx.getBoolean("configs") || ctx.getBoolean("restarts"),
       hasStoreRestarts: ctx.getBoolean("restarts"),
       processes,
@@ -80,13 +85,25 @@
       ctx.printJson(report);
     } else {
       const { seed, requests, startupMs, maxStallMs, answers, faults, violations, logs } = report;
-      const { checkedProbes } = report;
+      const { checkedProbes, answerEnds } = report;
       ctx.print(`seed ${String(seed)}: ${String(requests)} requests`);
       ctx.print(`all processes ready after ${String(startupMs)} ms`);
       ctx.print(`longest stall of the stand-ins: ${String(maxStallMs)} ms`);
       ctx.print(`answers by status: ${JSON.stringify(answers)}`);
       ctx.print(`faults: ${JSON.stringify(faults)}`);
       ctx.print(`probes held to the bounds of configurations: ${String(checkedProbes)}`);
+      if (answerEnds) {
+        const { endings, ends, wholeStreams, wholeStreamsCut } = answerEnds;
+        const { wholeCalls, wholeCallsRefused } = answerEnds;
+        ctx.print(`endings of workers: ${JSON.stringify(endings)}`);
+        ctx.print(`ends that callers saw: ${JSON.stringify(ends)}`);
+        ctx.print(
+          `whole streams without framing: ${String(wholeStreams)}, not whole for their caller: ${String(wholeStreamsCut)}`,
+        );
+        ctx.print(
+          `whole calls without framing: ${String(wholeCalls)}, answered 502: ${String(wholeCallsRefused)}`,
+        );
+      }
       ctx.print(`violations: ${String(violations.length)}${logs ? `, logs in ${logs}` : ""}`);
       violations.forEach(({ rule, attempt, detail }) => {
         ctx.print(`  ${rule} ${attempt}: ${detail}`);
