Tell that nothing was sent on a connection that ends while its caller is asked

Seen by callers: a request whose connection to its upstream ends while its caller is asked once more waits for its deadline, and counts as one that may have run; an error of a relayed connection in that time is an uncaught exception. Cause: nobody listened to the connection between its opening and the sending, and a request on one that has ended never ends. Change: the end of a connection that is waiting ends the call as unsent, and a call that is given up closes it at once.

--- a/packages/upstreams/src/HttpUpstreamTransport.ts
+++ b/packages/upstreams/src/HttpUpstreamTransport.ts
@@ -43,9 +43,7 @@
       (socket) => {
         const confirmed = options.confirm?.();
         if (confirmed) {
-          void confirmed.then(() => {
-            this.#send(socket, options);
-          });
+          this.#sendOnceConfirmed(socket, options, confirmed);
         } else {
           this.#send(socket, options);
         }
@@ -56,6 +54,27 @@
     );
   }
 
+  /** Sends nothing on a connection that ends before. */
+  #sendOnceConfirmed(socket: Duplex, options: OpenRequest, confirmed: Promise<void>): void {
+    this.#socket = socket;
+    if (this.#isClosed) {
+      socket.destroy();
+      return;
+    }
+    const failUnsent = (err: Error): void => {
+      if (this.#state === SendState.Unsent) {
+        this.#fail(err);
+      }
+    };
+    socket.on("error", failUnsent);
+    socket.on("close", () => {
+      failUnsent(new Error("connection closed"));
+    });
+    void confirmed.then(() => {
+      this.#send(socket, options);
+    });
+  }
+
   /** Sends the request on an open connection. */
   #send(socket: Duplex, options: OpenRequest): void {
     if (this.#isClosed) {
