Tell each send that waits for its caller, not only the last one

Seen by callers: after a freeze, the first of two sends of a request is never made, and counts as one in flight until the deadline. Cause: a half-closed caller that is asked for a second send while the first one waits is told to the second one only. Change: all that wait are told. Measured: one new case of leftCallers.test.ts, which failed before (only the second of two sends was told).

--- a/packages/callers/src/forward/halfClosed.ts
+++ b/packages/callers/src/forward/halfClosed.ts
@@ -29,7 +29,8 @@
   readonly #turns: LoopTurns;
   #cancel = (): void => undefined;
   #probes = 0;
-  #onProbed: (() => void) | undefined;
+  /** Those that wait for the interim answers. */
+  readonly #waiting: (() => void)[] = [];
 
   constructor(
     req: IncomingMessage,
@@ -50,7 +51,7 @@
     res.on("close", () => {
       this.#cancel();
       socket.off("end", onEnd);
-      this.#onProbed?.();
+      this.#endWaiting();
     });
   }
 
@@ -65,9 +66,10 @@
       return;
     }
     await new Promise<void>((resolve) => {
-      this.#onProbed = resolve;
       if (this.#probes >= NEEDED_PROBES) {
         resolve();
+      } else {
+        this.#waiting.push(resolve);
       }
     });
     await this.#nextTurn();
@@ -83,6 +85,12 @@
     await this.settle();
   }
 
+  #endWaiting(): void {
+    this.#waiting.splice(0).forEach((end) => {
+      end();
+    });
+  }
+
   #nextTurn(): Promise<void> {
     return new Promise((resolve) => {
       this.#turns.afterNextTurn(resolve);
@@ -108,13 +116,13 @@
 
   #probe(): void {
     if (this.#res.headersSent || this.#res.destroyed || !this.#req.socket.writable) {
-      this.#onProbed?.();
+      this.#endWaiting();
       return;
     }
     this.#res.writeContinue();
     this.#probes += 1;
     if (this.#probes >= NEEDED_PROBES) {
-      this.#onProbed?.();
+      this.#endWaiting();
     }
     this.#cancel = this.#clock.setTimer(
       () => {
--- a/packages/callers/src/forward/leftCallers.test.ts
+++ b/packages/callers/src/forward/leftCallers.test.ts
@@ -183,4 +183,28 @@
       socket.destroy();
     });
   }
+
+  // The first of two sends that asked at once was never made: only the second one was told.
+  it("are asked for each of two sends at once", async () => {
+    const { harness } = fixture;
+    const socket = await harness.connect();
+    socket.resume();
+    const told: string[] = [];
+    const forwarded = new Promise<void>((resolve) => {
+      harness.forward = async ({ confirmCaller }, writer) => {
+        for (const send of ["first", "second"]) {
+          block(FREEZE_MS);
+          void confirmCaller?.()?.then(() => told.push(send));
+        }
+        await wait(SETTLE_MS);
+        writer.sendOwn(200, "answered");
+        resolve();
+      };
+    });
+    socket.write(newRequest([], "body"));
+    socket.end();
+    await forwarded;
+    expect(told).to.have.members(["first", "second"]);
+    socket.destroy();
+  });
 });
