Go on nowhere behind an event with an empty id

Seen by callers: another upstream begins anew behind the part that they have, as it is sent an empty Last-Event-Id. Cause: an empty id, which resets the last one, counted as a place to go on from. Change: it counts as no id.

--- a/packages/forwarding/src/Send.ts
+++ b/packages/forwarding/src/Send.ts
@@ -218,7 +218,7 @@
     this.#sendHeadOnce();
     for (const { id } of blocks.filter(({ isEvent }) => isEvent)) {
       this.#progress.lastEventId = id ?? this.#progress.lastEventId;
-      this.#progress.isLastUnnamed = id === undefined;
+      this.#progress.isLastUnnamed = !id;
     }
     this.#write(Buffer.concat([this.#buffer.take(), ...blocks.map(({ bytes }) => bytes)]));
     this.#watchForStall("gapMs");
--- a/packages/forwarding/src/answerProgress.ts
+++ b/packages/forwarding/src/answerProgress.ts
@@ -6,7 +6,7 @@
 export interface AnswerProgress {
   /** Id of the last event that went to the caller. */
   lastEventId: string | undefined;
-  /** The last event that went to the caller has no id, so that nothing tells where another send would go on. */
+  /** The last event that went to the caller has no id or an empty one, so that nothing tells where another send would go on. */
   isLastUnnamed: boolean;
   /** The head of the answer was sent to the caller. */
   isHeadSent: boolean;
--- a/packages/forwarding/src/unframedAnswers.test.ts
+++ b/packages/forwarding/src/unframedAnswers.test.ts
@@ -276,6 +276,7 @@
   const unresumable: readonly [name: string, route: Partial<Route>, events: string][] = [
     ["a stream whose events have no ids", STREAM, "data: x\n\n"],
     ["a stream whose last event has no id", STREAM, "id: 1\ndata: x\n\ndata: y\n\n"],
+    ["a stream whose last event has an empty id", STREAM, "id: 1\ndata: x\n\nid:\ndata: y\n\n"],
     ["events on a route of plain calls", SAFE, "id: 1\ndata: x\n\n"],
   ];
   for (const [name, route, events] of unresumable) {
