Serve nothing behind an invalid request on the connections of the own interfaces

Cause: HttpServer answered 400 and closed the connection, but went on to serve what had been read behind that request. Change: nothing behind it is served.

--- a/packages/http/src/HttpServer.ts
+++ b/packages/http/src/HttpServer.ts
@@ -101,6 +101,8 @@
   readonly #sockets = new Set<Socket>();
   /** Requests in progress by connection. */
   readonly #requests = new Map<Socket, number>();
+  /** Connections with a request that was invalid. */
+  readonly #invalid = new WeakSet<Socket>();
   readonly #onError: (err: unknown, req: IncomingMessage, res: ServerResponse) => void;
   readonly #queue: ConnectionQueue | undefined;
 
@@ -112,6 +114,10 @@
     this.#routes = routes.map(compileRoute);
     this.#onError = onError;
     this.#server = createServer({ insecureHTTPParser: false }, (req, res) => {
+      if (this.#invalid.has(req.socket)) {
+        // Its bytes may belong to the request before it, whose answer closes the connection.
+        return;
+      }
       this.#count(req.socket, 1);
       res.on("close", () => {
         this.#count(req.socket, -1);
@@ -122,6 +128,7 @@
       if (findInvalidRequest(req) === undefined) {
         void this.#dispatch(req, res);
       } else {
+        this.#invalid.add(req.socket);
         sendJson(res, 400, { error: { message: "invalid head" } }, { connection: "close" });
       }
     });
