Frame services' answers to callers of HTTP/1.0

Seen by callers of an entry process with HTTP/1.0: a service's answer without framing, which ends with its connection, so that a part of it looks whole. Cause: the head was sent before the body's length was known, and HTTP/1.0 has no chunks. Change: services' answers have a Content-Length, unless they have no body by status or method. Measured: CallerServer.test.ts, 5 new cases; 3 of them fail without this.

--- a/packages/callers/src/CallerServer.test.ts
+++ b/packages/callers/src/CallerServer.test.ts
@@ -1,3 +1,5 @@
+import { connect } from "node:net";
+
 import {
   ProcessLifecycle,
   PulleyError,
@@ -109,4 +111,39 @@
       }
     });
   }
+
+  const framed: readonly [
+    name: string,
+    request: string,
+    status: number,
+    body: string,
+    length: string | undefined,
+  ][] = [
+    ["HTTP/1.1", "POST /services/letters/send HTTP/1.1", 200, "dóne", "5"],
+    ["HTTP/1.0", "POST /services/letters/send HTTP/1.0", 200, "dóne", "5"],
+    ["HTTP/1.0 without a body", "POST /services/letters/send HTTP/1.0", 200, "", "0"],
+    ["status 204", "POST /services/letters/send HTTP/1.0", 204, "", undefined],
+    ["HEAD", "HEAD /services/letters/send HTTP/1.0", 200, "", undefined],
+  ];
+  for (const [name, request, status, body, length] of framed) {
+    // A part of an answer that ends with its connection is a whole one to its caller.
+    it(`frames a service's answer by its length: ${name}`, async () => {
+      const runService = (): Promise<typeof outcome> =>
+        Promise.resolve({ ...outcome, status, body });
+      const server = new CallerServer(newApi({ runService }), {
+        ...{ clock: new SystemClock(), lifecycle: new ProcessLifecycle() },
+        load: new OverloadControl({ clock: new SystemClock(), random: new SystemRandom() }),
+        logger: newSilentLogger(),
+      });
+      await server.listen("127.0.0.1", 0);
+      const socket = connect(server.port, "127.0.0.1");
+      let answer = "";
+      socket.on("data", (chunk: Buffer) => (answer += chunk.toString()));
+      socket.write(`${request}\r\nHost: a\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+      await new Promise((resolve) => socket.once("end", resolve));
+      await server.close();
+      expect(/\r\ncontent-length: (\d+)/i.exec(answer)?.[1]).to.equal(length);
+      expect(answer.slice(answer.indexOf("\r\n\r\n") + 4)).to.equal(body);
+    });
+  }
 });
--- a/packages/callers/src/answers.ts
+++ b/packages/callers/src/answers.ts
@@ -1,6 +1,8 @@
 import type { ServerResponse } from "node:http";
 
 import {
+  Framing,
+  getFraming,
   Verdict,
   type PromptRequest,
   type PulleyError,
@@ -33,12 +35,17 @@
 ): Promise<void> => {
   try {
     const outcome = await accepted.runService(request);
-    res.writeHead(outcome.status, {
+    const { status, body } = outcome;
+    const { method } = request;
+    const hasBody = getFraming(method, { status, headers: {} }) !== Framing.NoBody;
+    res.writeHead(status, {
       "content-type": outcome.contentType,
+      // Without a length, an answer to HTTP/1.0 would end with its connection.
+      ...(hasBody ? { "content-length": String(Buffer.byteLength(body)) } : {}),
       "x-request-id": accepted.requestId,
       ...(outcome.isReplay ? { "x-replayed": "true" } : {}),
     });
-    res.end(outcome.body);
+    res.end(body);
   } catch (err) {
     throw toHandedOnError(err);
   }
