Read a caller's connection while it is asked whether it is there

The end of the caller's side, which lies behind its request, stayed in the system's buffer; the question took two turns without it for a yes.

Change: a connection whose caller is being asked is read all the while (keepReading). A turn that was held up counts as a wait for the requests of the next one. CallerPresence decides in one place whether a caller is still there, and asks once more when the connection to the upstream is open and the last question lies over 250 ms back.

No test is changed or gone.

CallerPresence also knows a reset.

--- a/packages/callers/src/OpenRequests.ts
+++ b/packages/callers/src/OpenRequests.ts
@@ -11,7 +11,7 @@
   type ProcessLifecycle,
   type Wait,
 } from "@lycheepulley/core";
-import { isReset, readBody, type HttpObserver } from "@lycheepulley/http";
+import { isReset, keepReading, readBody, type HttpObserver } from "@lycheepulley/http";
 import type { Logger } from "@lycheepulley/telemetry";
 
 import { sendError } from "./errorAnswer.js";
@@ -29,6 +29,8 @@
 interface Progress {
   requestId: string;
   isForwarded: boolean;
+  /** Its caller may have left before it was read. */
+  mayHaveLeft: boolean;
 }
 
 /** A request that was given an id, until its process ends it or it ends by itself. */
@@ -129,7 +131,7 @@
   /** Counts a request until its answer has been sent; true when it was rejected. */
   onRequest(req: IncomingMessage, res: ServerResponse): boolean {
     const readWait = this.#load.turns.getWait();
-    const progress: Progress = { requestId: "", isForwarded: false };
+    const progress: Progress = { requestId: "", isForwarded: false, mayHaveLeft: false };
     const startMs = this.#clock.now();
     const { socket } = req;
     const turn = this.#connections.startRequest(socket, () => ({
@@ -149,6 +151,7 @@
     if (this.#lifecycle.isLeaving) {
       res.shouldKeepAlive = false;
     }
+    progress.mayHaveLeft = this.#load.mayHaveLeft(turn.wait, readWait);
     const retryAfterMs = this.#load.decideRead(turn.wait, readWait);
     if (this.#lifecycle.isClosing) {
       this.#reject(req, res);
@@ -163,7 +166,7 @@
 
   /** Follows a request that was given an id. */
   admit(req: IncomingMessage, res: ServerResponse, requestId: string): AdmittedRequest {
-    const unknown = { requestId, isForwarded: false };
+    const unknown = { requestId, isForwarded: false, mayHaveLeft: true };
     const progress = this.#responses.get(res) ?? unknown;
     progress.requestId = requestId;
     const abort = new AbortController();
@@ -181,7 +184,9 @@
           res.once("close", end);
         });
         const body = await Promise.race([readBody(req, limitBytes), left]);
-        await this.#checkCaller(req);
+        if (progress.mayHaveLeft) {
+          await this.#checkCaller(req);
+        }
         if (body && isReset(req.socket)) {
           throw newGoneError();
         }
@@ -205,9 +210,10 @@
 
   /** Throws for a caller that has left: the end of its side lies behind its request, and is read next. */
   async #checkCaller({ socket }: IncomingMessage): Promise<void> {
-    await new Promise<void>((resolve) => {
+    const read = new Promise<void>((resolve) => {
       this.#load.turns.afterNextTurn(resolve);
     });
+    await keepReading(socket, read);
     if (socket.readableEnded || socket.destroyed) {
       throw newGoneError();
     }
--- a/packages/callers/src/forward/CallerConnections.ts
+++ b/packages/callers/src/forward/CallerConnections.ts
@@ -63,9 +63,9 @@
     return this.#states.size;
   }
 
-  /** Open connections without a request in progress. */
-  get idle(): readonly Socket[] {
-    return [...this.#states].flatMap(([socket, { pending }]) => (pending.size > 0 ? [] : socket));
+  /** All open connections. */
+  get sockets(): Iterable<Socket> {
+    return this.#states.keys();
   }
 
   /** Requests without a complete answer, over all connections. */
--- a/packages/callers/src/forward/CallerPresence.ts
+++ b/packages/callers/src/forward/CallerPresence.ts
@@ -1,4 +1,7 @@
+import type { Socket } from "node:net";
+
 import type { Clock } from "@lycheepulley/core";
+import { isReset, keepReading } from "@lycheepulley/http";
 
 import type { HalfClosedProbe } from "./halfClosed.js";
 
@@ -12,26 +15,35 @@
 export class CallerPresence {
   readonly #probe: HalfClosedProbe;
   readonly #clock: Clock;
-  #askedMs = -Infinity;
+  readonly #socket: Socket;
+  #askedMs: number;
 
-  constructor(probe: HalfClosedProbe, clock: Clock) {
+  constructor(probe: HalfClosedProbe, { clock, socket }: { clock: Clock; socket: Socket }) {
     this.#probe = probe;
+    this.#socket = socket;
     this.#clock = clock;
+    this.#askedMs = clock.now();
   }
 
-  /** Resolves once a caller that left before its request was read is known to be gone. */
-  async ask(): Promise<void> {
-    this.#askedMs = this.#clock.now();
-    await this.#probe.settle();
+  /**
+   * Resolves to false for a caller whose reset is known. One that may have left before its request was read is
+   * asked first.
+   */
+  async check(mayHaveLeft: boolean): Promise<boolean> {
+    if (mayHaveLeft) {
+      this.#askedMs = this.#clock.now();
+      await keepReading(this.#socket, this.#probe.settle());
+    }
+    return !isReset(this.#socket);
   }
 
-  /** The same for one that may have left since; undefined when it was asked a short time ago. */
+  /** Asks one that may have left since; undefined when it was asked a short time ago. */
   confirm(): Promise<void> | undefined {
     const now = this.#clock.now();
     if (now - this.#askedMs <= MAX_UNSEEN_MS) {
       return undefined;
     }
     this.#askedMs = now;
-    return this.#probe.settleAgain();
+    return keepReading(this.#socket, this.#probe.settleAgain());
   }
 }
--- a/packages/callers/src/forward/ForwardServer.ts
+++ b/packages/callers/src/forward/ForwardServer.ts
@@ -10,7 +10,7 @@
   type ForwardRequest,
   type RequestHead,
 } from "@lycheepulley/forwarding";
-import { ConnectionQueue, findInvalidRequest, isReset, readBody } from "@lycheepulley/http";
+import { ConnectionQueue, findInvalidRequest, readBody } from "@lycheepulley/http";
 import type { Logger } from "@lycheepulley/telemetry";
 
 import { afterReading } from "./afterReading.js";
@@ -96,7 +96,7 @@
     this.applyLimits();
     this.#queue = new ConnectionQueue(this.#server, {
       ...{ clock, load: options.load, newAnswer: newOverloadAnswer },
-      getIdle: () => this.#connections.idle,
+      getOpen: () => this.#connections.sockets,
       onAccept: (socket) => {
         this.#accepted += 1;
         this.#connections.add(socket);
@@ -229,7 +229,7 @@
     }
     const { turns } = this.#load;
     const probe = new HalfClosedProbe(req, res, { clock: this.#clock, turns });
-    const presence = new CallerPresence(probe, this.#clock);
+    const presence = new CallerPresence(probe, { clock: this.#clock, socket });
     await turn.earlier;
     if (!socket.writable) {
       // The answer before ended the connection; the caller knows that this request wasn't read.
@@ -246,7 +246,7 @@
       progress.head = head;
       await this.#admit({
         ...{ req, head, writer, receivedMs: wait.sinceMs, signal: abort.signal, progress },
-        presence,
+        ...{ presence, mayHaveLeft: this.#load.mayHaveLeft(turn.wait, readWait) },
       });
     } catch (err) {
       this.#handleFailure(err, { req, progress, writer });
@@ -265,8 +265,10 @@
     signal: AbortSignal;
     progress: AdmissionProgress;
     presence: CallerPresence;
+    /** The caller may have left before its request was read. */
+    mayHaveLeft: boolean;
   }): Promise<void> {
-    const { req, head, writer, receivedMs, signal, progress, presence } = options;
+    const { req, head, writer, receivedMs, signal, progress, presence, mayHaveLeft } = options;
     if (findInvalidRequest(req) !== undefined) {
       writer.closeAfterAnswer();
       this.#rejections.reject(head, writer, { status: 400, message: "invalid head" });
@@ -288,11 +290,7 @@
       return;
     }
     const body = await this.#readBody(req, writer);
-    await presence.ask();
-    if (signal.aborted) {
-      return;
-    }
-    if (isReset(req.socket)) {
+    if (!(await presence.check(mayHaveLeft)) || signal.aborted) {
       writer.abort();
       return;
     }
--- a/packages/core/src/load/LoopTurns.ts
+++ b/packages/core/src/load/LoopTurns.ts
@@ -27,6 +27,11 @@
   #previousMs = -Infinity;
   #idleMs = -Infinity;
   #possiblyReadyMs = 0;
+  #isAfterIdle = false;
+  /** End of the turn before, when the events of that turn were fetched, and since when those of this one may be unseen. */
+  #endMs = 0;
+  #fetchedMs = 0;
+  #unseenSinceMs = 0;
 
   /** `getIdleMs` returns the time that the event loop has waited for events so far, milliseconds. */
   constructor(
@@ -46,15 +51,30 @@
     return { sinceMs: this.getReadyMs(), possiblySinceMs: this.#possiblyReadyMs };
   }
 
+  /** True for events that ended a pause of the loop, for which the whole process may have been frozen. */
+  get isAfterIdle(): boolean {
+    return this.#isAfterIdle;
+  }
+
+  /** The same as `possiblySinceMs`, also where a turn was held up before its first event was handled. */
+  get unseenSinceMs(): number {
+    return this.#unseenSinceMs;
+  }
+
   /** Monotonic time since which the event that is handled now is known to have waited. */
   getReadyMs(): number {
     if (this.#startMs === undefined) {
       const startMs = this.#clock.now();
       this.#startMs = startMs;
-      const isAfterIdle = this.#getIdleMs() - this.#idleMs >= BUSY_MS;
-      this.#possiblyReadyMs = isAfterIdle ? startMs : this.#previousMs;
+      const idleMs = this.#getIdleMs() - this.#idleMs;
+      this.#isAfterIdle = idleMs >= BUSY_MS;
+      this.#unseenSinceMs = this.#isAfterIdle ? startMs : this.#fetchedMs;
+      const fetchedMs = Number.isFinite(idleMs) ? this.#endMs + idleMs : startMs;
+      this.#possiblyReadyMs = this.#isAfterIdle ? startMs : this.#previousMs;
       this.#afterTurn(() => {
         this.#previousMs = startMs;
+        this.#fetchedMs = fetchedMs;
+        this.#endMs = this.#clock.now();
         this.#idleMs = this.#getIdleMs();
         this.#startMs = undefined;
       });
--- a/packages/core/src/load/OverloadControl.ts
+++ b/packages/core/src/load/OverloadControl.ts
@@ -9,6 +9,8 @@
 const MAX_WAIT_MS = { burst: 150, overload: 20 } as const;
 /** The same for work that waits in a turn of the event loop: it will wait for some more before its answer. */
 const MAX_TURN_WAIT_MS = { burst: 80, overload: 5 } as const;
+/** Wait after which it matters whether a caller is still there. */
+const MAX_UNSEEN_MS = 250;
 const MIN_RETRY_MS = 250;
 const MAX_RETRY_MS = 5_000;
 /** Share of the time to return by which it varies, so that callers don't return all at once. */
@@ -84,6 +86,13 @@
       : this.#decide(read, this.#clock.now() - read.sinceMs > MAX_TURN_WAIT_MS[this.#phase]);
   }
 
+  /** True where a caller may have left so long ago that nothing should run for it. */
+  mayHaveLeft(connection: Wait | undefined, read: Wait): boolean {
+    const sinceMs = Math.min(read.possiblySinceMs, this.turns.unseenSinceMs);
+    const isLongAgo = this.#clock.now() - sinceMs > MAX_UNSEEN_MS;
+    return connection !== undefined || this.turns.isAfterIdle || isLongAgo;
+  }
+
   #decide(wait: Wait, isLate: boolean): number | undefined {
     const waitMs = this.#clock.now() - wait.possiblySinceMs;
     this.#observer.onWait?.(waitMs);
--- a/packages/core/src/load/load.test.ts
+++ b/packages/core/src/load/load.test.ts
@@ -164,3 +164,44 @@
     });
   }
 });
+
+describe("a caller that may have left before its request is read", () => {
+  const cases: readonly [name: string, turnsMs: readonly number[], idleMs: number, may: boolean][] =
+    [
+      ["came in a turn right after another", [5], 0, false],
+      ["waited for a long turn", [300], 0, true],
+      ["came after a pause, in which the process may have been frozen", [5], 50, true],
+    ];
+  for (const [name, turnsMs, idleMs, may] of cases) {
+    // Requests on kept connections ran whose callers had left while the process was frozen.
+    it(`is asked for when the request ${name}`, () => {
+      const loop = new TurnLoop();
+      const load = new OverloadControl({
+        ...{ clock: loop, loop, random: { next: () => 0 } },
+      });
+      loop.advance(1_000);
+      for (const ms of turnsMs) {
+        load.turns.getWait();
+        loop.endTurn(ms);
+      }
+      loop.rest(idleMs);
+      loop.advance(OTHER_MS);
+      expect(load.mayHaveLeft(undefined, load.turns.getWait())).to.equal(may);
+    });
+  }
+});
+
+describe("a freeze in the middle of a turn", () => {
+  // It hid the wait of the requests of the next turn, whose callers had left meanwhile.
+  it("has the callers of the next turn asked for", () => {
+    const loop = new TurnLoop();
+    const load = new OverloadControl({ clock: loop, loop, random: { next: () => 0 } });
+    loop.advance(1_000);
+    load.turns.getWait();
+    loop.endTurn(5);
+    loop.advance(300);
+    load.turns.getWait();
+    loop.endTurn(5);
+    expect(load.mayHaveLeft(undefined, load.turns.getWait())).to.equal(true);
+  });
+});
--- a/packages/http/src/ConnectionQueue.ts
+++ b/packages/http/src/ConnectionQueue.ts
@@ -54,8 +54,8 @@
       onAccept?: (socket: Socket) => void;
       onServe?: (socket: Socket, wait: Wait) => void;
       newAnswer: (retryAfterMs: number) => string;
-      /** Connections that are served and have no request in progress, whose callers' leaving has to be seen. */
-      getIdle: () => readonly Socket[];
+      /** Connections that are served. */
+      getOpen: () => Iterable<Socket>;
     },
   ) {
     this.#clock = options.clock;
@@ -63,7 +63,7 @@
     this.#run = options.load.newAcceptRun();
     this.#newAnswer = options.newAnswer;
     this.#onAccept = options.onAccept ?? (() => undefined);
-    this.#pause = new ReadingPause(options.clock, options.getIdle);
+    this.#pause = new ReadingPause(options.clock, options.getOpen);
     this.#lingering = new LingeringConnections(options.clock);
     const listeners = server.listeners("connection") as ((socket: Socket) => void)[];
     server.removeAllListeners("connection");
--- a/packages/http/src/HttpServer.ts
+++ b/packages/http/src/HttpServer.ts
@@ -99,8 +99,6 @@
   readonly #routes: readonly CompiledRoute[];
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
-  /** Requests in progress by connection. */
-  readonly #requests = new Map<Socket, number>();
   /** Connections with a request that was invalid. */
   readonly #invalid = new WeakSet<Socket>();
   readonly #onError: (err: unknown, req: IncomingMessage, res: ServerResponse) => void;
@@ -118,10 +116,6 @@
         // Its bytes may belong to the request before it, whose answer closes the connection.
         return;
       }
-      this.#count(req.socket, 1);
-      res.on("close", () => {
-        this.#count(req.socket, -1);
-      });
       if (observer?.onRequest(req, res)) {
         return;
       }
@@ -142,15 +136,12 @@
     const onConnection = (socket: Socket): void => {
       socket.setNoDelay(true);
       this.#sockets.add(socket);
-      socket.on("close", () => {
-        this.#sockets.delete(socket);
-        this.#requests.delete(socket);
-      });
+      socket.on("close", () => this.#sockets.delete(socket));
       observer?.onConnection(socket);
     };
     if (admission) {
       this.#queue = new ConnectionQueue(this.#server, {
-        ...{ ...admission, onAccept: onConnection, getIdle: () => this.#idle },
+        ...{ ...admission, onAccept: onConnection, getOpen: () => this.#sockets },
         onServe: (socket, wait) => observer?.onServe?.(socket, wait),
       });
     } else {
@@ -197,19 +188,6 @@
     });
   }
 
-  get #idle(): readonly Socket[] {
-    return [...this.#sockets].filter((socket) => !this.#requests.has(socket));
-  }
-
-  #count(socket: Socket, change: number): void {
-    const count = (this.#requests.get(socket) ?? 0) + change;
-    if (count > 0 && this.#sockets.has(socket)) {
-      this.#requests.set(socket, count);
-    } else {
-      this.#requests.delete(socket);
-    }
-  }
-
   async #dispatch(req: IncomingMessage, res: ServerResponse): Promise<void> {
     // A request target such as "//" is valid HTTP, but no URL.
     const target = req.url ?? "/";
--- a/packages/http/src/ReadingPause.ts
+++ b/packages/http/src/ReadingPause.ts
@@ -2,19 +2,21 @@
 
 import type { Clock } from "@lycheepulley/core";
 
+import { isKeptReading } from "./keepReading.js";
+
 /** Longest time for which nothing is read. */
 const MAX_PAUSE_MS = 100;
 
-/** Stops reading idle connections for some turns, so that those that wait are accepted meanwhile. */
+/** Stops reading open connections for some turns, so that those that wait are accepted meanwhile. */
 export class ReadingPause {
   readonly #clock: Clock;
-  readonly #getIdle: () => readonly Socket[];
+  readonly #getOpen: () => Iterable<Socket>;
   #paused: Socket[] = [];
   #startMs = -Infinity;
 
-  constructor(clock: Clock, getIdle: () => readonly Socket[]) {
+  constructor(clock: Clock, getOpen: () => Iterable<Socket>) {
     this.#clock = clock;
-    this.#getIdle = getIdle;
+    this.#getOpen = getOpen;
   }
 
   get isOn(): boolean {
@@ -27,7 +29,9 @@
   }
 
   start(): void {
-    this.#paused = this.#getIdle().filter((socket) => !socket.isPaused());
+    this.#paused = [...this.#getOpen()].filter(
+      (socket) => !socket.isPaused() && !isKeptReading(socket),
+    );
     this.#paused.forEach((socket) => socket.pause());
     this.#startMs = this.#clock.now();
   }
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -4,3 +4,4 @@
 export * from "./HttpPeer.js";
 export * from "./HttpServer.js";
 export * from "./readEnd.js";
+export * from "./keepReading.js";
