--- a/packages/daemon/src/gateway/CrashExchange.ts
+++ b/packages/daemon/src/gateway/CrashExchange.ts
@@ -2,20 +2,32 @@
 import {
   Batcher,
   CrashEvidence,
+  CrashGuard,
+  CrashRecordKeeper,
   isWithdrawn,
-  PartGuard,
   sample,
   TrialOwner,
+  type CrashRecords,
   type CrashReport,
   type Members,
+  type PeerIdentity,
   type PeerTable,
   type TrialPeers,
 } from "@lycheepulley/forwarding";
-import { newRpcMethod, type DatagramChannel, type NodeServer } from "@lycheepulley/nodes";
+import type { DatagramChannel, NodeServer } from "@lycheepulley/nodes";
 import type { Logger } from "@lycheepulley/telemetry";
-import { z } from "zod";
 
+import {
+  CrashMessages,
+  crashReportSchema,
+  crashStrikeSchema,
+  joinReports,
+  listStrikes,
+  trialEndSchema,
+  trialMethod,
+} from "./crashMessages.js";
 import type { PeerCalls } from "./PeerCalls.js";
+import { readsCrashRequests } from "./peerMessages.js";
 
 /** Time in which the requests that one lost upstream had are reported together. */
 const NEWS_BATCH_MS = 10;
@@ -24,55 +36,22 @@
 const GOSSIP_INTERVAL_MS = 1_000;
 /** Peers that evidence is told to again each time, so that the cost doesn't grow with the fleet. */
 const GOSSIP_PEERS = 4;
+/** Losses that are older are told again only if they are not the only ones. */
+const GOSSIP_AGE_MS = 60_000;
 /** With more live peers, news that accuse nobody go to some of them only. */
 const MAX_DIRECT_PEERS = 24;
-/** Bounds of one message, which has to fit into a datagram. */
-const MAX_LOST = 8;
-const MAX_PARTS = 64;
-const MAX_SOUND = 128;
-const MAX_ID_LENGTH = 256;
-
-const partSchema = z.string().min(1).max(64);
-const reportSchema = z.object({
-  lost: z
-    .array(
-      z.object({
-        upstream: z.string(),
-        lostAgoMs: z.number(),
-        parts: z.array(partSchema).max(MAX_PARTS),
-        answeredAgoMs: z.number().optional(),
-      }),
-    )
-    .max(MAX_LOST),
-  sound: z.array(z.object({ part: partSchema, begunAgoMs: z.number() })).max(MAX_SOUND),
-});
-type ReportMessage = z.output<typeof reportSchema>;
-
-/** Processes of an earlier build send no id. */
-const trialKey = { part: partSchema, id: z.string().max(MAX_ID_LENGTH).optional() };
-const trialMethod = newRpcMethod(
-  "crash.trial",
-  z.object({
-    host: z.string(),
-    ...trialKey,
-    parts: z.array(partSchema).max(MAX_PARTS),
-    report: reportSchema,
-  }),
-  z.object({ isGranted: z.boolean(), retryMs: z.number() }),
-);
-const trialEndSchema = z.object(trialKey);
 
-/** Exchanges evidence on parts of prompts that crash upstreams, and the trials of such parts, with peers. */
+/** Exchanges evidence on what crashes upstreams, and the trials of what is suspect, with peers. */
 export class CrashExchange {
-  readonly guard: PartGuard;
+  readonly guard: CrashGuard;
   readonly #clock: Clock;
   readonly #random: Random;
   readonly #channel: DatagramChannel;
   readonly #peers: PeerTable;
-  readonly #calls: PeerCalls;
-  readonly #host: string;
+  readonly #messages: CrashMessages;
   readonly #owner: TrialOwner;
   readonly #news: Batcher<CrashReport>;
+  readonly #keeper: CrashRecordKeeper | undefined;
   #cancelTimer: Cancel = () => undefined;
 
   constructor(options: {
@@ -84,14 +63,15 @@
     host: string;
     calls: PeerCalls;
     getMembers: () => Members;
+    /** Outlast all processes; undefined where nothing does. */
+    crashRecords?: CrashRecords | undefined;
   }) {
-    const { clock, logger, getMembers } = options;
+    const { clock, logger, getMembers, host: self, calls, crashRecords } = options;
     this.#clock = clock;
     this.#random = options.random;
     this.#channel = options.channel;
     this.#peers = options.peers;
-    this.#calls = options.calls;
-    this.#host = options.host;
+    this.#messages = new CrashMessages(options);
     this.#news = new Batcher({
       ...{ clock, delayMs: NEWS_BATCH_MS, maxItems: MAX_NEWS_BATCH },
       send: (reports) => {
@@ -103,38 +83,55 @@
       onNews: (report) => {
         this.#news.add(report);
       },
+      onChange: () => {
+        this.#keeper?.update();
+      },
     });
+    this.#keeper =
+      crashRecords &&
+      new CrashRecordKeeper({ clock, logger, evidence, records: crashRecords, getMembers });
     this.#owner = new TrialOwner({ clock, evidence });
     const peers: TrialPeers = {
-      ask: (host, { part, id, parts, report }) =>
-        this.#calls.call(host, trialMethod, {
-          ...{ host: this.#host, part, id, parts: [...parts], report: this.#toMessage(report) },
+      ask: (host, { key, id, parts, request, report }) =>
+        calls.call(host, trialMethod, {
+          ...{ host: self, part: key, id, parts: [...parts], request },
+          report: this.#messages.writeOne(report),
         }),
-      end: (host, { part, id }) => {
-        this.#channel.notify("crash.trial.end", { part, id }, [host]);
+      end: (host, { key, id }) => {
+        // The owner has to know how a trial ended before it grants the next one.
+        this.#news.flush();
+        this.#channel.notify("crash.trial.end", { part: key, id }, [host]);
       },
     };
-    this.guard = new PartGuard({
+    this.guard = new CrashGuard({
       ...{ clock, evidence, owner: this.#owner, peers, getMembers, logger },
     });
   }
 
   start(server: NodeServer): void {
-    this.#channel.handle("crash.evidence", reportSchema, (report, host) => {
-      this.guard.evidence.recordPeer(host, this.#toReport(report));
+    const { evidence } = this.guard;
+    this.#channel.handle("crash.evidence", crashReportSchema, (report, host) => {
+      evidence.recordPeer(host, this.#messages.read(report));
+    });
+    this.#channel.handle("crash.strike", crashStrikeSchema, ({ fingerprint, upstream }, host) => {
+      const loss = { upstream, lostAgoMs: 0, parts: [], requests: [fingerprint] };
+      const report = { lost: [loss], sound: [], soundRequests: [] };
+      evidence.recordPeer(host, this.#messages.read(report));
     });
     this.#channel.handle("crash.trial.end", trialEndSchema, ({ part, id }) => {
-      this.#owner.end({ part, id });
+      this.#owner.end({ key: part, id });
     });
-    server.handle(trialMethod, ({ host, part, id, parts, report }) => {
-      this.guard.evidence.recordPeer(host, this.#toReport(report));
-      return this.#owner.take(host, { part, id, parts });
+    server.handle(trialMethod, ({ host, part, id, parts, request, report }) => {
+      evidence.recordPeer(host, this.#messages.read(report));
+      return this.#owner.take(host, { key: part, id, parts, request });
     });
     this.#gossip();
+    this.#keeper?.start();
   }
 
   stop(): void {
     this.#cancelTimer();
+    this.#keeper?.stop();
   }
 
   /** Tells all evidence to a process that has started, or was frozen or cut off. */
@@ -142,65 +139,53 @@
     this.#tell(this.guard.evidence.getReport(), [host]);
   }
 
+  /** Writes all records again, which may be lost. */
+  restoreRecords(): void {
+    this.#keeper?.restore();
+  }
+
+  /** Tells some peers again what is new or repeated. */
   #gossip(): void {
-    this.#tell(
-      this.guard.evidence.getReport(),
-      sample(this.#liveHosts, GOSSIP_PEERS, this.#random),
+    const { evidence } = this.guard;
+    const repeated = this.#repeated;
+    const { lost, sound } = evidence.getReport();
+    const told = lost.filter(
+      ({ atMs, parts, requests }) =>
+        this.#clock.now() - atMs < GOSSIP_AGE_MS ||
+        [...parts, ...requests].some((key) => repeated.has(key)),
     );
+    if (told.length > 0) {
+      const message = this.#messages.writeOne({ lost: told, sound }, repeated);
+      const hosts = sample(getHosts(this.#peers.getLive()), GOSSIP_PEERS, this.#random);
+      this.#channel.notify("crash.evidence", message, hosts);
+    }
     this.#cancelTimer = this.#clock.setTimer(() => {
       this.#gossip();
     }, GOSSIP_INTERVAL_MS);
   }
 
+  get #repeated(): ReadonlySet<string> {
+    return new Set(this.guard.evidence.repeated.map(({ key }) => key));
+  }
+
   #sendNews(report: CrashReport): void {
-    const hosts = this.#liveHosts;
+    const live = this.#peers.getLive();
+    const hosts = getHosts(live);
     const isAccusing = report.lost.some((loss) => !isWithdrawn(loss));
     this.#tell(report, isAccusing ? hosts : sample(hosts, MAX_DIRECT_PEERS, this.#random));
-  }
-
-  #tell(report: CrashReport, hosts: readonly string[]): void {
-    if (report.lost.length + report.sound.length > 0) {
-      this.#channel.notify("crash.evidence", this.#toMessage(report), hosts);
+    const earlier = getHosts(live.filter((peer) => !readsCrashRequests(peer)));
+    if (earlier.length > 0) {
+      listStrikes(report).forEach((strike) => {
+        this.#channel.notify("crash.strike", strike, earlier);
+      });
     }
   }
 
-  get #liveHosts(): string[] {
-    return this.#peers.getLive().map(({ host }) => host);
-  }
-
-  /** The report with times as ages; a random part of one that is too large. */
-  #toMessage({ lost, sound }: CrashReport): ReportMessage {
-    const now = this.#clock.now();
-    return {
-      lost: sample(lost, MAX_LOST, this.#random).map(({ upstream, atMs, parts, answeredMs }) => ({
-        ...{ upstream, lostAgoMs: now - atMs, parts: [...parts] },
-        ...(answeredMs !== undefined && { answeredAgoMs: now - answeredMs }),
-      })),
-      sound: sample(sound, MAX_SOUND, this.#random).map(({ part, begunMs }) => ({
-        ...{ part, begunAgoMs: now - begunMs },
-      })),
-    };
-  }
-
-  #toReport({ lost, sound }: ReportMessage): CrashReport {
-    const now = this.#clock.now();
-    return {
-      lost: lost.map(({ upstream, lostAgoMs, parts, answeredAgoMs }) => ({
-        ...{ upstream, atMs: now - lostAgoMs, parts },
-        answeredMs: answeredAgoMs === undefined ? undefined : now - answeredAgoMs,
-      })),
-      sound: sound.map(({ part, begunAgoMs }) => ({ part, begunMs: now - begunAgoMs })),
-    };
+  #tell(report: CrashReport, hosts: readonly string[]): void {
+    this.#messages.write(report, this.#repeated).forEach((message) => {
+      this.#channel.notify("crash.evidence", message, hosts);
+    });
   }
 }
 
-/** One report with the newest of each upstream and part. */
-const joinReports = (reports: readonly CrashReport[]): CrashReport => {
-  const lost = new Map(
-    reports.flatMap((report) => report.lost.map((loss) => [loss.upstream, loss])),
-  );
-  const sound = new Map(
-    reports.flatMap((report) => report.sound.map((known) => [known.part, known])),
-  );
-  return { lost: [...lost.values()], sound: [...sound.values()] };
-};
+const getHosts = (peers: readonly PeerIdentity[]): string[] => peers.map(({ host }) => host);
--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -7,7 +7,6 @@
   type OverloadControl,
 } from "@lycheepulley/core";
 import {
-  CrashTracker,
   CrossedBytes,
   EvacuationTracker,
   FleetConfigTracker,
@@ -85,7 +84,6 @@
   readonly #peerExchange: PeerExchange;
   readonly #peerCalls: PeerCalls;
   readonly #evidence: EvidenceExchange;
-  readonly #crashTracker: CrashTracker;
   readonly #watch: UpstreamWatch;
   readonly #forwarder: Forwarder;
   readonly #listener: ForwardServer;
@@ -119,6 +117,7 @@
       ...{ clock, view: this.#view, logger, upstreamBeatMs: settings.upstreamBeatMs },
       onRestored: () => {
         this.#sourceFeed.rereadPeers();
+        this.#evidence.crashes.restoreRecords();
       },
     });
     this.#evacuations = new EvacuationTracker({
@@ -159,12 +158,6 @@
         this.#peerExchange.loads.notify(change);
       },
     });
-    this.#crashTracker = new CrashTracker({
-      clock,
-      onCrash: (fingerprint, upstream) => {
-        this.#peerExchange.notifyStrike(fingerprint, upstream);
-      },
-    });
     this.#stateSync = new FleetStateSync({
       ...{ clock, random: this.#random, view: this.#view, logger, port: settings.peerPort },
       peers: this.#peers,
@@ -221,6 +214,7 @@
     const { failureDomain, rateBounds, decisions } = settings;
     this.#evidence = new EvidenceExchange({
       ...{ ...exchange, ...decisions, failureDomain, rateBounds },
+      crashRecords: options.sources.crashRecords,
     });
     const { limits, cold, rests, quota } = this.#evidence.limits;
     const { transport, control } = newCountedLinks(links, {
@@ -237,7 +231,7 @@
       ...{ clock, lifecycle, random: this.#random, view: this.#view, loadTracker },
       ...{ peerLoads: this.#peerExchange.loads, health: this.#health, watch: this.#watch },
       ...(decisions?.weighsDistance && { nearDomain: failureDomain }),
-      ...{ crashes: this.#crashTracker, transport, dialect, logger },
+      ...{ transport, dialect, logger },
       retryBudget: newRetryBudget(settings, clock, this.#peers),
       ...{ control, limits, cold, rests, quota, guard: this.#evidence.crashes.guard },
       ...{ ...decisions, costs: this.#evidence.costs.book },
@@ -276,7 +270,7 @@
     await this.#channel.listen(host, peerPort);
     this.#stateSync.serve(this.#nodeServer);
     await this.#nodeServer.listen(host, peerPort);
-    this.#peerExchange.start(this.#crashTracker);
+    this.#peerExchange.start();
     this.#evidence.start(this.#nodeServer);
     const where = { clock: this.#clock, view: this.#view, forwarder: this.#forwarder, host };
     this.#nodeServer.handle(whereMethod, (request) => answerWhere(request, where));
--- a/packages/daemon/src/gateway/PeerExchange.ts
+++ b/packages/daemon/src/gateway/PeerExchange.ts
@@ -1,7 +1,6 @@
 import type { Cancel, Clock } from "@lycheepulley/core";
 import {
   Batcher,
-  type CrashTracker,
   type LoadTracker,
   type PeerIdentity,
   type PeerTable,
@@ -11,7 +10,6 @@
 
 import { asksForLoads, getProcessKey, LoadExchange } from "./LoadExchange.js";
 import {
-  crashStrikeSchema,
   heartbeatBatchParser,
   heartbeatParser,
   MAX_GOSSIP_HOSTS,
@@ -45,7 +43,7 @@
 
 type ProcessName = Pick<PeerIdentity, "host" | "failureDomain">;
 
-/** Exchanges heartbeats, crash strikes and news of upstreams with peers by datagram. */
+/** Exchanges heartbeats and news of upstreams with peers by datagram. */
 export class PeerExchange {
   readonly #clock: Clock;
   readonly #channel: PeerChannel;
@@ -119,7 +117,7 @@
     });
   }
 
-  start(crashes: CrashTracker): void {
+  start(): void {
     this.#channel.handle("node.beat", heartbeatParser, (heartbeat, host) => {
       if (heartbeat.identity.host === host) {
         this.#onHeartbeat(heartbeat);
@@ -140,9 +138,6 @@
         });
     });
     this.loads.start();
-    this.#channel.handle("crash.strike", crashStrikeSchema, ({ fingerprint, upstream }) => {
-      crashes.recordPeerCrash(fingerprint, upstream);
-    });
     this.#channel.handle("upstream.leaving", upstreamNewsSchema, ({ upstream }) => {
       this.#onUpstreamLeaving(upstream);
     });
@@ -195,15 +190,6 @@
     };
   }
 
-  /** Reports to the peers that `upstream` broke off while it ran a request with this fingerprint. */
-  notifyStrike(fingerprint: string, upstream: string): void {
-    this.#channel.notify(
-      "crash.strike",
-      { fingerprint, upstream },
-      getHosts(this.#peers.getLive()),
-    );
-  }
-
   /** Tells the peers what this process found out about an upstream. */
   notifyUpstream(news: "leaving" | "dead", upstream: string): void {
     this.#channel.notify(`upstream.${news}`, { upstream }, getHosts(this.#peers.getLive()));
--- a/packages/daemon/src/gateway/metricsServer.ts
+++ b/packages/daemon/src/gateway/metricsServer.ts
@@ -1,31 +1,35 @@
 import type { ServerResponse } from "node:http";
 
 import { getMessage } from "@lycheepulley/core";
-import type { CrashEvidence, SuspectPart } from "@lycheepulley/forwarding";
+import { SuspectKind, type CrashEvidence, type Suspect } from "@lycheepulley/forwarding";
 import { HttpServer, sendJson, type Route } from "@lycheepulley/http";
 import type { ForwardMetrics, Logger } from "@lycheepulley/telemetry";
 
-const PARTS_PATH = "/prompt-parts";
+/** Paths under which operators see and lift what is under suspicion. */
+const PATHS: readonly (readonly [SuspectKind, path: string, list: string])[] = [
+  [SuspectKind.Part, "/prompt-parts", "parts"],
+  [SuspectKind.Request, "/crashing-requests", "requests"],
+];
 
-/** Number of suspect parts by status. */
-export const countByStatus = (parts: readonly SuspectPart[]): Record<string, number> => {
+/** Number of suspects by status. */
+export const countByStatus = (suspects: readonly Suspect[]): Record<string, number> => {
   const counts: Record<string, number> = { suspected: 0, blocked: 0 };
-  for (const { status } of parts) {
+  for (const { status } of suspects) {
     counts[status] = (counts[status] ?? 0) + 1;
   }
   return counts;
 };
 
-const describePart = (
-  { lastLostMs, blockedUntilMs, ...part }: SuspectPart,
+const describeSuspect = (
+  { key, kind, lastLostMs, blockedUntilMs, ...suspect }: Suspect,
   now: number,
 ): Record<string, unknown> => ({
-  ...part,
+  ...{ [kind]: key, ...suspect },
   lastLostAgoMs: Math.round(now - lastLostMs),
   ...(blockedUntilMs !== undefined && { nextTrialInMs: Math.round(blockedUntilMs - now) }),
 });
 
-/** Server that lists and lifts suspect parts of prompts, and answers every other path with the metrics. */
+/** Server that lists and lifts suspect parts of prompts and requests, and answers every other path with the metrics. */
 export const newMetricsServer = (metrics: ForwardMetrics, evidence: CrashEvidence): HttpServer => {
   const metricsRoutes = ["GET", "HEAD"].map((method): Route => ({
     ...{ method, path: "/*" },
@@ -33,24 +37,25 @@
       res.end(await metrics.getText());
     },
   }));
-  const partRoutes: Route[] = [
+  const suspectRoutes = PATHS.flatMap(([kind, path, list]): Route[] => [
     {
-      ...{ method: "GET", path: PARTS_PATH },
+      ...{ method: "GET", path },
       handle: (_req, res) => {
         const now = evidence.now();
-        sendJson(res, 200, { parts: evidence.suspects.map((part) => describePart(part, now)) });
+        const suspects = evidence.suspects.filter((suspect) => suspect.kind === kind);
+        sendJson(res, 200, { [list]: suspects.map((suspect) => describeSuspect(suspect, now)) });
       },
     },
     {
-      ...{ method: "DELETE", path: `${PARTS_PATH}/:part` },
-      handle: (_req, res, { part = "" }) => {
-        const isLifted = evidence.lift(part);
-        const message = `part: ${part} is not under suspicion at this process`;
-        sendJson(res, isLifted ? 200 : 404, isLifted ? { part } : { error: { message } });
+      ...{ method: "DELETE", path: `${path}/:key` },
+      handle: (_req, res, { key = "" }) => {
+        const isLifted = evidence.lift(key);
+        const message = `${kind}: ${key} is not under suspicion at this process`;
+        sendJson(res, isLifted ? 200 : 404, isLifted ? { [kind]: key } : { error: { message } });
       },
     },
-  ];
-  return new HttpServer([...partRoutes, ...metricsRoutes], (err, _req, res) => {
+  ]);
+  return new HttpServer([...suspectRoutes, ...metricsRoutes], (err, _req, res) => {
     sendJson(res, 500, { error: { message: getMessage(err) } });
   });
 };
--- a/packages/daemon/src/gateway/peerMessages.ts
+++ b/packages/daemon/src/gateway/peerMessages.ts
@@ -12,9 +12,11 @@
 import { z } from "zod";
 
 /** Version of the messages that this build reads, which it names in its heartbeats. */
-export const PROTOCOL = 2;
+export const PROTOCOL = 3;
 /** Version from which on processes ask relays for loads. */
 export const PROTOCOL_WITH_QUESTIONS = 2;
+/** Version from which on evidence on crashes names whole requests. */
+const PROTOCOL_WITH_CRASH_REQUESTS = 3;
 
 /** Hosts named in one heartbeat with a snapshot; successive ones go through all known hosts. */
 export const MAX_GOSSIP_HOSTS = 8;
@@ -61,8 +63,9 @@
 export type LoadChangeMessage = z.output<typeof loadChangeSchema>;
 /** Load changes of several processes, as a relay sends them on. */
 export const loadBatchSchema = z.object({ changes: z.array(loadChangeSchema) });
-/** An upstream that broke off while it ran a request with this fingerprint. */
-export const crashStrikeSchema = z.object({ fingerprint: z.string(), upstream: z.string() });
+/** True for a process that reads evidence on whole requests beside that on parts of prompts. */
+export const readsCrashRequests = ({ protocol = 1 }: Pick<PeerIdentity, "protocol">): boolean =>
+  protocol >= PROTOCOL_WITH_CRASH_REQUESTS;
 
 /** What a process found out about an upstream: it said that it leaves, or it is dead. */
 export const upstreamNewsSchema = z.object({ upstream: z.string() });
--- a/packages/daemon/src/gateway/types.ts
+++ b/packages/daemon/src/gateway/types.ts
@@ -1,5 +1,6 @@
 import type {
   ConfigRecord,
+  CrashRecords,
   EvacuationList,
   RateBounds,
   ReadPosition,
@@ -40,6 +41,8 @@
    * tells only of reads that found no change; absent where nobody requests that.
    */
   readonly evacuations?: Source<EvacuationList & ReadPosition>;
+  /** Evidence on crashes that outlasts all processes; absent where nothing does. */
+  readonly crashRecords?: CrashRecords;
 }
 
 /** Identity, addresses and limits of one gateway process. */
--- a/packages/forwarding/src/ForwardJob.ts
+++ b/packages/forwarding/src/ForwardJob.ts
@@ -81,11 +81,7 @@
   }
 
   async run(): Promise<void> {
-    const { fingerprint, signal } = this.#req;
-    if (this.#deps.crashes.isBlocked(fingerprint)) {
-      this.#final.reject("blocked: it crashed its upstreams", NO_UPSTREAM_RETRY_AFTER_MS);
-      return;
-    }
+    const { signal } = this.#req;
     this.#deps.retryBudget.addRequest(this.#pool);
     const onAbort = (): void => {
       this.#stopSends(SendResult.Cancelled);
--- a/packages/forwarding/src/SendFeedback.ts
+++ b/packages/forwarding/src/SendFeedback.ts
@@ -1,4 +1,4 @@
-import { getStartId, type Upstream } from "./fleetConfig.js";
+import type { Upstream } from "./fleetConfig.js";
 import type { ForwardDependencies } from "./forwardDependencies.js";
 import { SendResult, type SendOutcome } from "./outcomes.js";
 import type { RequestLog } from "./RequestLog.js";
@@ -33,11 +33,10 @@
     return this.#excluded;
   }
 
-  /** Silence of an upstream that is alive counts as no crash. */
   recordStall(id: string, { isAlive, reason }: { isAlive: boolean; reason: string }): void {
     this.#excluded.add(id);
     if (!isAlive) {
-      this.#recordCrash(id, reason);
+      this.#logBreak(id, reason);
     }
     this.#recordFailure(id, UpstreamResult.Unreachable, reason);
   }
@@ -64,12 +63,10 @@
   }
 
   recordOutcome(upstream: Upstream, outcome: SendOutcome): void {
-    const { health, crashes } = this.#deps;
+    const { health } = this.#deps;
     const { result, reason } = outcome;
-    const { fingerprint } = this.#req;
     if (result === SendResult.Delivered) {
       health.record(upstream.id, UpstreamResult.Good);
-      crashes.clear(fingerprint);
       return;
     }
     if (NEUTRAL_RESULTS.has(result)) {
@@ -85,7 +82,7 @@
     }
     this.#excluded.add(faulty.id);
     if (result === SendResult.Broken) {
-      this.#recordCrash(faulty.id, reason);
+      this.#logBreak(faulty.id, reason);
     }
     const isLost = result === SendResult.Unsent || result === SendResult.Broken;
     const healthResult = isLost ? UpstreamResult.Unreachable : UpstreamResult.Failed;
@@ -96,11 +93,9 @@
     }
   }
 
-  #recordCrash(id: string, reason: string): void {
-    const { crashes, view } = this.#deps;
-    const { fingerprint } = this.#req;
-    crashes.recordCrash(fingerprint, getStartId(view.upstreams.get(id) ?? { id }));
-    this.#log.logBreak(id, { reason, crashes: crashes.count(fingerprint) });
+  #logBreak(id: string, reason: string): void {
+    const crashes = this.#deps.guard.evidence.countLosses(this.#req.fingerprint);
+    this.#log.logBreak(id, { reason, crashes });
   }
 
   #findFaulty(upstream: Upstream, { faultAddress }: SendOutcome): Upstream | undefined {
--- a/packages/forwarding/src/SendPlanner.ts
+++ b/packages/forwarding/src/SendPlanner.ts
@@ -1,4 +1,4 @@
-import type { PartGuard } from "./crashes/PartGuard.js";
+import type { CrashGuard } from "./crashes/CrashGuard.js";
 import type { Placement, PlacementFailure, PlacementQuery, Placer } from "./Placer.js";
 
 /** Where the next send goes, or why there is none now. */
@@ -10,23 +10,24 @@
       readonly end: () => void;
     }
   | { readonly kind: "unplaced"; readonly reason: PlacementFailure }
-  /** A part of the prompt may crash upstreams. */
+  /** The request, or a part of its prompt, may crash upstreams. */
   | { readonly kind: "held"; readonly reason: string; readonly retryMs: number };
 
-/** Finds an upstream for each send, as far as the parts of the prompt allow it. */
+/** Finds an upstream for each send, as far as what crashed upstreams before allows it. */
 export class SendPlanner {
-  readonly #guard: PartGuard;
+  readonly #guard: CrashGuard;
   readonly #placer: Placer;
 
-  constructor(options: { guard: PartGuard; placer: Placer }) {
+  constructor(options: { guard: CrashGuard; placer: Placer }) {
     this.#guard = options.guard;
     this.#placer = options.placer;
   }
 
   async plan(query: Omit<PlacementQuery, "isApart">): Promise<PlannedSend> {
-    const parts = query.req.head.sharedParts;
+    const { fingerprint, head } = query.req;
+    const parts = head.sharedParts;
     for (;;) {
-      const admission = await this.#guard.admit(parts);
+      const admission = await this.#guard.admit(parts, fingerprint);
       if (admission.kind === "refused") {
         return { kind: "held", reason: admission.reason, retryMs: admission.retryMs };
       }
@@ -37,8 +38,8 @@
         end();
         return { kind: "unplaced", reason: placement };
       }
-      // A part may have become suspect while the request waited for its placement.
-      if (isApart || this.#guard.isFree(parts)) {
+      // It may have become suspect while the request waited for its placement.
+      if (isApart || this.#guard.isFree(parts, fingerprint)) {
         return { kind: "planned", placement, end };
       }
     }
--- a/packages/forwarding/src/crashes/CrashEvidence.ts
+++ b/packages/forwarding/src/crashes/CrashEvidence.ts
@@ -2,68 +2,81 @@
 import type { Logger } from "@lycheepulley/telemetry";
 
 import {
-  assessParts,
+  assessLosses,
   findCompanions,
   isWithdrawn,
-  joinLosses,
+  SuspectKind,
+  type Assessment,
   type LostUpstream,
-  type PartAssessment,
-} from "./assessParts.js";
-import { getBlockedUntilMs, getKeptUntilMs, getStatus, PartStatus } from "./partStatus.js";
+} from "./assessLosses.js";
+import { getNames, isLevelChanged } from "./lossNames.js";
+import { LossTable } from "./LossTable.js";
+import { NewestTimes } from "./NewestTimes.js";
+import {
+  getBlockedUntilMs,
+  getKeptUntilMs,
+  getStatus,
+  isRepeated,
+  SuspectStatus,
+} from "./suspectStatus.js";
 
-const MAX_LOST_UPSTREAMS = 200;
-const MAX_PARTS_PER_UPSTREAM = 64;
-const MAX_SOUND_PARTS = 4_096;
-const MAX_ANSWERED_UPSTREAMS = 4_096;
+const MAX_SOUND_KEYS = 4_096;
+const KINDS = Object.values(SuspectKind);
 
-/** A part of prompts on which an upstream wrote an answer that began at `begunMs` without a crash. */
-export interface SoundPart {
-  readonly part: string;
+/** A part of prompts, or a request by its fingerprint, with a sound answer that began at `begunMs`. */
+export interface SoundAnswer {
+  readonly key: string;
   readonly begunMs: number;
 }
 
 /** Evidence that processes exchange. Its merge doesn't depend on order, and repeats change nothing. */
 export interface CrashReport {
   readonly lost: readonly LostUpstream[];
-  readonly sound: readonly SoundPart[];
+  readonly sound: Readonly<Record<SuspectKind, readonly SoundAnswer[]>>;
 }
 
-/** What holds for a request with certain parts. */
+/** What holds for a request. */
 export interface Standing {
-  /** Parts that may crash an upstream; a request with one needs a trial. */
+  /** What may crash an upstream: parts, or the request itself; a request with one needs a trial. */
   readonly suspects: readonly string[];
-  /** The part because of which the request isn't sent. */
-  readonly blocked: { readonly part: string; readonly untilMs: number } | undefined;
+  /** Why the request isn't sent. */
+  readonly blocked:
+    { readonly key: string; readonly kind: SuspectKind; readonly untilMs: number } | undefined;
 }
 
-/** A part of prompts under suspicion. */
-export interface SuspectPart {
-  readonly part: string;
-  readonly status: PartStatus;
-  /** Upstreams whose loss the part may have caused. */
+/** A part of prompts, or a request by its fingerprint, under suspicion. */
+export interface Suspect {
+  readonly key: string;
+  readonly kind: SuspectKind;
+  readonly status: SuspectStatus;
+  /** Upstreams whose loss it may have caused. */
   readonly upstreams: readonly string[];
   readonly lastLostMs: number;
-  /** Time of the next trial of a blocked part. */
+  /** Time of the next trial of a blocked one. */
   readonly blockedUntilMs: number | undefined;
 }
 
 const FREE: Standing = { suspects: [], blocked: undefined };
 
+/** Logged names of the kinds. */
+const NAMES: Readonly<Record<SuspectKind, string>> = { part: "prompt part", request: "request" };
+
 /**
- * Evidence on which part of prompts crashes upstreams, from all processes. A loss accuses all shared
- * parts of the prompts that were being answered there; later answers and losses tell them apart.
+ * Evidence on what crashes upstreams, from all processes: a part that prompts share, or a whole request. A loss
+ * accuses all that was being answered there; later answers and losses tell the innocent apart.
  */
 export class CrashEvidence {
   readonly #clock: Clock;
   readonly #logger: Logger;
   readonly #onNews: (report: CrashReport) => void;
-  readonly #lost = new Map<string, LostUpstream>();
-  /** Parts by the newest beginning of a sound answer, the longest unused first. */
-  readonly #sound = new Map<string, number>();
-  /** Upstreams by the newest sending time of a request that they answered. */
-  readonly #answered = new Map<string, number>();
-  #assessments: ReadonlyMap<string, PartAssessment> | undefined = new Map();
-  #statuses = new Map<string, PartStatus>();
+  readonly #onChange: () => void;
+  readonly #losses = new LossTable();
+  readonly #sound: Readonly<Record<SuspectKind, NewestTimes>> = {
+    part: new NewestTimes(MAX_SOUND_KEYS),
+    request: new NewestTimes(MAX_SOUND_KEYS),
+  };
+  #assessments: ReadonlyMap<string, Assessment> | undefined = new Map();
+  #statuses = new Map<string, Pick<Suspect, "kind" | "status">>();
   /** Time at which the next loss is to be forgotten, or earlier. */
   #forgetAtMs = -Infinity;
 
@@ -72,10 +85,13 @@
     logger: Logger;
     /** Called with evidence of this process that peers may lack. */
     onNews: (report: CrashReport) => void;
+    /** Called when any evidence has changed. */
+    onChange?: () => void;
   }) {
     this.#clock = options.clock;
     this.#logger = options.logger;
     this.#onNews = options.onNews;
+    this.#onChange = options.onChange ?? ((): void => undefined);
   }
 
   /** Monotonic time by which evidence is recorded. */
@@ -83,29 +99,34 @@
     return this.#clock.now();
   }
 
-  /** Records that an upstream was lost while it answered, or was about to answer, a prompt with these parts. */
-  recordLoss(upstream: string, parts: readonly string[]): void {
-    if (parts.length === 0) {
+  /** Records that an upstream was lost while it answered, or was about to answer, a request with these parts. */
+  recordLoss(upstream: string, parts: readonly string[], request?: string): void {
+    const requests = request === undefined ? [] : [request];
+    if (parts.length + requests.length === 0) {
       return;
     }
     const atMs = this.#clock.now();
-    const loss = this.#merge({ upstream, atMs, parts, answeredMs: undefined }, "own");
-    this.#onNews({ lost: [loss], sound: this.#getSound(loss.parts) });
+    const loss = this.#merge({ upstream, atMs, parts, requests, answeredMs: undefined }, "own");
+    this.#onNews(this.#newReport([loss]));
   }
 
   /** Records that an upstream answered a request that was sent at `sentMs`, so that it wasn't lost before. */
   recordAnswer(upstream: string, sentMs: number): void {
-    setNewest(this.#answered, upstream, sentMs, MAX_ANSWERED_UPSTREAMS);
-    const loss = this.#lost.get(upstream);
-    if (loss && !isWithdrawn(loss) && sentMs > loss.atMs) {
-      this.#onNews({ lost: [this.#merge(loss, "own")], sound: [] });
+    const loss = this.#losses.recordAnswer(upstream, sentMs);
+    if (loss) {
+      const sound = { part: [], request: [] };
+      this.#onNews({ lost: [this.#merge(loss, "own")], sound });
     }
   }
 
-  /** Records that an answer on these parts, begun at `begunMs`, went on without a crash. */
-  recordSound(parts: readonly string[], begunMs: number): void {
-    const news = parts.filter((part) => this.#addSound(part, begunMs));
-    if (news.length > 0) {
+  /** Records that an answer to a request with these parts, begun at `begunMs`, went on without a crash. */
+  recordSound(parts: readonly string[], begunMs: number, request?: string): void {
+    const keys = { part: parts, request: request === undefined ? [] : [request] };
+    const [part, whole] = KINDS.map((kind) =>
+      keys[kind].filter((key) => this.#addSound(kind, { key, begunMs })),
+    );
+    const news = { part: part ?? [], request: whole ?? [] };
+    if (news.part.length + news.request.length > 0) {
       this.#update("own");
       this.#onNews({ lost: [], sound: this.#getSound(news) });
     }
@@ -113,84 +134,104 @@
 
   /** Applies the evidence of a peer, and tells what the peer's conclusions lack. */
   recordPeer(peer: string, { lost, sound }: CrashReport): void {
-    sound.forEach(({ part, begunMs }) => this.#addSound(part, begunMs));
-    const told = new Map(sound.map(({ part, begunMs }) => [part, begunMs]));
+    KINDS.forEach((kind) => {
+      sound[kind].forEach((answer) => this.#addSound(kind, answer));
+    });
     const withdrawn: LostUpstream[] = [];
-    const lacking = new Set<string>();
+    const lacking = { part: new Set<string>(), request: new Set<string>() };
     for (const report of lost) {
       const loss = this.#merge(report, peer);
       if (isWithdrawn(loss) && !isWithdrawn(report)) {
         withdrawn.push(loss);
       }
-      loss.parts
-        .filter((part) => (this.#sound.get(part) ?? -Infinity) > (told.get(part) ?? -Infinity))
-        .filter((part) => isLevelChanged(this.#sound.get(part), told.get(part), loss.atMs))
-        .forEach((part) => lacking.add(part));
+      for (const [kind, keys] of getNames(loss)) {
+        const told = new Map(sound[kind].map(({ key, begunMs }) => [key, begunMs]));
+        keys
+          .filter((key) => isLevelChanged(this.#sound[kind].get(key), told.get(key), loss.atMs))
+          .forEach((key) => lacking[kind].add(key));
+      }
     }
     this.#update(peer);
-    if (withdrawn.length + lacking.size > 0) {
-      this.#onNews({ lost: withdrawn, sound: this.#getSound([...lacking]) });
+    if (withdrawn.length + lacking.part.size + lacking.request.size > 0) {
+      const keys = { part: [...lacking.part], request: [...lacking.request] };
+      this.#onNews({ lost: withdrawn, sound: this.#getSound(keys) });
     }
   }
 
-  /** Lifts the suspicion of a part, by an operator; false when there is none. */
-  lift(part: string): boolean {
-    if (!this.#getAssessments().has(part)) {
+  /** Lifts the suspicion of a part or a request, by an operator; false when there is none. */
+  lift(key: string): boolean {
+    const assessment = this.#getAssessments().get(key);
+    if (!assessment) {
       return false;
     }
-    this.#logger.info("prompt part lifted by an operator", { step: "admit", part });
-    this.recordSound([part], this.#clock.now());
+    const { kind } = assessment;
+    this.#logger.info(`${NAMES[kind]} lifted by an operator`, { step: "admit", [kind]: key });
+    const isPart = kind === SuspectKind.Part;
+    this.recordSound(isPart ? [key] : [], this.#clock.now(), isPart ? undefined : key);
     return true;
   }
 
-  /** What holds for a request with these parts now. */
-  getStanding(parts: readonly string[]): Standing {
-    if (this.#lost.size === 0 || parts.length === 0) {
+  /** What holds now for a request with these parts. */
+  getStanding(parts: readonly string[], request?: string): Standing {
+    if (this.#losses.size === 0) {
       return FREE;
     }
     this.#forgetOld();
     const assessments = this.#getAssessments();
     const suspects: string[] = [];
-    for (const part of parts) {
-      const assessment = assessments.get(part);
+    for (const key of request === undefined ? parts : [...parts, request]) {
+      const assessment = assessments.get(key);
       const status = assessment && getStatus(assessment);
       if (!assessment || !status) {
         continue;
       }
-      suspects.push(part);
+      suspects.push(key);
       // Without all parts that are under the same suspicion, the request may be sound.
       const isCause =
-        status === PartStatus.Blocked &&
-        findCompanions(assessments, assessment).every((companion) => parts.includes(companion));
+        status === SuspectStatus.Blocked &&
+        (assessment.kind === SuspectKind.Request ||
+          findCompanions(assessments, assessment).every((companion) => parts.includes(companion)));
       const untilMs = getBlockedUntilMs(assessment);
       if (isCause && this.#clock.now() < untilMs) {
-        return { suspects: [part], blocked: { part, untilMs } };
+        return { suspects: [key], blocked: { key, kind: assessment.kind, untilMs } };
       }
     }
     return suspects.length > 0 ? { suspects, blocked: undefined } : FREE;
   }
 
-  /** Evidence about all lost upstreams, or those that concern one of `parts`. */
-  getReport(parts?: readonly string[]): CrashReport {
+  /** Number of upstreams whose loss a part or a request may have caused. */
+  countLosses(key: string): number {
+    return this.#getAssessments().get(key)?.lost.length ?? 0;
+  }
+
+  /** Evidence about all lost upstreams, or those that concern one of `keys`. */
+  getReport(keys?: readonly string[]): CrashReport {
     this.#forgetOld();
-    const lost = [...this.#lost.values()].filter(
-      (loss) => !parts || loss.parts.some((part) => parts.includes(part)),
-    );
-    return { lost, sound: this.#getSound([...new Set(lost.flatMap((loss) => loss.parts))]) };
+    const lost = keys ? new Set(keys.flatMap((key) => this.#losses.getNaming(key))) : undefined;
+    return this.#newReport(lost ? [...lost] : this.#losses.all);
   }
 
-  /** Parts under suspicion, for operators. */
-  get suspects(): readonly SuspectPart[] {
+  /** Parts and requests that more than one loss accuses: what is to outlast this process. */
+  get repeated(): readonly Assessment[] {
+    if (this.#losses.size === 0) {
+      return [];
+    }
+    this.#forgetOld();
+    return [...this.#getAssessments().values()].filter(isRepeated);
+  }
+
+  /** Parts and requests under suspicion, for operators. */
+  get suspects(): readonly Suspect[] {
     this.#forgetOld();
     return [...this.#getAssessments().values()].flatMap((assessment) => {
       const status = getStatus(assessment);
       if (!status) {
         return [];
       }
-      const { part, lost } = assessment;
-      const isBlocked = status === PartStatus.Blocked;
+      const { key, kind, lost } = assessment;
+      const isBlocked = status === SuspectStatus.Blocked;
       return {
-        ...{ part, status, upstreams: lost.map(({ upstream }) => upstream) },
+        ...{ key, kind, status, upstreams: lost.map(({ upstream }) => upstream) },
         lastLostMs: lost.at(-1)?.atMs ?? 0,
         blockedUntilMs: isBlocked ? getBlockedUntilMs(assessment) : undefined,
       };
@@ -198,44 +239,48 @@
   }
 
   /** Records a sound answer; true when it changes what a loss says. */
-  #addSound(part: string, begunMs: number): boolean {
-    const before = this.#sound.get(part);
-    if (!setNewest(this.#sound, part, begunMs, MAX_SOUND_PARTS)) {
+  #addSound(kind: SuspectKind, { key, begunMs }: SoundAnswer): boolean {
+    const before = this.#sound[kind].get(key);
+    if (!this.#sound[kind].set(key, begunMs)) {
       return false;
     }
-    const isNews = [...this.#lost.values()].some(
-      (loss) => loss.parts.includes(part) && isLevelChanged(begunMs, before, loss.atMs),
-    );
+    const isNews = this.#losses
+      .getNaming(key)
+      .some((loss) => isLevelChanged(begunMs, before, loss.atMs));
     this.#assessments = isNews ? undefined : this.#assessments;
     return isNews;
   }
 
-  #getSound(parts: readonly string[]): SoundPart[] {
-    return parts.flatMap((part) => {
-      const begunMs = this.#sound.get(part);
-      return begunMs === undefined ? [] : { part, begunMs };
-    });
+  #newReport(lost: readonly LostUpstream[]): CrashReport {
+    const part = [...new Set(lost.flatMap(({ parts }) => parts))];
+    const request = [...new Set(lost.flatMap(({ requests }) => requests))];
+    return { lost, sound: this.#getSound({ part, request }) };
+  }
+
+  #getSound(keys: Readonly<Record<SuspectKind, readonly string[]>>): CrashReport["sound"] {
+    const select = (kind: SuspectKind): SoundAnswer[] =>
+      keys[kind].flatMap((key) => {
+        const begunMs = this.#sound[kind].get(key);
+        return begunMs === undefined ? [] : { key, begunMs };
+      });
+    return { part: select(SuspectKind.Part), request: select(SuspectKind.Request) };
   }
 
   /** Joins a report of a lost upstream with the earlier ones, and returns what is known then. */
   #merge(report: LostUpstream, from: string): LostUpstream {
-    const { upstream } = report;
-    const known = this.#lost.get(upstream);
-    const answered = { ...report, answeredMs: this.#answered.get(upstream) };
-    const joined = [report, ...(known ? [known] : [])].reduce(joinLosses, answered);
-    const loss = { ...joined, parts: joined.parts.slice(0, MAX_PARTS_PER_UPSTREAM) };
-    this.#lost.set(upstream, loss);
+    const { loss, isNews } = this.#losses.merge(report);
     this.#assessments = undefined;
-    const [oldest] = this.#lost.keys();
-    if (this.#lost.size > MAX_LOST_UPSTREAMS && oldest !== undefined) {
-      this.#lost.delete(oldest);
-    }
-    const hasChanged =
-      known?.parts.length !== loss.parts.length || isWithdrawn(known) !== isWithdrawn(loss);
-    if (hasChanged) {
+    this.#losses.limit(({ parts, requests }) =>
+      [...parts, ...requests].some((key) => {
+        const assessment = this.#getAssessments().get(key);
+        return assessment !== undefined && isRepeated(assessment);
+      }),
+    );
+    if (isNews) {
       const message = isWithdrawn(loss) ? "upstream crash withdrawn" : "upstream crash recorded";
+      const { upstream, parts, requests } = loss;
       this.#logger.info(message, {
-        ...{ step: "send", peer: upstream, from, parts: loss.parts },
+        ...{ step: "send", peer: upstream, from, parts, requests },
         ageMs: Math.round(this.#clock.now() - loss.atMs),
       });
       this.#update(from);
@@ -243,36 +288,36 @@
     return loss;
   }
 
-  /** Forgets losses that no longer count; to be called before the evidence is read. */
+  /** Forgets what no longer counts of the losses; to be called before the evidence is read. */
   #forgetOld(): void {
     const now = this.#clock.now();
     if (now < this.#forgetAtMs) {
       return;
     }
     const assessments = this.#getAssessments();
-    this.#forgetAtMs = Infinity;
-    let hasOld = false;
-    for (const { upstream, atMs, parts } of this.#lost.values()) {
-      const accused = parts.flatMap((part) => assessments.get(part) ?? []);
-      const keptUntilMs = getKeptUntilMs(atMs, accused);
-      if (keptUntilMs <= now) {
-        this.#lost.delete(upstream);
-        hasOld = true;
-      } else {
-        this.#forgetAtMs = Math.min(this.#forgetAtMs, keptUntilMs);
-      }
-    }
-    if (hasOld) {
+    let nextMs = Infinity;
+    const hasChanged = this.#losses.retain((loss) => {
+      const select = (kind: SuspectKind, keys: readonly string[]): string[] =>
+        keys.filter((key) => {
+          const untilMs = getKeptUntilMs(loss.atMs, kind, assessments.get(key));
+          nextMs = untilMs > now ? Math.min(nextMs, untilMs) : nextMs;
+          return untilMs > now;
+        });
+      const parts = select(SuspectKind.Part, loss.parts);
+      return { ...loss, parts, requests: select(SuspectKind.Request, loss.requests) };
+    });
+    this.#forgetAtMs = nextMs;
+    if (hasChanged) {
       this.#update("age");
     }
   }
 
-  #getAssessments(): ReadonlyMap<string, PartAssessment> {
-    this.#assessments ??= assessParts([...this.#lost.values()], this.#sound);
+  #getAssessments(): ReadonlyMap<string, Assessment> {
+    this.#assessments ??= assessLosses(this.#losses.all, this.#sound);
     return this.#assessments;
   }
 
-  /** Assesses the parts again, and logs those whose status changed. */
+  /** Assesses the losses again, and logs what changed its status. */
   #update(from: string): void {
     this.#assessments = undefined;
     this.#forgetAtMs = -Infinity;
@@ -280,51 +325,22 @@
     this.#statuses = new Map();
     for (const assessment of this.#getAssessments().values()) {
       const status = getStatus(assessment);
+      const { key, kind, lost, isProven } = assessment;
       if (status) {
-        this.#statuses.set(assessment.part, status);
+        this.#statuses.set(key, { kind, status });
       }
-      if (status && status !== before.get(assessment.part)) {
-        const { part, lost, isProven } = assessment;
-        this.#logger.info(`prompt part ${status}`, {
-          ...{ step: "admit", part, from, isProven },
+      if (status && status !== before.get(key)?.status) {
+        this.#logger.info(`${NAMES[kind]} ${status}`, {
+          ...{ step: "admit", [kind]: key, from, isProven },
           upstreams: lost.map(({ upstream }) => upstream),
         });
       }
     }
-    for (const part of before.keys()) {
-      if (!this.#statuses.has(part)) {
-        this.#logger.info("prompt part cleared", { step: "admit", part, from });
+    for (const [key, { kind }] of before) {
+      if (!this.#statuses.has(key)) {
+        this.#logger.info(`${NAMES[kind]} cleared`, { step: "admit", [kind]: key, from });
       }
     }
+    this.#onChange();
   }
 }
-
-/** Keeps the highest value of a key and drops the entry that was set longest ago; false if nothing changed. */
-const setNewest = (
-  map: Map<string, number>,
-  key: string,
-  value: number,
-  maxSize: number,
-): boolean => {
-  const before = map.get(key);
-  if (before !== undefined && before >= value) {
-    return false;
-  }
-  map.delete(key);
-  map.set(key, value);
-  const [oldest] = map.keys();
-  if (map.size > maxSize && oldest !== undefined) {
-    map.delete(oldest);
-  }
-  return true;
-};
-
-/** True when a sound answer begun at `begunMs`, unlike one at `beforeMs`, says something new about a loss. */
-const isLevelChanged = (
-  begunMs: number | undefined,
-  beforeMs: number | undefined,
-  lostMs: number,
-): boolean => {
-  const getLevel = (ms: number | undefined): number => (ms === undefined ? 0 : ms > lostMs ? 2 : 1);
-  return getLevel(begunMs) > getLevel(beforeMs);
-};
--- a/packages/forwarding/src/crashes/PartGuard.test.ts
+++ b/packages/forwarding/src/crashes/CrashGuard.test.ts
@@ -4,12 +4,12 @@
 import { pickOwner, type Members } from "../members.js";
 import { ManualClock } from "../testing/ManualClock.js";
 import { CrashEvidence } from "./CrashEvidence.js";
-import { PartGuard, type Admission } from "./PartGuard.js";
+import { CrashGuard, type Admission } from "./CrashGuard.js";
 import { TrialOwner } from "./TrialOwner.js";
 
 interface Process {
   readonly evidence: CrashEvidence;
-  readonly guard: PartGuard;
+  readonly guard: CrashGuard;
 }
 
 /** Processes whose calls arrive at once, or are lost while `isCut` is set. */
@@ -32,7 +32,7 @@
     const owner = new TrialOwner({ clock, evidence });
     this.#owners.set(self, { evidence, owner });
     const getMembers = (): Members => ({ self, hosts: getHosts(), known: this.hosts.length - 1 });
-    const guard = new PartGuard({
+    const guard = new CrashGuard({
       ...{ clock, evidence, owner, getMembers, logger },
       peers: {
         ask: async (host, req) => {
@@ -68,7 +68,7 @@
   }
 };
 
-describe("PartGuard", () => {
+describe("CrashGuard", () => {
   let processes: Processes;
   let all: Process[];
   beforeEach(() => {
--- a/packages/forwarding/src/crashes/SendEvidence.ts
+++ b/packages/forwarding/src/crashes/SendEvidence.ts
@@ -6,18 +6,21 @@
 /** Time after its first event at which an answer shows that its upstream doesn't crash under it. */
 const SOUND_AFTER_MS = 1_000;
 
-/** Reports what one send tells about its upstream and about the parts of its prompt. */
+/** Reports what one send tells about its upstream, about its request and about the parts of its prompt. */
 export class SendEvidence {
   readonly #evidence: CrashEvidence;
   readonly #parts: readonly string[];
+  readonly #request: string;
   readonly #upstream: string;
   readonly #sentMs: number;
   #firstMs: number | undefined;
-  #isSound = false;
+  /** The parts of the prompt aren't at fault. */
+  #arePartsSound = false;
 
-  constructor(evidence: CrashEvidence, { head }: ForwardRequest, upstream: Upstream) {
+  constructor(evidence: CrashEvidence, { head, fingerprint }: ForwardRequest, upstream: Upstream) {
     this.#evidence = evidence;
     this.#parts = head.sharedParts;
+    this.#request = fingerprint;
     this.#upstream = getStartId(upstream);
     this.#sentMs = evidence.now();
   }
@@ -28,8 +31,9 @@
       this.#firstMs = now;
       this.#evidence.recordAnswer(this.#upstream, this.#sentMs);
     }
-    if (now - this.#firstMs >= SOUND_AFTER_MS) {
-      this.#recordSound(this.#firstMs);
+    if (now - this.#firstMs >= SOUND_AFTER_MS && !this.#arePartsSound) {
+      this.#arePartsSound = true;
+      this.#evidence.recordSound(this.#parts, this.#firstMs);
     }
   }
 
@@ -44,21 +48,15 @@
     if (isCut) {
       this.#recordLoss();
     } else if (result === SendResult.Delivered) {
+      const begunMs = this.#firstMs ?? this.#evidence.now();
       this.#evidence.recordAnswer(this.#upstream, this.#sentMs);
-      this.#recordSound(this.#firstMs ?? this.#evidence.now());
-    }
-  }
-
-  #recordSound(begunMs: number): void {
-    if (!this.#isSound) {
-      this.#isSound = true;
-      this.#evidence.recordSound(this.#parts, begunMs);
+      this.#evidence.recordSound(this.#arePartsSound ? [] : this.#parts, begunMs, this.#request);
     }
   }
 
+  /** A request may crash its upstream at any time before its answer is whole. */
   #recordLoss(): void {
-    if (!this.#isSound) {
-      this.#evidence.recordLoss(this.#upstream, this.#parts);
-    }
+    const parts = this.#arePartsSound ? [] : this.#parts;
+    this.#evidence.recordLoss(this.#upstream, parts, this.#request);
   }
 }
--- a/packages/forwarding/src/crashes/TrialOwner.ts
+++ b/packages/forwarding/src/crashes/TrialOwner.ts
@@ -13,18 +13,21 @@
  */
 const SAME_PROCESS_PAUSE_MS = 2_000;
 
-/** Which trial of a part is meant. */
+/** Which trial of a part or a request is meant. */
 export interface TrialKey {
-  readonly part: string;
+  /** The part, or the request's fingerprint. */
+  readonly key: string;
   /** Differs between requests for trials; undefined from processes of an earlier build. */
   readonly id: string | undefined;
 }
 
-/** A request for the trial of a suspect part. */
+/** A request for the trial of a part or a request. */
 export interface TrialRequest extends TrialKey {
   /** All shared parts of the request. */
   readonly parts: readonly string[];
-  /** What the asking process knows about these parts. */
+  /** Its fingerprint; undefined from processes of an earlier build. */
+  readonly request: string | undefined;
+  /** What the asking process knows about these. */
   readonly report: CrashReport;
 }
 
@@ -41,7 +44,7 @@
   readonly retryMs: number;
 }
 
-/** Grants trials of suspect parts for all processes: one at a time for each part. */
+/** Grants trials of suspect parts and requests for all processes: one at a time for each. */
 export class TrialOwner {
   readonly #clock: Clock;
   readonly #evidence: CrashEvidence;
@@ -56,39 +59,39 @@
   }
 
   /**
-   * Grants a trial of `part` to a process for a request with `parts`, unless one is in progress or
-   * the part is blocked.
+   * Grants a trial of `key` to a process for a request with `parts`, unless one is in progress or
+   * the request is blocked.
    */
-  take(host: string, { part, parts, id }: Omit<TrialRequest, "report">): TrialAnswer {
+  take(host: string, { key, parts, request, id }: Omit<TrialRequest, "report">): TrialAnswer {
     const now = this.#clock.now();
     forgetEnded(this.#trials, now);
     forgetEnded(this.#paused, now);
-    const { blocked } = this.#evidence.getStanding(parts);
+    const { blocked } = this.#evidence.getStanding(parts, request);
     if (blocked) {
       return { isGranted: false, retryMs: blocked.untilMs - now };
     }
-    if (this.#trials.has(part) || this.#paused.get(part)?.host === host) {
+    if (this.#trials.has(key) || this.#paused.get(key)?.host === host) {
       return { isGranted: false, retryMs: IN_PROGRESS_RETRY_MS };
     }
-    this.#trials.set(part, { host, id, untilMs: now + TRIAL_TERM_MS });
+    this.#trials.set(key, { host, id, untilMs: now + TRIAL_TERM_MS });
     return { isGranted: true, retryMs: 0 };
   }
 
-  /** Ends a trial, unless another one of the part is in progress by now. */
-  end({ part, id }: TrialKey): void {
-    const trial = this.#trials.get(part);
+  /** Ends a trial, unless another one is in progress by now. */
+  end({ key, id }: TrialKey): void {
+    const trial = this.#trials.get(key);
     if (trial && (id === undefined || trial.id === id)) {
-      this.#trials.delete(part);
+      this.#trials.delete(key);
       const untilMs = this.#clock.now() + SAME_PROCESS_PAUSE_MS;
-      this.#paused.set(part, { host: trial.host, untilMs });
+      this.#paused.set(key, { host: trial.host, untilMs });
     }
   }
 }
 
 const forgetEnded = (map: Map<string, { readonly untilMs: number }>, now: number): void => {
-  for (const [part, { untilMs }] of map) {
+  for (const [key, { untilMs }] of map) {
     if (untilMs <= now) {
-      map.delete(part);
+      map.delete(key);
     }
   }
 };
--- a/packages/forwarding/src/crashingParts.test.ts
+++ b/packages/forwarding/src/crashingParts.test.ts
@@ -21,7 +21,7 @@
 };
 
 const getSuspects = (harness: ForwarderHarness): string[] =>
-  harness.guard.evidence.suspects.map(({ part }) => part);
+  harness.guard.evidence.suspects.map(({ key }) => key);
 
 describe("Forwarder: parts of prompts that crash upstreams", () => {
   const endings: readonly [
--- a/packages/forwarding/src/decisions.test.ts
+++ b/packages/forwarding/src/decisions.test.ts
@@ -7,7 +7,6 @@
 import { ManualClock } from "./testing/ManualClock.js";
 import { newConfig, newRoute } from "./testing/samples.js";
 import { UpstreamHealth } from "./UpstreamHealth.js";
-import { CrashTracker } from "./crashes/CrashTracker.js";
 
 describe("RouteTable: short gap objectives", () => {
   const cases: readonly [gapsMs: (number | undefined)[], shortGapMs: number][] = [
@@ -292,33 +291,3 @@
     expect(health.getFailureRate("healthy")).to.equal(0);
   });
 });
-
-describe("CrashTracker", () => {
-  it("blocks a request once it crashed three upstreams, also when peers reported them", () => {
-    const reported: string[] = [];
-    const tracker = new CrashTracker({
-      clock: new ManualClock(),
-      onCrash: (_, id) => reported.push(id),
-    });
-    tracker.recordCrash("f", "u1");
-    tracker.recordCrash("f", "u1");
-    tracker.recordPeerCrash("f", "u2");
-    expect(tracker.isBlocked("f")).to.equal(false);
-    tracker.recordPeerCrash("f", "u3");
-    expect(tracker.isBlocked("f")).to.equal(true);
-    expect(reported).to.deep.equal(["u1", "u1"]);
-  });
-
-  it("clears a request that was answered, and forgets crashes after a time", async () => {
-    const clock = new ManualClock();
-    const tracker = new CrashTracker({ clock, onCrash: () => undefined });
-    ["u1", "u2", "u3"].forEach((id) => {
-      tracker.recordCrash("bystander", id);
-      tracker.recordCrash("old", id);
-    });
-    tracker.clear("bystander");
-    expect(tracker.isBlocked("bystander")).to.equal(false);
-    await clock.advance(60_001);
-    expect(tracker.isBlocked("old")).to.equal(false);
-  });
-});
--- a/packages/forwarding/src/forwardDependencies.ts
+++ b/packages/forwarding/src/forwardDependencies.ts
@@ -2,8 +2,7 @@
 import type { Logger } from "@lycheepulley/telemetry";
 
 import type { CostBook } from "./costs/CostBook.js";
-import type { CrashTracker } from "./crashes/CrashTracker.js";
-import type { PartGuard } from "./crashes/PartGuard.js";
+import type { CrashGuard } from "./crashes/CrashGuard.js";
 import type { FleetView } from "./FleetView.js";
 import type { SendQuota } from "./limits/SendQuota.js";
 import type { ColdUpstreams } from "./limits/ColdUpstreams.js";
@@ -57,8 +56,7 @@
   readonly rests: UpstreamRests;
   readonly quota: SendQuota;
   readonly retryBudget: RetryBudget;
-  readonly crashes: CrashTracker;
-  readonly guard: PartGuard;
+  readonly guard: CrashGuard;
   readonly reservations: ReservationManager;
   readonly control: UpstreamControl;
   readonly transport: UpstreamTransport;
--- a/packages/forwarding/src/testing/ForwarderHarness.ts
+++ b/packages/forwarding/src/testing/ForwarderHarness.ts
@@ -1,6 +1,5 @@
 import { ProcessLifecycle, SeededRandom, sleep } from "@lycheepulley/core";
 import { newSilentLogger } from "@lycheepulley/telemetry";
-import { CrashTracker } from "../crashes/CrashTracker.js";
 import type { Route } from "../fleetConfig.js";
 import { FleetView } from "../FleetView.js";
 import { Forwarder } from "../Forwarder.js";
@@ -52,7 +51,6 @@
   readonly #forwarder: Forwarder;
   readonly #retryBudget: RetryBudget;
   readonly #lifecycle = new ProcessLifecycle();
-  readonly #crashes = new CrashTracker({ clock: this.clock, onCrash: () => undefined });
 
   constructor(
     upstreams = ["u0", "u1", "u2"],
@@ -92,7 +90,6 @@
         this.toldLeaving.push(upstream);
       },
       retryBudget: this.#retryBudget,
-      crashes: this.#crashes,
       guard: this.guard,
       reservations: new ReservationManager({ clock, control, logger }),
       onEnd: () => undefined,
@@ -119,7 +116,7 @@
 
   /** True when the request of this harness is taken for one that crashes upstreams. */
   get isBlocked(): boolean {
-    return this.#crashes.isBlocked("f");
+    return this.guard.evidence.getStanding([], "f").blocked !== undefined;
   }
 
   /** Forwards a request; resolves once it was sent or answered. */
--- a/packages/simulation/src/SimulatedGateway.ts
+++ b/packages/simulation/src/SimulatedGateway.ts
@@ -6,11 +6,10 @@
   type CostBook,
   type CostSummary,
   type EstimateError,
-  CrashTracker,
   FleetView,
   Forwarder,
   LoadTracker,
-  PartGuard,
+  CrashGuard,
   QuotaOwner,
   ReservationManager,
   RetryBudget,
@@ -117,7 +116,7 @@
     const evidence = new CrashEvidence({ clock, logger, onNews: options.onCrashNews });
     this.#evidence = evidence;
     this.#trialOwner = new TrialOwner({ clock, evidence });
-    const guard = new PartGuard({
+    const guard = new CrashGuard({
       ...{ clock, evidence, owner: this.#trialOwner, peers: options.trialPeers },
       ...{ getMembers, logger },
     });
@@ -141,7 +140,6 @@
         ...{ clock, limits: RETRY_LIMITS },
         getProcessCount: () => options.processes,
       }),
-      crashes: new CrashTracker({ clock, onCrash: () => undefined }),
       ...{ limits, cold, rests, quota, guard, costs: options.costs, promisesRoom: true },
       onLeaving: () => undefined,
       reservations: new ReservationManager({ clock, control, logger }),
