End a send once its upstream is lost, whoever may take over

A caller whose prompt nobody could take over, or whose route allows no repetition, was told at its deadline.

Cause: a send ended with its answer, its deadline, or the progress of another send. Its silence was looked at only where another upstream could take over (StallWatch), and a failed probe started a second send but ended none. ReservationManager renewed the memory until the send's end. The list without the worker, or with another start in its place, reached no send.

Change: LossWatch tells the sends of an upstream that it is lost. Silence to one process is no proof: the worker may be cut off from it alone, and stays on the list by its own heartbeats. It is lost when another start took its place, or when it has left the list and answers neither two probes in a row nor any send; on a peer's word one probe is enough. Workers that leave the list without a word and serve on are probed once a second. The send then ends as one that was cut: its memory is released, it goes on elsewhere where it may, and its caller is told at once where it may not. No send has a timer of its own, and an upstream that is listed costs no probe more.

--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -18,11 +18,12 @@
   ReservationManager,
   UpstreamHealth,
   UpstreamListTracker,
-  UpstreamWatch,
   type Dialect,
+  type LossWatch,
   type PeerIdentity,
   type UpstreamLinks,
   type UpstreamList,
+  type UpstreamWatch,
 } from "@lycheepulley/forwarding";
 import type { HttpServer } from "@lycheepulley/http";
 import { NodeServer, type DatagramChannel } from "@lycheepulley/nodes";
@@ -40,6 +41,7 @@
 import { newOverloadControl } from "../newOverloadControl.js";
 import { newRetryBudget } from "./newRetryBudget.js";
 import { newPeerChannel } from "./newPeerChannel.js";
+import { newUpstreamWatches } from "./newUpstreamWatches.js";
 import { PeerExchange } from "./PeerExchange.js";
 import { RelayRole } from "./RelayTopology.js";
 import { SourceFeed } from "./SourceFeed.js";
@@ -85,6 +87,7 @@
   readonly #peerCalls: PeerCalls;
   readonly #evidence: EvidenceExchange;
   readonly #watch: UpstreamWatch;
+  readonly #losses: LossWatch;
   readonly #forwarder: Forwarder;
   readonly #listener: ForwardServer;
   readonly #metricsServer: HttpServer;
@@ -194,6 +197,9 @@
       onUpstreamDead: (upstream, host) => {
         this.#watch.recordPeer(upstream, host);
       },
+      onUpstreamLost: (startId, host) => {
+        this.#losses.recordPeer(startId, host);
+      },
     });
     this.#connector = new DetourConnector({
       ...{ clock, lifecycle, random: this.#random, logger, direct: links.connector },
@@ -220,16 +226,16 @@
     const { transport, control } = newCountedLinks(links, {
       ...{ connector: this.#connector, crossed: this.#crossed, view: this.#view, cold, quota },
     });
-    this.#watch = new UpstreamWatch({
-      ...{ clock, random: this.#random, view: this.#view, health: this.#health, logger },
-      probe: (upstream) => this.#connector.accepts(upstream),
-      tellPeers: (upstream) => {
-        this.#peerExchange.notifyUpstream("dead", upstream);
-      },
+    const watches = newUpstreamWatches({
+      ...{ clock, random: this.#random, view: this.#view, health: this.#health, logger, control },
+      ...{ connector: this.#connector, peers: this.#peerExchange },
     });
+    this.#watch = watches.watch;
+    this.#losses = watches.losses;
     this.#forwarder = new Forwarder({
       ...{ clock, lifecycle, random: this.#random, view: this.#view, loadTracker },
       ...{ peerLoads: this.#peerExchange.loads, health: this.#health, watch: this.#watch },
+      losses: this.#losses,
       ...(decisions?.weighsDistance && { nearDomain: failureDomain }),
       ...{ transport, dialect, logger },
       retryBudget: newRetryBudget(settings, clock, this.#peers),
@@ -309,6 +315,7 @@
     this.#peerCalls.close();
     this.#connector.stop();
     this.#watch.stop();
+    this.#losses.stop();
     this.#sourceFeed.stop();
     this.#configTracker.stop();
     this.load.stop();
@@ -328,6 +335,7 @@
   #applyUpstreams(list: UpstreamList, atMs: number, sentMs?: number): boolean {
     const hasChanged = this.#listTracker.apply(list, atMs, sentMs);
     const ids = this.#listTracker.lasting;
+    this.#losses.onList();
     this.#health.retain(ids);
     this.#evidence.retain(ids);
     this.#metrics.setListEpoch(this.#view.list.epoch ?? 0);
--- a/packages/daemon/src/gateway/PeerExchange.ts
+++ b/packages/daemon/src/gateway/PeerExchange.ts
@@ -56,6 +56,7 @@
   readonly #onPeerReturned: (host: string) => void;
   readonly #onUpstreamLeaving: (upstream: string) => void;
   readonly #onUpstreamDead: (upstream: string, host: string) => void;
+  readonly #onUpstreamLost: (startId: string, host: string) => void;
   readonly #heartbeatRelay: Batcher<{ heartbeat: Heartbeat; receivedMs: number }>;
   readonly #topology: RelayTopology;
   /** Load of the fleet. */
@@ -84,6 +85,8 @@
     onUpstreamLeaving: (upstream: string) => void;
     /** Called when the peer `host` found an upstream dead. */
     onUpstreamDead: (upstream: string, host: string) => void;
+    /** Called when the peer `host` found a start of an upstream lost. */
+    onUpstreamLost: (startId: string, host: string) => void;
   }) {
     this.#clock = options.clock;
     this.#channel = options.channel;
@@ -96,6 +99,7 @@
     this.#onPeerReturned = options.onPeerReturned;
     this.#onUpstreamLeaving = options.onUpstreamLeaving;
     this.#onUpstreamDead = options.onUpstreamDead;
+    this.#onUpstreamLost = options.onUpstreamLost;
     const { clock, channel, logger, peers, getLoadTracker } = options;
     this.#topology = new RelayTopology({
       ...{ clock, peers, host: options.self.host, getIdentity: () => this.#identity },
@@ -144,6 +148,9 @@
     this.#channel.handle("upstream.dead", upstreamNewsSchema, ({ upstream }, host) => {
       this.#onUpstreamDead(upstream, host);
     });
+    this.#channel.handle("upstream.lost", upstreamNewsSchema, ({ upstream }, host) => {
+      this.#onUpstreamLost(upstream, host);
+    });
     this.#runHeartbeat();
     this.#watchReads();
   }
@@ -191,7 +198,7 @@
   }
 
   /** Tells the peers what this process found out about an upstream. */
-  notifyUpstream(news: "leaving" | "dead", upstream: string): void {
+  notifyUpstream(news: "leaving" | "dead" | "lost", upstream: string): void {
     this.#channel.notify(`upstream.${news}`, { upstream }, getHosts(this.#peers.getLive()));
   }
 
--- a/packages/daemon/src/gateway/countedLinks.ts
+++ b/packages/daemon/src/gateway/countedLinks.ts
@@ -6,7 +6,6 @@
   type CrossedBytes,
   type FleetView,
   type SendQuota,
-  type UpstreamControl,
   type UpstreamLinks,
   type UpstreamTransport,
 } from "@lycheepulley/forwarding";
@@ -21,7 +20,7 @@
     cold: ColdUpstreams;
     quota: SendQuota;
   },
-): { transport: UpstreamTransport; control: UpstreamControl } => {
+): { transport: UpstreamTransport; control: LimitedControl } => {
   const { connector, crossed, view, cold, quota } = options;
   const transport = links.newTransport(connector);
   const getUpstreams = (): ReturnType<FleetView["upstreams"]["values"]> => view.upstreams.values();
--- a/packages/daemon/src/gateway/peerMessages.ts
+++ b/packages/daemon/src/gateway/peerMessages.ts
@@ -67,7 +67,7 @@
 export const readsCrashRequests = ({ protocol = 1 }: Pick<PeerIdentity, "protocol">): boolean =>
   protocol >= PROTOCOL_WITH_CRASH_REQUESTS;
 
-/** What a process found out about an upstream: it said that it leaves, or it is dead. */
+/** What a process found out about an upstream: it said that it leaves, it is dead, or one start of it is lost. */
 export const upstreamNewsSchema = z.object({ upstream: z.string() });
 
 /** Most upstreams of one question for loads. */
--- a/packages/forwarding/src/Send.ts
+++ b/packages/forwarding/src/Send.ts
@@ -31,6 +31,7 @@
 
 /** One send of a request to an upstream, until its outcome is known. */
 export class Send implements CallObserver {
+  readonly #clock: Clock;
   readonly #dialect: Dialect;
   readonly #req: ForwardRequest;
   readonly #writer: AnswerWriter;
@@ -41,6 +42,8 @@
   readonly #splitter = new EventSplitter();
   readonly #buffer: AnswerBuffer;
   #passedBytes = 0;
+  /** Monotonic time at which the last bytes of the answer arrived; `-Infinity` before the first. */
+  heardMs = -Infinity;
   /** An event of the stream arrived. */
   #hasEvents = false;
   #head: AnswerHead | undefined;
@@ -70,6 +73,7 @@
     /** True when the upstream accepts a connection now. Never rejects. */
     accepts: () => Promise<boolean>;
   }) {
+    this.#clock = options.clock;
     this.#dialect = options.dialect;
     this.#req = options.req;
     this.#writer = options.writer;
@@ -100,12 +104,14 @@
   }
 
   onHead(head: AnswerHead): void {
+    this.heardMs = this.#clock.now();
     this.#guard(() => {
       this.#handleHead(head);
     });
   }
 
   onData(chunk: Buffer): void {
+    this.heardMs = this.#clock.now();
     this.#guard(() => {
       this.#handleData(chunk);
     });
--- a/packages/forwarding/src/SendRunner.ts
+++ b/packages/forwarding/src/SendRunner.ts
@@ -153,9 +153,21 @@
       send,
     );
     send.start(call);
-    const outcome = await this.#awaitOutcome(send, signal);
-    lesson?.end(outcome);
-    return outcome;
+    const stopWatching = this.#deps.losses.watch(placement.upstream, {
+      get heardMs() {
+        return send.heardMs;
+      },
+      onLost: (reason) => {
+        send.stop({ result: SendResult.Broken, reason: `upstream lost: ${reason}`, isCut: true });
+      },
+    });
+    try {
+      const outcome = await this.#awaitOutcome(send, signal);
+      lesson?.end(outcome);
+      return outcome;
+    } finally {
+      stopWatching();
+    }
   }
 
   async #awaitOutcome(send: Send, signal: AbortSignal): Promise<SendOutcome> {
--- a/packages/forwarding/src/forwardDependencies.ts
+++ b/packages/forwarding/src/forwardDependencies.ts
@@ -8,6 +8,7 @@
 import type { ColdUpstreams } from "./limits/ColdUpstreams.js";
 import type { UpstreamLimits } from "./limits/UpstreamLimits.js";
 import type { UpstreamRests } from "./limits/UpstreamRests.js";
+import type { LossWatch } from "./LossWatch.js";
 import type { LoadTracker } from "./LoadTracker.js";
 import type { PeerLoads } from "./PeerLoads.js";
 import type { RetryBudget } from "./RetryBudget.js";
@@ -50,6 +51,7 @@
   readonly nearDomain?: string | undefined;
   readonly health: UpstreamHealth;
   readonly watch: UpstreamWatch;
+  readonly losses: LossWatch;
   readonly limits: UpstreamLimits;
   /** Undefined where no upstream is ever cold. */
   readonly cold?: ColdUpstreams | undefined;
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -13,6 +13,7 @@
 export * from "./crashes/CrashRecordKeeper.js";
 export * from "./crashes/TrialOwner.js";
 export * from "./crashes/assessLosses.js";
+export * from "./LossWatch.js";
 export * from "./DepartedUpstreams.js";
 export * from "./distance/CrossedBytes.js";
 export * from "./engineModel.js";
--- a/packages/forwarding/src/limits/LimitedControl.ts
+++ b/packages/forwarding/src/limits/LimitedControl.ts
@@ -22,6 +22,12 @@
     return this.#control.isAlive(upstream);
   }
 
+  /** Asks any upstream whether it is alive, also a limited or resting one. */
+  probe(upstream: Upstream): Promise<boolean> {
+    this.#quota.charge(upstream.id);
+    return this.#control.isAlive(upstream);
+  }
+
   reserve(
     upstream: Upstream,
     reservation: Parameters<UpstreamControl["reserve"]>[1],
--- a/packages/forwarding/src/testing/ForwarderHarness.ts
+++ b/packages/forwarding/src/testing/ForwarderHarness.ts
@@ -5,6 +5,7 @@
 import { Forwarder } from "../Forwarder.js";
 import { UpstreamLimits } from "../limits/UpstreamLimits.js";
 import { LoadTracker } from "../LoadTracker.js";
+import { LossWatch } from "../LossWatch.js";
 import { RetryBudget } from "../RetryBudget.js";
 import { FakeCaller, FakeDialect, FakeTransport } from "./FakeUpstreams.js";
 import { ManualClock } from "./ManualClock.js";
@@ -20,6 +21,8 @@
 export const SAFE: Partial<Route> = { repeat: "idempotent", targetMs: 150, timeoutMs: 1_000 };
 export const UNSAFE: Partial<Route> = { timeoutMs: 1_000 };
 
+/** Time of a probe, with or without an answer. */
+const PROBE_MS = 100;
 /** Time for answers after the end of all sends. */
 const CLOSE_MS = 150;
 
@@ -45,6 +48,15 @@
   /** Upstreams of which the peers are told that they leave. */
   readonly toldLeaving: string[] = [];
   readonly guard = newLoneGuard(this.clock);
+  /** Starts of upstreams of which the peers are told that they are lost. */
+  readonly toldLost: string[] = [];
+  readonly losses = new LossWatch({
+    ...{ clock: this.clock, view: this.view, logger: newSilentLogger() },
+    probe: () => sleep(this.clock, PROBE_MS).then(() => this.isUpstreamAlive),
+    tellPeers: (startId) => {
+      this.toldLost.push(startId);
+    },
+  });
   /** Shared parts of the prompts that this harness sends. */
   sharedParts: readonly string[] = [];
   readonly #abort = new AbortController();
@@ -83,7 +95,7 @@
       ...{ clock, transport, dialect, view, loadTracker, logger, control },
       lifecycle: this.#lifecycle,
       random: new SeededRandom(1),
-      ...{ health, watch: this.#newWatch(health) },
+      ...{ health, watch: this.#newWatch(health), losses: this.losses },
       limits: this.limits,
       ...{ rests: this.rests, quota: this.quota },
       onLeaving: (upstream) => {
--- a/packages/simulation/src/SimulatedGateway.ts
+++ b/packages/simulation/src/SimulatedGateway.ts
@@ -9,6 +9,7 @@
   FleetView,
   Forwarder,
   LoadTracker,
+  LossWatch,
   CrashGuard,
   QuotaOwner,
   ReservationManager,
@@ -58,6 +59,7 @@
   readonly #evidence: CrashEvidence;
   readonly #trialOwner: TrialOwner;
   readonly #watch: UpstreamWatch;
+  readonly #losses: LossWatch;
   readonly #costs: CostBook | undefined;
   #seq = 0;
   #listVersion = 0;
@@ -125,12 +127,17 @@
       probe: (upstream) => control.isAlive(upstream),
       tellPeers: options.onUpstreamDead,
     });
+    this.#losses = new LossWatch({
+      ...{ clock, view: this.#view, logger, tellPeers: () => undefined },
+      probe: (upstream) => control.isAlive(upstream),
+    });
     this.#forwarder = new Forwarder({
       sharesRoom: options.sharesRoom,
       ...{ clock, random, transport, control, logger, view: this.#view },
       ...{
         health: this.#health,
         watch: this.#watch,
+        losses: this.#losses,
         loadTracker: this.#loadTracker,
         peerLoads: options.peerLoads,
         nearDomain: options.nearDomain,
@@ -196,6 +203,7 @@
     this.#listVersion += 1;
     const list = { version: this.#listVersion, upstreams: [...upstreams] };
     this.#view.applyUpstreams(list, this.#clock.now(), new Set());
+    this.#losses.onList();
     const ids = new Set(this.#view.upstreams.keys());
     this.#health.retain(ids);
     this.#limits.retain(ids);
