Soak the loss of workers and of what processes know

One request crashes each worker that runs it and comes in series; engines fall silent for good, with open connections, under prompts with memory at others; processes are restarted in series that overlap, frozen, and killed all at once, also twice; the store is away at times, the configuration changes and streams may not always be resumed. Callers keep their connections until the process is gone.

--- a/packages/cli/src/commands/faultSoak.ts
+++ b/packages/cli/src/commands/faultSoak.ts
@@ -38,6 +38,10 @@
       type: "boolean",
       help: "Instead: workers end answers in ways of their own beside restarts and cut links",
     },
+    losses: {
+      type: "boolean",
+      help: "Instead: processes are killed, also all at once, beside a request that crashes workers and engines that fall silent",
+    },
     configs: {
       type: "boolean",
       help: "Instead: configurations change, valid and not, beside restarts and moves of the store",
@@ -75,6 +79,7 @@
       isHushed: ctx.getBoolean("hushed"),
       hasEndings: ctx.getBoolean("endings"),
       hasAnswerEnds: ctx.getBoolean("answers"),
+      hasLosses: ctx.getBoolean("losses"),
       hasConfigs: ctx.getBoolean("configs") || ctx.getBoolean("restarts"),
       hasStoreRestarts: ctx.getBoolean("restarts"),
       processes,
--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -226,12 +226,10 @@
     const { transport, control } = newCountedLinks(links, {
       ...{ connector: this.#connector, crossed: this.#crossed, view: this.#view, cold, quota },
     });
-    const watches = newUpstreamWatches({
+    ({ watch: this.#watch, losses: this.#losses } = newUpstreamWatches({
       ...{ clock, random: this.#random, view: this.#view, health: this.#health, logger, control },
       ...{ connector: this.#connector, peers: this.#peerExchange },
-    });
-    this.#watch = watches.watch;
-    this.#losses = watches.losses;
+    }));
     this.#forwarder = new Forwarder({
       ...{ clock, lifecycle, random: this.#random, view: this.#view, loadTracker },
       ...{ peerLoads: this.#peerExchange.loads, health: this.#health, watch: this.#watch },
