--- a/packages/daemon/src/gateway/EvidenceExchange.ts
+++ b/packages/daemon/src/gateway/EvidenceExchange.ts
@@ -3,6 +3,7 @@
 import { CostExchange } from "./CostExchange.js";
 import { CrashExchange } from "./CrashExchange.js";
 import { LimitExchange } from "./LimitExchange.js";
+import { countBlocked, countByStatus } from "./metricsServer.js";
 
 type Options = ConstructorParameters<typeof LimitExchange>[0] &
   ConstructorParameters<typeof CrashExchange>[0] &
@@ -38,6 +39,16 @@
     this.costs.inform(host);
   }
 
+  /** Number of parts of prompts that may crash upstreams, by status. */
+  countParts(): Record<string, number> {
+    return countByStatus(this.crashes.guard.evidence.suspects);
+  }
+
+  /** Number of requests that aren't sent since they crashed upstreams. */
+  countBlockedRequests(): number {
+    return countBlocked(this.crashes.guard.evidence);
+  }
+
   /** Forgets upstreams that are no longer listed. */
   retain(ids: ReadonlySet<string>): void {
     this.limits.retain(ids);
--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -19,11 +19,9 @@
   UpstreamHealth,
   UpstreamListTracker,
   type Dialect,
-  type LossWatch,
   type PeerIdentity,
   type UpstreamLinks,
   type UpstreamList,
-  type UpstreamWatch,
 } from "@lycheepulley/forwarding";
 import type { HttpServer } from "@lycheepulley/http";
 import { NodeServer, type DatagramChannel } from "@lycheepulley/nodes";
@@ -35,13 +33,13 @@
 import { drainProcess } from "./drainProcess.js";
 import { EvidenceExchange } from "./EvidenceExchange.js";
 import { FleetStateSync } from "./FleetStateSync.js";
-import { countByStatus, newMetricsServer, startMetricsServer } from "./metricsServer.js";
+import { newMetricsServer, startMetricsServer } from "./metricsServer.js";
 import { PeerCalls } from "./PeerCalls.js";
 import { newPeerIdentity } from "./newPeerIdentity.js";
 import { newOverloadControl } from "../newOverloadControl.js";
 import { newRetryBudget } from "./newRetryBudget.js";
 import { newPeerChannel } from "./newPeerChannel.js";
-import { newUpstreamWatches } from "./newUpstreamWatches.js";
+import { newUpstreamWatches, type UpstreamWatches } from "./newUpstreamWatches.js";
 import { PeerExchange } from "./PeerExchange.js";
 import { RelayRole } from "./RelayTopology.js";
 import { SourceFeed } from "./SourceFeed.js";
@@ -61,7 +59,8 @@
   readonly #metrics = new ForwardMetrics({
     countLimited: () => this.#evidence.limits.limits.all.length,
     countResting: () => this.#evidence.limits.rests.count,
-    countParts: () => countByStatus(this.#evidence.crashes.guard.evidence.suspects),
+    countParts: () => this.#evidence.countParts(),
+    countRequests: () => this.#evidence.countBlockedRequests(),
     ...{ countDetours: () => this.#connector.detours, hasLostLinks: () => this.#connector.isLost },
     countEvacuated: () => this.#evacuations.count,
     ...{ getRoom: () => this.#forwarder.room, getHeldBytes: () => this.#listener.held.bytes },
@@ -86,8 +85,7 @@
   readonly #peerExchange: PeerExchange;
   readonly #peerCalls: PeerCalls;
   readonly #evidence: EvidenceExchange;
-  readonly #watch: UpstreamWatch;
-  readonly #losses: LossWatch;
+  readonly #watches: UpstreamWatches;
   readonly #forwarder: Forwarder;
   readonly #listener: ForwardServer;
   readonly #metricsServer: HttpServer;
@@ -195,10 +193,10 @@
       },
       onUpstreamLeaving: (upstream) => this.#view.recordLeaving(upstream),
       onUpstreamDead: (upstream, host) => {
-        this.#watch.recordPeer(upstream, host);
+        this.#watches.watch.recordPeer(upstream, host);
       },
       onUpstreamLost: (startId, host) => {
-        this.#losses.recordPeer(startId, host);
+        this.#watches.losses.recordPeer(startId, host);
       },
     });
     this.#connector = new DetourConnector({
@@ -226,14 +224,13 @@
     const { transport, control } = newCountedLinks(links, {
       ...{ connector: this.#connector, crossed: this.#crossed, view: this.#view, cold, quota },
     });
-    ({ watch: this.#watch, losses: this.#losses } = newUpstreamWatches({
+    this.#watches = newUpstreamWatches({
       ...{ clock, random: this.#random, view: this.#view, health: this.#health, logger, control },
       ...{ connector: this.#connector, peers: this.#peerExchange },
-    }));
+    });
     this.#forwarder = new Forwarder({
       ...{ clock, lifecycle, random: this.#random, view: this.#view, loadTracker },
-      ...{ peerLoads: this.#peerExchange.loads, health: this.#health, watch: this.#watch },
-      losses: this.#losses,
+      ...{ peerLoads: this.#peerExchange.loads, health: this.#health, ...this.#watches },
       ...(decisions?.weighsDistance && { nearDomain: failureDomain }),
       ...{ transport, dialect, logger },
       retryBudget: newRetryBudget(settings, clock, this.#peers),
@@ -312,8 +309,8 @@
     this.#evidence.stop();
     this.#peerCalls.close();
     this.#connector.stop();
-    this.#watch.stop();
-    this.#losses.stop();
+    this.#watches.watch.stop();
+    this.#watches.losses.stop();
     this.#sourceFeed.stop();
     this.#configTracker.stop();
     this.load.stop();
@@ -333,7 +330,7 @@
   #applyUpstreams(list: UpstreamList, atMs: number, sentMs?: number): boolean {
     const hasChanged = this.#listTracker.apply(list, atMs, sentMs);
     const ids = this.#listTracker.lasting;
-    this.#losses.onList();
+    this.#watches.losses.onList();
     this.#health.retain(ids);
     this.#evidence.retain(ids);
     this.#metrics.setListEpoch(this.#view.list.epoch ?? 0);
--- a/packages/daemon/src/gateway/metricsServer.test.ts
+++ b/packages/daemon/src/gateway/metricsServer.test.ts
@@ -5,7 +5,7 @@
 import { expect } from "chai";
 import { request } from "undici";
 
-import { countByStatus, newMetricsServer } from "./metricsServer.js";
+import { countBlocked, countByStatus, newMetricsServer } from "./metricsServer.js";
 
 describe("metrics server", () => {
   let evidence: CrashEvidence;
@@ -17,6 +17,7 @@
       ...{ countDetours: () => 0, countResting: () => 0, hasLostLinks: () => false },
       ...{ countLimited: () => 0, countEvacuated: () => 0 },
       countParts: () => countByStatus(evidence.suspects),
+      countRequests: () => countBlocked(evidence),
     });
     server = newMetricsServer(metrics, evidence);
     await server.listen("127.0.0.1", 0);
@@ -55,6 +56,23 @@
     expect(unknown.text).to.contain("part: none");
   });
 
+  it("lists, counts and lifts requests that crashed upstreams", async () => {
+    ["v1", "v2", "v3"].forEach((upstream) => {
+      evidence.recordLoss(upstream, [], "f1");
+    });
+    const { requests } = JSON.parse((await call("GET", "/crashing-requests")).text) as {
+      requests: { request: string; status: string; upstreams: string[] }[];
+    };
+    expect(
+      requests.map(({ request, status, upstreams }) => [request, status, upstreams]),
+    ).to.deep.equal([["f1", "blocked", ["v1", "v2", "v3"]]]);
+    const { text } = await call("GET", "/metrics");
+    expect(text).to.contain("lycheepulley_blocked_requests 1");
+    expect(text).to.contain('lycheepulley_suspect_parts{status="blocked"} 1');
+    expect((await call("DELETE", "/crashing-requests/f1")).status).to.equal(200);
+    expect(evidence.getStanding([], "f1").blocked).to.equal(undefined);
+  });
+
   it("counts the parts by status among the metrics", async () => {
     const { text } = await call("GET", "/metrics");
     expect(text).to.contain('lycheepulley_suspect_parts{status="blocked"} 1');
--- a/packages/daemon/src/gateway/metricsServer.ts
+++ b/packages/daemon/src/gateway/metricsServer.ts
@@ -11,15 +11,22 @@
   [SuspectKind.Request, "/crashing-requests", "requests"],
 ];
 
-/** Number of suspects by status. */
-export const countByStatus = (suspects: readonly Suspect[]): Record<string, number> => {
+/** Number of suspects of one kind by status. */
+export const countByStatus = (
+  all: readonly Suspect[],
+  kind: SuspectKind = SuspectKind.Part,
+): Record<string, number> => {
   const counts: Record<string, number> = { suspected: 0, blocked: 0 };
-  for (const { status } of suspects) {
+  for (const { status } of all.filter((suspect) => suspect.kind === kind)) {
     counts[status] = (counts[status] ?? 0) + 1;
   }
   return counts;
 };
 
+/** Number of requests that aren't sent since they crashed upstreams. */
+export const countBlocked = ({ suspects }: Pick<CrashEvidence, "suspects">): number =>
+  countByStatus(suspects, SuspectKind.Request)["blocked"] ?? 0;
+
 const describeSuspect = (
   { key, kind, lastLostMs, blockedUntilMs, ...suspect }: Suspect,
   now: number,
--- a/packages/daemon/src/gateway/newUpstreamWatches.ts
+++ b/packages/daemon/src/gateway/newUpstreamWatches.ts
@@ -11,7 +11,13 @@
 import type { DetourConnector } from "./DetourConnector.js";
 import type { PeerExchange } from "./PeerExchange.js";
 
-/** What finds upstreams that are dead to new requests, and those that are lost with the ones in progress. */
+/** Find upstreams that are dead to new requests, and those that are lost with the ones in progress. */
+export interface UpstreamWatches {
+  readonly watch: UpstreamWatch;
+  readonly losses: LossWatch;
+}
+
+/** Returns the watches of a process, which tell its peers what they find. */
 export const newUpstreamWatches = (options: {
   clock: Clock;
   random: Random;
@@ -21,7 +27,7 @@
   connector: Pick<DetourConnector, "accepts">;
   control: Pick<LimitedControl, "probe">;
   peers: Pick<PeerExchange, "notifyUpstream">;
-}): { watch: UpstreamWatch; losses: LossWatch } => {
+}): UpstreamWatches => {
   const { connector, control, peers } = options;
   return {
     watch: new UpstreamWatch({
--- a/packages/telemetry/src/ForwardMetrics.ts
+++ b/packages/telemetry/src/ForwardMetrics.ts
@@ -44,13 +44,14 @@
   readonly overload: OverloadMetrics;
 
   /**
-   * `countLimited` returns the number of upstreams that name a limit, `countParts` that of the parts of
-   * prompts under suspicion by status, `countDetours` that of the connections made through peers.
+   * `countLimited` returns the number of upstreams that name a limit, `countParts` that of suspect parts of
+   * prompts by status, `countDetours` that of the connections made through peers.
    */
   constructor({
     countLimited,
     countResting,
     countParts,
+    countRequests = () => 0,
     countDetours,
     hasLostLinks,
     countEvacuated,
@@ -65,6 +66,7 @@
     countLimited: () => number;
     countResting: () => number;
     countParts: () => Readonly<Record<string, number>>;
+    countRequests?: () => number;
     countDetours: () => number;
     hasLostLinks: () => boolean;
     countEvacuated: () => number;
@@ -147,18 +149,15 @@
         this.set(countDetours());
       },
     });
-    new Gauge({
-      name: "lycheepulley_suspect_parts",
-      help: "Parts of prompts that may crash upstreams, by status: suspected or blocked",
-      labelNames: ["status"],
-      registers,
-      collect() {
-        this.reset();
-        for (const [status, count] of Object.entries(countParts())) {
-          this.set({ status }, count);
-        }
-      },
-    });
+    addCounts(
+      this.#registry,
+      [
+        "lycheepulley_suspect_parts",
+        "Parts of prompts that may crash upstreams, by status: suspected or blocked",
+        "status",
+      ],
+      countParts,
+    );
     addCounts(
       this.#registry,
       ["lycheepulley_crossed_bytes", "Bytes between failure domains since the start", "cause"],
@@ -177,6 +176,11 @@
         this.set(getCold().count);
       },
     });
+    addGauge(
+      this.#registry,
+      ["lycheepulley_blocked_requests", "Requests that aren't sent since they crashed upstreams"],
+      countRequests,
+    );
     addGauge(
       this.#registry,
       ["lycheepulley_config_revision", "Revision of the configuration in force, -1 for none"],
