Keep a late verdict from the sends that came after it

Cause: a verdict that came when the last send it was about had ended dropped the watch of newer sends under the same start, which nothing would have ended before their deadline. Lists that take upstreams out of use when they are confirmed, after the store was away, reached no send in progress.

Change: a verdict drops only its own watch; a confirmed list is looked at like a new one.

The second has no test of its own.

--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -173,6 +173,7 @@
       },
       onListConfirmed: (position, atMs) => {
         this.#listTracker.confirm(position, atMs);
+        this.#watches.losses.onList();
         this.#metrics.setListEpoch(this.#view.list.epoch ?? 0);
       },
       onFetchFailed: () => {
--- a/packages/forwarding/src/LossWatch.ts
+++ b/packages/forwarding/src/LossWatch.ts
@@ -8,12 +8,12 @@
 const MAX_FAILED_PROBES = 2;
 /** Time from one probe to the next after one without an answer; reports are cached for nearly as long. */
 const RETRY_MS = 320;
+/** The same after an answer: the upstream serves on for some time after it has left the list. */
+const RECHECK_MS = 1_000;
 /** Interval at which an upstream is probed whose silent sends hold memory elsewhere. */
 const SILENCE_CHECK_MS = 700;
 /** Silence to probes after which an upstream is lost as soon as it leaves the list. */
 const CERTAIN_SILENCE_MS = 600;
-/** The same after an answer: the upstream serves on for some time after it has left the list. */
-const RECHECK_MS = 1_000;
 
 /** A send in progress at an upstream. */
 export interface WatchedSend {
@@ -186,9 +186,11 @@
   #lose(watched: Watched, reason: string): void {
     const { upstream, sends, toldBy } = watched;
     const startId = getStartId(upstream);
-    if (this.#stopped.signal.aborted || !this.#watched.delete(startId) || sends.size === 0) {
+    // The verdict may come after the last of these sends, when newer ones are watched under the same start.
+    if (this.#stopped.signal.aborted || this.#watched.get(startId) !== watched) {
       return;
     }
+    this.#watched.delete(startId);
     this.#logger.info("upstream lost", {
       ...{ step: "send", peer: upstream.id, reason, from: toldBy ?? "list", sends: sends.size },
     });
