Tell what upstreams send that is no part of an answer

Cause: when a worker writes garbage, neither log nor metrics say that an event was invalid, in what way, how far into the body and in which framing, so that garbage in place of framing, garbage inside of it, and own joins of two answers look the same. Change: core/events says what an event of a stream is and what may follow it; the dialect names the format of its upstreams' streams. Send reports invalid events and answers that the parser refuses as a log line and a metric. What callers get doesn't change yet.

--- a/packages/core/src/answerHead.ts
+++ b/packages/core/src/answerHead.ts
@@ -8,6 +8,15 @@
 /** Lengths that a number tells apart. */
 const LENGTH = /^\d{1,15}$/;
 
+/** What makes an answer invalid before its body is looked at. */
+export const AnswerFault = {
+  /** Its head, or bytes in place of one. */
+  Head: "head",
+  /** What frames its body. */
+  Framing: "framing",
+} as const;
+export type AnswerFault = (typeof AnswerFault)[keyof typeof AnswerFault];
+
 /** The head of a final answer as it came in. */
 export interface ReceivedHead {
   readonly status: number;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -6,6 +6,8 @@
 export * from "./config/check.js";
 export * from "./config/schema.js";
 export * from "./errors.js";
+export * from "./events/EventFormat.js";
+export * from "./events/EventReader.js";
 export * from "./folds/claims.js";
 export * from "./folds/evacuation.js";
 export * from "./folds/fates.js";
--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -241,6 +241,9 @@
       onLeaving: (upstream) => {
         this.#peerExchange.notifyUpstream("leaving", upstream);
       },
+      onInvalid: (fault) => {
+        this.#metrics.onInvalid(fault);
+      },
       onEnd: (end) => {
         this.#metrics.onEnd(end);
       },
--- /dev/null
+++ b/packages/forwarding/src/AnswerEvents.ts
@@ -0,0 +1,76 @@
+import {
+  EventReader,
+  type AnswerFault,
+  type EventFormat,
+  type InvalidBytes,
+  type ReadEvents,
+} from "@lycheepulley/core";
+
+import {
+  getEventsBefore,
+  type AnswerObserver,
+  type AnswerProgress,
+  type InvalidAnswer,
+} from "./answerProgress.js";
+import type { Route } from "./fleetConfig.js";
+import type { AnswerHead } from "./types.js";
+
+/** Reads the events of an answer, and reports what is no part of one. */
+export class AnswerEvents {
+  readonly #observer: AnswerObserver;
+  readonly #reader: EventReader;
+  /** Bytes of the body, whether they are events or not. */
+  #bodyBytes = 0;
+  #head: AnswerHead | undefined;
+
+  constructor(options: {
+    format: EventFormat;
+    progress: AnswerProgress;
+    route: Route;
+    observer: AnswerObserver;
+  }) {
+    const { format, progress, route, observer } = options;
+    this.#observer = observer;
+    this.#reader = new EventReader(format.newCheck(getEventsBefore(progress, route)));
+  }
+
+  /** Number of bytes of the last, incomplete event. */
+  get pendingBytes(): number {
+    return this.#reader.pendingBytes;
+  }
+
+  setHead(head: AnswerHead): void {
+    this.#head = head;
+  }
+
+  /** Counts bytes of a body that has no events. */
+  skip(bytes: number): void {
+    this.#bodyBytes += bytes;
+  }
+
+  /** Reads bytes of the body; must not be called once they are invalid. */
+  push(chunk: Buffer): ReadEvents {
+    this.#bodyBytes += chunk.length;
+    const read = this.#reader.push(chunk);
+    this.#reportInvalid(read.invalid);
+    return read;
+  }
+
+  /** Ends a stream that is complete by its framing; undefined when it may end here. */
+  end(): InvalidBytes | undefined {
+    const invalid = this.#reader.findEndFault();
+    this.#reportInvalid(invalid);
+    return invalid;
+  }
+
+  /** Reports an answer that its parser refused; undefined for one that just broke off. */
+  refuse(fault: AnswerFault | undefined): void {
+    this.#reportInvalid(fault && { fault, offset: this.#bodyBytes });
+  }
+
+  #reportInvalid(invalid: Pick<InvalidAnswer, "fault" | "offset"> | undefined): void {
+    if (invalid) {
+      this.#observer.onInvalid({ ...invalid, framing: this.#head?.framing });
+    }
+  }
+}
--- a/packages/forwarding/src/ForwardJob.ts
+++ b/packages/forwarding/src/ForwardJob.ts
@@ -208,6 +208,10 @@
       onHead: (facts) => {
         this.#feedback.recordHead(upstream, sentMs, facts);
       },
+      onInvalid: (invalid) => {
+        this.#log.logInvalid(upstream.id, invalid, this.#counts.sends);
+        this.#deps.onInvalid?.(invalid.fault);
+      },
       onEvents: () => {
         live.evidence?.onEvents();
         this.#onEvents(placement);
--- a/packages/forwarding/src/RequestLog.ts
+++ b/packages/forwarding/src/RequestLog.ts
@@ -1,6 +1,7 @@
 import type { Logger } from "@lycheepulley/telemetry";
 
 import { getShareFields } from "./PromptAdmission.js";
+import type { InvalidAnswer } from "./answerProgress.js";
 import type { AnswerTimeline } from "./AnswerTimeline.js";
 import type { KnownLimit } from "./limits/UpstreamLimits.js";
 import type { NextStep, SendOutcome } from "./outcomes.js";
@@ -88,6 +89,13 @@
     });
   }
 
+  /** An upstream sent what is no part of an answer; the bytes themselves aren't logged. */
+  logInvalid(peer: string, { fault, offset, framing }: InvalidAnswer, sends: number): void {
+    this.#logger.warn("upstream answer invalid", {
+      ...{ requestId: this.#req.head.attemptId, step: "send", peer, fault, offset, framing, sends },
+    });
+  }
+
   /** `isExpected`: its prefill explains the silence; `next`: whether another upstream is tried beside it. */
   logStall(
     peer: string,
--- a/packages/forwarding/src/Send.ts
+++ b/packages/forwarding/src/Send.ts
@@ -1,6 +1,13 @@
-import { AnswerEnd, getMessage, type Clock, type EndReport } from "@lycheepulley/core";
+import {
+  AnswerEnd,
+  getMessage,
+  type AnswerFault,
+  type Clock,
+  type EndReport,
+} from "@lycheepulley/core";
 
 import { AnswerBuffer } from "./AnswerBuffer.js";
+import { AnswerEvents } from "./AnswerEvents.js";
 import { CUT_EVENT, deliverAnswer, findEndFault } from "./answerEnd.js";
 import type { AnswerObserver, AnswerProgress } from "./answerProgress.js";
 import { EventSplitter, type StreamEvent } from "./EventSplitter.js";
@@ -11,7 +18,8 @@
   type BufferedAnswer,
   type SendOutcome,
 } from "./outcomes.js";
-import { StallWatch, type StallTimeout, type StallTimeouts } from "./StallWatch.js";
+import type { SendOptions } from "./sendOptions.js";
+import { StallWatch, type StallTimeout } from "./StallWatch.js";
 import {
   SendState,
   type AnswerFacts,
@@ -41,6 +49,8 @@
   readonly #stallWatch: StallWatch;
   readonly #splitter = new EventSplitter();
   readonly #buffer: AnswerBuffer;
+  readonly #events: AnswerEvents;
+  #isInvalid = false;
   #passedBytes = 0;
   /** Monotonic time at which the last bytes of the answer arrived; `-Infinity` before the first. */
   heardMs = -Infinity;
@@ -59,20 +69,7 @@
   /** Resolves once, when the call has ended. */
   readonly outcome: Promise<SendOutcome>;
 
-  constructor(options: {
-    clock: Clock;
-    dialect: Dialect;
-    req: ForwardRequest;
-    writer: AnswerWriter;
-    progress: AnswerProgress;
-    /** Undefined when no other upstream may take over. */
-    timeouts: StallTimeouts | undefined;
-    observer: AnswerObserver;
-    /** Asks the upstream whether it is alive. */
-    isAlive: () => Promise<boolean>;
-    /** True when the upstream accepts a connection now. Never rejects. */
-    accepts: () => Promise<boolean>;
-  }) {
+  constructor(options: SendOptions) {
     this.#clock = options.clock;
     this.#dialect = options.dialect;
     this.#req = options.req;
@@ -81,6 +78,8 @@
     this.#observer = options.observer;
     this.#accepts = options.accepts;
     this.#buffer = new AnswerBuffer(options.writer);
+    const { dialect, req } = options;
+    this.#events = new AnswerEvents({ ...options, format: dialect.events, route: req.route });
     this.#stallWatch = new StallWatch(options);
     this.outcome = new Promise((resolve) => {
       this.#resolveOutcome = resolve;
@@ -124,7 +123,8 @@
     });
   }
 
-  onError(state: SendState, err: Error): void {
+  onError(state: SendState, err: Error, fault?: AnswerFault): void {
+    this.#events.refuse(fault);
     const isCut = state === SendState.Sent;
     const result = isCut ? SendResult.Broken : SendResult.Unsent;
     this.#finish({ result, reason: err.message, isCut });
@@ -141,6 +141,7 @@
 
   #handleHead(head: AnswerHead): void {
     this.#head = head;
+    this.#events.setHead(head);
     this.#facts = this.#dialect.readAnswer(this.#req, head);
     if (!this.#facts.isValid) {
       this.#finish({ result: SendResult.Broken, reason: "answer is not the request's" });
@@ -154,8 +155,16 @@
       return;
     }
     if (this.#isEventStream) {
+      this.#isInvalid ||= this.#events.push(chunk).invalid !== undefined;
       this.#forwardEvents(chunk);
-    } else if (this.#isPassthrough) {
+    } else {
+      this.#events.skip(chunk.length);
+      this.#addPlain(chunk);
+    }
+  }
+
+  #addPlain(chunk: Buffer): void {
+    if (this.#isPassthrough) {
       this.#passThrough(chunk);
     } else {
       this.#collect(chunk);
--- a/packages/forwarding/src/answerProgress.ts
+++ b/packages/forwarding/src/answerProgress.ts
@@ -1,3 +1,5 @@
+import type { AnswerFault, EventFault, Framing } from "@lycheepulley/core";
+
 import type { Route } from "./fleetConfig.js";
 import type { StallHandler } from "./StallWatch.js";
 import type { AnswerFacts, ForwardRequest } from "./types.js";
@@ -17,18 +19,37 @@
   ...{ lastEventId, isLastUnnamed: false, isHeadSent: false },
 });
 
+/** An id that no event has: the upstream may begin anywhere. */
+const UNKNOWN_EVENT = "";
+
+/** Id of the event behind which an answer begins; on routes that can't be resumed a caller's own id may mean nothing. */
+export const getEventsBefore = (
+  { lastEventId }: AnswerProgress,
+  { isResumable }: Route,
+): string | undefined => (isResumable || lastEventId === undefined ? lastEventId : UNKNOWN_EVENT);
+
 /** True while the caller has nothing of the answer, or has a part that another send can go on with. */
 export const canGoOn = (
   { isHeadSent, isLastUnnamed }: AnswerProgress,
   { isStream, isResumable }: Route,
 ): boolean => !isHeadSent || (isStream && isResumable && !isLastUnnamed);
 
+/** What an upstream sent that is no part of an answer. */
+export interface InvalidAnswer {
+  readonly fault: AnswerFault | EventFault;
+  /** Bytes of the body before it. */
+  readonly offset: number;
+  readonly framing: Framing | undefined;
+}
+
 /** Follows the answer to one send, and decides what becomes of a stalled one. */
 export interface AnswerObserver extends StallHandler {
   /** Called before anything of the answer goes to the caller. */
   onProgress(): void;
   /** Called with the head of each answer that is the request's. */
   onHead(facts: AnswerFacts, status: number): void;
+  /** Called at most once, with what makes the answer invalid. */
+  onInvalid(invalid: InvalidAnswer): void;
   /** Called when `count` events of the answer arrived. */
   onEvents(count: number): void;
 }
--- a/packages/forwarding/src/costs/CostLesson.ts
+++ b/packages/forwarding/src/costs/CostLesson.ts
@@ -113,6 +113,9 @@
         this.#status = status;
         observer.onHead(facts, status);
       },
+      onInvalid: (invalid) => {
+        observer.onInvalid(invalid);
+      },
       onEvents: (count) => {
         this.#recordEvents(count);
         observer.onEvents(count);
--- a/packages/forwarding/src/forwardDependencies.ts
+++ b/packages/forwarding/src/forwardDependencies.ts
@@ -1,6 +1,7 @@
 import type { Clock, ProcessLifecycle, Random } from "@lycheepulley/core";
 import type { Logger } from "@lycheepulley/telemetry";
 
+import type { InvalidAnswer } from "./answerProgress.js";
 import type { CostBook } from "./costs/CostBook.js";
 import type { CrashGuard } from "./crashes/CrashGuard.js";
 import type { FleetView } from "./FleetView.js";
@@ -66,5 +67,7 @@
   readonly logger: Logger;
   /** Called when an upstream says for the first time that it is about to end. */
   readonly onLeaving: (upstream: string) => void;
+  /** Called with what makes an answer of an upstream invalid. */
+  readonly onInvalid?: (fault: InvalidAnswer["fault"]) => void;
   readonly onEnd: (end: ForwardSummary) => void;
 }
--- a/packages/forwarding/src/testing/FakeUpstreams.ts
+++ b/packages/forwarding/src/testing/FakeUpstreams.ts
@@ -1,4 +1,4 @@
-import { AnswerEnd, Closing, Framing, type EndReport } from "@lycheepulley/core";
+import { AnswerEnd, AnyEvents, Closing, Framing, type EndReport } from "@lycheepulley/core";
 
 import type {
   AnswerWriter,
@@ -90,6 +90,8 @@
 
 /** Dialect with plain words as headers, so that tests don't depend on a platform's names. */
 export class FakeDialect implements Dialect {
+  readonly events = new AnyEvents();
+
   readHead(): never {
     throw new Error("not used");
   }
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -1,6 +1,6 @@
 import type { Duplex } from "node:stream";
 
-import type { EndReport } from "@lycheepulley/core";
+import type { AnswerFault, EndReport, EventFormat, Framing } from "@lycheepulley/core";
 
 import type { Route, Upstream } from "./fleetConfig.js";
 import type { Homes } from "./regions.js";
@@ -81,6 +81,8 @@
 export interface AnswerHead {
   readonly status: number;
   readonly headers: HeaderList;
+  /** What tells the end of the body; undefined when that isn't known. */
+  readonly framing?: Framing;
 }
 
 /** Properties of an upstream's answer, read from its head. */
@@ -121,6 +123,8 @@
 
 /** Maps the fields of requests and answers to the header names of one platform's interface. */
 export interface Dialect {
+  /** What the upstreams' event streams consist of. */
+  readonly events: EventFormat;
   readHead(req: {
     readonly method: string;
     readonly path: string;
@@ -147,8 +151,8 @@
   onData(chunk: Buffer): void;
   /** All was read that the framing promises or, without framing, until the connection ended. */
   onEnd(report: EndReport): void;
-  /** Called at most once; nothing follows. */
-  onError(state: SendState, err: Error): void;
+  /** Called at most once; nothing follows. `fault` is set when the upstream sent what is no answer. */
+  onError(state: SendState, err: Error, fault?: AnswerFault): void;
 }
 
 /** A call in progress. */
--- a/packages/simulation/src/simulatedDialect.ts
+++ b/packages/simulation/src/simulatedDialect.ts
@@ -1,3 +1,4 @@
+import { AnyEvents } from "@lycheepulley/core";
 import type {
   AnswerFacts,
   AnswerHead,
@@ -34,6 +35,8 @@
 
 /** Carries the fields of simulated calls and answers in plain words. */
 export class SimulatedDialect implements Dialect {
+  readonly events = new AnyEvents();
+
   readHead(): never {
     throw new Error("a simulated request has its head already");
   }
--- a/packages/telemetry/src/ForwardMetrics.ts
+++ b/packages/telemetry/src/ForwardMetrics.ts
@@ -1,20 +1,12 @@
 import { build, type Histogram } from "hdr-histogram-js";
 import { Counter, Gauge, Registry } from "prom-client";
 
+import { addCounts, addGauge, QUANTILES } from "./gauges.js";
 import { OverloadMetrics } from "./OverloadMetrics.js";
+import { addRoomMetrics, type RoomMetrics } from "./roomMetrics.js";
 
-const QUANTILES = [50, 95, 99] as const;
 const MAX_LATENCY_MS = 3_600_000;
 
-/** What a process knows of prompts that wait for KV memory, for {@link ForwardMetrics}. */
-export interface RoomMetrics {
-  readonly waiting: Readonly<Record<string, number>>;
-  readonly promisedTokens: number;
-  readonly promises: Readonly<Record<string, number>>;
-  readonly rejected: Readonly<Record<string, number>>;
-  readonly errorsMs: readonly number[];
-}
-
 /** What a process knows of cold upstreams, for {@link ForwardMetrics}. */
 export interface ColdMetrics {
   /** Cold upstreams now. */
@@ -39,6 +31,7 @@
   readonly #latencies = new Map<string, Histogram>();
   readonly #requests: Counter;
   readonly #sends: Counter;
+  readonly #invalid: Counter;
   readonly #listEpoch: Gauge;
   /** Metrics of work that waits. */
   readonly overload: OverloadMetrics;
@@ -95,6 +88,12 @@
       labelNames: ["route"],
       registers,
     });
+    this.#invalid = new Counter({
+      name: "lycheepulley_invalid_answers_total",
+      help: "Answers of upstreams that were invalid, by what was wrong",
+      labelNames: ["fault"],
+      registers,
+    });
     this.overload = new OverloadMetrics(this.#registry, isOverloaded);
     this.#listEpoch = new Gauge({
       name: "lycheepulley_list_epoch",
@@ -230,6 +229,11 @@
     });
   }
 
+  /** Counts an answer of an upstream that is invalid. */
+  onInvalid(fault: string): void {
+    this.#invalid.inc({ fault });
+  }
+
   /** Records an ended request: its result, its sends to upstreams and its latencies. */
   onEnd(end: {
     readonly route: string;
@@ -269,81 +273,3 @@
     histogram.recordValue(Math.min(MAX_LATENCY_MS, Math.max(1, Math.round(ms))));
   }
 }
-
-const addGauge = (
-  registry: Registry,
-  [name, help]: readonly [string, string],
-  getValue: () => number,
-): void => {
-  new Gauge({
-    ...{ name, help, registers: [registry] },
-    collect() {
-      this.set(getValue());
-    },
-  });
-};
-
-const addCounts = (
-  registry: Registry,
-  [name, help, label]: readonly [string, string, string],
-  getCounts: () => Readonly<Record<string, number>>,
-): void => {
-  new Gauge({
-    ...{ name, help, registers: [registry], labelNames: [label] },
-    collect() {
-      this.reset();
-      for (const [value, count] of Object.entries(getCounts())) {
-        this.set({ [label]: value }, count);
-      }
-    },
-  });
-};
-
-const addRoomMetrics = (registry: Registry, getRoom: () => RoomMetrics): void => {
-  const registers = [registry];
-  addCounts(
-    registry,
-    ["lycheepulley_room_waiting", "Prompts that wait for KV memory, by route", "route"],
-    () => getRoom().waiting,
-  );
-  addCounts(
-    registry,
-    [
-      "lycheepulley_room_promises",
-      "Promises of KV memory since the start: used, lapsed or returned",
-      "outcome",
-    ],
-    () => getRoom().promises,
-  );
-  addCounts(
-    registry,
-    [
-      "lycheepulley_room_rejected",
-      "Prompts rejected for lack of KV memory since the start",
-      "cause",
-    ],
-    () => getRoom().rejected,
-  );
-  new Gauge({
-    name: "lycheepulley_room_promised_tokens",
-    help: "KV memory that prompts of this process wait for and are promised",
-    registers,
-    collect() {
-      this.set(getRoom().promisedTokens);
-    },
-  });
-  new Gauge({
-    name: "lycheepulley_room_error_ms",
-    help: "Difference between the promised and the actual time at which room was free",
-    labelNames: ["quantile"],
-    registers,
-    collect() {
-      this.reset();
-      const { errorsMs } = getRoom();
-      for (const quantile of errorsMs.length > 0 ? QUANTILES : []) {
-        const index = Math.min(errorsMs.length - 1, Math.floor((quantile / 100) * errorsMs.length));
-        this.set({ quantile: String(quantile / 100) }, errorsMs[index] ?? 0);
-      }
-    },
-  });
-};
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -4,3 +4,4 @@
 export * from "./BoundedLogger.js";
 export * from "./OverloadMetrics.js";
 export * from "./requestTimeline.js";
+export type { RoomMetrics } from "./roomMetrics.js";
--- a/packages/upstreams/src/HttpUpstreamTransport.ts
+++ b/packages/upstreams/src/HttpUpstreamTransport.ts
@@ -1,7 +1,14 @@
 import { request, type ClientRequest, type IncomingMessage } from "node:http";
 import type { Duplex } from "node:stream";
 
-import { Closing, getFraming, newEndReport, type EndReport } from "@lycheepulley/core";
+import {
+  AnswerFault,
+  Closing,
+  getFraming,
+  newEndReport,
+  type EndReport,
+  type Framing,
+} from "@lycheepulley/core";
 import {
   SendState,
   type CallObserver,
@@ -9,7 +16,7 @@
   type UpstreamCall,
   type UpstreamTransport,
 } from "@lycheepulley/forwarding";
-import { ConnectionEnd, findInvalidHead } from "@lycheepulley/http";
+import { ConnectionEnd, findInvalidHead, InvalidHeadError } from "@lycheepulley/http";
 
 import { TcpConnector } from "./TcpConnector.js";
 
@@ -21,6 +28,14 @@
 /** Framing allowed for each byte of body, which tiny chunks need. */
 const OVERHEAD_PER_BODY_BYTE = 16;
 
+/** An answer has more framing than its body can need. */
+class OverheadError extends Error {
+  constructor(bytes: number) {
+    super(`${String(bytes)} bytes that are no body`);
+    this.name = "OverheadError";
+  }
+}
+
 type OpenRequest = Parameters<UpstreamTransport["open"]>[0];
 
 /** One request to an upstream, on its own connection. */
@@ -143,7 +158,8 @@
       this.#fail(invalid);
       return;
     }
-    this.#observer.onHead({ status: res.statusCode ?? 0, headers: res.rawHeaders });
+    const { statusCode: status = 0, rawHeaders: headers } = res;
+    this.#observer.onHead({ status, headers, framing: this.#getFraming(res) });
     res.on("data", (chunk: Buffer) => {
       this.#bodyBytes += chunk.length;
       if (!this.#isClosed) {
@@ -160,20 +176,34 @@
     });
   }
 
-  #newEndReport({ statusCode = 0, headers, complete }: IncomingMessage): EndReport {
+  #getFraming({ statusCode = 0, headers }: IncomingMessage): Framing {
+    return getFraming(this.#method, { status: statusCode, headers });
+  }
+
+  #newEndReport(res: IncomingMessage): EndReport {
     return newEndReport({
-      framing: getFraming(this.#method, { status: statusCode, headers }),
+      framing: this.#getFraming(res),
       closing: this.#connectionEnd?.closing ?? Closing.Unknown,
-      isComplete: complete,
+      isComplete: res.complete,
     });
   }
 
+  /** Tells an answer that can't be read from a connection that broke. */
+  #getFault(err: Error): AnswerFault | undefined {
+    if (err instanceof InvalidHeadError) {
+      return AnswerFault.Head;
+    }
+    const isInvalid =
+      err instanceof OverheadError || ("code" in err && String(err.code).startsWith("HPE_"));
+    return isInvalid ? (this.#res ? AnswerFault.Framing : AnswerFault.Head) : undefined;
+  }
+
   /** Ends an answer that consists of little but framing. */
   #countReceived(bytes: number): void {
     this.#receivedBytes += bytes;
     const overheadBytes = this.#receivedBytes - this.#bodyBytes - (this.#res?.readableLength ?? 0);
     if (overheadBytes > MAX_OVERHEAD_BYTES + OVERHEAD_PER_BODY_BYTE * this.#bodyBytes) {
-      this.#failUnlessComplete(new Error(`${String(overheadBytes)} bytes that are no body`));
+      this.#failUnlessComplete(new OverheadError(overheadBytes));
     }
   }
 
@@ -189,7 +219,7 @@
       return;
     }
     this.#close();
-    this.#observer.onError(this.#state, err);
+    this.#observer.onError(this.#state, err, this.#getFault(err));
   }
 
   #close(): void {
