--- a/packages/daemon/src/gateway/GatewayNode.ts
+++ b/packages/daemon/src/gateway/GatewayNode.ts
@@ -241,9 +241,7 @@
       onLeaving: (upstream) => {
         this.#peerExchange.notifyUpstream("leaving", upstream);
       },
-      onInvalid: (fault) => {
-        this.#metrics.onInvalid(fault);
-      },
+      onInvalid: this.#metrics.onInvalid.bind(this.#metrics),
       onEnd: (end) => {
         this.#metrics.onEnd(end);
       },
