Pass on only events that a stream may have

Cause: no layer said what an event is. The splitter took any block with a line for one, and Send passed it on whatever its id; so bytes that a worker wrote among the events, or in place of a chunk's size where they happened to be digits, reached callers, and an event that they swallowed was missing from a stream told as complete. Change: Send reads streams by the dialect's format and ends the send at the first line or event that can't stand there; what came before goes to the caller, and another upstream goes on behind it where the route and the budget allow. Otherwise the answer is cut. The platform's events are numbered from 1, or from behind Last-Event-Id, without a gap; streams of which nothing is known stay as they were.

--- a/packages/core/src/events/EventReader.test.ts
+++ b/packages/core/src/events/EventReader.test.ts
@@ -142,16 +142,74 @@
 });
 
 describe("EventReader and streams of any kind", () => {
-  const stream =
-    'data: {"a":1}\n\nevent: error\ndata: x\n\nother: 1\n\nid: 9:4\ndata: y\n\ndata: [DONE]\n\n';
-  for (const size of [1, 7, 1_000]) {
-    it(`takes events without ids and with unknown fields, in pieces of ${String(size)} bytes`, () => {
-      const { blocks, invalid, endFault } = read(stream, { format: new AnyEvents(), size });
-      expect([invalid, endFault]).to.deep.equal([undefined, undefined]);
-      expect(blocks.map(({ id }) => id)).to.deep.equal([
-        ...[undefined, undefined, undefined],
-        ...["9:4", undefined],
-      ]);
+  const format = new AnyEvents();
+  const streams: readonly [name: string, text: string, ids: (string | undefined)[]][] = [
+    [
+      ...(["events without ids, and with unknown fields"] as const),
+      'data: {"a":1}\n\nevent: error\ndata: x\n\nother: 1\n\nid: 9:4\ndata: y\n\ndata: [DONE]\n\n',
+      [undefined, undefined, undefined, "9:4", undefined],
+    ],
+    [
+      ...(["comments and CRLF"] as const),
+      "id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\n: note\n\nid: 3\r\ndata: d\r\n\r\n",
+      ["1", "2", undefined, "3"],
+    ],
+  ];
+  for (const [name, text, ids] of streams) {
+    for (const size of [1, 2, 5, 7, 1_000]) {
+      it(`takes ${name}, in pieces of ${String(size)} bytes`, () => {
+        const { blocks, ...rest } = read(text, { format, size });
+        expect(rest).to.deep.equal({ invalid: undefined, pendingBytes: 0, endFault: undefined });
+        expect(blocks.map(({ id }) => id)).to.deep.equal(ids);
+        expect(Buffer.concat(blocks.map(({ bytes }) => bytes)).toString()).to.equal(text);
+      });
+    }
+  }
+
+  it("returns comments and empty lines apart from events, and together", () => {
+    const { blocks } = read(": a\n\n\n\nid: 1\n: b\n\n\n: c\n\n", { format });
+    const seen = blocks.map(({ bytes, isEvent }) => [bytes.toString(), isEvent]);
+    expect(seen).to.deep.equal([
+      [": a\n\n\n\n", false],
+      ["id: 1\n: b\n\n", true],
+      ["\n: c\n\n", false],
+    ]);
+  });
+
+  // An event that arrived in tiny pieces was copied and read again with each of them.
+  for (const [name, one] of [
+    ["any kind", format],
+    ["numbered events", POSITIONED],
+  ] as const) {
+    it(`reads a long event of ${name} in tiny pieces at a cost that grows with its length only`, function () {
+      this.timeout(5_000);
+      const reader = new EventReader(one.newCheck(undefined));
+      const piece = Buffer.alloc(16, "x");
+      reader.push(Buffer.from("id: 1\ndata: "));
+      for (let count = 0; count < 65_000; count++) {
+        reader.push(piece);
+      }
+      expect(reader.push(Buffer.from("\n\n")).blocks).to.have.length(1);
     });
   }
+
+  it("keeps an event until it is complete", () => {
+    const { blocks, pendingBytes } = read("id: 1\ndata: hal", { format });
+    expect([blocks, pendingBytes]).to.deep.equal([[], 15]);
+  });
+
+  it("splits any bytes into events without losing or adding bytes", () => {
+    const anyBytes = fc.uint8Array({ maxLength: 200 }).map((array) => Buffer.from(array));
+    fc.assert(
+      fc.property(fc.array(anyBytes, { maxLength: 10 }), (chunks) => {
+        const reader = new EventReader(format.newCheck());
+        const events = chunks.flatMap((chunk) => reader.push(chunk).blocks);
+        const whole = Buffer.concat(events.map(({ bytes }) => bytes));
+        const all = Buffer.concat(chunks);
+        expect(all.subarray(0, whole.length).equals(whole)).to.equal(true);
+        expect(whole.length + reader.pendingBytes).to.equal(all.length);
+      }),
+      RUNS,
+    );
+  });
 });
--- a/packages/forwarding/src/AnswerEvents.ts
+++ b/packages/forwarding/src/AnswerEvents.ts
@@ -43,14 +43,13 @@
     this.#head = head;
   }
 
-  /** Counts bytes of a body that has no events. */
-  skip(bytes: number): void {
-    this.#bodyBytes += bytes;
+  /** Counts bytes of the body. */
+  count({ length }: Buffer): void {
+    this.#bodyBytes += length;
   }
 
   /** Reads bytes of the body; must not be called once they are invalid. */
   push(chunk: Buffer): ReadEvents {
-    this.#bodyBytes += chunk.length;
     const read = this.#reader.push(chunk);
     this.#reportInvalid(read.invalid);
     return read;
--- a/packages/forwarding/src/Send.ts
+++ b/packages/forwarding/src/Send.ts
@@ -4,13 +4,14 @@
   type AnswerFault,
   type Clock,
   type EndReport,
+  type ReadEvents,
+  type StreamEvent,
 } from "@lycheepulley/core";
 
 import { AnswerBuffer } from "./AnswerBuffer.js";
 import { AnswerEvents } from "./AnswerEvents.js";
-import { CUT_EVENT, deliverAnswer, findEndFault } from "./answerEnd.js";
+import { CUT_EVENT, deliverAnswer, findEndFault, newInvalidOutcome } from "./answerEnd.js";
 import type { AnswerObserver, AnswerProgress } from "./answerProgress.js";
-import { EventSplitter, type StreamEvent } from "./EventSplitter.js";
 import {
   getFailure,
   getOversizedFailure,
@@ -47,10 +48,8 @@
   readonly #observer: AnswerObserver;
   readonly #accepts: () => Promise<boolean>;
   readonly #stallWatch: StallWatch;
-  readonly #splitter = new EventSplitter();
   readonly #buffer: AnswerBuffer;
   readonly #events: AnswerEvents;
-  #isInvalid = false;
   #passedBytes = 0;
   /** Monotonic time at which the last bytes of the answer arrived; `-Infinity` before the first. */
   heardMs = -Infinity;
@@ -111,6 +110,7 @@
 
   onData(chunk: Buffer): void {
     this.heardMs = this.#clock.now();
+    this.#events.count(chunk);
     this.#guard(() => {
       this.#handleData(chunk);
     });
@@ -155,16 +155,8 @@
       return;
     }
     if (this.#isEventStream) {
-      this.#isInvalid ||= this.#events.push(chunk).invalid !== undefined;
-      this.#forwardEvents(chunk);
-    } else {
-      this.#events.skip(chunk.length);
-      this.#addPlain(chunk);
-    }
-  }
-
-  #addPlain(chunk: Buffer): void {
-    if (this.#isPassthrough) {
+      this.#forwardEvents(this.#events.push(chunk));
+    } else if (this.#isPassthrough) {
       this.#passThrough(chunk);
     } else {
       this.#collect(chunk);
@@ -190,7 +182,7 @@
     const isSaid = this.#facts.isNotRun && !this.#isEventStream && !this.#isPassthrough;
     if (end === AnswerEnd.Whole || isSaid) {
       this.#endAnswer(this.#head, this.#facts);
-    } else if (this.#splitter.pendingBytes > 0) {
+    } else if (this.#events.pendingBytes > 0) {
       this.#finish(CUT_EVENT);
     } else {
       void findEndFault(end, this.#head, this.#accepts).then(this.#finish.bind(this));
@@ -214,14 +206,15 @@
     return this.#head?.status === 200 && (this.#facts?.isEventStream ?? false);
   }
 
-  #forwardEvents(chunk: Buffer): void {
-    let blocks: StreamEvent[];
-    try {
-      blocks = this.#splitter.push(chunk);
-    } catch (err) {
-      this.#finish({ result: SendResult.Broken, reason: String(err) });
-      return;
+  /** Forwards valid events as they arrive, and nothing behind an invalid one. */
+  #forwardEvents({ blocks, invalid }: ReadEvents): void {
+    this.#forwardBlocks(blocks);
+    if (invalid) {
+      this.#finish(newInvalidOutcome(invalid));
     }
+  }
+
+  #forwardBlocks(blocks: readonly StreamEvent[]): void {
     const events = blocks.filter(({ isEvent }) => isEvent).length;
     if (events === 0) {
       this.#forwardComments(blocks);
@@ -255,10 +248,15 @@
   }
 
   #endEventStream(): void {
-    if (this.#splitter.pendingBytes > 0) {
+    if (this.#events.pendingBytes > 0) {
       this.#finish(CUT_EVENT);
       return;
     }
+    const invalid = this.#events.end();
+    if (invalid) {
+      this.#finish(newInvalidOutcome(invalid));
+      return;
+    }
     this.#observer.onProgress();
     this.#sendHeadOnce();
     this.#write(this.#buffer.take());
--- a/packages/forwarding/src/answerEnd.ts
+++ b/packages/forwarding/src/answerEnd.ts
@@ -1,4 +1,4 @@
-import { AnswerEnd } from "@lycheepulley/core";
+import { AnswerEnd, type InvalidBytes } from "@lycheepulley/core";
 
 import {
   FIRST_ERROR_STATUS,
@@ -13,6 +13,12 @@
 /** The stream's last event may lack its end, whatever the framing says. */
 export const CUT_EVENT: SendOutcome = { ...CUT, reason: "stream ended inside an event" };
 
+/** The upstream sent what is no event; what came before was valid, and another send may go on behind it. */
+export const newInvalidOutcome = ({ fault, offset }: InvalidBytes): SendOutcome => ({
+  result: SendResult.Broken,
+  reason: `invalid event: ${fault} at byte ${String(offset)}`,
+});
+
 const ENDED_WITH_UPSTREAM: SendOutcome = {
   ...{ ...CUT, reason: "upstream ended with an answer that has no framing" },
 };
--- a/packages/forwarding/src/decisions.test.ts
+++ b/packages/forwarding/src/decisions.test.ts
@@ -1,6 +1,5 @@
 import { expect } from "chai";
 
-import { EventSplitter } from "./EventSplitter.js";
 import { decideNext, type SendHistory, type SendOutcome } from "./outcomes.js";
 import { RetryBudget } from "./RetryBudget.js";
 import { RouteTable } from "./RouteTable.js";
@@ -68,49 +67,6 @@
   });
 });
 
-describe("EventSplitter", () => {
-  const stream = "id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\n: note\n\nid: 3\r\ndata: d\r\n\r\n";
-  for (const size of [1, 2, 5, 7, 1_000]) {
-    it(`returns the same events from pieces of ${String(size)} bytes`, () => {
-      const splitter = new EventSplitter();
-      const events = [];
-      for (let at = 0; at < stream.length; at += size) {
-        events.push(...splitter.push(Buffer.from(stream.slice(at, at + size))));
-      }
-      expect(events.map(({ id }) => id)).to.deep.equal(["1", "2", undefined, "3"]);
-      expect(Buffer.concat(events.map(({ bytes }) => bytes)).toString()).to.equal(stream);
-      expect(splitter.pendingBytes).to.equal(0);
-    });
-  }
-
-  it("returns comments and empty lines apart from events, and together", () => {
-    const blocks = new EventSplitter().push(Buffer.from(": a\n\n\n\nid: 1\n: b\n\n\n: c\n\n"));
-    const seen = blocks.map(({ bytes, isEvent }) => [bytes.toString(), isEvent]);
-    expect(seen).to.deep.equal([
-      [": a\n\n\n\n", false],
-      ["id: 1\n: b\n\n", true],
-      ["\n: c\n\n", false],
-    ]);
-  });
-
-  // An event that arrived in tiny pieces was copied and read again with each of them.
-  it("reads a long event in tiny pieces at a cost that grows with its length only", function () {
-    this.timeout(5_000);
-    const splitter = new EventSplitter();
-    const piece = Buffer.alloc(16, "x");
-    for (let count = 0; count < 65_000; count++) {
-      splitter.push(piece);
-    }
-    expect(splitter.push(Buffer.from("\n\n"))).to.have.length(1);
-  });
-
-  it("buffers an event until it is complete", () => {
-    const splitter = new EventSplitter();
-    expect(splitter.push(Buffer.from("id: 1\ndata: hal"))).to.deep.equal([]);
-    expect(splitter.pendingBytes).to.equal(15);
-  });
-});
-
 describe("decideNext", () => {
   const unsafe = newRoute({ maxAttempts: 2 });
   const safe = newRoute({ repeat: "idempotent" });
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -20,7 +20,6 @@
 export * from "./evacuations/evacuationList.js";
 export * from "./evacuations/Evacuations.js";
 export * from "./evacuations/EvacuationTracker.js";
-export * from "./EventSplitter.js";
 export * from "./explain/explainPlacement.js";
 export * from "./explain/PlacementSnapshot.js";
 export * from "./fleetConfig.js";
--- a/packages/forwarding/src/testing/FakeUpstreams.ts
+++ b/packages/forwarding/src/testing/FakeUpstreams.ts
@@ -1,4 +1,11 @@
-import { AnswerEnd, AnyEvents, Closing, Framing, type EndReport } from "@lycheepulley/core";
+import {
+  AnswerEnd,
+  AnyEvents,
+  Closing,
+  Framing,
+  type EndReport,
+  type EventFormat,
+} from "@lycheepulley/core";
 
 import type {
   AnswerWriter,
@@ -90,7 +97,7 @@
 
 /** Dialect with plain words as headers, so that tests don't depend on a platform's names. */
 export class FakeDialect implements Dialect {
-  readonly events = new AnyEvents();
+  events: EventFormat = new AnyEvents();
 
   readHead(): never {
     throw new Error("not used");
--- a/packages/forwarding/src/testing/ForwarderHarness.ts
+++ b/packages/forwarding/src/testing/ForwarderHarness.ts
@@ -13,7 +13,6 @@
 import { newLoneSendQuota, newRests } from "./newLoneSendQuota.js";
 import { newConfig, newItem, newRoute, newUpstream } from "./samples.js";
 import { ReservationManager } from "../ReservationManager.js";
-import type { Dialect } from "../types.js";
 import { UpstreamHealth } from "../UpstreamHealth.js";
 import { UpstreamWatch } from "../UpstreamWatch.js";
 
@@ -30,7 +29,7 @@
 export class ForwarderHarness {
   readonly clock = new ManualClock();
   readonly transport = new FakeTransport();
-  readonly dialect: Dialect = new FakeDialect();
+  readonly dialect = new FakeDialect();
   readonly caller = new FakeCaller();
   readonly view = new FleetView();
   readonly loadTracker = new LoadTracker({ clock: this.clock, onOwnChange: () => undefined });
