Keep garbage of an upstream from counting as a crash under its request

Cause: an answer that the parser refuses ended like a connection that broke, which is taken for a crash. Change: an answer that isn't one counts as a crash only when its upstream accepts no connection afterwards.

--- a/packages/forwarding/src/ForwardJob.ts
+++ b/packages/forwarding/src/ForwardJob.ts
@@ -194,13 +194,13 @@
         return this.#replaceStalled(placement, stall);
       },
       onOpen: () => {
-        const { clock, view, limits, guard } = this.#deps;
+        const { clock, view, limits, guard, watch } = this.#deps;
         const { listedMs } = view;
         sentMs = clock.now();
         const limit = limits.get(upstream.id);
         const sends = this.#counts.sends - 1;
         this.#log.logSend(placement, { sends, nowMs: sentMs, listedMs, limit });
-        live.evidence = new SendEvidence(guard.evidence, this.#req, upstream);
+        live.evidence = new SendEvidence(guard.evidence, this.#req, upstream, watch);
       },
       onProgress: () => {
         this.#onProgress(live);
--- a/packages/forwarding/src/Send.ts
+++ b/packages/forwarding/src/Send.ts
@@ -125,9 +125,10 @@
 
   onError(state: SendState, err: Error, fault?: AnswerFault): void {
     this.#events.refuse(fault);
-    const isCut = state === SendState.Sent;
-    const result = isCut ? SendResult.Broken : SendResult.Unsent;
-    this.#finish({ result, reason: err.message, isCut });
+    const isSent = state === SendState.Sent;
+    const isInvalid = fault !== undefined;
+    const result = isSent ? SendResult.Broken : SendResult.Unsent;
+    this.#finish({ result, reason: err.message, isInvalid, isCut: isSent && !isInvalid });
   }
 
   /** Ends the send on an error of this process, which its caller would otherwise await in vain. */
--- a/packages/forwarding/src/SendFeedback.ts
+++ b/packages/forwarding/src/SendFeedback.ts
@@ -81,7 +81,7 @@
       return;
     }
     this.#excluded.add(faulty.id);
-    if (result === SendResult.Broken) {
+    if (result === SendResult.Broken && !outcome.isInvalid) {
       this.#logBreak(faulty.id, reason);
     }
     const isLost = result === SendResult.Unsent || result === SendResult.Broken;
--- a/packages/forwarding/src/answerEnd.ts
+++ b/packages/forwarding/src/answerEnd.ts
@@ -15,7 +15,7 @@
 
 /** The upstream sent what is no event; what came before was valid, and another send may go on behind it. */
 export const newInvalidOutcome = ({ fault, offset }: InvalidBytes): SendOutcome => ({
-  result: SendResult.Broken,
+  ...{ result: SendResult.Broken, isInvalid: true },
   reason: `invalid event: ${fault} at byte ${String(offset)}`,
 });
 
--- a/packages/forwarding/src/outcomes.ts
+++ b/packages/forwarding/src/outcomes.ts
@@ -46,6 +46,8 @@
   readonly end?: EndReport | undefined;
   /** The connection ended in the middle of the answer, or before it. */
   readonly isCut?: boolean;
+  /** The upstream sent what is no answer, which shows a fault of its own and no crash. */
+  readonly isInvalid?: boolean;
   /** Complete answer of the upstream, buffered until the retry decision. */
   readonly answer?: BufferedAnswer;
   /** Address of the upstream at fault, when it isn't the one that the request was sent to. */
