Hold empty lines back until an event follows, in bounded memory

Cause: empty lines between events were passed on like comments; pieces and lines were kept as an object each. Change: empty lines are part of the block behind them, and are dropped with it when it is invalid. An event that has begun is kept in one buffer, and its lines are limited.

--- a/packages/core/src/events/EventFormat.ts
+++ b/packages/core/src/events/EventFormat.ts
@@ -34,8 +34,8 @@
   mayBegin(start: Buffer, isFirst: boolean): boolean;
   /** Finds what makes a line no part of an event. */
   findLineFault(bytes: Buffer, line: EventLine): EventFault | undefined;
-  /** Finds what makes valid lines no event that may follow here, and goes on behind the event if nothing does. */
-  addEvent(lines: readonly EventLine[]): EventFault | undefined;
+  /** Finds what makes valid fields no event that may follow here, and goes on behind the event if nothing does. */
+  addEvent(fields: readonly EventLine[]): EventFault | undefined;
   /** Finds why a stream that is complete by its framing can't end here. */
   findEndFault(): EventFault | undefined;
 }
@@ -117,8 +117,7 @@
     return isUtf8(bytes) && !CONTROL.test(value) ? undefined : EventFault.Bytes;
   }
 
-  addEvent(lines: readonly EventLine[]): EventFault | undefined {
-    const fields = lines.filter(({ name }) => name !== "");
+  addEvent(fields: readonly EventLine[]): EventFault | undefined {
     const isRepeated = ({ name }: EventLine, at: number): boolean =>
       FIELDS.get(name)?.isRepeatable !== true && fields.findIndex((one) => one.name === name) < at;
     if (fields.some(isRepeated)) {
--- a/packages/core/src/events/EventReader.ts
+++ b/packages/core/src/events/EventReader.ts
@@ -5,13 +5,15 @@
 const COLON = 58;
 const SPACE = 32;
 const MAX_EVENT_BYTES = 1_048_576;
+const MAX_EVENT_LINES = 4_096;
+const MIN_KEPT_BYTES = 256;
 /** Bytes of an incomplete line that are looked at. */
 const MAX_START_BYTES = 64;
 
 /** A complete block of a stream, as the bytes that arrived. */
 export interface StreamEvent {
   readonly bytes: Buffer;
-  /** False for comments and empty lines, which carry nothing of the answer. */
+  /** False for comments, which carry nothing of the answer. */
   readonly isEvent: boolean;
   /** Value of the event's `id` field. */
   readonly id: string | undefined;
@@ -26,7 +28,7 @@
 
 /** What was read of a stream. */
 export interface ReadEvents {
-  /** Valid blocks, with the comments between two events as one each. */
+  /** Valid blocks, with the comments between two events as one each. Empty lines are part of the block behind them. */
   readonly blocks: readonly StreamEvent[];
   /** Set once the stream is invalid, and then with no further blocks. */
   readonly invalid: InvalidBytes | undefined;
@@ -47,14 +49,14 @@
 /** Reads a server-sent event stream, and checks its events; looks at each byte once. */
 export class EventReader {
   readonly #check: EventCheck;
-  /** Bytes of the block that has begun. */
-  #pending: Buffer[] = [];
+  /** Begins with the kept bytes of the block that has begun. */
+  #kept: Buffer = Buffer.alloc(0);
   #pendingBytes = 0;
-  /** Bytes of its last, incomplete line. */
-  #line: Buffer[] = [];
+  /** Of these, bytes of the last, incomplete line. */
   #lineBytes = 0;
-  /** Its complete lines that aren't empty. */
-  #lines: EventLine[] = [];
+  /** Complete lines of the block with a field. */
+  #fields: EventLine[] = [];
+  #hasComment = false;
   /** Bytes of the body before it. */
   #offset = 0;
   #invalid: InvalidBytes | undefined;
@@ -63,11 +65,16 @@
     this.#check = check;
   }
 
-  /** Number of bytes of the last, incomplete event. */
+  /** Number of bytes that belong to a block which hasn't ended. */
   get pendingBytes(): number {
     return this.#pendingBytes;
   }
 
+  /** True when an event or a comment has begun, and not only empty lines. */
+  get isInBlock(): boolean {
+    return this.#hasLine || this.#lineBytes > 0;
+  }
+
   /** Adds bytes and returns the blocks that they complete. */
   push(chunk: Buffer): ReadEvents {
     const blocks: StreamEvent[] = [];
@@ -89,7 +96,7 @@
       if (!isEmpty) {
         continue;
       }
-      if (this.#hasField) {
+      if (this.#fields.length > 0) {
         endComments();
         const bytes = this.#take(chunk.subarray(start, lineStart));
         start = lineStart;
@@ -97,10 +104,11 @@
         if (this.#invalid) {
           break;
         }
-      } else {
+      } else if (this.#hasComment) {
         commentsEnd = lineStart;
       }
-      this.#lines = [];
+      this.#fields = [];
+      this.#hasComment = false;
     }
     endComments();
     if (!this.#invalid) {
@@ -115,29 +123,35 @@
     return fault === undefined ? undefined : { fault, offset: this.#offset };
   }
 
-  get #hasField(): boolean {
-    return this.#lines.some(({ name }) => name !== "");
+  get #hasLine(): boolean {
+    return this.#hasComment || this.#fields.length > 0;
   }
 
   /** Adds the rest of a line; true when the line is empty. */
   #endLine(rest: Buffer): boolean {
-    const whole = this.#lineBytes > 0 ? Buffer.concat([...this.#line, rest]) : rest;
-    this.#line = [];
+    const whole = this.#lineBytes > 0 ? Buffer.concat([this.#keptLine, rest]) : rest;
     this.#lineBytes = 0;
     const bytes = whole.at(-1) === CR ? whole.subarray(0, -1) : whole;
     if (bytes.length === 0) {
       return true;
     }
-    const line = parseLine(bytes, this.#lines.length === 0);
-    this.#lines.push(line);
+    const line = parseLine(bytes, !this.#hasLine);
     this.#setInvalid(this.#check.findLineFault(bytes, line));
+    if (line.name === "") {
+      this.#hasComment = true;
+    } else {
+      this.#fields.push(line);
+    }
+    if (this.#fields.length > MAX_EVENT_LINES) {
+      this.#setInvalid(EventFault.Size);
+    }
     return false;
   }
 
   #endEvent(blocks: StreamEvent[], bytes: Buffer): void {
-    const fault = this.#check.addEvent(this.#lines);
+    const fault = this.#check.addEvent(this.#fields);
     if (fault === undefined) {
-      const id = this.#lines.find(({ name }) => name === "id")?.value;
+      const id = this.#fields.find(({ name }) => name === "id")?.value;
       blocks.push({ bytes, isEvent: true, id });
     } else {
       this.#offset -= bytes.length;
@@ -153,36 +167,39 @@
 
   /** Returns the kept bytes with those that complete them. */
   #take(rest: Buffer): Buffer {
-    const bytes = this.#pending.length === 0 ? rest : Buffer.concat([...this.#pending, rest]);
-    this.#pending = [];
+    const kept = this.#kept.subarray(0, this.#pendingBytes);
+    const bytes = kept.length === 0 ? rest : Buffer.concat([kept, rest]);
+    this.#kept = Buffer.alloc(0);
     this.#pendingBytes = 0;
     this.#offset += bytes.length;
     return bytes;
   }
 
+  get #keptLine(): Buffer {
+    return this.#kept.subarray(this.#pendingBytes - this.#lineBytes, this.#pendingBytes);
+  }
+
   /** Keeps an incomplete block, of which the last `lineBytes` are of an incomplete line, and checks the beginning of that line. */
   #keep(rest: Buffer, lineBytes: number): void {
     if (rest.length === 0) {
       return;
     }
-    const kept = Buffer.from(rest);
-    this.#pending.push(kept);
-    this.#pendingBytes += kept.length;
-    if (lineBytes > 0) {
-      this.#keepLine(kept.subarray(kept.length - lineBytes));
+    const size = this.#pendingBytes + rest.length;
+    if (size > this.#kept.length) {
+      const larger = Buffer.alloc(Math.max(MIN_KEPT_BYTES, 2 * size));
+      this.#kept.copy(larger, 0, 0, this.#pendingBytes);
+      this.#kept = larger;
     }
-    if (this.#pendingBytes > MAX_EVENT_BYTES) {
-      this.#setInvalid(EventFault.Size);
+    rest.copy(this.#kept, this.#pendingBytes);
+    this.#pendingBytes = size;
+    const isLookedAt = lineBytes > 0 && this.#lineBytes < MAX_START_BYTES;
+    this.#lineBytes += lineBytes;
+    const start = this.#keptLine.subarray(0, MAX_START_BYTES);
+    if (isLookedAt && !this.#check.mayBegin(start, !this.#hasLine)) {
+      this.#setInvalid(EventFault.Field);
     }
-  }
-
-  #keepLine(line: Buffer): void {
-    this.#line.push(line);
-    if (this.#lineBytes < MAX_START_BYTES) {
-      const start = Buffer.concat(this.#line).subarray(0, MAX_START_BYTES);
-      const mayBegin = this.#check.mayBegin(start, this.#lines.length === 0);
-      this.#setInvalid(mayBegin ? undefined : EventFault.Field);
+    if (size > MAX_EVENT_BYTES) {
+      this.#setInvalid(EventFault.Size);
     }
-    this.#lineBytes += line.length;
   }
 }
--- a/packages/forwarding/src/AnswerEvents.ts
+++ b/packages/forwarding/src/AnswerEvents.ts
@@ -34,9 +34,9 @@
     this.#reader = new EventReader(format.newCheck(getEventsBefore(progress, route)));
   }
 
-  /** Number of bytes of the last, incomplete event. */
-  get pendingBytes(): number {
-    return this.#reader.pendingBytes;
+  /** True when an event has begun and hasn't ended. */
+  get isInEvent(): boolean {
+    return this.#reader.isInBlock;
   }
 
   setHead(head: AnswerHead): void {
--- a/packages/forwarding/src/Send.ts
+++ b/packages/forwarding/src/Send.ts
@@ -183,7 +183,7 @@
     const isSaid = this.#facts.isNotRun && !this.#isEventStream && !this.#isPassthrough;
     if (end === AnswerEnd.Whole || isSaid) {
       this.#endAnswer(this.#head, this.#facts);
-    } else if (this.#events.pendingBytes > 0) {
+    } else if (this.#events.isInEvent) {
       this.#finish(CUT_EVENT);
     } else {
       void findEndFault(end, this.#head, this.#accepts).then(this.#finish.bind(this));
@@ -249,7 +249,7 @@
   }
 
   #endEventStream(): void {
-    if (this.#events.pendingBytes > 0) {
+    if (this.#events.isInEvent) {
       this.#finish(CUT_EVENT);
       return;
     }
