Take only streams for answers on routes of streams

Cause: the worker's own header decided whether a body was read as a stream. Change: on a route of streams a success counts only as a stream with 200; any other is an answer that isn't one. Calls may answer with events of any kind, and an answer without a body has no events to lack.

--- a/packages/forwarding/src/AnswerBuffer.ts
+++ b/packages/forwarding/src/AnswerBuffer.ts
@@ -1,5 +1,8 @@
 import type { AnswerWriter } from "./types.js";
 
+/** Answers up to this size are buffered until they are complete, so that a broken one can be retried. */
+export const MAX_BUFFERED_BYTES = 1_048_576;
+
 /** Bytes of an answer that are kept until it is known whether the caller gets them. */
 export class AnswerBuffer {
   readonly #writer: AnswerWriter;
--- a/packages/forwarding/src/AnswerEvents.ts
+++ b/packages/forwarding/src/AnswerEvents.ts
@@ -1,5 +1,7 @@
 import {
+  AnyEvents,
   EventReader,
+  Framing,
   type AnswerFault,
   type EventFormat,
   type InvalidBytes,
@@ -15,6 +17,9 @@
 import type { Route } from "./fleetConfig.js";
 import type { AnswerHead } from "./types.js";
 
+/** A call may answer with any events. */
+const ANY_EVENTS = new AnyEvents();
+
 /** Reads the events of an answer, and reports what is no part of one. */
 export class AnswerEvents {
   readonly #observer: AnswerObserver;
@@ -24,13 +29,15 @@
   #head: AnswerHead | undefined;
 
   constructor(options: {
+    /** Format of the streams of routes that have them. */
     format: EventFormat;
     progress: AnswerProgress;
     route: Route;
     observer: AnswerObserver;
   }) {
-    const { format, progress, route, observer } = options;
+    const { progress, route, observer } = options;
     this.#observer = observer;
+    const format = route.isStream ? options.format : ANY_EVENTS;
     this.#reader = new EventReader(format.newCheck(getEventsBefore(progress, route)));
   }
 
@@ -57,7 +64,8 @@
 
   /** Ends a stream that is complete by its framing; undefined when it may end here. */
   end(): InvalidBytes | undefined {
-    const invalid = this.#reader.findEndFault();
+    const isBodiless = this.#head?.framing === Framing.NoBody;
+    const invalid = isBodiless ? undefined : this.#reader.findEndFault();
     this.#reportInvalid(invalid);
     return invalid;
   }
--- a/packages/forwarding/src/Send.ts
+++ b/packages/forwarding/src/Send.ts
@@ -1,16 +1,17 @@
 import {
   AnswerEnd,
   getMessage,
-  type AnswerFault,
+  AnswerFault,
   type Clock,
   type EndReport,
   type ReadEvents,
   type StreamEvent,
 } from "@lycheepulley/core";
 
-import { AnswerBuffer } from "./AnswerBuffer.js";
+import { AnswerBuffer, MAX_BUFFERED_BYTES } from "./AnswerBuffer.js";
 import { AnswerEvents } from "./AnswerEvents.js";
 import { CUT_EVENT, deliverAnswer, findEndFault, newInvalidOutcome } from "./answerEnd.js";
+import { isStreamAnswer, refuseHead } from "./answerType.js";
 import type { AnswerObserver, AnswerProgress } from "./answerProgress.js";
 import {
   getFailure,
@@ -33,8 +34,6 @@
 } from "./types.js";
 
 const FIRST_FAILURE_STATUS = 400;
-/** Answers up to this size are buffered until they are complete, so that a broken one can be retried. */
-const MAX_BUFFERED_BYTES = 1_048_576;
 /** Longest plain answer without a declared length; a longer one is taken for one without end. */
 const MAX_UNDECLARED_BYTES = 67_108_864;
 
@@ -144,8 +143,10 @@
     this.#head = head;
     this.#events.setHead(head);
     this.#facts = this.#dialect.readAnswer(this.#req, head);
-    if (!this.#facts.isValid) {
-      this.#finish({ result: SendResult.Broken, reason: "answer is not the request's" });
+    const refusal = refuseHead(this.#req, head, this.#facts);
+    if (refusal) {
+      this.#events.refuse(refusal.isInvalid ? AnswerFault.Head : undefined);
+      this.#finish(refusal);
       return;
     }
     this.#observer.onHead(this.#facts, head.status);
@@ -204,7 +205,7 @@
   }
 
   get #isEventStream(): boolean {
-    return this.#head?.status === 200 && (this.#facts?.isEventStream ?? false);
+    return isStreamAnswer(this.#head, this.#facts);
   }
 
   /** Forwards valid events as they arrive, and nothing behind an invalid one. */
--- a/packages/forwarding/src/invalidEvents.test.ts
+++ b/packages/forwarding/src/invalidEvents.test.ts
@@ -3,7 +3,7 @@
 
 import type { Route } from "./fleetConfig.js";
 import { endAnswer } from "./testing/FakeUpstreams.js";
-import { ForwarderHarness, STREAM } from "./testing/ForwarderHarness.js";
+import { ForwarderHarness, SAFE, STREAM } from "./testing/ForwarderHarness.js";
 
 const ONCE: Partial<Route> = { ...STREAM, isResumable: false };
 const event = (id: number | string): string => `id: ${String(id)}\ndata: x\n\n`;
@@ -90,6 +90,30 @@
     expect(harness.caller.status).to.equal(502);
   });
 
+  // A success of another type, or another status, reached callers as a whole answer, whatever its bytes.
+  for (const [status, type] of [
+    [200, "plain"],
+    [201, "stream"],
+    [206, "stream"],
+  ] as const) {
+    it(`refuses ${String(status)} with a ${type} body on a route of streams`, async () => {
+      const harness = new ForwarderHarness();
+      await harness.request({ ...ONCE, maxAttempts: 1 }, 5_000);
+      harness.transport.answer(status, [type, "1"], event(1));
+      await harness.settle();
+      expect([harness.caller.status, harness.caller.isOwn]).to.deep.equal([502, true]);
+    });
+  }
+
+  it("takes events without ids on a route of plain calls", async () => {
+    const harness = new ForwarderHarness();
+    harness.dialect.events = new PositionedEvents();
+    await harness.request(SAFE);
+    harness.transport.answer(200, ["stream", "1"], "data: x\n\n");
+    await harness.settle();
+    expect([harness.caller.status, harness.caller.ending]).to.deep.equal([200, "whole"]);
+  });
+
   it("takes a resumed stream that adds nothing for the end", async () => {
     const harness = await start(STREAM, 2);
     send(harness, "garbage\n\n");
