--- a/packages/upstreams/src/answerFaults.test.ts
+++ b/packages/upstreams/src/answerFaults.test.ts
@@ -1,6 +1,8 @@
 import { createServer, type AddressInfo, type Server, type Socket } from "node:net";
 
 import { AnswerFault } from "@lycheepulley/core";
+import type { Connector } from "@lycheepulley/forwarding";
+import { openRelay } from "@lycheepulley/nodes";
 import { expect } from "chai";
 
 import { HttpUpstreamTransport } from "./HttpUpstreamTransport.js";
@@ -114,6 +116,16 @@
   }
 };
 
+/** What arrives through a peer before the fault, and what is told of it. */
+const RELAYED: readonly [name: string, text: string, told: Told][] = [
+  ["an answer", "", { body: "", ends: ["error"] }],
+  ["the rest of a head", OK, { body: "", ends: ["error"] }],
+  ["the rest of a body", `${LONGER}abc`, BROKEN],
+  ["a chunk's size", CHUNKS + ABC, BROKEN],
+  ["bytes behind an answer", `${LENGTH}abc`, WHOLE],
+];
+const RELAY_FAULTS = ["garbage!\r\n", `${"f".repeat(17)}\r\n`, "\r\n", "0\r\n: a\r\n\r\n"];
+
 const CLOSINGS: readonly [name: string, close: (socket: Socket) => void][] = [
   ["in order", (socket) => socket.end()],
   ["by a reset", (socket) => socket.resetAndDestroy()],
@@ -136,8 +148,13 @@
     server.close();
   });
 
+  /** Opens connections through a peer, in whose place the server answers. */
+  const relayed: Connector = {
+    connect: ({ host, port }) => openRelay({ host, port }, { host, port, timeoutMs: 500 }),
+  };
+
   /** Resolves some time after the answer's end, with all that was told by then. */
-  const send = (): Promise<Told> =>
+  const send = (connector?: Connector): Promise<Told> =>
     new Promise((resolve) => {
       let body = "";
       const ends: string[] = [];
@@ -147,7 +164,7 @@
           resolve({ body, ends });
         }, 2 * LATER_MS);
       };
-      new HttpUpstreamTransport().open(
+      new HttpUpstreamTransport(connector).open(
         {
           ...{ host: LOCALHOST, port: (server.address() as AddressInfo).port, method: "POST" },
           ...{ path: "/", headers: ["Host", "a.example", "Content-Length", "2"] },
@@ -204,4 +221,22 @@
       });
     }
   }
+
+  for (const [name, text, told] of RELAYED) {
+    // Garbage of a peer that relays was taken for its target's.
+    it(`are none of a peer's that relays and sends garbage in place of ${name}`, async () => {
+      const chunk = text === "" ? "" : `${text.length.toString(16)}\r\n${text}\r\n`;
+      const tolds: Told[] = [];
+      for (const fault of RELAY_FAULTS) {
+        onRequest = (socket) => {
+          socket.once("data", () => {
+            writeParts(socket, [chunk, fault]);
+          });
+          socket.write(CHUNKS);
+        };
+        tolds.push(await send(relayed));
+      }
+      expect(tolds).to.deep.equal(RELAY_FAULTS.map(() => told));
+    });
+  }
 });
