Tell a relaying peer's garbage as a broken connection

Change: a relayed connection errors with an error of its own, whose cause is the parser's. Result: the tests of garbage in place of the relay's framing pass; 731 tests of packages/upstreams and of relays in packages/nodes pass.

--- a/packages/nodes/src/openRelay.ts
+++ b/packages/nodes/src/openRelay.ts
@@ -62,7 +62,9 @@
     this.#res = res;
     // Behind this turn, in which nobody can listen to the connection yet.
     const fail = (err: Error): void => {
-      setImmediate(() => this.destroy(err));
+      // Not as it is: its code would tell of the target's answer, which has a parser of its own.
+      const broken = new Error(`relay broke: ${err.message}`, { cause: err });
+      setImmediate(() => this.destroy(broken));
     };
     req.on("error", fail);
     res.on("error", fail);
@@ -75,7 +77,7 @@
       if (getReport(res).end === AnswerEnd.Whole) {
         this.push(null);
       } else {
-        fail(new Error("relayed connection cut"));
+        fail(new Error("cut"));
       }
     });
     res.pause();
