Read engines' streams by what an event is

Cause: SseReader took any block for an event or for nothing: unknown fields were skipped with the event's line behind them, and bytes that are no UTF-8 became replacement characters of the answer. Change: EventReader checks the stream with EngineEvents, which takes the fields of the media type without demanding positions, and a time to reconnect alone; the rest is rejected as an error of the engine, and the attempt goes on behind the last event. Bytes behind the end marker are still passed over.

--- a/packages/engines/src/ExtendedEngineClient.ts
+++ b/packages/engines/src/ExtendedEngineClient.ts
@@ -11,6 +11,7 @@
   OnChunk,
   ResumeCall,
 } from "./EngineClient.js";
+import { EngineEvents } from "./EngineEvents.js";
 import { SseReader, type SseEvent } from "./sse.js";
 import {
   cacheEventPageSchema,
@@ -165,7 +166,7 @@
 /** Parses the server-sent events of one stream into answer chunks. */
 class AnswerParser {
   /** Parses the next bytes of the stream. */
-  readonly push: (bytes: Uint8Array) => void;
+  readonly push: (bytes: Buffer) => void;
   readonly #engine: string;
   readonly #attemptId: string;
   readonly #onChunk: OnChunk;
@@ -177,11 +178,16 @@
     this.#attemptId = attemptId;
     this.#onChunk = onChunk;
     this.#nextSeq = fromSeq;
-    const sse = new SseReader((event) => {
+    const sse = new SseReader(new EngineEvents().newCheck(), (event) => {
       this.#onEvent(event);
     });
     this.push = (bytes) => {
-      sse.push(bytes);
+      const invalid = this.#hasEnded ? undefined : sse.push(bytes);
+      // Nothing behind the end marker is part of the answer.
+      if (invalid && !this.#hasEnded) {
+        const message = `invalid event: ${invalid.fault} at byte ${String(invalid.offset)}`;
+        throw new PeerError(this.#engine, message, { sent: true });
+      }
     };
   }
 
--- a/packages/engines/src/sse.ts
+++ b/packages/engines/src/sse.ts
@@ -1,3 +1,4 @@
+import { EventReader, type EventCheck, type InvalidBytes } from "@lycheepulley/core";
 import { createParser } from "eventsource-parser";
 
 /** A server-sent event with its optional id. */
@@ -6,12 +7,13 @@
   readonly data: string;
 }
 
-/** Incremental parser of server-sent events; a character may be split between two pieces. */
+/** Incremental parser of server-sent events that a check takes for valid. */
 export class SseReader {
-  readonly #decoder = new TextDecoder();
+  readonly #reader: EventReader;
   readonly #parser: ReturnType<typeof createParser>;
 
-  constructor(onEvent: (event: SseEvent) => void) {
+  constructor(check: EventCheck, onEvent: (event: SseEvent) => void) {
+    this.#reader = new EventReader(check);
     this.#parser = createParser({
       onEvent: ({ id, data }) => {
         onEvent({ id, data });
@@ -19,8 +21,12 @@
     });
   }
 
-  /** Parses the next bytes; `onEvent` is called for each event that they complete. */
-  push(bytes: Uint8Array): void {
-    this.#parser.feed(this.#decoder.decode(bytes, { stream: true }));
+  /** Parses the next bytes and calls `onEvent` for each event that they complete; returns what isn't valid behind those. */
+  push(bytes: Buffer): InvalidBytes | undefined {
+    const { blocks, invalid } = this.#reader.push(bytes);
+    blocks.forEach((block) => {
+      this.#parser.feed(block.bytes.toString());
+    });
+    return invalid;
   }
 }
