Take ids of engines' events for what they are

Cause: an event without a position, or with one that is no number, counted as the next one: it took the place of the engine's own event of that position, or made all later positions NaN. Change: NumberedEvents demands ids of the form <attempt>:<position> of all chunks of an answer or of none, as its first one has it; positions may come in any order and twice, which the assembler sorts out, and a plain engine's ids say nothing.

--- a/packages/engines/src/EngineEvents.ts
+++ b/packages/engines/src/EngineEvents.ts
@@ -8,15 +8,29 @@
 
 const RETRY = "retry";
 const DIGITS = /^\d+$/;
+const NUMBERED_ID = /^.+:(0|[1-9]\d{0,14})$/;
 
-/** Streams of chunks of an answer, in the OpenAI style: events of the media type's fields, without positions. */
-export class EngineEvents implements EventFormat {
+/** Data of the event behind the last chunk of an answer. */
+export const DONE_MARKER = "[DONE]";
+
+/** Streams of chunks of an answer in the OpenAI style, whose ids say nothing. */
+export class PlainEvents implements EventFormat {
+  newCheck(): EventCheck {
+    return new FieldCheck();
+  }
+}
+
+/** Streams in the OpenAI style in which all chunks have ids `<attempt>:<position>`, in any order, or none has. */
+export class NumberedEvents implements EventFormat {
   newCheck(): EventCheck {
-    return new EngineCheck();
+    return new NumberCheck();
   }
 }
 
-class EngineCheck implements EventCheck {
+const isRetry = (lines: readonly EventLine[]): boolean =>
+  lines.every(({ name }) => name === "" || name === RETRY);
+
+class FieldCheck implements EventCheck {
   /** Knows the fields of the media type. */
   readonly #fields = new PositionedEvents().newCheck(undefined);
   #position = 0;
@@ -31,7 +45,7 @@
   }
 
   addEvent(lines: readonly EventLine[]): EventFault | undefined {
-    if (lines.every(({ name }) => name === "" || name === RETRY)) {
+    if (isRetry(lines)) {
       return undefined;
     }
     this.#position += 1;
@@ -48,3 +62,20 @@
     return undefined;
   }
 }
+
+class NumberCheck extends FieldCheck {
+  /** Known from the first chunk on. */
+  #hasIds: boolean | undefined;
+
+  override addEvent(lines: readonly EventLine[]): EventFault | undefined {
+    const fault = super.addEvent(lines);
+    const isDone = lines.some(({ name, value }) => name === "data" && value === DONE_MARKER);
+    if (fault !== undefined || isDone || isRetry(lines)) {
+      return fault;
+    }
+    const id = lines.find(({ name }) => name === "id")?.value;
+    this.#hasIds ??= id !== undefined;
+    const isValid = this.#hasIds ? id !== undefined && NUMBERED_ID.test(id) : id === undefined;
+    return isValid ? undefined : EventFault.Id;
+  }
+}
--- a/packages/engines/src/ExtendedEngineClient.ts
+++ b/packages/engines/src/ExtendedEngineClient.ts
@@ -1,4 +1,10 @@
-import { getMessage, PeerError, type AnswerChunk, type TrafficMeter } from "@lycheepulley/core";
+import {
+  getMessage,
+  PeerError,
+  type AnswerChunk,
+  type EventFormat,
+  type TrafficMeter,
+} from "@lycheepulley/core";
 import { HttpPeer } from "@lycheepulley/http";
 import { z } from "zod";
 
@@ -11,7 +17,7 @@
   OnChunk,
   ResumeCall,
 } from "./EngineClient.js";
-import { EngineEvents } from "./EngineEvents.js";
+import { DONE_MARKER, NumberedEvents } from "./EngineEvents.js";
 import { SseReader, type SseEvent } from "./sse.js";
 import {
   cacheEventPageSchema,
@@ -33,7 +39,6 @@
 const HTTP_OK = 200;
 const HTTP_CONFLICT = 409;
 const HTTP_INSUFFICIENT_STORAGE = 507;
-const DONE_MARKER = "[DONE]";
 /** Streams have a connection pool of their own, as they last long and would block short calls. */
 const MAX_STREAM_CONNECTIONS = 256;
 
@@ -44,10 +49,18 @@
   readonly name: string;
   readonly #peer: HttpPeer;
   readonly #streamPeer: HttpPeer;
+  readonly #format: EventFormat;
 
-  constructor(options: { name: string; origin: string; traffic?: TrafficMeter | undefined }) {
-    const { name, origin, traffic } = options;
+  constructor(options: {
+    name: string;
+    origin: string;
+    traffic?: TrafficMeter | undefined;
+    /** What its streams may consist of. */
+    format?: EventFormat;
+  }) {
+    const { name, origin, traffic, format = new NumberedEvents() } = options;
     this.name = name;
+    this.#format = format;
     this.#peer = new HttpPeer({ name, kind: "engine", origin, connections: 4, traffic });
     this.#streamPeer = new HttpPeer({
       name,
@@ -61,7 +74,7 @@
   async generate(call: GenerateCall, onChunk: OnChunk): Promise<void> {
     call.onSend?.();
     const { resume, attemptId } = call;
-    const parser = new AnswerParser(this.name, attemptId, resume?.fromSeq ?? 0, onChunk);
+    const parser = this.#newParser(attemptId, resume?.fromSeq ?? 0, onChunk);
     await this.#streamPeer.stream(
       call.path,
       {
@@ -86,7 +99,7 @@
 
   async resume(call: ResumeCall, onChunk: OnChunk): Promise<void> {
     const { attemptId, fromSeq, signal, timeoutMs } = call;
-    const parser = new AnswerParser(this.name, attemptId, fromSeq, onChunk);
+    const parser = this.#newParser(attemptId, fromSeq, onChunk);
     const path = `${EXTENSION_PREFIX}/streams/${attemptId}?from=${String(fromSeq)}`;
     const options = { signal, timeoutMs, hasEndMarker: true };
     await this.#streamPeer.stream(path, options, parser.push);
@@ -161,6 +174,11 @@
   async close(): Promise<void> {
     await Promise.all([this.#peer.close(), this.#streamPeer.close()]);
   }
+
+  #newParser(attemptId: string, fromSeq: number, onChunk: OnChunk): AnswerParser {
+    const { name: engine } = this;
+    return new AnswerParser({ engine, format: this.#format, attemptId, fromSeq, onChunk });
+  }
 }
 
 /** Parses the server-sent events of one stream into answer chunks. */
@@ -173,12 +191,18 @@
   #nextSeq: number;
   #hasEnded = false;
 
-  constructor(engine: string, attemptId: string, fromSeq: number, onChunk: OnChunk) {
-    this.#engine = engine;
-    this.#attemptId = attemptId;
-    this.#onChunk = onChunk;
-    this.#nextSeq = fromSeq;
-    const sse = new SseReader(new EngineEvents().newCheck(), (event) => {
+  constructor(options: {
+    engine: string;
+    format: EventFormat;
+    attemptId: string;
+    fromSeq: number;
+    onChunk: OnChunk;
+  }) {
+    this.#engine = options.engine;
+    this.#attemptId = options.attemptId;
+    this.#onChunk = options.onChunk;
+    this.#nextSeq = options.fromSeq;
+    const sse = new SseReader(options.format.newCheck(undefined), (event) => {
       this.#onEvent(event);
     });
     this.push = (bytes) => {
--- a/packages/engines/src/PlainEngineClient.ts
+++ b/packages/engines/src/PlainEngineClient.ts
@@ -1,5 +1,6 @@
 import { PeerError } from "@lycheepulley/core";
 
+import { PlainEvents } from "./EngineEvents.js";
 import { ExtendedEngineClient } from "./ExtendedEngineClient.js";
 import type { EngineClient, GenerateCall, OnChunk } from "./EngineClient.js";
 import type { CacheEventPage, EngineLoad, EngineState, KvHolding, OrderResult } from "./types.js";
@@ -16,7 +17,7 @@
   constructor(options: { name: string; origin: string; model: string }) {
     this.name = options.name;
     this.#model = options.model;
-    this.#client = new ExtendedEngineClient(options);
+    this.#client = new ExtendedEngineClient({ ...options, format: new PlainEvents() });
   }
 
   generate(call: GenerateCall, onChunk: OnChunk): Promise<void> {
