--- a/packages/engines/src/engineGarbage.test.ts
+++ b/packages/engines/src/engineGarbage.test.ts
@@ -72,6 +72,7 @@
 
 /** Replaces the id of an event, if it has one. */
 const withId = (id: string) => (event: string) => event.replace(/^id: .*$/m, id);
+const withData = (data: string) => (event: string) => event.replace(/^data: .*$/m, `data: ${data}`);
 const before =
   (bytes: string) =>
   (event: string): string =>
@@ -90,6 +91,20 @@
   ["an event's type", before("event: message\n"), BOTH],
   ["a time to reconnect alone", before("retry: 3000\n\n"), BOTH],
   ["an id of its own", before("id: 7\n"), [PLAIN]],
+  ["an id of its own with a colon", before("id: req:7\n"), [PLAIN]],
+  ["an empty finish reason", (event) => event.replace("null", '""'), BOTH],
+  ["no finish reason", (event) => event.replace(',"finish_reason":null', ""), BOTH],
+  ["no index", (event) => event.replace('"index":0,', ""), BOTH],
+  [
+    "text in place of a delta",
+    (event) => event.replace(/"delta":\{"content":(".*?")\}/, '"text":$1'),
+    BOTH,
+  ],
+  [
+    "a role alone",
+    before(`data: {"choices":[{"index":0,"delta":{"role":"assistant"}}]}\n\n`),
+    [PLAIN],
+  ],
   ["the same id again, and the one before", (event) => event + EXTENDED.newEvent(1), [EXTENDED]],
   ["the next event first", (event) => EXTENDED.newEvent(3) + event, [EXTENDED]],
   ["an event of another attempt", before(`id: req:a0:2\n${newData("x")}`), [EXTENDED]],
@@ -110,6 +125,11 @@
   ["data that isn't JSON", before("data: garbage\n\n"), BOTH],
   ["data that isn't a chunk", before("data: 7\n\n"), BOTH],
   ["an event without an id", before(newData("x")), [EXTENDED]],
+  ["data without choices", before('data: {"choices":[]}\n\n'), BOTH],
+  ["an error", before('event: error\ndata: {"error":{"message":"x"}}\n\n'), BOTH],
+  ["a choice that has nothing", withData('{"choices":[{}]}'), BOTH],
+  ["a choice of another kind", withData('{"choices":[{"index":0,"message":"x"}]}'), BOTH],
+  ["the second choice", withData('{"choices":[{"index":1,"delta":{"content":"x"}}]}'), BOTH],
   ["an event with an empty id", before(`id: \n${newData("x")}`), [EXTENDED]],
   ["an id without an attempt", withId("id: 2"), [EXTENDED]],
   ["an id without a position", withId(`id: ${ATTEMPT}:`), [EXTENDED]],
