Refuse choices that are no chunk

Cause: a choice with neither a delta, a text nor a finish reason counted as an empty chunk, one of another index as the next chunk; either took the place of the engine's own. Change: the schema of a stream's data demands one of the three, and index 0 where there is one, as requests ask for one choice.

--- a/packages/engines/src/types.ts
+++ b/packages/engines/src/types.ts
@@ -66,18 +66,20 @@
 });
 export type OrderResult = z.infer<typeof orderResultSchema>;
 
-/** Data of one event of an OpenAI-style stream, of a chat or a text completion. */
-export const completionEventSchema = z.object({
-  choices: z
-    .array(
-      z.object({
-        delta: z.object({ content: z.string().nullish() }).optional(),
-        text: z.string().optional(),
-        finish_reason: z.string().nullish(),
-      }),
-    )
-    .min(1),
-});
+const choiceSchema = z
+  .object({
+    index: z.literal(0).optional(),
+    delta: z.object({ content: z.string().nullish() }).optional(),
+    text: z.string().optional(),
+    finish_reason: z.string().nullish(),
+  })
+  .refine(
+    ({ delta, text, finish_reason: end }) => (delta ?? text ?? end ?? undefined) !== undefined,
+    "choice without a chunk",
+  );
+
+/** Data of one event of an OpenAI-style stream, of a chat or a text completion with one choice. */
+export const completionEventSchema = z.object({ choices: z.array(choiceSchema).min(1) });
 
 /** Path prefix of the engine extension interface. */
 export const EXTENSION_PREFIX = "/ext/v1";
