Go on behind an empty finish reason

Cause: an empty string in finish_reason counted as the end of the answer, which was complete at its first chunk for callers. Change: an empty reason is none.

--- a/packages/engines/src/types.ts
+++ b/packages/engines/src/types.ts
@@ -71,7 +71,11 @@
     index: z.literal(0).optional(),
     delta: z.object({ content: z.string().nullish() }).optional(),
     text: z.string().optional(),
-    finish_reason: z.string().nullish(),
+    // Some engines send an empty reason with each chunk but the last.
+    finish_reason: z
+      .string()
+      .nullish()
+      .transform((reason) => (reason === "" ? undefined : reason)),
   })
   .refine(
     ({ delta, text, finish_reason: end }) => (delta ?? text ?? end ?? undefined) !== undefined,
