Take nothing from plain engines' ids

Cause: an id with a colon of a plain engine's own was read as attempt and position, so the event counted as one of another attempt and was dropped; its answer never ended. Change: each format says what its ids name; PlainEvents' name nothing.

--- a/packages/engines/src/EngineEvents.ts
+++ b/packages/engines/src/EngineEvents.ts
@@ -1,6 +1,7 @@
 import {
   EventFault,
   PositionedEvents,
+  type AnswerChunk,
   type EventCheck,
   type EventFormat,
   type EventLine,
@@ -8,20 +9,35 @@
 
 const RETRY = "retry";
 const DIGITS = /^\d+$/;
-const NUMBERED_ID = /^.+:(0|[1-9]\d{0,14})$/;
+const NUMBERED_ID = /^(.+):(0|[1-9]\d{0,14})$/s;
 
 /** Data of the event behind the last chunk of an answer. */
 export const DONE_MARKER = "[DONE]";
 
-/** Streams of chunks of an answer in the OpenAI style, whose ids say nothing. */
-export class PlainEvents implements EventFormat {
+/** What a stream of chunks of an answer may consist of, and what its ids say. */
+export interface EngineFormat extends EventFormat {
+  /** Reads the attempt and the position that a valid id names, if it does. */
+  parseId(id: string): Pick<AnswerChunk, "attemptId" | "seq"> | undefined;
+}
+
+/** Streams in the OpenAI style, whose ids say nothing. */
+export class PlainEvents implements EngineFormat {
+  parseId(): undefined {
+    return undefined;
+  }
+
   newCheck(): EventCheck {
     return new FieldCheck();
   }
 }
 
 /** Streams in the OpenAI style in which all chunks have ids `<attempt>:<position>`, in any order, or none has. */
-export class NumberedEvents implements EventFormat {
+export class NumberedEvents implements EngineFormat {
+  parseId(id: string): Pick<AnswerChunk, "attemptId" | "seq"> | undefined {
+    const [, attemptId, seq] = NUMBERED_ID.exec(id) ?? [];
+    return attemptId === undefined ? undefined : { attemptId, seq: Number(seq) };
+  }
+
   newCheck(): EventCheck {
     return new NumberCheck();
   }
--- a/packages/engines/src/ExtendedEngineClient.ts
+++ b/packages/engines/src/ExtendedEngineClient.ts
@@ -1,10 +1,4 @@
-import {
-  getMessage,
-  PeerError,
-  type AnswerChunk,
-  type EventFormat,
-  type TrafficMeter,
-} from "@lycheepulley/core";
+import { getMessage, PeerError, type AnswerChunk, type TrafficMeter } from "@lycheepulley/core";
 import { HttpPeer } from "@lycheepulley/http";
 import { z } from "zod";
 
@@ -17,7 +11,7 @@
   OnChunk,
   ResumeCall,
 } from "./EngineClient.js";
-import { DONE_MARKER, NumberedEvents } from "./EngineEvents.js";
+import { DONE_MARKER, NumberedEvents, type EngineFormat } from "./EngineEvents.js";
 import { SseReader, type SseEvent } from "./sse.js";
 import {
   cacheEventPageSchema,
@@ -49,14 +43,14 @@
   readonly name: string;
   readonly #peer: HttpPeer;
   readonly #streamPeer: HttpPeer;
-  readonly #format: EventFormat;
+  readonly #format: EngineFormat;
 
   constructor(options: {
     name: string;
     origin: string;
     traffic?: TrafficMeter | undefined;
     /** What its streams may consist of. */
-    format?: EventFormat;
+    format?: EngineFormat;
   }) {
     const { name, origin, traffic, format = new NumberedEvents() } = options;
     this.name = name;
@@ -186,6 +180,7 @@
   /** Parses the next bytes of the stream. */
   readonly push: (bytes: Buffer) => void;
   readonly #engine: string;
+  readonly #format: EngineFormat;
   readonly #attemptId: string;
   readonly #onChunk: OnChunk;
   #nextSeq: number;
@@ -193,12 +188,13 @@
 
   constructor(options: {
     engine: string;
-    format: EventFormat;
+    format: EngineFormat;
     attemptId: string;
     fromSeq: number;
     onChunk: OnChunk;
   }) {
     this.#engine = options.engine;
+    this.#format = options.format;
     this.#attemptId = options.attemptId;
     this.#onChunk = options.onChunk;
     this.#nextSeq = options.fromSeq;
@@ -231,7 +227,9 @@
       this.#hasEnded = true;
       return;
     }
-    const chunk = parseChunk(event, this.#attemptId, this.#nextSeq);
+    const named = event.id === undefined ? undefined : this.#format.parseId(event.id);
+    const place = named ?? { attemptId: this.#attemptId, seq: this.#nextSeq };
+    const chunk = { ...place, ...parseData(event.data) };
     this.#nextSeq = chunk.seq + 1;
     this.#onChunk(chunk);
   }
@@ -241,15 +239,10 @@
 const addResumeField = (body: string, resume: NonNullable<GenerateCall["resume"]>): string =>
   `${body.slice(0, body.lastIndexOf("}"))},"${RESUME_FIELD}":${JSON.stringify(resume)}}`;
 
-/** Event ids are `attemptId:seq`; an event without an id takes the next sequence number. */
-const parseChunk = (event: SseEvent, attemptId: string, nextSeq: number): AnswerChunk => {
-  const separator = event.id?.lastIndexOf(":") ?? -1;
-  const hasId = event.id !== undefined && separator > 0;
+const parseData = (data: string): Pick<AnswerChunk, "text" | "finishReason"> => {
   try {
-    const choice = completionEventSchema.parse(JSON.parse(event.data)).choices[0];
+    const choice = completionEventSchema.parse(JSON.parse(data)).choices[0];
     return {
-      attemptId: hasId ? event.id.slice(0, separator) : attemptId,
-      seq: hasId ? Number(event.id.slice(separator + 1)) : nextSeq,
       text: choice?.delta?.content ?? choice?.text ?? "",
       finishReason: choice?.finish_reason ?? undefined,
     };
