Resume callers' streams behind events of their answer only

Cause: what stands behind the last colon of Last-Event-Id was read as a number of any notation: a negative one sent the last events of the answer and [DONE], one of another request or ahead of the answer skipped events. Change: ResumableAnswer finds the position of one of its own events; an empty id begins the answer, any other is answered 410, as what is no number was before.

--- a/packages/callers/src/CallerServer.ts
+++ b/packages/callers/src/CallerServer.ts
@@ -260,13 +260,12 @@
     // An id is no secret, so that only the customer who asked may read the answer.
     const isOwn = streamed && this.#api.authenticate(getApiKey(req)) === streamed.customer;
     const answer = isOwn ? streamed.answer : undefined;
-    const lastEventId = getHeader(req, "last-event-id") ?? "";
-    const lastSeq = Number(lastEventId.slice(lastEventId.lastIndexOf(":") + 1) || -1);
-    if (!answer || !Number.isInteger(lastSeq)) {
+    const fromSeq = answer?.findSeqBehind(getHeader(req, "last-event-id") ?? "");
+    if (!answer || fromSeq === undefined) {
       sendJson(res, HTTP_GONE, { error: { message: `no live stream ${id} here`, code: "gone" } });
       return;
     }
-    answer.attach(res, lastSeq + 1);
+    answer.attach(res, fromSeq);
   }
 
   async #handleService(
--- a/packages/callers/src/ResumableAnswer.ts
+++ b/packages/callers/src/ResumableAnswer.ts
@@ -21,6 +21,8 @@
   readonly createdS: number;
 }
 
+const SEQ = /^(0|[1-9]\d*)$/;
+
 /** A streamed answer whose caller can reconnect and resume from a position. */
 export class ResumableAnswer {
   readonly #options: ResumableAnswerOptions;
@@ -38,6 +40,15 @@
     return this.#outcome !== undefined || this.#err !== undefined;
   }
 
+  /** Finds the position behind an event of the answer, which an empty id puts at its beginning. */
+  findSeqBehind(eventId: string): number | undefined {
+    const prefix = `${this.#options.requestId}:`;
+    const digits = eventId.startsWith(prefix) ? eventId.slice(prefix.length) : "";
+    const seq =
+      SEQ.test(digits) && Number(digits) < this.#chunks.length ? Number(digits) + 1 : undefined;
+    return eventId === "" ? 0 : seq;
+  }
+
   /** Sends the answer from position `fromSeq` on, and closes the connection attached before. */
   attach(res: ServerResponse, fromSeq: number): void {
     clearTimeout(this.#abandonTimer);
