Keep a service's byte order mark

Cause: undici's text() decodes without the mark, so callers got another body than the service sent. Change: the bytes are decoded by Buffer, which keeps it.

--- a/packages/services/src/ServiceClient.ts
+++ b/packages/services/src/ServiceClient.ts
@@ -51,7 +51,7 @@
       const answer = {
         status: res.statusCode,
         contentType: typeof contentType === "string" ? contentType : "application/octet-stream",
-        body: await res.body.text(),
+        body: Buffer.from(await res.body.arrayBuffer()).toString(),
       };
       // Neither an orderly end nor that the service lives tells a whole answer from a part.
       if (getReadEnd(method, res) !== AnswerEnd.Whole) {
