Refuse a service's answer that is no text

Cause: a service's body is kept as text; what is no UTF-8 in it became replacement characters and went out with status 200. Change: such an answer is an error whose request may have run, as an answer of unknown end is.

--- a/packages/services/src/ServiceClient.ts
+++ b/packages/services/src/ServiceClient.ts
@@ -1,6 +1,10 @@
+import { isUtf8 } from "node:buffer";
+
 import { AnswerEnd, PeerError } from "@lycheepulley/core";
 import { getReadEnd, HttpPeer, UNKNOWN_END } from "@lycheepulley/http";
 
+const NO_TEXT = "answer with bytes that are no UTF-8";
+
 /** Parameters of one call to a plain service. */
 export interface ServiceCall {
   readonly method: "GET" | "HEAD" | "POST" | "PUT" | "PATCH" | "DELETE";
@@ -25,8 +29,8 @@
 export interface ServiceClient {
   readonly name: string;
   /**
-   * Calls the service; rejects with a PeerError that says whether bytes were sent. An answer of unknown end is
-   * rejected with its status.
+   * Calls the service; rejects with a PeerError that says whether bytes were sent. An answer of unknown end, or
+   * that isn't text, is rejected with its status.
    */
   call(call: ServiceCall): Promise<ServiceAnswer>;
   close(): Promise<void>;
@@ -48,15 +52,19 @@
     const res = await this.#peer.open(path, { method, headers, body, timeoutMs, signal });
     try {
       const contentType = res.headers["content-type"];
+      const bytes = Buffer.from(await res.body.arrayBuffer());
       const answer = {
         status: res.statusCode,
         contentType: typeof contentType === "string" ? contentType : "application/octet-stream",
-        body: Buffer.from(await res.body.arrayBuffer()).toString(),
+        body: bytes.toString(),
       };
       // Neither an orderly end nor that the service lives tells a whole answer from a part.
       if (getReadEnd(method, res) !== AnswerEnd.Whole) {
         throw new PeerError(this.name, UNKNOWN_END, { sent: true, status: res.statusCode });
       }
+      if (!isUtf8(bytes)) {
+        throw new PeerError(this.name, NO_TEXT, { sent: true, status: res.statusCode });
+      }
       return answer;
     } catch (err) {
       throw this.#peer.toPeerError(err);
