Don't continue answers at plain engines

Cause: a plain engine began a part of an answer anew, and its chunks behind as many as the caller had were passed on as the rest. Change: PlainEngineClient rejects such an attempt before it is sent, with status 501, so that another engine is tried and this one doesn't count as broken. Result: the failing case passes; 329 tests of engines and of serving's requests pass.

--- a/packages/engines/src/PlainEngineClient.ts
+++ b/packages/engines/src/PlainEngineClient.ts
@@ -7,6 +7,7 @@
 
 /** Such an engine doesn't report its KV memory, so placement treats it as unlimited. */
 const UNLIMITED_KV_TOKENS = Number.MAX_SAFE_INTEGER;
+const HTTP_NOT_IMPLEMENTED = 501;
 
 /** Client of an engine with only an OpenAI-style API: no resume, orders or load reports. */
 export class PlainEngineClient implements EngineClient {
@@ -21,7 +22,13 @@
   }
 
   generate(call: GenerateCall, onChunk: OnChunk): Promise<void> {
-    return this.#client.generate({ ...call, resume: undefined, segments: undefined }, onChunk);
+    if (call.resume) {
+      // The status keeps a sound engine from counting as broken.
+      const options = { sent: false, status: HTTP_NOT_IMPLEMENTED };
+      const message = "continuing an answer isn't part of this dialect";
+      return Promise.reject(new PeerError(this.name, message, options));
+    }
+    return this.#client.generate({ ...call, segments: undefined }, onChunk);
   }
 
   resume(): Promise<void> {
