--- a/packages/engines/src/ExtendedEngineClient.ts
+++ b/packages/engines/src/ExtendedEngineClient.ts
@@ -11,6 +11,7 @@
   OnChunk,
   ResumeCall,
 } from "./EngineClient.js";
+import { DONE_MARKER, NumberedEvents, type EngineFormat } from "./EngineEvents.js";
 import { SseReader, type SseEvent } from "./sse.js";
 import {
   cacheEventPageSchema,
@@ -32,7 +33,6 @@
 const HTTP_OK = 200;
 const HTTP_CONFLICT = 409;
 const HTTP_INSUFFICIENT_STORAGE = 507;
-const DONE_MARKER = "[DONE]";
 /** Streams have a connection pool of their own, as they last long and would block short calls. */
 const MAX_STREAM_CONNECTIONS = 256;
 
@@ -43,10 +43,18 @@
   readonly name: string;
   readonly #peer: HttpPeer;
   readonly #streamPeer: HttpPeer;
-
-  constructor(options: { name: string; origin: string; traffic?: TrafficMeter | undefined }) {
-    const { name, origin, traffic } = options;
+  readonly #format: EngineFormat;
+
+  constructor(options: {
+    name: string;
+    origin: string;
+    traffic?: TrafficMeter | undefined;
+    /** What its streams may consist of. */
+    format?: EngineFormat;
+  }) {
+    const { name, origin, traffic, format = new NumberedEvents() } = options;
     this.name = name;
+    this.#format = format;
     this.#peer = new HttpPeer({ name, kind: "engine", origin, connections: 4, traffic });
     this.#streamPeer = new HttpPeer({
       name,
@@ -60,7 +68,7 @@
   async generate(call: GenerateCall, onChunk: OnChunk): Promise<void> {
     call.onSend?.();
     const { resume, attemptId } = call;
-    const parser = new AnswerParser(this.name, attemptId, resume?.fromSeq ?? 0, onChunk);
+    const parser = this.#newParser(attemptId, resume?.fromSeq ?? 0, onChunk);
     await this.#streamPeer.stream(
       call.path,
       {
@@ -85,7 +93,7 @@
 
   async resume(call: ResumeCall, onChunk: OnChunk): Promise<void> {
     const { attemptId, fromSeq, signal, timeoutMs } = call;
-    const parser = new AnswerParser(this.name, attemptId, fromSeq, onChunk);
+    const parser = this.#newParser(attemptId, fromSeq, onChunk);
     const path = `${EXTENSION_PREFIX}/streams/${attemptId}?from=${String(fromSeq)}`;
     const options = { signal, timeoutMs, hasEndMarker: true };
     await this.#streamPeer.stream(path, options, parser.push);
@@ -160,28 +168,46 @@
   async close(): Promise<void> {
     await Promise.all([this.#peer.close(), this.#streamPeer.close()]);
   }
+
+  #newParser(attemptId: string, fromSeq: number, onChunk: OnChunk): AnswerParser {
+    const { name: engine } = this;
+    return new AnswerParser({ engine, format: this.#format, attemptId, fromSeq, onChunk });
+  }
 }
 
 /** Parses the server-sent events of one stream into answer chunks. */
 class AnswerParser {
   /** Parses the next bytes of the stream. */
-  readonly push: (bytes: Uint8Array) => void;
+  readonly push: (bytes: Buffer) => void;
   readonly #engine: string;
+  readonly #format: EngineFormat;
   readonly #attemptId: string;
   readonly #onChunk: OnChunk;
   #nextSeq: number;
   #hasEnded = false;
 
-  constructor(engine: string, attemptId: string, fromSeq: number, onChunk: OnChunk) {
-    this.#engine = engine;
-    this.#attemptId = attemptId;
-    this.#onChunk = onChunk;
-    this.#nextSeq = fromSeq;
-    const sse = new SseReader((event) => {
+  constructor(options: {
+    engine: string;
+    format: EngineFormat;
+    attemptId: string;
+    fromSeq: number;
+    onChunk: OnChunk;
+  }) {
+    this.#engine = options.engine;
+    this.#format = options.format;
+    this.#attemptId = options.attemptId;
+    this.#onChunk = options.onChunk;
+    this.#nextSeq = options.fromSeq;
+    const sse = new SseReader(options.format.newCheck(undefined), (event) => {
       this.#onEvent(event);
     });
     this.push = (bytes) => {
-      sse.push(bytes);
+      const invalid = this.#hasEnded ? undefined : sse.push(bytes);
+      // Nothing behind the end marker is part of the answer.
+      if (invalid && !this.#hasEnded) {
+        const message = `invalid event: ${invalid.fault} at byte ${String(invalid.offset)}`;
+        throw new PeerError(this.#engine, message, { sent: true });
+      }
     };
   }
 
@@ -201,7 +227,9 @@
       this.#hasEnded = true;
       return;
     }
-    const chunk = parseChunk(event, this.#attemptId, this.#nextSeq);
+    const named = event.id === undefined ? undefined : this.#format.parseId(event.id);
+    const place = named ?? { attemptId: this.#attemptId, seq: this.#nextSeq };
+    const chunk = { ...place, ...parseData(event.data) };
     this.#nextSeq = chunk.seq + 1;
     this.#onChunk(chunk);
   }
@@ -211,15 +239,10 @@
 const addResumeField = (body: string, resume: NonNullable<GenerateCall["resume"]>): string =>
   `${body.slice(0, body.lastIndexOf("}"))},"${RESUME_FIELD}":${JSON.stringify(resume)}}`;
 
-/** Event ids are `attemptId:seq`; an event without an id takes the next sequence number. */
-const parseChunk = (event: SseEvent, attemptId: string, nextSeq: number): AnswerChunk => {
-  const separator = event.id?.lastIndexOf(":") ?? -1;
-  const hasId = event.id !== undefined && separator > 0;
+const parseData = (data: string): Pick<AnswerChunk, "text" | "finishReason"> => {
   try {
-    const choice = completionEventSchema.parse(JSON.parse(event.data)).choices[0];
+    const choice = completionEventSchema.parse(JSON.parse(data)).choices[0];
     return {
-      attemptId: hasId ? event.id.slice(0, separator) : attemptId,
-      seq: hasId ? Number(event.id.slice(separator + 1)) : nextSeq,
       text: choice?.delta?.content ?? choice?.text ?? "",
       finishReason: choice?.finish_reason ?? undefined,
     };
--- a/packages/engines/src/PlainEngineClient.ts
+++ b/packages/engines/src/PlainEngineClient.ts
@@ -1,11 +1,13 @@
 import { PeerError } from "@lycheepulley/core";
 
+import { PlainEvents } from "./EngineEvents.js";
 import { ExtendedEngineClient } from "./ExtendedEngineClient.js";
 import type { EngineClient, GenerateCall, OnChunk } from "./EngineClient.js";
 import type { CacheEventPage, EngineLoad, EngineState, KvHolding, OrderResult } from "./types.js";
 
 /** Such an engine doesn't report its KV memory, so placement treats it as unlimited. */
 const UNLIMITED_KV_TOKENS = Number.MAX_SAFE_INTEGER;
+const HTTP_NOT_IMPLEMENTED = 501;
 
 /** Client of an engine with only an OpenAI-style API: no resume, orders or load reports. */
 export class PlainEngineClient implements EngineClient {
@@ -16,11 +18,17 @@
   constructor(options: { name: string; origin: string; model: string }) {
     this.name = options.name;
     this.#model = options.model;
-    this.#client = new ExtendedEngineClient(options);
+    this.#client = new ExtendedEngineClient({ ...options, format: new PlainEvents() });
   }
 
   generate(call: GenerateCall, onChunk: OnChunk): Promise<void> {
-    return this.#client.generate({ ...call, resume: undefined, segments: undefined }, onChunk);
+    if (call.resume) {
+      // The status keeps a sound engine from counting as broken.
+      const options = { sent: false, status: HTTP_NOT_IMPLEMENTED };
+      const message = "continuing an answer isn't part of this dialect";
+      return Promise.reject(new PeerError(this.name, message, options));
+    }
+    return this.#client.generate({ ...call, segments: undefined }, onChunk);
   }
 
   resume(): Promise<void> {
