--- a/packages/forwarding/src/Send.ts
+++ b/packages/forwarding/src/Send.ts
@@ -125,9 +125,10 @@
 
   onError(state: SendState, err: Error, fault?: AnswerFault): void {
     this.#events.refuse(fault);
-    const isCut = state === SendState.Sent;
-    const result = isCut ? SendResult.Broken : SendResult.Unsent;
-    this.#finish({ result, reason: err.message, isCut });
+    const isSent = state === SendState.Sent;
+    const isInvalid = fault !== undefined;
+    const result = isSent ? SendResult.Broken : SendResult.Unsent;
+    this.#finish({ result, reason: err.message, isInvalid, isCut: isSent && !isInvalid });
   }
 
   /** Ends the send on an error of this process, which its caller would otherwise await in vain. */
@@ -182,7 +183,7 @@
     const isSaid = this.#facts.isNotRun && !this.#isEventStream && !this.#isPassthrough;
     if (end === AnswerEnd.Whole || isSaid) {
       this.#endAnswer(this.#head, this.#facts);
-    } else if (this.#events.pendingBytes > 0) {
+    } else if (this.#events.isInEvent) {
       this.#finish(CUT_EVENT);
     } else {
       void findEndFault(end, this.#head, this.#accepts).then(this.#finish.bind(this));
@@ -248,7 +249,7 @@
   }
 
   #endEventStream(): void {
-    if (this.#events.pendingBytes > 0) {
+    if (this.#events.isInEvent) {
       this.#finish(CUT_EVENT);
       return;
     }
