Pass empty lines on that end a whole stream, and name parts of it by what they are

A reader found StreamEvent with isEvent false, and three different findEndFault. Change: Send passes the waiting empty lines on at a valid end. StreamEvent is StreamBlock, what a check says of an end is findEarlyEnd.

--- a/packages/core/src/events/EventFormat.ts
+++ b/packages/core/src/events/EventFormat.ts
@@ -37,12 +37,15 @@
   /** Finds what makes valid fields no event that may follow here, and goes on behind the event if nothing does. */
   addEvent(fields: readonly EventLine[]): EventFault | undefined;
   /** Finds why a stream that is complete by its framing can't end here. */
-  findEndFault(): EventFault | undefined;
+  findEarlyEnd(): EventFault | undefined;
 }
 
 /** What a stream of one kind may consist of. */
 export interface EventFormat {
-  /** Begins the check of an answer whose caller has the events up to `lastEventId`; undefined for none. */
+  /**
+   * Begins the check of an answer whose caller has the events up to `lastEventId`; undefined for none. Behind an id
+   * that can't be read, the answer may begin anywhere.
+   */
   newCheck(lastEventId: string | undefined): EventCheck;
 }
 
@@ -50,7 +53,7 @@
   mayBegin: () => true,
   findLineFault: () => undefined,
   addEvent: () => undefined,
-  findEndFault: () => undefined,
+  findEarlyEnd: () => undefined,
 };
 
 /** Streams of which nothing is known but their media type, `text/event-stream`. */
@@ -137,7 +140,7 @@
     return undefined;
   }
 
-  findEndFault(): EventFault | undefined {
+  findEarlyEnd(): EventFault | undefined {
     return this.#position === 0 ? EventFault.Empty : undefined;
   }
 
--- a/packages/core/src/events/EventReader.test.ts
+++ b/packages/core/src/events/EventReader.test.ts
@@ -2,13 +2,13 @@
 import fc from "fast-check";
 
 import { AnyEvents, EventFault, PositionedEvents, type EventFormat } from "./EventFormat.js";
-import { EventReader, type InvalidBytes, type StreamEvent } from "./EventReader.js";
+import { EventReader, type InvalidBytes, type StreamBlock } from "./EventReader.js";
 
 const POSITIONED = new PositionedEvents(new Map([["x-version", /^\d+$/]]));
 const RUNS = { seed: 20_261_207, numRuns: 300 };
 
 interface Read {
-  readonly blocks: readonly StreamEvent[];
+  readonly blocks: readonly StreamBlock[];
   readonly invalid: InvalidBytes | undefined;
   readonly pendingBytes: number;
   readonly endFault: EventFault | undefined;
@@ -21,14 +21,14 @@
 ): Read => {
   const { format = POSITIONED, size = text.length, lastEventId } = options;
   const reader = new EventReader(format.newCheck(lastEventId));
-  const blocks: StreamEvent[] = [];
+  const blocks: StreamBlock[] = [];
   let invalid: InvalidBytes | undefined;
   for (let at = 0; at < text.length && !invalid; at += size) {
     const done = reader.push(Buffer.from(text.slice(at, at + size), "latin1"));
     blocks.push(...done.blocks);
     ({ invalid } = done);
   }
-  const endFault = reader.findEndFault()?.fault;
+  const endFault = reader.findEarlyEnd()?.fault;
   return { blocks, invalid, pendingBytes: reader.pendingBytes, endFault };
 };
 
--- a/packages/core/src/events/EventReader.ts
+++ b/packages/core/src/events/EventReader.ts
@@ -11,7 +11,7 @@
 const MAX_START_BYTES = 64;
 
 /** A complete block of a stream, as the bytes that arrived. */
-export interface StreamEvent {
+export interface StreamBlock {
   readonly bytes: Buffer;
   /** False for comments, which carry nothing of the answer. */
   readonly isEvent: boolean;
@@ -29,7 +29,7 @@
 /** What was read of a stream. */
 export interface ReadEvents {
   /** Valid blocks, with the comments between two events as one each. Empty lines are part of the block behind them. */
-  readonly blocks: readonly StreamEvent[];
+  readonly blocks: readonly StreamBlock[];
   /** Set once the stream is invalid, and then with no further blocks. */
   readonly invalid: InvalidBytes | undefined;
 }
@@ -77,7 +77,7 @@
 
   /** Adds bytes and returns the blocks that they complete. */
   push(chunk: Buffer): ReadEvents {
-    const blocks: StreamEvent[] = [];
+    const blocks: StreamBlock[] = [];
     let start = 0;
     let commentsEnd = 0;
     const endComments = (): void => {
@@ -117,9 +117,14 @@
     return { blocks, invalid: this.#invalid };
   }
 
-  /** Ends a stream that is complete by its framing. */
-  findEndFault(): InvalidBytes | undefined {
-    const fault = this.#check.findEndFault();
+  /** Empty lines behind the last block, when the stream ends there. */
+  get emptyLines(): Buffer {
+    return this.#kept.subarray(0, this.isInBlock ? 0 : this.#pendingBytes);
+  }
+
+  /** Finds why a stream that is complete by its framing can't end here. */
+  findEarlyEnd(): InvalidBytes | undefined {
+    const fault = this.#check.findEarlyEnd();
     return fault === undefined ? undefined : { fault, offset: this.#offset };
   }
 
@@ -148,7 +153,7 @@
     return false;
   }
 
-  #endEvent(blocks: StreamEvent[], bytes: Buffer): void {
+  #endEvent(blocks: StreamBlock[], bytes: Buffer): void {
     const fault = this.#check.addEvent(this.#fields);
     if (fault === undefined) {
       const id = this.#fields.find(({ name }) => name === "id")?.value;
--- a/packages/engines/src/EngineEvents.ts
+++ b/packages/engines/src/EngineEvents.ts
@@ -74,7 +74,7 @@
   }
 
   /** The stream's end marker tells whether it may end. */
-  findEndFault(): undefined {
+  findEarlyEnd(): undefined {
     return undefined;
   }
 }
--- a/packages/forwarding/src/AnswerEvents.ts
+++ b/packages/forwarding/src/AnswerEvents.ts
@@ -46,6 +46,11 @@
     return this.#reader.isInBlock;
   }
 
+  /** Empty lines behind the last event, when the stream ends there. */
+  get emptyLines(): Buffer {
+    return this.#reader.emptyLines;
+  }
+
   setHead(head: AnswerHead): void {
     this.#head = head;
   }
@@ -65,7 +70,7 @@
   /** Ends a stream that is complete by its framing; undefined when it may end here. */
   end(): InvalidBytes | undefined {
     const isBodiless = this.#head?.framing === Framing.NoBody;
-    const invalid = isBodiless ? undefined : this.#reader.findEndFault();
+    const invalid = isBodiless ? undefined : this.#reader.findEarlyEnd();
     this.#reportInvalid(invalid);
     return invalid;
   }
--- a/packages/forwarding/src/Send.ts
+++ b/packages/forwarding/src/Send.ts
@@ -5,7 +5,7 @@
   type Clock,
   type EndReport,
   type ReadEvents,
-  type StreamEvent,
+  type StreamBlock,
 } from "@lycheepulley/core";
 
 import { AnswerBuffer, MAX_BUFFERED_BYTES } from "./AnswerBuffer.js";
@@ -216,7 +216,7 @@
     }
   }
 
-  #forwardBlocks(blocks: readonly StreamEvent[]): void {
+  #forwardBlocks(blocks: readonly StreamBlock[]): void {
     const events = blocks.filter(({ isEvent }) => isEvent).length;
     if (events === 0) {
       this.#forwardComments(blocks);
@@ -235,7 +235,7 @@
   }
 
   /** Comments show that the upstream is alive, but not that the answer goes on. */
-  #forwardComments(blocks: readonly StreamEvent[]): void {
+  #forwardComments(blocks: readonly StreamBlock[]): void {
     for (const { bytes } of blocks) {
       if (this.#hasEvents) {
         this.#write(bytes);
@@ -261,7 +261,7 @@
     }
     this.#observer.onProgress();
     this.#sendHeadOnce();
-    this.#write(this.#buffer.take());
+    this.#write(Buffer.concat([this.#buffer.take(), this.#events.emptyLines]));
     this.#writer.end();
     this.#finish({ result: SendResult.Delivered, reason: "whole stream" });
   }
--- a/packages/forwarding/src/invalidEvents.test.ts
+++ b/packages/forwarding/src/invalidEvents.test.ts
@@ -83,6 +83,19 @@
     expect(harness.caller.body).to.equal(event(1) + event(2));
   });
 
+  // Empty lines wait for the event behind them, and were missing where none followed.
+  it("passes empty lines on that end a whole stream", async () => {
+    const harness = await start(ONCE, 1);
+    send(harness, "\r\n\n");
+    expect(harness.caller.body).to.equal(event(1));
+    endAnswer(harness.transport.last);
+    await harness.settle();
+    expect([harness.caller.body, harness.caller.ending]).to.deep.equal([
+      `${event(1)}\r\n\n`,
+      "whole",
+    ]);
+  });
+
   it("refuses a whole stream without an event", async () => {
     const harness = await start(ONCE, 0);
     endAnswer(harness.transport.last);
